--- /dev/null
+++ b/internal/result/result_test.go
@@ -0,0 +1,31 @@
+package result
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// The class of a code and what it promises about the effect go together: a
+// caller that reads 2xxx or 4xxx may send the request again without harm.
+func TestClassMatchesPromise(t *testing.T) {
+	for _, c := range Codes() {
+		switch int(c) / 1000 {
+		case 2, 4:
+			must.Eq(t, RanNo, c.Ran(), must.Sprintf("code %d", c))
+		case 3:
+			must.Eq(t, RanUnknown, c.Ran(), must.Sprintf("code %d", c))
+		}
+	}
+	must.Eq(t, RanUnknown, Code(9999).Ran())
+}
+
+func TestWriteRoundsRetryAfterUp(t *testing.T) {
+	w := httptest.NewRecorder()
+	Refuse(Shed, "limit %d", 5).After(1200*time.Millisecond).Write(w, "r1")
+	must.Eq(t, "2", w.Header().Get("Retry-After"))
+	must.Eq(t, "2001", w.Header().Get(HeaderResult))
+	must.Eq(t, 503, w.Code)
+}
