Inner and admin protocols, settings, timeline: interfaces

Cause: the data path needs the headers between nodes, the settings and the event types before it can be written. Change: protobuf messages and connect services for nodes and operators with their generated code; header codec and its checks; strict JSON settings; a ring of events with a hybrid logical clock. No tests yet.

--- /dev/null
+++ b/internal/inner/context.go
@@ -0,0 +1,63 @@
+package inner
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+)
+
+// FromContext makes the header of a call sent at now with allowance retries
+// escrowed to it. BodyHash, TargetIncarnation, Reattach, SuspectCrashes and
+// FromNode are the sender's to fill in.
+func FromContext(c *callctx.Context, now time.Time, allowance uint32) *CallHeader {
+	h := &CallHeader{
+		CallId:      c.CallID,
+		RequestId:   c.RequestID,
+		ParentId:    c.ParentID,
+		Workspace:   c.Workspace,
+		Service:     c.Service,
+		Level:       uint32(c.Level),
+		RemainingUs: clampMicros(c.Remaining(now)),
+		RootAgeUs:   clampMicros(now.Sub(c.RootAdmitted)),
+		Depth:       uint32(max(0, c.Depth)),
+		CallerHash:  c.CallerHash,
+		Idempotent:  c.Idempotent,
+		Key:         c.Key,
+		Allowance:   allowance,
+		TraceParent: c.TraceParent,
+	}
+	if !c.KeyIssued.IsZero() {
+		h.KeyIssuedMs = c.KeyIssued.UnixMilli()
+	}
+	return h
+}
+
+// ToContext makes the context of a header received at now. The time that the
+// call spent on the wire isn't taken off, so a deadline moves back by one way.
+func ToContext(h *CallHeader, now time.Time) *callctx.Context {
+	c := &callctx.Context{
+		RequestID:    h.RequestId,
+		CallID:       h.CallId,
+		ParentID:     h.ParentId,
+		Workspace:    h.Workspace,
+		Service:      h.Service,
+		Level:        callctx.Level(min(h.Level, callctx.Levels-1)),
+		Deadline:     now.Add(micros(h.RemainingUs)),
+		RootAdmitted: now.Add(-micros(h.RootAgeUs)),
+		Depth:        int(h.Depth),
+		CallerHash:   h.CallerHash,
+		Idempotent:   h.Idempotent,
+		Key:          h.Key,
+		TraceParent:  h.TraceParent,
+	}
+	if h.KeyIssuedMs > 0 {
+		c.KeyIssued = time.UnixMilli(h.KeyIssuedMs)
+	}
+	return c
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func clampMicros(d time.Duration) int64 {
+	return min(max(0, d), MaxRemaining).Microseconds()
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 1 << 20
+
+// Load reads, completes and validates the settings file at path.
+func Load(path string) (*Node, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open settings")
+	}
+	defer f.Close()
+	doc, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read settings %s", path)
+	}
+	n, err := Parse(doc)
+	return n, errors.WithMessage(err, path)
+}
+
+// Parse reads a settings document, fills in defaults and validates it.
+func Parse(doc []byte) (*Node, error) {
+	if len(doc) > MaxFileBytes {
+		return nil, errors.Errorf("settings: document is %d bytes or more, must be at most %d", len(doc), MaxFileBytes)
+	}
+	if err := checkShape(doc, reflect.TypeFor[Node]()); err != nil {
+		return nil, err
+	}
+	n := Defaults()
+	if err := json.Unmarshal(doc, n); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	n.complete()
+	if err := n.Validate(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Defaults returns settings with every default and nothing else; they don't
+// validate until the names, addresses and log URL are given.
+func Defaults() *Node {
+	return &Node{
+		Log: Log{
+			AppendTimeout: Duration(2 * time.Second),
+			ReadTimeout:   Duration(2 * time.Second),
+			ReadWait:      Duration(time.Second),
+			Retention:     Duration(24 * time.Hour),
+		},
+		Timing: Timing{
+			Exchange:        Duration(time.Second),
+			Probe:           Duration(time.Second),
+			ProbeTimeout:    Duration(500 * time.Millisecond),
+			Suspect:         Duration(2 * time.Second),
+			Dead:            Duration(6 * time.Second),
+			UpstreamSilence: Duration(3 * time.Second),
+			Authority:       Duration(3 * time.Second),
+			DrainNotice:     Duration(2 * time.Second),
+			StopTimeout:     Duration(time.Minute),
+			CallTimeout:     Duration(10 * time.Second),
+			MaxCallTimeout:  Duration(2 * time.Minute),
+			Connect:         Duration(250 * time.Millisecond),
+			IdleConnection:  Duration(30 * time.Second),
+		},
+		Limits: Limits{
+			CallerConnections: 4096,
+			CallsInFlight:     8192,
+			PeerConnections:   256,
+			Queue:             1024,
+			BodyBytes:         1 << 20,
+			HeldBytes:         64 << 20,
+			AnswerBytes:       16 << 20,
+			AnswerKeys:        1 << 16,
+			HeaderBytes:       32 << 10,
+			TimelineEvents:    8192,
+			TimelineSample:    64,
+			Suspects:          1024,
+		},
+		Logging: Logging{Level: "info", Burst: 100, Sample: 100},
+	}
+}
+
+// complete fills in the defaults that depend on other fields.
+func (n *Node) complete() {
+	if n.Inner.Advertised == "" {
+		n.Inner.Advertised = n.Inner.Address
+	}
+}
