Request path: entry, dispatch, guard, peers, stand-ins

Cause: nothing carries a call yet. Change: node (guard, dispatch, replica: pure), proxy (net/http), server (listeners, log reader, planned stop), upstream and network stand-ins.

--- /dev/null
+++ b/internal/callctx/headers.go
@@ -0,0 +1,182 @@
+package callctx
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// Headers that callers and upstreams use.
+const (
+	HeaderWorkspace = "Galena-Workspace"
+	HeaderService   = "Galena-Service"
+	HeaderPriority  = "Galena-Priority"
+	HeaderTimeout   = "Galena-Timeout"
+	HeaderCaller    = "Galena-Caller"
+	HeaderIssuedAt  = "Galena-Issued-At"
+	// HeaderIdempotent set to "true" declares a call safe to run twice.
+	HeaderIdempotent = "Galena-Idempotent"
+	// HeaderContext is opaque to upstreams: they copy it from the request they
+	// run to the calls they make for it.
+	HeaderContext = "Galena-Context"
+	// HeaderRequestID names the root request on answers.
+	HeaderRequestID = "Galena-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+	HeaderTrace     = "Traceparent"
+	headerPrefix    = "Galena-"
+)
+
+// Bounds of what a caller may send.
+const (
+	MaxNameLen  = 64
+	MaxKeyLen   = 200
+	MaxTraceLen = 128
+	// MaxTimeout bounds a caller's own timeout before the template's.
+	MaxTimeout = 10 * time.Minute
+)
+
+// Raw is what a caller asked for, checked but not yet completed by a template.
+type Raw struct {
+	Workspace, Service string
+	// Level is LevelLow when the header names no known level.
+	Level Level
+	// HasLevel says that the caller sent a level at all.
+	HasLevel bool
+	// Timeout is 0 when the caller sent none.
+	Timeout     time.Duration
+	Caller      string
+	Key         string
+	KeyIssued   time.Time
+	Idempotent  bool
+	Parent      string
+	TraceParent string
+}
+
+// Decode reads the headers of a caller. It returns a refusal with
+// result.BadContext naming the header and its bound.
+func Decode(h http.Header) (Raw, *result.Refusal) {
+	raw := Raw{Idempotent: h.Get(HeaderIdempotent) == "true"}
+	fields := []struct {
+		header string
+		into   *string
+		check  func(string) bool
+		bound  int
+	}{
+		{HeaderWorkspace, &raw.Workspace, isName, MaxNameLen},
+		{HeaderService, &raw.Service, isName, MaxNameLen},
+		{HeaderCaller, &raw.Caller, isPrintable, MaxKeyLen},
+		{HeaderKey, &raw.Key, isPrintable, MaxKeyLen},
+		{HeaderContext, &raw.Parent, isName, MaxNameLen},
+		{HeaderTrace, &raw.TraceParent, isPrintable, MaxTraceLen},
+	}
+	for _, f := range fields {
+		v, refusal := single(h, f.header)
+		if refusal != nil {
+			return Raw{}, refusal
+		}
+		if len(v) > f.bound {
+			return Raw{}, result.Refuse(result.BadContext, "header %s has %d bytes, bound %d", f.header, len(v), f.bound)
+		}
+		if v != "" && !f.check(v) {
+			return Raw{}, result.Refuse(result.BadContext, "header %s has characters outside its set", f.header)
+		}
+		*f.into = v
+	}
+	if v := h.Get(HeaderPriority); v != "" {
+		raw.HasLevel = true
+		raw.Level = ParseLevel(v)
+	}
+	return raw, raw.decodeTimes(h)
+}
+
+func (r *Raw) decodeTimes(h http.Header) *result.Refusal {
+	if v := h.Get(HeaderTimeout); v != "" {
+		d, ok := parseTimeout(v)
+		if !ok {
+			return result.Refuse(result.BadContext, "header %s must be a duration such as 800ms, greater than 0 and at most %s", HeaderTimeout, MaxTimeout)
+		}
+		r.Timeout = d
+	}
+	if v := h.Get(HeaderIssuedAt); v != "" {
+		at, err := time.Parse(time.RFC3339Nano, v)
+		if err != nil {
+			return result.Refuse(result.BadContext, "header %s must be an RFC 3339 time", HeaderIssuedAt)
+		}
+		r.KeyIssued = at
+	}
+	return nil
+}
+
+// parseTimeout accepts a Go duration or a whole number of milliseconds.
+func parseTimeout(v string) (time.Duration, bool) {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		ms, err := strconv.ParseInt(v, 10, 32)
+		if err != nil {
+			return 0, false
+		}
+		d = time.Duration(ms) * time.Millisecond
+	}
+	return d, d > 0 && d <= MaxTimeout
+}
+
+// single refuses a header sent twice: two parties reading different ones of
+// the two values is how a key or workspace check is bypassed.
+func single(h http.Header, name string) (string, *result.Refusal) {
+	values := h[name]
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	}
+	return "", result.Refuse(result.BadContext, "header %s was sent %d times", name, len(values))
+}
+
+func isName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		if s[i] < 0x20 || s[i] > 0x7e {
+			return false
+		}
+	}
+	return true
+}
+
+// hopByHop are the headers that concern one connection (RFC 9110, 7.6.1).
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// Forwardable copies the headers that go on to the next hop: neither those of
+// one connection nor those of this system, which are written anew.
+func Forwardable(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if hopByHop[name] || strings.HasPrefix(name, headerPrefix) || name == "Content-Length" {
+			continue
+		}
+		out[name] = values
+	}
+	for _, named := range h["Connection"] {
+		for _, name := range strings.Split(named, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/call.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+// Call is one attempt of a request on its way to a guard. It is immutable once
+// handed on.
+type Call struct {
+	Ctx callctx.Context
+	// Method and Target (path and query) as the caller sent them.
+	Method, Target string
+	// Header holds only what goes on to the upstream.
+	Header   http.Header
+	Body     []byte
+	BodyHash uint64
+	// Allowance is the share of the retry allowance that travels along.
+	Allowance int
+	// Crashes counts the upstreams seen to die while running this request.
+	Crashes int
+	// Reattach says that an earlier sending of the same call ID got no answer.
+	Reattach bool
+}
+
+// HashBody returns the hash by which two bodies under one key are compared.
+func HashBody(body []byte) uint64 { return xxhash.Sum64(body) }
+
+// Fingerprint identifies requests that would crash an upstream alike: same
+// service, method, path and body, whatever their caller, key or call ID.
+func (c *Call) Fingerprint() quarantine.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{c.Ctx.Service, c.Method, c.Target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(c.BodyHash >> (8 * i))
+	}
+	_, _ = d.Write(b[:])
+	return quarantine.Fingerprint(d.Sum64())
+}
+
+// Keyed reports whether the call runs at most once under its key.
+func (c *Call) Keyed() bool { return !c.Ctx.Idempotent && c.Ctx.Key != "" }
+
+// Answer is the end of one attempt: whole, or a refusal.
+type Answer struct {
+	CallID string
+	Code   result.Code
+	// Status, Header and Body are set when Refusal is nil.
+	Status int
+	Header http.Header
+	Body   []byte
+	// Refusal explains every answer that is not whole.
+	Refusal *result.Refusal
+	// Unused is the part of the travelled allowance that comes home.
+	Unused int
+	// Load is what the guard said about itself; nil when it said nothing.
+	Load *routing.LoadReport
+	// Upstream is the node that produced the answer; empty when none did.
+	Upstream string
+	// Crashed says that the upstream died while it ran the call.
+	Crashed bool
+}
+
+// Refused makes the answer of a call that ends without a whole one.
+func Refused(callID string, r *result.Refusal) *Answer {
+	return &Answer{CallID: callID, Code: r.Code, Refusal: r}
+}
+
+// Whole reports whether the answer may be given to the caller as it is.
+func (a *Answer) Whole() bool { return a.Refusal == nil }
--- /dev/null
+++ b/internal/node/dispatch.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+// maxRedirects bounds how often a call is sent on to the owner of its key.
+// Two hops settle a takeover that happens while the call travels; more would
+// only follow two nodes that disagree.
+const maxRedirects = 2
+
+// OrderKind says what the holder of a Dispatch does next.
+type OrderKind int
+
+const (
+	// OrderSend: send Attempt to Target and report with Observe.
+	OrderSend OrderKind = iota
+	// OrderPause: wait, then ask Next again.
+	OrderPause
+	// OrderDone: give Answer to the caller.
+	OrderDone
+)
+
+// Order is one instruction of a Dispatch.
+type Order struct {
+	Kind    OrderKind
+	Target  *routing.Target
+	Attempt *Call
+	Pause   time.Duration
+	Answer  *Answer
+}
+
+// Router is what a Dispatch needs of its node.
+type Router interface {
+	// Table returns the routing table in force.
+	Table() *routing.Table
+	// Owner returns the node that owns the call's key; empty when any may run it.
+	Owner(call *Call) string
+	// Throttle returns the retry throttle of a destination service.
+	Throttle(service string) *retry.Throttle
+	// RetryPolicy returns the backoff in force.
+	RetryPolicy() retry.Policy
+	// NewID returns a fresh call ID.
+	NewID() string
+}
+
+// Dispatch takes one call from its entry or exit node to an answer: it chooses
+// upstreams, classifies what comes back and spends the chain's allowance. It
+// does no I/O. Not safe for concurrent use.
+type Dispatch struct {
+	router  Router
+	rng     *rand.Rand
+	call    *Call
+	account *retry.Account
+
+	tried     []string
+	next      string // node to ask, when an answer named the owner
+	redirects int
+	attempts  int
+	crashes   int
+	pause     time.Duration
+	final     *Answer
+	target    *routing.Target
+	sent      time.Time
+}
+
+// NewDispatch starts a call whose retries are paid from account.
+func NewDispatch(router Router, rng *rand.Rand, call *Call, account *retry.Account) *Dispatch {
+	return &Dispatch{router: router, rng: rng, call: call, account: account}
+}
+
+// Attempts returns how many attempts were sent.
+func (d *Dispatch) Attempts() int { return d.attempts }
+
+// Next returns the next order.
+func (d *Dispatch) Next(now time.Time) Order {
+	if d.final != nil {
+		return Order{Kind: OrderDone, Answer: d.final}
+	}
+	if d.pause > 0 {
+		pause := d.pause
+		d.pause = 0
+		return Order{Kind: OrderPause, Pause: pause}
+	}
+	if d.call.Ctx.Remaining(now) <= 0 {
+		return d.finish(Refused(d.call.Ctx.CallID, result.Refuse(result.DeadlineTooNear, "no time left before an upstream was chosen")))
+	}
+	target, refusal := d.pick(now)
+	if refusal != nil {
+		return d.finish(Refused(d.call.Ctx.CallID, refusal))
+	}
+	return d.send(now, target)
+}
+
+func (d *Dispatch) finish(a *Answer) Order {
+	d.final = a
+	return Order{Kind: OrderDone, Answer: a}
+}
+
+func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
+	info := routing.PickInfo{
+		Service:          d.call.Ctx.Service,
+		Rank:             admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
+		Avoid:            d.tried,
+		Node:             d.next,
+		SuspectedCrasher: d.crashes > 0,
+	}
+	if info.Node == "" && d.call.Keyed() {
+		info.Node = d.router.Owner(d.call)
+	}
+	return d.router.Table().Pick(now, d.rng, info)
+}
+
+func (d *Dispatch) send(now time.Time, target *routing.Target) Order {
+	attempt := *d.call
+	attempt.Ctx.CallID = d.router.NewID()
+	attempt.Allowance = d.account.Split()
+	attempt.Crashes = d.crashes
+	d.attempts++
+	d.target = target
+	d.sent = now
+	d.next = ""
+	target.Start(now)
+	return Order{Kind: OrderSend, Target: target, Attempt: &attempt}
+}
+
+// Observe takes the end of the attempt last sent.
+func (d *Dispatch) Observe(now time.Time, a *Answer) {
+	d.account.Return(a.Unused)
+	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
+	throttle := d.router.Throttle(d.call.Ctx.Service)
+	if a.Whole() {
+		throttle.Success()
+		d.final = a
+		return
+	}
+	if countsAgainstThrottle(a.Code) {
+		throttle.Failure()
+	}
+	if a.Crashed {
+		d.crashes++
+	}
+	d.decide(now, a, throttle)
+}
+
+func (d *Dispatch) decide(now time.Time, a *Answer, throttle *retry.Throttle) {
+	action, wait := retry.Decide(retry.Attempt{
+		Code:       a.Code,
+		AllFull:    a.Refusal.AllFull,
+		Idempotent: d.call.Ctx.Idempotent,
+		Remaining:  d.call.Ctx.Remaining(now),
+		Owner:      a.Refusal.Owner,
+		Reattached: true, // the transport re-attaches by itself
+	}, d.router.RetryPolicy(), d.rng)
+	switch {
+	case action == retry.AskOwner && d.redirects < maxRedirects:
+		d.redirects++
+		d.next = a.Refusal.Owner
+	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
+		d.tried = append(d.tried, d.target.Endpoint().Node)
+		d.pause = wait
+	default:
+		d.final = a
+	}
+}
+
+// countsAgainstThrottle leaves out what says nothing about the destination.
+func countsAgainstThrottle(c result.Code) bool {
+	switch c {
+	case result.OwnedElsewhere, result.Cancelled, result.CancelledRunning, result.KeyReused, result.Quarantined:
+		return false
+	}
+	return true
+}
+
+func routedOutcome(a *Answer) routing.Outcome {
+	switch {
+	case a.Whole():
+		return routing.Answered
+	case a.Code == result.Unreachable:
+		return routing.Unreachable
+	case a.Code == result.Cancelled, a.Code == result.CancelledRunning:
+		return routing.Cancelled
+	case a.Code == result.DeadlinePassed:
+		return routing.Slow
+	case a.Code.Ran() == result.RanNo:
+		return routing.Refused
+	default:
+		return routing.Failed
+	}
+}
--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// Event puts an event on the node's time line.
+func (n *Node) Event(now time.Time, e timeline.Event) {
+	if n.cfg.Ring != nil {
+		n.cfg.Ring.Add(now, e)
+	}
+}
+
+func callEvent(kind timeline.Kind, c *Call) timeline.Event {
+	return timeline.Event{
+		Kind:      kind,
+		CallID:    c.Ctx.CallID,
+		RequestID: c.Ctx.RequestID,
+		Workspace: c.Ctx.Workspace,
+		Service:   c.Ctx.Service,
+	}
+}
+
+// Answered records how a call ended at its entry or exit node. Good calls are
+// sampled, so that they cost next to nothing.
+func (n *Node) Answered(call *Call, a *Answer, attempts int) {
+	if a.Whole() && attempts == 1 && !n.sampler.Keep(call.Ctx.RequestID) {
+		return
+	}
+	kind := timeline.CallAnswered
+	detail := fmt.Sprintf("attempts %d", attempts)
+	if !a.Whole() {
+		kind = timeline.CallRefused
+		detail = fmt.Sprintf("attempts %d: %s", attempts, a.Refusal.Detail)
+	}
+	e := callEvent(kind, call)
+	e.Code = a.Code
+	e.Upstream = a.Upstream
+	e.Detail = detail
+	n.Event(n.Now(), e)
+}
+
+// Reattached records that an attempt was sent again over a fresh connection.
+func (n *Node) Reattached(call *Call, upstream string, a *Answer) {
+	e := callEvent(timeline.CallReattached, call)
+	e.Code = a.Code
+	e.Upstream = upstream
+	n.Event(n.Now(), e)
+}
--- /dev/null
+++ b/internal/node/guard_upstream.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+)
+
+// UpstreamUp says that the local upstream takes work, with these limits.
+func (g *Guard) UpstreamUp(now time.Time, cfg admission.Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.upstreamUp {
+		return
+	}
+	g.upstreamUp = true
+	g.slots = cfg.Slots
+	g.admission = admission.New(cfg, now)
+}
+
+// reconfigureWith changes the limits of a running upstream; its slots stay.
+func (g *Guard) reconfigureWith(now time.Time, config func(slots int) admission.Config) {
+	g.mu.Lock()
+	var d due
+	if g.upstreamUp {
+		g.applyLocked(now, g.admission.Reconfigure(now, config(g.slots)), &d)
+	}
+	g.mu.Unlock()
+	d.settle()
+}
+
+// UpstreamDown says that the local upstream's process died. What it ran
+// becomes suspect; what waited is refused as not run. Reports of the same
+// death by several calls count once: only the first finds the upstream up.
+func (g *Guard) UpstreamDown(now time.Time, upstream string) []quarantine.Suspect {
+	g.mu.Lock()
+	if !g.upstreamUp {
+		g.mu.Unlock()
+		return nil
+	}
+	g.upstreamUp = false
+	var running []quarantine.Fingerprint
+	var waiting []*execution
+	for _, e := range g.calls {
+		switch e.phase {
+		case phaseRunning:
+			running = append(running, e.fingerprint)
+		case phaseQueued:
+			waiting = append(waiting, e)
+		}
+	}
+	suspects := g.quarantine.Crashed(now, upstream, uint64(now.UnixNano()), running)
+	var d due
+	for _, e := range waiting {
+		g.admission.Abandon(now, e.call.Ctx.CallID)
+		refusal := result.Refuse(result.NoUpstream, "the upstream died while the call waited")
+		g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), &d)
+	}
+	g.mu.Unlock()
+	d.settle()
+	return suspects
+}
+
+// MergeSuspects takes over what peers know of crashing requests.
+func (g *Guard) MergeSuspects(now time.Time, suspects []quarantine.Suspect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range suspects {
+		g.quarantine.Merge(now, s)
+	}
+}
+
+// Suspects returns what this node knows of crashing requests.
+func (g *Guard) Suspects(now time.Time) []quarantine.Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Snapshot(now)
+}
+
+// Drain refuses new calls from now on; those in flight go on.
+func (g *Guard) Drain(now time.Time) {
+	g.mu.Lock()
+	var d due
+	if !g.draining {
+		g.draining = true
+		g.applyLocked(now, g.admission.Drain(now), &d)
+	}
+	g.mu.Unlock()
+	d.settle()
+}
+
+// Draining reports whether new calls are refused for good.
+func (g *Guard) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// Busy returns how many calls wait, claim or run.
+func (g *Guard) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.calls) - len(g.done)
+}
+
+// Parent returns the context and account of a call that runs here, for the
+// calls that its upstream makes.
+func (g *Guard) Parent(callID string) (callctx.Context, *retry.Account, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.calls[callID]
+	if !ok || e.phase != phaseRunning {
+		return callctx.Context{}, nil, false
+	}
+	return e.call.Ctx, e.account, true
+}
--- /dev/null
+++ b/internal/node/replica.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+const (
+	// claimHorizon is how long a claim is remembered: callers' longest resend
+	// horizon.
+	claimHorizon = 10 * time.Minute
+	// maxClaims bounds the claims of one service in memory, at 64 bytes each.
+	maxClaims = 200_000
+)
+
+// Replica is a node's fold over the log: configuration, members, claims. It is
+// a pure state machine. Not safe for concurrent use; the states it returns are
+// immutable.
+type Replica struct {
+	next    int64
+	dedup   *platform.Dedup
+	policy  *policy.State
+	members *membership.View
+	claims  *idempotency.Claims
+}
+
+// NewReplica returns the fold of nothing.
+func NewReplica() *Replica {
+	return &Replica{
+		dedup:   platform.NewDedup(platform.DefaultDedupWindow),
+		policy:  policy.NewState(),
+		members: &membership.View{},
+		claims:  idempotency.NewClaims(claimHorizon, maxClaims),
+	}
+}
+
+// Next returns the offset to read from.
+func (r *Replica) Next() int64 { return r.next }
+
+// Policy returns the configuration folded so far.
+func (r *Replica) Policy() *policy.State { return r.policy }
+
+// Members returns the members folded so far.
+func (r *Replica) Members() *membership.View { return r.members }
+
+// Apply folds entries in log order. A record whose body cannot be read is
+// skipped by every replica alike.
+func (r *Replica) Apply(now time.Time, entries []platform.Entry) {
+	var members []membership.Entry
+	for _, e := range entries {
+		if e.Offset < r.next {
+			continue
+		}
+		r.next = e.Offset + 1
+		r.policy = r.policy.Apply(e)
+		if !r.dedup.First(e) {
+			continue
+		}
+		if rec := memberRecord(e.Record); rec != nil {
+			members = append(members, membership.Entry{Offset: e.Offset, Record: rec})
+		}
+		if e.Record.Kind == platform.KindClaim {
+			r.applyClaim(now, e)
+		}
+	}
+	r.members = r.members.ApplyAll(members)
+}
+
+func (r *Replica) applyClaim(now time.Time, e platform.Entry) {
+	var c idempotency.Claim
+	if err := json.Unmarshal(e.Record.Body, &c); err != nil {
+		return
+	}
+	r.claims.Apply(e.Offset, now, c)
+}
+
+func memberRecord(rec platform.Record) membership.Record {
+	switch rec.Kind {
+	case platform.KindJoin:
+		return decodeMember[membership.Join](rec)
+	case platform.KindLeave:
+		return decodeMember[membership.Leave](rec)
+	case platform.KindEvict:
+		return decodeMember[membership.Evict](rec)
+	}
+	return nil
+}
+
+func decodeMember[T membership.Record](rec platform.Record) membership.Record {
+	var body T
+	if err := json.Unmarshal(rec.Body, &body); err != nil {
+		return nil
+	}
+	return body
+}
+
+// endpointOf turns a member into what routing chooses from.
+func endpointOf(m membership.Member) routing.Endpoint {
+	return routing.Endpoint{
+		Node:        m.Node,
+		Incarnation: m.Incarnation,
+		Region:      m.Region,
+		Zone:        m.Zone,
+		Service:     m.Service,
+		Addr:        m.InnerAddr,
+		Slots:       m.Slots,
+		Joined:      m.JoinedAt,
+		Draining:    m.Draining,
+	}
+}
+
+// Endpoints returns what calls can be routed to, without those that skip says.
+func Endpoints(v *membership.View, skip func(membership.Identity) bool) []routing.Endpoint {
+	var endpoints []routing.Endpoint
+	for _, m := range v.Members() {
+		if m.Service == "" || skip(m.Identity) {
+			continue
+		}
+		endpoints = append(endpoints, endpointOf(m))
+	}
+	return endpoints
+}
+
+// Claim returns the claim that holds a key.
+func (r *Replica) Claim(keyHash uint64) (idempotency.Claim, bool) {
+	return r.claims.Holder(keyHash)
+}
--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// Announcement is what the local upstream says of itself.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where it takes calls, IP:port.
+	Address string `json:"address"`
+	// Slots is how many calls it can run at a time.
+	Slots int `json:"slots"`
+	// Connections is how many connections it accepts.
+	Connections int `json:"connections"`
+}
+
+// UpstreamAnnounced takes the local upstream into service.
+func (n *Node) UpstreamAnnounced(now time.Time, a Announcement) {
+	n.service.Store(&a.Service)
+	n.guard.UpstreamUp(now, n.admissionConfig(a.Service, a.Slots))
+	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
+}
+
+// UpstreamCrashed records the death of the local upstream's process and
+// returns the requests that it ran as suspects.
+func (n *Node) UpstreamCrashed(now time.Time) []quarantine.Suspect {
+	suspects := n.guard.UpstreamDown(now, n.ID())
+	if suspects == nil {
+		return nil
+	}
+	n.Event(now, timeline.Event{Kind: timeline.UpstreamCrashed, Upstream: n.ID()})
+	if n.onCrash != nil {
+		n.onCrash(now)
+	}
+	return suspects
+}
+
+// admissionConfig derives the guard's limits from any instance that covers the
+// service. Workspaces that share an upstream share its guard; the instance of
+// the first workspace in order decides.
+func (n *Node) admissionConfig(service string, slots int) admission.Config {
+	cfg := admission.DefaultConfig(slots)
+	eff, ok := n.policy.Load().ForService(service)
+	if !ok {
+		return cfg
+	}
+	return withTemplate(cfg, eff)
+}
+
+func withTemplate(cfg admission.Config, eff *policy.Effective) admission.Config {
+	cfg.QueueLimit = eff.QueueLimit
+	cfg.SojournTarget = eff.SojournTarget
+	cfg.SojournInterval = eff.SojournInterval
+	cfg.MaxWait = eff.MaxWait
+	cfg.Worth = eff.Worth
+	cfg.Adapt = eff.Adapt
+	return cfg
+}
+
+func (n *Node) reconfigureGuard(now time.Time) {
+	service := n.service.Load()
+	if service == nil {
+		return
+	}
+	n.guard.reconfigureWith(now, func(slots int) admission.Config {
+		return n.admissionConfig(*service, slots)
+	})
+}
--- /dev/null
+++ b/internal/proxy/wait.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// DialFunc makes a connection to another node.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func plainDial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout}
+	return d.DialContext(ctx, network, addr)
+}
+
+const (
+	// minRescueWait keeps ordinary variation from costing connections.
+	minRescueWait = 100 * time.Millisecond
+	// maxRescueWait bounds what a caller loses to one silent connection.
+	maxRescueWait = 1 * time.Second
+	// gains of the smoothed wait and its deviation, as in RFC 6298.
+	waitGain      = 8
+	deviationGain = 4
+	deviations    = 4
+)
+
+// waitEstimator keeps the usual wait for an answer and its deviation, like a
+// TCP retransmission timer. Concurrent observations may overwrite each other:
+// an estimate needs no exactness. The zero value waits maxRescueWait.
+type waitEstimator struct {
+	mean, deviation atomic.Int64 // nanoseconds
+}
+
+func (w *waitEstimator) observe(d time.Duration) {
+	mean := w.mean.Load()
+	if mean == 0 {
+		w.mean.Store(int64(d))
+		w.deviation.Store(int64(d) / 2)
+		return
+	}
+	diff := int64(d) - mean
+	w.mean.Store(mean + diff/waitGain)
+	deviation := w.deviation.Load()
+	w.deviation.Store(deviation + (max(diff, -diff)-deviation)/deviationGain)
+}
+
+// bound returns how long to wait before a second connection is tried.
+func (w *waitEstimator) bound() time.Duration {
+	mean := w.mean.Load()
+	if mean == 0 {
+		return maxRescueWait
+	}
+	d := time.Duration(mean + deviations*w.deviation.Load())
+	return min(max(d, minRescueWait), maxRescueWait)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,251 @@
+// Package server runs one node as a process does: listeners, timers, the
+// reader of the log and the planned stop. Decisions are in package node.
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	// guardTick is how often waits are checked for expiry: a tenth of the
+	// shortest useful wait.
+	guardTick = 10 * time.Millisecond
+	// headerTimeout bounds the time in which a request's header must arrive.
+	headerTimeout = 10 * time.Second
+)
+
+// Options are what a test or demo puts in place of the platform.
+type Options struct {
+	// Log stands in for the log service; nil means the client of settings.
+	Log platform.Log
+	// Dial makes connections to other nodes; nil means TCP.
+	Dial proxy.DialFunc
+	// Logger receives JSON lines.
+	Logger zerolog.Logger
+}
+
+// Server is a running node. Make it with Start.
+type Server struct {
+	cfg      *settings.Node
+	log      platform.Log
+	appender *platform.Appender
+	logger   zerolog.Logger
+	node     *node.Node
+	proxy    *proxy.Proxy
+	peers    *proxy.Peers
+	upstream *proxy.Upstream
+	control  *control
+	announce *announcements
+
+	listeners listeners
+	servers   []*http.Server
+	stop      context.CancelFunc
+	loops     sync.WaitGroup
+}
+
+type listeners struct {
+	callers, exit, inner, admin net.Listener
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// Start opens the listeners of a node and begins to serve. The settings must
+// be valid; port 0 lets the system choose, and the addresses are then those
+// that Addresses returns.
+func Start(cfg *settings.Node, opts Options) (*Server, error) {
+	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger}
+	if s.log == nil {
+		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
+	}
+	appender, err := platform.NewAppender(s.log, appenderConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "appender")
+	}
+	s.appender = appender
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.build(opts)
+	s.run()
+	return s, nil
+}
+
+// appendsPerSecond is a node's share of the log at today's sizes: 17 nodes at
+// 15 stay below the several hundred appends a second that it takes.
+const appendsPerSecond = 15
+
+func appenderConfig() platform.AppenderConfig {
+	cfg := platform.DefaultAppenderConfig()
+	cfg.PerSecond = appendsPerSecond
+	return cfg
+}
+
+func (s *Server) listen() error {
+	for _, l := range []struct {
+		into *net.Listener
+		name string
+		addr string
+	}{
+		{&s.listeners.callers, "callers.address", s.cfg.Callers.Address},
+		{&s.listeners.exit, "upstream.address", s.cfg.Upstream.Address},
+		{&s.listeners.inner, "inner.address", s.cfg.Inner.Address},
+		{&s.listeners.admin, "admin.address", s.cfg.Admin.Address},
+	} {
+		opened, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			s.closeListeners()
+			return errors.Wrapf(err, "%s %s", l.name, l.addr)
+		}
+		*l.into = opened
+	}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	l := &s.listeners
+	for _, open := range []net.Listener{l.callers, l.exit, l.inner, l.admin} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+func (s *Server) build(opts Options) {
+	s.peers = proxy.NewPeers(opts.Dial)
+	s.control = newControl(s)
+	s.upstream = proxy.NewUpstream(s.control)
+	s.node = node.New(node.Config{
+		Identity:  s.identity(),
+		Clock:     systemClock{},
+		Runner:    s.upstream,
+		Authority: s.control,
+		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
+		Routing:   routing.DefaultConfig(),
+		Retry:     retry.DefaultPolicy(),
+		Throttle:  retry.DefaultThrottleConfig(),
+		Guard:     node.DefaultGuardConfig(),
+		Seed:      newSeed(),
+		Sample:    s.cfg.Limits.TimelineSample,
+	})
+	s.peers.Bind(s.node)
+	s.upstream.Bind(s.node)
+	s.proxy = proxy.New(s.node, s.peers, s.upstream)
+	s.announce = &announcements{server: s}
+}
+
+func (s *Server) identity() node.Identity {
+	return node.Identity{
+		Node:        s.cfg.NodeID,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Region:      s.cfg.Region,
+		Zone:        s.cfg.Zone,
+		InnerAddr:   s.innerAddr(),
+		AdminAddr:   s.listeners.admin.Addr().String(),
+	}
+}
+
+// innerAddr is the advertised address, unless the system chose the port.
+func (s *Server) innerAddr() string {
+	if _, port, _ := net.SplitHostPort(s.cfg.Inner.Advertised); port == "0" || port == "" {
+		return s.listeners.inner.Addr().String()
+	}
+	return s.cfg.Inner.Advertised
+}
+
+func newSeed() [32]byte {
+	var seed [32]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		binary.LittleEndian.PutUint64(seed[:], uint64(time.Now().UnixNano()))
+	}
+	return seed
+}
+
+func (s *Server) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	innerMux := http.NewServeMux()
+	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
+	exitMux := http.NewServeMux()
+	exitMux.Handle("/v1/upstream", s.announce)
+	exitMux.Handle("/", s.proxy.ExitHandler())
+	s.serve(s.listeners.callers, s.proxy.CallerHandler())
+	s.serve(s.listeners.exit, exitMux)
+	s.serve(s.listeners.inner, innerMux)
+	s.serve(s.listeners.admin, http.NewServeMux())
+	s.loop(func() { s.appender.Run(ctx) })
+	s.loop(func() { s.control.read(ctx) })
+	s.loop(func() { s.tick(ctx) })
+	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
+}
+
+func (s *Server) serve(l net.Listener, h http.Handler) {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
+	}
+	s.servers = append(s.servers, srv)
+	s.loop(func() { _ = srv.Serve(l) })
+}
+
+func (s *Server) loop(f func()) {
+	s.loops.Add(1)
+	go func() {
+		defer s.loops.Done()
+		f()
+	}()
+}
+
+func (s *Server) tick(ctx context.Context) {
+	t := time.NewTicker(guardTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			s.node.Guard().Tick(now)
+			s.announce.check(now)
+		}
+	}
+}
+
+// Addresses returns the addresses that the node listens on.
+func (s *Server) Addresses() (callers, upstream, inner, admin string) {
+	l := &s.listeners
+	return l.callers.Addr().String(), l.exit.Addr().String(), l.inner.Addr().String(), l.admin.Addr().String()
+}
+
+// Node returns the node's decisions.
+func (s *Server) Node() *node.Node { return s.node }
+
+func (s *Server) member() membership.Member {
+	id := s.node.Identity()
+	return membership.Member{
+		Identity:  membership.Identity{Node: id.Node, Incarnation: id.Incarnation},
+		Region:    id.Region,
+		Zone:      id.Zone,
+		InnerAddr: id.InnerAddr,
+		AdminAddr: id.AdminAddr,
+	}
+}
--- /dev/null
+++ b/internal/server/stop.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// idleCheck is how often a stopping node looks whether calls are in flight.
+const idleCheck = 10 * time.Millisecond
+
+// BeginDrain refuses new calls, truthfully, and tells the others.
+func (s *Server) BeginDrain() {
+	if s.node.Guard().Draining() {
+		return
+	}
+	s.node.Guard().Drain(s.node.Now())
+	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
+	s.loop(func() { s.control.leave() })
+}
+
+func (c *control) leave() {
+	id := c.server.node.Identity()
+	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
+}
+
+// Shutdown stops the node without cutting a call: it refuses new ones, waits
+// for those in flight until ctx ends, and closes. It returns how many calls it
+// cut.
+func (s *Server) Shutdown(ctx context.Context) int {
+	s.BeginDrain()
+	s.awaitNotice(ctx)
+	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	cut := s.node.Guard().Busy()
+	s.closeServers(ctx)
+	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStopped})
+	return cut
+}
+
+// awaitNotice leaves the listeners open long enough for everyone to learn that
+// the node is leaving: a connection refused before that costs its caller a
+// retry.
+func (s *Server) awaitNotice(ctx context.Context) {
+	sleep(ctx, s.cfg.Timing.DrainNotice.Std())
+}
+
+// closeServers lets handlers end: a call that this node took from a caller for
+// another guard is also in flight.
+func (s *Server) closeServers(ctx context.Context) {
+	for _, srv := range s.servers {
+		if err := srv.Shutdown(ctx); err != nil {
+			_ = srv.Close()
+		}
+	}
+	s.stop()
+	s.peers.Close()
+	s.loops.Wait()
+}
+
+// Kill stops the node at once, as a crash of its VM would.
+func (s *Server) Kill() {
+	for _, srv := range s.servers {
+		_ = srv.Close()
+	}
+	s.stop()
+	s.peers.Close()
+	s.loops.Wait()
+}
