Log client, log stand-in and policy fold: API with first code

Cause: the data path needs the signatures of the log, the policy state and the effective behaviour.

Conclusion: signatures are there; behaviour is to be proved by tests next.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,225 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ClientOptions tunes a Client; the zero value is usable.
+type ClientOptions struct {
+	// HTTP sends the requests; nil makes one with bounded timeouts.
+	HTTP *http.Client
+	// Timeout bounds each request, beyond the wait of a read; 0 means 5 s.
+	Timeout time.Duration
+}
+
+const (
+	defaultTimeout = 5 * time.Second
+	// maxErrorBytes bounds what is read of a failed answer.
+	maxErrorBytes = 4 << 10
+	// maxSmallBytes bounds the answers of append and head.
+	maxSmallBytes = 4 << 10
+)
+
+// Client speaks to the log service over HTTP. It does not retry: the Appender
+// and the readers own their backoff.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+var _ Log = (*Client)(nil)
+
+// NewClient returns a client of the log service at baseURL.
+func NewClient(baseURL string, opts ClientOptions) *Client {
+	c := &Client{
+		base:    strings.TrimRight(baseURL, "/"),
+		http:    opts.HTTP,
+		timeout: opts.Timeout,
+	}
+	if c.timeout <= 0 {
+		c.timeout = defaultTimeout
+	}
+	if c.http == nil {
+		c.http = &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     30 * time.Second,
+		}}
+	}
+	return c
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, records []Record) (int64, error) {
+	if err := CheckRecords(records); err != nil {
+		return 0, err
+	}
+	body, err := json.Marshal(AppendRequest{Records: records})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrBadRequest, err)
+	}
+	var out AppendResponse
+	err = c.do(ctx, c.timeout, http.MethodPost, PathAppend, body, maxSmallBytes, &out)
+	if err != nil {
+		return 0, appendError(err)
+	}
+	return out.First, nil
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, from int64, max int, wait time.Duration) (Page, error) {
+	wait = min(wait, MaxWait)
+	q := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"max":     {strconv.Itoa(max)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var page Page
+	err := c.do(ctx, c.timeout+wait, http.MethodGet, PathRead+"?"+q.Encode(), nil, MaxPageBytes, &page)
+	if err != nil {
+		return Page{}, readError(err, from)
+	}
+	return page, checkPage(page, from)
+}
+
+// Head implements Log.
+func (c *Client) Head(ctx context.Context) (int64, error) {
+	var out HeadResponse
+	err := c.do(ctx, c.timeout, http.MethodGet, PathHead, nil, maxSmallBytes, &out)
+	if err != nil {
+		return 0, readError(err, 0)
+	}
+	return out.Head, nil
+}
+
+// CheckRecords reports the first bound that an append would break.
+func CheckRecords(records []Record) error {
+	if len(records) == 0 || len(records) > MaxAppendRecords {
+		return fmt.Errorf("%w: records is %d, bound 1..%d", ErrBadRequest, len(records), MaxAppendRecords)
+	}
+	total := 0
+	for i := range records {
+		r := &records[i]
+		if r.ID == "" || len(r.ID) > MaxIDBytes {
+			return fmt.Errorf("%w: records[%d].id has %d bytes, bound 1..%d", ErrBadRequest, i, len(r.ID), MaxIDBytes)
+		}
+		if len(r.Body) > MaxRecordBytes {
+			return fmt.Errorf("%w: records[%d].body has %d bytes, bound %d", ErrBadRequest, i, len(r.Body), MaxRecordBytes)
+		}
+		total += len(r.Body)
+	}
+	if total > MaxAppendBytes {
+		return fmt.Errorf("%w: records have %d bytes, bound %d", ErrBadRequest, total, MaxAppendBytes)
+	}
+	return nil
+}
+
+// statusError is an answer other than 200.
+type statusError struct {
+	status int
+	doc    ErrorResponse
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("log answered %d: %s", e.status, e.doc.Error)
+}
+
+func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, body []byte, limit int64, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrBadRequest, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return decodeFailure(resp)
+	}
+	return decodeBounded(resp.Body, limit, out)
+}
+
+func decodeFailure(resp *http.Response) error {
+	e := &statusError{status: resp.StatusCode}
+	// The document is a hint only; the status decides.
+	_ = decodeBounded(resp.Body, maxErrorBytes, &e.doc)
+	return e
+}
+
+func decodeBounded(r io.Reader, limit int64, out any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return fmt.Errorf("log's answer exceeds %d bytes", limit)
+	}
+	return json.Unmarshal(data, out)
+}
+
+// appendError sorts the failures of an append by what they promise. Only a
+// refusal that the log itself gave, or a connection that was never made, says
+// that nothing took effect; whatever else happened, the write may stand.
+func appendError(err error) error {
+	var se *statusError
+	if errors.As(err, &se) {
+		switch se.status {
+		case http.StatusTooManyRequests:
+			return &OverloadedError{RetryAfter: millis(se.doc.RetryAfterMillis)}
+		case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+			return fmt.Errorf("%w: %s", ErrBadRequest, se.doc.Error)
+		}
+		return &UncertainError{Cause: &UnavailableError{Cause: err}}
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &UnavailableError{Cause: err}
+	}
+	return &UncertainError{Cause: &UnavailableError{Cause: err}}
+}
+
+func readError(err error, from int64) error {
+	var se *statusError
+	if errors.As(err, &se) {
+		switch se.status {
+		case http.StatusGone:
+			return &TruncatedError{From: from, Oldest: se.doc.Oldest}
+		case http.StatusTooManyRequests:
+			return &OverloadedError{RetryAfter: millis(se.doc.RetryAfterMillis)}
+		case http.StatusBadRequest:
+			return fmt.Errorf("%w: %s", ErrBadRequest, se.doc.Error)
+		}
+	}
+	return &UnavailableError{Cause: err}
+}
+
+// checkPage guards the folds against an answer that is not a contiguous run
+// from the offset asked: folded, it would let replicas of one log differ.
+func checkPage(p Page, from int64) error {
+	for i := range p.Entries {
+		if p.Entries[i].Offset != from+int64(i) {
+			return &UnavailableError{Cause: fmt.Errorf("entry %d has offset %d, want %d", i, p.Entries[i].Offset, from+int64(i))}
+		}
+	}
+	if p.Next != from+int64(len(p.Entries)) {
+		return &UnavailableError{Cause: fmt.Errorf("next is %d, want %d", p.Next, from+int64(len(p.Entries)))}
+	}
+	return nil
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/policy/decode.go
@@ -0,0 +1,103 @@
+package policy
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// DecodeTemplate reads one template strictly and validates it.
+func DecodeTemplate(data []byte) (*Template, error) {
+	t := &Template{}
+	if errs := decodeStrict(data, t); len(errs) > 0 {
+		return nil, errs
+	}
+	if err := t.Validate(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// DecodeInstance reads one instance strictly; Resolve validates it.
+func DecodeInstance(data []byte) (*Instance, error) {
+	i := &Instance{}
+	if errs := decodeStrict(data, i); len(errs) > 0 {
+		return nil, errs
+	}
+	return i, nil
+}
+
+// DecodePublication reads one publication strictly.
+func DecodePublication(data []byte) (*Publication, error) {
+	p, errs := decodePublication(data)
+	return p, asError(errs)
+}
+
+func decodePublication(data []byte) (*Publication, FieldErrors) {
+	var errs FieldErrors
+	if len(data) > MaxPublicationBytes {
+		errs.add("publication", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxPublicationBytes))
+		return nil, errs
+	}
+	p := &Publication{}
+	if errs = decodeStrict(data, p); len(errs) > 0 {
+		return nil, errs
+	}
+	if (p.Template == nil) == (p.Instance == nil) {
+		errs.add("publication", p.ID, "one of template and instance")
+		return nil, errs
+	}
+	return p, nil
+}
+
+// DecodeInstances reads a JSON array of instances, as operators keep them in
+// files.
+func DecodeInstances(data []byte) ([]Instance, error) {
+	var list []Instance
+	if errs := decodeStrict(data, &list); len(errs) > 0 {
+		return nil, errs
+	}
+	return list, nil
+}
+
+// DecodeTemplates reads a JSON array of templates and validates each.
+func DecodeTemplates(data []byte) ([]Template, error) {
+	var list []Template
+	if errs := decodeStrict(data, &list); len(errs) > 0 {
+		return nil, errs
+	}
+	for i := range list {
+		if err := list[i].Validate(); err != nil {
+			return nil, fmt.Errorf("templates[%d]: %w", i, err)
+		}
+	}
+	return list, nil
+}
+
+// decodeStrict refuses unknown fields and anything after the document.
+func decodeStrict(data []byte, into any) FieldErrors {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(into)
+	if err == nil {
+		if _, err = dec.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		return FieldErrors{{Field: "document", Value: "trailing data", Bound: "one JSON value"}}
+	}
+	return FieldErrors{decodeError(err)}
+}
+
+func decodeError(err error) FieldError {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return FieldError{Field: te.Field, Value: te.Value, Bound: "a JSON " + te.Type.Kind().String()}
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return FieldError{Field: clip(strings.Trim(name, `"`)), Value: "set", Bound: "absent: unknown field"}
+	}
+	return FieldError{Field: "document", Value: clip(err.Error()), Bound: "valid JSON"}
+}
--- /dev/null
+++ b/internal/policy/library.go
@@ -0,0 +1,111 @@
+package policy
+
+// Library returns the ready templates. They are in force nowhere until an
+// operator publishes them: were they built in, nodes of two releases could
+// fold one log to two configurations.
+func Library() []Template {
+	return []Template{strict(), balanced(), recoveryFirst()}
+}
+
+// common are the parameters that every ready template has.
+func common(allowance, timeout, most, horizon, queue string) []Parameter {
+	return []Parameter{
+		{Name: "retry_allowance", Type: TypeInt, Unit: "retries", Default: allowance, Min: "0", Max: "4",
+			Help: "retries of one root request over its whole tree"},
+		{Name: "default_timeout", Type: TypeDuration, Unit: "duration", Default: timeout, Min: "50ms", Max: "5m",
+			Help: "time for callers that name none"},
+		{Name: "max_timeout", Type: TypeDuration, Unit: "duration", Default: most, Min: "100ms", Max: "10m",
+			Help: "longest time a caller may ask for"},
+		{Name: "resend_horizon", Type: TypeDuration, Unit: "duration", Default: horizon, Min: "10s", Max: "24h",
+			Help: "how long callers may send a key again"},
+		{Name: "queue_limit", Type: TypeInt, Unit: "calls", Default: queue, Min: "0", Max: "1024",
+			Help: "calls that wait at one guard; about half its slots is usual"},
+		{Name: "slow_start", Type: TypeDuration, Unit: "duration", Default: "10s", Min: "0s", Max: "5m",
+			Help: "time in which a cold upstream comes to its full share"},
+	}
+}
+
+func commonBehaviour() Behaviour {
+	return Behaviour{
+		RetryAllowance: "$retry_allowance",
+		DefaultTimeout: "$default_timeout",
+		MaxTimeout:     "$max_timeout",
+		ResendHorizon:  "$resend_horizon",
+		QueueLimit:     "$queue_limit",
+		SlowStart:      "$slow_start",
+	}
+}
+
+// strict is for services whose calls have effects outside, such as letters and
+// certificates.
+func strict() Template {
+	b := commonBehaviour()
+	b.KeyRequired = "true"
+	b.AtMostOnce = AtMostOnceOwnership
+	b.IdempotentMethods = "GET,HEAD,OPTIONS"
+	b.KeepAnswers = "$keep_answers"
+	b.RetryRatio = "0.05"
+	b.MaxWait = "2s"
+	b.SojournTarget = "50ms"
+	b.SojournInterval = "200ms"
+	params := append(common("1", "20s", "60s", "30m", "90"),
+		Parameter{Name: "keep_answers", Type: TypeDuration, Unit: "duration", Default: "30m", Min: "1m", Max: "24h",
+			Help: "how long an answer is kept for resends"})
+	return Template{
+		Name: "strict", Revision: 1, Parameters: params, Behaviour: b,
+		Help: "calls with effects outside: a key is required, answers are kept long, few retries",
+	}
+}
+
+// balanced favours whole answers: longer queues and more retries while there
+// is capacity for them.
+func balanced() Template {
+	b := commonBehaviour()
+	b.KeyRequired = "$key_required"
+	b.RetryRatio = "0.1"
+	b.MaxWait = "$max_wait"
+	b.SojournTarget = "20ms"
+	b.SojournInterval = "100ms"
+	params := append(common("2", "10s", "30s", "10m", "64"),
+		Parameter{Name: "key_required", Type: TypeBool, Default: "true",
+			Help: "refuse a non-idempotent call without Idempotency-Key"},
+		Parameter{Name: "max_wait", Type: TypeDuration, Unit: "duration", Default: "1s", Min: "10ms", Max: "10s",
+			Help: "longest wait in a queue"})
+	return Template{
+		Name: "balanced", Revision: 1, Parameters: params, Behaviour: b,
+		Help: "most whole answers: moderate queues and retries",
+	}
+}
+
+// recoveryFirst gives up work early so that queues drain soon after a surge,
+// and spreads worth far between levels.
+func recoveryFirst() Template {
+	b := commonBehaviour()
+	b.KeyRequired = "$key_required"
+	b.RetryRatio = "0.05"
+	b.MaxWait = "$max_wait"
+	b.SojournTarget = "5ms"
+	b.SojournInterval = "50ms"
+	b.EjectFor = "2s"
+	b.WorthCritical = "$worth_critical"
+	b.WorthHigh = "$worth_high"
+	b.WorthNormal = "$worth_normal"
+	b.WorthLow = "1"
+	params := append(common("1", "3s", "10s", "10m", "24"),
+		Parameter{Name: "key_required", Type: TypeBool, Default: "true",
+			Help: "refuse a non-idempotent call without Idempotency-Key"},
+		Parameter{Name: "max_wait", Type: TypeDuration, Unit: "duration", Default: "250ms", Min: "5ms", Max: "5s",
+			Help: "longest wait in a queue"},
+		worthParameter("worth_critical", "20"),
+		worthParameter("worth_high", "6"),
+		worthParameter("worth_normal", "2"))
+	return Template{
+		Name: "recovery-first", Revision: 1, Parameters: params, Behaviour: b,
+		Help: "quick return to normal: short queues, one retry, worth by level",
+	}
+}
+
+func worthParameter(name, def string) Parameter {
+	return Parameter{Name: name, Type: TypeFloat, Unit: "worth", Default: def, Min: "1", Max: "1000",
+		Help: "worth of one whole answer at this level"}
+}
--- /dev/null
+++ b/internal/policy/replica.go
@@ -0,0 +1,136 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+// Replica decides for one process what to read of the log and which state is
+// in force. It is driven by a reader: read from Next, hand the page to Take or
+// the truncation to Truncated, and hand peers' states to Merge.
+type Replica struct {
+	state *State
+	// scan is the offset to read next while the entries after state have
+	// expired and a snapshot is looked for; below 0 otherwise.
+	scan int64
+}
+
+// NewReplica starts from a state, or from nothing when it is nil.
+func NewReplica(from *State) *Replica {
+	if from == nil {
+		from = NewState()
+	}
+	return &Replica{state: from, scan: -1}
+}
+
+// State returns the state in force.
+func (r *Replica) State() *State { return r.state }
+
+// Next returns the offset to read from.
+func (r *Replica) Next() int64 {
+	if r.scan >= 0 {
+		return r.scan
+	}
+	return int64(r.state.version)
+}
+
+// Behind reports that entries expired before they were read and no snapshot or
+// peer has filled the gap yet. The state in force is then old but never
+// reverted; a process that just started has none and serves nothing.
+func (r *Replica) Behind() bool { return r.scan >= 0 }
+
+// Take folds a page that was read from Next and reports whether the state
+// changed.
+func (r *Replica) Take(page platform.Page) bool {
+	before := r.state.version
+	for i := range page.Entries {
+		r.state = r.state.Apply(page.Entries[i])
+	}
+	if r.scan < 0 {
+		return r.state.version > before
+	}
+	r.scan = max(r.scan, page.Next)
+	// The newest snapshot of what is there spares reading on from an older
+	// one, so the scan goes on to the head before it ends.
+	if r.state.version > before || page.Next >= page.Head {
+		r.endScan(page.Oldest, page.Next >= page.Head)
+	}
+	return r.state.version > before
+}
+
+// endScan goes back to folding once the entries after the state are there.
+func (r *Replica) endScan(oldest int64, atHead bool) {
+	if atHead && int64(r.state.version) >= oldest {
+		r.scan = -1
+	}
+}
+
+// Truncated is told that a read below oldest failed. Entries between the state
+// and oldest are gone: folding what is left would miss what they accepted, so
+// only a snapshot or a peer's state leads on.
+func (r *Replica) Truncated(oldest int64) {
+	if oldest > int64(r.state.version) {
+		r.scan = max(r.scan, oldest)
+		return
+	}
+	r.scan = -1
+}
+
+// Merge takes a peer's state when it is newer, and reports whether it was.
+func (r *Replica) Merge(peer *State) bool {
+	if peer == nil || peer.version <= r.state.version {
+		return false
+	}
+	r.state = peer
+	// Whether the entries after it are still there shows at the next read.
+	r.scan = -1
+	return true
+}
+
+// SnapshotRule says when a snapshot is written again.
+type SnapshotRule struct {
+	// Retention is how long the log keeps a record.
+	Retention time.Duration
+	// Every is the age at which the newest snapshot is repeated; at most a
+	// quarter of Retention, so that three writers in a row may fail.
+	Every time.Duration
+	// MaxBehind is how many entries a starting reader may have to fold.
+	MaxBehind int64
+}
+
+// DefaultSnapshotRule fits a log that keeps records for retention.
+func DefaultSnapshotRule(retention time.Duration) SnapshotRule {
+	return SnapshotRule{Retention: retention, Every: retention / 8, MaxBehind: 100_000}
+}
+
+// Validate reports the first setting out of bounds.
+func (r *SnapshotRule) Validate() error {
+	var errs FieldErrors
+	if r.Every <= 0 || r.Every > r.Retention/4 {
+		errs.add("every", r.Every.String(), "above 0 and at most a quarter of retention "+r.Retention.String())
+	}
+	if r.MaxBehind < 1 {
+		errs.add("max_behind", formatInt(r.MaxBehind), "at least 1")
+	}
+	return asError(errs)
+}
+
+// Due reports whether s should be written as a snapshot. since is how long
+// this process has known of s's newest snapshot by its own clock; oldest is
+// that of the last page. The writer's clock only ever makes it due earlier,
+// and the place in the log needs no clock at all: a wrong clock must not let
+// the newest snapshot expire.
+func (r *SnapshotRule) Due(s *State, now time.Time, since time.Duration, oldest int64) bool {
+	if len(s.templates) == 0 {
+		return false
+	}
+	mark := s.snapshot
+	if mark.Version == 0 {
+		return since >= r.Every || oldest > 0 || int64(s.version) > r.MaxBehind
+	}
+	age := max(since, now.Sub(time.UnixMilli(mark.AtMillis)))
+	behind := int64(s.version - mark.Version)
+	kept := int64(mark.Version) - oldest
+	return age >= r.Every || behind > r.MaxBehind || oldest > 0 && behind > kept
+}
--- /dev/null
+++ b/internal/policy/snapshot.go
@@ -0,0 +1,221 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+// formatVersion is that of the snapshot document.
+const formatVersion = 1
+
+// SnapshotMark is the newest snapshot that a state knows to be in the log.
+type SnapshotMark struct {
+	// Version that the snapshot folds; a reader that starts from it reads on
+	// from there.
+	Version Version `json:"version"`
+	// Offset of its record.
+	Offset int64 `json:"offset"`
+	// AtMillis is its writer's clock, in milliseconds since 1970.
+	AtMillis int64 `json:"at_ms"`
+}
+
+// document is a State in JSON, lists sorted so that equal states give equal
+// bytes. What Lookup reads is worked out again on decoding.
+type document struct {
+	Format    int           `json:"format"`
+	Version   Version       `json:"version"`
+	Snapshot  SnapshotMark  `json:"snapshot"`
+	Templates []templateDoc `json:"templates"`
+	Instances []instanceDoc `json:"instances"`
+	Decisions []Decision    `json:"decisions"`
+}
+
+type templateDoc struct {
+	Revisions []Template `json:"revisions"`
+	Last      change     `json:"last"`
+}
+
+type instanceDoc struct {
+	Instance Instance `json:"instance"`
+	Last     change   `json:"last"`
+}
+
+// Marshal returns the state for a snapshot record or a peer.
+func (s *State) Marshal() ([]byte, error) {
+	doc := document{Format: formatVersion, Version: s.version, Snapshot: s.snapshot, Decisions: s.decisions.list}
+	for _, name := range slices.Sorted(maps.Keys(s.templates)) {
+		t := s.templates[name]
+		doc.Templates = append(doc.Templates, templateDoc{t.revisions, t.last})
+	}
+	for _, k := range s.instanceKeys() {
+		i := s.instances[k]
+		doc.Instances = append(doc.Instances, instanceDoc{i.instance, i.last})
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot at version %d: %w", s.version, err)
+	}
+	return data, nil
+}
+
+// UnmarshalState reads what Marshal wrote and validates all of it. It fails as
+// a whole: half a configuration must not come in force.
+func UnmarshalState(data []byte) (*State, error) {
+	var doc document
+	if errs := decodeStrict(data, &doc); len(errs) > 0 {
+		return nil, errs
+	}
+	if doc.Format != formatVersion {
+		return nil, FieldErrors{{"format", fmt.Sprint(doc.Format), fmt.Sprint(formatVersion)}}
+	}
+	if doc.Version < 0 {
+		return nil, FieldErrors{{"version", fmt.Sprint(doc.Version), "at least 0"}}
+	}
+	s := NewState()
+	s.version = doc.Version
+	s.snapshot = doc.Snapshot
+	for i := range doc.Templates {
+		if err := s.loadTemplate(&doc.Templates[i]); err != nil {
+			return nil, fmt.Errorf("templates[%d]: %w", i, err)
+		}
+	}
+	for i := range doc.Instances {
+		if err := s.loadInstance(&doc.Instances[i]); err != nil {
+			return nil, fmt.Errorf("instances[%d]: %w", i, err)
+		}
+	}
+	return s, s.loadDecisions(doc.Decisions)
+}
+
+func (s *State) loadTemplate(d *templateDoc) error {
+	if len(d.Revisions) == 0 {
+		return FieldErrors{{"revisions", "none", "at least one"}}
+	}
+	if err := s.checkLast(d.Last); err != nil {
+		return err
+	}
+	name := d.Revisions[0].Name
+	for i := range d.Revisions {
+		r := &d.Revisions[i]
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		if r.Name != name || i > 0 && r.Revision <= d.Revisions[i-1].Revision {
+			return FieldErrors{{"revisions", fmt.Sprintf("%s/%d", r.Name, r.Revision), "one name with ascending revisions"}}
+		}
+	}
+	if _, ok := s.templates[name]; ok {
+		return FieldErrors{{"name", name, "unique"}}
+	}
+	s.templates[name] = &templateEntry{revisions: d.Revisions, last: d.Last}
+	return nil
+}
+
+func (s *State) loadInstance(d *instanceDoc) error {
+	if err := s.checkLast(d.Last); err != nil {
+		return err
+	}
+	t, ok := s.Template(d.Instance.Template, d.Instance.Revision)
+	if !ok || d.Instance.Revision == 0 {
+		return FieldErrors{{"template", fmt.Sprintf("%s/%d", d.Instance.Template, d.Instance.Revision), "in the snapshot"}}
+	}
+	e, errs := resolve(t, &d.Instance)
+	if len(errs) > 0 {
+		return errs
+	}
+	e.Version = d.Last.Version
+	k := key{d.Instance.Workspace, d.Instance.Service}
+	if _, ok := s.instances[k]; ok {
+		return FieldErrors{{"instance", k.workspace + "/" + k.service, "unique"}}
+	}
+	s.instances[k] = &instanceEntry{instance: d.Instance, last: d.Last}
+	s.effective[k] = e
+	return nil
+}
+
+func (s *State) checkLast(c change) error {
+	if c.Version < 1 || c.Version > s.version {
+		return FieldErrors{{"last.version", fmt.Sprint(c.Version), fmt.Sprintf("1..%d", s.version)}}
+	}
+	return nil
+}
+
+func (s *State) loadDecisions(list []Decision) error {
+	if len(list) > maxDecisions {
+		return FieldErrors{{"decisions", fmt.Sprint(len(list)), fmt.Sprintf("at most %d", maxDecisions)}}
+	}
+	d := &decisions{list: list, byID: make(map[string]int64, len(list))}
+	for i := range list {
+		d.byID[list[i].ID] = int64(i)
+	}
+	if len(d.byID) != len(list) {
+		return FieldErrors{{"decisions", "an ID twice", "unique"}}
+	}
+	s.decisions = d
+	return nil
+}
+
+// Merge returns the newer of two folds of one log. Both are folds of prefixes
+// of the same log, so the longer prefix holds everything that the shorter one
+// accepted; nothing is ever taken from the older.
+func Merge(a, b *State) *State {
+	if a == nil || b != nil && b.version > a.version {
+		return b
+	}
+	return a
+}
+
+// SnapshotRecord returns the record that repeats s, written at now.
+func (s *State) SnapshotRecord(id string, now time.Time) (platform.Record, error) {
+	body, err := s.Marshal()
+	if err != nil {
+		return platform.Record{}, err
+	}
+	return platform.Record{ID: id, Kind: platform.KindSnapshot, At: now, Body: body}, nil
+}
+
+// adopt takes the snapshot of e across a gap. One that claims to fold its own
+// place or later is not the fold of what stood before it, and is ignored.
+func (s *State) adopt(e platform.Entry) *State {
+	version, ok := snapshotVersion(e)
+	if !ok || version <= s.version {
+		return s
+	}
+	snap, err := UnmarshalState(e.Record.Body)
+	if err != nil {
+		return s
+	}
+	return snap
+}
+
+// mark notes that a snapshot is in the log. A slow process may append an old
+// one after a newer; the newest counts, and contents are never taken from it:
+// s has folded all that it could hold.
+func (s *State) mark(e platform.Entry) {
+	version, ok := snapshotVersion(e)
+	if ok && version > s.snapshot.Version {
+		s.snapshot = SnapshotMark{Version: version, Offset: e.Offset, AtMillis: e.Record.At.UnixMilli()}
+	}
+}
+
+func snapshotVersion(e platform.Entry) (Version, bool) {
+	if e.Record.Kind != platform.KindSnapshot {
+		return 0, false
+	}
+	var head struct {
+		Format  int     `json:"format"`
+		Version Version `json:"version"`
+	}
+	if json.Unmarshal(e.Record.Body, &head) != nil || head.Format != formatVersion {
+		return 0, false
+	}
+	return head.Version, head.Version > 0 && head.Version <= Version(e.Offset)
+}
+
+// Snapshot returns the newest snapshot that s knows to be in the log.
+func (s *State) Snapshot() SnapshotMark { return s.snapshot }
--- /dev/null
+++ b/internal/standin/logd/http.go
@@ -0,0 +1,129 @@
+package logd
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+// PathKnobs takes GET and PUT of Knobs as JSON; PathTruncate takes POST with
+// the query parameter oldest.
+const (
+	PathKnobs    = "/admin/knobs"
+	PathTruncate = "/admin/truncate"
+)
+
+// maxRequestBytes leaves room for the envelope around MaxAppendBytes.
+const maxRequestBytes = platform.MaxAppendBytes + 1<<20
+
+// Handler serves the log and its admin paths.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathAppend, s.serveAppend)
+	mux.HandleFunc("GET "+platform.PathRead, s.serveRead)
+	mux.HandleFunc("GET "+platform.PathHead, s.serveHead)
+	mux.HandleFunc("GET "+PathKnobs, s.serveKnobs)
+	mux.HandleFunc("PUT "+PathKnobs, s.serveSetKnobs)
+	mux.HandleFunc("POST "+PathTruncate, s.serveTruncate)
+	return mux
+}
+
+func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var req platform.AppendRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	first, err := s.Append(r.Context(), req.Records)
+	if errors.Is(err, platform.ErrUncertain) {
+		// A lost acknowledgement looks to the client like a cut connection.
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, platform.AppendResponse{First: first}, err)
+}
+
+func (s *Server) serveRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
+	limit, err2 := strconv.Atoi(q.Get("max"))
+	wait, err3 := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+		return
+	}
+	page, err := s.Read(r.Context(), from, limit, time.Duration(wait)*time.Millisecond)
+	reply(w, page, err)
+}
+
+func (s *Server) serveHead(w http.ResponseWriter, r *http.Request) {
+	head, err := s.Head(r.Context())
+	reply(w, platform.HeadResponse{Head: head}, err)
+}
+
+func (s *Server) serveKnobs(w http.ResponseWriter, _ *http.Request) {
+	reply(w, s.Knobs(), nil)
+}
+
+func (s *Server) serveSetKnobs(w http.ResponseWriter, r *http.Request) {
+	var k Knobs
+	if !decode(w, r, &k) {
+		return
+	}
+	s.SetKnobs(k)
+	reply(w, k, nil)
+}
+
+func (s *Server) serveTruncate(w http.ResponseWriter, r *http.Request) {
+	oldest, err := strconv.ParseInt(r.URL.Query().Get("oldest"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+		return
+	}
+	s.Truncate(oldest)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err == nil {
+		err = json.Unmarshal(body, into)
+	}
+	if err != nil {
+		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	var truncated *platform.TruncatedError
+	var over *platform.OverloadedError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, v)
+	case errors.As(err, &truncated):
+		fail(w, http.StatusGone, platform.ErrorResponse{Error: err.Error(), Oldest: truncated.Oldest})
+	case errors.As(err, &over):
+		fail(w, http.StatusTooManyRequests, platform.ErrorResponse{
+			Error:            err.Error(),
+			RetryAfterMillis: over.RetryAfter.Milliseconds() + 1,
+		})
+	case errors.Is(err, platform.ErrBadRequest):
+		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+	default:
+		fail(w, http.StatusServiceUnavailable, platform.ErrorResponse{Error: err.Error()})
+	}
+}
+
+func fail(w http.ResponseWriter, status int, doc platform.ErrorResponse) {
+	writeJSON(w, status, doc)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
