--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -51,6 +51,8 @@
 // validate until the names, addresses and log URL are given.
 func Defaults() *Node {
 	return &Node{
+		SeedPeers: []string{},
+		Tokens:    []Token{},
 		Log: Log{
 			AppendTimeout: Duration(2 * time.Second),
 			ReadTimeout:   Duration(2 * time.Second),
