--- /dev/null
+++ b/cmd/galenabench/main.go
@@ -0,0 +1,89 @@
+// Command galenabench runs small deployments of real nodes on this machine
+// under load and faults, and measures what callers got.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/bench"
+)
+
+type cli struct {
+	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
+	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
+	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+}
+
+func main() {
+	var args cli
+	ctx := kong.Parse(&args, kong.Name("galenabench"), kong.Description("Load and experiments for galenagrade on one machine."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "galenabench:", err)
+		os.Exit(1)
+	}
+}
+
+type runCmd struct {
+	Scenario   string `required:"" help:"Name of a scenario, or all."`
+	Deployment string `default:"all" enum:"chikugo,yardstick,all" help:"Deployment to run."`
+	Policy     string `default:"galenagrade" enum:"galenagrade,baseline" help:"What carries the calls."`
+	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
+	JSON       bool   `help:"One JSON line a run."`
+}
+
+// Run runs the chosen scenarios.
+func (c *runCmd) Run() error {
+	found := false
+	for _, s := range bench.Scenarios() {
+		if c.Scenario != "all" && c.Scenario != s.Name {
+			continue
+		}
+		found = true
+		if err := c.runOne(s); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return errors.Errorf("--scenario %q is not known; galenabench scenarios lists them", c.Scenario)
+	}
+	return nil
+}
+
+func (c *runCmd) runOne(s bench.Scenario) error {
+	for _, d := range bench.Deployments() {
+		if c.Deployment != "all" && c.Deployment != d.Name {
+			continue
+		}
+		r, err := bench.Run(s, d, c.Policy, c.Seed)
+		if err != nil {
+			return errors.Wrapf(err, "%s on %s", s.Name, d.Name)
+		}
+		if err := c.print(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *runCmd) print(r bench.Result) error {
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	printTable([]bench.Result{r})
+	return nil
+}
+
+type scenariosCmd struct{}
+
+// Run lists the scenarios.
+func (scenariosCmd) Run() error {
+	for _, s := range bench.Scenarios() {
+		fmt.Printf("%-20s %s\n", s.Name, s.Story)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/callers.go
@@ -0,0 +1,222 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
+
+const (
+	// patience is how long an answer is of use to a caller.
+	patience = 4 * time.Second
+	// sendTimeout is when a caller gives a sending up and sends again.
+	sendTimeout = 2 * time.Second
+	// maxSends bounds the sendings of one request.
+	maxSends = 4
+	// resendPause is how soon a caller sends again, whatever it was told.
+	resendPause = 50 * time.Millisecond
+	// callersPerLevel is how many distinct callers there are.
+	distinctCallers = 500
+)
+
+// Sending is one sending of a request and its end.
+type Sending struct {
+	Attempt string
+	Code    int
+	Ran     result.Ran
+	// Wrong says that a success carried another request's answer.
+	Wrong bool
+	Err   string
+}
+
+// Outcome is one caller's request from its first sending to its end.
+type Outcome struct {
+	Op      string
+	Kind    Request
+	Level   callctx.Level
+	Arrived time.Duration // since the run's start
+	Latency time.Duration
+	Good    bool
+	Sends   []Sending
+}
+
+// callers makes open-loop arrivals.
+type callers struct {
+	world  *World
+	client *http.Client
+	start  time.Time
+	rng    *rand.Rand
+	next   atomic.Int64
+
+	mu       sync.Mutex
+	outcomes []*Outcome
+	wg       sync.WaitGroup
+}
+
+func newCallers(w *World) *callers {
+	return &callers{
+		world: w,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         w.network.Dialer(clients),
+			MaxIdleConnsPerHost: connsPerHost,
+			MaxConnsPerHost:     connsPerHost,
+		}},
+		start: time.Now(),
+		rng:   rand.New(rand.NewPCG(w.seed, 7)),
+	}
+}
+
+// offer makes Poisson arrivals at a rate for a time. It sleeps in steps of a
+// few milliseconds and makes what is due, so that a late timer loses nothing.
+func (c *callers) offer(rate float64, d time.Duration) {
+	begin := time.Now()
+	due := c.rng.ExpFloat64() / rate
+	for {
+		elapsed := time.Since(begin)
+		for due <= elapsed.Seconds() {
+			if due > d.Seconds() {
+				return
+			}
+			c.arrive()
+			due += c.rng.ExpFloat64() / rate
+		}
+		if elapsed >= d {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (c *callers) arrive() {
+	o := &Outcome{
+		Op:      fmt.Sprintf("op%d", c.next.Add(1)),
+		Kind:    c.pickKind(),
+		Level:   c.pickLevel(),
+		Arrived: time.Since(c.start),
+	}
+	caller := strconv.Itoa(c.rng.IntN(distinctCallers))
+	entry := c.world.vms[c.rng.IntN(len(c.world.vms))]
+	again := c.world.vms[c.rng.IntN(len(c.world.vms))]
+	c.mu.Lock()
+	c.outcomes = append(c.outcomes, o)
+	c.mu.Unlock()
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		c.request(o, caller, []*vm{entry, again})
+	}()
+}
+
+func (c *callers) pickKind() Request {
+	x := c.rng.Float64()
+	for _, k := range c.world.deployment.Mix {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return c.world.deployment.Mix[0]
+}
+
+func (c *callers) pickLevel() callctx.Level {
+	x := c.rng.Float64()
+	for l, share := range c.world.deployment.LevelShares {
+		if x -= share; x < 0 {
+			return callctx.Level(l)
+		}
+	}
+	return callctx.LevelLow
+}
+
+// request sends until there is an answer, patience ends or the sends do.
+func (c *callers) request(o *Outcome, caller string, entries []*vm) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range maxSends {
+		s := Sending{Attempt: o.Op + "." + strconv.Itoa(i)}
+		ok := c.send(ctx, o, &s, caller, entries[i%len(entries)])
+		o.Sends = append(o.Sends, s)
+		if ok {
+			o.Latency = time.Since(began)
+			o.Good = o.Latency <= patience
+			return
+		}
+		select {
+		case <-time.After(resendPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *callers) send(ctx context.Context, o *Outcome, s *Sending, caller string, entry *vm) bool {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	header := http.Header{}
+	header.Set(upstream.HeaderOp, o.Op)
+	header.Set(upstream.HeaderAttempt, s.Attempt)
+	if c.world.policy == PolicyBaseline {
+		return c.sendBaseline(ctx, o, s, header)
+	}
+	req, err := http.NewRequestWithContext(ctx, o.Kind.Method, "http://"+entry.callers+o.Kind.Path, nil)
+	if err != nil {
+		return false
+	}
+	req.Header = header
+	header.Set(callctx.HeaderWorkspace, c.world.deployment.Name)
+	header.Set(callctx.HeaderService, o.Kind.Service)
+	header.Set(callctx.HeaderPriority, o.Level.String())
+	header.Set(callctx.HeaderTimeout, sendTimeout.String())
+	header.Set(callctx.HeaderCaller, caller)
+	if o.Kind.Keyed() {
+		header.Set(callctx.HeaderKey, o.Op)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		s.Err = err.Error()
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.Code, _ = strconv.Atoi(resp.Header.Get(result.HeaderResult))
+	s.Ran = result.Code(s.Code).Ran()
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	return c.check(json.NewDecoder(resp.Body), o, s)
+}
+
+func (c *callers) sendBaseline(ctx context.Context, o *Outcome, s *Sending, header http.Header) bool {
+	step := upstream.Step{Service: o.Kind.Service, Method: o.Kind.Method, Path: o.Kind.Path}
+	status, body, err := c.world.baseline.call(ctx, clients, step, header)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	var a upstream.Answer
+	return json.Unmarshal(body, &a) == nil && a.Op == o.Op
+}
+
+func (c *callers) check(dec *json.Decoder, o *Outcome, s *Sending) bool {
+	var a upstream.Answer
+	if err := dec.Decode(&a); err != nil {
+		s.Err = err.Error()
+		return false
+	}
+	s.Wrong = a.Op != o.Op || a.Service != o.Kind.Service
+	return !s.Wrong
+}
+
+func (c *callers) wait() []*Outcome {
+	c.wg.Wait()
+	c.client.CloseIdleConnections()
+	return c.outcomes
+}
--- /dev/null
+++ b/internal/bench/child.go
@@ -0,0 +1,169 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
+
+const (
+	// hopTimeout and hopRetries are the usual settings of a service chain.
+	hopTimeout = time.Second
+	hopRetries = 3
+	// connsPerHost keeps one process within the machine's descriptors.
+	connsPerHost = 250
+)
+
+// childOf returns how an upstream calls deeper services.
+func (w *World) childOf(v *vm) upstream.Child {
+	if w.policy == PolicyBaseline {
+		return func(ctx context.Context, step upstream.Step, parent http.Header) (int, []byte, error) {
+			return w.baseline.call(ctx, v.zone, step, parent)
+		}
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	return func(ctx context.Context, step upstream.Step, parent http.Header) (int, []byte, error) {
+		req, err := childRequest(ctx, "http://"+v.exit, step, parent)
+		if err != nil {
+			return 0, nil, err
+		}
+		req.Header.Set(callctx.HeaderContext, parent.Get(callctx.HeaderContext))
+		req.Header.Set(callctx.HeaderService, step.Service)
+		return roundTrip(client, req)
+	}
+}
+
+func childRequest(ctx context.Context, base string, step upstream.Step, parent http.Header) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, step.Method, base+step.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range []string{upstream.HeaderOp, upstream.HeaderAttempt, upstream.HeaderPoison} {
+		if v := parent.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	if step.Method == post {
+		req.Header.Set(callctx.HeaderKey, parent.Get(upstream.HeaderOp)+"-"+step.Service)
+	}
+	return req, nil
+}
+
+func roundTrip(client *http.Client, req *http.Request) (int, []byte, error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
+}
+
+// baselineRouter is the plain chain: least-loaded routing by calls in flight,
+// a timeout and three retries at every hop.
+type baselineRouter struct {
+	world   *World
+	clients map[string]*http.Client // by zone
+	mu      sync.Mutex
+	loads   map[*vm]*atomic.Int64
+}
+
+func newBaselineRouter(w *World) *baselineRouter {
+	r := &baselineRouter{world: w, clients: map[string]*http.Client{}, loads: map[*vm]*atomic.Int64{}}
+	for _, zone := range append([]string{clients}, w.deployment.Zones...) {
+		r.clients[zone] = &http.Client{Transport: &http.Transport{
+			DialContext:         w.network.Dialer(zone),
+			MaxIdleConnsPerHost: 512,
+			MaxConnsPerHost:     connsPerHost,
+		}}
+	}
+	return r
+}
+
+func (r *baselineRouter) close() {
+	for _, c := range r.clients {
+		c.CloseIdleConnections()
+	}
+}
+
+func (r *baselineRouter) call(ctx context.Context, zone string, step upstream.Step, parent http.Header) (status int, body []byte, err error) {
+	for attempt := 0; attempt <= hopRetries; attempt++ {
+		if attempt > 0 {
+			r.world.retries.add(parent.Get(upstream.HeaderAttempt), 1)
+		}
+		status, body, err = r.once(ctx, zone, step, parent)
+		if err == nil && status < http.StatusInternalServerError || ctx.Err() != nil {
+			return status, body, err
+		}
+	}
+	return status, body, err
+}
+
+func (r *baselineRouter) once(ctx context.Context, zone string, step upstream.Step, parent http.Header) (int, []byte, error) {
+	v, load := r.pick(step.Service)
+	load.Add(1)
+	defer load.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, hopTimeout)
+	defer cancel()
+	req, err := childRequest(ctx, "http://"+v.server.Addr(), step, parent)
+	if err != nil {
+		return 0, nil, err
+	}
+	return roundTrip(r.clients[zone], req)
+}
+
+func (r *baselineRouter) pick(service string) (*vm, *atomic.Int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *vm
+	all := r.world.upstreamsOf(service)
+	offset := rand.IntN(len(all))
+	for i := range all {
+		v := all[(i+offset)%len(all)]
+		if r.loads[v] == nil {
+			r.loads[v] = &atomic.Int64{}
+		}
+		if best == nil || r.loads[v].Load() < r.loads[best].Load() {
+			best = v
+		}
+	}
+	return best, r.loads[best]
+}
+
+// retryCounter counts the retries made for each sending of a caller's request.
+type retryCounter struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func newRetryCounter() *retryCounter { return &retryCounter{count: map[string]int{}} }
+
+func (c *retryCounter) add(root string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count[root] += n
+}
+
+// CallEnded implements node.Observer.
+func (c *retryCounter) CallEnded(requestID string, retries int) {
+	if retries > 0 {
+		c.add(requestID, retries)
+	}
+}
+
+func (c *retryCounter) max() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := 0
+	for _, n := range c.count {
+		most = max(most, n)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,36 @@
+package bench
+
+import (
+	"time"
+)
+
+// Run runs one scenario on a deployment under a policy.
+func Run(s Scenario, d *Deployment, policyName string, seed uint64) (Result, error) {
+	w, err := NewWorld(d, policyName, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	defer w.Close()
+	c := newCallers(w)
+	steady := d.FullCapacity() * d.SteadyLoad
+	c.offer(steady, s.Before)
+	pressure := time.Since(c.start)
+	timers := w.schedule(s)
+	c.offer(steady*s.Surge, s.Pressure)
+	heal := time.Since(c.start)
+	c.offer(steady, s.After)
+	end := time.Since(c.start)
+	outcomes := c.wait()
+	for _, t := range timers {
+		t.Stop()
+	}
+	return w.measure(s, seed, outcomes, phases{pressure, heal, end}), nil
+}
+
+func (w *World) schedule(s Scenario) []*time.Timer {
+	var timers []*time.Timer
+	for _, e := range s.Events(w.deployment) {
+		timers = append(timers, time.AfterFunc(e.At, func() { e.Do(w) }))
+	}
+	return timers
+}
--- /dev/null
+++ b/internal/bench/world.go
@@ -0,0 +1,291 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/server"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/standin/link"
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
+
+const (
+	// PolicyGalenagrade runs the calls through nodes.
+	PolicyGalenagrade = "galenagrade"
+	// PolicyBaseline runs them from service to service with the usual
+	// timeouts, three retries a hop and least-loaded routing.
+	PolicyBaseline = "baseline"
+	// clients is where callers are.
+	clients = "clients"
+	// announcePeriod is how often an upstream announces itself.
+	announcePeriod = time.Second
+	readyTimeout   = 15 * time.Second
+	// logAppends and logDelayMillis are the platform's log as the brief has it.
+	logAppends     = 400
+	logDelayMillis = 2
+)
+
+// vm is one upstream with its node; the node is nil under the baseline.
+type vm struct {
+	name, zone, service string
+	slots               int
+	server              *upstream.Server
+	node                *server.Server
+	callers, exit       string
+}
+
+// World is a running deployment.
+type World struct {
+	deployment *Deployment
+	policy     string
+	seed       uint64
+	log        *logd.Server
+	network    *link.Network
+	ledger     *upstream.Ledger
+	retries    *retryCounter
+	vms        []*vm
+	baseline   *baselineRouter
+	cut        int
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewWorld starts a deployment under a policy and waits until every node
+// knows every other.
+func NewWorld(d *Deployment, policyName string, seed uint64) (*World, error) {
+	w := &World{
+		deployment: d,
+		policy:     policyName,
+		seed:       seed,
+		log:        logd.New(logd.Options{Seed: seed}),
+		network:    link.New(d.delay),
+		ledger:     &upstream.Ledger{},
+		retries:    newRetryCounter(),
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.baseline = newBaselineRouter(w)
+	if err := w.startAll(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (d *Deployment) delay(from, to string) time.Duration {
+	switch {
+	case from == clients || to == clients:
+		return d.ClientDelay
+	case from != to:
+		return d.ZoneDelay
+	}
+	return 0
+}
+
+func (w *World) startAll() error {
+	if w.policy == PolicyGalenagrade {
+		if err := w.publish(); err != nil {
+			return err
+		}
+	}
+	w.log.SetKnobs(logd.Knobs{AppendsPerSecond: logAppends, DelayMillis: logDelayMillis})
+	for _, svc := range w.deployment.Services {
+		for i := range svc.Upstreams {
+			zone := w.deployment.Zones[i%len(w.deployment.Zones)]
+			if err := w.startVM(svc, fmt.Sprintf("%s-%d", svc.Name, i), zone); err != nil {
+				return err
+			}
+		}
+	}
+	if w.policy == PolicyGalenagrade {
+		return w.awaitReady()
+	}
+	return nil
+}
+
+// publish puts the templates and the deployment's instances into the log, as
+// operators would.
+func (w *World) publish() error {
+	var records []platform.Record
+	add := func(p *policy.Publication) error {
+		rec, err := p.Record(time.Now())
+		records = append(records, rec)
+		return err
+	}
+	for _, t := range policy.Library() {
+		if err := add(&policy.Publication{ID: "template-" + t.Name, Author: "bench", Template: &t}); err != nil {
+			return err
+		}
+	}
+	for _, i := range w.instances() {
+		if err := add(&policy.Publication{ID: "instance-" + i.Service, Author: "bench", Instance: &i}); err != nil {
+			return err
+		}
+	}
+	_, err := w.log.Append(w.ctx, records)
+	return errors.Wrap(err, "publish")
+}
+
+func (w *World) instances() []policy.Instance {
+	var list []policy.Instance
+	for _, svc := range w.deployment.Services {
+		list = append(list, policy.Instance{Workspace: w.deployment.Name, Service: svc.Name, Template: "balanced", Revision: 1})
+	}
+	return list
+}
+
+func (w *World) startVM(svc Service, name, zone string) error {
+	v := &vm{name: name, zone: zone, service: svc.Name, slots: svc.Slots}
+	w.vms = append(w.vms, v)
+	v.server = upstream.New(upstream.Config{
+		Name: name, Service: svc.Name, Slots: svc.Slots, Connections: svc.Connections,
+		Operations: svc.Operations, Seed: w.seed*1000 + uint64(len(w.vms)),
+	}, w.childOf(v), w.ledger)
+	if err := v.server.Start(); err != nil {
+		return err
+	}
+	w.network.Place(v.server.Addr(), zone)
+	if w.policy == PolicyBaseline {
+		return nil
+	}
+	if err := w.startNode(v); err != nil {
+		return err
+	}
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		w.announce(v)
+	}()
+	return nil
+}
+
+func (w *World) startNode(v *vm) error {
+	cfg := settings.Defaults()
+	cfg.NodeID = v.name
+	cfg.Region = w.deployment.Region
+	cfg.Zone = v.zone
+	cfg.Callers.Address = "127.0.0.1:0"
+	cfg.Upstream.Address = "127.0.0.1:0"
+	cfg.Inner.Address = "127.0.0.1:0"
+	cfg.Inner.Advertised = "127.0.0.1:0"
+	cfg.Admin.Address = "127.0.0.1:0"
+	n, err := server.Start(cfg, server.Options{
+		Log:      w.log,
+		Dial:     w.network.Dialer(v.zone),
+		Logger:   zerolog.Nop(),
+		Observer: w.retries,
+	})
+	if err != nil {
+		return errors.Wrap(err, v.name)
+	}
+	v.node = n
+	callers, exit, inner, _ := n.Addresses()
+	v.callers, v.exit = callers, exit
+	w.network.Place(callers, v.zone)
+	w.network.Place(inner, v.zone)
+	return nil
+}
+
+// announce tells the node of the upstream, at once and then every second.
+func (w *World) announce(v *vm) {
+	t := time.NewTicker(announcePeriod)
+	defer t.Stop()
+	for {
+		if v.server.Up() {
+			w.announceOnce(v)
+		}
+		select {
+		case <-t.C:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *World) announceOnce(v *vm) {
+	body, err := json.Marshal(node.Announcement{Service: v.service, Address: v.server.Addr(), Slots: v.slots})
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(w.ctx, http.MethodPut, "http://"+v.exit+"/v1/upstream", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// awaitReady returns once every node routes to every upstream.
+func (w *World) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if w.ready() {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.Errorf("nodes were not ready within %s", readyTimeout)
+}
+
+func (w *World) ready() bool {
+	for _, v := range w.vms {
+		for _, svc := range w.deployment.Services {
+			if len(v.node.Node().Table().Targets(svc.Name)) < svc.Upstreams {
+				return false
+			}
+		}
+		if v.node.Node().Policy().Version() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *World) upstreamsOf(service string) []*vm {
+	var list []*vm
+	for _, v := range w.vms {
+		if v.service == service {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+func (w *World) crash(v *vm) { v.server.Crash() }
+
+func (w *World) restart(v *vm) {
+	if v.server.Up() {
+		return
+	}
+	if err := v.server.Start(); err == nil && v.node != nil {
+		w.announceOnce(v)
+	}
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	w.cancel()
+	w.wg.Wait()
+	for _, v := range w.vms {
+		if v.node != nil {
+			v.node.Kill()
+		}
+		v.server.Crash()
+	}
+	w.baseline.close()
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -63,6 +63,7 @@
 	next      string // node to ask, when an answer named the owner
 	redirects int
 	attempts  int
+	retries   int
 	crashes   int
 	pause     time.Duration
 	final     *Answer
@@ -75,9 +76,6 @@
 	return &Dispatch{router: router, rng: rng, call: call, account: account}
 }
 
-// Attempts returns how many attempts were sent.
-func (d *Dispatch) Attempts() int { return d.attempts }
-
 // Next returns the next order.
 func (d *Dispatch) Next(now time.Time) Order {
 	if d.final != nil {
@@ -156,13 +154,13 @@
 		Idempotent: d.call.Ctx.Idempotent,
 		Remaining:  d.call.Ctx.Remaining(now),
 		Owner:      a.Refusal.Owner,
-		Reattached: true, // the transport re-attaches by itself
-	}, d.router.RetryPolicy(), d.rng)
+	}, d.router.RetryPolicy())
 	switch {
 	case action == retry.AskOwner && d.redirects < maxRedirects:
 		d.redirects++
 		d.next = a.Refusal.Owner
 	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
+		d.retries++
 		d.tried = append(d.tried, d.target.Endpoint().Node)
 		d.pause = wait
 	default:
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -26,7 +26,11 @@
 
 // Answered records how a call ended at its entry or exit node. Good calls are
 // sampled, so that they cost next to nothing.
-func (n *Node) Answered(call *Call, a *Answer, attempts int) {
+func (n *Node) Answered(call *Call, a *Answer, d *Dispatch) {
+	if n.cfg.Observer != nil {
+		n.cfg.Observer.CallEnded(call.Ctx.RequestID, d.retries)
+	}
+	attempts := d.attempts
 	if a.Whole() && attempts == 1 && !n.sampler.Keep(call.Ctx.RequestID) {
 		return
 	}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -79,7 +79,7 @@
 
 // DefaultGuardConfig suits a VM with 64 MB for the node.
 func DefaultGuardConfig() GuardConfig {
-	return GuardConfig{KeepDone: 5 * time.Second, KeepDoneBytes: 8 << 20}
+	return GuardConfig{KeepDone: 10 * time.Second, KeepDoneBytes: 8 << 20}
 }
 
 // Guard is the only way into the local upstream: it recognises resends,
@@ -141,6 +141,27 @@
 	if e, ok := g.calls[call.Ctx.CallID]; ok {
 		return e.attach(w)
 	}
+	token, answer := g.considerLocked(now, call, w, d)
+	if answer != nil && call.Reattach {
+		g.remember(now, call, answer)
+	}
+	return token, answer
+}
+
+// remember keeps the answer given to a re-attachment whose call was never seen
+// here. The first sending may lie in the connection that went silent and be
+// delivered yet: it must find the same answer, or a call said not to have run
+// would run after all.
+func (g *Guard) remember(now time.Time, call *Call, a *Answer) {
+	if _, known := g.calls[call.Ctx.CallID]; known {
+		return
+	}
+	e := &execution{call: call, phase: phaseDone, arrived: now, ended: now, answer: a}
+	g.calls[call.Ctx.CallID] = e
+	g.keepLocked(now, e)
+}
+
+func (g *Guard) considerLocked(now time.Time, call *Call, w Waiter, d *due) (int, *Answer) {
 	if refusal := g.refuseLocked(now, call); refusal != nil {
 		return 0, g.refusedLocked(call, refusal)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,17 @@
 	// Sample keeps the events of one good call in that many; refused and
 	// retried calls are always kept.
 	Sample int
+	// Observer may be nil.
+	Observer Observer
+	// OnCrash is called when the local upstream's process died; may be nil.
+	OnCrash func()
+}
+
+// Observer is told how calls end at their entry or exit node. It is called
+// concurrently and must not block.
+type Observer interface {
+	// CallEnded gives the retries made here on behalf of a root request.
+	CallEnded(requestID string, retries int)
 }
 
 // Node is one node's decisions. Safe for concurrent use.
@@ -68,8 +79,6 @@
 
 	idMu  sync.Mutex
 	idSrc *rand.ChaCha8
-
-	onCrash func(now time.Time)
 }
 
 // New makes a node that knows nobody yet.
@@ -81,7 +90,7 @@
 	}
 	now := cfg.Clock.Now()
 	n.guard = NewGuard(cfg.Guard, cfg.Identity.Incarnation, cfg.Runner, cfg.Authority, now)
-	n.policy.Store(&policy.State{})
+	n.policy.Store(policy.NewState())
 	n.table.Store(routing.NewTable(nil, cfg.Routing, n.self(), nil, now))
 	return n
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -17,6 +17,10 @@
 	claimHorizon = 10 * time.Minute
 	// maxClaims bounds the claims of one service in memory, at 64 bytes each.
 	maxClaims = 200_000
+	// dedupWindow is how many offsets back a repeated record is recognised. A
+	// node repeats for about 30 s, in which today's 17 nodes append less than
+	// 300 times 30 groups; see platform.Dedup.
+	dedupWindow = 20_000
 )
 
 // Replica is a node's fold over the log: configuration, members, claims. It is
@@ -33,7 +37,7 @@
 // NewReplica returns the fold of nothing.
 func NewReplica() *Replica {
 	return &Replica{
-		dedup:   platform.NewDedup(platform.DefaultDedupWindow),
+		dedup:   platform.NewDedup(dedupWindow),
 		policy:  policy.NewState(),
 		members: &membership.View{},
 		claims:  idempotency.NewClaims(claimHorizon, maxClaims),
@@ -59,7 +63,7 @@
 		}
 		r.next = e.Offset + 1
 		r.policy = r.policy.Apply(e)
-		if !r.dedup.First(e) {
+		if !r.dedup.Fresh(e) {
 			continue
 		}
 		if rec := memberRecord(e.Record); rec != nil {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -35,8 +35,8 @@
 		return nil
 	}
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamCrashed, Upstream: n.ID()})
-	if n.onCrash != nil {
-		n.onCrash(now)
+	if n.cfg.OnCrash != nil {
+		n.cfg.OnCrash()
 	}
 	return suspects
 }
@@ -46,13 +46,22 @@
 // the first workspace in order decides.
 func (n *Node) admissionConfig(service string, slots int) admission.Config {
 	cfg := admission.DefaultConfig(slots)
-	eff, ok := n.policy.Load().ForService(service)
+	eff, ok := instanceFor(n.policy.Load(), service)
 	if !ok {
 		return cfg
 	}
 	return withTemplate(cfg, eff)
 }
 
+func instanceFor(s *policy.State, service string) (*policy.Effective, bool) {
+	for _, i := range s.Instances() {
+		if i.Service == service {
+			return s.Lookup(i.Workspace, i.Service)
+		}
+	}
+	return nil, false
+}
+
 func withTemplate(cfg admission.Config, eff *policy.Effective) admission.Config {
 	cfg.QueueLimit = eff.QueueLimit
 	cfg.SojournTarget = eff.SojournTarget
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -53,8 +53,7 @@
 }
 
 func (s *sending) encode(attempt *node.Call) *innerpb.CallHeader {
-	h := inner.FromContext(&attempt.Ctx, s.peers.node.Now())
-	h.Allowance = uint32(attempt.Allowance)
+	h := inner.FromContext(&attempt.Ctx, s.peers.node.Now(), uint32(attempt.Allowance))
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
@@ -145,7 +144,7 @@
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	return &node.Call{
-		Ctx:       inner.ToContext(h, p.node.Now()),
+		Ctx:       *inner.ToContext(h, p.node.Now()),
 		Method:    r.Header.Get(headerMethod),
 		Target:    r.Header.Get(headerTarget),
 		Header:    callctx.Forwardable(r.Header),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,7 +108,7 @@
 		order := d.Next(p.node.Now())
 		switch order.Kind {
 		case node.OrderDone:
-			p.node.Answered(call, order.Answer, d.Attempts())
+			p.node.Answered(call, order.Answer, d)
 			return order.Answer
 		case node.OrderPause:
 			pause(ctx, order.Pause)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -210,7 +211,9 @@
 		return node.Refused(call.Ctx.CallID, endedRefusal(ctx))
 	}
 	if isDialError(err) {
-		u.crashed()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			u.crashed()
+		}
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.NoUpstream, "the upstream takes no connection: %v", err))
 	}
 	a := node.Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the connection to the upstream broke: %v", err))
@@ -219,13 +222,18 @@
 }
 
 // probeCrash tells a dead upstream from a single broken connection: all its
-// connections break at once, but only a dead one refuses a new one.
+// connections break at once, but only a dead one refuses a new one. Any other
+// error, such as this process running out of descriptors, says nothing about
+// the upstream.
 func (u *Upstream) probeCrash() bool {
 	conn, err := net.DialTimeout("tcp", u.Addr(), crashProbeTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return false
 	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
 	u.crashed()
 	return true
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,8 @@
 	Dial proxy.DialFunc
 	// Logger receives JSON lines.
 	Logger zerolog.Logger
+	// Observer may be nil.
+	Observer node.Observer
 }
 
 // Server is a running node. Make it with Start.
@@ -146,6 +148,8 @@
 		Guard:     node.DefaultGuardConfig(),
 		Seed:      newSeed(),
 		Sample:    s.cfg.Limits.TimelineSample,
+		Observer:  opts.Observer,
+		OnCrash:   func() { s.announce.crashed() },
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
