--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// snapshot is the form of a View in a log record or an answer to a peer.
+type snapshot struct {
+	Version int64                `json:"v"`
+	Members []Member             `json:"m"`
+	Gone    map[string]tombstone `json:"g,omitempty"`
+}
+
+// Marshal returns the view as JSON; equal views give equal bytes.
+func (v *View) Marshal() ([]byte, error) {
+	return json.Marshal(snapshot{Version: v.version, Members: v.Members(), Gone: v.gone})
+}
+
+// Unmarshal reads what Marshal wrote.
+func Unmarshal(b []byte) (*View, error) {
+	var s snapshot
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("membership: snapshot: %w", err)
+	}
+	v := &View{gone: s.Gone, version: s.Version}
+	v.init()
+	for _, m := range s.Members {
+		v.members[m.Node] = m
+		v.byAddr[m.InnerAddr] = m.Node
+	}
+	return v, nil
+}
+
+// Digest tells views apart cheaply: equal members give equal digests, whatever
+// the version. It is the exclusive or of one hash a member.
+func (v *View) Digest() uint64 {
+	var d uint64
+	for _, m := range v.members {
+		d ^= m.hash()
+	}
+	return d
+}
+
+func (m Member) hash() uint64 {
+	// A Member holds only strings, numbers, a bool and a UTC time: it always
+	// marshals.
+	b, _ := json.Marshal(m)
+	return xxhash.Sum64(b)
+}
