admission: limit, queue, shed threshold and service time estimates

Cause: an upstream with more callers than slots has to serve the important ones and answer the others truthfully, and recover as soon as pressure ends. Change: Controller with an adaptive limit that confirms each latency cut by throughput, a queue of eight classes with adaptive LIFO, a threshold over (level, caller) read off counted offers, refusal of doomed calls with probes.

--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,310 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// machine drives a controller with random calls and keeps its own books.
+type machine struct {
+	c                *Controller
+	cfg              Config
+	now              time.Time
+	last             int
+	running, waiting map[string]Request
+	since            map[string]time.Time
+	draining         bool
+}
+
+func (m *machine) take(t *rapid.T, ds []Decision) {
+	for _, d := range ds {
+		r, waits := m.waiting[d.ID]
+		if !waits {
+			t.Fatalf("decision %v on a call that does not wait", d)
+		}
+		delete(m.waiting, d.ID)
+		m.settle(t, r, d)
+	}
+}
+
+func (m *machine) settle(t *rapid.T, r Request, d Decision) {
+	switch d.Verdict {
+	case Run:
+		if !r.Deadline.IsZero() && !m.now.Before(r.Deadline) {
+			t.Fatalf("call %s runs after its deadline", r.ID)
+		}
+		m.running[r.ID] = r
+	case Wait:
+		m.waiting[r.ID] = r
+		m.since[r.ID] = m.now
+	case Refuse:
+		if d.Refusal.Code.Ran() != result.RanNo || d.Refusal.RetryAfter <= 0 || d.Refusal.Detail == "" {
+			t.Fatalf("refusal %+v", d.Refusal)
+		}
+	default:
+		t.Fatalf("verdict %v", d.Verdict)
+	}
+	if (d.Verdict == Refuse) != (d.Refusal != nil) {
+		t.Fatalf("decision %+v", d)
+	}
+}
+
+func (m *machine) Offer(t *rapid.T) {
+	m.last++
+	r := Request{
+		ID:           strconv.Itoa(m.last),
+		Level:        callctx.Level(rapid.IntRange(0, callctx.Levels-1).Draw(t, "level")),
+		CallerHash:   rapid.Uint32().Draw(t, "caller"),
+		RootAdmitted: m.now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Millisecond),
+		Depth:        rapid.IntRange(0, 2).Draw(t, "depth"),
+	}
+	if rapid.Bool().Draw(t, "hasDeadline") {
+		r.Deadline = m.now.Add(time.Duration(rapid.IntRange(-5, 1000).Draw(t, "timeout")) * time.Millisecond)
+	}
+	before := m.c.Load()
+	d, others := m.c.Offer(m.now, r)
+	m.take(t, others)
+	m.settle(t, r, d)
+	if m.draining && d.Verdict != Refuse {
+		t.Fatalf("taken while draining: %+v", d)
+	}
+	free := before.InFlight < before.Limit && before.Queued == 0
+	if free && d.Verdict == Wait && m.c.Load().Limit >= before.Limit {
+		t.Fatalf("waits although a slot is free and nothing is ahead")
+	}
+	for _, o := range others {
+		// A displaced call is never more important than the one that came.
+		if o.Verdict == Refuse && o.Refusal.Code == result.Shed && d.Verdict != Wait {
+			t.Fatalf("%s was displaced for a call that does not wait", o.ID)
+		}
+	}
+}
+
+func (m *machine) Finish(t *rapid.T) {
+	id, ok := pick(t, m.running)
+	if !ok {
+		return
+	}
+	delete(m.running, id)
+	latency := time.Duration(rapid.IntRange(0, 2000).Draw(t, "latency")) * time.Millisecond
+	outcome := Outcome(rapid.IntRange(int(Answered), int(TimedOut)).Draw(t, "outcome"))
+	m.take(t, m.c.Finish(m.now, id, outcome, latency))
+}
+
+func (m *machine) Abandon(t *rapid.T) {
+	id, ok := pick(t, m.waiting)
+	if !ok {
+		return
+	}
+	delete(m.waiting, id)
+	m.take(t, m.c.Abandon(m.now, id))
+}
+
+func (m *machine) Elapse(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+	m.take(t, m.c.Tick(m.now))
+	for id := range m.waiting {
+		if m.now.Sub(m.since[id]) >= m.cfg.MaxWait {
+			t.Fatalf("call %s waits beyond its bound", id)
+		}
+	}
+}
+
+func (m *machine) Reconfigure(t *rapid.T) {
+	cfg := drawConfig(t)
+	cfg.MaxWait = m.cfg.MaxWait
+	m.cfg = cfg
+	m.take(t, m.c.Reconfigure(m.now, cfg))
+}
+
+func (m *machine) Drain(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "really") > 0 {
+		return
+	}
+	m.draining = true
+	m.take(t, m.c.Drain(m.now))
+	if len(m.waiting) > 0 {
+		t.Fatalf("calls wait while draining")
+	}
+}
+
+func (m *machine) Check(t *rapid.T) {
+	l := m.c.Load()
+	if l.InFlight != len(m.running) || l.Queued != len(m.waiting) || l.Draining != m.draining {
+		t.Fatalf("load %+v, want %d running and %d waiting", l, len(m.running), len(m.waiting))
+	}
+	if l.Limit < m.cfg.MinLimit || l.Limit > m.cfg.Slots || l.Queued > m.cfg.QueueLimit {
+		t.Fatalf("load %+v outside %+v", l, m.cfg)
+	}
+	if l.Threshold < minThreshold {
+		t.Fatalf("threshold %#x", l.Threshold)
+	}
+	if l.Queued > 0 && l.InFlight < l.Limit && m.c.intervalStarted.Before(m.now) {
+		t.Fatalf("%+v: calls wait while a slot is free", l)
+	}
+	if len(m.c.calls) != l.InFlight+l.Queued {
+		t.Fatalf("%d records for %+v", len(m.c.calls), l)
+	}
+}
+
+func pick(t *rapid.T, from map[string]Request) (string, bool) {
+	if len(from) == 0 {
+		return "", false
+	}
+	ids := make([]int, 0, len(from))
+	for id := range from {
+		n, _ := strconv.Atoi(id)
+		ids = append(ids, n)
+	}
+	least := ids[0]
+	for _, n := range ids {
+		least = min(least, n)
+	}
+	return strconv.Itoa(least), true
+}
+
+func drawConfig(t *rapid.T) Config {
+	cfg := DefaultConfig(rapid.IntRange(1, 6).Draw(t, "slots"))
+	cfg.QueueLimit = rapid.IntRange(0, 6).Draw(t, "queue")
+	cfg.Adapt = rapid.Bool().Draw(t, "adapt")
+	cfg.Worth[callctx.LevelLow] = float64(rapid.IntRange(0, 1).Draw(t, "worth"))
+	return cfg
+}
+
+func TestControllerKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		cfg := drawConfig(t)
+		m := &machine{
+			c: New(cfg, now), cfg: cfg, now: now,
+			running: map[string]Request{}, waiting: map[string]Request{}, since: map[string]time.Time{},
+		}
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+func TestQueueGivesBestFirstAndWorstUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue()
+		q.newestFirst = rapid.Bool().Draw(t, "newestFirst")
+		now := time.Unix(1_000_000, 0)
+		for i := range rapid.IntRange(1, 30).Draw(t, "n") {
+			q.push(&call{seq: uint64(i), request: Request{
+				Level:        callctx.Level(rapid.IntRange(0, callctx.Levels-1).Draw(t, "level")),
+				Depth:        rapid.IntRange(0, 1).Draw(t, "depth"),
+				RootAdmitted: now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "root"))),
+			}})
+		}
+		for q.len() > 1 {
+			best, worst := q.next(), q.worst()
+			if !q.before(best, worst) {
+				t.Fatalf("next %+v is not before worst %+v", best.request, worst.request)
+			}
+			gone := best
+			if rapid.Bool().Draw(t, "fromEnd") {
+				gone = worst
+			}
+			q.remove(gone)
+			if gone == best && q.before(q.next(), gone) || gone == worst && q.before(gone, q.worst()) {
+				t.Fatalf("not in order")
+			}
+		}
+	})
+}
+
+func TestQuantileIsWithinABucket(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h histogram
+		d := time.Duration(rapid.Int64Range(int64(10*time.Microsecond), int64(100*time.Second)).Draw(t, "d"))
+		for range minSamples {
+			h.add(d)
+		}
+		got := quantileOf(0.5, &h, &histogram{})
+		if ratio := float64(got) / float64(d); ratio < 0.75 || ratio > 1.26 {
+			t.Fatalf("median of %v is %v", d, got)
+		}
+	})
+}
+
+func TestRankNeverReachesOpenThreshold(t *testing.T) {
+	must.Less(t, uint32(nothingShed), Rank(callctx.LevelLow, math.MaxUint32))
+	must.Less(t, Rank(callctx.LevelHigh, 0), Rank(callctx.LevelCritical, math.MaxUint32))
+}
+
+func TestDuplicateIsNotCalledNotRun(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := New(DefaultConfig(2), now)
+	c.Offer(now, Request{ID: "a"})
+	d, _ := c.Offer(now, Request{ID: "a"})
+	must.Eq(t, Refuse, d.Verdict)
+	must.Eq(t, result.RanUnknown, d.Refusal.Code.Ran())
+	must.Eq(t, 1, c.Load().InFlight)
+}
+
+func TestValidateNamesFieldValueAndBound(t *testing.T) {
+	cfg := DefaultConfig(25)
+	must.NoError(t, cfg.Validate())
+	cfg.MinLimit = 26
+	must.EqError(t, cfg.Validate(), "admission: MinLimit is 26, want 1 to 25")
+	cfg = DefaultConfig(25)
+	cfg.Worth[callctx.LevelLow] = 3
+	must.EqError(t, cfg.Validate(), "admission: Worth[low] is 3, want 0 to 2")
+	cfg = DefaultConfig(25)
+	cfg.MaxWait = time.Hour
+	must.EqError(t, cfg.Validate(), "admission: MaxWait is 1h0m0s, want 1ms to 1m0s")
+}
+
+func BenchmarkRunAndFinish(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	c := New(DefaultConfig(150), now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		c.Offer(now, Request{ID: "a", Level: callctx.LevelNormal, Deadline: now.Add(time.Second), RootAdmitted: now})
+		c.Finish(now, "a", Answered, time.Millisecond)
+	}
+}
+
+// BenchmarkOverload offers two calls for each that ends, to a full queue.
+func BenchmarkOverload(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	c := New(DefaultConfig(150), now)
+	ids := make([]string, 1<<16)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
+	}
+	running := make([]string, 0, 1024)
+	take := func(ds ...Decision) {
+		for _, d := range ds {
+			if d.Verdict == Run {
+				running = append(running, d.ID)
+			}
+		}
+	}
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(20 * time.Microsecond)
+		for range 2 {
+			n++
+			level := callctx.Level(n % callctx.Levels)
+			d, others := c.Offer(now, Request{ID: ids[n%len(ids)], Level: level, CallerHash: uint32(n) * 2654435761, RootAdmitted: now})
+			take(d)
+			take(others...)
+		}
+		if len(running) > 100 {
+			id := running[0]
+			running = append(running[:0], running[1:]...)
+			take(c.Finish(now, id, Answered, 3*time.Millisecond)...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/story_test.go
@@ -0,0 +1,272 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// mixed offers all four levels in equal parts.
+func mixed(slots int, timeout time.Duration, service func(*model) time.Duration, rate func(time.Duration) float64) *model {
+	m := newModel(DefaultConfig(slots), service)
+	for l := range callctx.Levels {
+		m.stream(func(t time.Duration) float64 { return rate(t) / callctx.Levels }, m.request(callctx.Level(l), timeout))
+	}
+	return m
+}
+
+func between(from, to time.Duration, inside, outside time.Duration) func(*model) time.Duration {
+	return func(m *model) time.Duration {
+		if e := m.elapsed(); e >= from && e < to {
+			return m.jittered(inside)
+		}
+		return m.jittered(outside)
+	}
+}
+
+// At the start of a regatta demand triples for four seconds. A race officer's
+// critical calls must go through all the while, low ones are refused, the
+// answers per second stay at what the upstream can do, and a second after the
+// surge everyone is served again.
+func TestSurgeShedsLowLevelsFirst(t *testing.T) {
+	const capacity = 2500 // 25 slots, 10 ms
+	m := mixed(25, time.Second, between(0, 0, 0, 10*time.Millisecond), func(e time.Duration) float64 {
+		if e >= 3*time.Second && e < 7*time.Second {
+			return 3 * capacity
+		}
+		return 0.6 * capacity
+	})
+	m.run(10 * time.Second)
+	all, good := m.sum(m.good, 4, 7)
+	_, offered := m.sum(m.offered, 4, 7)
+	must.Greater(t, 0.95*3*capacity, float64(all))
+	must.Greater(t, 0.98*float64(offered[callctx.LevelCritical]), float64(good[callctx.LevelCritical]))
+	must.Less(t, 30, good[callctx.LevelLow])
+	after, _ := m.sum(m.good, 8, 10)
+	demand, _ := m.sum(m.offered, 8, 10)
+	must.Greater(t, 0.98*float64(demand), float64(after))
+}
+
+// A deeper service slows down tenfold for nine seconds. Callers see fewer
+// answers, but the slots all help: the limit must not follow the latency down.
+// Once the deep service is well again, the second second is a normal one.
+func TestUniformSlowdownKeepsLimit(t *testing.T) {
+	m := mixed(25, time.Second, between(3*time.Second, 12*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
+	least := 25
+	for s := range 15 {
+		m.run(time.Duration(s+1) * time.Second)
+		least = min(least, m.ctl.Load().Limit)
+	}
+	must.GreaterEq(t, 18, least)
+	slowed, _ := m.sum(m.good, 4, 12)
+	must.Greater(t, int(0.85*125*8), slowed)
+	must.Eq(t, 25, m.ctl.Load().Limit)
+	after, _ := m.sum(m.good, 13, 15)
+	demand, _ := m.sum(m.offered, 13, 15)
+	must.Greater(t, 0.97*float64(demand), float64(after))
+}
+
+// An upstream that announced 25 slots takes only 10 for a while and refuses the
+// rest itself. Refused calls come back as lost retries, so the guard must learn
+// the figure quickly, and forget it a second after it no longer holds.
+func TestLimitFollowsUpstreamShedding(t *testing.T) {
+	m := mixed(25, time.Second, between(0, 0, 0, 10*time.Millisecond), steady(2000))
+	shed := 0
+	m.sheds = func(m *model) bool {
+		e := m.elapsed()
+		full := e >= 3*time.Second && e < 8*time.Second && m.ctl.Load().InFlight > 10
+		if full {
+			shed++
+		}
+		return full
+	}
+	m.run(8 * time.Second)
+	must.Between(t, 6, m.ctl.Load().Limit, 12)
+	must.Less(t, 250, shed) // of 10,000 offered
+	m.run(9200 * time.Millisecond)
+	must.Eq(t, 25, m.ctl.Load().Limit)
+}
+
+// An upstream announced 25 slots and has processors for 8. With 25 calls at once
+// each takes three times as long and none is answered sooner: the trial cut must
+// find that fewer slots answer as many.
+func TestLimitFindsOverstatedSlots(t *testing.T) {
+	m := mixed(25, 2*time.Second, nil, func(e time.Duration) float64 {
+		if e < 2*time.Second {
+			return 300
+		}
+		return 1500
+	})
+	m.service = func(m *model) time.Duration {
+		share := max(1, float64(m.ctl.Load().InFlight)/8)
+		return m.jittered(time.Duration(share * float64(10*time.Millisecond)))
+	}
+	least := 25
+	for s := range 10 {
+		m.run(time.Duration(s+1) * time.Second)
+		least = min(least, m.ctl.Load().Limit)
+	}
+	must.Less(t, 19, least)
+	all, _ := m.sum(m.good, 4, 10)
+	must.Greater(t, int(0.95*800*6), all)
+}
+
+// Under a long overload a caller that came first has given up by the time its
+// turn comes. Newest-first answers those that still wait; once the overload has
+// passed, the order of arrival returns.
+func TestNewestFirstUnderSustainedOverload(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	cfg := DefaultConfig(1)
+	cfg.QueueLimit = 10
+	c := New(cfg, now)
+	offer := func(id string) Decision {
+		d, _ := c.Offer(now, Request{ID: id, Level: callctx.LevelNormal, RootAdmitted: now})
+		return d
+	}
+	must.Eq(t, Run, offer("running").Verdict)
+	for i := range 5 {
+		now = now.Add(time.Millisecond)
+		must.Eq(t, Wait, offer(string(rune('a'+i))).Verdict)
+	}
+	started := c.Finish(now, "running", Answered, time.Millisecond)
+	must.Eq(t, []Decision{{ID: "a", Verdict: Run}}, started)
+	now = now.Add(150 * time.Millisecond)
+	c.Tick(now)
+	now = now.Add(110 * time.Millisecond)
+	c.Tick(now)
+	must.True(t, c.Load().Overloaded)
+	started = c.Finish(now, "a", Answered, time.Millisecond)
+	must.Eq(t, []Decision{{ID: "e", Verdict: Run}}, started)
+	for _, id := range []string{"b", "c", "d"} {
+		c.Abandon(now, id)
+	}
+	now = now.Add(110 * time.Millisecond)
+	c.Tick(now)
+	now = now.Add(110 * time.Millisecond)
+	c.Tick(now)
+	must.False(t, c.Load().Overloaded)
+}
+
+// Sixteen employers search at once, each with many calls that hang together. If
+// a third of every employer's calls were refused, none would have a whole
+// check; so at one level the same employers are refused again and again and
+// the others served whole.
+func TestWholeCallersAreShedTogether(t *testing.T) {
+	m := newModel(DefaultConfig(25), between(0, 0, 0, 10*time.Millisecond))
+	offered := map[uint32]int{}
+	callers := make([]uint32, 16)
+	for i := range callers {
+		callers[i] = uint32(i)<<28 | 1<<27
+	}
+	next := 0
+	m.stream(steady(5000), func() Request {
+		hash := callers[next%len(callers)]
+		next++
+		offered[hash]++
+		return Request{Level: callctx.LevelNormal, CallerHash: hash, Deadline: m.now.Add(time.Second)}
+	})
+	m.run(2 * time.Second)
+	clear(offered)
+	clear(m.refused)
+	m.run(6 * time.Second)
+	served, dropped, mixed := 0, 0, 0
+	for _, hash := range callers {
+		switch share := float64(m.refused[hash]) / float64(offered[hash]); {
+		case share < 0.05:
+			served++
+		case share > 0.95:
+			dropped++
+		default:
+			mixed++
+		}
+	}
+	must.GreaterEq(t, 6, served)
+	must.GreaterEq(t, 6, dropped)
+	must.LessEq(t, 3, mixed, must.Sprintf("served %d dropped %d mixed %d", served, dropped, mixed))
+}
+
+// All callers give 100 ms. The service slows to 200 ms, every call is doomed and
+// refused, and nothing would measure the service any more. The service recovers;
+// probes must notice, and a second later callers are served.
+func TestProbeLeadsOutOfStaleEstimate(t *testing.T) {
+	m := mixed(25, 100*time.Millisecond, between(3*time.Second, 8*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
+	started := 0
+	m.onRun = func(*modelCall) { started++ }
+	m.run(6 * time.Second) // two generations of samples and a half
+	started = 0
+	m.run(8 * time.Second)
+	must.Between(t, 3, started, 40) // probes only, of 1,600 offered
+	m.run(11 * time.Second)
+	good, _ := m.sum(m.good, 9, 11)
+	demand, _ := m.sum(m.offered, 9, 11)
+	must.Greater(t, 0.97*float64(demand), float64(good))
+}
+
+// Quick calls come with short deadlines and slow calls with long ones. After a
+// slow spell the quick ones are all refused, while the slow ones keep the
+// estimate fresh and high. Probes must still win the quick ones back.
+func TestProbeWinsBackQuickCalls(t *testing.T) {
+	m := newModel(DefaultConfig(25), nil)
+	quick := func() Request {
+		return Request{Level: callctx.LevelHigh, CallerHash: m.rng.Uint32(), Deadline: m.now.Add(50 * time.Millisecond)}
+	}
+	m.stream(steady(100), m.request(callctx.LevelHigh, 2*time.Second))
+	m.stream(func(e time.Duration) float64 {
+		if e < 3*time.Second {
+			return 0
+		}
+		return 200
+	}, quick)
+	var current *modelCall
+	m.onRun = func(c *modelCall) { current = c }
+	m.service = func(m *model) time.Duration {
+		if current.req.Deadline.Sub(m.now) <= 50*time.Millisecond {
+			return m.jittered(10 * time.Millisecond)
+		}
+		return m.jittered(100 * time.Millisecond)
+	}
+	m.run(8 * time.Second)
+	_, good := m.sum(m.good, 5, 8)
+	must.Greater(t, int(0.95*300*3), good[callctx.LevelHigh])
+}
+
+// All slots and places are taken by low calls when a race officer asks for a
+// rating. The least important one that waits makes room and is told so; the
+// officer's call is the next to run.
+func TestImportantCallDisplacesLeastImportant(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	cfg := DefaultConfig(1)
+	cfg.QueueLimit = 2
+	c := New(cfg, now)
+	c.Offer(now, Request{ID: "runs", Level: callctx.LevelLow})
+	c.Offer(now, Request{ID: "deep", Level: callctx.LevelLow, Depth: 2})
+	c.Offer(now, Request{ID: "root", Level: callctx.LevelLow})
+	d, others := c.Offer(now, Request{ID: "officer", Level: callctx.LevelCritical})
+	must.Eq(t, Wait, d.Verdict)
+	must.Len(t, 1, others)
+	must.Eq(t, "root", others[0].ID)
+	must.Eq(t, result.Shed, others[0].Refusal.Code)
+	must.Positive(t, others[0].Refusal.RetryAfter)
+	must.Eq(t, []Decision{{ID: "officer", Verdict: Run}}, c.Finish(now, "runs", Answered, time.Millisecond))
+}
+
+// An operator drains an upstream. What runs ends in peace; what waits and what
+// comes is told at once that it was not run.
+func TestDrainRefusesTruthfully(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := New(DefaultConfig(1), now)
+	c.Offer(now, Request{ID: "runs"})
+	c.Offer(now, Request{ID: "waits"})
+	out := c.Drain(now)
+	must.Len(t, 1, out)
+	must.Eq(t, result.Draining, out[0].Refusal.Code)
+	d, _ := c.Offer(now, Request{ID: "late"})
+	must.Eq(t, result.Draining, d.Refusal.Code)
+	must.Eq(t, Load{InFlight: 1, Limit: 1, Threshold: nothingShed, Draining: true}, c.Load())
+	must.SliceEmpty(t, c.Finish(now, "runs", Answered, time.Millisecond))
+	must.Eq(t, 0, c.Load().InFlight)
+}
