--- a/internal/platform/appender_run.go
+++ b/internal/platform/appender_run.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		failures++
-		if !sleep(ctx, max(hint, a.backoff(failures))) {
+		if !sleep(ctx, max(hint, backoff(a.cfg.Rand, a.cfg.MinBackoff, a.cfg.MaxBackoff, failures))) {
 			return ctx.Err()
 		}
 	}
@@ -255,17 +255,6 @@
 	a.queue = append(again, a.queue...)
 }
 
-// backoff is full jitter over a doubling bound: nodes that lost the log
-// together must not come back together.
-func (a *Appender) backoff(failures int) time.Duration {
-	bound := a.cfg.MaxBackoff
-	if shift := failures - 1; shift < 16 {
-		bound = min(bound, a.cfg.MinBackoff<<shift)
-	}
-	half := bound / 2
-	return half + time.Duration(a.cfg.Rand.Int64N(int64(half)+1))
-}
-
 // bucket is the budget of appends.
 type bucket struct {
 	rate, burst, tokens float64
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,131 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+)
+
+func overHTTP(t *testing.T) (*logd.Server, *platform.Client, string) {
+	t.Helper()
+	log := logd.New(logd.Options{Seed: 1})
+	srv := httptest.NewUnstartedServer(log.Handler())
+	srv.Config.ErrorLog = nil
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return log, platform.NewClient(srv.URL+"/", platform.ClientOptions{}), srv.URL
+}
+
+func TestClientRoundTrip(t *testing.T) {
+	log, c, _ := overHTTP(t)
+	ctx := t.Context()
+	first, err := c.Append(ctx, []platform.Record{rec("a"), rec("b")})
+	must.NoError(t, err)
+	must.Eq(t, 0, first)
+	page, err := c.Read(ctx, 1, 10, 0)
+	must.NoError(t, err)
+	must.Len(t, 1, page.Entries)
+	must.Eq(t, "b", page.Entries[0].Record.ID)
+	must.Eq(t, 2, page.Next)
+	log.Truncate(1)
+	_, err = c.Read(ctx, 0, 10, 0)
+	must.ErrorIs(t, err, platform.ErrTruncated)
+	must.Eq(t, 1, err.(*platform.TruncatedError).Oldest)
+	head, err := c.Head(ctx)
+	must.NoError(t, err)
+	must.Eq(t, 2, head)
+}
+
+// An append fails and the node has to tell its caller whether anything was
+// recorded. Only the log's own refusal and a connection that was never made
+// are proof that nothing was; a cut connection and a 503 are not.
+func TestAppendErrorsPromiseNoMoreThanIsKnown(t *testing.T) {
+	log, c, _ := overHTTP(t)
+	ctx := t.Context()
+	log.SetKnobs(logd.Knobs{LoseAcks: 1})
+	_, err := c.Append(ctx, []platform.Record{rec("a")})
+	must.ErrorIs(t, err, platform.ErrUncertain)
+	must.Eq(t, 1, log.Appends())
+	log.SetKnobs(logd.Knobs{Outage: true})
+	_, err = c.Append(ctx, []platform.Record{rec("b")})
+	must.ErrorIs(t, err, platform.ErrUncertain)
+	log.SetKnobs(logd.Knobs{AppendsPerSecond: 1e-6})
+	_, err = c.Append(ctx, []platform.Record{rec("c")})
+	must.ErrorIs(t, err, platform.ErrOverloaded)
+	must.Eq(t, 1, log.Appends())
+	dead := platform.NewClient("http://127.0.0.1:1", platform.ClientOptions{})
+	_, err = dead.Append(ctx, []platform.Record{rec("d")})
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.False(t, isUncertain(err))
+	_, err = c.Append(ctx, nil)
+	must.ErrorIs(t, err, platform.ErrBadRequest)
+}
+
+// A proxy between node and log answers with something else: too much, or a
+// page that skips entries. Folded, it would let replicas of one log differ.
+func TestClientRefusesAnswersThatAreNoPage(t *testing.T) {
+	body := ""
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(srv.Close)
+	c := platform.NewClient(srv.URL, platform.ClientOptions{})
+	for _, body = range []string{
+		`{"entries":[{"offset":7,"record":{}}],"next":6}`,
+		`{"entries":[{"offset":5,"record":{}}],"next":7}`,
+		`{"entries":[`,
+		strings.Repeat(" ", platform.MaxPageBytes+1),
+	} {
+		_, err := c.Read(t.Context(), 5, 10, 0)
+		must.ErrorIs(t, err, platform.ErrUnavailable)
+	}
+}
+
+func TestReadWaitsForAnAppend(t *testing.T) {
+	_, c, _ := overHTTP(t)
+	got := make(chan platform.Page)
+	go func() {
+		page, err := c.Read(t.Context(), 0, 10, platform.MaxWait)
+		must.NoError(t, err)
+		got <- page
+	}()
+	_, err := c.Append(t.Context(), []platform.Record{rec("a")})
+	must.NoError(t, err)
+	must.Len(t, 1, (<-got).Entries)
+}
+
+func TestKnobsOverHTTP(t *testing.T) {
+	log, _, url := overHTTP(t)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, url+logd.PathKnobs,
+		bytes.NewBufferString(`{"outage":true,"delay_ms":3}`))
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, logd.Knobs{Outage: true, DelayMillis: 3}, log.Knobs())
+}
+
+// Records expire by age while a reader is away; it is told from where on it
+// can read.
+func TestRetention(t *testing.T) {
+	now := time.Unix(0, 0)
+	log := logd.New(logd.Options{Now: func() time.Time { return now }})
+	log.SetKnobs(logd.Knobs{RetentionMillis: 1000})
+	for range 3 {
+		_, err := log.Append(t.Context(), []platform.Record{rec("a")})
+		must.NoError(t, err)
+		now = now.Add(600 * time.Millisecond)
+	}
+	_, err := log.Read(t.Context(), 0, 10, 0)
+	must.ErrorIs(t, err, platform.ErrTruncated)
+	must.Eq(t, 2, err.(*platform.TruncatedError).Oldest)
+}
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -14,6 +14,10 @@
 	// scan is the offset to read next while the entries after state have
 	// expired and a snapshot is looked for; below 0 otherwise.
 	scan int64
+	// markVersion is the newest snapshot known at the last SnapshotDue, and
+	// markSince when this process first knew of it, by its own clock.
+	markVersion Version
+	markSince   time.Time
 }
 
 // NewReplica starts from a state, or from nothing when it is nil.
@@ -51,19 +55,12 @@
 		return r.state.version > before
 	}
 	r.scan = max(r.scan, page.Next)
-	// The newest snapshot of what is there spares reading on from an older
-	// one, so the scan goes on to the head before it ends.
-	if r.state.version > before || page.Next >= page.Head {
-		r.endScan(page.Oldest, page.Next >= page.Head)
-	}
-	return r.state.version > before
-}
-
-// endScan goes back to folding once the entries after the state are there.
-func (r *Replica) endScan(oldest int64, atHead bool) {
-	if atHead && int64(r.state.version) >= oldest {
+	// The scan goes on to the head: a newer snapshot spares folding from an
+	// older one. It ends only when the entries after the state are still there.
+	if page.Next >= page.Head && int64(r.state.version) >= page.Oldest {
 		r.scan = -1
 	}
+	return r.state.version > before
 }
 
 // Truncated is told that a read below oldest failed. Entries between the state
@@ -116,21 +113,37 @@
 	return asError(errs)
 }
 
-// Due reports whether s should be written as a snapshot. since is how long
-// this process has known of s's newest snapshot by its own clock; oldest is
-// that of the last page. The writer's clock only ever makes it due earlier,
-// and the place in the log needs no clock at all: a wrong clock must not let
-// the newest snapshot expire.
-func (r *SnapshotRule) Due(s *State, now time.Time, since time.Duration, oldest int64) bool {
-	if len(s.templates) == 0 {
+// SnapshotDue reports whether the state should be written as a snapshot.
+// oldest is that of the last page. It is called now and then; a process that
+// is behind writes none, since what it holds is of no use to a reader.
+func (r *Replica) SnapshotDue(rule *SnapshotRule, now time.Time, oldest int64) bool {
+	if r.Behind() {
 		return false
 	}
+	mark := r.state.snapshot
+	if r.markSince.IsZero() || mark.Version != r.markVersion {
+		r.markVersion = mark.Version
+		r.markSince = now
+	}
+	return rule.due(r.state, now, now.Sub(r.markSince), oldest)
+}
+
+// due decides by three ages of the newest snapshot: how long this process has
+// known it, what its writer's clock says, and how far down the log it lies. A
+// wrong clock can only make it due earlier, and the last age needs no clock:
+// so the newest snapshot can't expire because some clock was wrong.
+func (r *SnapshotRule) due(s *State, now time.Time, known time.Duration, oldest int64) bool {
 	mark := s.snapshot
+	behind := int64(s.version - mark.Version)
+	if known >= r.Every || behind > r.MaxBehind {
+		return true
+	}
 	if mark.Version == 0 {
-		return since >= r.Every || oldest > 0 || int64(s.version) > r.MaxBehind
+		return oldest > 0
+	}
+	if now.Sub(time.UnixMilli(mark.AtMillis)) >= r.Every {
+		return true
 	}
-	age := max(since, now.Sub(time.UnixMilli(mark.AtMillis)))
-	behind := int64(s.version - mark.Version)
 	kept := int64(mark.Version) - oldest
-	return age >= r.Every || behind > r.MaxBehind || oldest > 0 && behind > kept
+	return oldest > 0 && behind > kept
 }
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -198,7 +198,11 @@
 // s has folded all that it could hold.
 func (s *State) mark(e platform.Entry) {
 	version, ok := snapshotVersion(e)
-	if ok && version > s.snapshot.Version {
+	if !ok || version <= s.snapshot.Version {
+		return
+	}
+	// One that no reader could adopt must not put off the next.
+	if _, err := UnmarshalState(e.Record.Body); err == nil {
 		s.snapshot = SnapshotMark{Version: version, Offset: e.Offset, AtMillis: e.Record.At.UnixMilli()}
 	}
 }
--- a/internal/policy/state.go
+++ b/internal/policy/state.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// EmptyAt returns a state without configuration at a version. Written as a
+// snapshot it lets an operator start anew when the log has expired and no
+// process that held the state is left; see docs/operations/log-outage.md.
+func EmptyAt(v Version) *State {
+	s := NewState()
+	s.version = v
+	return s
+}
+
 // Version returns the offset up to which the log is folded: the next to read.
 func (s *State) Version() Version { return s.version }
 
