--- a/internal/timeline/hlc.go
+++ b/internal/timeline/hlc.go
@@ -3,7 +3,6 @@
 package timeline
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -28,11 +27,6 @@
 // Counter returns the logical part.
 func (h HLC) Counter() uint16 { return uint16(h) }
 
-// String returns time and counter.
-func (h HLC) String() string {
-	return fmt.Sprintf("%s+%d", h.Time().Format("2006-01-02T15:04:05.000Z"), h.Counter())
-}
-
 // Next returns the timestamp of a local event at now after last. A counter
 // that runs over moves the millisecond on by one, so order is kept.
 func (h HLC) Next(now time.Time) HLC { return max(h+1, HLCAt(now)) }
