--- /dev/null
+++ b/internal/metrics/names.go
@@ -0,0 +1,192 @@
+package metrics
+
+// Counter names a number that only grows.
+type Counter uint8
+
+// The counters of a node.
+const (
+	CallsReceived Counter = iota
+	CallsFromUpstream
+	CallsLocal
+	CallsForwarded
+	CallsGuarded
+	CallsRetried
+	CallsReattached
+	CallsJoined
+	CallsHedged
+	CallsCancelled
+	RetriesThrottled
+	UpstreamsEjected
+	UpstreamCrashes
+	ConnectionsReplaced
+	ProbesFailed
+	LogAppends
+	LogAppendFailures
+	LogReads
+	LogReadFailures
+	LogAppendsSettled
+	ControlBytesIn
+	ControlBytesOut
+	ControlExchanges
+	ControlExchangeFailures
+	RecordsFolded
+	RecordsRefused
+	Takeovers
+	AuthorityLapses
+	PromisesGiven
+	PromisesRefused
+	AuthRefused
+	SuspectsSpread
+	numCounters
+)
+
+var counterNames = [numCounters]string{
+	CallsReceived:           "calls.received",
+	CallsFromUpstream:       "calls.from_upstream",
+	CallsLocal:              "calls.local",
+	CallsForwarded:          "calls.forwarded",
+	CallsGuarded:            "calls.guarded",
+	CallsRetried:            "calls.retried",
+	CallsReattached:         "calls.reattached",
+	CallsJoined:             "calls.joined",
+	CallsHedged:             "calls.hedged",
+	CallsCancelled:          "calls.cancelled",
+	RetriesThrottled:        "retry.throttled",
+	UpstreamsEjected:        "routing.ejected",
+	UpstreamCrashes:         "upstream.crashes",
+	ConnectionsReplaced:     "connections.replaced",
+	ProbesFailed:            "members.probes_failed",
+	LogAppends:              "log.appends",
+	LogAppendFailures:       "log.append_failures",
+	LogReads:                "log.reads",
+	LogReadFailures:         "log.read_failures",
+	LogAppendsSettled:       "log.appends_settled",
+	ControlBytesIn:          "control.bytes_in",
+	ControlBytesOut:         "control.bytes_out",
+	ControlExchanges:        "control.exchanges",
+	ControlExchangeFailures: "control.exchange_failures",
+	RecordsFolded:           "records.folded",
+	RecordsRefused:          "records.refused",
+	Takeovers:               "lease.takeovers",
+	AuthorityLapses:         "lease.authority_lapses",
+	PromisesGiven:           "lease.promises_given",
+	PromisesRefused:         "lease.promises_refused",
+	AuthRefused:             "auth.refused",
+	SuspectsSpread:          "quarantine.suspects_spread",
+}
+
+// String returns the name in the JSON document.
+func (c Counter) String() string { return counterNames[c] }
+
+// Gauge names a number that goes up and down.
+type Gauge uint8
+
+// The gauges of a node.
+const (
+	AdmissionLimit Gauge = iota
+	AdmissionThreshold
+	ConfigVersion
+	LogHeadAgeMillis
+	LogOffset
+	SlotsOwned
+	AuthorityAgeMillis
+	UpstreamsKnown
+	UpstreamsLive
+	IsRelay
+	IsDraining
+	numGauges
+)
+
+var gaugeNames = [numGauges]string{
+	AdmissionLimit:     "admission.limit",
+	AdmissionThreshold: "admission.threshold",
+	ConfigVersion:      "config.version",
+	LogHeadAgeMillis:   "log.head_age_ms",
+	LogOffset:          "log.offset",
+	SlotsOwned:         "lease.slots_owned",
+	AuthorityAgeMillis: "lease.authority_age_ms",
+	UpstreamsKnown:     "members.upstreams_known",
+	UpstreamsLive:      "members.upstreams_live",
+	IsRelay:            "members.is_relay",
+	IsDraining:         "node.is_draining",
+}
+
+// String returns the name in the JSON document.
+func (g Gauge) String() string { return gaugeNames[g] }
+
+// Bound names something held that has a limit: a queue, a map or a buffer.
+type Bound uint8
+
+// The bounds of a node.
+const (
+	BoundQueue Bound = iota
+	BoundCallsInFlight
+	BoundCallerConnections
+	BoundPeerConnections
+	BoundHeldBytes
+	BoundAnswerBytes
+	BoundAnswerKeys
+	BoundTimeline
+	BoundSuspects
+	BoundMembers
+	BoundAppends
+	BoundAccounts
+	BoundFollowers
+	numBounds
+)
+
+var boundNames = [numBounds]string{
+	BoundQueue:             "admission.queue",
+	BoundCallsInFlight:     "calls.in_flight",
+	BoundCallerConnections: "connections.callers",
+	BoundPeerConnections:   "connections.peers",
+	BoundHeldBytes:         "bodies.held_bytes",
+	BoundAnswerBytes:       "idempotency.answer_bytes",
+	BoundAnswerKeys:        "idempotency.keys",
+	BoundTimeline:          "timeline.events",
+	BoundSuspects:          "quarantine.suspects",
+	BoundMembers:           "members.held",
+	BoundAppends:           "log.appends_waiting",
+	BoundAccounts:          "retry.accounts",
+	BoundFollowers:         "admin.followers",
+}
+
+// String returns the name in the JSON document, without .size, .limit and
+// .turned_away.
+func (b Bound) String() string { return boundNames[b] }
+
+// Timer names a distribution of durations, in microseconds.
+type Timer uint8
+
+// The timers of a node.
+const (
+	CallTime Timer = iota
+	AddedTime
+	QueueTime
+	UpstreamTime
+	InnerTime
+	LogAppendTime
+	LogReadTime
+	PublishTime
+	numTimers
+)
+
+var timerNames = [numTimers]string{
+	CallTime:      "calls.total_us",
+	AddedTime:     "calls.added_us",
+	QueueTime:     "admission.queue_us",
+	UpstreamTime:  "upstream.time_us",
+	InnerTime:     "calls.inner_us",
+	LogAppendTime: "log.append_us",
+	LogReadTime:   "log.read_us",
+	PublishTime:   "config.publish_us",
+}
+
+// String returns the name in the JSON document.
+func (t Timer) String() string { return timerNames[t] }
+
+// onRequestPath says which timers are sampled; the others are rare enough to
+// take every value.
+var onRequestPath = [numTimers]bool{
+	CallTime: true, AddedTime: true, QueueTime: true, UpstreamTime: true, InnerTime: true,
+}
