A refusal after an attempt that may have run says so

Cause: a retry refused as not run hid an earlier attempt whose answer was lost, so the caller could read ran: no for a request that took effect. Change: Dispatch keeps the first attempt that may have run and answers with it.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -62,6 +62,8 @@
 	tried     []string
 	next      string // node to ask, when an answer named the owner
 	redirects int
+	// unproven is the first attempt that may have run, if there was one.
+	unproven *Answer
 	attempts  int
 	retries   int
 	crashes   int
@@ -87,18 +89,25 @@
 		return Order{Kind: OrderPause, Pause: pause}
 	}
 	if d.call.Ctx.Remaining(now) <= 0 {
-		return d.finish(Refused(d.call.Ctx.CallID, result.Refuse(result.DeadlineTooNear, "no time left before an upstream was chosen")))
+		d.settle(Refused(d.call.Ctx.CallID, result.Refuse(result.DeadlineTooNear, "no time left before an upstream was chosen")))
+		return Order{Kind: OrderDone, Answer: d.final}
 	}
 	target, refusal := d.pick(now)
 	if refusal != nil {
-		return d.finish(Refused(d.call.Ctx.CallID, refusal))
+		d.settle(Refused(d.call.Ctx.CallID, refusal))
+		return Order{Kind: OrderDone, Answer: d.final}
 	}
 	return d.send(now, target)
 }
 
-func (d *Dispatch) finish(a *Answer) Order {
+// settle ends the call with a, unless an earlier attempt may have run: a
+// refusal that promises "not run" would then be false, and the caller gets the
+// earlier outcome.
+func (d *Dispatch) settle(a *Answer) {
+	if !a.Whole() && a.Code.Ran() == result.RanNo && d.unproven != nil {
+		a = d.unproven
+	}
 	d.final = a
-	return Order{Kind: OrderDone, Answer: a}
 }
 
 func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
@@ -144,6 +153,9 @@
 	if a.Crashed {
 		d.crashes++
 	}
+	if a.Code.Ran() != result.RanNo && d.unproven == nil {
+		d.unproven = a
+	}
 	d.decide(now, a, throttle)
 }
 
@@ -154,6 +166,10 @@
 		Idempotent: d.call.Ctx.Idempotent,
 		Remaining:  d.call.Ctx.Remaining(now),
 		Owner:      a.Refusal.Owner,
+		MayHaveRun: d.unproven != nil && d.unproven != a,
+		Number:     d.retries,
+		OwnerAsked: d.redirects,
+		Rand:       d.rng,
 	}, d.router.RetryPolicy())
 	switch {
 	case action == retry.AskOwner && d.redirects < maxRedirects:
@@ -164,7 +180,7 @@
 		d.tried = append(d.tried, d.target.Endpoint().Node)
 		d.pause = wait
 	default:
-		d.final = a
+		d.settle(a)
 	}
 }
 
