--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -47,7 +47,9 @@
 	Arrived time.Duration // since the run's start
 	Latency time.Duration
 	Good    bool
-	Sends   []Sending
+	// Poison requests crash the upstreams that run them and can't be answered.
+	Poison bool
+	Sends  []Sending
 }
 
 // callers makes open-loop arrivals.
@@ -57,6 +59,8 @@
 	start  time.Time
 	rng    *rand.Rand
 	next   atomic.Int64
+	// poison is the share of poisonous requests at present.
+	poison float64
 
 	mu       sync.Mutex
 	outcomes []*Outcome
@@ -104,6 +108,7 @@
 		Level:   c.pickLevel(),
 		Arrived: time.Since(c.start),
 	}
+	o.Poison = c.rng.Float64() < c.poison
 	caller := strconv.Itoa(c.rng.IntN(distinctCallers))
 	entry := c.world.vms[c.rng.IntN(len(c.world.vms))]
 	again := c.world.vms[c.rng.IntN(len(c.world.vms))]
@@ -165,10 +170,14 @@
 	header := http.Header{}
 	header.Set(upstream.HeaderOp, o.Op)
 	header.Set(upstream.HeaderAttempt, s.Attempt)
+	if o.Poison {
+		header.Set(upstream.HeaderPoison, o.Kind.Service)
+	}
 	if c.world.policy == PolicyBaseline {
 		return c.sendBaseline(ctx, o, s, header)
 	}
-	req, err := http.NewRequestWithContext(ctx, o.Kind.Method, "http://"+entry.callers+o.Kind.Path, nil)
+	to, _ := entry.entry()
+	req, err := http.NewRequestWithContext(ctx, o.Kind.Method, "http://"+to+o.Kind.Path+"?q="+o.Op, nil)
 	if err != nil {
 		return false
 	}
--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -30,7 +30,8 @@
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
 	return func(ctx context.Context, step upstream.Step, parent http.Header) (int, []byte, error) {
-		req, err := childRequest(ctx, "http://"+v.exit, step, parent)
+		_, exit := v.entry()
+		req, err := childRequest(ctx, "http://"+exit, step, parent)
 		if err != nil {
 			return 0, nil, err
 		}
@@ -41,7 +42,7 @@
 }
 
 func childRequest(ctx context.Context, base string, step upstream.Step, parent http.Header) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, step.Method, base+step.Path, nil)
+	req, err := http.NewRequestWithContext(ctx, step.Method, base+step.Path+"?q="+parent.Get(upstream.HeaderOp), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -37,6 +37,8 @@
 	P50Millis         float64 `json:"p50_ms"`
 	P99Millis         float64 `json:"p99_ms"`
 	UpstreamCrashes   int     `json:"upstream_crashes"`
+	// MaxCrashes is the most upstreams that one request killed.
+	MaxCrashes int `json:"max_crashes_per_request"`
 	// Codes counts the final codes of sendings.
 	Codes map[int]int `json:"codes"`
 }
@@ -89,7 +91,7 @@
 	var good, all, goodWorth, allWorth, critical, criticalGood float64
 	var latencies []time.Duration
 	for _, o := range outcomes {
-		if o.Arrived < ph.pressure || o.Arrived >= ph.heal {
+		if o.Arrived < ph.pressure || o.Arrived >= ph.heal || o.Poison {
 			continue
 		}
 		worth := w.deployment.Worth[o.Level]
@@ -182,8 +184,13 @@
 	runs := w.ledger.Runs()
 	r.Duplicates = duplicates(runs)
 	ran := map[string]bool{}
+	crashes := map[string]int{}
 	for _, run := range runs {
 		ran[run.Attempt] = true
+		if run.Poison {
+			crashes[run.Op]++
+			r.MaxCrashes = max(r.MaxCrashes, crashes[run.Op])
+		}
 	}
 	for _, o := range outcomes {
 		for _, s := range o.Sends {
@@ -200,7 +207,10 @@
 	if w.policy == PolicyGalenagrade {
 		r.RetryAllowance = w.allowance()
 	}
+	w.mu.Lock()
 	r.CutInFlight = w.cut
+	r.NewWorkAfterDrain = max(0, w.newWork.Milliseconds())
+	w.mu.Unlock()
 	for _, v := range w.vms {
 		r.UpstreamCrashes += v.server.Crashes()
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -16,7 +16,10 @@
 	c.offer(steady, s.Before)
 	pressure := time.Since(c.start)
 	timers := w.schedule(s)
+	w.reviving.Store(s.Poison > 0)
+	c.poison = s.Poison
 	c.offer(steady*s.Surge, s.Pressure)
+	c.poison = 0
 	heal := time.Since(c.start)
 	c.offer(steady, s.After)
 	end := time.Since(c.start)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -21,6 +21,8 @@
 	Slowdown func(d *Deployment) map[string]float64
 	Gone     func(d *Deployment) map[string]float64
 	Events   func(d *Deployment) []Event
+	// Poison is the share of requests that crash the upstreams which run them.
+	Poison float64
 }
 
 const (
@@ -80,6 +82,7 @@
 			},
 		},
 	}
+	list = append(list, faultScenarios()...)
 	for i := range list {
 		fillPhases(&list[i])
 	}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,7 +45,17 @@
 	slots               int
 	server              *upstream.Server
 	node                *server.Server
-	callers, exit       string
+	stopping            atomic.Bool
+
+	mu            sync.Mutex
+	callers, exit string
+}
+
+// entry returns where callers and the upstream reach the node at present.
+func (v *vm) entry() (callers, exit string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.callers, v.exit
 }
 
 // World is a running deployment.
@@ -58,7 +69,11 @@
 	retries    *retryCounter
 	vms        []*vm
 	baseline   *baselineRouter
-	cut        int
+	reviving   atomic.Bool
+
+	mu      sync.Mutex
+	cut     int
+	newWork time.Duration
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -79,6 +94,11 @@
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.baseline = newBaselineRouter(w)
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		w.revive()
+	}()
 	if err := w.startAll(); err != nil {
 		w.Close()
 		return nil, err
@@ -192,9 +212,10 @@
 	if err != nil {
 		return errors.Wrap(err, v.name)
 	}
-	v.node = n
 	callers, exit, inner, _ := n.Addresses()
-	v.callers, v.exit = callers, exit
+	v.mu.Lock()
+	v.node, v.callers, v.exit = n, callers, exit
+	v.mu.Unlock()
 	w.network.Place(callers, v.zone)
 	w.network.Place(inner, v.zone)
 	return nil
@@ -205,7 +226,7 @@
 	t := time.NewTicker(announcePeriod)
 	defer t.Stop()
 	for {
-		if v.server.Up() {
+		if v.server.Up() && !v.stopping.Load() {
 			w.announceOnce(v)
 		}
 		select {
@@ -217,11 +238,12 @@
 }
 
 func (w *World) announceOnce(v *vm) {
+	_, exit := v.entry()
 	body, err := json.Marshal(node.Announcement{Service: v.service, Address: v.server.Addr(), Slots: v.slots})
 	if err != nil {
 		return
 	}
-	req, err := http.NewRequestWithContext(w.ctx, http.MethodPut, "http://"+v.exit+"/v1/upstream", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(w.ctx, http.MethodPut, "http://"+exit+"/v1/upstream", bytes.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -64,13 +64,13 @@
 	redirects int
 	// unproven is the first attempt that may have run, if there was one.
 	unproven *Answer
-	attempts  int
-	retries   int
-	crashes   int
-	pause     time.Duration
-	final     *Answer
-	target    *routing.Target
-	sent      time.Time
+	attempts int
+	retries  int
+	crashes  int
+	pause    time.Duration
+	final    *Answer
+	target   *routing.Target
+	sent     time.Time
 }
 
 // NewDispatch starts a call whose retries are paid from account.
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -66,16 +66,17 @@
 	}
 }
 
-// Silence makes every present connection silent for good: nothing more
-// arrives over it and nobody is told. New connections work. It returns how
-// many there were.
-func (n *Network) Silence() int {
+// Silence makes every present connection silent for good, but for those from
+// one place: nothing more arrives over it and nobody is told. New connections
+// work.
+func (n *Network) Silence(except string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
-		c.silence()
+		if c.from != except {
+			c.silence()
+		}
 	}
-	return len(n.conns)
 }
 
 // Dialer returns the dial function of a process at a place.
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -57,6 +57,8 @@
 // Run is one execution that began here.
 type Run struct {
 	Op, Attempt, Service, Path, Key string
+	// Poison says that it killed the upstream.
+	Poison bool
 	// Done says that it ran to its end.
 	Done bool
 }
@@ -107,6 +109,7 @@
 	crashes  int
 	started  time.Time
 	coldFor  time.Duration
+	lastRun  time.Time
 }
 
 // New makes an upstream that is not listening yet.
@@ -223,8 +226,10 @@
 		Service: s.cfg.Service,
 		Path:    r.URL.Path,
 		Key:     r.Header.Get("Idempotency-Key"),
+		Poison:  r.Header.Get(HeaderPoison) == s.cfg.Service,
 	})
-	if r.Header.Get(HeaderPoison) == s.cfg.Service {
+	s.began()
+	if run.Poison {
 		go s.Crash()
 		<-r.Context().Done()
 		return
@@ -232,6 +237,19 @@
 	s.execute(ctx, w, r, op, run)
 }
 
+func (s *Server) began() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastRun = time.Now()
+}
+
+// LastBegin returns when the last execution began.
+func (s *Server) LastBegin() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastRun
+}
+
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, r *http.Request, op Operation, run *Run) {
 	if !sleep(ctx, s.serviceTime(op.Mean)) {
 		w.WriteHeader(http.StatusGatewayTimeout)
