Measure what one hop adds, paired with direct calls

Cause: the budget of 0.52 ms for 99 in 100 needs a figure. Change: galenabench latency: four nodes, one zone, every other call direct.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -16,6 +17,7 @@
 type cli struct {
 	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
+	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
 }
 
@@ -87,3 +89,18 @@
 	}
 	return nil
 }
+
+type latencyCmd struct {
+	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
+	Seconds time.Duration `name:"for" default:"5s" help:"How long to measure."`
+	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
+}
+
+// Run prints one JSON line.
+func (c *latencyCmd) Run() error {
+	added, err := bench.MeasureAdded(c.Rate, c.Seconds, c.Seed)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(added)
+}
--- /dev/null
+++ b/internal/bench/latency.go
@@ -0,0 +1,146 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
+
+// Added is what a hop through the nodes adds to a direct call, as differences
+// of quantiles of one run in which both kinds alternate.
+type Added struct {
+	Rate      float64 `json:"rate_rps"`
+	Nodes     int     `json:"nodes"`
+	Calls     int     `json:"calls"`
+	DirectP50 int64   `json:"direct_p50_us"`
+	DirectP99 int64   `json:"direct_p99_us"`
+	AddedP50  int64   `json:"added_p50_us"`
+	AddedP99  int64   `json:"added_p99_us"`
+	Failed    int     `json:"failed"`
+}
+
+const (
+	latencyService = 5 * time.Millisecond
+	entryService   = "front"
+	echoService    = "echo"
+)
+
+// latencyDeployment has four nodes in one zone: callers enter at the two that
+// do not serve the called service, so that each call takes one hop.
+func latencyDeployment() *Deployment {
+	op := map[string]upstream.Operation{"/echo": {Mean: latencyService, Fixed: true}}
+	return &Deployment{
+		Name: "latency", Region: "local", Zones: []string{"one"},
+		Services: []Service{
+			{Name: entryService, Upstreams: 2, Slots: 100, Connections: 1000, Operations: op},
+			{Name: echoService, Upstreams: 2, Slots: 100, Connections: 1000, Operations: op},
+		},
+		Mix: []Request{{Name: "echo", Service: echoService, Method: get, Path: "/echo", Share: 1}},
+	}
+}
+
+// MeasureAdded calls at a rate for a time, every other call directly.
+func MeasureAdded(rate float64, d time.Duration, seed uint64) (Added, error) {
+	w, err := NewWorld(latencyDeployment(), PolicyGalenagrade, seed)
+	if err != nil {
+		return Added{}, err
+	}
+	defer w.Close()
+	warm := &latencyRun{world: w, client: latencyClient()}
+	warm.offer(rate, time.Second)
+	run := &latencyRun{world: w, client: warm.client}
+	run.offer(rate, d)
+	if len(run.direct) == 0 || len(run.through) == 0 {
+		return Added{}, errors.New("no call succeeded")
+	}
+	slices.Sort(run.direct)
+	slices.Sort(run.through)
+	micros := func(list []time.Duration, q float64) int64 { return quantile(list, q).Microseconds() }
+	return Added{
+		Rate: rate, Nodes: len(w.vms), Calls: len(run.direct) + len(run.through), Failed: run.failed,
+		DirectP50: micros(run.direct, 0.50),
+		DirectP99: micros(run.direct, 0.99),
+		AddedP50:  micros(run.through, 0.50) - micros(run.direct, 0.50),
+		AddedP99:  micros(run.through, 0.99) - micros(run.direct, 0.99),
+	}, nil
+}
+
+func latencyClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connsPerHost}}
+}
+
+type latencyRun struct {
+	world  *World
+	client *http.Client
+
+	mu              sync.Mutex
+	direct, through []time.Duration
+	failed          int
+	wg              sync.WaitGroup
+}
+
+func (l *latencyRun) offer(rate float64, d time.Duration) {
+	begin := time.Now()
+	for i := 0; ; i++ {
+		due := time.Duration(float64(i) / rate * float64(time.Second))
+		if due >= d {
+			break
+		}
+		if wait := due - time.Since(begin); wait > 0 {
+			time.Sleep(wait)
+		}
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			l.call(i)
+		}()
+	}
+	l.wg.Wait()
+}
+
+func (l *latencyRun) call(i int) {
+	fronts, echoes := l.world.upstreamsOf(entryService), l.world.upstreamsOf(echoService)
+	pick := i / 2
+	base := echoes[pick%len(echoes)].server.Addr()
+	direct := i%2 == 0
+	if !direct {
+		base, _ = fronts[pick%len(fronts)].entry()
+	}
+	req, err := http.NewRequestWithContext(context.Background(), get, "http://"+base+"/echo", nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set(callctx.HeaderWorkspace, "latency")
+	req.Header.Set(callctx.HeaderService, echoService)
+	began := time.Now()
+	ok := l.do(req)
+	took := time.Since(began)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !ok:
+		l.failed++
+	case direct:
+		l.direct = append(l.direct, took)
+	default:
+		l.through = append(l.through, took)
+	}
+}
+
+func (l *latencyRun) do(req *http.Request) bool {
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -37,6 +37,8 @@
 type Operation struct {
 	// Mean service time of the own work, before the steps.
 	Mean time.Duration `json:"mean"`
+	// Fixed makes every service time the mean.
+	Fixed bool `json:"fixed"`
 	// Steps are made one after another while the slot is held.
 	Steps []Step `json:"steps"`
 }
@@ -193,11 +195,14 @@
 // coldFactor is the slowness of a process that has just started.
 const coldFactor = 10
 
-func (s *Server) serviceTime(mean time.Duration) time.Duration {
+func (s *Server) serviceTime(op Operation) time.Duration {
+	if op.Fixed {
+		return op.Mean
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// Half of it fixed, half exponential: a floor as real work has, and a tail.
-	d := float64(mean) * (0.5 + 0.5*min(s.rng.ExpFloat64(), 6))
+	d := float64(op.Mean) * (0.5 + 0.5*min(s.rng.ExpFloat64(), 6))
 	if left := s.coldFor - time.Since(s.started); left > 0 {
 		d *= 1 + (coldFactor-1)*float64(left)/float64(s.coldFor)
 	}
@@ -251,7 +256,7 @@
 }
 
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, r *http.Request, op Operation, run *Run) {
-	if !sleep(ctx, s.serviceTime(op.Mean)) {
+	if !sleep(ctx, s.serviceTime(op)) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
