galenactl: the operators' command line

Cause: operators and scripts need one tool over the administration API, with exit codes that tell a lost change from an undecided one. Change: template, instance, status, members, drain, timeline and events with table and JSON output; a change whose answer was lost is reported as undecided and names the change ID to repeat. Measured: tests pass against a fake backend over HTTP. Conclusion: usable once a node implements the backend.

--- /dev/null
+++ b/cmd/galenactl/cli.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb/adminpbconnect"
+)
+
+// cli is the grammar of the command line.
+type cli struct {
+	Address string        `help:"Admin address of any node, as URL or IP:port." default:"http://127.0.0.1:7103" env:"GALENACTL_ADDRESS"`
+	Token   string        `help:"Bearer token." env:"GALENACTL_TOKEN"`
+	CAFile  string        `name:"ca-file" help:"PEM file of the CA that signed the node's certificate." env:"GALENACTL_CA_FILE" type:"path"`
+	Output  string        `help:"Output format: ${enum}." short:"o" enum:"table,json" default:"table"`
+	Timeout time.Duration `help:"Time for one call, beyond --wait." default:"15s"`
+
+	Template templateCmd `cmd:"" help:"Templates of overload behaviour."`
+	Instance instanceCmd `cmd:"" help:"Templates with the values for one workspace and service."`
+	Status   statusCmd   `cmd:"" help:"Versions in force on every node."`
+	Members  membersCmd  `cmd:"" help:"Upstreams and their nodes."`
+	Drain    drainCmd    `cmd:"" help:"Let a node finish its work and leave."`
+	Timeline timelineCmd `cmd:"" help:"Merged events of all nodes."`
+	Events   eventsCmd   `cmd:"" help:"Events of one node as they happen."`
+}
+
+// app is what a command runs with.
+type app struct {
+	ctx     context.Context
+	client  adminpbconnect.AdminClient
+	stdin   io.Reader
+	stdout  io.Writer
+	stderr  io.Writer
+	json    bool
+	address string
+	timeout time.Duration
+}
+
+// helpShown stops the parser after --help: kong would exit the process.
+type helpShown struct{}
+
+// run parses args, runs the command and returns the exit code.
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	var c cli
+	kctx, code, ok := parse(&c, args, stdout, stderr)
+	if !ok {
+		return code
+	}
+	a, err := newApp(ctx, &c, stdin, stdout, stderr)
+	if err == nil {
+		err = kctx.Run(a)
+	}
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(stderr, "galenactl: "+explain(err, c.Address))
+	return exitCode(err)
+}
+
+func parse(c *cli, args []string, stdout, stderr io.Writer) (kctx *kong.Context, code int, ok bool) {
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case helpShown:
+			kctx, code, ok = nil, exitOK, false
+		default:
+			panic(r)
+		}
+	}()
+	parser, err := kong.New(c,
+		kong.Name("galenactl"),
+		kong.Description(description),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(int) { panic(helpShown{}) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, "galenactl: "+err.Error())
+		return nil, exitFailure, false
+	}
+	kctx, err = parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "galenactl: %v\nRun galenactl --help for usage.\n", err)
+		return nil, exitUsage, false
+	}
+	return kctx, exitOK, true
+}
+
+const description = `Administer galenagrade.
+
+Exit codes: 0 done, 1 failure, 2 usage or refused document, 3 lost to another
+operator, 4 unauthorized, 5 node unreachable, 6 undecided (repeat with the same
+--change-id), 7 not found, 8 platform unavailable, 9 accepted but not in force
+everywhere within --wait, 10 differences found (instance diff --exit-code).`
+
+func newApp(ctx context.Context, c *cli, stdin io.Reader, stdout, stderr io.Writer) (*app, error) {
+	client, err := httpClient(c.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	address := baseURL(c.Address)
+	return &app{
+		ctx:     ctx,
+		client:  admin.NewClient(client, address, c.Token),
+		stdin:   stdin,
+		stdout:  stdout,
+		stderr:  stderr,
+		json:    c.Output == "json",
+		address: address,
+		timeout: c.Timeout,
+	}, nil
+}
+
+func baseURL(address string) string {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return strings.TrimRight(address, "/")
+}
+
+// httpClient has no timeout of its own: each call brings one, and a followed
+// stream has none.
+func httpClient(caFile string) (*http.Client, error) {
+	tr := &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
+		ForceAttemptHTTP2: true,
+	}
+	if caFile == "" {
+		return &http.Client{Transport: tr}, nil
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, usageError{errors.Wrap(err, "--ca-file")}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, usageError{errors.Errorf("--ca-file: %s holds no PEM certificate", caFile)}
+	}
+	tr.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: tr}, nil
+}
+
+// call bounds one call: --timeout beyond what the node was asked to wait.
+func (a *app) call(wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.timeout+wait)
+}
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -41,13 +41,13 @@
 type ErrorKind int
 
 const (
-	// KindFailed is a fault of the node.
+	// KindFailed is a fault of the node; a change may have taken effect.
 	KindFailed ErrorKind = iota
 	// KindNotFound: there is no such template, instance or node.
 	KindNotFound
 	// KindInvalid: the document or a value is at fault.
 	KindInvalid
-	// KindUnavailable: the log or a peer can't be reached; nothing was done.
+	// KindUnavailable: the log or a peer can't be reached; nothing was changed.
 	KindUnavailable
 	// KindUndecided: the change was sent and its fate is open. The same change
 	// with the same change ID may be sent again.
