--- a/cmd/galenactl/galenactl_test.go
+++ b/cmd/galenactl/galenactl_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -244,3 +245,18 @@
 	}
 	return len(p), nil
 }
+
+// Scripts rely on the exit codes of the page and of --help.
+func TestDocumentedExitCodes(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/cli.md")
+	must.NoError(t, err)
+	codes := []int{exitOK, exitFailure, exitUsage, exitLost, exitAuth, exitUnreachable,
+		exitUndecided, exitNotFound, exitUnavailable, exitNotInForce, exitDifferent}
+	help := strings.Join(strings.Fields(description), " ")
+	for i, code := range codes {
+		must.Eq(t, i, code)
+		must.StrContains(t, string(page), "\n| "+strconv.Itoa(code)+" | ")
+		must.RegexMatch(t, regexp.MustCompile(`[:,] `+strconv.Itoa(code)+` [a-z]`), help)
+	}
+	must.StrNotContains(t, string(page), "\n| 11 | ")
+}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -7,6 +7,8 @@
 	"go/parser"
 	"go/token"
 	"io"
+	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -270,3 +272,19 @@
 		s.Keep("0196d2f0-6f4e-7c52-9f0b-6d7f6f0a1c11")
 	}
 }
+
+// The page's table of kinds is what operators filter by.
+func TestDocumentedKindsAreTheCode(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/timeline.md")
+	must.NoError(t, err)
+	documented := map[Kind]string{}
+	for _, row := range regexp.MustCompile("(?m)^\\| ([a-z ]+) \\| (`.*`) \\|$").FindAllStringSubmatch(string(page), -1) {
+		for _, k := range strings.Fields(strings.ReplaceAll(row[2], "`", "")) {
+			documented[Kind(k)] = row[1]
+		}
+	}
+	must.MapLen(t, len(Kinds()), documented)
+	for _, k := range Kinds() {
+		must.Eq(t, groupFor(k).name, documented[k], must.Sprint(k))
+	}
+}
