Inner headers: room for the hybrid logical clock

Cause: without a timestamp on data calls the timeline could show an answer before its call when clocks differ. Change: CallHeader and AnswerHeader get an optional hlc, to be set where the events of the call are kept. Conclusion: the data path may fill it in; absent it costs nothing.

--- a/internal/inner/codec_test.go
+++ b/internal/inner/codec_test.go
@@ -38,6 +38,7 @@
 	h.BodyHash = 0x1234567890abcdef
 	h.TargetIncarnation = "kurume-letters-1.7"
 	h.FromNode = "saga-archive-2"
+	h.Hlc = 1 << 57
 	return h
 }
 
