Inner answers: any refusal detail survives the trip

Cause: a refusal's detail may quote what a caller sent; the receiver refuses a header with such text, and a call that did not run would have been reported as of unknown outcome. Conclusion: "not run" reaches the caller whatever the detail says.

--- a/internal/inner/codec.go
+++ b/internal/inner/codec.go
@@ -58,7 +58,9 @@
 func EncodeCall(h *CallHeader) string { return encode(h) }
 
 // EncodeAnswer returns the value of HeaderAnswer, with the rules of EncodeCall.
-func EncodeAnswer(h *AnswerHeader) string { return encode(h) }
+// A detail that is too long or not printable ASCII is made to fit, and so is a
+// pause out of bounds.
+func EncodeAnswer(h *AnswerHeader) string { return encode(withinBounds(h)) }
 
 // DecodeCall reads and checks the value of HeaderCall. The error names the
 // field, its value and the bound.
--- a/internal/inner/codec_test.go
+++ b/internal/inner/codec_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
 )
 
 var t0 = time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
@@ -136,6 +137,31 @@
 	must.ErrorContains(t, err, "code is 200")
 }
 
+// A guard refuses a call and quotes the caller's odd key in the detail. Were
+// the entry to reject that header, it would have to report a call that did not
+// run as of unknown outcome, and a letter would be lost to caution.
+func TestRefusalSurvivesAnyDetail(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		codes := result.Codes()
+		r := &result.Refusal{
+			Code:       rapid.SampledFrom(codes).Draw(t, "code"),
+			Detail:     string(rapid.SliceOfN(rapid.Byte(), 0, 700).Draw(t, "detail")),
+			RetryAfter: time.Duration(rapid.Int64().Draw(t, "after")),
+			AllFull:    rapid.Bool().Draw(t, "full"),
+		}
+		h := FromRefusal("call-1", r)
+		before := proto.CloneOf(h)
+		got, err := DecodeAnswer(EncodeAnswer(h))
+		must.NoError(t, err)
+		must.True(t, proto.Equal(before, h), must.Sprint("the caller's header isn't touched"))
+		back := ToRefusal(got)
+		must.Eq(t, r.Code, back.Code)
+		must.Eq(t, r.AllFull, back.AllFull)
+		must.LessEq(t, MaxDetailLen, len(back.Detail))
+		must.Between(t, 0, back.RetryAfter, MaxRetryAfter)
+	})
+}
+
 // Whatever arrives, decoding doesn't panic, and what it accepts is encoded to
 // a header that it accepts again with the same meaning.
 func FuzzDecodeCall(f *testing.F) {
