--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -1,8 +1,9 @@
 package admission
 
 import (
-	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -160,16 +161,7 @@
 	if len(from) == 0 {
 		return "", false
 	}
-	ids := make([]int, 0, len(from))
-	for id := range from {
-		n, _ := strconv.Atoi(id)
-		ids = append(ids, n)
-	}
-	least := ids[0]
-	for _, n := range ids {
-		least = min(least, n)
-	}
-	return strconv.Itoa(least), true
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(from))).Draw(t, "id"), true
 }
 
 func drawConfig(t *rapid.T) Config {
@@ -280,31 +272,26 @@
 	c := New(DefaultConfig(150), now)
 	ids := make([]string, 1<<16)
 	for i := range ids {
-		ids[i] = fmt.Sprint(i)
+		ids[i] = strconv.Itoa(i)
 	}
 	running := make([]string, 0, 1024)
-	take := func(ds ...Decision) {
-		for _, d := range ds {
-			if d.Verdict == Run {
-				running = append(running, d.ID)
-			}
-		}
-	}
+	decided := make([]Decision, 0, 16)
 	n := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		now = now.Add(20 * time.Microsecond)
-		for range 2 {
-			n++
-			level := callctx.Level(n % callctx.Levels)
-			d, others := c.Offer(now, Request{ID: ids[n%len(ids)], Level: level, CallerHash: uint32(n) * 2654435761, RootAdmitted: now})
-			take(d)
-			take(others...)
-		}
-		if len(running) > 100 {
-			id := running[0]
+		now = now.Add(10 * time.Microsecond)
+		n++
+		r := Request{ID: ids[n%len(ids)], Level: callctx.Level(n % callctx.Levels), CallerHash: uint32(n) * 2654435761, RootAdmitted: now}
+		d, others := c.Offer(now, r)
+		if n%2 == 0 && len(running) > 100 {
+			others = append(others, c.Finish(now, running[0], Answered, 3*time.Millisecond)...)
 			running = append(running[:0], running[1:]...)
-			take(c.Finish(now, id, Answered, 3*time.Millisecond)...)
+		}
+		decided = append(append(decided[:0], others...), d)
+		for _, o := range decided {
+			if o.Verdict == Run {
+				running = append(running, o.ID)
+			}
 		}
 	}
 }
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -17,14 +17,13 @@
 	rng     *rand.Rand
 	events  eventHeap
 	calls   map[string]*modelCall
-	service func(m *model) time.Duration
+	service func(m *model, c *modelCall) time.Duration
 	sheds   func(m *model) bool
 	last    int
 	// good counts answers by their deadline, by second and level.
 	good    map[int]*[callctx.Levels]int
 	offered map[int]*[callctx.Levels]int
 	refused map[uint32]int
-	onRun   func(c *modelCall)
 }
 
 type modelCall struct {
@@ -56,7 +55,7 @@
 	return e
 }
 
-func newModel(cfg Config, service func(m *model) time.Duration) *model {
+func newModel(cfg Config, service func(m *model, c *modelCall) time.Duration) *model {
 	start := time.Unix(1_000_000, 0)
 	m := &model{
 		now: start, start: start, ctl: New(cfg, start),
@@ -127,14 +126,11 @@
 
 func (m *model) begin(c *modelCall) {
 	c.started = m.now
-	if m.onRun != nil {
-		m.onRun(c)
-	}
 	if m.sheds != nil && m.sheds(m) {
 		m.after(time.Millisecond, func() { m.end(c, UpstreamShed) })
 		return
 	}
-	took := m.service(m)
+	took := m.service(m, c)
 	if left := c.req.Deadline.Sub(m.now); !c.req.Deadline.IsZero() && took > left {
 		m.after(left, func() { m.end(c, TimedOut) })
 		return
--- a/internal/admission/story_test.go
+++ b/internal/admission/story_test.go
@@ -11,7 +11,7 @@
 )
 
 // mixed offers all four levels in equal parts.
-func mixed(slots int, timeout time.Duration, service func(*model) time.Duration, rate func(time.Duration) float64) *model {
+func mixed(slots int, timeout time.Duration, service func(*model, *modelCall) time.Duration, rate func(time.Duration) float64) *model {
 	m := newModel(DefaultConfig(slots), service)
 	for l := range callctx.Levels {
 		m.stream(func(t time.Duration) float64 { return rate(t) / callctx.Levels }, m.request(callctx.Level(l), timeout))
@@ -19,8 +19,8 @@
 	return m
 }
 
-func between(from, to time.Duration, inside, outside time.Duration) func(*model) time.Duration {
-	return func(m *model) time.Duration {
+func between(from, to time.Duration, inside, outside time.Duration) func(*model, *modelCall) time.Duration {
+	return func(m *model, _ *modelCall) time.Duration {
 		if e := m.elapsed(); e >= from && e < to {
 			return m.jittered(inside)
 		}
@@ -101,7 +101,7 @@
 		}
 		return 1500
 	})
-	m.service = func(m *model) time.Duration {
+	m.service = func(m *model, _ *modelCall) time.Duration {
 		share := max(1, float64(m.ctl.Load().InFlight)/8)
 		return m.jittered(time.Duration(share * float64(10*time.Millisecond)))
 	}
@@ -195,7 +195,11 @@
 func TestProbeLeadsOutOfStaleEstimate(t *testing.T) {
 	m := mixed(25, 100*time.Millisecond, between(3*time.Second, 8*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
 	started := 0
-	m.onRun = func(*modelCall) { started++ }
+	recovers := m.service
+	m.service = func(m *model, c *modelCall) time.Duration {
+		started++
+		return recovers(m, c)
+	}
 	m.run(6 * time.Second) // two generations of samples and a half
 	started = 0
 	m.run(8 * time.Second)
@@ -221,10 +225,8 @@
 		}
 		return 200
 	}, quick)
-	var current *modelCall
-	m.onRun = func(c *modelCall) { current = c }
-	m.service = func(m *model) time.Duration {
-		if current.req.Deadline.Sub(m.now) <= 50*time.Millisecond {
+	m.service = func(m *model, c *modelCall) time.Duration {
+		if c.req.Deadline.Sub(m.now) <= 50*time.Millisecond {
 			return m.jittered(10 * time.Millisecond)
 		}
 		return m.jittered(100 * time.Millisecond)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -231,26 +232,27 @@
 	return out
 }
 
-// Snapshot returns all records, cleared ones included, ordered by fingerprint,
-// for a peer that starts.
+// Snapshot returns all records, cleared ones included, for a peer that starts.
+// They are ordered by fingerprint, time and upstream.
 func (t *Tracker) Snapshot(now time.Time) []Suspect {
 	t.sweep(now)
 	var out []Suspect
 	for _, e := range t.entries {
 		out = append(out, e.records...)
 	}
-	slices.SortStableFunc(out, func(a, b Suspect) int {
-		if a.Fingerprint != b.Fingerprint {
-			if a.Fingerprint < b.Fingerprint {
-				return -1
-			}
-			return 1
-		}
-		return a.At.Compare(b.At)
-	})
+	slices.SortFunc(out, compareRecords)
 	return out
 }
 
+func compareRecords(a, b Suspect) int {
+	return cmp.Or(
+		cmp.Compare(a.Fingerprint, b.Fingerprint),
+		a.At.Compare(b.At),
+		cmp.Compare(a.Upstream, b.Upstream),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+	)
+}
+
 // Suspected reports whether f is under suspicion, and so belongs to Home.
 func (t *Tracker) Suspected(now time.Time, f Fingerprint) bool {
 	return t.verdict(now, f) != innocent
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,20 @@
 	must.Eq(t, 2500*time.Millisecond, a.Admit(now, 3).RetryAfter)
 }
 
+// A call runs as an ordinary one when news makes it a suspect, and its upstream
+// dies of a request beside it that nobody suspects yet; or a second suspect runs
+// there. Neither is evidence from running alone.
+func TestSuspicionDuringRunIsNotAlone(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tr := New(DefaultConfig())
+	tr.Started(now, 5)
+	tr.Merge(now, Suspect{Fingerprint: 5, Upstream: "up-x", Incarnation: 1, At: now})
+	must.False(t, tr.Crashed(now, "up-a", 1, []Fingerprint{5, poison})[0].Alone)
+
+	tr.Started(now, 5)
+	must.False(t, tr.Crashed(now, "up-a", 2, []Fingerprint{5, poison})[0].Alone)
+}
+
 // The guard's whole VM dies with the upstream, so only the entry node knows. Its
 // retry carries the mark, and the next guard holds the request back at once.
 func TestRetryCarriesMarks(t *testing.T) {
@@ -167,27 +182,12 @@
 				t.Fatalf("known record %+v is news", s)
 			}
 		}
-		// Equal times may come in any order, so compare as sets.
-		ra, rb := asSet(a.Snapshot(now)), asSet(b.Snapshot(now))
-		if len(ra) != len(rb) {
+		if ra, rb := a.Snapshot(now), b.Snapshot(now); !slices.Equal(ra, rb) {
 			t.Fatalf("%v and %v", ra, rb)
 		}
-		for r := range ra {
-			if !rb[r] {
-				t.Fatalf("%+v is missing", r)
-			}
-		}
 	})
 }
 
-func asSet(records []Suspect) map[Suspect]bool {
-	set := make(map[Suspect]bool, len(records))
-	for _, r := range records {
-		set[r] = true
-	}
-	return set
-}
-
 // cluster is a service of several guards in steps of 100 ms. The poison kills
 // the upstream that runs it within 400 ms; its caller sends it again and again
 // to any entry. News takes a second to come around.
