Control plane between nodes: relays, exchange, liveness, drains, suspects, soft members

Cause: every node read the whole log by long polling; 14,000 readers are impossible, and a zone cut off from the log learned nothing from its peers. Claims and ownership see every record without a gap; configuration and members may be taken over from a peer.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,6 +42,12 @@
 	return ok && m.Incarnation == id.Incarnation
 }
 
+// Gone reports whether this incarnation has left or was evicted.
+func (v *View) Gone(id Identity) bool {
+	t, ok := v.gone[id.Node]
+	return ok && t.Incarnation >= id.Incarnation
+}
+
 // Members returns all members in order of their identity.
 func (v *View) Members() []Member { return v.filter(func(Member) bool { return true }) }
 
--- /dev/null
+++ b/internal/node/plane_exchange.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+const (
+	// answerRecords and answerBytes bound the records of one answer.
+	answerRecords = 512
+	answerBytes   = 256 << 10
+	// failedFor is how long a peer that did not answer is passed over.
+	failedFor = 3 * time.Second
+)
+
+// beat is the newest heartbeat of the zone's reader that came this way.
+type beat struct {
+	hb   membership.Heartbeat
+	addr string
+	seq  uint64
+}
+
+// NextExchange returns whom to ask now; false when there is nobody. The parent
+// in the zone's tree comes first, then the zone's reader, its stand-by, others
+// of the zone, other zones and the seeds.
+func (p *Plane) NextExchange(now time.Time) (Peer, bool) {
+	for _, peer := range p.candidates(now) {
+		if peer.Addr == "" || peer.Addr == p.addr || peer.ID.Node == p.self.Node {
+			continue
+		}
+		if at, ok := p.failed[peer.Addr]; ok && now.Sub(at) < failedFor {
+			continue
+		}
+		return peer, true
+	}
+	return Peer{}, false
+}
+
+func (p *Plane) candidates(now time.Time) []Peer {
+	leader, led := p.election.Leader()
+	if led && leader == p.self {
+		if !p.stale(now) {
+			return nil
+		}
+		return p.strangers(now)
+	}
+	var out []Peer
+	live := p.detector.Live(now)
+	if parent, ok := membership.Parent(p.self, leader, live); led && ok {
+		out = append(out, p.peer(parent))
+	}
+	if led {
+		out = append(out, p.peer(leader), p.peer(p.standBy(now)))
+	}
+	for _, i := range p.rng.Perm(len(live)) {
+		out = append(out, p.peer(live[i]))
+	}
+	return append(append(out, p.others(now)...), p.seedPeers()...)
+}
+
+// strangers are whom a zone's reader asks while it can't read the log itself.
+func (p *Plane) strangers(now time.Time) []Peer {
+	out := append(p.others(now), p.peer(p.standBy(now)))
+	p.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return append(out, p.seedPeers()...)
+}
+
+// peer returns where an identity is reached.
+func (p *Plane) peer(id membership.Identity) Peer {
+	if s, ok := p.soft[id.Node]; ok && s.member.Identity == id {
+		return Peer{ID: id, Addr: s.member.InnerAddr}
+	}
+	if m, ok := p.Members().Member(id.Node); ok && m.Identity == id {
+		return Peer{ID: id, Addr: m.InnerAddr}
+	}
+	if p.beat.hb.From == id {
+		return Peer{ID: id, Addr: p.beat.addr}
+	}
+	return Peer{ID: id}
+}
+
+// others returns the nodes of other zones, one of each zone, in random order.
+func (p *Plane) others(time.Time) []Peer {
+	byZone := map[string]Peer{}
+	var zones []string
+	members := p.allMembers()
+	for _, i := range p.rng.Perm(len(members)) {
+		m := members[i]
+		if m.Region == p.region && m.Zone == p.zone {
+			continue
+		}
+		name := m.Region + "/" + m.Zone
+		if _, ok := byZone[name]; !ok {
+			byZone[name] = Peer{ID: m.Identity, Addr: m.InnerAddr}
+			zones = append(zones, name)
+		}
+	}
+	out := make([]Peer, 0, len(zones))
+	for _, z := range zones {
+		out = append(out, byZone[z])
+	}
+	return out
+}
+
+func (p *Plane) seedPeers() []Peer {
+	var out []Peer
+	for _, i := range p.rng.Perm(len(p.seeds)) {
+		out = append(out, Peer{Addr: p.seeds[i]})
+	}
+	return out
+}
+
+// Ask makes the question of an exchange. hold is how long it may be held for
+// news; a node that was told too little yet asks for an answer at once.
+func (p *Plane) Ask(now time.Time, hold time.Duration) *innerpb.ExchangeRequest {
+	if !p.caught && p.stale(now) {
+		hold = 0
+	}
+	p.sentUp = p.upNews
+	return &innerpb.ExchangeRequest{
+		From:        refOf(p.self),
+		Suspects:    p.suspectNews(now),
+		Drains:      p.drainNews(now),
+		Liveness:    livenessOf(p.detector.Findings(now)),
+		SoftMembers: p.softNews(now),
+		Elected:     p.elected(),
+		HoldUs:      hold.Microseconds(),
+		RecordsFrom: uint64(p.replica.Next()),
+	}
+}
+
+// AskDue reports whether there is news that the asked peer does not have yet:
+// a question that is being held should be asked again.
+func (p *Plane) AskDue() bool { return p.upNews > p.sentUp }
+
+// OnAsked takes the news of a question. It is called once for each, before
+// its answer is waited for.
+func (p *Plane) OnAsked(now time.Time, q *innerpb.ExchangeRequest) {
+	p.takeNews(now, q, true)
+}
+
+// MustAnswer reports whether a question should not be held any longer: there
+// is news, or a fresher proof came late in an exchange.
+func (p *Plane) MustAnswer(now, received time.Time, q *innerpb.ExchangeRequest) bool {
+	held := now.Sub(received)
+	switch {
+	case held >= time.Duration(q.GetHoldUs())*time.Microsecond:
+		return true
+	case p.replica.Next() > int64(q.GetRecordsFrom()):
+		return true
+	case p.told[q.GetFrom().GetNodeId()] < p.news:
+		return true
+	}
+	// A proof that was read while the question waited is worth passing on just
+	// then: its age would grow at each level of the tree otherwise.
+	return held >= p.cfg.Exchange*4/5 && p.head.known && p.head.t0.After(received.Add(-p.cfg.Exchange/2))
+}
+
+// Answer makes the answer to a question that came at received.
+func (p *Plane) Answer(now, received time.Time, q *innerpb.ExchangeRequest) *innerpb.ExchangeResponse {
+	p.told[q.GetFrom().GetNodeId()] = p.news
+	a := &innerpb.ExchangeResponse{
+		From:        refOf(p.self),
+		Head:        p.headOf(now),
+		HeldUs:      now.Sub(received).Microseconds(),
+		Suspects:    p.suspectNews(now),
+		Drains:      p.drainNews(now),
+		Liveness:    livenessOf(p.detector.Findings(now)),
+		SoftMembers: p.softNews(now),
+		Elected:     p.elected(),
+		RecordsNext: uint64(p.replica.Next()),
+	}
+	from := int64(q.GetRecordsFrom())
+	if from >= p.replica.Next() {
+		return a
+	}
+	records := p.feed.since(from, answerRecords, answerBytes)
+	if len(records) == 0 {
+		return a
+	}
+	a.Records = recordsOf(records)
+	a.RecordsNext = uint64(records[len(records)-1].Offset + 1)
+	a.More = int64(a.RecordsNext) < p.replica.Next()
+	return a
+}
+
+func (p *Plane) headOf(now time.Time) *innerpb.LogHead {
+	if !p.head.known {
+		return nil
+	}
+	return &innerpb.LogHead{
+		NextOffset:   uint64(p.head.next),
+		OldestOffset: uint64(p.head.oldest),
+		AgeUs:        now.Sub(p.head.t0).Microseconds(),
+		Known:        true,
+		Hops:         p.head.hops + 1,
+	}
+}
+
+// OnAnswer takes the answer to a question that was sent at sent. It reports
+// whether the peer's whole state has to be fetched, because the records
+// between are no longer kept there.
+func (p *Plane) OnAnswer(now, sent time.Time, peer Peer, a *innerpb.ExchangeResponse) (fetch bool) {
+	delete(p.failed, peer.Addr)
+	p.answered = now
+	p.takeNews(now, a, false)
+	next := int64(a.GetRecordsNext())
+	if len(a.GetRecords()) == 0 && next > p.replica.Next() {
+		fetch = true
+	}
+	p.takeRecords(now, a)
+	if h := a.GetHead(); h.GetKnown() {
+		p.relayedProof(sent, a)
+	}
+	return fetch
+}
+
+// relayedProof counts a proof from the moment of sending: the peer received
+// the question after that, and its read was sent held_us less the age after it
+// was received. So the read was not sent before the result.
+func (p *Plane) relayedProof(sent time.Time, a *innerpb.ExchangeResponse) {
+	h := a.GetHead()
+	since := time.Duration(a.GetHeldUs()-h.GetAgeUs()) * time.Microsecond
+	if p.replica.Next() >= int64(h.GetNextOffset()) {
+		p.caught = true
+	}
+	p.proof(logHead{
+		known: true, t0: sent.Add(since), hops: h.GetHops(),
+		next: int64(h.GetNextOffset()), oldest: int64(h.GetOldestOffset()),
+	})
+}
+
+func (p *Plane) takeRecords(now time.Time, a *innerpb.ExchangeResponse) {
+	if len(a.GetRecords()) == 0 {
+		return
+	}
+	page := platform.Page{
+		Entries: entriesOf(a.GetRecords()),
+		Next:    int64(a.GetRecordsNext()),
+		Head:    int64(a.GetHead().GetNextOffset()),
+		Oldest:  int64(a.GetHead().GetOldestOffset()),
+	}
+	p.take(now, page)
+}
+
+// OnAskFailed notes that a peer did not answer.
+func (p *Plane) OnAskFailed(now time.Time, peer Peer) { p.failed[peer.Addr] = now }
+
+// CrossAsks returns whom to tell news at once in other zones, one node of each.
+// Only the zone's reader does, for all of its zone.
+func (p *Plane) CrossAsks(now time.Time) []Peer {
+	if !p.Leads() || p.upNews == p.crossed || now.Sub(p.asked) < p.cfg.Exchange/2 {
+		return nil
+	}
+	p.asked = now
+	p.crossed = p.upNews
+	return slices.DeleteFunc(p.others(now), func(peer Peer) bool {
+		at, ok := p.failed[peer.Addr]
+		return ok && now.Sub(at) < failedFor
+	})
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -26,10 +26,16 @@
 // Replica is a node's fold over the log: configuration, members, claims. It is
 // a pure state machine. Not safe for concurrent use; the states it returns are
 // immutable.
+//
+// It has two places in the log. Configuration and members may be taken over
+// from a peer, so their place may jump. Whoever decides from single records,
+// such as claims, must have seen every one of them: that place never jumps but
+// over what the log itself has dropped.
 type Replica struct {
 	next    int64
+	strict  int64
 	dedup   *platform.Dedup
-	policy  *policy.State
+	policy  *policy.Replica
 	members *membership.View
 	claims  *idempotency.Claims
 }
@@ -38,42 +44,93 @@
 func NewReplica() *Replica {
 	return &Replica{
 		dedup:   platform.NewDedup(dedupWindow),
-		policy:  policy.NewState(),
+		policy:  policy.NewReplica(nil),
 		members: &membership.View{},
 		claims:  idempotency.NewClaims(claimHorizon, maxClaims),
 	}
 }
 
-// Next returns the offset to read from.
-func (r *Replica) Next() int64 { return r.next }
+// Next returns the offset from which configuration and members go on.
+func (r *Replica) Next() int64 { return min(r.next, r.policy.Next()) }
+
+// Strict returns the offset up to which every record was seen.
+func (r *Replica) Strict() int64 { return r.strict }
+
+// Behind reports whether configuration lacks records that the log has dropped.
+func (r *Replica) Behind() bool { return r.policy.Behind() }
 
 // Policy returns the configuration folded so far.
-func (r *Replica) Policy() *policy.State { return r.policy }
+func (r *Replica) Policy() *policy.State { return r.policy.State() }
 
 // Members returns the members folded so far.
 func (r *Replica) Members() *membership.View { return r.members }
 
-// Apply folds entries in log order. A record whose body cannot be read is
-// skipped by every replica alike.
-func (r *Replica) Apply(now time.Time, entries []platform.Entry) {
+// SnapshotDue reports whether the configuration should be written again.
+func (r *Replica) SnapshotDue(rule *policy.SnapshotRule, now time.Time, oldest int64) bool {
+	return r.policy.SnapshotDue(rule, now, oldest)
+}
+
+// Take folds a page in log order and returns the entries that continue what
+// was seen without a gap. A record whose body cannot be read is skipped by
+// every replica alike.
+func (r *Replica) Take(now time.Time, page platform.Page) []platform.Entry {
+	r.policy.Take(page)
+	r.takeMembers(page.Entries)
+	var seen []platform.Entry
+	for _, e := range page.Entries {
+		if e.Offset != r.strict {
+			continue
+		}
+		r.strict++
+		if e.Record.Kind == platform.KindClaim {
+			r.applyClaim(now, e)
+		}
+		seen = append(seen, e)
+	}
+	return seen
+}
+
+func (r *Replica) takeMembers(entries []platform.Entry) {
 	var members []membership.Entry
 	for _, e := range entries {
 		if e.Offset < r.next {
 			continue
 		}
 		r.next = e.Offset + 1
-		r.policy = r.policy.Apply(e)
 		if !r.dedup.Fresh(e) {
 			continue
 		}
 		if rec := memberRecord(e.Record); rec != nil {
 			members = append(members, membership.Entry{Offset: e.Offset, Record: rec})
 		}
-		if e.Record.Kind == platform.KindClaim {
-			r.applyClaim(now, e)
-		}
 	}
-	r.members = r.members.ApplyAll(members)
+	if len(members) > 0 {
+		r.members = r.members.ApplyAll(members)
+	}
+}
+
+// Truncated is told that the log has dropped everything below oldest. It
+// reports whether records were dropped that this fold never saw.
+func (r *Replica) Truncated(oldest int64) (missed bool) {
+	r.policy.Truncated(oldest)
+	r.next = max(r.next, oldest)
+	missed = r.strict < oldest
+	r.strict = max(r.strict, oldest)
+	return missed
+}
+
+// Adopt takes a peer's configuration and members, folded up to next, where
+// they are newer. It never takes back what was accepted.
+func (r *Replica) Adopt(p *policy.State, v *membership.View, next int64) bool {
+	if next <= r.Next() {
+		return false
+	}
+	r.policy.Merge(p)
+	if v.Version() > r.members.Version() {
+		r.members = v
+	}
+	r.next = max(r.next, next)
+	return true
 }
 
 func (r *Replica) applyClaim(now time.Time, e platform.Entry) {
--- /dev/null
+++ b/internal/server/claim.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// NeedsClaim implements node.Authority.
+func (c *control) NeedsClaim(*node.Call) bool { return true }
+
+// MayStart implements node.Authority: the claim was settled just before.
+func (c *control) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
+	return time.Time{}, nil
+}
+
+// Claim implements proxy.Claimer. The claim is settled once this node has read
+// it back: the first claim of a key in log order holds it. When the log gives
+// no answer the call is refused as not run, and the claim, should it be in the
+// log after all, stays with this guard, which a resend is then sent to.
+func (c *control) Claim(ctx context.Context, call *node.Call) *result.Refusal {
+	hash := keyHash(call)
+	id := c.server.node.Identity()
+	if holder, ok := c.holder(hash); ok {
+		return c.settled(holder)
+	}
+	c.mu.Lock()
+	c.seq++
+	claim := idempotency.Claim{KeyHash: hash, Node: id.Node, Incarnation: id.Incarnation, Seq: c.seq, Addr: id.InnerAddr}
+	c.mu.Unlock()
+	raw, err := json.Marshal(claim)
+	if err != nil {
+		return result.Refuse(result.NoAuthority, "claim: %v", err)
+	}
+	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: platform.KindClaim, At: time.Now(), Body: raw})
+	if err != nil {
+		return result.Refuse(result.NoAuthority, "the log did not settle the claim: %v", err).After(time.Second)
+	}
+	holder, ok := c.holder(hash)
+	if !ok {
+		return result.Refuse(result.NoAuthority, "the claim is no longer in memory")
+	}
+	return c.settled(holder)
+}
+
+func keyHash(call *node.Call) uint64 {
+	key := idempotency.Key{Workspace: call.Ctx.Workspace, Service: call.Ctx.Service, Key: call.Ctx.Key}
+	return key.Hash()
+}
+
+func (c *control) holder(hash uint64) (idempotency.Claim, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plane.Replica().Claim(hash)
+}
+
+func (c *control) settled(holder idempotency.Claim) *result.Refusal {
+	id := c.server.node.Identity()
+	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
+		return nil
+	}
+	if !c.live(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
+		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
+	}
+	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
+	r.Owner = holder.Node
+	return r
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
-	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
-	"github.com/galenagrade/galenagrade/internal/result"
 )
 
 const (
@@ -20,166 +17,240 @@
 	readMax = 1000
 	// readRetry is the pause after a read that failed.
 	readRetry = 200 * time.Millisecond
-	// joinTimeout bounds one try to get the join record into the log.
-	joinTimeout = 5 * time.Second
+	// readWait bounds the wait of a read at the log's head: half of what may
+	// pass between two proofs at a zone's reader.
+	readWait = 500 * time.Millisecond
+	// idleWait is how often a loop without work looks again.
+	idleWait = 250 * time.Millisecond
+	// planeTick is how often the plane's times are looked at.
+	planeTick = 200 * time.Millisecond
+	// appendTimeout bounds one try to get a record into the log.
+	appendTimeout = 5 * time.Second
 )
 
-// control follows the log and writes the node's own records.
+// control drives the node's share of the control plane: it moves what the
+// plane decides over the network and the log. The lock is never held across
+// I/O.
 type control struct {
-	server *Server
+	server  *Server
+	clients *controlClients
+	kick    chan struct{} // looks at the plane at once
+	closing chan struct{} // answers what is held
 
-	mu      sync.Mutex
-	replica *node.Replica
-	joined  *membership.Member
-	seq     uint64
+	mu    sync.Mutex
+	plane *node.Plane
+	wake  chan struct{} // closed and replaced when there is something new
+	news  uint64
+	seq   uint64
+	gone  chan struct{}
+	once  sync.Once
 }
 
-func newControl(s *Server) *control {
-	return &control{server: s, replica: node.NewReplica()}
+func newControl(s *Server, clients *controlClients) *control {
+	return &control{
+		server:  s,
+		clients: clients,
+		kick:    make(chan struct{}, 1),
+		closing: make(chan struct{}),
+		wake:    make(chan struct{}),
+		gone:    make(chan struct{}),
+	}
 }
 
-func (c *control) read(ctx context.Context) {
-	for ctx.Err() == nil {
-		page, err := c.server.log.Read(ctx, c.next(), readMax, c.server.cfg.Log.ReadWait.Std())
-		if err != nil {
-			sleep(ctx, readRetry)
-			continue
-		}
-		c.apply(page)
-	}
+// bind makes the plane of the node, whose identity is known by now.
+func (c *control) bind() {
+	s := c.server
+	seed := newSeed()
+	c.plane = node.NewPlane(planeConfig(s), s.node.Identity(), s.cfg.SeedPeers, rand.New(rand.NewChaCha8(seed)), s.node.Now())
+	c.plane.SetFollower(follower{server: s})
 }
 
-func (c *control) next() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replica.Next()
+func planeConfig(s *Server) node.PlaneConfig {
+	cfg := node.DefaultPlaneConfig(s.cfg.Log.Retention.Std())
+	cfg.Exchange = s.cfg.Timing.Exchange.Std()
+	cfg.FallBack = max(cfg.FallBack, 2*cfg.Exchange)
+	cfg.Stale = max(cfg.Stale, cfg.Exchange)
+	return cfg
 }
 
-func (c *control) apply(page platform.Page) {
-	if len(page.Entries) == 0 {
-		return
+// follower hands what the plane read to those who decide from single records.
+type follower struct{ server *Server }
+
+// Applied implements node.Follower.
+func (f follower) Applied(now time.Time, entries []platform.Entry) {
+	if h := f.server.ownership; h != nil {
+		h.Applied(now, entries)
 	}
-	now := c.server.node.Now()
-	c.mu.Lock()
-	before := c.replica.Members()
-	c.replica.Apply(now, page.Entries)
-	members, policy := c.replica.Members(), c.replica.Policy()
-	c.mu.Unlock()
-	if members != before {
-		c.server.node.SetEndpoints(now, node.Endpoints(members, func(membership.Identity) bool { return false }))
+	f.server.appender.Observe(entries)
+}
+
+// Truncated implements node.Follower.
+func (f follower) Truncated() {
+	if h := f.server.ownership; h != nil {
+		h.Truncated()
 	}
-	c.server.node.SetPolicy(now, policy)
-	c.server.appender.Observe(page.Entries)
 }
 
-// join announces the node with its upstream in the log, again until it is
-// there: a node that nobody knows serves nobody.
-func (c *control) join(a node.Announcement) {
-	m := c.server.member()
-	m.Service = a.Service
-	m.Slots = a.Slots
-	m.Connections = a.Connections
-	m.JoinedAt = c.server.node.Now()
-	c.mu.Lock()
-	known := c.joined != nil && c.joined.Service == m.Service && c.joined.Slots == m.Slots
-	if !known {
-		c.joined = &m
+// Proof implements node.Follower.
+func (f follower) Proof(t0 time.Time, head int64) {
+	if h := f.server.ownership; h != nil {
+		h.Proof(t0, head)
 	}
-	c.mu.Unlock()
-	if known {
-		return
+}
+
+// with runs f on the plane, puts what came of it in force and wakes whoever
+// waits for news.
+func (c *control) with(f func(now time.Time, p *node.Plane)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.server.node.Now()
+	before, had := c.plane.HeadAge(now)
+	f(now, c.plane)
+	c.enforceLocked(now)
+	after, has := c.plane.HeadAge(now)
+	if c.plane.News() != c.news || before != after || had != has {
+		c.news = c.plane.News()
+		close(c.wake)
+		c.wake = make(chan struct{})
 	}
-	c.server.loop(func() { c.append(platform.KindJoin, membership.Join{Member: m}) })
 }
 
-// append writes a record, trying again while the log is out.
-func (c *control) append(kind platform.Kind, body any) bool {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		c.server.logger.Error().Err(err).Str("kind", string(kind)).Msg("record")
-		return false
+func (c *control) enforceLocked(now time.Time) {
+	n := c.server.node
+	n.SetPolicy(now, c.plane.Policy())
+	if c.plane.TakeDirty() {
+		n.SetEndpoints(now, c.plane.Endpoints())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
-	defer cancel()
-	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: kind, At: time.Now(), Body: raw})
-	if err != nil {
-		c.server.logger.Warn().Err(err).Str("kind", string(kind)).Msg("record was not appended")
+	if suspects := c.plane.TakeSuspects(); len(suspects) > 0 {
+		n.Guard().MergeSuspects(now, suspects)
+		c.kickSoon()
+	}
+	if c.plane.Evicted() {
+		c.once.Do(func() { close(c.gone) })
 	}
-	return err == nil
 }
 
-// NeedsClaim implements node.Authority.
-func (c *control) NeedsClaim(*node.Call) bool { return true }
-
-// MayStart implements node.Authority: the claim was settled just before.
-func (c *control) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
-	return time.Time{}, nil
+func (c *control) kickSoon() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
 }
 
-// Claim implements proxy.Claimer. The claim is settled once this node has read
-// it back: the first claim of a key in log order holds it. When the log gives
-// no answer the call is refused as not run, and the claim, should it be in the
-// log after all, stays with this guard, which a resend is then sent to.
-func (c *control) Claim(ctx context.Context, call *node.Call) *result.Refusal {
-	hash := keyHash(call)
-	id := c.server.node.Identity()
-	if holder, ok := c.holder(hash); ok {
-		return c.settled(holder)
-	}
+// woken returns a channel that is closed at the next news.
+func (c *control) woken() <-chan struct{} {
 	c.mu.Lock()
-	c.seq++
-	claim := idempotency.Claim{KeyHash: hash, Node: id.Node, Incarnation: id.Incarnation, Seq: c.seq, Addr: id.InnerAddr}
-	c.mu.Unlock()
-	raw, err := json.Marshal(claim)
-	if err != nil {
-		return result.Refuse(result.NoAuthority, "claim: %v", err)
+	defer c.mu.Unlock()
+	return c.wake
+}
+
+// read reads the log whenever the plane says that this node should.
+func (c *control) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		woken := c.woken()
+		var from int64
+		var reads bool
+		c.with(func(now time.Time, p *node.Plane) { from, reads = p.ReadFrom(now) })
+		if !reads {
+			waitFor(ctx, woken, idleWait)
+			continue
+		}
+		c.readOnce(ctx, from)
 	}
-	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: platform.KindClaim, At: time.Now(), Body: raw})
-	if err != nil {
-		return result.Refuse(result.NoAuthority, "the log did not settle the claim: %v", err).After(time.Second)
+}
+
+func (c *control) readOnce(ctx context.Context, from int64) {
+	wait := min(c.server.cfg.Log.ReadWait.Std(), readWait)
+	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
+	defer cancel()
+	sent := c.server.node.Now()
+	page, err := c.server.log.Read(readCtx, from, readMax, wait)
+	var truncated *platform.TruncatedError
+	switch {
+	case err == nil:
+		c.with(func(now time.Time, p *node.Plane) { p.OnPage(now, sent, page) })
+	case errors.As(err, &truncated):
+		c.with(func(_ time.Time, p *node.Plane) { p.OnTruncated(truncated.Oldest) })
+		sleep(ctx, readRetry)
+	default:
+		sleep(ctx, readRetry)
 	}
-	holder, ok := c.holder(hash)
-	if !ok {
-		return result.Refuse(result.NoAuthority, "the claim is no longer in memory")
+}
+
+// tick looks at the plane's times, and at once when kicked.
+func (c *control) tick(ctx context.Context) {
+	t := time.NewTicker(planeTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-c.kick:
+		}
+		c.spreadSuspects(ctx)
+		var actions []node.Action
+		var cross []node.Peer
+		c.with(func(now time.Time, p *node.Plane) {
+			actions = p.Tick(now)
+			cross = p.CrossAsks(now)
+		})
+		c.perform(ctx, actions)
+		for _, peer := range cross {
+			c.server.loop(func() { c.ask(ctx, peer, 0) })
+		}
 	}
-	return c.settled(holder)
 }
 
-func keyHash(call *node.Call) uint64 {
-	key := idempotency.Key{Workspace: call.Ctx.Workspace, Service: call.Ctx.Service, Key: call.Ctx.Key}
-	return key.Hash()
+// join announces the node with its upstream: to the log, and to the peers
+// until it is there. A node that nobody knows serves nobody.
+func (c *control) join(a node.Announcement) {
+	m := c.server.member()
+	m.Service = a.Service
+	m.Slots = a.Slots
+	m.Connections = a.Connections
+	m.JoinedAt = c.server.node.Now().UTC().Round(0)
+	c.with(func(_ time.Time, p *node.Plane) { p.SetMember(m) })
+	c.kickSoon()
+}
+
+// drain tells the peers that this node is leaving.
+func (c *control) drain() {
+	c.with(func(now time.Time, p *node.Plane) { p.StartDrain(now) })
+	c.kickSoon()
 }
 
-func (c *control) holder(hash uint64) (idempotency.Claim, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replica.Claim(hash)
+func (c *control) leave() {
+	var a node.Action
+	c.with(func(now time.Time, p *node.Plane) { a = p.LeaveRecord(now) })
+	c.perform(context.Background(), []node.Action{a})
 }
 
-func (c *control) settled(holder idempotency.Claim) *result.Refusal {
-	id := c.server.node.Identity()
-	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
-		return nil
-	}
-	if !c.live(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
-		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
+// append writes a record; the plane hands it out again if it doesn't show up.
+func (c *control) append(ctx context.Context, rec platform.Record) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := c.server.appender.Append(ctx, rec); err != nil {
+		c.server.logger.Warn().Err(err).Str("kind", string(rec.Kind)).Msg("record was not appended")
 	}
-	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
-	r.Owner = holder.Node
-	return r
 }
 
+// live reports whether exactly this life of a node is a member.
 func (c *control) live(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Members().Live(id)
+	return c.plane.Members().Live(id)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
+
+// waitFor returns when woken is closed, d has passed or ctx has ended.
+func waitFor(ctx context.Context, woken <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-woken:
 	case <-ctx.Done():
 	}
 }
--- /dev/null
+++ b/internal/server/exchange.go
@@ -0,0 +1,107 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/node"
+)
+
+const (
+	// rpcTimeout bounds a control message beyond the time it may be held.
+	rpcTimeout = 500 * time.Millisecond
+	// stateTimeout bounds the fetching of a whole state.
+	stateTimeout = 5 * time.Second
+	// askPause lies between two exchanges that brought nothing, and between a
+	// question and its repetition for news.
+	askPause = 50 * time.Millisecond
+)
+
+// exchange asks the peer that the plane names, again and again: each question
+// is held there until there is news or a second has passed.
+func (c *control) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		woken := c.woken()
+		var peer node.Peer
+		var ok bool
+		c.with(func(now time.Time, p *node.Plane) { peer, ok = p.NextExchange(now) })
+		if !ok {
+			waitFor(ctx, woken, idleWait)
+			continue
+		}
+		began := time.Now()
+		news := c.ask(ctx, peer, c.server.cfg.Timing.Exchange.Std())
+		if !news && time.Since(began) < askPause {
+			sleep(ctx, askPause)
+		}
+	}
+}
+
+// ask makes one exchange and reports whether it brought records. A question
+// that is held is given up for another one when this node has news itself.
+func (c *control) ask(ctx context.Context, peer node.Peer, hold time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, hold+rpcTimeout)
+	defer cancel()
+	var q *innerpb.ExchangeRequest
+	var sent time.Time
+	c.with(func(now time.Time, p *node.Plane) { q, sent = p.Ask(now, hold), now })
+	done := make(chan struct{})
+	defer close(done)
+	if hold > 0 {
+		c.server.loop(func() { c.cancelForNews(ctx, cancel, done) })
+	}
+	resp, err := c.clients.client(peer.Addr).Exchange(ctx, connect.NewRequest(q))
+	if err != nil {
+		if ctx.Err() != context.Canceled {
+			c.clients.drop(peer.Addr)
+			c.with(func(now time.Time, p *node.Plane) { p.OnAskFailed(now, peer) })
+		}
+		return false
+	}
+	var fetch bool
+	c.with(func(now time.Time, p *node.Plane) { fetch = p.OnAnswer(now, sent, peer, resp.Msg) })
+	if fetch {
+		c.fetch(peer)
+	}
+	return len(resp.Msg.GetRecords()) > 0
+}
+
+// cancelForNews ends a held question once this node has news for its peer.
+func (c *control) cancelForNews(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
+	sleep(ctx, askPause)
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		due, woken := c.plane.AskDue(), c.wake
+		c.mu.Unlock()
+		if due {
+			cancel()
+			return
+		}
+		select {
+		case <-woken:
+		case <-done:
+			return
+		case <-ctx.Done():
+		}
+	}
+}
+
+// fetch takes over a peer's whole state.
+func (c *control) fetch(peer node.Peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	req := &innerpb.FetchStateRequest{From: node.Ref(c.self())}
+	resp, err := c.clients.client(peer.Addr).FetchState(ctx, connect.NewRequest(req))
+	if err != nil {
+		c.server.logger.Warn().Err(err).Str("peer", peer.Addr).Msg("state was not fetched")
+		return
+	}
+	c.with(func(now time.Time, p *node.Plane) {
+		if err := p.OnState(now, resp.Msg); err != nil {
+			c.server.logger.Warn().Err(err).Str("peer", peer.Addr).Msg("state was refused")
+		}
+	})
+}
--- /dev/null
+++ b/internal/server/hooks.go
@@ -0,0 +1,30 @@
+package server
+
+import (
+	"context"
+
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
+)
+
+// OwnershipHandler decides who owns idempotency keys. It gets every entry of
+// the log once and in order, every proof of the log's head, and the requests
+// of other nodes. Its Follower methods are called with the control plane's
+// lock held: they must not block or call back into the server.
+type OwnershipHandler interface {
+	node.Follower
+	Promise(ctx context.Context, req *innerpb.PromiseRequest) (*innerpb.PromiseResponse, error)
+	HandOver(ctx context.Context, req *innerpb.HandOverRequest) (*innerpb.HandOverResponse, error)
+}
+
+// setOwnership must be called before the loops run; without a handler claims
+// in the log decide, and Promise and HandOver are unimplemented.
+func (s *Server) setOwnership(h OwnershipHandler) { s.ownership = h }
+
+// liveMembers returns the members that are neither dead nor leaving.
+func (s *Server) liveMembers() []membership.Identity {
+	s.control.mu.Lock()
+	defer s.control.mu.Unlock()
+	return s.control.plane.Live()
+}
--- /dev/null
+++ b/internal/server/probe.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+)
+
+const (
+	// probeTimeout is the wait for an answer, direct or by way of a helper,
+	// and helperTimeout that of the helper itself.
+	probeTimeout  = 400 * time.Millisecond
+	helperTimeout = 300 * time.Millisecond
+)
+
+func (c *control) self() membership.Identity {
+	id := c.server.node.Identity()
+	return membership.Identity{Node: id.Node, Incarnation: id.Incarnation}
+}
+
+// perform carries out what the plane wants, each on its own.
+func (c *control) perform(ctx context.Context, actions []node.Action) {
+	for _, a := range actions {
+		c.server.loop(func() { c.performOne(ctx, a) })
+	}
+}
+
+func (c *control) performOne(ctx context.Context, a node.Action) {
+	switch a := a.(type) {
+	case node.AppendRecord:
+		c.append(ctx, a.Record)
+	case node.SendProbe:
+		from, ok := c.probe(ctx, a.To.Addr, probeTimeout)
+		var more []node.Action
+		c.with(func(now time.Time, p *node.Plane) { more = p.OnProbe(now, a.To.ID, from, ok) })
+		c.perform(ctx, more)
+	case node.SendProbeVia:
+		reached := c.probeVia(ctx, a.Helper, a.Target)
+		c.with(func(now time.Time, p *node.Plane) { p.OnProbeVia(now, a.Target.ID, reached) })
+	case node.CheckEvict:
+		alive := false
+		for _, h := range a.Helpers {
+			alive = alive || c.probeVia(ctx, h, a.Target)
+		}
+		var more []node.Action
+		c.with(func(now time.Time, p *node.Plane) { more = p.OnEvictChecked(now, a.Target.ID, alive) })
+		c.perform(ctx, more)
+	}
+}
+
+// probe asks whoever is at an address for its identity.
+func (c *control) probe(ctx context.Context, addr string, timeout time.Duration) (membership.Identity, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := c.clients.client(addr).Probe(ctx, connect.NewRequest(&innerpb.ProbeRequest{}))
+	if err != nil {
+		c.clients.drop(addr)
+		return membership.Identity{}, false
+	}
+	return node.IdentityOf(resp.Msg.GetFrom()), true
+}
+
+// probeVia asks a helper to probe a target; it counts as reached only if the
+// same life of it answered.
+func (c *control) probeVia(ctx context.Context, helper, target node.Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	ref := node.Ref(target.ID)
+	ref.InnerAddr = target.Addr
+	req := &innerpb.ProbeRequest{Indirect: ref, TargetIncarnation: ref.Incarnation}
+	resp, err := c.clients.client(helper.Addr).Probe(ctx, connect.NewRequest(req))
+	if err != nil {
+		c.clients.drop(helper.Addr)
+		return false
+	}
+	return resp.Msg.GetReached()
+}
+
+// spreadSuspects tells the guards of the same service in the zone what is new
+// about crashing requests; the exchange tells all others.
+func (c *control) spreadSuspects(ctx context.Context) {
+	now := c.server.node.Now()
+	known := c.server.node.Guard().Suspects(now)
+	var fresh []quarantine.Suspect
+	var peers []node.Peer
+	c.with(func(now time.Time, p *node.Plane) {
+		fresh = p.SetSuspects(now, known)
+		peers = p.ServicePeers()
+	})
+	if len(fresh) == 0 {
+		return
+	}
+	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self())}
+	for _, s := range fresh {
+		req.Suspects = append(req.Suspects, node.SuspectMessage(now, s))
+	}
+	for _, peer := range peers {
+		c.server.loop(func() {
+			ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+			defer cancel()
+			// What is lost here comes with the next exchanges.
+			_, _ = c.clients.client(peer.Addr).SpreadSuspects(ctx, connect.NewRequest(req))
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
@@ -55,7 +56,9 @@
 	peers    *proxy.Peers
 	upstream *proxy.Upstream
 	control  *control
-	announce *announcements
+	// ownership may be nil.
+	ownership OwnershipHandler
+	announce  *announcements
 
 	listeners listeners
 	servers   []*http.Server
@@ -134,7 +137,7 @@
 
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
-	s.control = newControl(s)
+	s.control = newControl(s, newControlClients(opts.Dial))
 	s.upstream = proxy.NewUpstream(s.control)
 	s.node = node.New(node.Config{
 		Identity:  s.identity(),
@@ -149,14 +152,26 @@
 		Seed:      newSeed(),
 		Sample:    s.cfg.Limits.TimelineSample,
 		Observer:  opts.Observer,
-		OnCrash:   func() { s.announce.crashed() },
+		OnCrash:   s.crashed,
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
+	s.control.bind()
 }
 
+// crashed notes that the upstream's process died: its announcement counts
+// anew, and what it ran is suspect.
+func (s *Server) crashed() {
+	s.announce.crashed()
+	s.control.kickSoon()
+}
+
+// Evicted is closed when the log says that this node is gone though it runs:
+// it has to stop and start again.
+func (s *Server) Evicted() <-chan struct{} { return s.control.gone }
+
 func (s *Server) identity() node.Identity {
 	return node.Identity{
 		Node:        s.cfg.NodeID,
@@ -189,6 +204,7 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
+	innerMux.Handle(inner.NewControlHandler(service{control: s.control}))
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
@@ -198,6 +214,8 @@
 	s.serve(s.listeners.admin, http.NewServeMux())
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
+	s.loop(func() { s.control.exchange(ctx) })
+	s.loop(func() { s.control.tick(ctx) })
 	s.loop(func() { s.tick(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
@@ -208,6 +226,11 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
 	}
+	if l == s.listeners.inner {
+		srv.Protocols = new(http.Protocols)
+		srv.Protocols.SetHTTP1(true)
+		srv.Protocols.SetUnencryptedHTTP2(true)
+	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = srv.Serve(l) })
 }
--- /dev/null
+++ b/internal/server/service.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
+	"github.com/galenagrade/galenagrade/internal/node"
+)
+
+// maxHold bounds how long a question is held, whatever its sender asks for.
+const maxHold = 5 * time.Second
+
+// service answers the control messages of other nodes.
+type service struct {
+	innerpbconnect.UnimplementedControlHandler
+	control *control
+}
+
+// Exchange implements innerpbconnect.ControlHandler.
+func (s service) Exchange(ctx context.Context, req *connect.Request[innerpb.ExchangeRequest]) (*connect.Response[innerpb.ExchangeResponse], error) {
+	c, q := s.control, req.Msg
+	received := c.server.node.Now()
+	hold := min(time.Duration(q.GetHoldUs())*time.Microsecond, maxHold)
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	c.with(func(now time.Time, p *node.Plane) { p.OnAsked(now, q) })
+	for expired := false; ; {
+		a, woken := c.answer(received, q, expired)
+		if a != nil {
+			return connect.NewResponse(a), nil
+		}
+		select {
+		case <-woken:
+		case <-timer.C:
+			expired = true
+		case <-c.closing:
+			expired = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// answer answers a question, or returns what to wait on while it is held.
+func (c *control) answer(received time.Time, q *innerpb.ExchangeRequest, expired bool) (*innerpb.ExchangeResponse, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.server.node.Now()
+	if !expired && !c.plane.MustAnswer(now, received, q) {
+		return nil, c.wake
+	}
+	return c.plane.Answer(now, received, q), nil
+}
+
+// Probe implements innerpbconnect.ControlHandler.
+func (s service) Probe(ctx context.Context, req *connect.Request[innerpb.ProbeRequest]) (*connect.Response[innerpb.ProbeResponse], error) {
+	c, q := s.control, req.Msg
+	resp := &innerpb.ProbeResponse{From: node.Ref(c.self()), Reached: true}
+	if target := q.GetIndirect(); target != nil {
+		found, ok := c.probe(ctx, target.GetInnerAddr(), helperTimeout)
+		resp.Reached = ok && found == node.IdentityOf(target)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// FetchState implements innerpbconnect.ControlHandler.
+func (s service) FetchState(context.Context, *connect.Request[innerpb.FetchStateRequest]) (*connect.Response[innerpb.FetchStateResponse], error) {
+	c := s.control
+	c.mu.Lock()
+	state, err := c.plane.State(c.server.node.Now())
+	c.mu.Unlock()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(state), nil
+}
+
+// SpreadSuspects implements innerpbconnect.ControlHandler.
+func (s service) SpreadSuspects(_ context.Context, req *connect.Request[innerpb.SpreadSuspectsRequest]) (*connect.Response[innerpb.SpreadSuspectsResponse], error) {
+	list := req.Msg.GetSuspects()
+	s.control.with(func(now time.Time, p *node.Plane) { p.OnSuspects(now, list) })
+	return connect.NewResponse(&innerpb.SpreadSuspectsResponse{Taken: uint32(len(list))}), nil
+}
+
+// Promise implements innerpbconnect.ControlHandler.
+func (s service) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
+	h := s.control.server.ownership
+	if h == nil {
+		return s.UnimplementedControlHandler.Promise(ctx, req)
+	}
+	return respond(h.Promise(ctx, req.Msg))
+}
+
+// HandOver implements innerpbconnect.ControlHandler.
+func (s service) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
+	h := s.control.server.ownership
+	if h == nil {
+		return s.UnimplementedControlHandler.HandOver(ctx, req)
+	}
+	return respond(h.HandOver(ctx, req.Msg))
+}
+
+func respond[T any](msg *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(msg), nil
+}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -19,12 +17,8 @@
 	}
 	s.node.Guard().Drain(s.node.Now())
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
-	s.loop(func() { s.control.leave() })
-}
-
-func (c *control) leave() {
-	id := c.server.node.Identity()
-	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
+	s.control.drain()
+	s.control.leave()
 }
 
 // Shutdown stops the node without cutting a call: it refuses new ones, waits
@@ -52,6 +46,7 @@
 // closeServers lets handlers end: a call that this node took from a caller for
 // another guard is also in flight.
 func (s *Server) closeServers(ctx context.Context) {
+	close(s.control.closing)
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil {
 			_ = srv.Close()
@@ -59,6 +54,7 @@
 	}
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
 
@@ -69,5 +65,6 @@
 	}
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
