Control plane: harness of twelve nodes in one goroutine, and what it found

Cause: two readers of a zone that came up at once never heard of each other, and heartbeats of a dead one went round for as long as two nodes disagreed; a restarted node put old versions in force while it folded. Change: readers ask a member of their own zone now and then; heartbeats are numbered by sender; a configuration comes in force only once the head was reached or a peer's state taken. Tests over partitions, deaths, drains and outages, with proofs and log order checked at every turn.

--- a/internal/node/plane.go
+++ b/internal/node/plane.go
@@ -116,12 +116,14 @@
 	feed    feed
 	head    logHead
 	caught  bool // the head was reached once
+	settled bool // the head was reached once or a peer's state taken
 	started time.Time
 
 	election *membership.Election
 	detector *membership.Detector
 	beat     beat
-	beats    uint64 // heartbeats of its own
+	beats    uint64                         // heartbeats of its own
+	beaten   map[membership.Identity]uint64 // newest heartbeat by sender
 	zoneIDs  []membership.Identity
 
 	me       *membership.Member // nil until the upstream is announced
@@ -144,6 +146,7 @@
 	answered time.Time // last exchange that was answered
 	crossed  uint64    // upNews of the last exchange with all zones
 	asked    time.Time // last time that all zones were told
+	askedOwn time.Time // last time that one of the own zone was asked
 	dead     map[membership.Identity]bool
 	dirty    bool
 	lastTick time.Time
@@ -159,6 +162,7 @@
 		detector: membership.NewDetector(cfg.Detector, self),
 		answered: now,
 		evicting: map[membership.Identity]bool{},
+		beaten:   map[membership.Identity]uint64{},
 		dead:     map[membership.Identity]bool{},
 		soft:     map[string]softMember{},
 		drains:   map[membership.Identity]drain{},
@@ -173,8 +177,15 @@
 // SetFollower adds whoever decides from single records; nil for nobody.
 func (p *Plane) SetFollower(f Follower) { p.follower = f }
 
-// Policy returns the configuration in force.
-func (p *Plane) Policy() *policy.State { return p.replica.Policy() }
+// Policy returns the configuration in force. A starting process folds its way
+// up from old versions; none of these comes in force, since the life before
+// may have had a newer one.
+func (p *Plane) Policy() *policy.State {
+	if !p.settled {
+		return policy.NewState()
+	}
+	return p.replica.Policy()
+}
 
 // Members returns the members of the log's fold.
 func (p *Plane) Members() *membership.View { return p.replica.Members() }
--- a/internal/node/plane_codec.go
+++ b/internal/node/plane_codec.go
@@ -136,9 +136,10 @@
 		return
 	}
 	hb := membership.Heartbeat{From: IdentityOf(r.GetNode()), Rank: r.GetRank()}
-	if hb.From == p.self || hb.From == p.beat.hb.From && r.GetSequence() <= p.beat.seq {
+	if hb.From == p.self || r.GetSequence() <= p.beaten[hb.From] {
 		return
 	}
+	p.beaten[hb.From] = r.GetSequence()
 	before, led := p.election.Leader()
 	p.election.OnHeartbeat(now, hb)
 	after, _ := p.election.Leader()
--- a/internal/node/plane_exchange.go
+++ b/internal/node/plane_exchange.go
@@ -227,6 +227,7 @@
 	since := time.Duration(a.GetHeldUs()-h.GetAgeUs()) * time.Microsecond
 	if p.replica.Next() >= int64(h.GetNextOffset()) {
 		p.caught = true
+		p.settled = true
 	}
 	p.proof(logHead{
 		known: true, t0: sent.Add(since), hops: h.GetHops(),
@@ -250,16 +251,35 @@
 // OnAskFailed notes that a peer did not answer.
 func (p *Plane) OnAskFailed(now time.Time, peer Peer) { p.failed[peer.Addr] = now }
 
-// CrossAsks returns whom to tell news at once in other zones, one node of each.
-// Only the zone's reader does, for all of its zone.
-func (p *Plane) CrossAsks(now time.Time) []Peer {
-	if !p.Leads() || p.upNews == p.crossed || now.Sub(p.asked) < p.cfg.Exchange/2 {
+// LeaderAsks returns whom a zone's reader asks besides, for answers at once:
+// with news one node of each other zone, and regularly one of its own zone.
+// Two readers that came up at the same time would never hear of each other
+// otherwise, since a reader has no parent to ask.
+func (p *Plane) LeaderAsks(now time.Time) []Peer {
+	if !p.Leads() || now.Sub(p.asked) < p.cfg.Exchange/2 {
 		return nil
 	}
-	p.asked = now
-	p.crossed = p.upNews
-	return slices.DeleteFunc(p.others(now), func(peer Peer) bool {
+	var out []Peer
+	if now.Sub(p.askedOwn) >= p.cfg.Exchange {
+		p.askedOwn = now
+		out = append(out, p.neighbour(now)...)
+	}
+	if p.upNews != p.crossed {
+		p.asked = now
+		p.crossed = p.upNews
+		out = append(out, p.others(now)...)
+	}
+	return slices.DeleteFunc(out, func(peer Peer) bool {
 		at, ok := p.failed[peer.Addr]
-		return ok && now.Sub(at) < failedFor
+		return peer.Addr == "" || ok && now.Sub(at) < failedFor
 	})
 }
+
+// neighbour returns a random live member of the zone, if there is one.
+func (p *Plane) neighbour(now time.Time) []Peer {
+	live := slices.DeleteFunc(p.detector.Live(now), func(id membership.Identity) bool { return id == p.self })
+	if len(live) == 0 {
+		return nil
+	}
+	return []Peer{p.peer(live[p.rng.IntN(len(live))])}
+}
--- a/internal/node/plane_log.go
+++ b/internal/node/plane_log.go
@@ -106,6 +106,7 @@
 	p.take(now, page)
 	if page.Next >= page.Head {
 		p.caught = true
+		p.settled = true
 	}
 	p.proof(logHead{known: true, t0: sent, next: page.Head, oldest: page.Oldest})
 }
--- a/internal/node/plane_state.go
+++ b/internal/node/plane_state.go
@@ -70,6 +70,7 @@
 		return errors.Errorf("state of %s is not whole", s.GetFrom().GetNodeId())
 	}
 	if p.replica.Adopt(config, members, next) {
+		p.settled = true
 		p.news++
 		p.membersChanged(now)
 	}
--- /dev/null
+++ b/internal/node/plane_test.go
@@ -0,0 +1,223 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+)
+
+// publish appends an accepted configuration: a template of the library.
+func (w *planeWorld) publish(id string) int64 {
+	t := policy.Library()[0]
+	t.Name = "t-" + id
+	pub := policy.Publication{ID: id, Author: "op", Template: &t}
+	rec, err := pub.Record(w.now)
+	must.NoError(w.t, err)
+	w.append(rec)
+	return int64(len(w.entries))
+}
+
+func (n *planeNode) configured(version int64) bool {
+	return int64(n.plane.Policy().Version()) >= version
+}
+
+// An operator publishes and is told that the change is accepted; right then
+// the log goes out. Callers in other zones must meet the new behaviour within
+// 9 s all the same. Cause: only one zone's reader had read the record.
+func TestConfigFollowsThroughPeersWithLogOut(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	w.settle()
+	w.logCut["b"], w.logCut["c"] = true, true
+	version := w.publish("x")
+	w.until(time.Second, "zone a reads it", func() bool { return w.named("a-0").configured(version) })
+	w.logCut[""] = true
+	took := w.until(9*time.Second, "every node follows", func() bool {
+		return w.all(func(n *planeNode) bool { return n.configured(version) })
+	})
+	t.Logf("last node after %v", took)
+}
+
+// With the log up a change is in force everywhere at once, though only two
+// nodes of a zone read it. Cause guarded against: readers that grow with the
+// number of nodes.
+func TestFewReadTheLogAndAllFollow(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	w.settle()
+	w.reads = 0
+	w.run(time.Second)
+	must.Eq(t, 2*3*int(time.Second/step), w.reads)
+	version := w.publish("x")
+	took := w.until(2*time.Second, "every node follows", func() bool {
+		return w.all(func(n *planeNode) bool { return n.configured(version) })
+	})
+	t.Logf("last node after %v", took)
+	w.run(time.Second)
+	must.True(t, w.all(func(n *planeNode) bool {
+		age, ok := n.plane.HeadAge(w.now)
+		return ok && age < 2*time.Second
+	}))
+}
+
+// A VM is replaced while the log is out. Its new node must serve within
+// seconds, with the configuration in force, and be a member for good once the
+// log is back. Cause: it can neither read state nor write its join. Until it
+// has seen every record it must decide no claim.
+func TestNodeStartsWithLogOutFromSeedPeer(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	version := w.publish("x")
+	w.settle()
+	w.logCut[""] = true
+	w.run(5 * time.Second)
+	old := w.named("b-1")
+	old.up = false
+	n := w.start("b-1", "b", 2, "a-0:1")
+	took := w.until(9*time.Second, "serves everyone", func() bool {
+		return n.configured(version) && w.all(func(o *planeNode) bool { return o.routes("b-1", 2) })
+	})
+	t.Logf("known and configured after %v", took)
+	w.run(30 * time.Second)
+	must.True(t, w.all(func(o *planeNode) bool { return o.routes("b-1", 2) && !o.routes("b-1", 1) }))
+	w.logCut[""] = false
+	w.until(30*time.Second, "joined in the log", func() bool {
+		return w.all(func(o *planeNode) bool { return o.plane.Members().Live(n.identity()) })
+	})
+	w.run(2 * time.Second)
+	must.True(t, n.plane.Whole())
+}
+
+// A node that took its state from a peer, with a claim in the part that it did
+// not see, would let a second call with the same key win, and a letter would
+// be sent twice. It has to read the claims before it decides.
+func TestStateOfPeerLeavesClaimsOpen(t *testing.T) {
+	w := newPlaneWorld(t, 2, "a")
+	raw, err := json.Marshal(idempotency.Claim{KeyHash: 7, Node: "a-0", Incarnation: 1})
+	must.NoError(t, err)
+	w.settle()
+	w.append(platform.Record{ID: "claim", Kind: platform.KindClaim, At: w.now, Body: raw})
+	for i := range 5000 {
+		w.append(platform.Record{ID: fmt.Sprint("fill", i), Kind: platform.KindDrain, At: w.now})
+	}
+	w.run(2 * time.Second)
+	w.logCut[""] = true
+	n := w.start("a-2", "a", 1, "a-0:1")
+	w.run(5 * time.Second)
+	must.Eq(t, 3, len(n.plane.Endpoints()))
+	must.False(t, n.plane.Whole())
+	w.logCut[""] = false
+	w.until(15*time.Second, "reads what it missed", n.plane.Whole)
+	holder, ok := n.plane.Replica().Claim(7)
+	must.True(t, ok)
+	must.Eq(t, "a-0", holder.Node)
+}
+
+// The VM that reads the log for its zone dies. Owners of keys in the zone must
+// not run out of proofs, so calls go on; another node takes the reading over.
+// Cause: all others hear of the log's head through that node alone.
+func TestReaderDiesAndAnotherTakesOver(t *testing.T) {
+	w := newPlaneWorld(t, 5, "a", "b")
+	w.settle()
+	first := w.leaders("a")
+	must.Len(t, 1, first)
+	first[0].up = false
+	var worst time.Duration
+	for range 200 {
+		w.run(step)
+		for _, n := range w.nodes {
+			if n.up && n.id.Zone == "a" {
+				age, _ := n.plane.HeadAge(w.now)
+				worst = max(worst, age)
+			}
+		}
+	}
+	t.Logf("oldest proof in the zone %v", worst)
+	must.Less(t, 3*time.Second, worst)
+	must.Len(t, 1, w.leaders("a"))
+	version := w.publish("x")
+	w.until(2*time.Second, "the zone follows", func() bool {
+		return w.all(func(n *planeNode) bool { return n.configured(version) })
+	})
+}
+
+// A VM ends without a word. Calls must stop being sent to it within seconds,
+// also from other zones, and its record goes. Cause: nobody announces a crash.
+func TestDeadNodeLeavesRouting(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	w.settle()
+	w.named("b-2").up = false
+	took := w.until(10*time.Second, "left out of routing in its zone", func() bool {
+		return w.all(func(n *planeNode) bool { return n.id.Zone != "b" || !n.routes("b-2", 1) })
+	})
+	t.Logf("own zone after %v", took)
+	took += w.until(10*time.Second, "left out everywhere", func() bool {
+		return w.all(func(n *planeNode) bool { return !n.routes("b-2", 1) })
+	})
+	t.Logf("all zones after %v", took)
+	must.Eq(t, 1, w.kinds(platform.KindEvict))
+}
+
+// A zone is cut off from the log and the other zones for five minutes while an
+// operator publishes. It goes on with what it has; nobody is evicted on either
+// side; after the partition it follows, and no node ever goes back (the
+// harness checks each turn). Cause: silence is no proof of death.
+func TestPartitionedZoneRejoinsWithoutRevert(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	old := w.publish("x")
+	w.settle()
+	w.logCut["c"] = true
+	w.cut[[2]string{"a", "c"}], w.cut[[2]string{"b", "c"}] = true, true
+	w.run(time.Second)
+	version := w.publish("y")
+	w.run(5 * time.Minute)
+	must.True(t, w.named("a-0").configured(version))
+	must.False(t, w.named("c-0").configured(version))
+	must.True(t, w.named("c-0").configured(old))
+	must.True(t, w.all(func(n *planeNode) bool { return len(n.plane.Endpoints()) == 12 }))
+	must.Eq(t, 0, w.kinds(platform.KindEvict))
+	clear(w.cut)
+	clear(w.logCut)
+	took := w.until(9*time.Second, "the zone follows", func() bool {
+		return w.all(func(n *planeNode) bool { return n.configured(version) })
+	})
+	t.Logf("after %v", took)
+}
+
+// A switch splits a zone in two halves that other zones still reach. Each half
+// takes the other for dead and routes around it, but nobody may be evicted:
+// evicted nodes would have to stop although they serve. Cause: liveness is
+// found inside the zone alone.
+func TestSplitZoneEvictsNobody(t *testing.T) {
+	w := newPlaneWorld(t, 6, "a", "b")
+	w.settle()
+	for _, i := range []int{3, 4, 5} {
+		w.named(fmt.Sprintf("a-%d", i)).side = "a2"
+	}
+	w.cut[[2]string{"a", "a2"}] = true
+	w.run(2 * time.Minute)
+	must.Eq(t, 0, w.kinds(platform.KindEvict))
+	clear(w.cut)
+	w.until(30*time.Second, "all route to all again", func() bool {
+		return w.all(func(n *planeNode) bool { return len(n.plane.Endpoints()) == 12 })
+	})
+}
+
+// A node is stopped as planned while the log is out. No new work may reach it
+// after 2 s, from its own zone or another. Cause: its leave record can't be
+// written, and a caller that sends it nothing sees no answer of it.
+func TestDrainReachesPeersWithLogOut(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	w.settle()
+	w.logCut[""] = true
+	w.run(10 * time.Second)
+	w.named("b-3").plane.StartDrain(w.now)
+	took := w.until(2*time.Second, "nobody sends it work", func() bool {
+		return w.all(func(n *planeNode) bool { return !n.routes("b-3", 1) })
+	})
+	t.Logf("after %v", took)
+}
--- a/internal/node/plane_tick.go
+++ b/internal/node/plane_tick.go
@@ -16,6 +16,8 @@
 	// join is written again, so that it does not expire; as much as half of it
 	// comes on top by node, to spread the members.
 	rejoinShare = 4
+	// maxBeaten bounds the readers of the zone remembered beyond their end.
+	maxBeaten = 64
 	// appendRetry is how long an append that did not show up is waited for.
 	appendRetry = 10 * time.Second
 )
@@ -93,6 +95,11 @@
 		}
 	}
 	maps.DeleteFunc(p.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= failedFor })
+	// Those that are no members any more may come round only while someone
+	// still believes in them, which is long over when this many have led.
+	maps.DeleteFunc(p.beaten, func(id membership.Identity, _ uint64) bool {
+		return len(p.beaten) > maxBeaten && p.Members().Gone(id)
+	})
 	if len(p.told) > 2*len(p.zoneIDs)+64 {
 		clear(p.told)
 	}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -190,13 +190,13 @@
 		}
 		c.spreadSuspects(ctx)
 		var actions []node.Action
-		var cross []node.Peer
+		var asks []node.Peer
 		c.with(func(now time.Time, p *node.Plane) {
 			actions = p.Tick(now)
-			cross = p.CrossAsks(now)
+			asks = p.LeaderAsks(now)
 		})
 		c.perform(ctx, actions)
-		for _, peer := range cross {
+		for _, peer := range asks {
 			c.server.loop(func() { c.ask(ctx, peer, 0) })
 		}
 	}
--- a/internal/server/hooks.go
+++ b/internal/server/hooks.go
@@ -18,12 +18,9 @@
 	HandOver(ctx context.Context, req *innerpb.HandOverRequest) (*innerpb.HandOverResponse, error)
 }
 
-// setOwnership must be called before the loops run; without a handler claims
-// in the log decide, and Promise and HandOver are unimplemented.
-func (s *Server) setOwnership(h OwnershipHandler) { s.ownership = h }
-
-// liveMembers returns the members that are neither dead nor leaving.
-func (s *Server) liveMembers() []membership.Identity {
+// LiveMembers returns the members that are neither dead nor leaving, in order.
+// Other zones' members count as live for as long as the log says so.
+func (s *Server) LiveMembers() []membership.Identity {
 	s.control.mu.Lock()
 	defer s.control.mu.Unlock()
 	return s.control.plane.Live()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,6 +43,10 @@
 	Logger zerolog.Logger
 	// Observer may be nil.
 	Observer node.Observer
+	// Ownership makes what decides who owns keys, once the node is built and
+	// before it runs. Nil leaves it to claims in the log; Promise and HandOver
+	// are then unimplemented.
+	Ownership func(*Server) OwnershipHandler
 }
 
 // Server is a running node. Make it with Start.
@@ -159,6 +163,9 @@
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
 	s.control.bind()
+	if opts.Ownership != nil {
+		s.ownership = opts.Ownership(s)
+	}
 }
 
 // crashed notes that the upstream's process died: its announcement counts
