galenabench control: what the control plane costs a node

Cause: bytes, messages, processor time and memory of control were unknown. Change: many nodes in one process, counted at the dialled connections and at the log; changes timed at the worst node. Conclusion: connections of probes are dialled anew each time, and the news of a change waits for a lucky question; both to be mended.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -19,6 +19,7 @@
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
 func main() {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -32,10 +32,11 @@
 // plane decides over the network and the log. The lock is never held across
 // I/O.
 type control struct {
-	server  *Server
-	clients *controlClients
-	kick    chan struct{} // looks at the plane at once
-	closing chan struct{} // answers what is held
+	server   *Server
+	clients  *controlClients
+	counters controlCounters
+	kick     chan struct{} // looks at the plane at once
+	closing  chan struct{} // answers what is held
 
 	mu    sync.Mutex
 	plane *node.Plane
@@ -161,6 +162,7 @@
 
 func (c *control) readOnce(ctx context.Context, from int64) {
 	wait := min(c.server.cfg.Log.ReadWait.Std(), readWait)
+	c.counters.reads.Add(1)
 	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
 	defer cancel()
 	sent := c.server.node.Now()
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -53,6 +53,7 @@
 	if hold > 0 {
 		c.server.loop(func() { c.cancelForNews(ctx, cancel, done) })
 	}
+	c.counters.exchanges.Add(1)
 	resp, err := c.clients.client(peer.Addr).Exchange(ctx, connect.NewRequest(q))
 	if err != nil {
 		if ctx.Err() != context.Canceled {
@@ -94,6 +95,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
 	req := &innerpb.FetchStateRequest{From: node.Ref(c.self())}
+	c.counters.fetches.Add(1)
 	resp, err := c.clients.client(peer.Addr).FetchState(ctx, connect.NewRequest(req))
 	if err != nil {
 		c.server.logger.Warn().Err(err).Str("peer", peer.Addr).Msg("state was not fetched")
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -58,6 +58,7 @@
 func (c *control) probe(ctx context.Context, addr string, timeout time.Duration) (membership.Identity, bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	c.counters.probes.Add(1)
 	resp, err := c.clients.client(addr).Probe(ctx, connect.NewRequest(&innerpb.ProbeRequest{}))
 	if err != nil {
 		c.clients.drop(addr)
@@ -74,6 +75,7 @@
 	ref := node.Ref(target.ID)
 	ref.InnerAddr = target.Addr
 	req := &innerpb.ProbeRequest{Indirect: ref, TargetIncarnation: ref.Incarnation}
+	c.counters.probes.Add(1)
 	resp, err := c.clients.client(helper.Addr).Probe(ctx, connect.NewRequest(req))
 	if err != nil {
 		c.clients.drop(helper.Addr)
@@ -104,6 +106,7 @@
 		c.server.loop(func() {
 			ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
 			defer cancel()
+			c.counters.spreads.Add(1)
 			// What is lost here comes with the next exchanges.
 			_, _ = c.clients.client(peer.Addr).SpreadSuspects(ctx, connect.NewRequest(req))
 		})
--- /dev/null
+++ b/internal/server/stats.go
@@ -0,0 +1,27 @@
+package server
+
+import "sync/atomic"
+
+// ControlStats counts since the start what a node's control plane sent.
+type ControlStats struct {
+	Exchanges, Probes, Spreads, Fetches uint64
+	// Reads and Appends count requests to the log, failed ones included.
+	Reads, Appends uint64
+}
+
+type controlCounters struct {
+	exchanges, probes, spreads, fetches, reads atomic.Uint64
+}
+
+// ControlStats returns the counters.
+func (s *Server) ControlStats() ControlStats {
+	n := &s.control.counters
+	return ControlStats{
+		Exchanges: n.exchanges.Load(),
+		Probes:    n.probes.Load(),
+		Spreads:   n.spreads.Load(),
+		Fetches:   n.fetches.Load(),
+		Reads:     n.reads.Load(),
+		Appends:   uint64(s.appender.Stats().Appends),
+	}
+}
