Control connections: idle ones are closed by this package

Cause: net/http counts an HTTP/2 connection's idle time from its making, and past it dials, and closes, one connection for each message. Change: no IdleConnTimeout; clients unused for 15 s are closed.

--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -14,9 +14,6 @@
 	// controlIdle bounds the age of an idle connection for control: a node
 	// probes six peers in turn, one a second, and keeps theirs open.
 	controlIdle = 15 * time.Second
-	// maxControlClients bounds the clients kept; the least is lost by making
-	// all anew, since those in use are few.
-	maxControlClients = 64
 )
 
 // controlClients keeps a client for each address. Control messages go over
@@ -33,6 +30,7 @@
 type controlClient struct {
 	innerpbconnect.ControlClient
 	transport *http.Transport
+	used      time.Time
 }
 
 func newControlClients(dial proxy.DialFunc) *controlClients {
@@ -42,25 +40,37 @@
 func (c *controlClients) client(addr string) *controlClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	c.sweepLocked(now)
 	if got, ok := c.byID[addr]; ok {
+		got.used = now
 		return got
 	}
-	if len(c.byID) >= maxControlClients {
-		c.closeLocked()
-	}
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
+	// The transport's own IdleConnTimeout counts from the making of an HTTP/2
+	// connection: past it every message would dial one that it then closes.
 	t := &http.Transport{
 		DialContext:        c.dial,
 		Protocols:          &protocols,
-		IdleConnTimeout:    controlIdle,
 		DisableCompression: true,
 	}
-	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t}
+	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t, used: now}
 	c.byID[addr] = got
 	return got
 }
 
+// sweepLocked closes connections that were not used for a while; a question
+// that is held ends long before.
+func (c *controlClients) sweepLocked(now time.Time) {
+	for addr, got := range c.byID {
+		if now.Sub(got.used) > controlIdle {
+			got.transport.CloseIdleConnections()
+			delete(c.byID, addr)
+		}
+	}
+}
+
 // drop forgets the connection to an address on which an answer failed to come:
 // it may have gone silent for good while a new one works.
 func (c *controlClients) drop(addr string) {
