Requests that crash upstreams: marks travel with retries, suspects run at one guard

Cause: a retry of a request that killed an upstream reached the next guard before any news of it. Change: an answer names the upstream incarnation that died; the entry node witnesses it, carries the records on the retry and sends suspects to their home guard; a guard asks again right before dispatch.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -7,7 +7,7 @@
 
 const (
 	// poisonShare is small: now and then a single request crashes upstreams.
-	poisonShare = 0.0005
+	poisonShare = 0.001
 	// crashDowntime is how long a crashed upstream takes to come back.
 	crashDowntime = time.Second
 	// stopBound is the longest deadline of a call plus the notice of leaving.
--- a/internal/inner/context.go
+++ b/internal/inner/context.go
@@ -7,7 +7,7 @@
 )
 
 // FromContext makes the header of a call sent at now with allowance retries
-// escrowed to it. BodyHash, TargetIncarnation, Reattach, SuspectCrashes and
+// escrowed to it. BodyHash, TargetIncarnation, Reattach, Marks and
 // FromNode are the sender's to fill in.
 func FromContext(c *callctx.Context, now time.Time, allowance uint32) *CallHeader {
 	h := &CallHeader{
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -23,8 +23,8 @@
 	BodyHash uint64
 	// Allowance is the share of the retry allowance that travels along.
 	Allowance int
-	// Crashes counts the upstreams seen to die while running this request.
-	Crashes int
+	// Marks are the records of upstreams that died running this request.
+	Marks []quarantine.Suspect
 	// Reattach says that an earlier sending of the same call ID got no answer.
 	Reattach bool
 }
@@ -67,8 +67,9 @@
 	Load *routing.LoadReport
 	// Upstream is the node that produced the answer; empty when none did.
 	Upstream string
-	// Crashed says that the upstream died while it ran the call.
-	Crashed bool
+	// Crashed is the incarnation of the upstream that died while it ran the
+	// call; 0 when none did.
+	Crashed uint64
 }
 
 // Refused makes the answer of a call that ends without a whole one.
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -46,6 +48,10 @@
 	Throttle(service string) *retry.Throttle
 	// RetryPolicy returns the backoff in force.
 	RetryPolicy() retry.Policy
+	// Suspicion returns the records against the call's request, if any.
+	Suspicion(now time.Time, call *Call) []quarantine.Suspect
+	// Witness records that an upstream died while it ran the call.
+	Witness(now time.Time, call *Call, a *Answer)
 	// NewID returns a fresh call ID.
 	NewID() string
 }
@@ -66,7 +72,8 @@
 	unproven *Answer
 	attempts int
 	retries  int
-	crashes  int
+	marks    []quarantine.Suspect
+	held     bool // paused once until a suspect may run
 	pause    time.Duration
 	final    *Answer
 	target   *routing.Target
@@ -112,23 +119,41 @@
 
 func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
 	info := routing.PickInfo{
-		Service:          d.call.Ctx.Service,
-		Rank:             admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
-		Avoid:            d.tried,
-		Node:             d.next,
-		SuspectedCrasher: d.crashes > 0,
+		Service: d.call.Ctx.Service,
+		Rank:    admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
+		Avoid:   d.tried,
+		Node:    d.next,
 	}
-	if info.Node == "" && d.call.Keyed() {
+	d.marks = d.router.Suspicion(now, d.call)
+	switch {
+	case info.Node != "":
+	case d.call.Keyed():
 		info.Node = d.router.Owner(d.call)
+	case len(d.marks) > 0:
+		info.SuspectedCrasher = true
+		info.Node = d.home()
 	}
 	return d.router.Table().Pick(now, d.rng, info)
 }
 
+// home names the one guard where a suspect may run, so that two guards don't
+// lose their upstreams to it at the same time.
+func (d *Dispatch) home() string {
+	var candidates []string
+	for _, t := range d.router.Table().Targets(d.call.Ctx.Service) {
+		node := t.Endpoint().Node
+		if !slices.Contains(d.tried, node) {
+			candidates = append(candidates, node)
+		}
+	}
+	return quarantine.Home(d.call.Fingerprint(), candidates)
+}
+
 func (d *Dispatch) send(now time.Time, target *routing.Target) Order {
 	attempt := *d.call
 	attempt.Ctx.CallID = d.router.NewID()
 	attempt.Allowance = d.account.Split()
-	attempt.Crashes = d.crashes
+	attempt.Marks = d.marks
 	d.attempts++
 	d.target = target
 	d.sent = now
@@ -150,8 +175,9 @@
 	if countsAgainstThrottle(a.Code) {
 		throttle.Failure()
 	}
-	if a.Crashed {
-		d.crashes++
+	if a.Crashed != 0 {
+		a.Upstream = d.target.Endpoint().Node
+		d.router.Witness(now, d.call, a)
 	}
 	if a.Code.Ran() != result.RanNo && d.unproven == nil {
 		d.unproven = a
@@ -160,6 +186,9 @@
 }
 
 func (d *Dispatch) decide(now time.Time, a *Answer, throttle *retry.Throttle) {
+	if d.hold(now, a) {
+		return
+	}
 	action, wait := retry.Decide(retry.Attempt{
 		Code:       a.Code,
 		AllFull:    a.Refusal.AllFull,
@@ -184,6 +213,23 @@
 	}
 }
 
+// hold waits, once, until a request that was in flight at a crash may run
+// alone: the news of other crashes needs a moment to arrive.
+func (d *Dispatch) hold(now time.Time, a *Answer) bool {
+	wait := a.Refusal.RetryAfter
+	inFlight := d.unproven != nil && d.unproven.Crashed != 0
+	if a.Code != result.Quarantined || !inFlight || d.held || wait <= 0 {
+		return false
+	}
+	if d.call.Ctx.Remaining(now) < 2*wait || !d.account.Spend() {
+		return false
+	}
+	d.held = true
+	d.retries++
+	d.pause = wait
+	return true
+}
+
 // countsAgainstThrottle leaves out what says nothing about the destination.
 func countsAgainstThrottle(c result.Code) bool {
 	switch c {
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
@@ -101,6 +102,11 @@
 	draining   bool
 	upstreamUp bool
 	slots      int
+	// upstreamIncarnation numbers the lives of the local upstream.
+	upstreamIncarnation uint64
+	// suspicion is false while no request is suspected of crashing upstreams.
+	suspicion  atomic.Bool
+	onSuspects func([]quarantine.Suspect)
 }
 
 // NewGuard makes the guard of a node incarnation without an upstream.
@@ -191,24 +197,14 @@
 	if !g.upstreamUp {
 		return result.Refuse(result.NoUpstream, "no upstream is announced to this node")
 	}
-	fp := call.Fingerprint()
-	if call.Crashes > 0 {
-		g.mergeCrashesLocked(now, fp, call)
+	if len(call.Marks) == 0 && !g.suspicion.Load() {
+		return nil
 	}
-	return g.quarantine.Admit(now, fp)
-}
-
-// mergeCrashesLocked takes over what the sender saw: a retry of a request that
-// killed an upstream reaches us sooner than its peers' suspicion.
-func (g *Guard) mergeCrashesLocked(now time.Time, fp quarantine.Fingerprint, call *Call) {
-	for i := range call.Crashes {
-		g.quarantine.Merge(now, quarantine.Suspect{
-			Fingerprint: fp,
-			Upstream:    "carried:" + call.Ctx.RequestID,
-			Incarnation: uint64(i),
-			At:          now,
-		})
+	for _, mark := range call.Marks {
+		g.quarantine.Merge(now, mark)
+		g.suspicion.Store(true)
 	}
+	return g.quarantine.Admit(now, call.Fingerprint())
 }
 
 // beginKeyLocked looks the key up; settled says that the call does not go on
@@ -288,6 +284,13 @@
 			return
 		}
 	}
+	if g.suspicion.Load() {
+		// Another suspect may have started while this one waited.
+		if refusal := g.quarantine.Admit(now, e.fingerprint); refusal != nil {
+			g.notRunLocked(now, e, refusal, d)
+			return
+		}
+	}
 	e.phase = phaseRunning
 	e.started = now
 	g.quarantine.Started(now, e.fingerprint)
@@ -332,7 +335,9 @@
 	var d due
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
-		g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		if cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole()); len(cleared) > 0 {
+			d = append(d, func() { g.onSuspects(cleared) })
+		}
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
 	}
@@ -443,6 +448,7 @@
 	g.applyLocked(now, g.admission.Tick(now), &d)
 	g.trimLocked(now)
 	g.keys.Expire(now)
+	g.refreshSuspicionLocked(now)
 	g.mu.Unlock()
 	d.settle()
 }
--- /dev/null
+++ b/internal/node/guard_suspects.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+)
+
+// MergeSuspects takes over what peers know of crashing requests and returns
+// what was news, to be passed on.
+func (g *Guard) MergeSuspects(now time.Time, suspects []quarantine.Suspect) []quarantine.Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var news []quarantine.Suspect
+	for _, s := range suspects {
+		if g.quarantine.Merge(now, s) {
+			g.suspicion.Store(true)
+			news = append(news, s)
+		}
+	}
+	return news
+}
+
+// Suspects returns what this node knows of crashing requests.
+func (g *Guard) Suspects(now time.Time) []quarantine.Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Snapshot(now)
+}
+
+// marks returns the records against a request. In ordinary times nothing is
+// suspected, and that costs one atomic read.
+func (g *Guard) marks(now time.Time, call *Call) []quarantine.Suspect {
+	if !g.suspicion.Load() {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Marks(now, call.Fingerprint())
+}
+
+// witness records at the entry node that an upstream died running a call.
+func (g *Guard) witness(now time.Time, call *Call, a *Answer) quarantine.Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspicion.Store(true)
+	return g.quarantine.Witnessed(now, call.Fingerprint(), a.Upstream, a.Crashed)
+}
+
+// refreshSuspicionLocked returns to the cheap path once nothing is suspected.
+func (g *Guard) refreshSuspicionLocked(now time.Time) {
+	if g.suspicion.Load() && len(g.quarantine.Snapshot(now)) == 0 {
+		g.suspicion.Store(false)
+	}
+}
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -19,6 +19,7 @@
 	}
 	g.upstreamUp = true
 	g.slots = cfg.Slots
+	g.upstreamIncarnation = uint64(now.UnixNano())
 	g.admission = admission.New(cfg, now)
 }
 
@@ -36,11 +37,12 @@
 // UpstreamDown says that the local upstream's process died. What it ran
 // becomes suspect; what waited is refused as not run. Reports of the same
 // death by several calls count once: only the first finds the upstream up.
-func (g *Guard) UpstreamDown(now time.Time, upstream string) []quarantine.Suspect {
+func (g *Guard) UpstreamDown(now time.Time, upstream string) (incarnation uint64, suspects []quarantine.Suspect, first bool) {
 	g.mu.Lock()
+	incarnation = g.upstreamIncarnation
 	if !g.upstreamUp {
 		g.mu.Unlock()
-		return nil
+		return incarnation, nil, false
 	}
 	g.upstreamUp = false
 	var running []quarantine.Fingerprint
@@ -53,7 +55,8 @@
 			waiting = append(waiting, e)
 		}
 	}
-	suspects := g.quarantine.Crashed(now, upstream, uint64(now.UnixNano()), running)
+	suspects = g.quarantine.Crashed(now, upstream, incarnation, running)
+	g.suspicion.Store(true)
 	var d due
 	for _, e := range waiting {
 		g.admission.Abandon(now, e.call.Ctx.CallID)
@@ -62,23 +65,7 @@
 	}
 	g.mu.Unlock()
 	d.settle()
-	return suspects
-}
-
-// MergeSuspects takes over what peers know of crashing requests.
-func (g *Guard) MergeSuspects(now time.Time, suspects []quarantine.Suspect) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range suspects {
-		g.quarantine.Merge(now, s)
-	}
-}
-
-// Suspects returns what this node knows of crashing requests.
-func (g *Guard) Suspects(now time.Time) []quarantine.Suspect {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Snapshot(now)
+	return incarnation, suspects, true
 }
 
 // Drain refuses new calls from now on; those in flight go on.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -56,6 +57,9 @@
 	Observer Observer
 	// OnCrash is called when the local upstream's process died; may be nil.
 	OnCrash func()
+	// OnSuspects is given records of crashing requests for the peers; may be
+	// nil. It must not block.
+	OnSuspects func([]quarantine.Suspect)
 }
 
 // Observer is told how calls end at their entry or exit node. It is called
@@ -90,6 +94,7 @@
 	}
 	now := cfg.Clock.Now()
 	n.guard = NewGuard(cfg.Guard, cfg.Identity.Incarnation, cfg.Runner, cfg.Authority, now)
+	n.guard.onSuspects = n.spread
 	n.policy.Store(policy.NewState())
 	n.table.Store(routing.NewTable(nil, cfg.Routing, n.self(), nil, now))
 	return n
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -27,18 +27,34 @@
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
 }
 
-// UpstreamCrashed records the death of the local upstream's process and
-// returns the requests that it ran as suspects.
-func (n *Node) UpstreamCrashed(now time.Time) []quarantine.Suspect {
-	suspects := n.guard.UpstreamDown(now, n.ID())
-	if suspects == nil {
-		return nil
+// UpstreamCrashed records the death of the local upstream's process, once, and
+// spreads what it ran as suspects. It returns the incarnation that died last.
+func (n *Node) UpstreamCrashed(now time.Time) uint64 {
+	incarnation, suspects, first := n.guard.UpstreamDown(now, n.ID())
+	if first {
+		n.spread(suspects)
+		n.Event(now, timeline.Event{Kind: timeline.UpstreamCrashed, Upstream: n.ID()})
+		if n.cfg.OnCrash != nil {
+			n.cfg.OnCrash()
+		}
 	}
-	n.Event(now, timeline.Event{Kind: timeline.UpstreamCrashed, Upstream: n.ID()})
-	if n.cfg.OnCrash != nil {
-		n.cfg.OnCrash()
+	return incarnation
+}
+
+func (n *Node) spread(suspects []quarantine.Suspect) {
+	if len(suspects) > 0 && n.cfg.OnSuspects != nil {
+		n.cfg.OnSuspects(suspects)
 	}
-	return suspects
+}
+
+// Suspicion implements Router.
+func (n *Node) Suspicion(now time.Time, call *Call) []quarantine.Suspect {
+	return n.guard.marks(now, call)
+}
+
+// Witness implements Router.
+func (n *Node) Witness(now time.Time, call *Call, a *Answer) {
+	n.spread([]quarantine.Suspect{n.guard.witness(now, call, a)})
 }
 
 // admissionConfig derives the guard's limits from any instance that covers the
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -57,7 +57,7 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.SuspectCrashes = uint32(attempt.Crashes)
+	h.Marks = inner.FromSuspects(attempt.Marks, s.peers.node.Now())
 	h.FromNode = s.peers.node.ID()
 	return h
 }
@@ -98,7 +98,7 @@
 		Code:     result.Code(h.GetCode()),
 		Unused:   int(h.GetUnusedAllowance()),
 		Load:     decodeLoad(h.GetLoad()),
-		Crashed:  h.GetUpstreamCrashed(),
+		Crashed:  h.GetCrashedIncarnation(),
 		Upstream: from,
 	}
 	if !h.GetWhole() {
@@ -150,19 +150,19 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Crashes:   int(h.GetSuspectCrashes()),
+		Marks:     inner.ToSuspects(h.GetMarks(), p.node.Now()),
 		Reattach:  h.GetReattach(),
 	}
 }
 
 func writeInner(w http.ResponseWriter, a *node.Answer) {
 	h := &innerpb.AnswerHeader{
-		CallId:          a.CallID,
-		Code:            uint32(a.Code),
-		UnusedAllowance: uint32(a.Unused),
-		Load:            encodeLoad(a.Load),
-		UpstreamCrashed: a.Crashed,
-		Whole:           a.Whole(),
+		CallId:             a.CallID,
+		Code:               uint32(a.Code),
+		UnusedAllowance:    uint32(a.Unused),
+		Load:               encodeLoad(a.Load),
+		CrashedIncarnation: a.Crashed,
+		Whole:              a.Whole(),
 	}
 	status := a.Status
 	if !a.Whole() {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -225,22 +225,22 @@
 // connections break at once, but only a dead one refuses a new one. Any other
 // error, such as this process running out of descriptors, says nothing about
 // the upstream.
-func (u *Upstream) probeCrash() bool {
+// It returns the incarnation that died, 0 when none did.
+func (u *Upstream) probeCrash() uint64 {
 	conn, err := net.DialTimeout("tcp", u.Addr(), crashProbeTimeout)
 	if err == nil {
 		_ = conn.Close()
-		return false
+		return 0
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
+		return 0
 	}
-	u.crashed()
-	return true
+	return u.crashed()
 }
 
-func (u *Upstream) crashed() {
+func (u *Upstream) crashed() uint64 {
 	u.client.CloseIdleConnections()
-	u.node.UpstreamCrashed(u.node.Now())
+	return u.node.UpstreamCrashed(u.node.Now())
 }
 
 func (u *Upstream) read(ctx context.Context, call *node.Call, resp *http.Response) *node.Answer {
