Silence outlasts impatient callers; ejection compares settled shares

Cause: two faults found by tests. A silent upstream whose callers leave early looked idle after each of them and got the next call. An endpoint was ejected as an outlier among peers that failed as often, since the moving shares of peers with few samples still started from 0.

--- a/internal/routing/eject.go
+++ b/internal/routing/eject.go
@@ -101,11 +101,14 @@
 	return excess > 0 && excess > g.svc.peerFailures(g)
 }
 
-// peerFailures is the mean share of failures of the others in use.
+// peerFailures is the mean share of failures of the others in use; 1, hence no
+// ground for ejection, when there are none. Peers with few samples do not
+// count: their average still starts from 0, and beside them one of several
+// that fail alike would look like the outlier.
 func (s *service) peerFailures(g *Target) float64 {
 	sum, n := 0.0, 0
 	for _, peer := range *s.targets.Load() {
-		if peer == g || peer.ejection.out() || peer.samples.Load() == 0 {
+		if peer == g || peer.ejection.out() || peer.samples.Load() < minRatioSamples {
 			continue
 		}
 		sum += peer.failed.load()
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -66,8 +66,8 @@
 	// A target that holds calls and gives no answer is at least as slow as
 	// its silence is long. Without this a silent upstream keeps the good
 	// estimate of its last answer until its first calls time out.
-	if g.inFlight.Load() > 0 {
-		latency = max(latency, float64(at-g.progressAt.Load()))
+	if since := g.silentSince.Load(); since != 0 && g.inFlight.Load() > 0 {
+		latency = max(latency, float64(at-since))
 	}
 	return min(max(latency/mean, minLatencyFactor), maxLatencyFactor)
 }
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -30,9 +30,9 @@
 	incarnation atomic.Uint64
 
 	inFlight atomic.Int64
-	// progressAt is when the target last gave any answer, or when its
-	// first call in flight was sent.
-	progressAt atomic.Int64
+	// silentSince is when the target was last heard of or, if later, sent
+	// the first call that it has not answered; 0 when it owes no answer.
+	silentSince atomic.Int64
 	// answeredAt is when it last gave any answer; 0 for never.
 	answeredAt atomic.Int64
 
@@ -77,8 +77,9 @@
 // Start counts a call that is being sent to the target. Every Start is
 // followed by exactly one Done.
 func (g *Target) Start(now time.Time) {
-	if g.inFlight.Add(1) == 1 {
-		g.progressAt.Store(g.svc.nanos(now))
+	g.inFlight.Add(1)
+	if g.silentSince.Load() == 0 {
+		g.silentSince.CompareAndSwap(0, g.svc.nanos(now))
 	}
 }
 
@@ -91,10 +92,7 @@
 	if load != nil {
 		g.noteReport(at, load, own)
 	}
-	if o == Answered || o == Refused || o == Failed {
-		g.progressAt.Store(at)
-		g.answeredAt.Store(at)
-	}
+	g.noteSilence(at, o, latency, own-1)
 	g.noteLatency(o, float64(max(latency, 1)))
 	g.noteShares(o)
 	if o != Cancelled {
@@ -103,6 +101,23 @@
 	g.noteEjection(at, o, cfg)
 }
 
+// noteSilence ends the silence with any answer. Calls that were given up do not
+// end it, even when none is left: a target that swallows calls whose callers
+// leave early would else look idle, and be sent the next. One that was not
+// given its usual time to answer owes nothing.
+func (g *Target) noteSilence(at int64, o Outcome, latency time.Duration, left int64) {
+	switch {
+	case o == Answered || o == Refused || o == Failed:
+		g.answeredAt.Store(at)
+		if left == 0 {
+			at = 0
+		}
+		g.silentSince.Store(at)
+	case o == Cancelled && left == 0 && float64(latency) < g.latency.load():
+		g.silentSince.Store(0)
+	}
+}
+
 // noteReport keeps the report. A report from another incarnation means that
 // the process behind the address was replaced before membership said so:
 // what was learned of the old one would make a cold process look warm, or a
@@ -124,6 +139,7 @@
 	g.failed.store(0)
 	g.consecutive.Store(0)
 	g.samples.Store(0)
+	g.silentSince.Store(0)
 	g.report.clear()
 	g.ejection.clear()
 	g.ramp.restart(at)
