Room in an old report draws no crowd

When all others queued, the slow one, left alone and so not heard of, was the only one with 'room', and all senders sent to it until its first answers came. Change: a target with room is taken only if it costs no more than the best busy one that was met. A latency below the mean of the service attracts no more. Tests pass, also under the race detector.

--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -149,19 +149,34 @@
 		return a
 	case vb == probeDue && b.ejection.takeProbe(c.at, c.cfg):
 		return b
+	}
+	c.remember(a, va)
+	c.remember(b, vb)
+	switch {
 	case va == hasRoom && vb == hasRoom:
 		if a.score(c.at, c.cfg) <= b.score(c.at, c.cfg) {
 			return a
 		}
 		return b
 	case va == hasRoom:
-		return a
+		return c.orBusy(a)
 	case vb == hasRoom:
-		return b
+		return c.orBusy(b)
 	}
 	return nil
 }
 
+// orBusy returns g, which has room, or the best busy target when even with its
+// queue that one costs less. Room is what a report said some time ago; when
+// all others queue, every sender in turn would take the one upstream that was
+// slow or failing, hence left alone and not heard of, and bury it in calls.
+func (c *choice) orBusy(g *Target) *Target {
+	if c.busy != nil && c.busyScore < g.score(c.at, c.cfg) {
+		return c.busy
+	}
+	return g
+}
+
 // scan looks through the tier for a target with room: the prefix from a random
 // start, then the rest in order, which widens the subset by as little as the
 // saturation asks for.
@@ -173,7 +188,7 @@
 		}
 		v := c.judge(g)
 		if v == hasRoom {
-			return g
+			return c.orBusy(g)
 		}
 		if v == probeDue && g.ejection.takeProbe(c.at, c.cfg) {
 			return g
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,9 +1,9 @@
 package routing
 
 const (
-	// Bounds of the latency factor. Below minLatencyFactor a short latency
-	// attracts no more, so that one quick endpoint is not flooded.
-	minLatencyFactor = 0.25
+	// Bounds of the latency factor. A latency below the mean attracts no
+	// more, so that one quick endpoint is not flooded.
+	minLatencyFactor = 1
 	maxLatencyFactor = 16
 	// minGoodShare bounds the penalty for refusals and failures at 400.
 	minGoodShare = 0.05
--- a/internal/routing/story_test.go
+++ b/internal/routing/story_test.go
@@ -211,7 +211,7 @@
 	g.Start(n.now)
 	g.Done(n.now, Answered, 1, &LoadReport{InFlight: 20, Queued: 1, Limit: 20, Threshold: NoThreshold})
 	must.Eq(t, "omuta-0", n.send(PickInfo{}))
-	n.now = n.now.Add(n.cfg.LoadAge + 1)
+	n.advance(n.now.Add(n.cfg.LoadAge + time.Second))
 	must.Eq(t, "saga-0", n.send(PickInfo{}))
 }
 
@@ -285,6 +285,26 @@
 	must.Less(t, 1000, lost)
 }
 
+// Load is high and all good upstreams queue a little. Callers see a tenth of
+// their calls take half a second: the slow upstream that all senders left
+// alone last said, a while ago, that it has room, and all turn to it at once.
+func TestStory_OldRoomAtSlowUpstreamDrawsNoCrowd(t *testing.T) {
+	n := newFakeNode(t, DefaultConfig(), upstreams("saga", 4, 20)...)
+	for i, g := range n.table.Targets("archive") {
+		latency, report := 10*time.Millisecond, LoadReport{InFlight: 20, Queued: 1, Limit: 20, Threshold: NoThreshold}
+		if i == 0 {
+			latency, report.Queued, report.InFlight = 100*time.Millisecond, 0, 10
+		}
+		for range 200 {
+			g.Start(n.now)
+			g.Done(n.now, Answered, latency, &report)
+		}
+	}
+	for range 20 {
+		must.NotEq(t, "saga-0", n.send(PickInfo{Rank: lowRank}))
+	}
+}
+
 // A platform hiccup makes membership doubt a zone that answers every call. If
 // the doubt were obeyed the others would be overrun for no reason.
 func TestStory_SuspectThatAnswersIsUsed(t *testing.T) {
