Old queue reports: test with a plausible latency

Cause: the test passed with the ageing of 'busy' reports taken out. Change: its first answer takes 10 ms, not 1 ns, so latency decides nothing. Measured: passes; fails with the ageing taken out.

--- a/internal/routing/story_test.go
+++ b/internal/routing/story_test.go
@@ -209,7 +209,7 @@
 	n := newFakeNode(t, DefaultConfig(), upstream("saga", 0, 20), upstream("omuta", 0, 20))
 	g := n.table.ByNode("saga-0")
 	g.Start(n.now)
-	g.Done(n.now, Answered, 1, &LoadReport{InFlight: 20, Queued: 1, Limit: 20, Threshold: NoThreshold})
+	g.Done(n.now, Answered, 10*time.Millisecond, &LoadReport{InFlight: 20, Queued: 1, Limit: 20, Threshold: NoThreshold})
 	must.Eq(t, "omuta-0", n.send(PickInfo{}))
 	n.advance(n.now.Add(n.cfg.LoadAge + time.Second))
 	must.Eq(t, "saga-0", n.send(PickInfo{}))
