--- a/internal/policy/library.go
+++ b/internal/policy/library.go
@@ -8,7 +8,7 @@
 }
 
 // common are the parameters that every ready template has.
-func common(allowance, timeout, most, horizon, queue string) []Parameter {
+func common(allowance, timeout, most, horizon, keep, queue string) []Parameter {
 	return []Parameter{
 		{Name: "retry_allowance", Type: TypeInt, Unit: "retries", Default: allowance, Min: "0", Max: "4",
 			Help: "retries of one root request over its whole tree"},
@@ -18,6 +18,8 @@
 			Help: "longest time a caller may ask for"},
 		{Name: "resend_horizon", Type: TypeDuration, Unit: "duration", Default: horizon, Min: "10s", Max: "24h",
 			Help: "how long callers may send a key again"},
+		{Name: "keep_answers", Type: TypeDuration, Unit: "duration", Default: keep, Min: "10s", Max: "24h",
+			Help: "how long an answer is kept for resends"},
 		{Name: "queue_limit", Type: TypeInt, Unit: "calls", Default: queue, Min: "0", Max: "1024",
 			Help: "calls that wait at one guard; about half its slots is usual"},
 		{Name: "slow_start", Type: TypeDuration, Unit: "duration", Default: "10s", Min: "0s", Max: "5m",
@@ -31,6 +33,7 @@
 		DefaultTimeout: "$default_timeout",
 		MaxTimeout:     "$max_timeout",
 		ResendHorizon:  "$resend_horizon",
+		KeepAnswers:    "$keep_answers",
 		QueueLimit:     "$queue_limit",
 		SlowStart:      "$slow_start",
 	}
@@ -43,17 +46,14 @@
 	b.KeyRequired = "true"
 	b.AtMostOnce = AtMostOnceOwnership
 	b.IdempotentMethods = "GET,HEAD,OPTIONS"
-	b.KeepAnswers = "$keep_answers"
 	b.RetryRatio = "0.05"
 	b.MaxWait = "2s"
 	b.SojournTarget = "50ms"
 	b.SojournInterval = "200ms"
-	params := append(common("1", "20s", "60s", "30m", "90"),
-		Parameter{Name: "keep_answers", Type: TypeDuration, Unit: "duration", Default: "30m", Min: "1m", Max: "24h",
-			Help: "how long an answer is kept for resends"})
 	return Template{
-		Name: "strict", Revision: 1, Parameters: params, Behaviour: b,
-		Help: "calls with effects outside: a key is required, answers are kept long, few retries",
+		Name: "strict", Revision: 1, Behaviour: b,
+		Parameters: common("1", "20s", "60s", "30m", "30m", "90"),
+		Help:       "calls with effects outside: a key is required, answers are kept long, few retries",
 	}
 }
 
@@ -66,7 +66,7 @@
 	b.MaxWait = "$max_wait"
 	b.SojournTarget = "20ms"
 	b.SojournInterval = "100ms"
-	params := append(common("2", "10s", "30s", "10m", "64"),
+	params := append(common("2", "10s", "30s", "10m", "5m", "64"),
 		Parameter{Name: "key_required", Type: TypeBool, Default: "true",
 			Help: "refuse a non-idempotent call without Idempotency-Key"},
 		Parameter{Name: "max_wait", Type: TypeDuration, Unit: "duration", Default: "1s", Min: "10ms", Max: "10s",
@@ -91,7 +91,7 @@
 	b.WorthHigh = "$worth_high"
 	b.WorthNormal = "$worth_normal"
 	b.WorthLow = "1"
-	params := append(common("1", "3s", "10s", "10m", "24"),
+	params := append(common("1", "3s", "10s", "10m", "5m", "24"),
 		Parameter{Name: "key_required", Type: TypeBool, Default: "true",
 			Help: "refuse a non-idempotent call without Idempotency-Key"},
 		Parameter{Name: "max_wait", Type: TypeDuration, Unit: "duration", Default: "250ms", Min: "5ms", Max: "5s",
