Ownership driven by the server: takeovers, promises, moves and planned hand-over

Change: the server performs lease plans; a planned stop hands keys over first and leaves the log last; the entry node sends keyed calls to the owner.

--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -49,6 +49,8 @@
 	Good    bool
 	// Poison requests crash the upstreams that run them and can't be answered.
 	Poison bool
+	// issued is when the request's key was made.
+	issued time.Time
 	Sends  []Sending
 }
 
@@ -107,6 +109,7 @@
 		Kind:    c.pickKind(),
 		Level:   c.pickLevel(),
 		Arrived: time.Since(c.start),
+		issued:  time.Now(),
 	}
 	o.Poison = c.rng.Float64() < c.poison
 	caller := strconv.Itoa(c.rng.IntN(distinctCallers))
@@ -170,6 +173,9 @@
 	header := http.Header{}
 	header.Set(upstream.HeaderOp, o.Op)
 	header.Set(upstream.HeaderAttempt, s.Attempt)
+	issued := o.issued.UTC().Format(time.RFC3339Nano)
+	header.Set(callctx.HeaderIssuedAt, issued)
+	header.Set(upstream.HeaderIssued, issued)
 	if o.Poison {
 		header.Set(upstream.HeaderPoison, o.Kind.Service)
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -12,11 +12,6 @@
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
-// maxRedirects bounds how often a call is sent on to the owner of its key.
-// Two hops settle a takeover that happens while the call travels; more would
-// only follow two nodes that disagree.
-const maxRedirects = 2
-
 // OrderKind says what the holder of a Dispatch does next.
 type OrderKind int
 
@@ -44,6 +39,8 @@
 	Table() *routing.Table
 	// Owner returns the node that owns the call's key; empty when any may run it.
 	Owner(call *Call) string
+	// At returns the node of a service at an inner address; empty when unknown.
+	At(service, addr string) string
 	// Throttle returns the retry throttle of a destination service.
 	Throttle(service string) *retry.Throttle
 	// RetryPolicy returns the backoff in force.
@@ -201,9 +198,10 @@
 		Rand:       d.rng,
 	}, d.router.RetryPolicy())
 	switch {
-	case action == retry.AskOwner && d.redirects < maxRedirects:
+	case action == retry.AskOwner:
 		d.redirects++
-		d.next = a.Refusal.Owner
+		d.next = d.router.At(d.call.Ctx.Service, a.Refusal.Owner)
+		d.pause = wait
 	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
 		d.retries++
 		d.tried = append(d.tried, d.target.Endpoint().Node)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -167,18 +167,6 @@
 	g.keepLocked(now, e)
 }
 
-func (g *Guard) considerLocked(now time.Time, call *Call, w Waiter, d *due) (int, *Answer) {
-	if refusal := g.refuseLocked(now, call); refusal != nil {
-		return 0, g.refusedLocked(call, refusal)
-	}
-	if call.Keyed() {
-		if answer, settled := g.beginKeyLocked(now, call, w); settled {
-			return 0, answer
-		}
-	}
-	return g.admitLocked(now, call, w, d)
-}
-
 // attach joins a sending of a call that is already here: the connection of the
 // first went silent, and the call must not run again by it.
 func (e *execution) attach(w Waiter) (int, *Answer) {
@@ -190,7 +178,30 @@
 	return e.nextWaiter, nil
 }
 
+// considerLocked decides on a call that was never seen here. A key that is
+// remembered is answered from memory, also while draining: its first sending
+// may have run here, and nobody else can say so.
+func (g *Guard) considerLocked(now time.Time, call *Call, w Waiter, d *due) (int, *Answer) {
+	if call.Keyed() {
+		if answer, settled := g.beginKeyLocked(now, call, w); settled {
+			return 0, answer
+		}
+	}
+	if refusal := g.refuseLocked(now, call); refusal != nil {
+		g.forgetKeyLocked(now, call)
+		return 0, g.refusedLocked(call, refusal)
+	}
+	return g.admitLocked(now, call, w, d)
+}
+
 func (g *Guard) refuseLocked(now time.Time, call *Call) *result.Refusal {
+	if call.Keyed() && !g.authority.NeedsClaim(call) {
+		// Asked before draining: while slots move, the refusal names their
+		// next owner.
+		if _, refusal := g.authority.MayStart(now, call); refusal != nil {
+			return refusal
+		}
+	}
 	if g.draining {
 		return result.Refuse(result.Draining, "the upstream is leaving")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,11 +43,13 @@
 	Clock     Clock
 	Runner    Runner
 	Authority Authority
-	Ring      *timeline.Ring
-	Routing   routing.Config
-	Retry     retry.Policy
-	Throttle  retry.ThrottleConfig
-	Guard     GuardConfig
+	// Owners finds the owner of an idempotency key; may be nil.
+	Owners   Owners
+	Ring     *timeline.Ring
+	Routing  routing.Config
+	Retry    retry.Policy
+	Throttle retry.ThrottleConfig
+	Guard    GuardConfig
 	// Seed feeds the call IDs; two nodes must not share one.
 	Seed [32]byte
 	// Sample keeps the events of one good call in that many; refused and
@@ -62,6 +64,12 @@
 	OnSuspects func([]quarantine.Suspect)
 }
 
+// Owners finds the guard that owns an idempotency key.
+type Owners interface {
+	// Owner returns its inner address; empty when none is known.
+	Owner(service string, keyHash uint64) string
+}
+
 // Observer is told how calls end at their entry or exit node. It is called
 // concurrently and must not block.
 type Observer interface {
@@ -280,4 +288,32 @@
 }
 
 // Owner implements Router.
-func (n *Node) Owner(call *Call) string { return "" }
+func (n *Node) Owner(call *Call) string {
+	if n.cfg.Owners == nil || !n.owned(call) {
+		return ""
+	}
+	return n.At(call.Ctx.Service, n.cfg.Owners.Owner(call.Ctx.Service, keyOf(call).Hash()))
+}
+
+// owned reports whether the call's key is decided by the owner of its slot.
+func (n *Node) owned(call *Call) bool {
+	eff, ok := n.policy.Load().Lookup(call.Ctx.Workspace, call.Ctx.Service)
+	return ok && eff.AtMostOnce == policy.AtMostOnceOwnership
+}
+
+// NeedsClaim reports whether a claim of the call's key must be in the log
+// before the call runs.
+func (n *Node) NeedsClaim(call *Call) bool { return !n.owned(call) }
+
+// At implements Router.
+func (n *Node) At(service, addr string) string {
+	if addr == "" {
+		return ""
+	}
+	for _, t := range n.table.Load().Targets(service) {
+		if e := t.Endpoint(); e.Addr == addr {
+			return e.Node
+		}
+	}
+	return ""
+}
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -52,6 +52,12 @@
 	return o.local
 }
 
+// SetResendHorizon raises the time in which callers of the local service may
+// resend a key.
+func (o *Ownership) SetResendHorizon(d time.Duration) {
+	o.localLessor(func(l *lease.Lessor) { l.SetResendHorizon(d) })
+}
+
 // Truncated says that the log no longer held its first records when this fold
 // began: owners may be recorded that were never read.
 func (o *Ownership) Truncated() {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -107,7 +107,7 @@
 			Detail:     h.GetDetail(),
 			RetryAfter: time.Duration(h.GetRetryAfterUs()) * time.Microsecond,
 			AllFull:    h.GetAllFull(),
-			Owner:      h.GetOwnerNode(),
+			Owner:      h.GetOwnerAddr(),
 		}
 		return a
 	}
@@ -170,7 +170,7 @@
 		h.Detail = a.Refusal.Detail
 		h.RetryAfterUs = a.Refusal.RetryAfter.Microseconds()
 		h.AllFull = a.Refusal.AllFull
-		h.OwnerNode = a.Refusal.Owner
+		h.OwnerAddr = a.Refusal.Owner
 	}
 	out := w.Header()
 	for name, values := range a.Header {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -40,12 +40,14 @@
 
 func (c *control) read(ctx context.Context) {
 	for ctx.Err() == nil {
+		sent := c.server.node.Now()
 		page, err := c.server.log.Read(ctx, c.next(), readMax, c.server.cfg.Log.ReadWait.Std())
 		if err != nil {
 			sleep(ctx, readRetry)
 			continue
 		}
 		c.apply(page)
+		c.server.own.state.Proof(sent, page.Head)
 	}
 }
 
@@ -63,6 +65,7 @@
 	c.mu.Lock()
 	before := c.replica.Members()
 	c.replica.Apply(now, page.Entries)
+	c.server.own.state.Apply(now, page.Entries)
 	members, policy := c.replica.Members(), c.replica.Policy()
 	c.mu.Unlock()
 	if members != before {
@@ -89,6 +92,7 @@
 	if known {
 		return
 	}
+	c.server.own.state.SetLocal(m.Service)
 	c.server.loop(func() { c.append(platform.KindJoin, membership.Join{Member: m}) })
 }
 
@@ -108,14 +112,6 @@
 	return err == nil
 }
 
-// NeedsClaim implements node.Authority.
-func (c *control) NeedsClaim(*node.Call) bool { return true }
-
-// MayStart implements node.Authority: the claim was settled just before.
-func (c *control) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
-	return time.Time{}, nil
-}
-
 // Claim implements proxy.Claimer. The claim is settled once this node has read
 // it back: the first claim of a key in log order holds it. When the log gives
 // no answer the call is refused as not run, and the claim, should it be in the
@@ -161,15 +157,15 @@
 	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
 		return nil
 	}
-	if !c.live(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
+	if !c.isLive(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
 		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
 	}
 	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
-	r.Owner = holder.Node
+	r.Owner = holder.Addr
 	return r
 }
 
-func (c *control) live(id membership.Identity) bool {
+func (c *control) isLive(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.replica.Members().Live(id)
@@ -183,3 +179,21 @@
 	case <-ctx.Done():
 	}
 }
+
+// live returns the guards of a service that are believed alive.
+func (c *control) live(service string) []membership.Identity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []membership.Identity
+	for _, m := range c.replica.Members().ByService("", service) {
+		ids = append(ids, m.Identity)
+	}
+	return ids
+}
+
+func (c *control) member(id membership.Identity) (membership.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.replica.Members().Member(id.Node)
+	return m, ok && m.Identity == id
+}
--- /dev/null
+++ b/internal/server/handover.go
@@ -0,0 +1,241 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// handOverAll moves every owned slot to the guards that take over after a
+// planned stop, so that no key is unknown to them.
+func (o *ownership) handOverAll(ctx context.Context) {
+	service := o.state.Local()
+	if service == "" {
+		return
+	}
+	for _, m := range o.state.StopPlan(o.server.control.live(service)) {
+		o.move(ctx, m)
+	}
+}
+
+// move hands slots with their memory to another guard. One move is out at a
+// time: two to the same guard could overtake each other.
+func (o *ownership) move(ctx context.Context, m lease.MoveSlots) {
+	if !o.beginMove() {
+		return
+	}
+	defer o.endMove()
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	if resp, err := o.ask(ctx, m.Addr, nil); err != nil || !resp.GetEligible() {
+		return
+	}
+	h := o.state.Release(o.server.node.Now(), m.Addr, m.Slots)
+	if len(h.Slots) == 0 {
+		return
+	}
+	if err := o.send(ctx, m, h); err != nil {
+		o.server.logger.Warn().Err(err).Str("to", m.To.Node).Msg("hand-over failed")
+		if t, ok := o.state.Reclaim(o.server.node.Now()); ok {
+			o.appendTakeover(ctx, t.Record)
+		}
+		return
+	}
+	o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.HandedOver, Service: o.state.Local(), Upstream: m.To.Node, Detail: slotsDetail(m.Slots)})
+}
+
+func (o *ownership) beginMove() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.moving {
+		return false
+	}
+	o.moving = true
+	return true
+}
+
+func (o *ownership) endMove() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.moving = false
+}
+
+// send waits for the calls that run under the slots' keys, then sends the keys
+// in parts and the slots with the last.
+func (o *ownership) send(ctx context.Context, m lease.MoveSlots, h lease.HandOver) error {
+	match := o.state.InSlots(m.Slots)
+	guard := o.server.node.Guard()
+	for guard.KeysBusy(match) > 0 {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "calls still run")
+		}
+		sleep(ctx, idleCheck)
+	}
+	entries := guard.ExportKeys(o.server.node.Now(), match)
+	for part := uint32(0); ; part++ {
+		n := min(len(entries), partEntries)
+		req := &innerpb.HandOverRequest{
+			From:    o.server.nodeRef(),
+			Service: &innerpb.ServiceRef{Service: o.state.Local()},
+			Part:    part,
+			Last:    n == len(entries),
+			Entries: encodeEntries(entries[:n]),
+		}
+		if req.Last {
+			req.Slots = encodeSlots(h.Slots)
+		}
+		resp, err := o.control(m.Addr).HandOver(ctx, connect.NewRequest(req))
+		if err != nil {
+			return errors.Wrapf(err, "part %d", part)
+		}
+		if !resp.Msg.GetAccepted() {
+			return errors.Errorf("part %d was refused: %s", part, resp.Msg.GetDetail())
+		}
+		if req.Last {
+			return nil
+		}
+		entries = entries[n:]
+	}
+}
+
+// HandOver takes another guard's memory. A part that found no room spoils the
+// whole: its keys would be new here and could run again.
+func (o *ownership) HandOver(_ context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
+	from, ok := identityOf(req.Msg.GetFrom())
+	if !ok {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("from: incarnation must be hexadecimal"))
+	}
+	detail := o.take(from, req.Msg)
+	return connect.NewResponse(&innerpb.HandOverResponse{
+		From:     o.server.nodeRef(),
+		Accepted: detail == "",
+		Detail:   detail,
+	}), nil
+}
+
+func (o *ownership) take(from membership.Identity, req *innerpb.HandOverRequest) (refused string) {
+	now := o.server.node.Now()
+	service := o.state.Local()
+	if service == "" || req.GetService().GetService() != service {
+		return "this guard does not serve the service"
+	}
+	complete := o.server.node.Guard().ImportKeys(now, decodeEntries(service, req.GetEntries()))
+	o.mu.Lock()
+	if req.GetPart() == 0 {
+		delete(o.incomplete, from)
+	}
+	if !complete {
+		o.incomplete[from] = true
+	}
+	spoilt := o.incomplete[from]
+	o.mu.Unlock()
+	if spoilt {
+		return "no room for all keys"
+	}
+	if !req.GetLast() {
+		return ""
+	}
+	if !o.state.Imported(now, lease.HandOver{From: from, Slots: decodeSlots(req.GetSlots())}) {
+		return "this guard may not take slots yet"
+	}
+	return ""
+}
+
+func encodeSlots(slots []lease.HandedSlot) []*innerpb.HandedSlot {
+	out := make([]*innerpb.HandedSlot, len(slots))
+	for i, s := range slots {
+		out[i] = &innerpb.HandedSlot{
+			Slot:          uint32(s.Slot),
+			Offset:        s.Offset,
+			EffectiveInUs: s.EffectiveIn.Microseconds(),
+			CleanInUs:     s.CleanIn.Microseconds(),
+		}
+		if !s.UnknownBefore.IsZero() {
+			out[i].UnknownBeforeUnixUs = s.UnknownBefore.UnixMicro()
+		}
+	}
+	return out
+}
+
+func decodeSlots(slots []*innerpb.HandedSlot) []lease.HandedSlot {
+	out := make([]lease.HandedSlot, len(slots))
+	for i, s := range slots {
+		out[i] = lease.HandedSlot{
+			Slot:        int(s.GetSlot()),
+			Offset:      s.GetOffset(),
+			EffectiveIn: time.Duration(s.GetEffectiveInUs()) * time.Microsecond,
+			CleanIn:     time.Duration(s.GetCleanInUs()) * time.Microsecond,
+		}
+		if us := s.GetUnknownBeforeUnixUs(); us != 0 {
+			out[i].UnknownBefore = time.UnixMicro(us)
+		}
+	}
+	return out
+}
+
+func encodeEntries(entries []idempotency.Entry) []*innerpb.KeyEntry {
+	out := make([]*innerpb.KeyEntry, len(entries))
+	for i, e := range entries {
+		k := &innerpb.KeyEntry{
+			Workspace:   e.Key.Workspace,
+			Key:         e.Key.Key,
+			BodyHash:    e.BodyHash,
+			CallId:      e.CallID,
+			Code:        uint32(e.Code),
+			IdleUs:      e.Idle.Microseconds(),
+			AnswerAgeUs: e.AnswerAge.Microseconds(),
+		}
+		if e.Answer != nil {
+			k.HasAnswer = true
+			k.HttpStatus = uint32(e.Answer.Status)
+			k.Body = e.Answer.Body
+			for name, values := range e.Answer.Header {
+				for _, v := range values {
+					k.Header = append(k.Header, &innerpb.HeaderField{Name: name, Value: v})
+				}
+			}
+		}
+		out[i] = k
+	}
+	return out
+}
+
+func decodeEntries(service string, entries []*innerpb.KeyEntry) []idempotency.Entry {
+	out := make([]idempotency.Entry, len(entries))
+	for i, k := range entries {
+		out[i] = idempotency.Entry{
+			Key:       idempotency.Key{Workspace: k.GetWorkspace(), Service: service, Key: k.GetKey()},
+			BodyHash:  k.GetBodyHash(),
+			CallID:    k.GetCallId(),
+			Code:      result.Code(k.GetCode()),
+			Idle:      time.Duration(k.GetIdleUs()) * time.Microsecond,
+			AnswerAge: time.Duration(k.GetAnswerAgeUs()) * time.Microsecond,
+		}
+		if k.GetHasAnswer() {
+			out[i].Answer = decodeKept(k)
+		}
+	}
+	return out
+}
+
+func decodeKept(k *innerpb.KeyEntry) *idempotency.Answer {
+	header := make(map[string][]string, len(k.GetHeader()))
+	for _, f := range k.GetHeader() {
+		header[f.GetName()] = append(header[f.GetName()], f.GetValue())
+	}
+	return &idempotency.Answer{
+		Code:   result.Code(k.GetCode()),
+		Status: int(k.GetHttpStatus()),
+		Header: header,
+		Body:   k.GetBody(),
+	}
+}
--- /dev/null
+++ b/internal/server/ownership.go
@@ -0,0 +1,205 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	// planPeriod is how often ownership is planned: promises last seconds.
+	planPeriod = 250 * time.Millisecond
+	// introducePeriod is how often a guard that may not take slots yet asks
+	// the others how far they have read.
+	introducePeriod = time.Second
+	// promiseTimeout bounds a question: an answer later is worth little.
+	promiseTimeout = time.Second
+	// moveTimeout bounds one move of slots, the calls that run included.
+	moveTimeout = 15 * time.Second
+	// partEntries bounds the keys of one part of a hand-over, so that a part
+	// stays far below the bound of a control message.
+	partEntries = 200
+)
+
+// ownership drives node.Ownership: it appends takeovers, asks for promises and
+// moves slots.
+type ownership struct {
+	server *Server
+	state  *node.Ownership
+	client *http.Client
+
+	mu         sync.Mutex
+	moving     bool
+	introduced time.Time
+	// importing holds the parts of hand-overs that are not complete.
+	incomplete map[membership.Identity]bool
+}
+
+func newOwnership(s *Server, id node.Identity, dial *http.Transport) *ownership {
+	return &ownership{
+		server:     s,
+		state:      node.NewOwnership(lease.DefaultConfig(), id),
+		client:     &http.Client{Transport: dial},
+		incomplete: make(map[membership.Identity]bool),
+	}
+}
+
+func (o *ownership) run(ctx context.Context) {
+	t := time.NewTicker(planPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			o.plan(ctx, now)
+		}
+	}
+}
+
+func (o *ownership) plan(ctx context.Context, now time.Time) {
+	service := o.state.Local()
+	if service == "" || o.server.node.Guard().Draining() {
+		return
+	}
+	live := o.server.control.live(service)
+	for _, action := range o.state.Plan(now, live) {
+		o.server.loop(func() { o.perform(ctx, action) })
+	}
+	if o.introductionDue(now) {
+		o.server.loop(func() { o.introduce(ctx, live) })
+	}
+}
+
+func (o *ownership) perform(ctx context.Context, action lease.Action) {
+	switch a := action.(type) {
+	case lease.AskPromise:
+		o.askPromise(ctx, a)
+	case lease.AppendTakeover:
+		o.appendTakeover(ctx, a.Record)
+	case lease.MoveSlots:
+		o.move(ctx, a)
+	}
+}
+
+// appendTakeover appends the same record until it was read back or provably
+// never comes: a takeover in doubt may be in the log, and forgetting it would
+// let this guard promise what it has broken.
+func (o *ownership) appendTakeover(ctx context.Context, t lease.Takeover) {
+	body, err := json.Marshal(t)
+	if err != nil {
+		o.state.NotAppended(t)
+		return
+	}
+	rec := platform.Record{ID: uuid.NewString(), Kind: platform.KindTakeover, At: t.At, Body: body}
+	for {
+		_, err := o.server.appender.Append(ctx, rec)
+		switch {
+		case err == nil:
+			o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.Takeover, Service: t.Service, Detail: slotsDetail(t.Slots)})
+			return
+		case !errors.Is(err, platform.ErrUncertain):
+			o.state.NotAppended(t)
+			return
+		case ctx.Err() != nil:
+			return
+		}
+	}
+}
+
+func (o *ownership) control(addr string) controlClient {
+	return inner.NewControlClient(o.client, "http://"+addr)
+}
+
+// controlClient is what ownership asks of another node.
+type controlClient interface {
+	Promise(context.Context, *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error)
+	HandOver(context.Context, *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error)
+}
+
+// ask sends a question about slots; none of them only exchanges heads.
+func (o *ownership) ask(ctx context.Context, addr string, slots []int) (*innerpb.PromiseResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, promiseTimeout)
+	defer cancel()
+	head, proven := o.state.Head()
+	resp, err := o.control(addr).Promise(ctx, connect.NewRequest(&innerpb.PromiseRequest{
+		Owner:     o.server.nodeRef(),
+		Service:   &innerpb.ServiceRef{Service: o.state.Local()},
+		Slots:     slotNumbers(slots),
+		ProofHead: head,
+		Proven:    proven,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	if from, ok := identityOf(resp.Msg.GetFrom()); ok && resp.Msg.GetProven() {
+		o.state.HeadSeen(from, resp.Msg.GetProofHead())
+	}
+	return resp.Msg, nil
+}
+
+func (o *ownership) askPromise(ctx context.Context, a lease.AskPromise) {
+	resp, err := o.ask(ctx, a.Addr, a.Slots)
+	if err != nil || !resp.GetGranted() {
+		return
+	}
+	if from, ok := identityOf(resp.GetFrom()); ok {
+		o.state.Promised(a.At, from, a.Addr)
+	}
+}
+
+func (o *ownership) introductionDue(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.introduced) < introducePeriod || o.state.Eligible(now) {
+		return false
+	}
+	o.introduced = now
+	return true
+}
+
+// introduce tells the other guards how far this one has read and learns how
+// far they have: only then may it take slots that have had an owner.
+func (o *ownership) introduce(ctx context.Context, live []membership.Identity) {
+	for _, id := range live {
+		if m, ok := o.server.control.member(id); ok && id.Node != o.server.cfg.NodeID {
+			_, _ = o.ask(ctx, m.InnerAddr, nil)
+		}
+	}
+}
+
+// Promise answers another guard; see lease.Lessor.OnPromiseRequest.
+func (o *ownership) Promise(_ context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
+	from, ok := identityOf(req.Msg.GetOwner())
+	if !ok {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("owner: incarnation must be hexadecimal"))
+	}
+	now := o.server.node.Now()
+	if req.Msg.GetProven() {
+		o.state.HeadSeen(from, req.Msg.GetProofHead())
+	}
+	slots := slotInts(req.Msg.GetSlots())
+	granted := len(slots) > 0 && o.state.Promise(now, req.Msg.GetService().GetService(), from, slots)
+	head, proven := o.state.Head()
+	return connect.NewResponse(&innerpb.PromiseResponse{
+		From:      o.server.nodeRef(),
+		Granted:   granted,
+		ProofHead: head,
+		Proven:    proven,
+		Eligible:  o.state.Eligible(now) && !o.server.node.Guard().Draining(),
+	}), nil
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,9 +11,13 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
@@ -55,12 +59,16 @@
 	peers    *proxy.Peers
 	upstream *proxy.Upstream
 	control  *control
+	own      *ownership
 	announce *announcements
 
 	listeners listeners
 	servers   []*http.Server
 	stop      context.CancelFunc
 	loops     sync.WaitGroup
+	// handedOver is closed once owned keys have gone to other guards.
+	handedOver chan struct{}
+	drainOnce  sync.Once
 }
 
 type listeners struct {
@@ -75,7 +83,7 @@
 // be valid; port 0 lets the system choose, and the addresses are then those
 // that Addresses returns.
 func Start(cfg *settings.Node, opts Options) (*Server, error) {
-	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger}
+	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger, handedOver: make(chan struct{})}
 	if s.log == nil {
 		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
 	}
@@ -136,11 +144,14 @@
 	s.peers = proxy.NewPeers(opts.Dial)
 	s.control = newControl(s)
 	s.upstream = proxy.NewUpstream(s.control)
+	id := s.identity()
+	s.own = newOwnership(s, id, &http.Transport{DialContext: opts.Dial})
 	s.node = node.New(node.Config{
-		Identity:  s.identity(),
+		Identity:  id,
 		Clock:     systemClock{},
 		Runner:    s.upstream,
-		Authority: s.control,
+		Authority: authority{s},
+		Owners:    s.own.state,
 		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
 		Routing:   routing.DefaultConfig(),
 		Retry:     retry.DefaultPolicy(),
@@ -189,6 +200,7 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
+	innerMux.Handle(inner.NewControlHandler(controlHandler{ownership: s.own}))
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
@@ -199,6 +211,7 @@
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
 	s.loop(func() { s.tick(ctx) })
+	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
@@ -253,3 +266,19 @@
 		AdminAddr: id.AdminAddr,
 	}
 }
+
+// controlHandler answers other nodes.
+type controlHandler struct {
+	innerpbconnect.UnimplementedControlHandler
+	ownership *ownership
+}
+
+// Promise implements innerpbconnect.ControlHandler.
+func (h controlHandler) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
+	return h.ownership.Promise(ctx, req)
+}
+
+// HandOver implements innerpbconnect.ControlHandler.
+func (h controlHandler) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
+	return h.ownership.HandOver(ctx, req)
+}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -12,14 +12,19 @@
 // idleCheck is how often a stopping node looks whether calls are in flight.
 const idleCheck = 10 * time.Millisecond
 
-// BeginDrain refuses new calls, truthfully, and tells the others.
+// BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
+// sooner they have a new owner, the fewer calls meet none.
 func (s *Server) BeginDrain() {
-	if s.node.Guard().Draining() {
-		return
-	}
+	s.drainOnce.Do(s.beginDrain)
+}
+
+func (s *Server) beginDrain() {
 	s.node.Guard().Drain(s.node.Now())
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
-	s.loop(func() { s.control.leave() })
+	s.loop(func() {
+		defer close(s.handedOver)
+		s.own.handOverAll(context.Background())
+	})
 }
 
 func (c *control) leave() {
@@ -37,6 +42,11 @@
 		sleep(ctx, idleCheck)
 	}
 	cut := s.node.Guard().Busy()
+	select {
+	case <-s.handedOver:
+	case <-ctx.Done():
+	}
+	s.control.leave()
 	s.closeServers(ctx)
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStopped})
 	return cut
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -24,6 +24,9 @@
 	HeaderAttempt = "X-Bench-Attempt"
 	// HeaderPoison crashes the upstream whose service it names.
 	HeaderPoison = "X-Bench-Poison"
+	// HeaderIssued is when the logical operation began; the keys of its calls
+	// are no older.
+	HeaderIssued = "X-Bench-Issued"
 )
 
 // Step is one call to a deeper service.
