--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -205,6 +205,9 @@
 	s.Code, _ = strconv.Atoi(resp.Header.Get(result.HeaderResult))
 	s.Ran = result.Code(s.Code).Ran()
 	if resp.StatusCode != http.StatusOK {
+		var p result.Problem
+		_ = json.NewDecoder(resp.Body).Decode(&p)
+		s.Err = p.Detail
 		return false
 	}
 	return c.check(json.NewDecoder(resp.Body), o, s)
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -41,6 +41,8 @@
 	MaxCrashes int `json:"max_crashes_per_request"`
 	// Codes counts the final codes of sendings.
 	Codes map[int]int `json:"codes"`
+	// Details holds one explanation for each code of a refusal.
+	Details map[int]string `json:"details,omitempty"`
 }
 
 const (
@@ -67,6 +69,7 @@
 		Offered:  offered,
 		Capacity: d.Capacity(rates, s.Slowdown(d), s.Gone(d)),
 		Codes:    map[int]int{},
+		Details:  map[int]string{},
 	}
 	w.measureGoodput(&r, outcomes, ph)
 	r.RecoverySeconds, r.Recovered = recovery(outcomes, ph)
@@ -195,6 +198,9 @@
 	for _, o := range outcomes {
 		for _, s := range o.Sends {
 			r.Codes[s.Code]++
+			if s.Err != "" {
+				r.Details[s.Code] = s.Err
+			}
 			if s.Wrong {
 				r.WrongAnswers++
 			}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -271,7 +271,7 @@
 				return false
 			}
 		}
-		if v.node.Node().Policy().Version() == 0 {
+		if v.node.Node().Policy().Version() == 0 || !v.node.OwnersSettled() {
 			return false
 		}
 	}
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -167,6 +167,20 @@
 	return a.Deadline, a.Refusal
 }
 
+// Settled reports whether every slot of the local service has an owner, and
+// this guard could start calls in its own.
+func (o *Ownership) Settled(now time.Time) (settled bool) {
+	o.localLessor(func(l *lease.Lessor) {
+		settled = true
+		for i := range o.cfg.Slots {
+			a := l.MayStart(now, uint64(i), now)
+			owned := a.OK || a.Refusal.Code == result.OwnedElsewhere
+			settled = settled && owned
+		}
+	})
+	return settled
+}
+
 // localLessor runs f on the state of the local upstream's service.
 func (o *Ownership) localLessor(f func(l *lease.Lessor)) {
 	o.mu.Lock()
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -121,6 +121,12 @@
 	}
 }
 
+// OwnersSettled reports whether every slot of the local service has an owner
+// and this node is none of those that wait for theirs.
+func (s *Server) OwnersSettled() bool {
+	return s.own.state.Settled(s.node.Now())
+}
+
 func (o *ownership) control(addr string) controlClient {
 	return inner.NewControlClient(o.client, "http://"+addr)
 }
