Lease: simulated worlds, stories, two faults found

Cause: soundness of ownership was argued, not shown. Change: worlds of two to four guards over one log with drift, skew, pauses, crashes, planned stops, outages, late and lost messages, and wrong beliefs about who lives; stories of each failure. Mended: a process stopped itself on reading the join of its own earlier incarnation; a hand-over that arrived before the record it refers to was dropped. Conclusion: property holds in the worlds tried; planted faults follow.

--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -129,7 +129,7 @@
 	case id == l.self && l.joined == noOffset:
 		l.joined = offset
 		l.joinedAt = now
-	case id.Node == l.self.Node && id != l.self:
+	case id.Node == l.self.Node && id.Incarnation > l.self.Incarnation:
 		l.stopped = true
 	}
 }
@@ -193,17 +193,25 @@
 	if t.By == l.self {
 		l.begin(now, &s, prev, i)
 	}
-	delete(l.received, i)
+	l.dropStale(i, offset)
 	l.slots[i] = s
 }
 
+// dropStale forgets a hand-over that a newer record of the slot has overtaken.
+// A hand-over may also arrive before the record that it refers to.
+func (l *Lessor) dropStale(i int, offset int64) {
+	if r, ok := l.received[i]; ok && r.offset < offset {
+		delete(l.received, i)
+	}
+}
+
 // renew folds a record of the present owner: it moves the offset, so that
 // folds which begin later agree, and ends a release.
 func (l *Lessor) renew(now time.Time, offset int64, i int, t Takeover) {
 	s := &l.slots[i]
 	s.offset = offset
 	s.addr = t.Addr
-	delete(l.received, i)
+	l.dropStale(i, offset)
 	if s.released {
 		s.released = false
 		s.first = offset
--- /dev/null
+++ b/internal/lease/property_test.go
@@ -0,0 +1,78 @@
+package lease
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// A fixed seed gives the same verdict each run; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "20260101") }
+
+type drawn struct{ *rapid.T }
+
+func (d drawn) intn(n int, what string) int { return rapid.IntRange(0, n-1).Draw(d.T, what) }
+
+// A hospital's client gets no answer and sends its certificate request again,
+// to another guard; two certificates go out. The cause would be two guards
+// that may start the same slot at once, or a new owner that runs a key which
+// an earlier one ran. Clocks drift, processes pause, crash, stop and start
+// again, messages and records come late or never, the log goes out for one or
+// for all, and what nodes believe about each other is wrong.
+func TestNeverTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(drawn{t}, simConfig(), rapid.IntRange(2, 4).Draw(t, "vms"))
+		for range rapid.IntRange(50, 500).Draw(t, "steps") {
+			if err := w.step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// simulate runs seeded worlds until one breaks; it returns how many ran.
+func simulate(cfg Config, seeds, steps int) (total stats, ran int, err error) {
+	for seed := range seeds {
+		ch := seeded{rand.New(rand.NewPCG(uint64(seed), 1))}
+		w := newWorld(ch, cfg, 2+seed%3)
+		for range steps {
+			if err := w.step(); err != nil {
+				return total, seed + 1, err
+			}
+		}
+		total.add(w.stats)
+	}
+	return total, seeds, nil
+}
+
+func (s *stats) add(o stats) {
+	s.starts += o.starts
+	s.crashTakeovers += o.crashTakeovers
+	s.handOvers += o.handOvers
+	s.promised += o.promised
+	s.unknown += o.unknown
+}
+
+// The same worlds at length: rapid's runs are short, so that they shrink well.
+func TestNeverTwoOwnersLong(t *testing.T) {
+	total, ran, err := simulate(simConfig(), 150, 1500)
+	must.NoError(t, err)
+	t.Logf("%d worlds of 1500 steps: %+v", ran, total)
+	for _, n := range []int{total.starts, total.crashTakeovers, total.handOvers, total.promised, total.unknown} {
+		must.Positive(t, n)
+	}
+}
+
+// The worlds must find a fault where there is one. Without the takeover's wait
+// an owner whose proof is still young and its successor start the same slot.
+func TestWorldFindsMissingWait(t *testing.T) {
+	cfg := simConfig()
+	cfg.Drift = -1 // a wait of zero, which Validate refuses
+	must.Error(t, cfg.Validate())
+	_, ran, err := simulate(cfg, 150, 1500)
+	must.Error(t, err)
+	t.Logf("found in world %d: %v", ran, err)
+}
--- /dev/null
+++ b/internal/lease/story_test.go
@@ -0,0 +1,243 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// even makes every clock exact, every peer seem alive and no message overtake.
+type even struct{}
+
+func (even) intn(n int, _ string) int { return n / 2 }
+
+// calm returns three guards that own the slots among them, after a while.
+func calm() *world {
+	w := newWorld(even{}, simConfig(), 3)
+	w.informed = true
+	w.settle(10 * time.Second)
+	return w
+}
+
+// settle lets every awake guard read, plan and talk every 100 ms.
+func (w *world) settle(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 100 * time.Millisecond {
+		for _, p := range w.procs {
+			w.read(p)
+			w.flush()
+			w.tellHead(p)
+			w.plan(p)
+			w.flush()
+		}
+	}
+}
+
+func (w *world) flush() {
+	for range len(w.bag) + 10 {
+		if len(w.bag) > 0 {
+			m := w.bag[0]
+			w.bag = w.bag[1:]
+			m.deliver()
+		}
+	}
+}
+
+// starter returns the awake guard that owns slot 0.
+func (w *world) starter() *proc {
+	for _, p := range w.procs {
+		if !p.paused && p.l.slots[0].owner == p.id {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *world) others(p *proc) []*proc {
+	var out []*proc
+	for _, q := range w.procs {
+		if q != p {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+func (w *world) code(p *proc, issued time.Time) result.Code {
+	a := p.l.MayStart(w.local(p), 0, issued)
+	if a.OK {
+		return result.OK
+	}
+	return a.Refusal.Code
+}
+
+// The owner of a key checks its authority and is paused right before it sends
+// the call. Another guard takes the slot over and serves it. The owner wakes
+// up and would send its call; it must find it too late, and refuse the next.
+func TestPausedHolderWakesTooLate(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	auth := a.l.MayStart(w.local(a), 0, time.Time{})
+	must.True(t, auth.OK)
+	a.paused = true
+	w.append(evict(a))
+	w.settle(5 * time.Second)
+	b := w.starter()
+	must.NotEq(t, a.id, b.id)
+	must.Eq(t, result.OK, w.code(b, w.local(b)))
+	a.paused = false
+	must.False(t, w.local(a).Before(auth.Deadline))
+	must.Eq(t, result.NoAuthority, w.code(a, w.local(a)))
+}
+
+// Two guards see the same slot without an owner and both append a takeover.
+// Callers would get two owners in turn; the first record wins, the second is
+// void, and only the winner starts calls.
+func TestTwoTakersFirstRecordWins(t *testing.T) {
+	w := newWorld(even{}, simConfig(), 2)
+	w.flush()
+	for _, p := range w.procs {
+		w.read(p)
+		w.flush()
+		r := p.l.append(w.local(p), []int{0}).Record
+		w.send("takeover", func() { w.append(r) })
+	}
+	w.flush()
+	w.settle(300 * time.Millisecond)
+	must.Eq(t, result.OK, w.code(w.procs[0], time.Time{}))
+	a := w.procs[1].l.MayStart(w.local(w.procs[1]), 0, time.Time{})
+	must.Eq(t, result.OwnedElsewhere, a.Refusal.Code)
+	must.Eq(t, w.procs[0].addr, a.Refusal.Owner)
+}
+
+// A zone is cut off from the log and from the other zones, with the owner of a
+// slot in it. Its own callers are refused, truthfully, once its proof is old;
+// the other side takes over through the log. After the cut the old owner sends
+// callers to the new one.
+func TestTakeoverDuringZoneCut(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	a.paused = true // nothing reaches it or leaves it; its callers still do
+	w.append(evict(a))
+	w.settle(700 * time.Millisecond)
+	must.Eq(t, result.OK, w.code(a, time.Time{}))
+	for _, p := range w.others(a) {
+		must.NotEq(t, result.OK, w.code(p, w.local(p)))
+	}
+	w.settle(5 * time.Second)
+	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
+	b := w.starter()
+	must.Eq(t, result.OK, w.code(b, w.local(b)))
+	a.paused = false
+	w.read(a)
+	w.flush()
+	// Its own evict record stops this incarnation for good.
+	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
+}
+
+// The log goes out for long. Every other guard promises, so callers notice
+// nothing, until the last proof is PromiseLimit old.
+func TestLogOutWithAllPromises(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	w.down = true
+	for range 40 {
+		w.settle(100 * time.Millisecond)
+		must.Eq(t, result.OK, w.code(a, time.Time{}))
+	}
+	w.settle(2 * time.Second)
+	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
+	w.down = false
+	w.settle(time.Second)
+	must.Eq(t, result.OK, w.code(w.starter(), time.Time{}))
+}
+
+// The log goes out and one guard is silent: it may be taking the slots over
+// through a log that it alone can reach. The owner must lapse and say so.
+func TestLogOutWithOnePromiseMissing(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	w.others(a)[0].paused = true
+	w.down = true
+	w.settle(1500 * time.Millisecond)
+	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
+}
+
+// The log is out and a guard dies; its VM comes back as a newer incarnation at
+// the same address. The dead one can take nothing, and the new one's promise
+// stands in for it, so the owner goes on.
+func TestNewerIncarnationPromises(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	w.down = true
+	w.settle(600 * time.Millisecond)
+	w.restart(w.others(a)[0])
+	for range 20 {
+		w.settle(100 * time.Millisecond)
+		must.Eq(t, result.OK, w.code(a, time.Time{}))
+	}
+}
+
+// The owner crashes right after it sent a call; the caller, without an answer,
+// sends its key again and meets the next owner. The letter may be out already:
+// the answer is unknown, until the resend horizon has passed. A key made after
+// the takeover runs.
+func TestCrashThenResendIsUnknown(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	issued := w.local(a)
+	must.Eq(t, result.OK, w.code(a, issued))
+	w.restart(a)
+	w.settle(5 * time.Second)
+	b := w.starter()
+	must.Eq(t, result.OutcomeUnknown, w.code(b, issued))
+	must.Eq(t, result.OutcomeUnknown, w.code(b, time.Time{}))
+	// A clock that is ahead by more than the bound shows nothing.
+	must.Eq(t, result.OutcomeUnknown, w.code(b, w.local(b).Add(3*time.Second)))
+	w.settle(1500 * time.Millisecond)
+	must.Eq(t, result.OK, w.code(w.starter(), w.local(w.starter())))
+	w.settle(simConfig().ResendHorizon)
+	must.Eq(t, result.OK, w.code(w.starter(), time.Time{}))
+}
+
+// An operator stops the owner's VM. Its memory goes to another guard before
+// the takeover record, so no caller ever reads "unknown".
+func TestPlannedStopLeavesNothingUnknown(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	w.keys = []*simKey{{}}
+	a.memory[0] = true
+	w.stop(a)
+	w.settle(600 * time.Millisecond)
+	b := w.starter()
+	must.NotEq(t, a.id, b.id)
+	must.Eq(t, result.OK, w.code(b, time.Time{}))
+	must.True(t, b.memory[0])
+}
+
+// A guard takes a slot from an owner that is cut off, and is itself stopped
+// before the takeover is in effect. Its successor must wait for the rest of
+// that time, or the first owner and the third guard both start the slot.
+func TestHandOverKeepsTheWait(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	b, c := w.others(a)[0], w.others(a)[1]
+	a.paused = true
+	r := b.l.append(w.local(b), []int{0}).Record
+	w.append(r)
+	w.read(b)
+	w.flush()
+	must.Eq(t, result.NoAuthority, w.code(b, w.local(b)))
+	h := b.l.Release(w.local(b), c.addr, []int{0})
+	must.Len(t, 1, h.Slots)
+	must.True(t, c.l.ImportedHandOver(w.local(c), h))
+	b.paused = true
+	w.settle(300 * time.Millisecond)
+	must.Eq(t, c.id, w.starter().id)
+	must.Eq(t, result.OK, w.code(a, time.Time{}))
+	must.Eq(t, result.NoAuthority, w.code(c, w.local(c)))
+	w.settle(1200 * time.Millisecond)
+	must.Eq(t, result.OutcomeUnknown, w.code(c, time.Time{}))
+}
