policy: rules number and size bound; platform: record checks and fuzzing

Cause: two ways in which accepted configuration could still be lost.

Accepted templates and instances are bounded to 1,280 KiB in all; the one too many is refused with the figure. Record IDs must be UTF-8. Fuzz targets for pages and appends.

Conclusion: both holes are closed with a story test each.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // ClientOptions tunes a Client; the zero value is usable.
@@ -115,6 +116,11 @@
 		if r.ID == "" || len(r.ID) > MaxIDBytes {
 			return fmt.Errorf("%w: records[%d].id has %d bytes, bound 1..%d", ErrBadRequest, i, len(r.ID), MaxIDBytes)
 		}
+		// An ID that is not UTF-8 would change on its way through JSON, and a
+		// repeat of it would not be known as one.
+		if !utf8.ValidString(r.ID) || len(r.Kind) > MaxIDBytes {
+			return fmt.Errorf("%w: records[%d].id and kind must be UTF-8 of at most %d bytes", ErrBadRequest, i, MaxIDBytes)
+		}
 		if len(r.Body) > MaxRecordBytes {
 			return fmt.Errorf("%w: records[%d].body has %d bytes, bound %d", ErrBadRequest, i, len(r.Body), MaxRecordBytes)
 		}
--- /dev/null
+++ b/internal/platform/fuzz_test.go
@@ -0,0 +1,68 @@
+package platform_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+)
+
+type answerer []byte
+
+func (a answerer) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(a))}, nil
+}
+
+// FuzzPage gives the client hostile pages: it fails, or what it returns is one
+// contiguous run from the offset asked.
+func FuzzPage(f *testing.F) {
+	good, err := json.Marshal(platform.Page{Entries: []platform.Entry{{Offset: 5, Record: rec("a")}}, Next: 6, Head: 9})
+	must.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte(`{"entries":[{"offset":5},{"offset":5}],"next":7}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := platform.NewClient("http://log", platform.ClientOptions{HTTP: &http.Client{Transport: answerer(data)}})
+		page, err := c.Read(t.Context(), 5, 10, 0)
+		if err != nil {
+			must.ErrorIs(t, err, platform.ErrUnavailable)
+			return
+		}
+		must.Eq(t, 5+int64(len(page.Entries)), page.Next)
+		for i, e := range page.Entries {
+			must.Eq(t, 5+int64(i), e.Offset)
+		}
+	})
+}
+
+// FuzzAppend sends hostile documents to the stand-in: what it takes reads back
+// as valid records.
+func FuzzAppend(f *testing.F) {
+	good, err := json.Marshal(platform.AppendRequest{Records: []platform.Record{rec("a"), rec("b")}})
+	must.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte(`{"records":[{"id":""}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		log := logd.New(logd.Options{})
+		w := httptest.NewRecorder()
+		log.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, platform.PathAppend, bytes.NewReader(data)))
+		page, err := log.Read(t.Context(), 0, platform.MaxPageEntries, 0)
+		must.NoError(t, err)
+		must.Eq(t, w.Code == http.StatusOK, len(page.Entries) > 0)
+		if w.Code != http.StatusOK {
+			must.Eq(t, http.StatusBadRequest, w.Code)
+			return
+		}
+		records := make([]platform.Record, len(page.Entries))
+		for i := range page.Entries {
+			records[i] = page.Entries[i].Record
+		}
+		must.NoError(t, platform.CheckRecords(records))
+	})
+}
--- /dev/null
+++ b/internal/policy/decide.go
@@ -0,0 +1,212 @@
+package policy
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+// Check decides p as if it came next in the log, and returns what it would
+// change in force. It is what an operator sees before publishing.
+func (s *State) Check(p *Publication) (Decision, []Change) {
+	o := s.decide(p, s.version+1)
+	return o.decision, o.changes
+}
+
+// outcome is a decision with what it puts in place when accepted.
+type outcome struct {
+	decision  Decision
+	changes   []Change
+	template  *templateEntry
+	instance  *instanceEntry
+	effective *Effective
+	// bytes is the size of the state afterwards.
+	bytes int
+}
+
+// publish folds one publication into a state that is not shared yet. A record
+// whose ID was decided before is a repeat after a lost acknowledgement: it
+// must neither be decided again nor be told that it lost to itself.
+func (s *State) publish(e platform.Entry) {
+	if _, ok := s.decisions.get(e.Record.ID); ok {
+		return
+	}
+	o := s.decideEntry(e)
+	s.decisions = s.decisions.with(o.decision)
+	s.bytes = o.bytes
+	if o.template != nil {
+		s.templates = maps.Clone(s.templates)
+		s.templates[o.template.revisions[0].Name] = o.template
+	}
+	if o.instance != nil {
+		k := key{o.instance.instance.Workspace, o.instance.instance.Service}
+		s.instances = maps.Clone(s.instances)
+		s.effective = maps.Clone(s.effective)
+		s.instances[k] = o.instance
+		s.effective[k] = o.effective
+	}
+}
+
+func (s *State) decideEntry(e platform.Entry) outcome {
+	version := Version(e.Offset) + 1
+	p, errs := decodePublication(e.Record.Body)
+	if p == nil {
+		return s.rejected(Decision{ID: e.Record.ID, Version: version}, errs)
+	}
+	if p.ID != e.Record.ID || p.kind() != e.Record.Kind {
+		errs.add("publication.id", clip(p.ID), "the ID of its record, under the record's kind")
+		return s.rejected(Decision{ID: e.Record.ID, Version: version}, errs)
+	}
+	return s.decide(p, version)
+}
+
+func (s *State) decide(p *Publication, version Version) outcome {
+	d := Decision{ID: p.ID, Author: clip(p.Author), Object: clip(p.Object()), Version: version}
+	if p.Author == "" || len(p.Author) > MaxNameBytes {
+		return s.rejected(d, FieldErrors{{"publication.author", clip(p.Author), "1..64 bytes"}})
+	}
+	if p.Based < 0 || p.Based >= version {
+		return s.rejected(d, FieldErrors{{"publication.based", strconv.FormatInt(int64(p.Based), 10), "a version below " + strconv.FormatInt(int64(version), 10)}})
+	}
+	if p.Template != nil {
+		return s.decideTemplate(p, d)
+	}
+	return s.decideInstance(p, d)
+}
+
+func (s *State) decideTemplate(p *Publication, d Decision) outcome {
+	old := s.templates[p.Template.Name]
+	if old != nil && old.last.Version != p.Based {
+		return s.lost(d, old.last)
+	}
+	errs := p.Template.check()
+	want := 1
+	if old != nil {
+		want = old.revisions[len(old.revisions)-1].Revision + 1
+	} else if p.Based != 0 {
+		errs.add("publication.based", strconv.FormatInt(int64(p.Based), 10), "0: there is no such template")
+	}
+	if p.Template.Revision != want {
+		errs.add("template.revision", strconv.Itoa(p.Template.Revision), strconv.Itoa(want))
+	}
+	if len(errs) > 0 {
+		return s.rejected(d, errs)
+	}
+	d.Outcome = Accepted
+	changes := s.templateChanges(p.Template)
+	entry := &templateEntry{last: change{p.ID, p.Author, d.Version, d.Object + ": created"}}
+	if old != nil {
+		entry.last.What = summarize(d.Object, changes)
+		entry.revisions = s.keptRevisions(old)
+	}
+	entry.revisions = append(entry.revisions, *p.Template)
+	entry.bytes = jsonBytes(templateDoc{entry.revisions, entry.last})
+	was := 0
+	if old != nil {
+		was = old.bytes
+	}
+	return s.fit(outcome{decision: d, changes: changes, template: entry}, entry.bytes-was)
+}
+
+// fit accepts o when the state still fits a snapshot.
+func (s *State) fit(o outcome, growth int) outcome {
+	o.bytes = s.bytes + growth
+	if o.bytes > MaxStateBytes && growth > 0 {
+		errs := FieldErrors{{"configuration", fmt.Sprintf("%d bytes", o.bytes), fmt.Sprintf("at most %d bytes in all", MaxStateBytes)}}
+		return s.rejected(o.decision, errs)
+	}
+	return o
+}
+
+// keptRevisions bounds the revisions of one template: those that an instance
+// uses and the newest few.
+func (s *State) keptRevisions(t *templateEntry) []Template {
+	const newest = 3
+	used := map[int]bool{}
+	name := t.revisions[0].Name
+	for _, i := range s.instances {
+		if i.instance.Template == name {
+			used[i.instance.Revision] = true
+		}
+	}
+	kept := make([]Template, 0, len(t.revisions)+1)
+	for i := range t.revisions {
+		if i >= len(t.revisions)-newest || used[t.revisions[i].Revision] {
+			kept = append(kept, t.revisions[i])
+		}
+	}
+	return kept
+}
+
+// templateChanges compares t under its defaults with the current revision.
+func (s *State) templateChanges(t *Template) []Change {
+	var old *Effective
+	probe := &Instance{Workspace: "w", Service: "s"}
+	if was, ok := s.Template(t.Name, 0); ok {
+		old, _ = resolve(was, probe)
+	}
+	now, _ := resolve(t, probe)
+	return Diff(old, now)
+}
+
+func (s *State) decideInstance(p *Publication, d Decision) outcome {
+	inst := p.Instance
+	k := key{inst.Workspace, inst.Service}
+	old := s.instances[k]
+	if old != nil && old.last.Version != p.Based {
+		return s.lost(d, old.last)
+	}
+	var errs FieldErrors
+	if old == nil && p.Based != 0 {
+		errs.add("publication.based", strconv.FormatInt(int64(p.Based), 10), "0: there is no such instance")
+	}
+	t, ok := s.Template(inst.Template, inst.Revision)
+	if !ok || inst.Revision == 0 {
+		errs.add("instance.template", fmt.Sprintf("%s/%d", clip(inst.Template), inst.Revision), "an accepted template and revision")
+		return s.rejected(d, errs)
+	}
+	e, more := resolve(t, inst)
+	if errs = append(errs, more...); len(errs) > 0 {
+		return s.rejected(d, errs)
+	}
+	d.Outcome = Accepted
+	e.Version = d.Version
+	changes := append(sourceChange(s.effective[k], e), Diff(s.effective[k], e)...)
+	last := change{p.ID, p.Author, d.Version, fmt.Sprintf("%s: created from %s/%d", d.Object, t.Name, t.Revision)}
+	if old != nil {
+		last.What = summarize(d.Object, changes)
+	}
+	entry := &instanceEntry{instance: *inst, last: last}
+	entry.bytes = jsonBytes(instanceDoc{entry.instance, entry.last})
+	was := 0
+	if old != nil {
+		was = old.bytes
+	}
+	return s.fit(outcome{decision: d, changes: changes, instance: entry, effective: e}, entry.bytes-was)
+}
+
+func sourceChange(old, new *Effective) []Change {
+	is := fmt.Sprintf("%s/%d", new.Template, new.Revision)
+	was := ""
+	if old != nil {
+		was = fmt.Sprintf("%s/%d", old.Template, old.Revision)
+	}
+	if was == is {
+		return nil
+	}
+	return []Change{{Field: "template", Old: was, New: is}}
+}
+
+func (s *State) lost(d Decision, to change) outcome {
+	d.Outcome = Lost
+	d.Lost = &LostTo{ID: to.ID, Author: to.Author, Version: to.Version, What: to.What}
+	return outcome{decision: d, bytes: s.bytes}
+}
+
+func (s *State) rejected(d Decision, errs FieldErrors) outcome {
+	d.Outcome = Rejected
+	d.Errors = errs[:min(len(errs), maxDecisionErrors)]
+	return outcome{decision: d, bytes: s.bytes}
+}
--- a/internal/policy/decode.go
+++ b/internal/policy/decode.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
 )
 
 // DecodeTemplate reads one template strictly and validates it.
@@ -46,6 +48,10 @@
 	if errs = decodeStrict(data, p); len(errs) > 0 {
 		return nil, errs
 	}
+	if p.Rules < 0 {
+		errs.add("publication.rules", fmt.Sprint(p.Rules), "at least 0")
+		return nil, errs
+	}
 	if (p.Template == nil) == (p.Instance == nil) {
 		errs.add("publication", p.ID, "one of template and instance")
 		return nil, errs
@@ -101,3 +107,18 @@
 	}
 	return FieldError{Field: "document", Value: clip(err.Error()), Bound: "valid JSON"}
 }
+
+// needsNewerRules reports whether e is a publication that only a newer release
+// can decide. It reads leniently: the rest may hold fields not known here.
+func needsNewerRules(e platform.Entry) bool {
+	if e.Record.Kind != platform.KindTemplate && e.Record.Kind != platform.KindInstance {
+		return false
+	}
+	if len(e.Record.Body) > MaxPublicationBytes {
+		return false
+	}
+	var head struct {
+		Rules int `json:"rules"`
+	}
+	return json.Unmarshal(e.Record.Body, &head) == nil && head.Rules > RulesVersion
+}
--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -349,3 +349,50 @@
 	must.NoError(t, err)
 	must.Eq(t, mustMarshal(t, h.now()), mustMarshal(t, copied))
 }
+
+// Nodes are upgraded one by one, and an operator publishes what only the new
+// release understands. An old node must not pass it: refusing what the others
+// accept, it would hold another configuration for good. It stays where it is,
+// without reading the same records over and over, and follows a new one.
+func TestOldReleaseStopsBeforeNewRules(t *testing.T) {
+	h := startedHistory()
+	r := h.replicas[0]
+	h.append(platform.Record{ID: "n", Kind: platform.KindInstance, Body: []byte(`{"id":"n","rules":2,"author":"ito","colour":1}`)})
+	p := &Publication{ID: "i", Author: "ito", Instance: testInstance("letters", "strict", 1, "1")}
+	h.append(record(p))
+	for range 3 {
+		h.catchUp(r)
+		must.True(t, r.Blocked() && r.Behind())
+		must.Eq(t, 2, r.State().Version())
+		must.Eq(t, 4, r.Next())
+	}
+	newer := EmptyAt(4)
+	must.True(t, r.Merge(newer))
+	must.False(t, r.Blocked() || r.Behind())
+	h.log = append(h.log, record(p))
+	h.catchUp(r)
+	must.Eq(t, 5, r.State().Version())
+}
+
+// Operators publish until the configuration outgrows what a snapshot can hold.
+// The one too many is refused with the figure, and the snapshot still fits.
+func TestConfigurationStaysWithinOneSnapshot(t *testing.T) {
+	h := newHistory()
+	help := strings.Repeat("x", MaxHelpBytes)
+	var d Decision
+	for i := 0; d.Outcome != Rejected; i++ {
+		p := &Publication{ID: fmt.Sprint("t", i), Author: "ito", Template: testTemplate(fmt.Sprint("t", i), 1, i)}
+		p.Template.Help = help
+		h.append(record(p))
+		h.oracle = h.oracle[len(h.oracle)-1:]
+		d, _ = h.now().Decision(p.ID)
+		must.Less(t, 5000, i)
+	}
+	must.ErrorContains(t, d.Err(), "must be at most 1310720 bytes in all")
+	r, err := h.now().SnapshotRecord("s", epoch)
+	must.NoError(t, err)
+	must.Less(t, platform.MaxRecordBytes, len(r.Body))
+	copied, err := UnmarshalState(r.Body)
+	must.NoError(t, err)
+	must.Eq(t, h.now().bytes, copied.bytes)
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -67,11 +67,19 @@
 	ID     string `json:"id"`
 	Author string `json:"author"`
 	// Based is the version of the object that the author saw; 0 to create.
-	Based    Version   `json:"based"`
+	Based Version `json:"based"`
+	// Rules is the rule set that decides p; 0 means the first. See RulesVersion.
+	Rules    int       `json:"rules,omitempty"`
 	Template *Template `json:"template,omitempty"`
 	Instance *Instance `json:"instance,omitempty"`
 }
 
+// RulesVersion is the newest set of fields, bounds and checks that this release
+// decides by. A release that adds or changes one counts it up and keeps the
+// older sets for the publications that name them. Without that, nodes of two
+// releases would fold one log to two configurations.
+const RulesVersion = 1
+
 // Bounds of names and documents.
 const (
 	MaxNameBytes        = 64
@@ -81,6 +89,11 @@
 	MaxHelpBytes = 512
 	// MaxValueBytes bounds the text of one value.
 	MaxValueBytes = 128
+	// MaxStateBytes bounds the accepted templates and instances as snapshots
+	// hold them. Beside it a snapshot holds at most maxDecisions decisions, so
+	// that it always fits platform.MaxRecordBytes: a state that no snapshot
+	// can hold would be lost when its records expire.
+	MaxStateBytes = 1280 << 10
 )
 
 // Record returns the log record of p, written at now.
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -14,6 +14,9 @@
 	// scan is the offset to read next while the entries after state have
 	// expired and a snapshot is looked for; below 0 otherwise.
 	scan int64
+	// blocked is one more than the version of the state that could not pass
+	// the next entry; 0 for none.
+	blocked Version
 	// markVersion is the newest snapshot known at the last SnapshotDue, and
 	// markSince when this process first knew of it, by its own clock.
 	markVersion Version
@@ -44,12 +47,21 @@
 // reverted; a process that just started has none and serves nothing.
 func (r *Replica) Behind() bool { return r.scan >= 0 }
 
+// Blocked reports that the next entry needs rules of a newer release. What is
+// in force stays; a newer release, or the state of a peer of one, leads on.
+func (r *Replica) Blocked() bool { return r.blocked == r.state.version+1 }
+
 // Take folds a page that was read from Next and reports whether the state
 // changed.
 func (r *Replica) Take(page platform.Page) bool {
 	before := r.state.version
 	for i := range page.Entries {
-		r.state = r.state.Apply(page.Entries[i])
+		was := r.state
+		r.state = was.Apply(page.Entries[i])
+		if r.state == was && Version(page.Entries[i].Offset) == was.version {
+			r.blocked = was.version + 1
+			r.scan = page.Next
+		}
 	}
 	if r.scan < 0 {
 		return r.state.version > before
@@ -57,7 +69,7 @@
 	r.scan = max(r.scan, page.Next)
 	// The scan goes on to the head: a newer snapshot spares folding from an
 	// older one. It ends only when the entries after the state are still there.
-	if page.Next >= page.Head && int64(r.state.version) >= page.Oldest {
+	if page.Next >= page.Head && int64(r.state.version) >= page.Oldest && !r.Blocked() {
 		r.scan = -1
 	}
 	return r.state.version > before
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -63,6 +63,16 @@
 	return data, nil
 }
 
+// jsonBytes returns the size of v in a snapshot.
+func jsonBytes(v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// Documents hold nothing that JSON can't; see Marshal.
+		return MaxStateBytes + 1
+	}
+	return len(data)
+}
+
 // UnmarshalState reads what Marshal wrote and validates all of it. It fails as
 // a whole: half a configuration must not come in force.
 func UnmarshalState(data []byte) (*State, error) {
@@ -112,7 +122,9 @@
 	if _, ok := s.templates[name]; ok {
 		return FieldErrors{{"name", name, "unique"}}
 	}
-	s.templates[name] = &templateEntry{revisions: d.Revisions, last: d.Last}
+	entry := &templateEntry{revisions: d.Revisions, last: d.Last, bytes: jsonBytes(*d)}
+	s.templates[name] = entry
+	s.bytes += entry.bytes
 	return nil
 }
 
@@ -133,7 +145,9 @@
 	if _, ok := s.instances[k]; ok {
 		return FieldErrors{{"instance", k.workspace + "/" + k.service, "unique"}}
 	}
-	s.instances[k] = &instanceEntry{instance: d.Instance, last: d.Last}
+	entry := &instanceEntry{instance: d.Instance, last: d.Last, bytes: jsonBytes(*d)}
+	s.instances[k] = entry
+	s.bytes += entry.bytes
 	s.effective[k] = e
 	return nil
 }
@@ -176,6 +190,9 @@
 	if err != nil {
 		return platform.Record{}, err
 	}
+	if len(body) > platform.MaxRecordBytes {
+		return platform.Record{}, FieldErrors{{"snapshot", fmt.Sprintf("%d bytes", len(body)), fmt.Sprintf("at most %d bytes", platform.MaxRecordBytes)}}
+	}
 	return platform.Record{ID: id, Kind: platform.KindSnapshot, At: now, Body: body}, nil
 }
 
