--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -46,6 +46,9 @@
 		s.effective = maps.Clone(s.effective)
 		s.instances[k] = o.instance
 		s.effective[k] = o.effective
+		if o.effective == nil {
+			delete(s.effective, k)
+		}
 	}
 }
 
@@ -162,6 +165,9 @@
 	if old == nil && p.Based != 0 {
 		errs.add("publication.based", strconv.FormatInt(int64(p.Based), 10), "0: there is no such instance")
 	}
+	if inst.Withdrawn {
+		return s.decideWithdrawal(inst, old, d)
+	}
 	t, ok := s.Template(inst.Template, inst.Revision)
 	if !ok || inst.Revision == 0 {
 		errs.add("instance.template", fmt.Sprintf("%s/%d", clip(inst.Template), inst.Revision), "an accepted template and revision")
@@ -187,6 +193,32 @@
 	return s.fit(outcome{decision: d, changes: changes, instance: entry, effective: e}, entry.bytes-was)
 }
 
+// decideWithdrawal takes an instance out of force and keeps its version.
+func (s *State) decideWithdrawal(inst *Instance, old *instanceEntry, d Decision) outcome {
+	if errs := inst.checkWithdrawn(); len(errs) > 0 {
+		return s.rejected(d, errs)
+	}
+	if old == nil || old.instance.Withdrawn {
+		return s.rejected(d, FieldErrors{{"instance.withdrawn", "true", "set for an instance in force"}})
+	}
+	d.Outcome = Accepted
+	was := s.effective[key{inst.Workspace, inst.Service}]
+	changes := []Change{{Field: "template", Old: fmt.Sprintf("%s/%d", was.Template, was.Revision)}}
+	entry := &instanceEntry{instance: *inst, last: change{d.ID, d.Author, d.Version, d.Object + ": withdrawn"}}
+	entry.bytes = jsonBytes(instanceDoc{entry.instance, entry.last})
+	return s.fit(outcome{decision: d, changes: changes, instance: entry}, entry.bytes-old.bytes)
+}
+
+func (i *Instance) checkWithdrawn() FieldErrors {
+	var errs FieldErrors
+	checkName(&errs, "instance.workspace", i.Workspace)
+	checkName(&errs, "instance.service", i.Service)
+	if i.Template != "" || i.Revision != 0 || len(i.Values) > 0 {
+		errs.add("instance.template", i.Template, "absent, with revision and values, when withdrawn")
+	}
+	return errs
+}
+
 func sourceChange(old, new *Effective) []Change {
 	is := fmt.Sprintf("%s/%d", new.Template, new.Revision)
 	was := ""
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -55,9 +55,12 @@
 type Instance struct {
 	Workspace string            `json:"workspace"`
 	Service   string            `json:"service"`
-	Template  string            `json:"template"`
-	Revision  int               `json:"revision"`
+	Template  string            `json:"template,omitempty"`
+	Revision  int               `json:"revision,omitempty"`
 	Values    map[string]string `json:"values,omitempty"`
+	// Withdrawn puts nothing in force, and names no template. The object keeps
+	// its version, so that no repeat of an old publication brings it back.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // Publication proposes one change; exactly one of Template and Instance is
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -16,7 +16,8 @@
 	scan int64
 	// blocked is one more than the version of the state that could not pass
 	// the next entry; 0 for none.
-	blocked Version
+	blocked   Version
+	headBelow bool
 	// markVersion is the newest snapshot known at the last SnapshotDue, and
 	// markSince when this process first knew of it, by its own clock.
 	markVersion Version
@@ -51,10 +52,17 @@
 // in force stays; a newer release, or the state of a peer of one, leads on.
 func (r *Replica) Blocked() bool { return r.blocked == r.state.version+1 }
 
+// HeadBelow reports that the log's head was below the state at the last page:
+// the log lost acknowledged records or was replaced by another. What comes
+// there next would be skipped as folded already, so it needs an operator; a
+// log whose reads lag may show it for a moment.
+func (r *Replica) HeadBelow() bool { return r.headBelow }
+
 // Take folds a page that was read from Next and reports whether the state
 // changed.
 func (r *Replica) Take(page platform.Page) bool {
 	before := r.state.version
+	r.headBelow = page.Head < int64(before)
 	for i := range page.Entries {
 		was := r.state
 		r.state = was.Apply(page.Entries[i])
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -132,6 +132,9 @@
 	if err := s.checkLast(d.Last); err != nil {
 		return err
 	}
+	if d.Instance.Withdrawn {
+		return s.loadWithdrawn(d)
+	}
 	t, ok := s.Template(d.Instance.Template, d.Instance.Revision)
 	if !ok || d.Instance.Revision == 0 {
 		return FieldErrors{{"template", fmt.Sprintf("%s/%d", d.Instance.Template, d.Instance.Revision), "in the snapshot"}}
@@ -141,6 +144,21 @@
 		return errs
 	}
 	e.Version = d.Last.Version
+	if err := s.addInstance(d); err != nil {
+		return err
+	}
+	s.effective[key{d.Instance.Workspace, d.Instance.Service}] = e
+	return nil
+}
+
+func (s *State) loadWithdrawn(d *instanceDoc) error {
+	if errs := d.Instance.checkWithdrawn(); len(errs) > 0 {
+		return errs
+	}
+	return s.addInstance(d)
+}
+
+func (s *State) addInstance(d *instanceDoc) error {
 	k := key{d.Instance.Workspace, d.Instance.Service}
 	if _, ok := s.instances[k]; ok {
 		return FieldErrors{{"instance", k.workspace + "/" + k.service, "unique"}}
@@ -148,7 +166,6 @@
 	entry := &instanceEntry{instance: d.Instance, last: d.Last, bytes: jsonBytes(*d)}
 	s.instances[k] = entry
 	s.bytes += entry.bytes
-	s.effective[k] = e
 	return nil
 }
 
--- a/internal/policy/state.go
+++ b/internal/policy/state.go
@@ -123,11 +123,13 @@
 	return out
 }
 
-// Instances returns all instances by workspace and service.
+// Instances returns the instances in force by workspace and service.
 func (s *State) Instances() []Instance {
 	out := make([]Instance, 0, len(s.instances))
 	for _, k := range s.instanceKeys() {
-		out = append(out, s.instances[k].instance)
+		if i := s.instances[k].instance; !i.Withdrawn {
+			out = append(out, i)
+		}
 	}
 	return out
 }
