--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -52,11 +52,18 @@
 func newHistory() *history {
 	h := &history{oracle: []*State{NewState()}}
 	for range 3 {
-		h.replicas = append(h.replicas, NewReplica(nil))
+		h.replicas = append(h.replicas, newReplica())
 	}
 	return h
 }
 
+// newReplica starts with nothing and a window small enough to be jumped to.
+func newReplica() *Replica {
+	r := NewReplica(nil)
+	r.window = 4
+	return r
+}
+
 // startedHistory has two templates to make instances of.
 func startedHistory() *history {
 	h := newHistory()
@@ -93,8 +100,8 @@
 }
 
 func (h *history) catchUp(r *Replica) {
-	for range 4 {
-		h.read(r, len(h.log)+1)
+	for range 12 {
+		h.read(r, len(h.log)/2+1)
 	}
 }
 
@@ -166,7 +173,7 @@
 		},
 		"restart": func(t *rapid.T) {
 			i := rapid.IntRange(0, len(h.replicas)-1).Draw(t, "i")
-			h.replicas[i] = NewReplica(nil)
+			h.replicas[i] = newReplica()
 		},
 	}
 }
@@ -231,7 +238,7 @@
 			}
 		}
 		t.Repeat(actions)
-		for _, r := range append(h.replicas, NewReplica(nil)) {
+		for _, r := range append(h.replicas, newReplica(), NewReplica(nil)) {
 			h.catchUp(r)
 			must.False(t, r.Behind())
 			must.Eq(t, mustMarshal(t, h.now()), mustMarshal(t, r.State()))
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/platform"
@@ -14,6 +15,11 @@
 	// scan is the offset to read next while the entries after state have
 	// expired and a snapshot is looked for; below 0 otherwise.
 	scan int64
+	// skipped is where the scan jumped ahead from, below 0 for nowhere: the
+	// entries from there on are scanned only if the newest hold no snapshot.
+	skipped int64
+	// window is how many of the newest entries the scan looks at first.
+	window int64
 	// blocked is one more than the version of the state that could not pass
 	// the next entry; 0 for none.
 	blocked   Version
@@ -29,9 +35,13 @@
 	if from == nil {
 		from = NewState()
 	}
-	return &Replica{state: from, scan: -1}
+	return &Replica{state: from, scan: -1, skipped: -1, window: scanWindow}
 }
 
+// scanWindow is twice DefaultSnapshotRule's MaxBehind, so that the newest
+// snapshot lies in it as long as snapshots are written.
+const scanWindow = 200_000
+
 // State returns the state in force.
 func (r *Replica) State() *State { return r.state }
 
@@ -75,14 +85,35 @@
 		return r.state.version > before
 	}
 	r.scan = max(r.scan, page.Next)
-	// The scan goes on to the head: a newer snapshot spares folding from an
-	// older one. It ends only when the entries after the state are still there.
-	if page.Next >= page.Head && int64(r.state.version) >= page.Oldest && !r.Blocked() {
+	r.scanOn(page)
+	return r.state.version > before
+}
+
+// scanOn chooses the next step of a scan after page. It goes on to the head,
+// since a newer snapshot spares folding from an older one, and ends only when
+// the entries after the state are still there. A log may hold millions of
+// entries of other kinds, so it jumps to the newest window first.
+func (r *Replica) scanOn(page platform.Page) {
+	closed := int64(r.state.version) >= page.Oldest && !r.Blocked()
+	switch {
+	case page.Next < page.Head:
+		if r.skipped < 0 && page.Head-r.scan > r.window {
+			r.skipped = r.scan
+			r.scan = page.Head - r.window
+		}
+	case closed:
 		r.scan = -1
+		r.skipped = -1
+	case r.skipped >= 0 && r.skipped < page.Head && !r.Blocked():
+		r.scan = max(r.skipped, page.Oldest)
+		r.skipped = scannedAll
 	}
-	return r.state.version > before
 }
 
+// scannedAll stands in Replica.skipped once a scan went back for what it had
+// skipped; offsets never reach it.
+const scannedAll = math.MaxInt64
+
 // Truncated is told that a read below oldest failed. Entries between the state
 // and oldest are gone: folding what is left would miss what they accepted, so
 // only a snapshot or a peer's state leads on.
@@ -92,6 +123,7 @@
 		return
 	}
 	r.scan = -1
+	r.skipped = -1
 }
 
 // Merge takes a peer's state when it is newer, and reports whether it was.
@@ -102,6 +134,7 @@
 	r.state = peer
 	// Whether the entries after it are still there shows at the next read.
 	r.scan = -1
+	r.skipped = -1
 	return true
 }
 
--- a/internal/policy/stories_test.go
+++ b/internal/policy/stories_test.go
@@ -223,3 +223,32 @@
 	started.Take(platform.Page{Next: 4, Head: 0})
 	must.True(t, started.HeadBelow())
 }
+
+// A node starts alone on a log that holds many records of other kinds. It must
+// find the newest snapshot without reading them all; and where the newest
+// records hold none, it must go back and find the older one.
+func TestStartReadsTheNewestRecordsFirst(t *testing.T) {
+	for _, after := range []int{10, 400} {
+		h := startedHistory()
+		claims := func(n int) {
+			for range n {
+				h.append(platform.Record{ID: "c", Kind: platform.KindClaim})
+			}
+		}
+		claims(600)
+		snap, err := h.now().SnapshotRecord("s", epoch)
+		must.NoError(t, err)
+		h.append(snap)
+		claims(after)
+		h.oldest = 2
+		r := NewReplica(nil)
+		r.window = 50
+		reads := 0
+		for ; int64(r.State().Version()) < int64(len(h.log)); reads++ {
+			h.read(r, 10)
+			must.Less(t, 200, reads)
+		}
+		must.Eq(t, after > 50, reads > 15)
+		must.Eq(t, mustMarshal(t, h.now()), mustMarshal(t, r.State()))
+	}
+}
