--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/platform"
@@ -14,6 +15,15 @@
 	// scan is the offset to read next while the entries after state have
 	// expired and a snapshot is looked for; below 0 otherwise.
 	scan int64
+	// skipped is where the scan jumped ahead from, below 0 for nowhere: the
+	// entries from there on are scanned only if the newest hold no snapshot.
+	skipped int64
+	// window is how many of the newest entries the scan looks at first.
+	window int64
+	// blocked is one more than the version of the state that could not pass
+	// the next entry; 0 for none.
+	blocked   Version
+	headBelow bool
 	// markVersion is the newest snapshot known at the last SnapshotDue, and
 	// markSince when this process first knew of it, by its own clock.
 	markVersion Version
@@ -25,9 +35,13 @@
 	if from == nil {
 		from = NewState()
 	}
-	return &Replica{state: from, scan: -1}
+	return &Replica{state: from, scan: -1, skipped: -1, window: scanWindow}
 }
 
+// scanWindow is twice DefaultSnapshotRule's MaxBehind, so that the newest
+// snapshot lies in it as long as snapshots are written.
+const scanWindow = 200_000
+
 // State returns the state in force.
 func (r *Replica) State() *State { return r.state }
 
@@ -44,25 +58,62 @@
 // reverted; a process that just started has none and serves nothing.
 func (r *Replica) Behind() bool { return r.scan >= 0 }
 
+// Blocked reports that the next entry needs rules of a newer release. What is
+// in force stays; a newer release, or the state of a peer of one, leads on.
+func (r *Replica) Blocked() bool { return r.blocked == r.state.version+1 }
+
+// HeadBelow reports that the log's head was below the state at the last page:
+// the log lost acknowledged records or was replaced by another. What comes
+// there next would be skipped as folded already, so it needs an operator; a
+// log whose reads lag may show it for a moment.
+func (r *Replica) HeadBelow() bool { return r.headBelow }
+
 // Take folds a page that was read from Next and reports whether the state
 // changed.
 func (r *Replica) Take(page platform.Page) bool {
 	before := r.state.version
+	r.headBelow = page.Head < int64(before)
 	for i := range page.Entries {
-		r.state = r.state.Apply(page.Entries[i])
+		was := r.state
+		r.state = was.Apply(page.Entries[i])
+		if r.state == was && Version(page.Entries[i].Offset) == was.version {
+			r.blocked = was.version + 1
+			r.scan = page.Next
+		}
 	}
 	if r.scan < 0 {
 		return r.state.version > before
 	}
 	r.scan = max(r.scan, page.Next)
-	// The scan goes on to the head: a newer snapshot spares folding from an
-	// older one. It ends only when the entries after the state are still there.
-	if page.Next >= page.Head && int64(r.state.version) >= page.Oldest {
+	r.scanOn(page)
+	return r.state.version > before
+}
+
+// scanOn chooses the next step of a scan after page. It goes on to the head,
+// since a newer snapshot spares folding from an older one, and ends only when
+// the entries after the state are still there. A log may hold millions of
+// entries of other kinds, so it jumps to the newest window first.
+func (r *Replica) scanOn(page platform.Page) {
+	closed := int64(r.state.version) >= page.Oldest && !r.Blocked()
+	switch {
+	case page.Next < page.Head:
+		if r.skipped < 0 && page.Head-r.scan > r.window {
+			r.skipped = r.scan
+			r.scan = page.Head - r.window
+		}
+	case closed:
 		r.scan = -1
+		r.skipped = -1
+	case r.skipped >= 0 && r.skipped < page.Head && !r.Blocked():
+		r.scan = max(r.skipped, page.Oldest)
+		r.skipped = scannedAll
 	}
-	return r.state.version > before
 }
 
+// scannedAll stands in Replica.skipped once a scan went back for what it had
+// skipped; offsets never reach it.
+const scannedAll = math.MaxInt64
+
 // Truncated is told that a read below oldest failed. Entries between the state
 // and oldest are gone: folding what is left would miss what they accepted, so
 // only a snapshot or a peer's state leads on.
@@ -72,6 +123,7 @@
 		return
 	}
 	r.scan = -1
+	r.skipped = -1
 }
 
 // Merge takes a peer's state when it is newer, and reports whether it was.
@@ -82,6 +134,7 @@
 	r.state = peer
 	// Whether the entries after it are still there shows at the next read.
 	r.scan = -1
+	r.skipped = -1
 	return true
 }
 
