--- a/internal/membership/elector.go
+++ b/internal/membership/elector.go
@@ -133,10 +133,7 @@
 // Tick implements Elector.
 func (e *Election) Tick(now time.Time) (Heartbeat, bool) {
 	if !e.leads() {
-		if now.Sub(e.heard) < e.timeout {
-			return Heartbeat{}, false
-		}
-		if now.Sub(e.heard) < e.timeout+e.delay(now) {
+		if !e.silent(now) || now.Sub(e.heard) < e.timeout+e.delay(now) {
 			return Heartbeat{}, false
 		}
 		e.claim(now)
@@ -177,7 +174,7 @@
 	if hb.From == e.self.ID {
 		return
 	}
-	if e.led && hb.From != e.leader.From && !e.better(hb, e.leader) {
+	if e.led && !e.silent(now) && hb.From != e.leader.From && !e.better(hb, e.leader) {
 		return
 	}
 	if !e.led && e.outranks(hb) {
@@ -188,6 +185,12 @@
 	e.heard = now
 }
 
+// silent reports whether the leader was not heard for too long; the next one
+// to claim the lead is then followed, however late its rank.
+func (e *Election) silent(now time.Time) bool {
+	return !e.leads() && now.Sub(e.heard) >= e.timeout
+}
+
 // outranks reports whether a starting process waits to claim the lead itself
 // rather than follow. It keeps a lower identifier from following for a moment.
 func (e *Election) outranks(hb Heartbeat) bool {
