--- a/internal/membership/elector_test.go
+++ b/internal/membership/elector_test.go
@@ -206,3 +206,21 @@
 		must.LessEq(t, by[LowestID], by[Incumbent], must.Sprintf("%s: %v", name, by))
 	}
 }
+
+// A node that its peers evicted in error must come back under a new
+// incarnation; its next join would else be ignored for good.
+func TestEvictedNodeNeedsNewIncarnation(t *testing.T) {
+	self := Member{Identity: Identity{"a", 3}, Zone: "saga", InnerAddr: "1"}
+	z := NewZone(DefaultZoneConfig(), self, epoch)
+	due, again := z.NeedsJoin()
+	must.True(t, due && !again)
+	z.Apply(epoch, []Entry{{0, Join{self}}, {1, Join{Member{Identity: Identity{"b", 1}, Zone: "saga", InnerAddr: "2"}}}})
+	due, _ = z.NeedsJoin()
+	must.False(t, due)
+	must.Len(t, 2, z.Live(epoch))
+	z.OnHeartbeat(epoch, Heartbeat{From: Identity{"b", 1}, Rank: 1})
+	must.False(t, z.Leads())
+	z.Apply(epoch, []Entry{{2, Evict{ID: self.Identity}}})
+	due, again = z.NeedsJoin()
+	must.True(t, due && again)
+}
--- a/internal/membership/findings.go
+++ b/internal/membership/findings.go
@@ -31,6 +31,9 @@
 }
 
 func (s *peerState) findings(now time.Time, id, self Identity, maxAge time.Duration, out []Finding) []Finding {
+	if len(s.accusers) == 0 && s.cleared.IsZero() {
+		return out
+	}
 	for _, who := range slices.SortedFunc(maps.Keys(s.accusers), Identity.Compare) {
 		out = append(out, Finding{Target: id, Accuser: who, Age: now.Sub(s.accusers[who])})
 	}
