Planned stops hand keys over without refusals

Cause: after a hand-over calls for its slots were refused for up to three seconds: the receiver kept a promise given to the leaving owner; promises were asked for because a long read proves little; a proof with a newer head was dropped for its older start; the leave record overtook the takeover. Change: a hand-over ends the promise given to its sender; the head is read twice a second; the farthest head counts by itself; slots without running calls move at once; the leave record waits for the new owners' records; an entry node asks up to ten times for the owner. The test of that bound reads it from the policy. Shares of the allowance go home at most once.

--- a/internal/lease/authority.go
+++ b/internal/lease/authority.go
@@ -29,7 +29,16 @@
 		// Takeovers not folded yet may hide below head.
 		return
 	}
-	if l.proven && (head < l.proofHead || !t0.After(l.proofT0)) {
+	if l.proven && head < l.proofHead {
+		return
+	}
+	if head > l.farHead || head == l.farHead && t0.After(l.farT0) {
+		// A read that was sent earlier and waited for a new record knows of
+		// that record; one sent later but answered sooner does not.
+		l.farHead = head
+		l.farT0 = t0
+	}
+	if l.proven && !t0.After(l.proofT0) {
 		return
 	}
 	l.proven = true
@@ -102,6 +111,8 @@
 	var end time.Time
 	if l.proofHead > s.first {
 		end = l.proofT0.Add(l.cfg.Validity)
+	} else if l.farHead > s.first {
+		end = l.farT0.Add(l.cfg.Validity)
 	}
 	return later(end, l.promisedUntil(s))
 }
--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -93,6 +93,10 @@
 		if l.slots[hs.Slot].offset > hs.Offset {
 			continue
 		}
+		if l.held[hs.Slot].to == h.From {
+			// The promise protected the sender, which starts nothing more.
+			delete(l.held, hs.Slot)
+		}
 		r := received{from: h.From, offset: hs.Offset, effective: now.Add(hs.EffectiveIn)}
 		if !hs.UnknownBefore.IsZero() {
 			r.unknownBefore = hs.UnknownBefore
--- /dev/null
+++ b/internal/lease/hold_test.go
@@ -0,0 +1,42 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A planned stop handed its slots over within milliseconds, yet calls for them
+// were refused for three seconds: the receiver had promised the leaving owner
+// to take nothing, and kept that promise against the owner's own wish.
+func TestHandOverEndsThePromiseGivenToItsSender(t *testing.T) {
+	now := time.Unix(1000, 0)
+	owner, taker := Identity{Node: "a", Incarnation: 1}, Identity{Node: "b", Incarnation: 1}
+	l := NewLessor(DefaultConfig(), Options{Self: taker, Addr: "b:1", Service: "s"})
+	l.Joined(now, 0, owner, "a:1", true)
+	l.Joined(now, 1, taker, "b:1", true)
+	var all []int
+	for i := range DefaultConfig().Slots {
+		all = append(all, i)
+	}
+	l.Apply(now, 2, Takeover{Service: "s", Slots: all, By: owner, Addr: "a:1", Folded: 2, At: now})
+	l.HeadSeen(owner, 3)
+	must.True(t, l.OnPromiseRequest(now, owner, []int{7, 8}))
+	must.True(t, l.ImportedHandOver(now, HandOver{From: owner, Slots: []HandedSlot{{Slot: 7, Offset: 2}}}))
+	actions := l.Plan(now, []Identity{owner, taker})
+	must.SliceLen(t, 1, actions)
+	must.Eq(t, []int{7}, actions[0].(AppendTakeover).Record.Slots)
+}
+
+// While two askers hold promises, the hand-over of one must not end the
+// other's: the slot would be taken from under it.
+func TestHoldForTwoAskersLasts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := Identity{Node: "a", Incarnation: 1}, Identity{Node: "b", Incarnation: 1}
+	h := hold{}.extended(now, a, now.Add(time.Second))
+	must.Eq(t, a, h.to)
+	h = h.extended(now, b, now.Add(2*time.Second))
+	must.Eq(t, Identity{}, h.to)
+	must.Eq(t, now.Add(2*time.Second), h.until)
+}
--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -37,6 +37,12 @@
 	effective, unknownBefore, cleanAt time.Time
 }
 
+// hold is a promise that self gave: until then it takes no slot of owner's.
+type hold struct {
+	to    Identity
+	until time.Time
+}
+
 type promise struct {
 	by Identity
 	t0 time.Time
@@ -61,10 +67,13 @@
 	proofT0   time.Time
 	proofHead int64
 	proven    bool
-	promises  map[string]promise   // by address of the process that promised
-	asked     map[string]time.Time // by address
+	// farHead is the farthest head that any proof showed, from farT0 on.
+	farT0    time.Time
+	farHead  int64
+	promises map[string]promise   // by address of the process that promised
+	asked    map[string]time.Time // by address
 	// held is until when self promised not to take a slot.
-	held     map[int]time.Time
+	held     map[int]hold
 	pending  map[int]bool // appended by self, not decided yet
 	received map[int]received
 
@@ -93,7 +102,7 @@
 		joined:    noOffset,
 		promises:  make(map[string]promise),
 		asked:     make(map[string]time.Time),
-		held:      make(map[int]time.Time),
+		held:      make(map[int]hold),
 		pending:   make(map[int]bool),
 		received:  make(map[int]received),
 	}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -39,8 +39,8 @@
 
 func (l *Lessor) tidy(now time.Time) {
 	l.guards.prune(now, l.cfg.padded(l.cfg.PromiseLimit))
-	for i, until := range l.held {
-		if !now.Before(until) {
+	for i, h := range l.held {
+		if !now.Before(h.until) {
 			delete(l.held, i)
 		}
 	}
@@ -111,7 +111,7 @@
 	eligible := l.Eligible(now)
 	var out []int
 	for i := range l.slots {
-		if l.pending[i] || now.Before(l.held[i]) {
+		if l.pending[i] || now.Before(l.held[i].until) {
 			continue
 		}
 		if l.wants(now, i, alive, eligible) {
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -17,11 +17,20 @@
 	}
 	until := now.Add(l.cfg.takeoverWait())
 	for _, i := range slots {
-		l.held[i] = later(until, l.held[i])
+		l.held[i] = l.held[i].extended(now, from, until)
 	}
 	return true
 }
 
+// extended is the hold after another promise. While promises to two askers are
+// out, neither of them can end both: the hold then lasts.
+func (h hold) extended(now time.Time, to Identity, until time.Time) hold {
+	if now.Before(h.until) && h.to != to {
+		to = Identity{}
+	}
+	return hold{to: to, until: later(until, h.until)}
+}
+
 func (l *Lessor) mayPromise(from Identity, i int) bool {
 	if l.pending[i] {
 		return false
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -74,6 +74,7 @@
 	pause    time.Duration
 	final    *Answer
 	target   *routing.Target
+	share    *retry.Share
 	sent     time.Time
 }
 
@@ -130,7 +131,13 @@
 		info.SuspectedCrasher = true
 		info.Node = d.home()
 	}
-	return d.router.Table().Pick(now, d.rng, info)
+	target, refusal := d.router.Table().Pick(now, d.rng, info)
+	if refusal != nil && info.Node != "" {
+		// The owner is leaving or gone: any other guard knows the next one.
+		info.Node = ""
+		return d.router.Table().Pick(now, d.rng, info)
+	}
+	return target, refusal
 }
 
 // home names the one guard where a suspect may run, so that two guards don't
@@ -149,7 +156,8 @@
 func (d *Dispatch) send(now time.Time, target *routing.Target) Order {
 	attempt := *d.call
 	attempt.Ctx.CallID = d.router.NewID()
-	attempt.Allowance = d.account.Split()
+	d.share = d.account.Lend()
+	attempt.Allowance = d.share.Amount()
 	attempt.Marks = d.marks
 	d.attempts++
 	d.target = target
@@ -161,7 +169,7 @@
 
 // Observe takes the end of the attempt last sent.
 func (d *Dispatch) Observe(now time.Time, a *Answer) {
-	d.account.Return(a.Unused)
+	d.share.Return(a.Unused)
 	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
 	throttle := d.router.Throttle(d.call.Ctx.Service)
 	if a.Whole() {
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -181,6 +181,18 @@
 	return settled
 }
 
+// Holds returns how many slots the log gives to this guard, handed over or not.
+func (o *Ownership) Holds() (n int) {
+	o.localLessor(func(l *lease.Lessor) {
+		for _, s := range l.State().Slots {
+			if s.Owner == o.self {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // localLessor runs f on the state of the local upstream's service.
 func (o *Ownership) localLessor(f func(l *lease.Lessor)) {
 	o.mu.Lock()
--- a/internal/retry/decide_test.go
+++ b/internal/retry/decide_test.go
@@ -73,7 +73,7 @@
 		{"quarantined", Attempt{Code: result.Quarantined, Idempotent: true}, ReturnIt},
 		{"owner known", Attempt{Code: result.OwnedElsewhere, Owner: "a"}, AskOwner},
 		{"owner not known", Attempt{Code: result.OwnedElsewhere}, ReturnIt},
-		{"owners disagree", Attempt{Code: result.OwnedElsewhere, Owner: "a", OwnerAsked: 3}, ReturnIt},
+		{"owners disagree", Attempt{Code: result.OwnedElsewhere, Owner: "a", OwnerAsked: DefaultPolicy().MaxOwnerAsks}, ReturnIt},
 		{"silent connection", Attempt{Code: result.LostAnswer, SameIncarnation: true}, Reattach},
 		{"silent again", Attempt{Code: result.LostAnswer, SameIncarnation: true, Reattached: true}, ReturnIt},
 		{"guard died, idempotent", Attempt{Code: result.LostAnswer, Idempotent: true}, TryElsewhere},
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -24,7 +24,7 @@
 		BaseBackoff:    10 * time.Millisecond,
 		MaxBackoff:     time.Second,
 		MinRemaining:   2 * time.Millisecond,
-		MaxOwnerAsks:   7,
+		MaxOwnerAsks:   10,
 		MaxFailedTries: 1,
 	}
 }
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -18,6 +18,8 @@
 const (
 	// readMax bounds the entries of one read.
 	readMax = 1000
+	// headPeriod is how often the head is read; proofs last seconds.
+	headPeriod = 500 * time.Millisecond
 	// readRetry is the pause after a read that failed.
 	readRetry = 200 * time.Millisecond
 	// joinTimeout bounds one try to get the join record into the log.
@@ -46,8 +48,19 @@
 			sleep(ctx, readRetry)
 			continue
 		}
-		c.apply(page)
-		c.server.own.state.Proof(sent, page.Head)
+		c.apply(page, sent)
+	}
+}
+
+// proveHead reads the head of the log, well within the validity of a proof. A
+// long read proves less: it counts from when it was sent.
+func (c *control) proveHead(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := c.server.node.Now()
+		if head, err := c.server.log.Head(ctx); err == nil {
+			c.server.own.state.Proof(sent, head)
+		}
+		sleep(ctx, headPeriod)
 	}
 }
 
@@ -57,15 +70,18 @@
 	return c.replica.Next()
 }
 
-func (c *control) apply(page platform.Page) {
+// apply folds a page of the log; the read that brought it was sent at sent,
+// and proves that nothing lay beyond its head then.
+func (c *control) apply(page platform.Page, sent time.Time) {
+	now := c.server.node.Now()
+	c.server.own.state.Apply(now, page.Entries)
+	c.server.own.state.Proof(sent, page.Head)
 	if len(page.Entries) == 0 {
 		return
 	}
-	now := c.server.node.Now()
 	c.mu.Lock()
 	before := c.replica.Members()
 	c.replica.Apply(now, page.Entries)
-	c.server.own.state.Apply(now, page.Entries)
 	members, policy := c.replica.Members(), c.replica.Policy()
 	c.mu.Unlock()
 	if members != before {
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,59 +17,88 @@
 )
 
 // handOverAll moves every owned slot to the guards that take over after a
-// planned stop, so that no key is unknown to them.
+// planned stop, so that no key is unknown to them. A guard that does not take
+// its share is left out, and the rest goes to the others.
 func (o *ownership) handOverAll(ctx context.Context) {
 	service := o.state.Local()
 	if service == "" {
 		return
 	}
-	for _, m := range o.state.StopPlan(o.server.control.live(service)) {
-		o.move(ctx, m)
+	live := o.server.control.live(service)
+	for ctx.Err() == nil {
+		moves := o.state.StopPlan(live)
+		if len(moves) == 0 {
+			break
+		}
+		for _, m := range moves {
+			if !o.moveInSteps(ctx, m) {
+				live = slices.DeleteFunc(live, func(id membership.Identity) bool { return id == m.To })
+			}
+		}
 	}
+	o.awaitTaken(ctx)
 }
 
-// move hands slots with their memory to another guard. One move is out at a
-// time: two to the same guard could overtake each other.
-func (o *ownership) move(ctx context.Context, m lease.MoveSlots) {
-	if !o.beginMove() {
-		return
+// moveInSteps moves the slots without running calls at once, and the others a
+// few at a time: calls for a slot that moves wait for the slowest call that
+// still runs in its step.
+func (o *ownership) moveInSteps(ctx context.Context, m lease.MoveSlots) bool {
+	var idle, busy []int
+	for _, slot := range m.Slots {
+		if o.server.node.Guard().KeysBusy(o.state.InSlots([]int{slot})) > 0 {
+			busy = append(busy, slot)
+		} else {
+			idle = append(idle, slot)
+		}
+	}
+	steps := slices.Collect(slices.Chunk(busy, moveStep))
+	if len(idle) > 0 {
+		steps = append([][]int{idle}, steps...)
+	}
+	for _, step := range steps {
+		if !o.move(ctx, lease.MoveSlots{To: m.To, Addr: m.Addr, Slots: step}) {
+			return false
+		}
 	}
-	defer o.endMove()
+	return true
+}
+
+// awaitTaken waits until the log shows the new owners. Were this guard's leave
+// record there first, any guard could take the slots, without their memory.
+func (o *ownership) awaitTaken(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, takenTimeout)
+	defer cancel()
+	for o.state.Holds() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+}
+
+// move hands slots with their memory to another guard and reports whether it
+// took them. One move is out at a time: two to the same guard could overtake
+// each other.
+func (o *ownership) move(ctx context.Context, m lease.MoveSlots) bool {
+	o.moving.Lock()
+	defer o.moving.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	if resp, err := o.ask(ctx, m.Addr, nil); err != nil || !resp.GetEligible() {
-		return
+		return false
 	}
 	h := o.state.Release(o.server.node.Now(), m.Addr, m.Slots)
 	if len(h.Slots) == 0 {
-		return
+		return true
 	}
 	if err := o.send(ctx, m, h); err != nil {
 		o.server.logger.Warn().Err(err).Str("to", m.To.Node).Msg("hand-over failed")
 		if t, ok := o.state.Reclaim(o.server.node.Now()); ok {
 			o.appendTakeover(ctx, t.Record)
 		}
-		return
-	}
-	o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.HandedOver, Service: o.state.Local(), Upstream: m.To.Node, Detail: slotsDetail(m.Slots)})
-}
-
-func (o *ownership) beginMove() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.moving {
 		return false
 	}
-	o.moving = true
+	o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.HandedOver, Service: o.state.Local(), Upstream: m.To.Node, Detail: slotsDetail(m.Slots)})
 	return true
 }
 
-func (o *ownership) endMove() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.moving = false
-}
-
 // send waits for the calls that run under the slots' keys, then sends the keys
 // in parts and the slots with the last.
 func (o *ownership) send(ctx context.Context, m lease.MoveSlots, h lease.HandOver) error {
@@ -147,6 +177,7 @@
 	if !o.state.Imported(now, lease.HandOver{From: from, Slots: decodeSlots(req.GetSlots())}) {
 		return "this guard may not take slots yet"
 	}
+	o.planSoon()
 	return ""
 }
 
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -33,6 +33,10 @@
 	// partEntries bounds the keys of one part of a hand-over, so that a part
 	// stays far below the bound of a control message.
 	partEntries = 200
+	// moveStep is how many slots move at a time in a planned stop.
+	moveStep = 4
+	// takenTimeout bounds the wait for the new owners' records.
+	takenTimeout = 3 * time.Second
 )
 
 // ownership drives node.Ownership: it appends takeovers, asks for promises and
@@ -41,9 +45,11 @@
 	server *Server
 	state  *node.Ownership
 	client *http.Client
+	kick   chan struct{}
+
+	moving sync.Mutex // held for one move of slots
 
 	mu         sync.Mutex
-	moving     bool
 	introduced time.Time
 	// importing holds the parts of hand-overs that are not complete.
 	incomplete map[membership.Identity]bool
@@ -54,6 +60,7 @@
 		server:     s,
 		state:      node.NewOwnership(lease.DefaultConfig(), id),
 		client:     &http.Client{Transport: dial},
+		kick:       make(chan struct{}, 1),
 		incomplete: make(map[membership.Identity]bool),
 	}
 }
@@ -67,10 +74,21 @@
 			return
 		case now := <-t.C:
 			o.plan(ctx, now)
+		case <-o.kick:
+			o.plan(ctx, o.server.node.Now())
 		}
 	}
 }
 
+// planSoon plans at once: slots were handed to this guard and have no owner
+// that starts calls.
+func (o *ownership) planSoon() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (o *ownership) plan(ctx context.Context, now time.Time) {
 	service := o.state.Local()
 	if service == "" || o.server.node.Guard().Draining() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -210,6 +210,7 @@
 	s.serve(s.listeners.admin, http.NewServeMux())
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
+	s.loop(func() { s.control.proveHead(ctx) })
 	s.loop(func() { s.tick(ctx) })
 	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
