--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -92,13 +92,13 @@
 
 type latencyCmd struct {
 	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
-	Seconds time.Duration `name:"for" default:"5s" help:"How long to measure."`
+	For     time.Duration ` default:"5s" help:"How long to measure."`
 	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
 // Run prints one JSON line.
 func (c *latencyCmd) Run() error {
-	added, err := bench.MeasureAdded(c.Rate, c.Seconds, c.Seed)
+	added, err := bench.MeasureAdded(c.Rate, c.For, c.Seed)
 	if err != nil {
 		return err
 	}
