--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -37,6 +37,12 @@
 	effective, unknownBefore, cleanAt time.Time
 }
 
+// hold is a promise that self gave: until then it takes no slot of owner's.
+type hold struct {
+	to    Identity
+	until time.Time
+}
+
 type promise struct {
 	by Identity
 	t0 time.Time
@@ -61,10 +67,13 @@
 	proofT0   time.Time
 	proofHead int64
 	proven    bool
-	promises  map[string]promise   // by address of the process that promised
-	asked     map[string]time.Time // by address
+	// farHead is the farthest head that any proof showed, from farT0 on.
+	farT0    time.Time
+	farHead  int64
+	promises map[string]promise   // by address of the process that promised
+	asked    map[string]time.Time // by address
 	// held is until when self promised not to take a slot.
-	held     map[int]time.Time
+	held     map[int]hold
 	pending  map[int]bool // appended by self, not decided yet
 	received map[int]received
 
@@ -93,7 +102,7 @@
 		joined:    noOffset,
 		promises:  make(map[string]promise),
 		asked:     make(map[string]time.Time),
-		held:      make(map[int]time.Time),
+		held:      make(map[int]hold),
 		pending:   make(map[int]bool),
 		received:  make(map[int]received),
 	}
@@ -129,7 +138,7 @@
 	case id == l.self && l.joined == noOffset:
 		l.joined = offset
 		l.joinedAt = now
-	case id.Node == l.self.Node && id != l.self:
+	case id.Node == l.self.Node && id.Incarnation > l.self.Incarnation:
 		l.stopped = true
 	}
 }
@@ -193,17 +202,25 @@
 	if t.By == l.self {
 		l.begin(now, &s, prev, i)
 	}
-	delete(l.received, i)
+	l.dropStale(i, offset)
 	l.slots[i] = s
 }
 
+// dropStale forgets a hand-over that a newer record of the slot has overtaken.
+// A hand-over may also arrive before the record that it refers to.
+func (l *Lessor) dropStale(i int, offset int64) {
+	if r, ok := l.received[i]; ok && r.offset < offset {
+		delete(l.received, i)
+	}
+}
+
 // renew folds a record of the present owner: it moves the offset, so that
 // folds which begin later agree, and ends a release.
 func (l *Lessor) renew(now time.Time, offset int64, i int, t Takeover) {
 	s := &l.slots[i]
 	s.offset = offset
 	s.addr = t.Addr
-	delete(l.received, i)
+	l.dropStale(i, offset)
 	if s.released {
 		s.released = false
 		s.first = offset
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -2,19 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
-// maxRedirects bounds how often a call is sent on to the owner of its key.
-// Two hops settle a takeover that happens while the call travels; more would
-// only follow two nodes that disagree.
-const maxRedirects = 2
-
 // OrderKind says what the holder of a Dispatch does next.
 type OrderKind int
 
@@ -42,10 +39,16 @@
 	Table() *routing.Table
 	// Owner returns the node that owns the call's key; empty when any may run it.
 	Owner(call *Call) string
+	// At returns the node of a service at an inner address; empty when unknown.
+	At(service, addr string) string
 	// Throttle returns the retry throttle of a destination service.
 	Throttle(service string) *retry.Throttle
 	// RetryPolicy returns the backoff in force.
 	RetryPolicy() retry.Policy
+	// Suspicion returns the records against the call's request, if any.
+	Suspicion(now time.Time, call *Call) []quarantine.Suspect
+	// Witness records that an upstream died while it ran the call.
+	Witness(now time.Time, call *Call, a *Answer)
 	// NewID returns a fresh call ID.
 	NewID() string
 }
@@ -66,10 +69,12 @@
 	unproven *Answer
 	attempts int
 	retries  int
-	crashes  int
+	marks    []quarantine.Suspect
+	held     bool // paused once until a suspect may run
 	pause    time.Duration
 	final    *Answer
 	target   *routing.Target
+	share    *retry.Share
 	sent     time.Time
 }
 
@@ -112,23 +117,48 @@
 
 func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
 	info := routing.PickInfo{
-		Service:          d.call.Ctx.Service,
-		Rank:             admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
-		Avoid:            d.tried,
-		Node:             d.next,
-		SuspectedCrasher: d.crashes > 0,
+		Service: d.call.Ctx.Service,
+		Rank:    admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
+		Avoid:   d.tried,
+		Node:    d.next,
 	}
-	if info.Node == "" && d.call.Keyed() {
+	d.marks = d.router.Suspicion(now, d.call)
+	switch {
+	case info.Node != "":
+	case d.call.Keyed():
 		info.Node = d.router.Owner(d.call)
+	case len(d.marks) > 0:
+		info.SuspectedCrasher = true
+		info.Node = d.home()
+	}
+	target, refusal := d.router.Table().Pick(now, d.rng, info)
+	if refusal != nil && info.Node != "" {
+		// The owner is leaving or gone: any other guard knows the next one.
+		info.Node = ""
+		return d.router.Table().Pick(now, d.rng, info)
+	}
+	return target, refusal
+}
+
+// home names the one guard where a suspect may run, so that two guards don't
+// lose their upstreams to it at the same time.
+func (d *Dispatch) home() string {
+	var candidates []string
+	for _, t := range d.router.Table().Targets(d.call.Ctx.Service) {
+		node := t.Endpoint().Node
+		if !slices.Contains(d.tried, node) {
+			candidates = append(candidates, node)
+		}
 	}
-	return d.router.Table().Pick(now, d.rng, info)
+	return quarantine.Home(d.call.Fingerprint(), candidates)
 }
 
 func (d *Dispatch) send(now time.Time, target *routing.Target) Order {
 	attempt := *d.call
 	attempt.Ctx.CallID = d.router.NewID()
-	attempt.Allowance = d.account.Split()
-	attempt.Crashes = d.crashes
+	d.share = d.account.Lend()
+	attempt.Allowance = d.share.Amount()
+	attempt.Marks = d.marks
 	d.attempts++
 	d.target = target
 	d.sent = now
@@ -139,7 +169,7 @@
 
 // Observe takes the end of the attempt last sent.
 func (d *Dispatch) Observe(now time.Time, a *Answer) {
-	d.account.Return(a.Unused)
+	d.share.Return(a.Unused)
 	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
 	throttle := d.router.Throttle(d.call.Ctx.Service)
 	if a.Whole() {
@@ -150,8 +180,9 @@
 	if countsAgainstThrottle(a.Code) {
 		throttle.Failure()
 	}
-	if a.Crashed {
-		d.crashes++
+	if a.Crashed != 0 {
+		a.Upstream = d.target.Endpoint().Node
+		d.router.Witness(now, d.call, a)
 	}
 	if a.Code.Ran() != result.RanNo && d.unproven == nil {
 		d.unproven = a
@@ -160,6 +191,9 @@
 }
 
 func (d *Dispatch) decide(now time.Time, a *Answer, throttle *retry.Throttle) {
+	if d.hold(now, a) {
+		return
+	}
 	action, wait := retry.Decide(retry.Attempt{
 		Code:       a.Code,
 		AllFull:    a.Refusal.AllFull,
@@ -172,9 +206,10 @@
 		Rand:       d.rng,
 	}, d.router.RetryPolicy())
 	switch {
-	case action == retry.AskOwner && d.redirects < maxRedirects:
+	case action == retry.AskOwner:
 		d.redirects++
-		d.next = a.Refusal.Owner
+		d.next = d.router.At(d.call.Ctx.Service, a.Refusal.Owner)
+		d.pause = wait
 	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
 		d.retries++
 		d.tried = append(d.tried, d.target.Endpoint().Node)
@@ -184,6 +219,23 @@
 	}
 }
 
+// hold waits, once, until a request that was in flight at a crash may run
+// alone: the news of other crashes needs a moment to arrive.
+func (d *Dispatch) hold(now time.Time, a *Answer) bool {
+	wait := a.Refusal.RetryAfter
+	inFlight := d.unproven != nil && d.unproven.Crashed != 0
+	if a.Code != result.Quarantined || !inFlight || d.held || wait <= 0 {
+		return false
+	}
+	if d.call.Ctx.Remaining(now) < 2*wait || !d.account.Spend() {
+		return false
+	}
+	d.held = true
+	d.retries++
+	d.pause = wait
+	return true
+}
+
 // countsAgainstThrottle leaves out what says nothing about the destination.
 func countsAgainstThrottle(c result.Code) bool {
 	switch c {
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -52,6 +52,12 @@
 	return o.local
 }
 
+// SetResendHorizon raises the time in which callers of the local service may
+// resend a key.
+func (o *Ownership) SetResendHorizon(d time.Duration) {
+	o.localLessor(func(l *lease.Lessor) { l.SetResendHorizon(d) })
+}
+
 // Truncated says that the log no longer held its first records when this fold
 // began: owners may be recorded that were never read.
 func (o *Ownership) Truncated() {
@@ -161,6 +167,32 @@
 	return a.Deadline, a.Refusal
 }
 
+// Settled reports whether every slot of the local service has an owner, and
+// this guard could start calls in its own.
+func (o *Ownership) Settled(now time.Time) (settled bool) {
+	o.localLessor(func(l *lease.Lessor) {
+		settled = true
+		for i := range o.cfg.Slots {
+			a := l.MayStart(now, uint64(i), now)
+			owned := a.OK || a.Refusal.Code == result.OwnedElsewhere
+			settled = settled && owned
+		}
+	})
+	return settled
+}
+
+// Holds returns how many slots the log gives to this guard, handed over or not.
+func (o *Ownership) Holds() (n int) {
+	o.localLessor(func(l *lease.Lessor) {
+		for _, s := range l.State().Slots {
+			if s.Owner == o.self {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // localLessor runs f on the state of the local upstream's service.
 func (o *Ownership) localLessor(f func(l *lease.Lessor)) {
 	o.mu.Lock()
--- a/internal/node/plane_codec.go
+++ b/internal/node/plane_codec.go
@@ -5,17 +5,17 @@
 	"strings"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/platform"
-	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
 func age(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // refOf names a node as briefly as the protocol allows.
 func refOf(id membership.Identity) *innerpb.NodeRef {
-	return &innerpb.NodeRef{NodeId: id.Node, Incarnation: strconv.FormatUint(id.Incarnation, 10)}
+	return &innerpb.NodeRef{NodeId: id.Node, Incarnation: strconv.FormatUint(id.Incarnation, 16)}
 }
 
 // Ref names a node to its peers.
@@ -27,42 +27,13 @@
 }
 
 func identityOf(node, incarnation string) membership.Identity {
-	n, _ := strconv.ParseUint(incarnation, 10, 64)
+	n, _ := strconv.ParseUint(incarnation, 16, 64)
 	return membership.Identity{Node: node, Incarnation: n}
 }
 
-// SuspectMessage is a record of suspicion as nodes pass it on: clocks differ,
-// so its time travels as an age.
-func SuspectMessage(now time.Time, s quarantine.Suspect) *innerpb.Suspect {
-	return &innerpb.Suspect{
-		Fingerprint:         uint64(s.Fingerprint),
-		Origin:              s.Upstream,
-		CrashedIncarnations: []string{strconv.FormatUint(s.Incarnation, 10)},
-		AgeUs:               max(0, now.Sub(s.At).Microseconds()),
-		Cleared:             s.Cleared,
-		Alone:               s.Alone,
-	}
-}
-
-func suspectOf(now time.Time, s *innerpb.Suspect) quarantine.Suspect {
-	out := quarantine.Suspect{
-		Fingerprint: quarantine.Fingerprint(s.GetFingerprint()),
-		Upstream:    s.GetOrigin(),
-		At:          now.Add(-age(s.GetAgeUs())),
-		Cleared:     s.GetCleared(),
-		Alone:       s.GetAlone(),
-	}
-	if list := s.GetCrashedIncarnations(); len(list) > 0 {
-		out.Incarnation, _ = strconv.ParseUint(list[0], 10, 64)
-	}
-	return out
-}
-
 // OnSuspects takes suspects that a peer spread.
 func (p *Plane) OnSuspects(now time.Time, list []*innerpb.Suspect) {
-	for _, s := range list {
-		p.incoming = append(p.incoming, suspectOf(now, s))
-	}
+	p.incoming = append(p.incoming, inner.ToSuspects(list, now)...)
 }
 
 func livenessOf(findings []membership.Finding) []*innerpb.Liveness {
@@ -75,7 +46,7 @@
 		}
 		out = append(out, &innerpb.Liveness{
 			NodeId: target.NodeId, Incarnation: target.Incarnation, State: state,
-			AgeUs: max(0, f.Age.Microseconds()), Observer: f.Accuser.String(),
+			AgeUs: max(0, f.Age.Microseconds()), Observer: f.Accuser.Node + "#" + refOf(f.Accuser).Incarnation,
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/policy/history_test.go
@@ -0,0 +1,247 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/galenagrade/galenagrade/internal/platform"
+)
+
+// epoch is the start of every test's clock.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// testTemplate has one parameter; step makes revisions differ.
+func testTemplate(name string, revision, step int) *Template {
+	return &Template{
+		Name: name, Revision: revision,
+		Parameters: []Parameter{{Name: "allowance", Type: TypeInt, Unit: "retries", Default: "1", Max: "4"}},
+		Behaviour:  Behaviour{RetryAllowance: "$allowance", MaxDepth: Value(fmt.Sprint(1 + step%32))},
+	}
+}
+
+func testInstance(service, template string, revision int, allowance string) *Instance {
+	return &Instance{
+		Workspace: "chikugo", Service: service, Template: template, Revision: revision,
+		Values: map[string]string{"allowance": allowance},
+	}
+}
+
+func record(p *Publication) platform.Record {
+	r, err := p.Record(epoch)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// history drives one log and several replicas that read it at their own pace.
+// The oracle folds every record at once and keeps every state it went through.
+type history struct {
+	log      []platform.Record
+	oldest   int64
+	oracle   []*State
+	stale    []platform.Record
+	replicas []*Replica
+	serial   int
+}
+
+func newHistory() *history {
+	h := &history{oracle: []*State{NewState()}}
+	for range 3 {
+		h.replicas = append(h.replicas, newReplica())
+	}
+	return h
+}
+
+// newReplica starts with nothing and a window small enough to be jumped to.
+func newReplica() *Replica {
+	r := NewReplica(nil)
+	r.window = 4
+	return r
+}
+
+// startedHistory has two templates to make instances of.
+func startedHistory() *history {
+	h := newHistory()
+	for _, name := range []string{"strict", "loose"} {
+		h.append(record(&Publication{ID: name, Author: "ito", Template: testTemplate(name, 1, 0)}))
+	}
+	return h
+}
+
+func (h *history) now() *State { return h.oracle[len(h.oracle)-1] }
+
+func (h *history) append(r platform.Record) {
+	e := platform.Entry{Offset: int64(len(h.log)), Record: r}
+	h.log = append(h.log, r)
+	h.oracle = append(h.oracle, h.now().Apply(e))
+}
+
+func (h *history) page(from int64, most int) platform.Page {
+	p := platform.Page{Next: from, Head: int64(len(h.log)), Oldest: h.oldest}
+	for p.Next < p.Head && len(p.Entries) < most {
+		p.Entries = append(p.Entries, platform.Entry{Offset: p.Next, Record: h.log[p.Next]})
+		p.Next++
+	}
+	return p
+}
+
+// read makes one read of replica r, as Follow would.
+func (h *history) read(r *Replica, most int) {
+	if r.Next() < h.oldest {
+		r.Truncated(h.oldest)
+		return
+	}
+	r.Take(h.page(r.Next(), most))
+}
+
+func (h *history) catchUp(r *Replica) {
+	for range 12 {
+		h.read(r, len(h.log)/2+1)
+	}
+}
+
+func (h *history) publication(t *rapid.T) *Publication {
+	h.serial++
+	p := &Publication{ID: fmt.Sprint("p", h.serial), Author: rapid.SampledFrom([]string{"ito", "reyes"}).Draw(t, "author")}
+	name := rapid.SampledFrom([]string{"strict", "loose"}).Draw(t, "template")
+	seen := rapid.SampledFrom(h.replicas).Draw(t, "seen").State()
+	if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+		revision := 1
+		if current, ok := seen.Template(name, 0); ok {
+			revision = current.Revision + rapid.IntRange(0, 1).Draw(t, "step")
+		}
+		p.Template = testTemplate(name, revision, h.serial)
+		p.Based = seen.TemplateVersion(name)
+		return p
+	}
+	service := rapid.SampledFrom([]string{"letters", "tracker"}).Draw(t, "service")
+	revision := 1
+	if rapid.IntRange(0, 6).Draw(t, "withdraw") == 0 {
+		p.Instance = &Instance{Workspace: "chikugo", Service: service, Withdrawn: true}
+		p.Based = seen.InstanceVersion("chikugo", service)
+		return p
+	}
+	if current, ok := seen.Template(name, 0); ok {
+		revision = rapid.IntRange(max(0, current.Revision-4), current.Revision).Draw(t, "revision")
+	}
+	p.Instance = testInstance(service, name, revision, fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "allowance")))
+	p.Based = seen.InstanceVersion("chikugo", service)
+	return p
+}
+
+func (h *history) actions() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) *Replica { return rapid.SampledFrom(h.replicas).Draw(t, "replica") }
+	return map[string]func(*rapid.T){
+		"publish": func(t *rapid.T) { h.append(record(h.publication(t))) },
+		"repeat": func(t *rapid.T) {
+			if len(h.log) > 0 {
+				h.append(rapid.SampledFrom(h.log).Draw(t, "again"))
+			}
+		},
+		"unknown": func(*rapid.T) { h.append(platform.Record{ID: "c", Kind: platform.KindClaim}) },
+		"garbage": func(t *rapid.T) {
+			kind := rapid.SampledFrom([]platform.Kind{platform.KindSnapshot, platform.KindInstance}).Draw(t, "kind")
+			h.serial++
+			h.append(platform.Record{ID: fmt.Sprint("g", h.serial), Kind: kind, Body: []byte(`{"format":1,"version":1}x`)})
+		},
+		"take snapshot": func(t *rapid.T) {
+			h.serial++
+			r, err := pick(t).State().SnapshotRecord(fmt.Sprint("s", h.serial), epoch)
+			must.NoError(t, err)
+			h.stale = append(h.stale, r)
+		},
+		"append snapshot": func(t *rapid.T) {
+			if len(h.stale) > 0 {
+				h.append(rapid.SampledFrom(h.stale).Draw(t, "snapshot"))
+			}
+		},
+		"truncate": func(t *rapid.T) {
+			h.oldest = rapid.Int64Range(h.oldest, int64(len(h.log))).Draw(t, "oldest")
+		},
+		"read": func(t *rapid.T) { h.read(pick(t), rapid.IntRange(1, 5).Draw(t, "most")) },
+		"merge": func(t *rapid.T) {
+			data, err := pick(t).State().Marshal()
+			must.NoError(t, err)
+			peer, err := UnmarshalState(data)
+			must.NoError(t, err)
+			pick(t).Merge(peer)
+		},
+		"restart": func(t *rapid.T) {
+			i := rapid.IntRange(0, len(h.replicas)-1).Draw(t, "i")
+			h.replicas[i] = newReplica()
+		},
+	}
+}
+
+// Operators publish, appends repeat, slow processes write old snapshots,
+// records expire, processes restart with nothing and take a peer's state. At
+// each moment every replica must hold exactly what the whole log up to its
+// version says, however it came there, and no object's version may fall.
+func TestEveryReplicaDecidesTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := startedHistory()
+		actions := h.actions()
+		floor := map[*Replica]*State{}
+		actions[""] = func(t *rapid.T) {
+			for i, r := range h.replicas {
+				s := r.State()
+				want := mustMarshal(t, h.oracle[s.Version()])
+				must.Eq(t, want, mustMarshal(t, s), must.Sprintf("replica %d", i))
+				must.Eq(t, h.oracle[s.Version()].effective, s.effective)
+				must.Eq(t, h.oracle[s.Version()].decisions.list, s.decisions.list)
+				if before := floor[r]; before != nil {
+					mustNotFall(t, before, s)
+				}
+				floor[r] = s
+			}
+			if n := len(h.oracle); n > 1 {
+				mustNotFall(t, h.oracle[n-2], h.oracle[n-1])
+			}
+		}
+		t.Repeat(actions)
+	})
+}
+
+func mustMarshal(t rapid.TB, s *State) string {
+	data, err := s.Marshal()
+	must.NoError(t, err)
+	return string(data)
+}
+
+func mustNotFall(t rapid.TB, before, after *State) {
+	must.GreaterEq(t, before.Version(), after.Version())
+	for k, entry := range before.instances {
+		must.GreaterEq(t, entry.last.Version, after.InstanceVersion(k.workspace, k.service))
+		if entry.last == after.instances[k].last {
+			must.Eq(t, before.effective[k], after.effective[k])
+		}
+	}
+	for name, entry := range before.templates {
+		must.GreaterEq(t, entry.last.Version, after.TemplateVersion(name))
+	}
+}
+
+// As long as records expire only below what the newest snapshot folds, every
+// reader comes to the head, wherever it stopped and with whatever it started.
+func TestExpiryBelowSnapshotLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := startedHistory()
+		actions := h.actions()
+		actions["truncate"] = func(t *rapid.T) {
+			if v := int64(h.now().Snapshot().Version); v > h.oldest {
+				h.oldest = rapid.Int64Range(h.oldest, v).Draw(t, "oldest")
+			}
+		}
+		t.Repeat(actions)
+		for _, r := range append(h.replicas, newReplica(), NewReplica(nil)) {
+			h.catchUp(r)
+			must.False(t, r.Behind())
+			must.Eq(t, mustMarshal(t, h.now()), mustMarshal(t, r.State()))
+		}
+	})
+}
--- a/internal/server/claim.go
+++ b/internal/server/claim.go
@@ -14,14 +14,6 @@
 	"github.com/galenagrade/galenagrade/internal/result"
 )
 
-// NeedsClaim implements node.Authority.
-func (c *control) NeedsClaim(*node.Call) bool { return true }
-
-// MayStart implements node.Authority: the claim was settled just before.
-func (c *control) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
-	return time.Time{}, nil
-}
-
 // Claim implements proxy.Claimer. The claim is settled once this node has read
 // it back: the first claim of a key in log order holds it. When the log gives
 // no answer the call is refused as not run, and the claim, should it be in the
@@ -67,10 +59,10 @@
 	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
 		return nil
 	}
-	if !c.live(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
+	if !c.isLive(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
 		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
 	}
 	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
-	r.Owner = holder.Node
+	r.Owner = holder.Addr
 	return r
 }
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -24,20 +24,20 @@
 	dial proxy.DialFunc
 
 	mu   sync.Mutex
-	byID map[string]*controlClient
+	byID map[string]*peerClient
 }
 
-type controlClient struct {
+type peerClient struct {
 	innerpbconnect.ControlClient
 	transport *http.Transport
 	used      time.Time
 }
 
 func newControlClients(dial proxy.DialFunc) *controlClients {
-	return &controlClients{dial: dial, byID: make(map[string]*controlClient)}
+	return &controlClients{dial: dial, byID: make(map[string]*peerClient)}
 }
 
-func (c *controlClients) client(addr string) *controlClient {
+func (c *controlClients) client(addr string) *peerClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -55,7 +55,7 @@
 		Protocols:          &protocols,
 		DisableCompression: true,
 	}
-	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t, used: now}
+	got := &peerClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t, used: now}
 	c.byID[addr] = got
 	return got
 }
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -10,6 +10,9 @@
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 const (
@@ -38,6 +41,7 @@
 	kick     chan struct{} // looks at the plane at once
 	closing  chan struct{} // answers what is held
 
+	order sync.Mutex // held while changes are put in force; taken before mu
 	mu    sync.Mutex
 	plane *node.Plane
 	wake  chan struct{} // closed and replaced when there is something new
@@ -80,54 +84,72 @@
 
 // Applied implements node.Follower.
 func (f follower) Applied(now time.Time, entries []platform.Entry) {
-	if h := f.server.ownership; h != nil {
-		h.Applied(now, entries)
-	}
+	f.server.own.state.Apply(now, entries)
 	f.server.appender.Observe(entries)
 }
 
 // Truncated implements node.Follower.
 func (f follower) Truncated() {
-	if h := f.server.ownership; h != nil {
-		h.Truncated()
-	}
+	f.server.own.state.Truncated()
 }
 
 // Proof implements node.Follower.
 func (f follower) Proof(t0 time.Time, head int64) {
-	if h := f.server.ownership; h != nil {
-		h.Proof(t0, head)
-	}
+	f.server.own.state.Proof(t0, head)
 }
 
 // with runs f on the plane, puts what came of it in force and wakes whoever
 // waits for news.
+//
+// What is put in force takes the guard's lock, and under that lock the guard
+// asks this type who holds a key: so mu is released first, or the two would
+// wait for each other for good. order keeps what is put in force in sequence.
 func (c *control) with(f func(now time.Time, p *node.Plane)) {
+	c.order.Lock()
+	defer c.order.Unlock()
+	c.change(f).enforce(c)
+}
+
+// outcome is what has to be put in force.
+type outcome struct {
+	now       time.Time
+	policy    *policy.State
+	moved     bool
+	endpoints []routing.Endpoint
+	suspects  []quarantine.Suspect
+	evicted   bool
+}
+
+func (c *control) change(f func(now time.Time, p *node.Plane)) outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.server.node.Now()
 	before, had := c.plane.HeadAge(now)
 	f(now, c.plane)
-	c.enforceLocked(now)
 	after, has := c.plane.HeadAge(now)
 	if c.plane.News() != c.news || before != after || had != has {
 		c.news = c.plane.News()
 		close(c.wake)
 		c.wake = make(chan struct{})
 	}
+	o := outcome{now: now, policy: c.plane.Policy(), suspects: c.plane.TakeSuspects(), evicted: c.plane.Evicted()}
+	if c.plane.TakeDirty() {
+		o.moved = true
+		o.endpoints = c.plane.Endpoints()
+	}
+	return o
 }
 
-func (c *control) enforceLocked(now time.Time) {
+func (o outcome) enforce(c *control) {
 	n := c.server.node
-	n.SetPolicy(now, c.plane.Policy())
-	if c.plane.TakeDirty() {
-		n.SetEndpoints(now, c.plane.Endpoints())
+	n.SetPolicy(o.now, o.policy)
+	if o.moved {
+		n.SetEndpoints(o.now, o.endpoints)
 	}
-	if suspects := c.plane.TakeSuspects(); len(suspects) > 0 {
-		n.Guard().MergeSuspects(now, suspects)
+	if len(o.suspects) > 0 && len(n.Guard().MergeSuspects(o.now, o.suspects)) > 0 {
 		c.kickSoon()
 	}
-	if c.plane.Evicted() {
+	if o.evicted {
 		c.once.Do(func() { close(c.gone) })
 	}
 }
@@ -214,6 +236,7 @@
 	m.Slots = a.Slots
 	m.Connections = a.Connections
 	m.JoinedAt = c.server.node.Now().UTC().Round(0)
+	c.server.own.state.SetLocal(m.Service)
 	c.with(func(_ time.Time, p *node.Plane) { p.SetMember(m) })
 	c.kickSoon()
 }
@@ -229,9 +252,9 @@
 func (c *control) endHeld() { c.ended.Do(func() { close(c.closing) }) }
 
 func (c *control) leave() {
-	var a node.Action
-	c.with(func(now time.Time, p *node.Plane) { a = p.LeaveRecord(now) })
-	c.perform(context.Background(), []node.Action{a})
+	var rec platform.Record
+	c.with(func(now time.Time, p *node.Plane) { rec = p.LeaveRecord(now) })
+	c.append(context.Background(), rec)
 }
 
 // append writes a record; the plane hands it out again if it doesn't show up.
@@ -243,13 +266,35 @@
 	}
 }
 
-// live reports whether exactly this life of a node is a member.
-func (c *control) live(id membership.Identity) bool {
+// isLive reports whether exactly this life of a node is a member.
+func (c *control) isLive(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Members().Live(id)
 }
 
+// live returns the guards of a service that are believed alive. Those that are
+// leaving are: their keys are theirs to hand over until their leave record.
+func (c *control) live(service string) []membership.Identity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dead := c.plane.Dead()
+	var ids []membership.Identity
+	for _, m := range c.plane.Members().ByService("", service) {
+		if !dead[m.Identity] {
+			ids = append(ids, m.Identity)
+		}
+	}
+	return ids
+}
+
+func (c *control) member(id membership.Identity) (membership.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.plane.Members().Member(id.Node)
+	return m, ok && m.Identity == id
+}
+
 func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
 
 // waitFor returns when woken is closed, d has passed or ctx has ended.
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -98,10 +99,7 @@
 	if len(fresh) == 0 {
 		return
 	}
-	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self())}
-	for _, s := range fresh {
-		req.Suspects = append(req.Suspects, node.SuspectMessage(now, s))
-	}
+	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self()), Suspects: inner.FromSuspects(fresh, now)}
 	for _, peer := range peers {
 		c.server.loop(func() {
 			ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,10 +43,6 @@
 	Logger zerolog.Logger
 	// Observer may be nil.
 	Observer node.Observer
-	// Ownership makes what decides who owns keys, once the node is built and
-	// before it runs. Nil leaves it to claims in the log; Promise and HandOver
-	// are then unimplemented.
-	Ownership func(*Server) OwnershipHandler
 }
 
 // Server is a running node. Make it with Start.
@@ -60,14 +56,16 @@
 	peers    *proxy.Peers
 	upstream *proxy.Upstream
 	control  *control
-	// ownership may be nil.
-	ownership OwnershipHandler
-	announce  *announcements
+	own      *ownership
+	announce *announcements
 
 	listeners listeners
 	servers   []*http.Server
 	stop      context.CancelFunc
 	loops     sync.WaitGroup
+	// handedOver is closed once owned keys have gone to other guards.
+	handedOver chan struct{}
+	drainOnce  sync.Once
 }
 
 type listeners struct {
@@ -82,7 +80,7 @@
 // be valid; port 0 lets the system choose, and the addresses are then those
 // that Addresses returns.
 func Start(cfg *settings.Node, opts Options) (*Server, error) {
-	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger}
+	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger, handedOver: make(chan struct{})}
 	if s.log == nil {
 		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
 	}
@@ -143,11 +141,14 @@
 	s.peers = proxy.NewPeers(opts.Dial)
 	s.control = newControl(s, newControlClients(opts.Dial))
 	s.upstream = proxy.NewUpstream(s.control)
+	id := s.identity()
+	s.own = newOwnership(s, id, &http.Transport{DialContext: opts.Dial})
 	s.node = node.New(node.Config{
-		Identity:  s.identity(),
+		Identity:  id,
 		Clock:     systemClock{},
 		Runner:    s.upstream,
-		Authority: s.control,
+		Authority: authority{s},
+		Owners:    s.own.state,
 		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
 		Routing:   routing.DefaultConfig(),
 		Retry:     retry.DefaultPolicy(),
@@ -163,9 +164,6 @@
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
 	s.control.bind()
-	if opts.Ownership != nil {
-		s.ownership = opts.Ownership(s)
-	}
 }
 
 // crashed notes that the upstream's process died: its announcement counts
@@ -224,6 +222,7 @@
 	s.loop(func() { s.control.exchange(ctx) })
 	s.loop(func() { s.control.tick(ctx) })
 	s.loop(func() { s.tick(ctx) })
+	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -88,25 +88,10 @@
 
 // Promise implements innerpbconnect.ControlHandler.
 func (s service) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
-	h := s.control.server.ownership
-	if h == nil {
-		return s.UnimplementedControlHandler.Promise(ctx, req)
-	}
-	return respond(h.Promise(ctx, req.Msg))
+	return s.control.server.own.Promise(ctx, req)
 }
 
 // HandOver implements innerpbconnect.ControlHandler.
 func (s service) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
-	h := s.control.server.ownership
-	if h == nil {
-		return s.UnimplementedControlHandler.HandOver(ctx, req)
-	}
-	return respond(h.HandOver(ctx, req.Msg))
-}
-
-func respond[T any](msg *T, err error) (*connect.Response[T], error) {
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(msg), nil
+	return s.control.server.own.HandOver(ctx, req)
 }
