--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -19,6 +19,7 @@
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
 func main() {
@@ -91,9 +92,9 @@
 }
 
 type latencyCmd struct {
-	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
-	For     time.Duration ` default:"5s" help:"How long to measure."`
-	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
+	Rate float64       `default:"2000" help:"Calls a second, half of them direct."`
+	For  time.Duration `default:"5s" help:"How long to measure."`
+	Seed uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
 // Run prints one JSON line.
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -57,7 +57,7 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.Marks = inner.FromSuspects(attempt.Marks, s.peers.node.Now())
+	h.Marks = node.SuspectMessages(s.peers.node.Now(), attempt.Marks)
 	h.FromNode = s.peers.node.ID()
 	return h
 }
@@ -150,7 +150,7 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Marks:     inner.ToSuspects(h.GetMarks(), p.node.Now()),
+		Marks:     node.Suspects(p.node.Now(), h.GetMarks()),
 		Reattach:  h.GetReattach(),
 	}
 }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -21,17 +19,13 @@
 func (s *Server) beginDrain() {
 	s.node.Guard().Drain(s.node.Now())
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
+	s.control.drain()
 	s.loop(func() {
 		defer close(s.handedOver)
 		s.own.handOverAll(context.Background())
 	})
 }
 
-func (c *control) leave() {
-	id := c.server.node.Identity()
-	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
-}
-
 // Shutdown stops the node without cutting a call: it refuses new ones, waits
 // for those in flight until ctx ends, and closes. It returns how many calls it
 // cut.
@@ -62,6 +56,7 @@
 // closeServers lets handlers end: a call that this node took from a caller for
 // another guard is also in flight.
 func (s *Server) closeServers(ctx context.Context) {
+	s.control.endHeld()
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil {
 			_ = srv.Close()
@@ -69,6 +64,7 @@
 	}
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
 
@@ -79,5 +75,6 @@
 	}
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
