A planned stop takes its notice and little more; hand-over after a crash takeover

Cause: the check of control messages held a moment for a span and refused the hand-over of slots with unknown keys; closing HTTP/2 gracefully took a second in which callers found nobody. Change: the moment's field is named as one; the listener for other nodes closes once every call of theirs is answered.

--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -120,6 +120,8 @@
 // CallHandler serves the calls of other nodes at this node's guard.
 func (p *Proxy) CallHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.answering.Add(1)
+		defer p.answering.Add(-1)
 		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -23,6 +24,8 @@
 	peers    *Peers
 	upstream *Upstream
 	rngs     sync.Pool
+	// answering counts the calls of other nodes whose answers are not written.
+	answering atomic.Int64
 }
 
 // New joins a node's decisions to its data path.
@@ -32,6 +35,10 @@
 	return p
 }
 
+// Answering returns how many calls of other nodes have not got their whole
+// answer yet.
+func (p *Proxy) Answering() int { return int(p.answering.Load()) }
+
 // CallerHandler serves callers: every request is a new root, whatever context
 // it claims to belong to.
 func (p *Proxy) CallerHandler() http.Handler {
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -188,7 +188,7 @@
 			CleanInUs:     s.CleanIn.Microseconds(),
 		}
 		if !s.UnknownBefore.IsZero() {
-			out[i].UnknownBeforeUnixUs = s.UnknownBefore.UnixMicro()
+			out[i].UnknownBeforeUnixMicros = s.UnknownBefore.UnixMicro()
 		}
 	}
 	return out
@@ -203,7 +203,7 @@
 			EffectiveIn: time.Duration(s.GetEffectiveInUs()) * time.Microsecond,
 			CleanIn:     time.Duration(s.GetCleanInUs()) * time.Microsecond,
 		}
-		if us := s.GetUnknownBeforeUnixUs(); us != 0 {
+		if us := s.GetUnknownBeforeUnixMicros(); us != 0 {
 			out[i].UnknownBefore = time.UnixMicro(us)
 		}
 	}
--- /dev/null
+++ b/internal/server/handover_test.go
@@ -0,0 +1,26 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/lease"
+)
+
+// A guard that had taken slots after a crash was stopped as planned. Its
+// hand-over named the moment before which keys are unknown; the receivers held
+// that moment for a span of fifty years and refused the whole, and the keys
+// became unknown for the second time.
+func TestHandOverOfSlotsWithUnknownKeysPassesTheCheck(t *testing.T) {
+	slots := []lease.HandedSlot{{Slot: 3, Offset: 12, EffectiveIn: time.Second, UnknownBefore: time.Now().Round(time.Microsecond), CleanIn: time.Hour}}
+	req := &innerpb.HandOverRequest{Slots: encodeSlots(slots)}
+	must.NoError(t, inner.CheckMessage(req))
+	got := decodeSlots(req.GetSlots())
+	must.True(t, slots[0].UnknownBefore.Equal(got[0].UnknownBefore))
+	must.Eq(t, slots[0].CleanIn, got[0].CleanIn)
+	must.Eq(t, slots[0].EffectiveIn, got[0].EffectiveIn)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,8 +62,10 @@
 
 	listeners listeners
 	servers   []*http.Server
-	stop      context.CancelFunc
-	loops     sync.WaitGroup
+	// innerServer is the one of servers that other nodes call.
+	innerServer *http.Server
+	stop        context.CancelFunc
+	loops       sync.WaitGroup
 	// handedOver is closed once owned keys have gone to other guards.
 	handedOver chan struct{}
 	drainOnce  sync.Once
@@ -238,6 +240,7 @@
 		srv.Protocols = new(http.Protocols)
 		srv.Protocols.SetHTTP1(true)
 		srv.Protocols.SetUnencryptedHTTP2(true)
+		s.innerServer = srv
 	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = srv.Serve(l) })
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -10,6 +10,9 @@
 // idleCheck is how often a stopping node looks whether calls are in flight.
 const idleCheck = 10 * time.Millisecond
 
+// flushTime is left for answers that are written to leave the machine.
+const flushTime = 20 * time.Millisecond
+
 // BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
 // sooner they have a new owner, the fewer calls meet none.
 func (s *Server) BeginDrain() {
@@ -54,14 +57,24 @@
 }
 
 // closeServers lets handlers end: a call that this node took from a caller for
-// another guard is also in flight.
+// another guard is also in flight. The listener for other nodes is closed
+// once all their calls are answered, without the second that a graceful end of
+// HTTP/2 takes: callers that come meanwhile would find nobody.
 func (s *Server) closeServers(ctx context.Context) {
 	s.control.endHeld()
 	for _, srv := range s.servers {
+		if srv == s.innerServer {
+			continue
+		}
 		if err := srv.Shutdown(ctx); err != nil {
 			_ = srv.Close()
 		}
 	}
+	for s.proxy.Answering() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	sleep(ctx, flushTime)
+	_ = s.innerServer.Close()
 	s.stop()
 	s.peers.Close()
 	s.control.clients.close()
