--- a/internal/node/plane_codec.go
+++ b/internal/node/plane_codec.go
@@ -5,17 +5,17 @@
 	"strings"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
 func age(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // refOf names a node as briefly as the protocol allows.
 func refOf(id membership.Identity) *innerpb.NodeRef {
-	return &innerpb.NodeRef{NodeId: id.Node, Incarnation: strconv.FormatUint(id.Incarnation, 16)}
+	return &innerpb.NodeRef{NodeId: id.Node, Incarnation: strconv.FormatUint(id.Incarnation, 10)}
 }
 
 // Ref names a node to its peers.
@@ -27,13 +27,57 @@
 }
 
 func identityOf(node, incarnation string) membership.Identity {
-	n, _ := strconv.ParseUint(incarnation, 16, 64)
+	n, _ := strconv.ParseUint(incarnation, 10, 64)
 	return membership.Identity{Node: node, Incarnation: n}
 }
 
+// SuspectMessage is a record of suspicion as nodes pass it on: clocks differ,
+// so its time travels as an age.
+func SuspectMessage(now time.Time, s quarantine.Suspect) *innerpb.Suspect {
+	return &innerpb.Suspect{
+		Fingerprint: uint64(s.Fingerprint),
+		Upstream:    s.Upstream,
+		Incarnation: s.Incarnation,
+		AgeUs:       max(0, now.Sub(s.At).Microseconds()),
+		Cleared:     s.Cleared,
+		Alone:       s.Alone,
+	}
+}
+
+func suspectOf(now time.Time, s *innerpb.Suspect) quarantine.Suspect {
+	return quarantine.Suspect{
+		Fingerprint: quarantine.Fingerprint(s.GetFingerprint()),
+		Upstream:    s.GetUpstream(),
+		Incarnation: s.GetIncarnation(),
+		At:          now.Add(-age(s.GetAgeUs())),
+		Cleared:     s.GetCleared(),
+		Alone:       s.GetAlone(),
+	}
+}
+
+// SuspectMessages makes messages of records known at now.
+func SuspectMessages(now time.Time, list []quarantine.Suspect) []*innerpb.Suspect {
+	var out []*innerpb.Suspect
+	for _, s := range list {
+		out = append(out, SuspectMessage(now, s))
+	}
+	return out
+}
+
+// Suspects makes records of messages received at now.
+func Suspects(now time.Time, list []*innerpb.Suspect) []quarantine.Suspect {
+	var out []quarantine.Suspect
+	for _, s := range list {
+		out = append(out, suspectOf(now, s))
+	}
+	return out
+}
+
 // OnSuspects takes suspects that a peer spread.
 func (p *Plane) OnSuspects(now time.Time, list []*innerpb.Suspect) {
-	p.incoming = append(p.incoming, inner.ToSuspects(list, now)...)
+	for _, s := range list {
+		p.incoming = append(p.incoming, suspectOf(now, s))
+	}
 }
 
 func livenessOf(findings []membership.Finding) []*innerpb.Liveness {
@@ -46,7 +90,7 @@
 		}
 		out = append(out, &innerpb.Liveness{
 			NodeId: target.NodeId, Incarnation: target.Incarnation, State: state,
-			AgeUs: max(0, f.Age.Microseconds()), Observer: f.Accuser.Node + "#" + refOf(f.Accuser).Incarnation,
+			AgeUs: max(0, f.Age.Microseconds()), Observer: f.Accuser.String(),
 		})
 	}
 	return out
--- a/internal/node/plane_news.go
+++ b/internal/node/plane_news.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
@@ -64,7 +63,9 @@
 // takeNews takes over what a peer knows; up says that it came from below.
 func (p *Plane) takeNews(now time.Time, m newsBearer, up bool) {
 	p.takeElected(now, m.GetElected())
-	p.OnSuspects(now, m.GetSuspects())
+	for _, s := range m.GetSuspects() {
+		p.incoming = append(p.incoming, suspectOf(now, s))
+	}
 	for _, d := range m.GetDrains() {
 		p.takeDrain(now, identityOf(d.GetNodeId(), d.GetIncarnation()), age(d.GetAgeUs()), up)
 	}
@@ -173,13 +174,13 @@
 }
 
 func (p *Plane) suspectNews(now time.Time) []*innerpb.Suspect {
-	var fresh []quarantine.Suspect
+	var out []*innerpb.Suspect
 	for _, n := range p.suspects {
-		if now.Sub(n.heard) < newsFor && len(fresh) < maxNews {
-			fresh = append(fresh, n.suspect)
+		if now.Sub(n.heard) < newsFor && len(out) < maxNews {
+			out = append(out, SuspectMessage(now, n.suspect))
 		}
 	}
-	return inner.FromSuspects(fresh, now)
+	return out
 }
 
 // ServicePeers returns the other guards of this node's service in its zone.
--- a/internal/server/claim.go
+++ b/internal/server/claim.go
@@ -59,7 +59,7 @@
 	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
 		return nil
 	}
-	if !c.isLive(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
+	if !c.live(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
 		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
 	}
 	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -29,6 +29,9 @@
 	planeTick = 200 * time.Millisecond
 	// appendTimeout bounds one try to get a record into the log.
 	appendTimeout = 5 * time.Second
+	// leaveTimeout bounds the wait for the leave record at a planned stop. The
+	// peers know of the drain already, and will find the node gone.
+	leaveTimeout = time.Second
 )
 
 // control drives the node's share of the control plane: it moves what the
@@ -41,7 +44,10 @@
 	kick     chan struct{} // looks at the plane at once
 	closing  chan struct{} // answers what is held
 
-	order sync.Mutex // held while changes are put in force; taken before mu
+	// enforcing is held while a step of the plane and what it changed for the
+	// node go through, so that they come in order. It is taken before mu.
+	enforcing sync.Mutex
+
 	mu    sync.Mutex
 	plane *node.Plane
 	wake  chan struct{} // closed and replaced when there is something new
@@ -99,57 +105,54 @@
 }
 
 // with runs f on the plane, puts what came of it in force and wakes whoever
-// waits for news.
-//
-// What is put in force takes the guard's lock, and under that lock the guard
-// asks this type who holds a key: so mu is released first, or the two would
-// wait for each other for good. order keeps what is put in force in sequence.
+// waits for news. What came of it is put in force without the plane's lock:
+// the guard asks the plane for claims with its own lock held.
 func (c *control) with(f func(now time.Time, p *node.Plane)) {
-	c.order.Lock()
-	defer c.order.Unlock()
-	c.change(f).enforce(c)
+	c.enforcing.Lock()
+	defer c.enforcing.Unlock()
+	now := c.server.node.Now()
+	c.enforce(now, c.step(now, f))
 }
 
-// outcome is what has to be put in force.
+// outcome is what a step of the plane changed for the node.
 type outcome struct {
-	now       time.Time
 	policy    *policy.State
-	moved     bool
+	dirty     bool
 	endpoints []routing.Endpoint
 	suspects  []quarantine.Suspect
 	evicted   bool
 }
 
-func (c *control) change(f func(now time.Time, p *node.Plane)) outcome {
+func (c *control) step(now time.Time, f func(now time.Time, p *node.Plane)) outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.server.node.Now()
 	before, had := c.plane.HeadAge(now)
 	f(now, c.plane)
+	out := outcome{policy: c.plane.Policy(), suspects: c.plane.TakeSuspects(), evicted: c.plane.Evicted()}
+	if c.plane.TakeDirty() {
+		out.dirty = true
+		out.endpoints = c.plane.Endpoints()
+	}
 	after, has := c.plane.HeadAge(now)
 	if c.plane.News() != c.news || before != after || had != has {
 		c.news = c.plane.News()
 		close(c.wake)
 		c.wake = make(chan struct{})
 	}
-	o := outcome{now: now, policy: c.plane.Policy(), suspects: c.plane.TakeSuspects(), evicted: c.plane.Evicted()}
-	if c.plane.TakeDirty() {
-		o.moved = true
-		o.endpoints = c.plane.Endpoints()
-	}
-	return o
+	return out
 }
 
-func (o outcome) enforce(c *control) {
+func (c *control) enforce(now time.Time, out outcome) {
 	n := c.server.node
-	n.SetPolicy(o.now, o.policy)
-	if o.moved {
-		n.SetEndpoints(o.now, o.endpoints)
+	n.SetPolicy(now, out.policy)
+	if out.dirty {
+		n.SetEndpoints(now, out.endpoints)
 	}
-	if len(o.suspects) > 0 && len(n.Guard().MergeSuspects(o.now, o.suspects)) > 0 {
+	if len(out.suspects) > 0 {
+		n.Guard().MergeSuspects(now, out.suspects)
 		c.kickSoon()
 	}
-	if o.evicted {
+	if out.evicted {
 		c.once.Do(func() { close(c.gone) })
 	}
 }
@@ -251,10 +254,14 @@
 // wait for them.
 func (c *control) endHeld() { c.ended.Do(func() { close(c.closing) }) }
 
+// leave returns once the leave record was read back: what is under way when the
+// appender ends may be lost.
 func (c *control) leave() {
 	var rec platform.Record
 	c.with(func(now time.Time, p *node.Plane) { rec = p.LeaveRecord(now) })
-	c.append(context.Background(), rec)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	c.append(ctx, rec)
 }
 
 // append writes a record; the plane hands it out again if it doesn't show up.
@@ -266,35 +273,13 @@
 	}
 }
 
-// isLive reports whether exactly this life of a node is a member.
-func (c *control) isLive(id membership.Identity) bool {
+// live reports whether exactly this life of a node is a member.
+func (c *control) live(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Members().Live(id)
 }
 
-// live returns the guards of a service that are believed alive. Those that are
-// leaving are: their keys are theirs to hand over until their leave record.
-func (c *control) live(service string) []membership.Identity {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	dead := c.plane.Dead()
-	var ids []membership.Identity
-	for _, m := range c.plane.Members().ByService("", service) {
-		if !dead[m.Identity] {
-			ids = append(ids, m.Identity)
-		}
-	}
-	return ids
-}
-
-func (c *control) member(id membership.Identity) (membership.Member, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, ok := c.plane.Members().Member(id.Node)
-	return m, ok && m.Identity == id
-}
-
 func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
 
 // waitFor returns when woken is closed, d has passed or ctx has ended.
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -6,7 +6,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -99,7 +98,10 @@
 	if len(fresh) == 0 {
 		return
 	}
-	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self()), Suspects: inner.FromSuspects(fresh, now)}
+	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self())}
+	for _, s := range fresh {
+		req.Suspects = append(req.Suspects, node.SuspectMessage(now, s))
+	}
 	for _, peer := range peers {
 		c.server.loop(func() {
 			ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -61,8 +62,10 @@
 
 	listeners listeners
 	servers   []*http.Server
-	stop      context.CancelFunc
-	loops     sync.WaitGroup
+	// innerServer is the one of servers that other nodes call.
+	innerServer *http.Server
+	stop        context.CancelFunc
+	loops       sync.WaitGroup
 	// handedOver is closed once owned keys have gone to other guards.
 	handedOver chan struct{}
 	drainOnce  sync.Once
@@ -142,22 +145,23 @@
 	s.control = newControl(s, newControlClients(opts.Dial))
 	s.upstream = proxy.NewUpstream(s.control)
 	id := s.identity()
-	s.own = newOwnership(s, id, &http.Transport{DialContext: opts.Dial})
+	s.own = newOwnership(s, id)
 	s.node = node.New(node.Config{
-		Identity:  id,
-		Clock:     systemClock{},
-		Runner:    s.upstream,
-		Authority: authority{s},
-		Owners:    s.own.state,
-		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
-		Routing:   routing.DefaultConfig(),
-		Retry:     retry.DefaultPolicy(),
-		Throttle:  retry.DefaultThrottleConfig(),
-		Guard:     node.DefaultGuardConfig(),
-		Seed:      newSeed(),
-		Sample:    s.cfg.Limits.TimelineSample,
-		Observer:  opts.Observer,
-		OnCrash:   s.crashed,
+		Identity:   id,
+		Clock:      systemClock{},
+		Runner:     s.upstream,
+		Authority:  authority{s},
+		Owners:     s.own.state,
+		Ring:       timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
+		Routing:    routing.DefaultConfig(),
+		Retry:      retry.DefaultPolicy(),
+		Throttle:   retry.DefaultThrottleConfig(),
+		Guard:      node.DefaultGuardConfig(),
+		Seed:       newSeed(),
+		Sample:     s.cfg.Limits.TimelineSample,
+		Observer:   opts.Observer,
+		OnCrash:    s.crashed,
+		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
@@ -236,6 +240,7 @@
 		srv.Protocols = new(http.Protocols)
 		srv.Protocols.SetHTTP1(true)
 		srv.Protocols.SetUnencryptedHTTP2(true)
+		s.innerServer = srv
 	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = srv.Serve(l) })
