Control plane: fresher proofs, an evicted node stops, tests of expiry and suspects

Cause: proofs at members were up to 2 s old, past half their validity, so owners asked all guards for promises all the time (1,174 B/s sent a node); an evicted process went on unknown to all. Change: the zone's reader waits 250 ms at the head, whoever reads beside it as long as settings say; galenad stops as planned and exits with an error when its incarnation was evicted; harness tests of expiring records and of suspects.

--- a/cmd/galenad/main.go
+++ b/cmd/galenad/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/server"
@@ -47,9 +48,16 @@
 	}
 	callers, upstream, inner, admin := s.Addresses()
 	logger.Info().Str("callers", callers).Str("upstream", upstream).Str("inner", inner).Str("admin", admin).Msg("started")
-	<-signals
-	stop(s, cfg, logger, signals)
-	return nil
+	select {
+	case <-signals:
+		stop(s, cfg, logger, signals)
+		return nil
+	case <-s.Evicted():
+		// The others took this node for dead and wrote so. Its supervisor
+		// starts it again, as a new incarnation that may join.
+		stop(s, cfg, logger, signals)
+		return errors.New("this incarnation was evicted by its peers")
+	}
 }
 
 // stop ends the node gracefully; a second signal ends it at once and says what
--- a/internal/node/plane_test.go
+++ b/internal/node/plane_test.go
@@ -11,6 +11,7 @@
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
 // publish appends an accepted configuration: a template of the library.
@@ -221,3 +222,52 @@
 	})
 	t.Logf("after %v", took)
 }
+
+// A platform keeps records for half an hour and nothing is published for
+// longer. A VM that starts then must still find the configuration and all
+// members, and not from each of them a copy. Cause: records expire, unless what
+// they say is written again in time.
+func TestNothingExpiresWithTheLog(t *testing.T) {
+	w := newPlaneWorld(t, 0)
+	w.retention = 30 * time.Minute
+	w.startZones(2, "a", "b")
+	version := w.publish("x")
+	w.settle()
+	w.run(2 * w.retention)
+	must.Greater(t, version, w.oldest)
+	n := w.start("a-9", "a", 1)
+	w.until(10*time.Second, "configuration and members", func() bool {
+		return n.configured(version) && n.plane.Members().Len() == 5
+	})
+	_, known := n.plane.Policy().Template("t-x", 0)
+	must.True(t, known)
+	snapshots := w.kinds(platform.KindSnapshot)
+	t.Logf("%d snapshots, %d joins in an hour", snapshots, w.kinds(platform.KindJoin))
+	must.Between(t, 8, snapshots, 32)
+}
+
+// A request kills an upstream and its caller sends it again, to any node of any
+// zone. All must know of the suspicion within 2 s, and that it is cleared just
+// as soon. Cause: suspicion that stays where the crash was costs a second VM.
+func TestSuspectsAndTheirClearingReachEveryone(t *testing.T) {
+	w := newPlaneWorld(t, 4, "a", "b", "c")
+	w.settle()
+	w.logCut[""] = true
+	records := w.named("b-3").guard.Crashed(w.now, "b-3", 1, []quarantine.Fingerprint{7})
+	must.Len(t, 1, records)
+	knows := func(cleared bool) func() bool {
+		return func() bool {
+			return w.all(func(n *planeNode) bool {
+				known := n.guard.Snapshot(w.now)
+				return len(known) == 1 && known[0].Cleared == cleared
+			})
+		}
+	}
+	t.Logf("known after %v", w.until(2*time.Second, "everyone knows", knows(false)))
+	records[0].Cleared = true
+	must.True(t, w.named("c-2").guard.Merge(w.now, records[0]))
+	t.Logf("cleared after %v", w.until(2*time.Second, "everyone knows it is cleared", knows(true)))
+	before := w.named("a-0").plane.News()
+	w.run(20 * time.Second)
+	must.Less(t, before+200, w.named("a-0").plane.News())
+}
--- a/internal/node/planeworld_test.go
+++ b/internal/node/planeworld_test.go
@@ -12,6 +12,7 @@
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
 // step is the harness's time between two turns of every node.
@@ -27,7 +28,10 @@
 	cut     map[[2]string]bool
 	nodes   []*planeNode
 	reads   int
-	version map[string]int64 // newest configuration seen by node
+	// retention is the log's and the nodes'; what is older has expired.
+	retention time.Duration
+	oldest    int64
+	version   map[string]int64 // newest configuration seen by node
 }
 
 type headAt struct {
@@ -44,6 +48,7 @@
 	asked *question
 	next  int64 // strict order of what the follower got
 	proof time.Time
+	guard *quarantine.Tracker
 }
 
 type question struct {
@@ -55,21 +60,25 @@
 func newPlaneWorld(t *testing.T, perZone int, zones ...string) *planeWorld {
 	w := &planeWorld{
 		t: t, now: time.Unix(1_700_000_000, 0), logCut: map[string]bool{},
-		cut: map[[2]string]bool{}, version: map[string]int64{},
+		cut: map[[2]string]bool{}, version: map[string]int64{}, retention: 24 * time.Hour,
 	}
+	w.startZones(perZone, zones...)
+	return w
+}
+
+func (w *planeWorld) startZones(perZone int, zones ...string) {
 	for _, z := range zones {
 		for i := range perZone {
 			w.start(fmt.Sprintf("%s-%d", z, i), z, 1)
 		}
 	}
-	return w
 }
 
 func (w *planeWorld) start(name, zone string, incarnation uint64, seeds ...string) *planeNode {
 	id := node.Identity{Node: name, Incarnation: incarnation, Region: "r", Zone: zone, InnerAddr: name + ":1"}
 	rng := rand.New(rand.NewPCG(uint64(len(w.nodes)), incarnation))
-	n := &planeNode{w: w, id: id, up: true, side: zone}
-	n.plane = node.NewPlane(node.DefaultPlaneConfig(24*time.Hour), id, seeds, rng, w.now)
+	n := &planeNode{w: w, id: id, up: true, side: zone, guard: quarantine.New(quarantine.DefaultConfig())}
+	n.plane = node.NewPlane(node.DefaultPlaneConfig(w.retention), id, seeds, rng, w.now)
 	n.plane.SetFollower(n)
 	n.plane.SetMember(membership.Member{
 		Identity: membership.Identity{Node: name, Incarnation: incarnation}, Region: "r", Zone: zone,
@@ -87,7 +96,7 @@
 	}
 }
 
-func (n *planeNode) Truncated() {}
+func (n *planeNode) Truncated() { n.next = n.w.oldest }
 
 // Proof checks that whatever was in the log at t0 lies below the head.
 func (n *planeNode) Proof(t0 time.Time, head int64) {
@@ -133,6 +142,9 @@
 func (w *planeWorld) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(step)
+		for int(w.oldest) < len(w.heads) && w.now.Sub(w.heads[w.oldest].at) > w.retention {
+			w.oldest++
+		}
 		for _, n := range w.nodes {
 			if n.up {
 				n.turn()
@@ -157,10 +169,12 @@
 	if reads && !w.logUp(n) {
 		n.plane.OnReadFailed()
 	}
-	if reads && w.logUp(n) {
+	if reads && w.logUp(n) && from < w.oldest {
+		n.plane.OnTruncated(w.oldest)
+	} else if reads && w.logUp(n) {
 		w.reads++
 		n.plane.OnPage(w.now, w.now, platform.Page{
-			Entries: w.entries[from:], Next: int64(len(w.entries)), Head: int64(len(w.entries)),
+			Entries: w.entries[from:], Next: int64(len(w.entries)), Head: int64(len(w.entries)), Oldest: w.oldest,
 		})
 	}
 	n.perform(n.plane.Tick(w.now))
@@ -168,7 +182,10 @@
 	for _, peer := range n.plane.LeaderAsks(w.now) {
 		n.ask(peer, 0)
 	}
-	n.plane.TakeSuspects()
+	for _, s := range n.plane.TakeSuspects() {
+		n.guard.Merge(w.now, s)
+	}
+	n.plane.SetSuspects(w.now, n.guard.Snapshot(w.now))
 	version := int64(n.plane.Policy().Version())
 	if version == 0 {
 		return // a starting node without configuration refuses calls
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -20,9 +20,12 @@
 	readMax = 1000
 	// readRetry is the pause after a read that failed.
 	readRetry = 200 * time.Millisecond
-	// readWait bounds the wait of a read at the log's head: half of what may
-	// pass between two proofs at a zone's reader.
-	readWait = 500 * time.Millisecond
+	// leaderWait bounds the wait of a zone's reader at the log's head. A proof
+	// counts from the sending of its read, so the wait is the age that it has
+	// when it sets out for the other nodes; theirs then stays below half of
+	// the validity of ownership, past which promises are asked for. Whoever
+	// reads beside it waits as long as settings say.
+	leaderWait = 250 * time.Millisecond
 	// idleWait is how often a loop without work looks again.
 	idleWait = 250 * time.Millisecond
 	// planeTick is how often the plane's times are looked at.
@@ -176,18 +179,24 @@
 	for ctx.Err() == nil {
 		woken := c.woken()
 		var from int64
-		var reads bool
-		c.with(func(now time.Time, p *node.Plane) { from, reads = p.ReadFrom(now) })
+		var reads, leads bool
+		c.with(func(now time.Time, p *node.Plane) {
+			from, reads = p.ReadFrom(now)
+			leads = p.Leads()
+		})
 		if !reads {
 			waitFor(ctx, woken, idleWait)
 			continue
 		}
-		c.readOnce(ctx, from)
+		wait := c.server.cfg.Log.ReadWait.Std()
+		if leads {
+			wait = min(wait, leaderWait)
+		}
+		c.readOnce(ctx, from, wait)
 	}
 }
 
-func (c *control) readOnce(ctx context.Context, from int64) {
-	wait := min(c.server.cfg.Log.ReadWait.Std(), readWait)
+func (c *control) readOnce(ctx context.Context, from int64, wait time.Duration) {
 	c.counters.reads.Add(1)
 	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
 	defer cancel()
