--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	// controlSettle is how long nodes run before they are measured: zones have
-	// their readers by then.
+	// controlSettle is how long nothing must have been appended before nodes
+	// are measured: zones have their readers by then, keys their owners.
 	controlSettle = 12 * time.Second
+	// settleLimit bounds the wait for that.
+	settleLimit = 4 * time.Minute
 	// controlLimit bounds each wait for the nodes.
 	controlLimit = time.Minute
 	// controlPoll is how often a state awaited is looked at.
@@ -50,6 +52,9 @@
 type ControlResult struct {
 	Members int `json:"members"`
 	Zones   int `json:"zones"`
+	// Settled is how long after the start the last record was appended that
+	// had to do with it.
+	Settled float64 `json:"settled_seconds"`
 	// SentBytes is what a node sends a second to other nodes; it receives as
 	// much on average.
 	SentBytes float64 `json:"sent_bytes_per_second_per_node"`
@@ -141,8 +146,9 @@
 	if err := w.start(); err != nil {
 		return ControlResult{}, err
 	}
-	time.Sleep(controlSettle)
+	settled := w.settle()
 	result := w.atRest()
+	result.Settled = settled.Seconds()
 	err := w.timeChanges(&result)
 	return result, err
 }
@@ -173,6 +179,20 @@
 	})
 }
 
+// settle waits until nothing is appended any more and returns how long that
+// took.
+func (w *controlWorld) settle() time.Duration {
+	began := time.Now()
+	last, since := w.log.Appends(), began
+	for time.Since(since) < controlSettle && time.Since(began) < settleLimit {
+		time.Sleep(controlPoll)
+		if now := w.log.Appends(); now != last {
+			last, since = now, time.Now()
+		}
+	}
+	return since.Sub(began)
+}
+
 func (w *controlWorld) startNode(i int) error {
 	cfg := settings.Defaults()
 	cfg.NodeID = fmt.Sprintf("node-%04d", i)
