Admission: slots taken from above the threshold are room for those below

Cause: with the deepest service ten times slower its critical calls alone fill it, yet a third of its slots went to normal and low calls: deep calls from above the threshold take idle slots, and slots in use kept the threshold low. Change: the threshold opens by the slots that calls below it use. Also: a request between nodes is never replayed by net/http, whose dial error after a broken first sending had read as 'not run' (166 false refusals in a surge that ran out of descriptors); the call is attached to again instead.

--- /dev/null
+++ b/internal/admission/above_test.go
@@ -0,0 +1,39 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+)
+
+// The deepest service slowed down until its critical calls alone filled it.
+// Half of them were refused while normal calls ran: the threshold had gone too
+// low, normal calls from above it took the idle slots, and full slots kept the
+// threshold where it was.
+func TestIdleSlotsTakenFromAboveDoNotKeepImportantCallsOut(t *testing.T) {
+	cfg := DefaultConfig(25)
+	slow := func(*model, *modelCall) time.Duration { return 800 * time.Millisecond }
+	m := newModel(cfg, slow)
+	const criticalRate, normalRate = 33, 120 // a second; 25 slots serve 31
+	arrive := func(level callctx.Level, rate float64) {
+		var next func()
+		next = func() {
+			m.offer(Request{Level: level, CallerHash: m.rng.Uint32(), Depth: 1, Deadline: m.now.Add(2 * time.Second)})
+			m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
+		}
+		next()
+	}
+	arrive(callctx.LevelCritical, criticalRate)
+	arrive(callctx.LevelNormal, normalRate)
+	m.run(30 * time.Second)
+	critical, normal := 0, 0
+	for second := 10; second < 30; second++ {
+		critical += count(m.good, second)[callctx.LevelCritical]
+		normal += count(m.good, second)[callctx.LevelNormal]
+	}
+	must.Greater(t, 20*25, critical, must.Sprintf("%d normal calls took the rest", normal))
+	must.Greater(t, 20*28, critical+normal)
+}
--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -42,11 +42,17 @@
 	c.starts = 0
 	c.overloaded = c.standingDelay(elapsed) > max(c.cfg.SojournTarget, c.estimate.median/targetShare)
 	c.queue.newestFirst = c.overloaded
-	use := min(1, c.busy/(float64(elapsed)*float64(c.limiter.limit)))
+	whole := float64(elapsed) * float64(c.limiter.limit)
+	use := min(1, c.busy/whole)
+	// Slots that calls from above the threshold have are room for those below:
+	// were they counted as used, the threshold would stay where it is, and
+	// unimportant calls would take the slots of shed important ones.
+	useBelow := min(1, (c.busy-c.busyAbove)/whole)
 	c.busy = 0
+	c.busyAbove = 0
 	c.limiter.adjust(now, use > saturatedUse)
 	for range min(elapsed/c.cfg.SojournInterval, maxQuietIntervals) {
-		c.shedder.relax(use)
+		c.shedder.relax(useBelow, use)
 	}
 	c.endThresholdPeriod(now)
 	c.leastQueued = c.queue.len()
@@ -80,7 +86,9 @@
 // inFlight.
 func (c *Controller) integrate(now time.Time) {
 	if now.After(c.integrated) {
-		c.busy += float64(c.inFlight) * float64(now.Sub(c.integrated))
+		span := float64(now.Sub(c.integrated))
+		c.busy += float64(c.inFlight) * span
+		c.busyAbove += float64(c.aboveInFlight) * span
 		c.integrated = now
 	}
 }
@@ -193,6 +201,9 @@
 func (c *Controller) run(w *call) Decision {
 	w.running = true
 	c.inFlight++
+	if w.above {
+		c.aboveInFlight++
+	}
 	c.starts++
 	c.shedder.start()
 	return Decision{ID: w.request.ID, Verdict: Run}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,6 +33,8 @@
 	counters Counters
 
 	inFlight int
+	// aboveInFlight are those that took a slot from above the threshold.
+	aboveInFlight int
 	seq      uint64
 	draining bool
 
@@ -48,6 +50,8 @@
 	// busy is the sum of slots in use over time (slot-nanoseconds) in the
 	// interval, up to the time integrated.
 	busy       float64
+	// busyAbove is the part of busy that calls from above the threshold had.
+	busyAbove  float64
 	integrated time.Time
 	// periodStarted begins the present period of the threshold.
 	periodStarted time.Time
@@ -109,12 +113,15 @@
 	c.shedder.offer(rank)
 	// A deep call above the threshold still takes a slot that would stay empty:
 	// work was spent on its root already.
-	if rank >= c.shedder.threshold && !(slotFree && r.Depth > 0) {
+	above := rank >= c.shedder.threshold
+	if above && !(slotFree && r.Depth > 0) {
 		return c.refuse(&r, reasonThreshold), out
 	}
 	if slotFree {
 		c.noteProbe(now, doomed)
-		return c.run(c.admit(r, doomed)), out
+		w := c.admit(r, doomed)
+		w.above = above
+		return c.run(w), out
 	}
 	if c.cfg.Worth[r.Level] == 0 {
 		return c.refuse(&r, reasonNeverWaits), out
@@ -179,6 +186,9 @@
 	}
 	c.integrate(now)
 	c.inFlight--
+	if w.above {
+		c.aboveInFlight--
+	}
 	c.learn(now, w, o, latency)
 	c.forget(w)
 	return c.advance(now)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,6 +12,8 @@
 	running bool
 	// probe marks a call let through against the service time estimate.
 	probe bool
+	// above marks a deep call that took an idle slot from above the threshold.
+	above bool
 	// seq breaks ties in order of arrival.
 	seq uint64
 	// expiry is when the wait ends without a slot.
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -65,16 +65,17 @@
 	return overloaded || (s.turnedNow > 0 && s.turned > turnedShare*s.offered)
 }
 
-// relax is called once per interval with the part of the slots in use. Unlike
+// relax is called once per interval with the part of the slots that calls below
+// the threshold use, and the part in use at all. Unlike
 // pressure, which shows only as calls end, idle slots are a fact of the moment,
 // so there is no need to wait for a service time between steps. With the slots
 // full it leaves the threshold alone, so that callers are not shed and taken in
 // turns.
-func (s *shedder) relax(use float64) {
+func (s *shedder) relax(below, use float64) {
 	switch {
-	case s.threshold == nothingShed || s.turnedNow > 0 || use > fullUse:
+	case s.threshold == nothingShed || s.turnedNow > 0 || below > fullUse:
 		s.open = firstOpen
-	case use > easyUse:
+	case below > easyUse:
 		s.open = firstOpen
 		s.raise(smallOpen, use)
 	default:
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,19 +21,16 @@
 	// headerMethod and headerTarget carry the caller's request line.
 	headerMethod = "Galena-Inner-Method"
 	headerTarget = "Galena-Inner-Target"
-	// headerReplay is understood by net/http alone: with no value it is not
-	// sent, and lets the transport repeat a request whose reused connection
-	// broke. Between nodes that is safe: a guard runs a call ID once.
-	headerReplay = "X-Idempotency-Key"
 	// maxAnswerBody bounds what is held of an answer, far above the templates'.
 	maxAnswerBody = 64 << 20
 )
 
 func (s *sending) roundTrip(ctx context.Context, transport *http.Transport, attempt *node.Call) *node.Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to.Addr+CallPath, nil)
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "address %s: %v", s.to.Addr, err))
 	}
+	setBody(req, attempt.Body)
 	header := attempt.Header.Clone()
 	if header == nil {
 		header = make(http.Header)
@@ -42,7 +38,6 @@
 	header.Set(headerMethod, attempt.Method)
 	header.Set(headerTarget, attempt.Target)
 	header.Set(inner.HeaderCall, inner.EncodeCall(s.encode(attempt)))
-	header[headerReplay] = nil
 	req.Header = header
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -131,35 +131,49 @@
 	s.rescued = true
 	s.mu.Unlock()
 
-	again := *s.attempt
-	again.Reattach = true
-	answer := s.roundTrip(s.ctx, s.peer.fresh, &again)
+	answer := s.reattach()
 	s.fresh <- answer
 	if answer.Code != result.Unreachable {
-		s.peers.node.Reattached(s.attempt, s.to.Node, answer)
 		s.cancel()
 		s.peer.pool.CloseIdleConnections()
 	}
 }
 
 // settle chooses between the two sendings. The first one counts if it brought
-// an answer; otherwise the second one's answer does.
+// an answer; otherwise the second one's answer does. When the first one's
+// connection broke before a second was out, the call is attached to again now.
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
-	lost := first.Code == result.LostAnswer || first.Code == result.CancelledRunning || first.Code == result.AnswerCut
-	if !rescued || !lost {
+	broken := first.Code == result.LostAnswer || first.Code == result.AnswerCut
+	var second *node.Answer
+	switch {
+	case rescued && (broken || first.Code == result.CancelledRunning):
+		second = <-s.fresh
+	case broken && s.ctx.Err() == nil:
+		second = s.reattach()
+	default:
 		return first
 	}
-	second := <-s.fresh
 	if second.Code == result.Unreachable {
 		return first
 	}
 	return second
 }
 
+// reattach sends the call ID again over a fresh connection.
+func (s *sending) reattach() *node.Answer {
+	again := *s.attempt
+	again.Reattach = true
+	answer := s.roundTrip(s.ctx, s.peer.fresh, &again)
+	if answer.Code != result.Unreachable {
+		s.peers.node.Reattached(s.attempt, s.to.Node, answer)
+	}
+	return answer
+}
+
 func newTransport(dial DialFunc, single bool) *http.Transport {
 	if dial == nil {
 		dial = plainDial
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -180,24 +180,29 @@
 	return u.read(ctx, call, resp)
 }
 
-// setUpstreamRequest fills the request. It must never be replayed by
-// net/http, which sends a request again on a reused connection that broke when
-// it can rewind the body and sees an idempotent method or an Idempotency-Key
-// header: the upstream may have run it. A body without GetBody prevents that,
-// also for an empty one.
+// setUpstreamRequest fills the request.
 func setUpstreamRequest(req *http.Request, call *node.Call) {
 	req.Header = call.Header.Clone()
 	req.Header.Set(callctx.HeaderContext, call.Ctx.CallID)
 	req.Header.Set(callctx.HeaderWorkspace, call.Ctx.Workspace)
 	req.Header.Set(callctx.HeaderPriority, call.Ctx.Level.String())
 	req.Header.Set(callctx.HeaderTimeout, call.Ctx.Remaining(time.Now()).String())
+	setBody(req, call.Body)
+}
+
+// setBody sets a body that net/http cannot rewind. It would send a request
+// again when a reused connection breaks, if it can rewind the body and sees an
+// idempotent method or an Idempotency-Key header. An upstream may have run the
+// first one; and when the second one finds no connection, its error reads as
+// if nothing had ever been sent.
+func setBody(req *http.Request, body []byte) {
 	req.GetBody = nil
-	if len(call.Body) == 0 {
+	if len(body) == 0 {
 		req.Body = unreplayable{}
 		return
 	}
-	req.Body = io.NopCloser(bytes.NewReader(call.Body))
-	req.ContentLength = int64(len(call.Body))
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
 }
 
 // unreplayable is an empty body that net/http cannot take for http.NoBody.
