Routing: a deep call may go to a guard that sheds its rank but has an idle slot

Cause: in a surge the deepest service's slots stood idle a fifth of the time: exit nodes refused early what its guards would have taken into idle slots. Change: PickInfo.Deep; a guard whose report and own calls leave a slot free is not held for shedding.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -35,8 +35,8 @@
 	inFlight int
 	// aboveInFlight are those that took a slot from above the threshold.
 	aboveInFlight int
-	seq      uint64
-	draining bool
+	seq           uint64
+	draining      bool
 
 	// intervalStarted begins the present adjustment interval; leastQueued is
 	// the least length of the queue in it.
@@ -49,7 +49,7 @@
 	startRate float64
 	// busy is the sum of slots in use over time (slot-nanoseconds) in the
 	// interval, up to the time integrated.
-	busy       float64
+	busy float64
 	// busyAbove is the part of busy that calls from above the threshold had.
 	busyAbove  float64
 	integrated time.Time
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -120,6 +120,7 @@
 		Service: d.call.Ctx.Service,
 		Rank:    admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
 		Avoid:   d.tried,
+		Deep:    d.call.Ctx.Depth > 0,
 		Node:    d.next,
 	}
 	d.marks = d.router.Suspicion(now, d.call)
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -70,6 +70,9 @@
 	// SuspectedCrasher sends the call where the fewest others would be lost
 	// if it brought the upstream down.
 	SuspectedCrasher bool
+	// Deep says that work was spent on the call's root already. A guard gives
+	// such a call an idle slot whatever its threshold.
+	Deep bool
 }
 
 // Outcome says how an attempt at a target ended.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -41,6 +41,7 @@
 	svc   *service
 	rng   *rand.Rand
 	rank  uint32
+	deep  bool
 	avoid []string
 
 	// The best of each verdict but hasRoom that was met.
@@ -67,6 +68,7 @@
 		svc:        v.svc,
 		rng:        rng,
 		rank:       info.Rank,
+		deep:       info.Deep,
 		avoid:      info.Avoid,
 		validUntil: math.MaxInt64,
 	}
@@ -74,7 +76,7 @@
 		return c.pickNode(t, v, info.Node)
 	}
 	probe := false
-	if v.svc.knownFull(c.at, c.rank) {
+	if !c.deep && v.svc.knownFull(c.at, c.rank) {
 		probe = c.rollProbe()
 		if !probe {
 			return nil, v.shedEarly
@@ -248,7 +250,7 @@
 		return isOut
 	}
 	fresh := g.report.fresh(c.at, c.cfg.LoadAge)
-	if fresh && g.report.sheds(c.rank) {
+	if fresh && g.report.sheds(c.rank) && !(c.deep && g.idle()) {
 		return wouldShed
 	}
 	if fresh && g.report.saturated() || g.inFlight.Load() > g.capacity(fresh) {
@@ -294,7 +296,7 @@
 		if probe || c.rollProbe() {
 			return c.shedding, nil
 		}
-		if len(c.avoid) == 0 {
+		if len(c.avoid) == 0 && !c.deep {
 			v.svc.setFull(c.at, c.rank, c.validUntil)
 		}
 		return nil, v.shedEarly
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -71,6 +71,9 @@
 	return queued > 0 && inFlight >= limit
 }
 
+// waiting returns the length of the queue in the report.
+func (c *reportCell) waiting() uint64 { return c.load.Load() >> countBits & countMask }
+
 func (c *reportCell) draining() bool { return c.load.Load()&flagDraining != 0 }
 
 func (c *reportCell) limit() int64 { return int64(c.load.Load() >> (2 * countBits) & countMask) }
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -254,3 +254,12 @@
 	}
 	return s
 }
+
+// idle reports whether the last report and the calls that are out from here
+// leave a slot free.
+func (g *Target) idle() bool {
+	if g.report.waiting() > 0 {
+		return false
+	}
+	return g.report.others()+float64(g.inFlight.Load()) < float64(g.report.limit())
+}
