--- a/internal/lease/authority.go
+++ b/internal/lease/authority.go
@@ -73,7 +73,7 @@
 		a.Refusal = a.Refusal.After(s.effective.Sub(now))
 		return a
 	}
-	until := l.until(s)
+	until := l.until(now, s)
 	if !now.Before(until) {
 		return refuse(result.NoAuthority, "last proof is %v old", l.proofAge(now).Round(time.Millisecond))
 	}
@@ -93,17 +93,17 @@
 	return a
 }
 
-// until is the end of the authority over a slot that self owns; the zero time
-// when there is none.
-func (l *Lessor) until(s *slot) time.Time {
+// until is the end of the authority over a slot that self owns, not after now
+// when there is none. Promises are looked at only once the proof is too old:
+// on a good day a call pays for one comparison.
+func (l *Lessor) until(now time.Time, s *slot) time.Time {
 	if !l.proven {
 		return time.Time{}
 	}
-	var end time.Time
-	if l.proofHead > s.first {
-		end = l.proofT0.Add(l.cfg.Validity)
+	if end := l.proofT0.Add(l.cfg.Validity); l.proofHead > s.first && now.Before(end) {
+		return end
 	}
-	return later(end, l.promisedUntil(s))
+	return l.promisedUntil(s)
 }
 
 // promisedUntil is the end of the authority that promises give. Every guard
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -8,5 +8,9 @@
 // whether a call may start now and which messages and records are due. It
 // reads no clock and is not safe for concurrent use.
 //
+// Times must come from a clock that does not stand still while the VM is
+// suspended, as Linux's monotonic clock does: a holder that wakes up must find
+// its authority too old.
+//
 // The argument for its soundness is in docs/design/ownership.md.
 package lease
--- a/internal/lease/status.go
+++ b/internal/lease/status.go
@@ -66,7 +66,7 @@
 		st.Released++
 	case now.Before(s.effective):
 		st.Waiting++
-	case !l.stopped && now.Before(l.until(s)):
+	case !l.stopped && now.Before(l.until(now, s)):
 		st.Ready++
 	}
 	if !s.unknownBefore.IsZero() && now.Before(s.cleanAt) {
--- a/internal/lease/unit_test.go
+++ b/internal/lease/unit_test.go
@@ -131,6 +131,27 @@
 	must.SliceEmpty(t, a.l.Plan(w.local(a), nil))
 }
 
+// A record of an evicted guard, and one whose taker did not know the owner's
+// latest record, change nothing; a hand-over of an ownership that has been
+// renewed since is worth no more than a crash.
+func TestRecordsThatDoNotCount(t *testing.T) {
+	w := calm()
+	a := w.starter()
+	b, l := w.others(a)[0], w.others(a)[1].l
+	now := epoch.Add(time.Hour)
+	by := func(id Identity, folded int64) Takeover { return Takeover{Slots: []int{0}, By: id, Folded: folded} }
+	stale := l.Next()
+	l.Apply(now, stale, by(a.id, stale)) // the owner writes its record again
+	l.Apply(now, l.Next(), by(b.id, stale))
+	must.Eq(t, a.id, l.slots[0].owner)
+	l.received[0] = received{from: a.id, offset: stale - 1}
+	l.Apply(now, l.Next(), by(l.self, l.Next()))
+	must.Eq(t, now.Add(simConfig().takeoverWait()), l.slots[0].effective)
+	l.Evicted(now, l.Next(), b.id)
+	l.Apply(now, l.Next(), by(b.id, l.Next()))
+	must.Eq(t, l.self, l.slots[0].owner)
+}
+
 func TestStateRestores(t *testing.T) {
 	w := calm()
 	a := w.starter()
