--- a/internal/node/plane_tick.go
+++ b/internal/node/plane_tick.go
@@ -230,14 +230,18 @@
 }
 
 // LeaveRecord is the last record of a planned stop.
-func (p *Plane) LeaveRecord(now time.Time) Action {
-	return p.appendRecord(now, platform.KindLeave, membership.Leave{ID: p.self})[0]
+func (p *Plane) LeaveRecord(now time.Time) platform.Record {
+	return p.record(now, platform.KindLeave, membership.Leave{ID: p.self})
 }
 
 func (p *Plane) appendRecord(now time.Time, kind platform.Kind, body any) []Action {
+	return []Action{AppendRecord{Record: p.record(now, kind, body)}}
+}
+
+func (p *Plane) record(now time.Time, kind platform.Kind, body any) platform.Record {
 	// Membership records hold only strings, numbers and times: they marshal.
 	raw, _ := json.Marshal(body)
-	return []Action{AppendRecord{Record: platform.Record{ID: p.recordID(), Kind: kind, At: now, Body: raw}}}
+	return platform.Record{ID: p.recordID(), Kind: kind, At: now, Body: raw}
 }
 
 // recordID names a record by 128 random bits.
