Administration API on running nodes

Cause: the API, galenactl and the metrics handler had no node behind them. Change: a backend over the node's fold of the log: templates, instances, publication through the appender (answered once read back and decided, a repeat under its change ID is the same change), diff, status and members from the other nodes' own reports with bounds on number and time, drain of any node, the time line merged over members, followed events. FetchEvents on the inner port; reports and drain orders there as small JSON documents. Admin listener serves API and metrics; callers' tokens are enforced where the settings ask for it. The call filter of the time line also takes a request ID. Conclusion: operators can publish, race, lose and see it on real nodes.

--- a/cmd/galenactl/status.go
+++ b/cmd/galenactl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,6 +30,9 @@
 		if n.Lagging {
 			state = "lagging"
 		}
+		if strings.HasPrefix(n.Detail, "unknown") {
+			state = "unknown"
+		}
 		t.row(n.NodeId, n.Zone, n.ConfigVersion, millis(n.ReportAgeMs), state, n.Detail)
 	}
 	t.note("version %d in force on %d of %d nodes, as %s sees it", m.NewestVersion, m.NodesInForce, m.NodesKnown, m.AnsweredBy)
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -100,6 +100,15 @@
 	return g.draining
 }
 
+// Load returns a reading of the guard's limits and what they hold.
+func (g *Guard) Load() admission.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.admission.Load()
+	l.Draining = l.Draining || g.draining
+	return l
+}
+
 // Busy returns how many calls wait, claim or run.
 func (g *Guard) Busy() int {
 	g.mu.Lock()
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -36,6 +36,13 @@
 	return &Peers{dial: dial, peers: make(map[string]*peer)}
 }
 
+// Scheme is that of other nodes' inner addresses.
+func (p *Peers) Scheme() string { return "http" }
+
+// ControlTransport returns a transport to other nodes apart from that of data
+// calls, so that an operator's questions never wait behind calls.
+func (p *Peers) ControlTransport() *http.Transport { return newTransport(p.dial, false) }
+
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
--- /dev/null
+++ b/internal/server/admin_test.go
@@ -0,0 +1,253 @@
+package server
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+func pair(t *testing.T) (*world, *Server, *Server) {
+	w := newWorld(t)
+	a, b := w.start("letters-1", nil), w.start("letters-2", nil)
+	echo := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("letter")) })
+	w.announce(a, "letters", echo)
+	w.announce(b, "letters", echo)
+	w.knows("letters", 2, a, b)
+	return w, a, b
+}
+
+// Two operators change one instance at the same time on two nodes, both from
+// the version that they saw. One sees "accepted", the other is told whose
+// change won and what it changed; sending the winner's change again under its
+// ID is no second change.
+func TestOfRacingOperatorsOneWinsAndTheOtherIsTold(t *testing.T) {
+	w, a, b := pair(t)
+	base := w.publish(a, "letters")
+	must.Eq(t, 2, int(base.NodesInForce))
+	var pubs [2]*adminpb.Publication
+	var errs [2]error
+	race := []struct {
+		at               *Server
+		operator, change string
+		values           string
+	}{
+		{a, "mori", "change-mori", `{"retry_allowance": 3}`},
+		{b, "abe", "change-abe", `{"retry_allowance": 4}`},
+	}
+	var wg sync.WaitGroup
+	for i, r := range race {
+		wg.Go(func() {
+			pubs[i], errs[i] = w.set(r.at, r.operator, "letters", r.change, base.Version, r.values)
+		})
+	}
+	wg.Wait()
+	must.NoError(t, errs[0])
+	must.NoError(t, errs[1])
+	must.NotEq(t, pubs[0].Accepted, pubs[1].Accepted)
+	win := 0
+	if pubs[1].Accepted {
+		win = 1
+	}
+	lost := pubs[1-win]
+	must.Eq(t, race[win].operator, lost.LostToOperator)
+	must.Eq(t, race[win].change, lost.LostToChangeId)
+	must.Eq(t, pubs[win].Version, lost.LostToVersion)
+	must.StrContains(t, lost.Detail, "retry_allowance")
+
+	appends := w.log.Appends()
+	again, err := w.set(race[win].at, race[win].operator, "letters", race[win].change, base.Version, race[win].values)
+	must.NoError(t, err)
+	must.True(t, again.Accepted)
+	must.Eq(t, pubs[win].Version, again.Version)
+	must.Eq(t, appends, w.log.Appends())
+	_, err = w.set(a, "mori", "ledgers", race[win].change, 0, `{}`)
+	must.Eq(t, connect.CodeInvalidArgument, connect.CodeOf(err))
+}
+
+// An operator publishes while the log is out. The change is either refused as
+// not made or said to be open; sent again under its ID once the log is back,
+// it is in force once.
+func TestChangeWithoutLogIsNeverCalledAccepted(t *testing.T) {
+	w, a, _ := pair(t)
+	base := w.publish(a, "letters")
+	w.log.Update(func(k *logd.Knobs) { k.Outage = true })
+	short := connect.NewRequest(&adminpb.SetInstanceRequest{
+		Workspace: "chikugo", Service: "letters", ValuesJson: `{"retry_allowance": 3}`, Merge: true,
+		BasedOn: base.Version, ChangeId: "open",
+	})
+	ctx, cancel := withDeadline(t)
+	defer cancel()
+	_, err := w.admin(a, "abe").SetInstance(ctx, short)
+	must.SliceContains(t, []connect.Code{connect.CodeUnavailable, connect.CodeAborted}, connect.CodeOf(err))
+	w.until("the outage to show", func() bool {
+		st, err := w.admin(a, "view").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{}))
+		return err == nil && !st.Msg.LogAvailable
+	})
+	w.log.Update(func(k *logd.Knobs) { k.Outage = false })
+	pub, err := w.set(a, "abe", "letters", "open", base.Version, `{"retry_allowance": 3}`)
+	must.NoError(t, err)
+	must.True(t, pub.Accepted)
+	show, err := w.admin(a, "view").ShowInstance(t.Context(), connect.NewRequest(&adminpb.ShowInstanceRequest{Workspace: "chikugo", Service: "letters"}))
+	must.NoError(t, err)
+	must.StrContains(t, show.Msg.EffectiveJson, `"retry_allowance":"3"`)
+}
+
+func TestDiffAndFaultyValues(t *testing.T) {
+	w, a, _ := pair(t)
+	w.publish(a, "letters")
+	diff, err := w.admin(a, "view").DiffInstance(t.Context(), connect.NewRequest(&adminpb.DiffInstanceRequest{
+		Workspace: "chikugo", Service: "letters", ValuesJson: `{"max_wait":"250ms"}`, Merge: true,
+	}))
+	must.NoError(t, err)
+	must.Len(t, 1, diff.Msg.Differences)
+	must.Eq(t, "max_wait", diff.Msg.Differences[0].Path)
+	must.Eq(t, `"250ms"`, diff.Msg.Differences[0].ToJson)
+	appends := w.log.Appends()
+	_, err = w.set(a, "abe", "letters", "bad", diff.Msg.BasedOn, `{"retry_allowance": 99}`)
+	must.Eq(t, connect.CodeInvalidArgument, connect.CodeOf(err))
+	must.ErrorContains(t, err, "at most 4")
+	must.Eq(t, appends, w.log.Appends())
+}
+
+// One node of two stops answering while its record still stands in the log.
+// Status names it as unknown instead of counting it, and the timeline says
+// whose events are missing.
+func TestSilentNodeIsListedAsUnknown(t *testing.T) {
+	w, a, b := pair(t)
+	w.publish(a, "letters")
+	all, err := w.admin(a, "view").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{Workspace: "chikugo"}))
+	must.NoError(t, err)
+	must.Eq(t, 2, int(all.Msg.NodesInForce))
+	_ = b.listeners.inner.Close()
+	b.servers[2].Close()
+	st, err := w.admin(a, "view").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{LaggingOnly: true}))
+	must.NoError(t, err)
+	must.Eq(t, 1, int(st.Msg.NodesInForce))
+	must.Len(t, 1, st.Msg.Nodes)
+	must.Eq(t, "letters-2", st.Msg.Nodes[0].NodeId)
+	must.StrHasPrefix(t, "unknown", st.Msg.Nodes[0].Detail)
+	tl, err := w.admin(a, "mori").Timeline(t.Context(), connect.NewRequest(&adminpb.TimelineRequest{AllNodes: true}))
+	must.NoError(t, err)
+	must.Eq(t, []string{"letters-2"}, tl.Msg.UnreachableNodes)
+}
+
+// One node reads the log more slowly than the other. Until it has folded a
+// change, status names it as lagging and publishing says 1 of 2.
+func TestNodeThatLagsIsNamed(t *testing.T) {
+	w := newWorld(t)
+	held := &heldLog{Server: w.log, gate: make(chan struct{})}
+	a := w.start("letters-1", nil)
+	b := w.startWith("letters-2", held)
+	for _, s := range []*Server{a, b} {
+		w.announce(s, "letters", http.NotFoundHandler())
+	}
+	w.knows("letters", 2, a)
+	w.until("the slow node", func() bool { return b.node.Policy().Version() == 0 })
+	pub, err := w.set(a, "mori", "letters", "none", 0, `{}`)
+	must.Eq(t, connect.CodeNotFound, connect.CodeOf(err))
+	must.Nil(t, pub)
+	w.publishNow(a)
+	lagging := func() []string {
+		st, err := w.admin(a, "view").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{LaggingOnly: true}))
+		must.NoError(t, err)
+		var names []string
+		for _, n := range st.Msg.Nodes {
+			names = append(names, n.NodeId)
+		}
+		return names
+	}
+	must.Eq(t, []string{"letters-2"}, lagging())
+	close(held.gate)
+	w.until("the slow node to follow", func() bool { return len(lagging()) == 0 })
+}
+
+// A viewer, an operator of one workspace and a caller each try what their
+// token doesn't cover. All are refused, and the attempt is on the time line.
+func TestTokensLimitWhatIsReached(t *testing.T) {
+	w, a, _ := pair(t)
+	w.publish(a, "letters")
+	_, err := w.set(a, "view", "letters", "v", 0, `{}`)
+	must.Eq(t, connect.CodePermissionDenied, connect.CodeOf(err))
+	_, err = w.admin(a, "caller").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{}))
+	must.Eq(t, connect.CodePermissionDenied, connect.CodeOf(err))
+	_, err = w.admin(a, "guess").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{}))
+	must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(err))
+	must.Len(t, 3, a.node.Ring().Events(timeline.Filter{Kinds: []timeline.Kind{timeline.AuthRefused}}))
+	list, err := w.admin(a, "view").Members(t.Context(), connect.NewRequest(&adminpb.MembersRequest{}))
+	must.NoError(t, err)
+	must.Len(t, 2, list.Msg.Members)
+	must.Eq(t, "alive", list.Msg.Members[0].State)
+}
+
+func TestCallerTokens(t *testing.T) {
+	w := newWorld(t)
+	s := w.start("letters-1", func(c *settings.Node) { c.Callers.RequireToken = true })
+	var seen []string
+	w.announce(s, "letters", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		seen = append(seen, r.Header.Get("Authorization"))
+	}))
+	w.knows("letters", 1, s)
+	w.publish(s, "letters")
+	for _, token := range []string{"", "guess", "abe"} {
+		status, h, _ := w.call(s, "letters", token)
+		must.Eq(t, http.StatusForbidden, status)
+		must.Eq(t, "4007", h.Get(result.HeaderResult))
+	}
+	must.SliceEmpty(t, seen)
+	status, _, _ := w.call(s, "letters", "caller")
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, []string{""}, seen)
+}
+
+// An operator drains the other node through this one. That node says so, takes
+// no new call, and calls go on at the rest.
+func TestDrainOfAnotherNode(t *testing.T) {
+	w, a, b := pair(t)
+	w.publish(a, "letters")
+	resp, err := w.admin(a, "abe").Drain(t.Context(), connect.NewRequest(&adminpb.DrainRequest{NodeId: "letters-2", Reason: "kernel", WaitMs: 1000}))
+	must.NoError(t, err)
+	must.Eq(t, "drained", resp.Msg.State)
+	must.True(t, b.node.Guard().Draining())
+	started := b.node.Ring().Events(timeline.Filter{Kinds: []timeline.Kind{timeline.DrainStarted}})
+	must.Len(t, 1, started)
+	must.Eq(t, "abe: kernel", started[0].Detail)
+	for range 5 {
+		status, _, _ := w.call(b, "letters", "")
+		must.Eq(t, http.StatusOK, status)
+	}
+	w.knows("letters", 1, a)
+	_, err = w.admin(a, "mori").Drain(t.Context(), connect.NewRequest(&adminpb.DrainRequest{NodeId: "nobody"}))
+	must.Eq(t, connect.CodeNotFound, connect.CodeOf(err))
+}
+
+// An operator follows one node's events and the node stops: the stream ends
+// instead of holding the stop up.
+func TestFollowedEventsEndWithTheNode(t *testing.T) {
+	w := newWorld(t)
+	s := w.start("letters-1", nil)
+	stream, err := w.admin(s, "mori").Events(t.Context(), connect.NewRequest(&adminpb.EventsRequest{Follow: true}))
+	must.NoError(t, err)
+	must.True(t, stream.Receive())
+	must.StrContains(t, stream.Msg().EventJson, string(timeline.NodeStarted))
+	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.Cleared})
+	must.True(t, stream.Receive())
+	must.StrContains(t, stream.Msg().EventJson, string(timeline.Cleared))
+	ended := make(chan struct{})
+	go func() {
+		for stream.Receive() {
+		}
+		close(ended)
+	}()
+	s.endStreams()
+	<-ended
+	must.NoError(t, stream.Close())
+}
--- /dev/null
+++ b/internal/server/backend.go
@@ -0,0 +1,238 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/policy"
+)
+
+// backend answers the administration API for a running node. What it says of
+// configuration and members is its own fold of the log; what it says of other
+// nodes it has asked them for.
+type backend struct {
+	server *Server
+	peers  *peerOps
+}
+
+var _ admin.Backend = (*backend)(nil)
+
+func newBackend(s *Server) *backend { return &backend{server: s, peers: newPeerOps(s)} }
+
+// view returns the members folded so far.
+func (c *control) view() *membership.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.Members()
+}
+
+// newestChange is the version of the last accepted change that s has in force.
+// The version of the state itself also counts the log's other records.
+func newestChange(s *policy.State) policy.Version {
+	var newest policy.Version
+	for _, t := range s.Templates() {
+		newest = max(newest, s.TemplateVersion(t.Name))
+	}
+	for _, i := range s.Instances() {
+		newest = max(newest, s.InstanceVersion(i.Workspace, i.Service))
+	}
+	return newest
+}
+
+// workspacesOf returns the workspaces that a member serves: its own, or, for
+// one that serves all, those with an instance for its service.
+func workspacesOf(s *policy.State, m membership.Member) []string {
+	if m.Workspace != "" {
+		return []string{m.Workspace}
+	}
+	var list []string
+	for _, i := range s.Instances() {
+		if i.Service == m.Service && m.Service != "" {
+			list = append(list, i.Workspace)
+		}
+	}
+	return list
+}
+
+// NodeWorkspaces implements admin.Backend.
+func (b *backend) NodeWorkspaces(_ context.Context, nodeID string) ([]string, error) {
+	m, ok := b.server.control.view().Member(nodeID)
+	if !ok {
+		if nodeID == b.server.cfg.NodeID {
+			return nil, nil
+		}
+		return nil, admin.NotFound("node %s is not a member", nodeID)
+	}
+	return workspacesOf(b.server.node.Policy(), m), nil
+}
+
+// Status implements admin.Backend. The newest version is the newest that any
+// node which answered has: this node may lag itself.
+func (b *backend) Status(ctx context.Context, r *adminpb.StatusRequest) (*adminpb.StatusResponse, error) {
+	state := b.server.node.Policy()
+	members := b.server.control.view().Members()
+	if r.GetWorkspace() != "" {
+		members = slices.DeleteFunc(members, func(m membership.Member) bool {
+			return !slices.Contains(workspacesOf(state, m), r.GetWorkspace())
+		})
+	}
+	reports := b.peers.reports(ctx, members)
+	resp := b.logStatus()
+	resp.NewestVersion = uint64(newestChange(state))
+	for _, rep := range reports {
+		if rep.err == nil {
+			resp.NewestVersion = max(resp.NewestVersion, rep.report.Change)
+		}
+	}
+	resp.NodesKnown = uint32(len(members))
+	for i, m := range members {
+		n := nodeStatus(m, &reports[i], resp.NewestVersion)
+		if !n.Lagging {
+			resp.NodesInForce++
+		}
+		if n.Lagging || !r.GetLaggingOnly() {
+			resp.Nodes = append(resp.Nodes, n)
+		}
+	}
+	return resp, nil
+}
+
+func (b *backend) logStatus() *adminpb.StatusResponse {
+	next, age, available := b.server.control.logHealth()
+	return &adminpb.StatusResponse{
+		LogNextOffset: uint64(next),
+		LogHeadAgeMs:  age.Milliseconds(),
+		LogAvailable:  available,
+		AnsweredBy:    b.server.cfg.NodeID,
+	}
+}
+
+func nodeStatus(m membership.Member, a *asked, newest uint64) *adminpb.NodeStatus {
+	n := &adminpb.NodeStatus{
+		NodeId:      m.Node,
+		Incarnation: formatIncarnation(m.Incarnation),
+		Zone:        m.Zone,
+		ReportAgeMs: a.age.Milliseconds(),
+	}
+	if a.err != nil {
+		n.Lagging = true
+		n.Detail = "unknown: " + a.err.Error()
+		return n
+	}
+	n.ConfigVersion = a.report.Change
+	n.Lagging = a.report.Folded < newest
+	if n.Lagging {
+		n.Detail = "has folded the log up to " + formatCount(a.report.Folded)
+	}
+	return n
+}
+
+// Members implements admin.Backend. A member that serves several workspaces
+// is listed once for each.
+func (b *backend) Members(ctx context.Context, r *adminpb.MembersRequest) ([]*adminpb.Member, error) {
+	state := b.server.node.Policy()
+	var picked []membership.Member
+	for _, m := range b.server.control.view().Members() {
+		if accepts(r.GetService(), m.Service) && accepts(r.GetZone(), m.Zone) {
+			picked = append(picked, m)
+		}
+	}
+	reports := b.peers.reports(ctx, picked)
+	var list []*adminpb.Member
+	for i, m := range picked {
+		workspaces := workspacesOf(state, m)
+		if len(workspaces) == 0 {
+			workspaces = []string{""}
+		}
+		for _, w := range workspaces {
+			if accepts(r.GetWorkspace(), w) {
+				list = append(list, memberMessage(m, w, &reports[i]))
+			}
+		}
+	}
+	return list, nil
+}
+
+func accepts(want, got string) bool { return want == "" || want == got }
+
+func memberMessage(m membership.Member, workspace string, a *asked) *adminpb.Member {
+	msg := &adminpb.Member{
+		NodeId:      m.Node,
+		Incarnation: formatIncarnation(m.Incarnation),
+		Region:      m.Region,
+		Zone:        m.Zone,
+		InnerAddr:   m.InnerAddr,
+		Workspace:   workspace,
+		Service:     m.Service,
+		Slots:       uint32(m.Slots),
+		Connections: uint32(m.Connections),
+		State:       "suspect",
+		HeardAgeMs:  a.age.Milliseconds(),
+	}
+	if a.err != nil {
+		return msg
+	}
+	msg.State = "alive"
+	if a.report.Draining {
+		msg.State = "draining"
+	}
+	msg.UpstreamAddr = a.report.UpstreamAddr
+	msg.InFlight = uint32(a.report.InFlight)
+	msg.Limit = uint32(a.report.Limit)
+	return msg
+}
+
+// Drain implements admin.Backend.
+func (b *backend) Drain(ctx context.Context, operator string, r *adminpb.DrainRequest) (*adminpb.DrainResponse, error) {
+	order := drainOrder{Operator: operator, Reason: r.GetReason(), WaitMillis: r.GetWaitMs()}
+	if r.GetNodeId() == b.server.cfg.NodeID {
+		return drainMessage(b.server.drainFor(ctx, order)), nil
+	}
+	m, ok := b.server.control.view().Member(r.GetNodeId())
+	if !ok {
+		return nil, admin.NotFound("node %s is not a member", r.GetNodeId())
+	}
+	state, err := b.peers.drain(ctx, m, order)
+	if err != nil {
+		return nil, admin.Unavailable("node %s: %v", r.GetNodeId(), err)
+	}
+	return drainMessage(state), nil
+}
+
+func drainMessage(s drainState) *adminpb.DrainResponse {
+	return &adminpb.DrainResponse{State: s.State, InFlight: uint32(s.InFlight)}
+}
+
+// awaitInForce asks the members until the share of them that has a version in
+// force is reached or the time is over, and returns the last count.
+func (b *backend) awaitInForce(ctx context.Context, version policy.Version, percent uint32, wait time.Duration) (inForce, known int) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		members := b.server.control.view().Members()
+		// The count itself may outlast the wait: an answer without it would
+		// say that nobody has the version.
+		askCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		inForce = countInForce(b.peers.reports(askCtx, members), version)
+		stop()
+		known = len(members)
+		if percent == 0 || inForce*100 >= known*int(percent) || ctx.Err() != nil {
+			return inForce, known
+		}
+		sleep(ctx, inForcePause)
+	}
+}
+
+func countInForce(reports []asked, version policy.Version) int {
+	n := 0
+	for i := range reports {
+		if reports[i].err == nil && reports[i].report.Folded >= uint64(version) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -27,6 +27,7 @@
 // control follows the log and writes the node's own records.
 type control struct {
 	server *Server
+	log    logState
 
 	mu      sync.Mutex
 	replica *node.Replica
@@ -40,7 +41,11 @@
 
 func (c *control) read(ctx context.Context) {
 	for ctx.Err() == nil {
+		sent := c.server.node.Now()
 		page, err := c.server.log.Read(ctx, c.next(), readMax, c.server.cfg.Log.ReadWait.Std())
+		if ctx.Err() == nil {
+			c.noteRead(sent, err)
+		}
 		if err != nil {
 			sleep(ctx, readRetry)
 			continue
--- /dev/null
+++ b/internal/server/events_rpc.go
@@ -0,0 +1,203 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	// eventBytes is what one event takes at most on average; with the bound
+	// on a control message it bounds the events of one answer.
+	eventBytes = 512
+	// maxFetched bounds the events of one FetchEvents answer.
+	maxFetched = inner.MaxControlBytes / eventBytes
+)
+
+// eventsRPC is the part of the Control service that reads the time line. It
+// is made to be embedded.
+type eventsRPC struct{ server *Server }
+
+// FetchEvents implements the service.
+func (e eventsRPC) FetchEvents(_ context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	r := req.Msg
+	ring := e.server.node.Ring()
+	events := ring.Events(timeline.Filter{
+		CallID:    r.GetCallId(),
+		RequestID: r.GetRequestId(),
+		Workspace: r.GetWorkspace(),
+		Upstream:  r.GetUpstream(),
+		After:     timeline.HLC(r.GetAfterHlc()),
+	})
+	limit := maxFetched
+	if r.GetMaxEvents() > 0 {
+		limit = min(limit, int(r.GetMaxEvents()))
+	}
+	events = newest(events, limit)
+	var lines bytes.Buffer
+	if err := timeline.WriteJSONLines(&lines, events); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	resp := &innerpb.FetchEventsResponse{JsonLines: lines.Bytes(), Forgotten: ring.Forgotten()}
+	if len(events) > 0 {
+		resp.LastHlc = uint64(events[len(events)-1].HLC)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// controlRPC is the Control service as far as this package has it.
+type controlRPC struct {
+	innerpbconnect.UnimplementedControlHandler
+	events eventsRPC
+}
+
+// FetchEvents implements the service.
+func (c controlRPC) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	return c.events.FetchEvents(ctx, req)
+}
+
+func newest(events []timeline.Event, limit int) []timeline.Event {
+	if limit > 0 && len(events) > limit {
+		return events[len(events)-limit:]
+	}
+	return events
+}
+
+func filterOf(f *adminpb.EventFilter) timeline.Filter {
+	tf := timeline.Filter{
+		CallID:    f.GetCallId(),
+		RequestID: f.GetRequestId(),
+		Workspace: f.GetWorkspace(),
+		Upstream:  f.GetUpstream(),
+	}
+	for _, k := range f.GetKinds() {
+		tf.Kinds = append(tf.Kinds, timeline.Kind(k))
+	}
+	return tf
+}
+
+// Timeline implements admin.Backend. Members that don't answer are named; what
+// the others have stands.
+func (b *backend) Timeline(ctx context.Context, r *adminpb.TimelineRequest) (*adminpb.TimelineResponse, error) {
+	filter := filterOf(r.GetFilter())
+	if since := r.GetSinceUnixMs(); since > 0 {
+		filter.After = timeline.HLCAt(time.UnixMilli(since))
+	}
+	ring := b.server.node.Ring()
+	resp := &adminpb.TimelineResponse{Forgotten: ring.Forgotten()}
+	streams := [][]timeline.Event{ring.Events(filter)}
+	if r.GetAllNodes() {
+		for _, f := range b.fetchAll(ctx, filter) {
+			if f.err != nil {
+				resp.UnreachableNodes = append(resp.UnreachableNodes, f.node)
+				continue
+			}
+			streams = append(streams, timeline.Select(f.events, filter))
+			resp.Forgotten += f.forgotten
+		}
+	}
+	limit := int(r.GetMaxEvents())
+	if limit == 0 {
+		limit = admin.MaxEvents
+	}
+	for _, e := range newest(timeline.Merge(streams...), limit) {
+		doc, err := eventJSON(e)
+		if err != nil {
+			return nil, err
+		}
+		resp.EventsJson = append(resp.EventsJson, doc)
+	}
+	return resp, nil
+}
+
+type fetched struct {
+	node      string
+	events    []timeline.Event
+	forgotten uint64
+	err       error
+}
+
+func (b *backend) fetchAll(ctx context.Context, f timeline.Filter) []fetched {
+	members := b.server.control.view().Members()
+	out := make([]fetched, len(members))
+	b.peers.each(ctx, members, func(ctx context.Context, i int) {
+		out[i].node = members[i].Node
+		if b.peers.own(members[i]) {
+			return
+		}
+		resp, err := b.peers.control(members[i]).FetchEvents(ctx, connect.NewRequest(&innerpb.FetchEventsRequest{
+			CallId: f.CallID, RequestId: f.RequestID, Workspace: f.Workspace, Upstream: f.Upstream,
+			AfterHlc: uint64(f.After),
+		}))
+		if err != nil {
+			out[i].err = err
+			return
+		}
+		out[i].forgotten = resp.Msg.GetForgotten()
+		out[i].events, out[i].err = timeline.ReadJSONLines(bytes.NewReader(resp.Msg.GetJsonLines()), maxFetched)
+	})
+	return out
+}
+
+func eventJSON(e timeline.Event) (string, error) {
+	var line bytes.Buffer
+	if err := timeline.WriteJSONLines(&line, []timeline.Event{e}); err != nil {
+		return "", err
+	}
+	return string(bytes.TrimRight(line.Bytes(), "\n")), nil
+}
+
+// followers counts the open event streams, for the metrics.
+type followers struct{ n atomic.Int64 }
+
+// Events implements admin.Backend: the events of this node.
+func (b *backend) Events(ctx context.Context, r *adminpb.EventsRequest, send func(*adminpb.EventsResponse) error) error {
+	b.server.followers.n.Add(1)
+	defer b.server.followers.n.Add(-1)
+	ring := b.server.node.Ring()
+	filter := filterOf(r.GetFilter())
+	events, position, _ := ring.Since(0, filter)
+	if err := sendEvents(newest(events, int(r.GetMaxEvents())), 0, send); err != nil {
+		return err
+	}
+	for r.GetFollow() {
+		select {
+		case <-ring.Wait(position):
+		case <-ctx.Done():
+			return nil
+		case <-b.server.stopping:
+			return nil
+		}
+		var missed uint64
+		events, position, missed = ring.Since(position, filter)
+		if err := sendEvents(events, missed, send); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sendEvents(events []timeline.Event, missed uint64, send func(*adminpb.EventsResponse) error) error {
+	for _, e := range events {
+		doc, err := eventJSON(e)
+		if err != nil {
+			return err
+		}
+		if err := send(&adminpb.EventsResponse{EventJson: doc, Skipped: missed}); err != nil {
+			return errors.Wrap(err, "send event")
+		}
+		missed = 0
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/publish.go
@@ -0,0 +1,272 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+)
+
+const (
+	// publishTimeout bounds the wait for a publication to be read back; the
+	// log answers within milliseconds on a good day.
+	publishTimeout = 10 * time.Second
+	// answerMargin is kept of the operator's time for the answer's way back.
+	answerMargin = 250 * time.Millisecond
+	// inForcePause is between two counts of the nodes that have a version.
+	inForcePause = 100 * time.Millisecond
+)
+
+// PublishTemplate implements admin.Backend. A document without a revision
+// gets the next one.
+func (b *backend) PublishTemplate(ctx context.Context, operator string, r *adminpb.PublishTemplateRequest) (*adminpb.Publication, error) {
+	state := b.server.node.Policy()
+	if known, ok := b.repeated(state, r.GetChangeId(), "template "+r.GetName()); ok {
+		return b.decided(ctx, known, r.GetWaitPercent(), r.GetWaitMs())
+	}
+	doc, err := completeTemplate(state, r.GetName(), r.GetDocumentJson())
+	if err != nil {
+		return nil, err
+	}
+	t, err := policy.DecodeTemplate(doc)
+	if err != nil {
+		return nil, admin.Invalid("document_json: %v", err)
+	}
+	if t.Name != r.GetName() {
+		return nil, admin.Invalid("document_json.name is %q, must be %q", t.Name, r.GetName())
+	}
+	p := &policy.Publication{ID: r.GetChangeId(), Author: operator, Based: policy.Version(r.GetBasedOn()), Template: t}
+	d, err := b.publish(ctx, state, p)
+	if err != nil {
+		return nil, err
+	}
+	return b.decided(ctx, d, r.GetWaitPercent(), r.GetWaitMs())
+}
+
+func completeTemplate(state *policy.State, name, text string) ([]byte, error) {
+	var doc map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(text), &doc); err != nil {
+		return nil, admin.Invalid("document_json: %v", err)
+	}
+	_, hasName := doc["name"]
+	_, hasRevision := doc["revision"]
+	if hasName && hasRevision {
+		return []byte(text), nil
+	}
+	next := 1
+	if current, ok := state.Template(name, 0); ok {
+		next = current.Revision + 1
+	}
+	if !hasName {
+		doc["name"] = json.RawMessage(strconv.Quote(name))
+	}
+	if !hasRevision {
+		doc["revision"] = json.RawMessage(strconv.Itoa(next))
+	}
+	full, err := json.Marshal(doc)
+	return full, errors.Wrap(err, "complete template")
+}
+
+// SetInstance implements admin.Backend.
+func (b *backend) SetInstance(ctx context.Context, operator string, r *adminpb.SetInstanceRequest) (*adminpb.Publication, error) {
+	state := b.server.node.Policy()
+	if known, ok := b.repeated(state, r.GetChangeId(), "instance "+r.GetWorkspace()+"/"+r.GetService()); ok {
+		return b.decided(ctx, known, r.GetWaitPercent(), r.GetWaitMs())
+	}
+	inst, err := propose(state, r.GetWorkspace(), r.GetService(), r.GetTemplate(), r.GetValuesJson(), r.GetMerge())
+	if err != nil {
+		return nil, err
+	}
+	p := &policy.Publication{ID: r.GetChangeId(), Author: operator, Based: policy.Version(r.GetBasedOn()), Instance: inst}
+	d, err := b.publish(ctx, state, p)
+	if err != nil {
+		return nil, err
+	}
+	return b.decided(ctx, d, r.GetWaitPercent(), r.GetWaitMs())
+}
+
+// propose makes the instance that a request asks for. Naming a template takes
+// its current revision; naming none keeps template and revision.
+func propose(state *policy.State, workspace, service, template, valuesJSON string, merge bool) (*policy.Instance, error) {
+	inst := &policy.Instance{Workspace: workspace, Service: service, Values: map[string]string{}}
+	old, exists := findInstance(state, workspace, service)
+	if exists {
+		inst.Template, inst.Revision = old.Template, old.Revision
+	}
+	if template != "" {
+		t, ok := state.Template(template, 0)
+		if !ok {
+			return nil, admin.NotFound("template %s", template)
+		}
+		inst.Template, inst.Revision = t.Name, t.Revision
+	}
+	if inst.Template == "" {
+		return nil, admin.Invalid("template is empty, must be given for the new instance %s/%s", workspace, service)
+	}
+	if merge && exists {
+		maps.Copy(inst.Values, old.Values)
+	}
+	return inst, setValues(inst.Values, valuesJSON)
+}
+
+func findInstance(state *policy.State, workspace, service string) (policy.Instance, bool) {
+	for _, i := range state.Instances() {
+		if i.Workspace == workspace && i.Service == service {
+			return i, true
+		}
+	}
+	return policy.Instance{}, false
+}
+
+// setValues writes JSON scalars as values are kept, as text; null drops one.
+func setValues(values map[string]string, doc string) error {
+	dec := json.NewDecoder(bytes.NewReader([]byte(doc)))
+	dec.UseNumber()
+	var given map[string]any
+	if err := dec.Decode(&given); err != nil {
+		return admin.Invalid("values_json: %v", err)
+	}
+	for name, v := range given {
+		switch v := v.(type) {
+		case nil:
+			delete(values, name)
+		case string:
+			values[name] = v
+		case bool:
+			values[name] = strconv.FormatBool(v)
+		case json.Number:
+			values[name] = v.String()
+		default:
+			return admin.Invalid("values_json.%s is an object or an array, must be a string, a number or true or false", name)
+		}
+	}
+	return nil
+}
+
+// repeated returns the decision on a change that was sent before. A change ID
+// that named another object is no repeat and is refused by publish.
+func (b *backend) repeated(state *policy.State, changeID, object string) (policy.Decision, bool) {
+	d, ok := state.Decision(changeID)
+	return d, ok && d.Object == object
+}
+
+// publish gets p into the log and returns what the fold made of it.
+func (b *backend) publish(ctx context.Context, state *policy.State, p *policy.Publication) (policy.Decision, error) {
+	if d, ok := state.Decision(p.ID); ok {
+		return d, admin.Invalid("change_id is %q, which named a change of %s, must be new for %s", p.ID, d.Object, p.Object())
+	}
+	if d, ok := foreseen(state, p); ok {
+		return d, nil
+	}
+	rec, err := p.Record(b.server.node.Now())
+	if err != nil {
+		return policy.Decision{}, admin.Invalid("%v", err)
+	}
+	sendCtx, cancel := withMargin(ctx)
+	defer cancel()
+	if _, err := b.server.appender.Append(sendCtx, rec); err != nil {
+		return policy.Decision{}, appendFailure(p, err)
+	}
+	d, ok := b.server.node.Policy().Decision(p.ID)
+	if !ok {
+		return d, admin.Undecided("change %s was read back and its decision is no longer kept here", p.ID)
+	}
+	return d, nil
+}
+
+// foreseen decides what no later record could change: a loss to a newer
+// version of the object, or a document that is wrong by itself. What may look
+// wrong only because this node lags goes to the log.
+func foreseen(state *policy.State, p *policy.Publication) (policy.Decision, bool) {
+	d, _ := state.Check(p)
+	switch d.Outcome {
+	case policy.Lost:
+		return d, p.Based < d.Lost.Version
+	case policy.Rejected:
+		for _, e := range d.Errors {
+			if e.Field == "publication.based" || e.Field == "instance.template" || e.Field == "template.revision" {
+				return d, false
+			}
+		}
+		return d, true
+	}
+	return d, false
+}
+
+func withMargin(ctx context.Context) (context.Context, context.CancelFunc) {
+	limit := publishTimeout
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, max(0, time.Until(end)-answerMargin))
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+func appendFailure(p *policy.Publication, err error) error {
+	switch {
+	case errors.Is(err, platform.ErrUncertain):
+		return admin.Undecided("change %s may be in the log: %v", p.ID, err)
+	case errors.Is(err, platform.ErrBadRequest):
+		return admin.Invalid("change %s: %v", p.ID, err)
+	}
+	return admin.Unavailable("change %s was not published: %v", p.ID, err)
+}
+
+// decided turns a decision into the operator's answer and, for an accepted
+// change, waits as asked and counts the nodes.
+func (b *backend) decided(ctx context.Context, d policy.Decision, percent uint32, waitMillis int64) (*adminpb.Publication, error) {
+	if d.Outcome == policy.Rejected {
+		return nil, admin.Invalid("%s: %v", d.Object, d.Errors)
+	}
+	pub := &adminpb.Publication{ChangeId: d.ID, Accepted: d.Outcome == policy.Accepted, Version: uint64(d.Version)}
+	if d.Lost != nil {
+		pub.Version = uint64(d.Lost.Version)
+		pub.LostToVersion = uint64(d.Lost.Version)
+		pub.LostToOperator = d.Lost.Author
+		pub.LostToChangeId = d.Lost.ID
+		pub.Detail = d.Lost.What
+		return pub, nil
+	}
+	pub.Offset = uint64(d.Version) - 1
+	inForce, known := b.awaitInForce(ctx, d.Version, percent, time.Duration(waitMillis)*time.Millisecond)
+	pub.NodesInForce, pub.NodesKnown = uint32(inForce), uint32(known)
+	return pub, nil
+}
+
+// DiffInstance implements admin.Backend. It compares the behaviour in force
+// with that of the proposal, under defaults.
+func (b *backend) DiffInstance(_ context.Context, r *adminpb.DiffInstanceRequest) (*adminpb.DiffInstanceResponse, error) {
+	state := b.server.node.Policy()
+	inst, err := propose(state, r.GetWorkspace(), r.GetService(), r.GetTemplate(), r.GetValuesJson(), r.GetMerge())
+	if err != nil {
+		return nil, err
+	}
+	based := state.InstanceVersion(r.GetWorkspace(), r.GetService())
+	d, changes := state.Check(&policy.Publication{ID: "diff", Author: "diff", Based: based, Instance: inst})
+	if d.Outcome == policy.Rejected {
+		return nil, admin.Invalid("%v", d.Errors)
+	}
+	resp := &adminpb.DiffInstanceResponse{BasedOn: uint64(based)}
+	for _, c := range changes {
+		resp.Differences = append(resp.Differences, &adminpb.Difference{
+			Path: c.Field, FromJson: quoteOrEmpty(c.Old), ToJson: quoteOrEmpty(c.New),
+		})
+	}
+	return resp, nil
+}
+
+func quoteOrEmpty(s string) string {
+	if s == "" {
+		return ""
+	}
+	return fmt.Sprintf("%q", s)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,7 +14,10 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
@@ -30,6 +33,8 @@
 	guardTick = 10 * time.Millisecond
 	// headerTimeout bounds the time in which a request's header must arrive.
 	headerTimeout = 10 * time.Second
+	// timerSample takes one duration in so many of those on a call's path.
+	timerSample = 8
 )
 
 // Options are what a test or demo puts in place of the platform.
@@ -56,11 +61,18 @@
 	upstream *proxy.Upstream
 	control  *control
 	announce *announcements
+	backend  *backend
+	metrics  *metrics.Set
+	tokens   *admin.Tokens
 
 	listeners listeners
 	servers   []*http.Server
-	stop      context.CancelFunc
-	loops     sync.WaitGroup
+	followers followers
+	// stopping is closed when the listeners close, so that streams end.
+	stopping chan struct{}
+	stopOnce sync.Once
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
 }
 
 type listeners struct {
@@ -75,7 +87,13 @@
 // be valid; port 0 lets the system choose, and the addresses are then those
 // that Addresses returns.
 func Start(cfg *settings.Node, opts Options) (*Server, error) {
-	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger}
+	s := &Server{
+		cfg:      cfg,
+		log:      opts.Log,
+		logger:   opts.Logger,
+		metrics:  metrics.New(timerSample),
+		stopping: make(chan struct{}),
+	}
 	if s.log == nil {
 		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
 	}
@@ -84,6 +102,9 @@
 		return nil, errors.Wrap(err, "appender")
 	}
 	s.appender = appender
+	if s.tokens, err = admin.NewTokens(cfg.Tokens); err != nil {
+		return nil, err
+	}
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -155,6 +176,7 @@
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
+	s.backend = newBackend(s)
 }
 
 func (s *Server) identity() node.Identity {
@@ -189,13 +211,15 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
+	innerMux.Handle(inner.NewControlHandler(controlRPC{events: eventsRPC{server: s}}))
+	s.opsHandler(innerMux)
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
-	s.serve(s.listeners.callers, s.proxy.CallerHandler())
+	s.serve(s.listeners.callers, s.requireToken(s.proxy.CallerHandler()))
 	s.serve(s.listeners.exit, exitMux)
 	s.serve(s.listeners.inner, innerMux)
-	s.serve(s.listeners.admin, http.NewServeMux())
+	s.serve(s.listeners.admin, s.adminHandler())
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
 	s.loop(func() { s.tick(ctx) })
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/membership"
@@ -13,15 +14,35 @@
 const idleCheck = 10 * time.Millisecond
 
 // BeginDrain refuses new calls, truthfully, and tells the others.
-func (s *Server) BeginDrain() {
+func (s *Server) BeginDrain() { s.beginDrain("") }
+
+// beginDrain says in detail who asked for it.
+func (s *Server) beginDrain(detail string) {
 	if s.node.Guard().Draining() {
 		return
 	}
 	s.node.Guard().Drain(s.node.Now())
-	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
+	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: s.cfg.NodeID, Detail: detail})
+	s.logger.Info().Str("reason", detail).Int("in_flight", s.node.Guard().Busy()).Msg("draining")
 	s.loop(func() { s.control.leave() })
 }
 
+// drainFor drains at an operator's word and waits as long as asked for the
+// calls in flight.
+func (s *Server) drainFor(ctx context.Context, order drainOrder) drainState {
+	s.beginDrain(order.Operator + ": " + order.Reason)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(order.WaitMillis)*time.Millisecond)
+	defer cancel()
+	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	state := drainState{State: "draining", InFlight: s.node.Guard().Busy()}
+	if state.InFlight == 0 {
+		state.State = "drained"
+	}
+	return state
+}
+
 func (c *control) leave() {
 	id := c.server.node.Identity()
 	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
@@ -37,6 +58,9 @@
 		sleep(ctx, idleCheck)
 	}
 	cut := s.node.Guard().Busy()
+	s.node.Event(s.node.Now(), timeline.Event{
+		Kind: timeline.DrainFinished, Upstream: s.cfg.NodeID, Detail: fmt.Sprintf("%d calls cut", cut),
+	})
 	s.closeServers(ctx)
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStopped})
 	return cut
@@ -52,22 +76,29 @@
 // closeServers lets handlers end: a call that this node took from a caller for
 // another guard is also in flight.
 func (s *Server) closeServers(ctx context.Context) {
+	s.endStreams()
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil {
 			_ = srv.Close()
 		}
 	}
 	s.stop()
+	s.backend.peers.close()
 	s.peers.Close()
 	s.loops.Wait()
 }
 
 // Kill stops the node at once, as a crash of its VM would.
 func (s *Server) Kill() {
+	s.endStreams()
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
 	s.stop()
+	s.backend.peers.close()
 	s.peers.Close()
 	s.loops.Wait()
 }
+
+// endStreams ends what would otherwise go on until its reader leaves.
+func (s *Server) endStreams() { s.stopOnce.Do(func() { close(s.stopping) }) }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -84,6 +84,8 @@
 
 // Filter picks events; an empty field accepts all.
 type Filter struct {
+	// CallID accepts the events of that call, and, where it names a root
+	// request, those of every call made for it.
 	CallID    string
 	RequestID string
 	Workspace string
@@ -96,7 +98,7 @@
 // Match reports whether e passes.
 func (f *Filter) Match(e *Event) bool {
 	return e.HLC > f.After &&
-		accepts(f.CallID, e.CallID) &&
+		(accepts(f.CallID, e.CallID) || f.CallID == e.RequestID) &&
 		accepts(f.RequestID, e.RequestID) &&
 		accepts(f.Workspace, e.Workspace) &&
 		accepts(f.Upstream, e.Upstream) &&
