Metrics, explained refusals and the time line of a call over its hops

Cause: nodes recorded little of what they decided, and the metrics had no source; config_applied was recorded for every record of the log. Change: the path records received, routed, admitted, queued, started, answered, retried, joined, cancelled and refused, with figures; good calls by the sample of their request ID, all hops alike; a retried call is kept from there on, and the hybrid clock travels with kept calls only. Overload, limit, ejections, suspects, drains, publications and log outages too. Counters, gauges and timers are reported; every bound is watched; calls, held bytes, callers' connections and the guard's queue are held to their settings. One sampled log line explains each refusal. Conclusion: a request can be followed from entry to the deepest guard.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -71,15 +72,27 @@
 	final    *Answer
 	target   *routing.Target
 	sent     time.Time
+	// watch is where decisions are recorded; nil where the router is no Node.
+	watch *Node
+	begun time.Time
+	// away is the time that attempts took.
+	away time.Duration
 }
 
 // NewDispatch starts a call whose retries are paid from account.
 func NewDispatch(router Router, rng *rand.Rand, call *Call, account *retry.Account) *Dispatch {
-	return &Dispatch{router: router, rng: rng, call: call, account: account}
+	watch, _ := router.(*Node)
+	return &Dispatch{router: router, rng: rng, call: call, account: account, watch: watch}
 }
 
 // Next returns the next order.
 func (d *Dispatch) Next(now time.Time) Order {
+	if d.begun.IsZero() {
+		d.begun = now
+		if d.watch != nil {
+			d.watch.began(now, d.call, d.account.Balance())
+		}
+	}
 	if d.final != nil {
 		return Order{Kind: OrderDone, Answer: d.final}
 	}
@@ -134,13 +147,21 @@
 	d.sent = now
 	d.next = ""
 	target.Start(now)
+	if d.watch != nil {
+		d.watch.routed(now, d, &attempt)
+	}
 	return Order{Kind: OrderSend, Target: target, Attempt: &attempt}
 }
 
 // Observe takes the end of the attempt last sent.
 func (d *Dispatch) Observe(now time.Time, a *Answer) {
 	d.account.Return(a.Unused)
+	wasOut := d.target.Ejected()
 	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
+	d.away += now.Sub(d.sent)
+	if d.watch != nil {
+		d.watch.moved(now, d, wasOut)
+	}
 	throttle := d.router.Throttle(d.call.Ctx.Service)
 	if a.Whole() {
 		throttle.Success()
@@ -175,8 +196,13 @@
 	case action == retry.AskOwner && d.redirects < maxRedirects:
 		d.redirects++
 		d.next = a.Refusal.Owner
-	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
+	case action == retry.TryElsewhere && !d.mayPass(throttle):
+		d.settle(a)
+	case action == retry.TryElsewhere && d.account.Spend():
 		d.retries++
+		if d.watch != nil {
+			d.watch.retried(now, d, a, wait)
+		}
 		d.tried = append(d.tried, d.target.Endpoint().Node)
 		d.pause = wait
 	default:
@@ -184,6 +210,17 @@
 	}
 }
 
+// mayPass asks the destination's throttle and counts its refusals.
+func (d *Dispatch) mayPass(throttle *retry.Throttle) bool {
+	if throttle.Allow() {
+		return true
+	}
+	if d.watch != nil {
+		d.watch.cfg.Metrics.Inc(metrics.RetriesThrottled, 1)
+	}
+	return false
+}
+
 // countsAgainstThrottle leaves out what says nothing about the destination.
 func countsAgainstThrottle(c result.Code) bool {
 	switch c {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -30,8 +32,16 @@
 	if n.cfg.Observer != nil {
 		n.cfg.Observer.CallEnded(call.Ctx.RequestID, d.retries)
 	}
+	now := n.Now()
+	total := now.Sub(d.begun)
+	n.cfg.Metrics.Result(a.Code)
+	n.cfg.Metrics.Observe(metrics.CallTime, total)
+	n.cfg.Metrics.Observe(metrics.AddedTime, total-d.away)
+	if !a.Whole() && n.cfg.OnRefused != nil {
+		n.cfg.OnRefused(call, a.Refusal)
+	}
 	attempts := d.attempts
-	if a.Whole() && attempts == 1 && !n.sampler.Keep(call.Ctx.RequestID) {
+	if a.Whole() && a.Code != result.UpstreamFailed && attempts == 1 && !call.Kept {
 		return
 	}
 	kind := timeline.CallAnswered
@@ -44,11 +54,14 @@
 	e.Code = a.Code
 	e.Upstream = a.Upstream
 	e.Detail = detail
-	n.Event(n.Now(), e)
+	n.Event(now, e)
 }
 
 // Reattached records that an attempt was sent again over a fresh connection.
 func (n *Node) Reattached(call *Call, upstream string, a *Answer) {
+	n.cfg.Metrics.Inc(metrics.CallsReattached, 1)
+	n.cfg.Metrics.Inc(metrics.ConnectionsReplaced, 1)
+	n.Event(n.Now(), timeline.Event{Kind: timeline.ConnReplaced, Upstream: upstream, Detail: "no answer over the kept connection while a fresh one works"})
 	e := callEvent(timeline.CallReattached, call)
 	e.Code = a.Code
 	e.Upstream = upstream
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -101,6 +101,7 @@
 	draining   bool
 	upstreamUp bool
 	slots      int
+	observer   *observer
 }
 
 // NewGuard makes the guard of a node incarnation without an upstream.
@@ -142,6 +143,9 @@
 		return e.attach(w)
 	}
 	token, answer := g.considerLocked(now, call, w, d)
+	if answer != nil && !answer.Whole() {
+		g.observer.refused(now, call, answer.Refusal)
+	}
 	if answer != nil && call.Reattach {
 		g.remember(now, call, answer)
 	}
@@ -219,6 +223,7 @@
 	case idempotency.Start:
 		return nil, false
 	case idempotency.Join:
+		g.observer.joined(now, call, begin.RunningCallID)
 		return g.joinLocked(call, begin.RunningCallID, w), true
 	case idempotency.Replay:
 		return replayed(call, begin.Answer), true
@@ -251,6 +256,7 @@
 	}
 	g.calls[call.Ctx.CallID] = e
 	decision, others := g.admission.Offer(now, requestOf(call))
+	g.observer.offered(now, call, decision.Verdict, g.admission.Load())
 	g.applyLocked(now, others, d)
 	switch decision.Verdict {
 	case admission.Refuse:
@@ -291,11 +297,13 @@
 	e.phase = phaseRunning
 	e.started = now
 	g.quarantine.Started(now, e.fingerprint)
+	g.observer.started(now, e)
 	*d = append(*d, func() { g.runner.Run(e.call, before) })
 }
 
 // notRunLocked ends a call that got a slot and provably did not run.
 func (g *Guard) notRunLocked(now time.Time, e *execution, refusal *result.Refusal, d *due) {
+	g.observer.refused(now, e.call, refusal)
 	decisions := g.admission.Finish(now, e.call.Ctx.CallID, admission.Cancelled, 0)
 	g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), d)
 	g.applyLocked(now, decisions, d)
@@ -332,7 +340,8 @@
 	var d due
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
-		g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		g.observer.cleared(now, g.quarantine.Finished(now, e.fingerprint, a.Whole()))
+		g.observer.finished(now, e, a)
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
 	}
@@ -427,9 +436,12 @@
 	switch {
 	case e.phase == phaseQueued:
 		decisions := g.admission.Abandon(now, callID)
-		g.endLocked(now, e, Refused(callID, result.Refuse(result.Cancelled, "the caller left")), &d)
+		refusal := result.Refuse(result.Cancelled, "the caller left")
+		g.observer.refused(now, e.call, refusal)
+		g.endLocked(now, e, Refused(callID, refusal), &d)
 		g.applyLocked(now, decisions, &d)
 	case e.phase == phaseRunning && e.call.Ctx.Idempotent && e.cancel != nil:
+		g.observer.cancelled(now, e.call, "nobody waits for the running call")
 		d = append(d, e.cancel)
 	}
 	g.mu.Unlock()
@@ -443,6 +455,7 @@
 	g.applyLocked(now, g.admission.Tick(now), &d)
 	g.trimLocked(now)
 	g.keys.Expire(now)
+	g.observer.watch(now, g.admission.Load())
 	g.mu.Unlock()
 	d.settle()
 }
@@ -455,6 +468,7 @@
 			continue
 		}
 		if dec.Verdict == admission.Refuse {
+			g.observer.refused(now, e.call, dec.Refusal)
 			g.endLocked(now, e, Refused(dec.ID, dec.Refusal), d)
 			continue
 		}
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -109,6 +110,22 @@
 	return l
 }
 
+// Kept is what the guard remembers for resends.
+type Kept struct{ Keys, MaxKeys, Bytes, MaxBytes int64 }
+
+// Kept returns how many keys and bytes of answers are remembered.
+func (g *Guard) Kept() Kept {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bounds := idempotency.DefaultConfig()
+	return Kept{
+		Keys:     int64(g.keys.Len()),
+		MaxKeys:  int64(bounds.MaxKeys),
+		Bytes:    g.keys.Bytes() + g.doneBytes,
+		MaxBytes: bounds.MaxBytes + g.cfg.KeepDoneBytes,
+	}
+}
+
 // Busy returns how many calls wait, claim or run.
 func (g *Guard) Busy() int {
 	g.mu.Lock()
@@ -119,11 +136,19 @@
 // Parent returns the context and account of a call that runs here, for the
 // calls that its upstream makes.
 func (g *Guard) Parent(callID string) (callctx.Context, *retry.Account, bool) {
+	call, account, ok := g.parent(callID)
+	if !ok {
+		return callctx.Context{}, nil, false
+	}
+	return call.Ctx, account, true
+}
+
+func (g *Guard) parent(callID string) (*Call, *retry.Account, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.calls[callID]
 	if !ok || e.phase != phaseRunning {
-		return callctx.Context{}, nil, false
+		return nil, nil, false
 	}
-	return e.call.Ctx, e.account, true
+	return e.call, e.account, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,12 +6,14 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -54,6 +56,14 @@
 	Sample int
 	// Observer may be nil.
 	Observer Observer
+	// MaxQueue bounds the guard's queue whatever a template asks for; 0 leaves
+	// it to the template.
+	MaxQueue int
+	// Metrics takes the node's numbers; nil keeps them nowhere.
+	Metrics *metrics.Set
+	// OnRefused is told of every refusal that leaves the node to a caller or
+	// to the local upstream; may be nil. It must not block.
+	OnRefused func(call *Call, r *result.Refusal)
 	// OnCrash is called when the local upstream's process died; may be nil.
 	OnCrash func()
 }
@@ -83,6 +93,9 @@
 
 // New makes a node that knows nobody yet.
 func New(cfg Config) *Node {
+	if cfg.Metrics == nil {
+		cfg.Metrics = unread()
+	}
 	n := &Node{
 		cfg:     cfg,
 		sampler: timeline.NewSampler(cfg.Sample),
@@ -90,11 +103,15 @@
 	}
 	now := cfg.Clock.Now()
 	n.guard = NewGuard(cfg.Guard, cfg.Identity.Incarnation, cfg.Runner, cfg.Authority, now)
+	n.guard.observer = &observer{node: n}
 	n.policy.Store(policy.NewState())
 	n.table.Store(routing.NewTable(nil, cfg.Routing, n.self(), nil, now))
 	return n
 }
 
+// unread is where numbers go that nobody asked for.
+var unread = sync.OnceValue(func() *metrics.Set { return metrics.New(1 << 16) })
+
 func (n *Node) self() routing.Self {
 	id := n.cfg.Identity
 	return routing.Self{Node: id.Node, Region: id.Region, Zone: id.Zone}
@@ -160,12 +177,17 @@
 // SetPolicy puts a configuration in force. An older one than that in force is
 // ignored: what was accepted never reverts.
 func (n *Node) SetPolicy(now time.Time, s *policy.State) {
-	if s.Version() <= n.policy.Load().Version() {
+	old := n.policy.Load()
+	if s.Version() <= old.Version() {
 		return
 	}
 	n.policy.Store(s)
+	change := s.NewestChange()
+	if change == old.NewestChange() {
+		return
+	}
 	n.reconfigureGuard(now)
-	n.Event(now, timeline.Event{Kind: timeline.ConfigApplied})
+	n.Event(now, timeline.Event{Kind: timeline.ConfigApplied, Detail: fmt.Sprintf("version %d", change)})
 }
 
 // Root completes the context of a caller's request and returns the retry
@@ -197,16 +219,19 @@
 	if refusal := completeKey(call, raw, method, eff); refusal != nil {
 		return nil, 0, refusal
 	}
+	n.cfg.Metrics.Inc(metrics.CallsReceived, 1)
+	call.Kept = n.Sampled(id)
 	return call, eff.RetryAllowance, nil
 }
 
 // Child completes the context of a call that the local upstream makes for a
 // call that it runs. The account of that call pays its retries.
 func (n *Node) Child(now time.Time, raw callctx.Raw, method string) (*Call, *retry.Account, *result.Refusal) {
-	parent, account, ok := n.guard.Parent(raw.Parent)
+	running, account, ok := n.guard.parent(raw.Parent)
 	if !ok {
 		return nil, nil, result.Refuse(result.ParentGone, "call %s is not running here", raw.Parent)
 	}
+	parent := running.Ctx
 	eff, refusal := n.lookup(parent.Workspace, raw.Service)
 	if refusal != nil {
 		return nil, nil, refusal
@@ -214,7 +239,8 @@
 	if parent.Depth+1 > eff.MaxDepth {
 		return nil, nil, result.Refuse(result.TooDeep, "depth %d, bound %d", parent.Depth+1, eff.MaxDepth)
 	}
-	call := &Call{Ctx: parent}
+	n.cfg.Metrics.Inc(metrics.CallsFromUpstream, 1)
+	call := &Call{Ctx: parent, Kept: running.Kept}
 	call.Ctx.CallID = n.NewID()
 	call.Ctx.ParentID = parent.CallID
 	call.Ctx.Service = raw.Service
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -35,6 +36,8 @@
 		return nil
 	}
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamCrashed, Upstream: n.ID()})
+	n.cfg.Metrics.Inc(metrics.UpstreamCrashes, 1)
+	n.suspected(now, suspects)
 	if n.cfg.OnCrash != nil {
 		n.cfg.OnCrash()
 	}
@@ -46,11 +49,13 @@
 // the first workspace in order decides.
 func (n *Node) admissionConfig(service string, slots int) admission.Config {
 	cfg := admission.DefaultConfig(slots)
-	eff, ok := instanceFor(n.policy.Load(), service)
-	if !ok {
-		return cfg
+	if eff, ok := instanceFor(n.policy.Load(), service); ok {
+		cfg = withTemplate(cfg, eff)
 	}
-	return withTemplate(cfg, eff)
+	if n.cfg.MaxQueue > 0 {
+		cfg.QueueLimit = min(cfg.QueueLimit, n.cfg.MaxQueue)
+	}
+	return cfg
 }
 
 func instanceFor(s *policy.State, service string) (*policy.Effective, bool) {
--- a/internal/policy/state.go
+++ b/internal/policy/state.go
@@ -65,6 +65,19 @@
 // Version returns the offset up to which the log is folded: the next to read.
 func (s *State) Version() Version { return s.version }
 
+// NewestChange returns the version of the last accepted change in force; 0
+// when there is none. Version also counts the log's other records.
+func (s *State) NewestChange() Version {
+	var newest Version
+	for _, t := range s.templates {
+		newest = max(newest, t.last.Version)
+	}
+	for _, i := range s.instances {
+		newest = max(newest, i.last.Version)
+	}
+	return newest
+}
+
 // Lookup returns the behaviour in force; it is shared and must not be changed.
 func (s *State) Lookup(workspace, service string) (*Effective, bool) {
 	e, ok := s.effective[key{workspace, service}]
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -49,7 +49,7 @@
 		return lost(ctx, attempt, err)
 	}
 	defer resp.Body.Close()
-	return readInner(ctx, attempt, resp, s.to.Node)
+	return s.readInner(ctx, attempt, resp)
 }
 
 func (s *sending) encode(attempt *node.Call) *innerpb.CallHeader {
@@ -59,6 +59,7 @@
 	h.Reattach = attempt.Reattach
 	h.SuspectCrashes = uint32(attempt.Crashes)
 	h.FromNode = s.peers.node.ID()
+	h.Hlc = s.peers.node.Stamp(attempt)
 	return h
 }
 
@@ -74,7 +75,7 @@
 
 // readInner checks that the answer is whole and of this call. A connection
 // that delivers another call's answer shows as a differing call ID.
-func readInner(ctx context.Context, attempt *node.Call, resp *http.Response, from string) *node.Answer {
+func (s *sending) readInner(ctx context.Context, attempt *node.Call, resp *http.Response) *node.Answer {
 	h, err := inner.DecodeAnswer(resp.Header.Get(inner.HeaderAnswer))
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerMismatch, "answer header: %v", err))
@@ -82,6 +83,7 @@
 	if h.GetCallId() != attempt.Ctx.CallID {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerMismatch, "answer is for call %.64q", h.GetCallId()))
 	}
+	s.peers.node.Heard(h.GetHlc())
 	body, err := readSized(io.LimitReader(resp.Body, maxAnswerBody), resp.ContentLength)
 	if err != nil && ctx.Err() != nil {
 		return node.Refused(attempt.Ctx.CallID, endedRefusal(ctx))
@@ -89,7 +91,7 @@
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerCut, "answer ended early: %v", err))
 	}
-	return decodeAnswer(h, resp, body, from)
+	return decodeAnswer(h, resp, body, s.to.Node)
 }
 
 func decodeAnswer(h *innerpb.AnswerHeader, resp *http.Response, body []byte, from string) *node.Answer {
@@ -127,22 +129,31 @@
 		}
 		call := p.decodeCall(h, r)
 		if own := formatIncarnation(p.node.Incarnation()); h.GetTargetIncarnation() != own {
-			writeInner(w, p.node.RefuseCall(call, result.Refuse(result.Unreachable, "incarnation %s has been replaced by %s", h.GetTargetIncarnation(), own)))
+			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.Unreachable, "incarnation %s has been replaced by %s", h.GetTargetIncarnation(), own)))
 			return
 		}
+		size := max(0, r.ContentLength)
+		if refusal := p.gate.enter(size, true); refusal != nil {
+			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
+			return
+		}
+		defer func() { p.gate.leave(size) }()
 		body, err := readSized(io.LimitReader(r.Body, maxAnswerBody), r.ContentLength)
 		if err != nil {
-			writeInner(w, p.node.RefuseCall(call, result.Refuse(result.BadContext, "body ended early: %v", err)))
+			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.BadContext, "body ended early: %v", err)))
 			return
 		}
 		call.Body = body
 		ctx, cancel := context.WithDeadline(r.Context(), call.Ctx.Deadline)
 		defer cancel()
-		writeInner(w, p.upstream.Serve(ctx, call))
+		answer := p.upstream.Serve(ctx, call)
+		size += p.gate.hold(int64(len(answer.Body)))
+		p.writeInner(w, call, answer)
 	})
 }
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
+	p.node.Heard(h.GetHlc())
 	return &node.Call{
 		Ctx:       *inner.ToContext(h, p.node.Now()),
 		Method:    r.Header.Get(headerMethod),
@@ -152,10 +163,11 @@
 		Allowance: int(h.GetAllowance()),
 		Crashes:   int(h.GetSuspectCrashes()),
 		Reattach:  h.GetReattach(),
+		Kept:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
 }
 
-func writeInner(w http.ResponseWriter, a *node.Answer) {
+func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, a *node.Answer) {
 	h := &innerpb.AnswerHeader{
 		CallId:          a.CallID,
 		Code:            uint32(a.Code),
@@ -163,6 +175,7 @@
 		Load:            encodeLoad(a.Load),
 		UpstreamCrashed: a.Crashed,
 		Whole:           a.Whole(),
+		Hlc:             p.node.Stamp(call),
 	}
 	status := a.Status
 	if !a.Whole() {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -27,13 +29,45 @@
 	node *node.Node
 	dial DialFunc
 
+	open atomic.Int64
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
 // NewPeers makes the sender of a node; dial may be nil for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
-	return &Peers{dial: dial, peers: make(map[string]*peer)}
+	if dial == nil {
+		dial = plainDial
+	}
+	p := &Peers{peers: make(map[string]*peer)}
+	p.dial = p.counting(dial)
+	return p
+}
+
+// Open returns how many connections to other nodes are open.
+func (p *Peers) Open() int64 { return p.open.Load() }
+
+func (p *Peers) counting(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		p.open.Add(1)
+		return &countedConn{Conn: c, release: sync.OnceFunc(func() { p.open.Add(-1) })}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
 }
 
 // Scheme is that of other nodes' inner addresses.
@@ -168,9 +202,6 @@
 }
 
 func newTransport(dial DialFunc, single bool) *http.Transport {
-	if dial == nil {
-		dial = plainDial
-	}
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 256,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -22,6 +23,7 @@
 	node     *node.Node
 	peers    *Peers
 	upstream *Upstream
+	gate     gate
 	rngs     sync.Pool
 }
 
@@ -38,7 +40,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, refusal := callctx.Decode(r.Header)
 		if refusal != nil {
-			refusal.Write(w, "")
+			p.turn(w, raw, "", refusal)
 			return
 		}
 		p.serveRoot(w, r, raw)
@@ -51,7 +53,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, refusal := callctx.Decode(r.Header)
 		if refusal != nil {
-			refusal.Write(w, "")
+			p.turn(w, raw, "", refusal)
 			return
 		}
 		if raw.Parent == "" {
@@ -65,7 +67,7 @@
 func (p *Proxy) serveRoot(w http.ResponseWriter, r *http.Request, raw callctx.Raw) {
 	call, allowance, refusal := p.node.Root(p.node.Now(), raw, r.Method, callerOf(raw, r))
 	if refusal != nil {
-		refusal.Write(w, "")
+		p.turn(w, raw, "", refusal)
 		return
 	}
 	p.serve(w, r, r.Context(), call, retry.NewAccount(allowance))
@@ -74,7 +76,7 @@
 func (p *Proxy) serveChild(w http.ResponseWriter, r *http.Request, raw callctx.Raw) {
 	call, account, refusal := p.node.Child(p.node.Now(), raw, r.Method)
 	if refusal != nil {
-		refusal.Write(w, "")
+		p.turn(w, raw, "", refusal)
 		return
 	}
 	ctx, stop := p.upstream.whileRunning(r.Context(), raw.Parent)
@@ -83,11 +85,18 @@
 }
 
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, ctx context.Context, call *node.Call, account *retry.Account) {
+	size := max(0, r.ContentLength)
+	if refusal := p.gate.enter(size, call.Ctx.Depth == 0); refusal != nil {
+		p.turnCall(w, call, refusal)
+		return
+	}
+	defer func() { p.gate.leave(size) }()
 	body, refusal := readBody(w, r, p.node.MaxBody(call))
 	if refusal != nil {
-		refusal.Write(w, call.Ctx.RequestID)
+		p.turnCall(w, call, refusal)
 		return
 	}
+	size += p.gate.hold(int64(len(body)) - size)
 	call.Method = r.Method
 	call.Target = r.URL.RequestURI()
 	call.Header = callctx.Forwardable(r.Header)
@@ -96,9 +105,21 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Ctx.Deadline)
 	defer cancel()
 	answer := p.run(ctx, call, account)
+	size += p.gate.hold(int64(len(answer.Body)))
 	writeAnswer(w, call, answer)
 }
 
+// turn refuses a request that did not become a call.
+func (p *Proxy) turn(w http.ResponseWriter, raw callctx.Raw, requestID string, refusal *result.Refusal) {
+	p.node.Turned(raw.Workspace, raw.Service, requestID, refusal)
+	refusal.Write(w, requestID)
+}
+
+func (p *Proxy) turnCall(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
+	c := &call.Ctx
+	p.turn(w, callctx.Raw{Workspace: c.Workspace, Service: c.Service}, c.RequestID, refusal)
+}
+
 // run follows the orders of a Dispatch until the call has its answer.
 func (p *Proxy) run(ctx context.Context, call *node.Call, account *retry.Account) *node.Answer {
 	rng := p.rngs.Get().(*rand.Rand)
@@ -121,9 +142,14 @@
 func (p *Proxy) send(ctx context.Context, order node.Order) *node.Answer {
 	to := order.Target.Endpoint()
 	if to.Node == p.node.ID() {
+		p.node.Metrics().Inc(metrics.CallsLocal, 1)
 		return p.upstream.Serve(ctx, order.Attempt)
 	}
-	return p.peers.Send(ctx, to, order.Attempt)
+	p.node.Metrics().Inc(metrics.CallsForwarded, 1)
+	sent := p.node.Now()
+	answer := p.peers.Send(ctx, to, order.Attempt)
+	p.node.Metrics().Observe(metrics.InnerTime, p.node.Now().Sub(sent))
+	return answer
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -217,6 +217,9 @@
 	ReportAt time.Time
 }
 
+// Ejected reports whether the target is out, or out until its probe returns.
+func (g *Target) Ejected() bool { return g.ejection.out() }
+
 // Stats returns a snapshot.
 func (g *Target) Stats() TargetStats {
 	s := TargetStats{
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -30,19 +30,6 @@
 	return c.replica.Members()
 }
 
-// newestChange is the version of the last accepted change that s has in force.
-// The version of the state itself also counts the log's other records.
-func newestChange(s *policy.State) policy.Version {
-	var newest policy.Version
-	for _, t := range s.Templates() {
-		newest = max(newest, s.TemplateVersion(t.Name))
-	}
-	for _, i := range s.Instances() {
-		newest = max(newest, s.InstanceVersion(i.Workspace, i.Service))
-	}
-	return newest
-}
-
 // workspacesOf returns the workspaces that a member serves: its own, or, for
 // one that serves all, those with an instance for its service.
 func workspacesOf(s *policy.State, m membership.Member) []string {
@@ -82,7 +69,7 @@
 	}
 	reports := b.peers.reports(ctx, members)
 	resp := b.logStatus()
-	resp.NewestVersion = uint64(newestChange(state))
+	resp.NewestVersion = uint64(state.NewestChange())
 	for _, rep := range reports {
 		if rep.err == nil {
 			resp.NewestVersion = max(resp.NewestVersion, rep.report.Change)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -65,6 +66,7 @@
 		return
 	}
 	now := c.server.node.Now()
+	c.server.metrics.Inc(metrics.RecordsFolded, int64(len(page.Entries)))
 	c.mu.Lock()
 	before := c.replica.Members()
 	c.replica.Apply(now, page.Entries)
--- /dev/null
+++ b/internal/server/observe_test.go
@@ -0,0 +1,191 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// chain runs letters on one node, which calls archive on the other.
+func chain(t *testing.T, archive http.Handler) (*world, *Server, *Server) {
+	w := newWorld(t)
+	a, b := w.start("letters-1", nil), w.start("archive-1", nil)
+	_, exit, _, _ := a.Addresses()
+	w.announce(b, "archive", archive)
+	w.announce(a, "letters", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+exit+"/hull", nil)
+		if err != nil {
+			return
+		}
+		req.Header.Set("Galena-Context", r.Header.Get("Galena-Context"))
+		req.Header.Set("Galena-Service", "archive")
+		resp, err := w.http.Do(req)
+		if err != nil {
+			rw.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		rw.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(rw, resp.Body)
+	}))
+	w.knows("letters", 1, a, b)
+	w.knows("archive", 1, a, b)
+	w.publish(a, "letters")
+	w.publish(a, "archive")
+	return w, a, b
+}
+
+func (w *world) timeline(s *Server, id string) []timeline.Event {
+	resp, err := w.admin(s, "view").Timeline(w.t.Context(), connect.NewRequest(&adminpb.TimelineRequest{
+		Filter: &adminpb.EventFilter{CallId: id}, AllNodes: true,
+	}))
+	must.NoError(w.t, err)
+	events, err := timeline.ReadJSONLines(strings.NewReader(strings.Join(resp.Msg.EventsJson, "\n")), 100)
+	must.NoError(w.t, err)
+	return events
+}
+
+// A request passes two nodes. Asked by its ID, either node's time line shows
+// every decision of both in the order of cause and effect; asked by the ID of
+// the deeper call, only that hop.
+func TestTimelineShowsOneRequestOverTwoHops(t *testing.T) {
+	w, a, b := chain(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("hull")) }))
+	status, h, body := w.call(a, "letters", "")
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "hull", string(body))
+	var got []string
+	deeper := ""
+	for _, e := range w.timeline(b, h.Get("Galena-Request-Id")) {
+		got = append(got, e.Node+" "+string(e.Kind))
+		if e.Node == "archive-1" {
+			deeper = e.CallID
+		}
+	}
+	want := []string{
+		"letters-1 call_received", "letters-1 call_routed", "letters-1 call_admitted", "letters-1 call_started",
+		"letters-1 call_received", "letters-1 call_routed", "archive-1 call_admitted", "archive-1 call_started",
+		"archive-1 call_answered", "letters-1 call_answered", "letters-1 call_answered", "letters-1 call_answered",
+	}
+	must.Eq(t, want, got)
+	hop := w.timeline(a, deeper)
+	must.Len(t, 4, hop)
+	must.Eq(t, timeline.CallRouted, hop[0].Kind)
+	must.Eq(t, "archive-1", hop[0].Upstream)
+}
+
+// A call fails for good two hops down. The caller's refusal carries a request
+// ID; under it the time line names who refused and by which figure, and the
+// log has one line that says the same.
+func TestRefusalIsExplained(t *testing.T) {
+	w, a, _ := chain(t, http.NotFoundHandler())
+	status, h, _ := w.call(a, "nothing", "")
+	must.Eq(t, http.StatusNotFound, status)
+	must.Eq(t, "4002", h.Get(result.HeaderResult))
+	refused := a.node.Ring().Events(timeline.Filter{Kinds: []timeline.Kind{timeline.CallRefused}})
+	must.Len(t, 1, refused)
+	must.Eq(t, result.UnknownService, refused[0].Code)
+	must.StrContains(t, refused[0].Detail, `"nothing"`)
+	must.Eq(t, 1, a.metrics.ResultCount(result.UnknownService))
+}
+
+func TestRefusalIsLogged(t *testing.T) {
+	w := newWorld(t)
+	lines := &lockedBuffer{}
+	s, err := Start(testSettings("letters-1"), Options{Log: w.log, Logger: zerolog.New(lines)})
+	must.NoError(t, err)
+	t.Cleanup(s.Kill)
+	w.call(s, "letters", "")
+	must.StrContains(t, lines.String(), `"code":2011`)
+	must.StrContains(t, lines.String(), `"why":"no configuration has reached this node yet"`)
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (w *world) metrics(s *Server) map[string]map[string]float64 {
+	_, _, _, addr := s.Addresses()
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+metrics.Path, nil)
+	must.NoError(w.t, err)
+	_, _, body := w.do(req)
+	var got map[string]map[string]float64
+	must.NoError(w.t, json.Unmarshal(body, &got))
+	return got
+}
+
+func TestMetricsOfTwoHops(t *testing.T) {
+	w, a, b := chain(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("hull")) }))
+	must.SliceEmpty(t, a.metrics.UnwatchedBounds())
+	for range 3 {
+		w.call(a, "letters", "")
+	}
+	top, deep := w.metrics(a), w.metrics(b)
+	counts := map[string]float64{
+		"calls.received": 3, "calls.from_upstream": 3, "calls.local": 3, "calls.forwarded": 3, "calls.guarded": 3,
+		"results.ok": 6, "calls.retried": 0,
+	}
+	for name, want := range counts {
+		must.Eq(t, want, top[name]["count"], must.Sprint(name))
+	}
+	must.Eq(t, 3, deep["calls.guarded"]["count"])
+	must.Eq(t, 2, top["members.upstreams_live"]["value"])
+	must.Eq(t, float64(a.node.Policy().NewestChange()), top["config.version"]["value"])
+	must.Positive(t, top["admission.limit"]["value"])
+	must.Positive(t, top["log.appends"]["count"])
+	must.Positive(t, top["timeline.events.size"]["value"])
+	must.Eq(t, 0, top["bodies.held_bytes.size"]["value"])
+}
+
+// A node is given more calls than it may hold while an upstream hangs. Those
+// beyond the bound are refused at once as not run, and counted.
+func TestCallsBeyondTheBoundAreRefusedAndCounted(t *testing.T) {
+	hold := make(chan struct{})
+	w, a, _ := chain(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	a.proxy.SetLimits(limitsOf(2))
+	codes := make(chan string, 4)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			_, h, _ := w.call(a, "archive", "")
+			codes <- h.Get(result.HeaderResult)
+		})
+	}
+	w.until("two refusals", func() bool { return a.proxy.Held().TurnedAway == 2 })
+	close(hold)
+	wg.Wait()
+	var got []string
+	for range 4 {
+		got = append(got, <-codes)
+	}
+	slices.Sort(got)
+	must.Eq(t, []string{"1000", "1000", "2001", "2001"}, got)
+	must.Eq(t, 2, w.metrics(a)["calls.in_flight.turned_away"]["count"])
+}
--- a/internal/server/peerops.go
+++ b/internal/server/peerops.go
@@ -197,7 +197,7 @@
 		Node:         s.cfg.NodeID,
 		Incarnation:  formatIncarnation(s.node.Incarnation()),
 		Folded:       uint64(state.Version()),
-		Change:       uint64(newestChange(state)),
+		Change:       uint64(state.NewestChange()),
 		UpstreamAddr: s.upstream.Addr(),
 		InFlight:     load.InFlight,
 		Limit:        load.Limit,
--- a/internal/server/publish.go
+++ b/internal/server/publish.go
@@ -13,8 +13,10 @@
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 const (
@@ -177,13 +179,29 @@
 	if _, err := b.server.appender.Append(sendCtx, rec); err != nil {
 		return policy.Decision{}, appendFailure(p, err)
 	}
+	b.server.metrics.Observe(metrics.PublishTime, b.server.node.Now().Sub(rec.At))
 	d, ok := b.server.node.Policy().Decision(p.ID)
 	if !ok {
 		return d, admin.Undecided("change %s was read back and its decision is no longer kept here", p.ID)
 	}
+	b.noteDecision(p, &d)
 	return d, nil
 }
 
+// noteDecision puts what the log decided on the time line.
+func (b *backend) noteDecision(p *policy.Publication, d *policy.Decision) {
+	e := timeline.Event{Kind: timeline.PublicationDecided, Detail: fmt.Sprintf("%s by %s: %s", d.Object, d.Author, d.Outcome)}
+	if p.Instance != nil {
+		e.Workspace, e.Service = p.Instance.Workspace, p.Instance.Service
+	}
+	if d.Lost != nil {
+		e.Detail += " to " + d.Lost.Author + ", change " + d.Lost.ID
+	}
+	b.server.node.Event(b.server.node.Now(), e)
+	b.server.logger.Info().Str("change", d.ID).Str("object", d.Object).Str("author", d.Author).
+		Str("outcome", string(d.Outcome)).Int64("version", int64(d.Version)).Msg("publication decided")
+}
+
 // foreseen decides what no later record could change: a loss to a newer
 // version of the object, or a document that is wrong by itself. What may look
 // wrong only because this node lags goes to the log.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -65,9 +65,10 @@
 	metrics  *metrics.Set
 	tokens   *admin.Tokens
 
-	listeners listeners
-	servers   []*http.Server
-	followers followers
+	listeners   listeners
+	servers     []*http.Server
+	followers   followers
+	connections connections
 	// stopping is closed when the listeners close, so that streams end.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -141,6 +142,7 @@
 		}
 		*l.into = opened
 	}
+	s.listeners.callers = s.limitCallers(s.listeners.callers)
 	return nil
 }
 
@@ -171,12 +173,17 @@
 		Sample:    s.cfg.Limits.TimelineSample,
 		Observer:  opts.Observer,
 		OnCrash:   func() { s.announce.crashed() },
+		MaxQueue:  s.cfg.Limits.Queue,
+		Metrics:   s.metrics,
+		OnRefused: s.logRefusal,
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
 	s.backend = newBackend(s)
+	s.proxy.SetLimits(proxy.Limits{Calls: int64(s.cfg.Limits.CallsInFlight), HeldBytes: int64(s.cfg.Limits.HeldBytes)})
+	s.watchBounds()
 }
 
 func (s *Server) identity() node.Identity {
--- a/internal/server/watch.go
+++ b/internal/server/watch.go
@@ -1,9 +1,160 @@
 package server
 
 import (
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/result"
 )
 
 // metricsHandler brings the gauges up to date when the metrics are read:
 // nothing is measured that nobody asks for.
-func (s *Server) metricsHandler() http.Handler { return s.metrics.Handler() }
+func (s *Server) metricsHandler() http.Handler {
+	next := s.metrics.Handler()
+	var seen counted
+	var mu sync.Mutex
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		s.refresh(&seen)
+		mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// counted is what the metrics have taken over of others' counters so far.
+type counted struct {
+	appender platform.AppenderStats
+	held     int64
+	// forgotten are the events that the ring pushed out.
+	forgotten int64
+}
+
+func (s *Server) refresh(seen *counted) {
+	load := s.node.Guard().Load()
+	s.metrics.SetGauge(metrics.AdmissionLimit, int64(load.Limit))
+	s.metrics.SetGauge(metrics.AdmissionThreshold, int64(load.Threshold))
+	s.metrics.SetGauge(metrics.IsDraining, asInt(load.Draining))
+	s.metrics.SetGauge(metrics.ConfigVersion, int64(s.node.Policy().NewestChange()))
+	next, age, _ := s.control.logHealth()
+	s.metrics.SetGauge(metrics.LogOffset, next)
+	s.metrics.SetGauge(metrics.LogHeadAgeMillis, age.Milliseconds())
+	s.refreshMembers()
+	s.refreshCounters(seen)
+}
+
+func (s *Server) refreshMembers() {
+	known, live := 0, 0
+	for _, m := range s.control.view().Members() {
+		if m.Service == "" {
+			continue
+		}
+		known++
+		if t := s.node.Table().ByNode(m.Node); t != nil && !t.Ejected() && !t.Stats().Draining {
+			live++
+		}
+	}
+	s.metrics.SetGauge(metrics.UpstreamsKnown, int64(known))
+	s.metrics.SetGauge(metrics.UpstreamsLive, int64(live))
+}
+
+func (s *Server) refreshCounters(seen *counted) {
+	now := s.appender.Stats()
+	s.metrics.Inc(metrics.LogAppends, now.Appends-seen.appender.Appends)
+	s.metrics.Inc(metrics.LogAppendFailures, now.Failures-seen.appender.Failures)
+	s.metrics.Inc(metrics.LogAppendsSettled, now.Uncertain-seen.appender.Uncertain)
+	s.metrics.TurnedAway(metrics.BoundAppends, now.Refused-seen.appender.Refused)
+	seen.appender = now
+	held := s.proxy.Held().TurnedAway
+	s.metrics.TurnedAway(metrics.BoundCallsInFlight, held-seen.held)
+	seen.held = held
+	forgotten := int64(s.node.Ring().Forgotten())
+	s.metrics.TurnedAway(metrics.BoundTimeline, forgotten-seen.forgotten)
+	seen.forgotten = forgotten
+}
+
+// watchBounds shows everything that is held and has a limit. A limit of 0 in
+// the document means that the size is bounded elsewhere: members by the log's
+// records, and connections to peers by the calls that use them.
+func (s *Server) watchBounds() {
+	l, guard := &s.cfg.Limits, s.node.Guard()
+	watch := s.metrics.WatchBound
+	kept := guard.Kept()
+	watch(metrics.BoundQueue, int64(l.Queue), func() int64 { return int64(guard.Load().Queued) })
+	watch(metrics.BoundCallsInFlight, int64(l.CallsInFlight), func() int64 { return s.proxy.Held().Calls })
+	watch(metrics.BoundCallerConnections, int64(l.CallerConnections), s.connections.open.Load)
+	watch(metrics.BoundPeerConnections, 0, s.peers.Open)
+	watch(metrics.BoundHeldBytes, int64(l.HeldBytes), func() int64 { return s.proxy.Held().Bytes })
+	watch(metrics.BoundAnswerBytes, kept.MaxBytes, func() int64 { return guard.Kept().Bytes })
+	watch(metrics.BoundAnswerKeys, kept.MaxKeys, func() int64 { return guard.Kept().Keys })
+	watch(metrics.BoundTimeline, int64(s.node.Ring().Cap()), func() int64 { return int64(s.node.Ring().Len()) })
+	watch(metrics.BoundSuspects, int64(quarantine.DefaultConfig().MaxEntries), func() int64 { return int64(len(guard.Suspects(s.node.Now()))) })
+	watch(metrics.BoundMembers, 0, func() int64 { return int64(s.control.view().Len()) })
+	watch(metrics.BoundAppends, int64(appenderConfig().MaxQueue), func() int64 { return int64(s.appender.Stats().Queued) })
+	watch(metrics.BoundAccounts, int64(l.CallsInFlight), func() int64 { return int64(guard.Busy()) })
+	watch(metrics.BoundFollowers, admin.MaxFollowers, s.followers.n.Load)
+}
+
+func asInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// logRefusal explains a refusal that leaves the node. The logger samples: a
+// surge does not fill the pipe.
+func (s *Server) logRefusal(call *node.Call, r *result.Refusal) {
+	s.logger.Info().Int("code", int(r.Code)).Str("name", r.Code.String()).Str("ran", string(r.Code.Ran())).
+		Str("request", call.Ctx.RequestID).Str("workspace", call.Ctx.Workspace).Str("service", call.Ctx.Service).
+		Str("why", r.Detail).Msg("refused")
+}
+
+// connections counts the callers' open connections.
+type connections struct{ open atomic.Int64 }
+
+// limitCallers closes connections beyond the bound at once: one that waits in
+// the backlog would be a silent connection to its caller.
+func (s *Server) limitCallers(l net.Listener) net.Listener {
+	return &countedListener{Listener: l, server: s, limit: int64(s.cfg.Limits.CallerConnections)}
+}
+
+type countedListener struct {
+	net.Listener
+	server *Server
+	limit  int64
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		open := &l.server.connections.open
+		if open.Add(1) <= l.limit {
+			return &countedConn{Conn: c, release: sync.OnceFunc(func() { open.Add(-1) })}, nil
+		}
+		open.Add(-1)
+		l.server.metrics.TurnedAway(metrics.BoundCallerConnections, 1)
+		_ = c.Close()
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -24,6 +24,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/settings"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
 )
@@ -226,3 +227,5 @@
 func withDeadline(t *testing.T) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(t.Context(), 600*time.Millisecond)
 }
+
+func limitsOf(calls int64) proxy.Limits { return proxy.Limits{Calls: calls} }
