TLS on all listeners and between nodes, reloaded from files

Cause: the settings took certificates and nothing used them. Change: package certs; callers, inner (mutual with a CA file) and admin listeners; connections to other nodes, control included. Files are looked at once a second at most, on a handshake; a pair that does not match leaves the old one in force. Conclusion: certificates can be renewed without a restart.

--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -17,13 +15,16 @@
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb/adminpbconnect"
+	"github.com/galenagrade/galenagrade/internal/certs"
 )
 
 // cli is the grammar of the command line.
 type cli struct {
 	Address string        `help:"Admin address of any node, as URL or IP:port." default:"http://127.0.0.1:7103" env:"GALENACTL_ADDRESS"`
 	Token   string        `help:"Bearer token." env:"GALENACTL_TOKEN"`
-	CAFile  string        `name:"ca-file" help:"PEM file of the CA that signed the node's certificate." env:"GALENACTL_CA_FILE" type:"path"`
+	CAFile  string        `name:"ca" aliases:"ca-file" help:"PEM file of the CA that signed the node's certificate." env:"GALENACTL_CA_FILE" type:"path"`
+	Cert    string        `help:"PEM file of this operator's certificate, where the node asks for one." env:"GALENACTL_CERT_FILE" type:"path"`
+	Key     string        `help:"PEM file of its key." env:"GALENACTL_KEY_FILE" type:"path"`
 	Output  string        `help:"Output format: ${enum}." short:"o" enum:"table,json" default:"table"`
 	Timeout time.Duration `help:"Time for one call, beyond --wait." default:"15s"`
 
@@ -106,7 +107,7 @@
 everywhere within --wait, 10 differences found (instance diff --exit-code).`
 
 func newApp(ctx context.Context, c *cli, stdin io.Reader, stdout, stderr io.Writer) (*app, error) {
-	client, err := httpClient(c.CAFile)
+	client, err := httpClient(c)
 	if err != nil {
 		return nil, err
 	}
@@ -132,23 +133,26 @@
 
 // httpClient has no timeout of its own: each call brings one, and a followed
 // stream has none.
-func httpClient(caFile string) (*http.Client, error) {
+func httpClient(c *cli) (*http.Client, error) {
 	tr := &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
 		ForceAttemptHTTP2: true,
 	}
-	if caFile == "" {
-		return &http.Client{Transport: tr}, nil
-	}
-	pem, err := os.ReadFile(caFile)
-	if err != nil {
-		return nil, usageError{errors.Wrap(err, "--ca-file")}
+	tr.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	if c.CAFile != "" {
+		pool, err := certs.Pool(c.CAFile)
+		if err != nil {
+			return nil, usageError{errors.WithMessage(err, "--ca (or --ca-file)")}
+		}
+		tr.TLSClientConfig.RootCAs = pool
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, usageError{errors.Errorf("--ca-file: %s holds no PEM certificate", caFile)}
+	if c.Cert != "" || c.Key != "" {
+		pair, err := tls.LoadX509KeyPair(c.Cert, c.Key)
+		if err != nil {
+			return nil, usageError{errors.WithMessage(err, "--cert and --key")}
+		}
+		tr.TLSClientConfig.Certificates = []tls.Certificate{pair}
 	}
-	tr.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	return &http.Client{Transport: tr}, nil
 }
 
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -31,7 +31,7 @@
 )
 
 func (s *sending) roundTrip(ctx context.Context, transport *http.Transport, attempt *node.Call) *node.Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.peers.Scheme()+"://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "address %s: %v", s.to.Addr, err))
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -30,6 +30,8 @@
 	dial DialFunc
 
 	open atomic.Int64
+	// dialTLS replaces dial where nodes speak TLS with each other.
+	dialTLS DialFunc
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -70,12 +72,21 @@
 	return c.Conn.Close()
 }
 
+// Secure makes every connection to other nodes one of TLS; wrap adds the
+// handshake. Call it before the first sending.
+func (p *Peers) Secure(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
+
 // Scheme is that of other nodes' inner addresses.
-func (p *Peers) Scheme() string { return "http" }
+func (p *Peers) Scheme() string {
+	if p.dialTLS != nil {
+		return "https"
+	}
+	return "http"
+}
 
 // ControlTransport returns a transport to other nodes apart from that of data
 // calls, so that an operator's questions never wait behind calls.
-func (p *Peers) ControlTransport() *http.Transport { return newTransport(p.dial, false) }
+func (p *Peers) ControlTransport() *http.Transport { return p.newTransport(false) }
 
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
@@ -95,8 +106,8 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    newTransport(p.dial, false),
-			fresh:   newTransport(p.dial, true),
+			pool:    p.newTransport(false),
+			fresh:   p.newTransport(true),
 			rescues: make(chan struct{}, maxRescues),
 		}
 		p.peers[addr] = got
@@ -201,9 +212,10 @@
 	return second
 }
 
-func newTransport(dial DialFunc, single bool) *http.Transport {
+func (p *Peers) newTransport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         p.dial,
+		DialTLSContext:      p.dialTLS,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
@@ -69,6 +70,7 @@
 	servers     []*http.Server
 	followers   followers
 	connections connections
+	certs       certificates
 	// stopping is closed when the listeners close, so that streams end.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -106,6 +108,9 @@
 	if s.tokens, err = admin.NewTokens(cfg.Tokens); err != nil {
 		return nil, err
 	}
+	if err := s.loadCerts(); err != nil {
+		return nil, err
+	}
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -157,6 +162,7 @@
 
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
+	s.securePeers()
 	s.control = newControl(s)
 	s.upstream = proxy.NewUpstream(s.control)
 	s.node = node.New(node.Config{
@@ -223,24 +229,24 @@
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
-	s.serve(s.listeners.callers, s.requireToken(s.proxy.CallerHandler()))
-	s.serve(s.listeners.exit, exitMux)
-	s.serve(s.listeners.inner, innerMux)
-	s.serve(s.listeners.admin, s.adminHandler())
+	s.serve(s.listeners.callers, s.requireToken(s.proxy.CallerHandler()), s.certs.callers)
+	s.serve(s.listeners.exit, exitMux, nil)
+	s.serve(s.listeners.inner, innerMux, s.certs.inner)
+	s.serve(s.listeners.admin, s.adminHandler(), s.certs.admin)
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
 	s.loop(func() { s.tick(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
-func (s *Server) serve(l net.Listener, h http.Handler) {
+func (s *Server) serve(l net.Listener, h http.Handler, files *certs.Files) {
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
 	}
 	s.servers = append(s.servers, srv)
-	s.loop(func() { _ = srv.Serve(l) })
+	s.loop(func() { _ = serveOn(srv, l, files) })
 }
 
 func (s *Server) loop(f func()) {
--- /dev/null
+++ b/internal/server/tls.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/certs"
+	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/settings"
+)
+
+// certificates are those of the listeners; nil where one speaks clear text.
+type certificates struct{ callers, inner, admin *certs.Files }
+
+func (s *Server) loadCerts() error {
+	for _, l := range []struct {
+		into  **certs.Files
+		field string
+		names *settings.TLS
+	}{
+		{&s.certs.callers, "callers.tls", s.cfg.Callers.TLS},
+		{&s.certs.inner, "inner.tls", s.cfg.Inner.TLS},
+		{&s.certs.admin, "admin.tls", s.cfg.Admin.TLS},
+	} {
+		if l.names == nil {
+			continue
+		}
+		files, err := certs.Load(*l.names, func(err error) {
+			s.logger.Warn().Err(err).Str("field", l.field).Msg("new certificate files can't be used, the old ones stay")
+		})
+		if err != nil {
+			return errors.WithMessage(err, l.field)
+		}
+		*l.into = files
+	}
+	return nil
+}
+
+// securePeers makes connections to other nodes speak TLS as the own inner
+// listener does.
+func (s *Server) securePeers() {
+	if s.certs.inner == nil {
+		return
+	}
+	s.peers.Secure(func(d proxy.DialFunc) proxy.DialFunc { return proxy.DialFunc(s.certs.inner.Client(certs.Dial(d))) })
+}
+
+// serveOn serves clear text or TLS. Nodes offer each other no protocol and so
+// speak HTTP/1.1: one silent connection never holds up more than one call.
+func serveOn(srv *http.Server, l net.Listener, files *certs.Files) error {
+	if files == nil {
+		return srv.Serve(l)
+	}
+	srv.TLSConfig = files.Server("h2", "http/1.1")
+	return srv.ServeTLS(l, "", "")
+}
--- /dev/null
+++ b/internal/server/tls_test.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"crypto/tls"
+	"net/http"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/certs"
+	"github.com/galenagrade/galenagrade/internal/certs/certstest"
+	"github.com/galenagrade/galenagrade/internal/settings"
+)
+
+// Two nodes speak mutual TLS with each other, and TLS with callers and
+// operators. A call that one guards and the other takes in is answered; who
+// shows no certificate reaches no guard.
+func TestAllListenersOverTLS(t *testing.T) {
+	w := newWorld(t)
+	ca := certstest.New(t, t.TempDir(), "ca")
+	secure := func(name string, serial int64) func(*settings.Node) {
+		inner := ca.Issue(name, serial)
+		outer := inner
+		outer.CAFile = ""
+		return func(c *settings.Node) { c.Callers.TLS, c.Inner.TLS, c.Admin.TLS = &outer, &inner, &outer }
+	}
+	a, b := w.start("letters-1", secure("a", 2)), w.start("archive-1", secure("b", 3))
+	w.announce(b, "archive", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("hull")) }))
+	w.knows("archive", 1, a, b)
+
+	pool, err := certs.Pool(ca.File)
+	must.NoError(t, err)
+	tr := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}
+	t.Cleanup(tr.CloseIdleConnections)
+	w.http = &http.Client{Transport: tr}
+	callers, _, innerAddr, adminAddr := a.Addresses()
+	w.scheme = "https"
+	w.publish(a, "archive")
+	st, err := admin.NewClient(w.http, "https://"+adminAddr, "view").Status(t.Context(), connect.NewRequest(&adminpb.StatusRequest{}))
+	must.NoError(t, err)
+	must.Eq(t, 1, int(st.Msg.NodesInForce))
+
+	req, err := http.NewRequest(http.MethodGet, "https://"+callers+"/x", nil)
+	must.NoError(t, err)
+	req.Header.Set("Galena-Workspace", "chikugo")
+	req.Header.Set("Galena-Service", "archive")
+	status, _, body := w.do(req)
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "hull", string(body))
+	must.Positive(t, a.peers.Open())
+
+	req, err = http.NewRequest(http.MethodGet, "https://"+innerAddr+reportPath, nil)
+	must.NoError(t, err)
+	_, err = w.http.Do(req)
+	must.Error(t, err)
+}
+
+func TestStartNamesTheFaultyCertificate(t *testing.T) {
+	cfg := testSettings("a")
+	cfg.Admin.TLS = &settings.TLS{CertFile: "/nonexistent.pem", KeyFile: "/nonexistent.pem"}
+	_, err := Start(cfg, Options{})
+	must.ErrorContains(t, err, "admin.tls")
+}
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -36,12 +36,14 @@
 	t    *testing.T
 	log  *logd.Server
 	http *http.Client
+	// scheme is that of the admin addresses.
+	scheme string
 }
 
 func newWorld(t *testing.T) *world {
 	tr := &http.Transport{}
 	t.Cleanup(tr.CloseIdleConnections)
-	return &world{t: t, log: logd.New(logd.Options{Seed: 1}), http: &http.Client{Transport: tr}}
+	return &world{t: t, log: logd.New(logd.Options{Seed: 1}), http: &http.Client{Transport: tr}, scheme: "http"}
 }
 
 func hashed(secret, name string, role settings.Role, workspaces ...string) settings.Token {
@@ -124,7 +126,7 @@
 
 func (w *world) admin(s *Server, token string) adminpbconnect.AdminClient {
 	_, _, _, addr := s.Addresses()
-	return admin.NewClient(w.http, "http://"+addr, token)
+	return admin.NewClient(w.http, w.scheme+"://"+addr, token)
 }
 
 // until waits for what other goroutines bring about.
