--- /dev/null
+++ b/cmd/galenabench/log.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+)
+
+// stopGrace bounds how long a stand-in waits for its last answers.
+const stopGrace = 2 * time.Second
+
+type logCmd struct {
+	Address   string        `default:"127.0.0.1:7000" help:"Address to listen on."`
+	Appends   float64       `default:"400" help:"Appends a second that are taken; 0 is without bound."`
+	Delay     time.Duration `default:"2ms" help:"Time added to each request."`
+	Retention time.Duration `default:"0" help:"Age at which records expire; 0 keeps them."`
+}
+
+// Run serves the log stand-in until a signal. Its knobs, outages among them,
+// are at /admin/knobs.
+func (c *logCmd) Run() error {
+	log := logd.New(logd.Options{Seed: 1})
+	log.SetKnobs(logd.Knobs{
+		AppendsPerSecond: c.Appends,
+		DelayMillis:      c.Delay.Milliseconds(),
+		RetentionMillis:  c.Retention.Milliseconds(),
+	})
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return errors.Wrap(err, "--address")
+	}
+	srv := &http.Server{Handler: log.Handler(), ReadHeaderTimeout: stopGrace}
+	ctx, cancel := onSignal()
+	defer cancel()
+	context.AfterFunc(ctx, func() {
+		grace, stop := context.WithTimeout(context.Background(), stopGrace)
+		defer stop()
+		if srv.Shutdown(grace) != nil {
+			_ = srv.Close()
+		}
+	})
+	announceListener("log", l.Addr().String())
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+func onSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// announceListener prints where a stand-in listens, for scripts.
+func announceListener(what, addr string) {
+	_ = json.NewEncoder(os.Stdout).Encode(map[string]string{"what": what, "listening": addr})
+}
--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -19,6 +19,9 @@
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Log       logCmd       `cmd:"" help:"Run a log stand-in as a process of its own."`
+	Upstream  upstreamCmd  `cmd:"" help:"Run an upstream stand-in behind a node."`
+	Load      loadCmd      `cmd:"" help:"Send requests to nodes and print what callers got."`
 }
 
 func main() {
@@ -91,14 +94,14 @@
 }
 
 type latencyCmd struct {
-	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
-	Seconds time.Duration `name:"for" default:"5s" help:"How long to measure."`
-	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
+	Rate float64       `default:"2000" help:"Calls a second, half of them direct."`
+	For  time.Duration `default:"5s" help:"How long to measure."`
+	Seed uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
 // Run prints one JSON line.
 func (c *latencyCmd) Run() error {
-	added, err := bench.MeasureAdded(c.Rate, c.Seconds, c.Seed)
+	added, err := bench.MeasureAdded(c.Rate, c.For, c.Seed)
 	if err != nil {
 		return err
 	}
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -117,6 +117,10 @@
 		a.down = true
 	}
 	a.mu.Unlock()
+	if silent && a.server.node.Guard().Draining() {
+		a.server.node.Event(now, timeline.Event{Kind: timeline.UpstreamLeft, Upstream: a.server.cfg.NodeID, Detail: "as planned"})
+		return
+	}
 	if silent {
 		a.server.node.Event(now, timeline.Event{Kind: timeline.UpstreamLeft, Upstream: a.server.cfg.NodeID, Detail: "no announcement"})
 		a.server.node.UpstreamCrashed(now)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -98,7 +98,7 @@
 		stopping: make(chan struct{}),
 	}
 	if s.log == nil {
-		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
+		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
 	}
 	appender, err := platform.NewAppender(s.log, appenderConfig())
 	if err != nil {
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -57,11 +57,10 @@
 	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
 		sleep(ctx, idleCheck)
 	}
-	cut := s.node.Guard().Busy()
+	cut := s.closeServers(ctx)
 	s.node.Event(s.node.Now(), timeline.Event{
 		Kind: timeline.DrainFinished, Upstream: s.cfg.NodeID, Detail: fmt.Sprintf("%d calls cut", cut),
 	})
-	s.closeServers(ctx)
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStopped})
 	return cut
 }
@@ -73,19 +72,30 @@
 	sleep(ctx, s.cfg.Timing.DrainNotice.Std())
 }
 
+// InFlight returns how many calls the node holds in any role: those that its
+// guard runs or that wait there, and those that it took for other guards.
+func (s *Server) InFlight() int {
+	return max(s.node.Guard().Busy(), int(s.proxy.Held().Calls))
+}
+
 // closeServers lets handlers end: a call that this node took from a caller for
-// another guard is also in flight.
-func (s *Server) closeServers(ctx context.Context) {
+// another guard is also in flight. It returns how many calls it cut when ctx
+// ended first.
+func (s *Server) closeServers(ctx context.Context) int {
 	s.endStreams()
+	cut := 0
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil {
+			cut = max(cut, s.InFlight())
 			_ = srv.Close()
 		}
 	}
+	cut = max(cut, s.node.Guard().Busy())
 	s.stop()
 	s.backend.peers.close()
 	s.peers.Close()
 	s.loops.Wait()
+	return cut
 }
 
 // Kill stops the node at once, as a crash of its VM would.
