--- a/cmd/galenactl/timeline.go
+++ b/cmd/galenactl/timeline.go
@@ -17,7 +17,7 @@
 
 // filterFlags pick events.
 type filterFlags struct {
-	Call      string   `help:"Only this call ID."`
+	Call      string   `help:"Only this call, or every call of this request: either ID will do."`
 	Request   string   `help:"Only this request ID, with all its calls."`
 	Workspace string   `help:"Only this workspace."`
 	Upstream  string   `help:"Only this upstream."`
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -75,11 +75,20 @@
 	KeepDone time.Duration
 	// KeepDoneBytes bounds those answers.
 	KeepDoneBytes int64
+	// Keys bounds the idempotency keys and the answers kept for resends.
+	Keys idempotency.Config
+	// Quarantine bounds what is known of crashing requests.
+	Quarantine quarantine.Config
 }
 
 // DefaultGuardConfig suits a VM with 64 MB for the node.
 func DefaultGuardConfig() GuardConfig {
-	return GuardConfig{KeepDone: 10 * time.Second, KeepDoneBytes: 8 << 20}
+	return GuardConfig{
+		KeepDone:      10 * time.Second,
+		KeepDoneBytes: 8 << 20,
+		Keys:          idempotency.DefaultConfig(),
+		Quarantine:    quarantine.DefaultConfig(),
+	}
 }
 
 // Guard is the only way into the local upstream: it recognises resends,
@@ -112,8 +121,8 @@
 		authority:  authority,
 		incarn:     incarnation,
 		admission:  admission.New(admission.DefaultConfig(1), now),
-		quarantine: quarantine.New(quarantine.DefaultConfig()),
-		keys:       idempotency.NewTable(idempotency.DefaultConfig()),
+		quarantine: quarantine.New(cfg.Quarantine),
+		keys:       idempotency.NewTable(cfg.Keys),
 		calls:      make(map[string]*execution),
 	}
 }
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -5,7 +5,6 @@
 
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/callctx"
-	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -117,7 +116,7 @@
 func (g *Guard) Kept() Kept {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	bounds := idempotency.DefaultConfig()
+	bounds := g.cfg.Keys
 	return Kept{
 		Keys:     int64(g.keys.Len()),
 		MaxKeys:  int64(bounds.MaxKeys),
--- a/internal/server/logstate.go
+++ b/internal/server/logstate.go
@@ -1,13 +1,37 @@
 package server
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
+// meteredLog times what the node asks of the log.
+type meteredLog struct {
+	platform.Log
+	metrics *metrics.Set
+}
+
+// Append implements platform.Log.
+func (l *meteredLog) Append(ctx context.Context, records []platform.Record) (int64, error) {
+	began := time.Now()
+	first, err := l.Log.Append(ctx, records)
+	l.metrics.Observe(metrics.LogAppendTime, time.Since(began))
+	return first, err
+}
+
+// Read implements platform.Log. The time includes the wait at the log's head.
+func (l *meteredLog) Read(ctx context.Context, from int64, most int, wait time.Duration) (platform.Page, error) {
+	began := time.Now()
+	page, err := l.Log.Read(ctx, from, most, wait)
+	l.metrics.Observe(metrics.LogReadTime, time.Since(began))
+	return page, err
+}
+
 // logState is what the reader knows of the log's health.
 type logState struct {
 	// lastRead is when the last good read was sent, in Unix nanoseconds; 0
--- a/internal/server/peerops.go
+++ b/internal/server/peerops.go
@@ -25,6 +25,9 @@
 	// askTimeout bounds one question to one node. A healthy one answers
 	// within milliseconds, also over zones.
 	askTimeout = time.Second
+	// askAllTimeout bounds the questions to all nodes together: with many that
+	// are gone, the rest must not wait for each of their timeouts.
+	askAllTimeout = 5 * time.Second
 	// askParallel bounds the questions that are out at a time.
 	askParallel = 32
 	// maxReport bounds an answer to one of the paths above, in bytes.
@@ -121,6 +124,8 @@
 
 // each runs f for every member with bounds on number and time.
 func (p *peerOps) each(ctx context.Context, members []membership.Member, f func(ctx context.Context, i int)) {
+	ctx, cancel := context.WithTimeout(ctx, askAllTimeout)
+	defer cancel()
 	var g errgroup.Group
 	g.SetLimit(askParallel)
 	for i := range members {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,7 +100,8 @@
 	if s.log == nil {
 		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
 	}
-	appender, err := platform.NewAppender(s.log, appenderConfig())
+	s.log = &meteredLog{Log: s.log, metrics: s.metrics}
+	appender, err := platform.NewAppender(s.log, s.appenderConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "appender")
 	}
@@ -123,9 +124,18 @@
 // 15 stay below the several hundred appends a second that it takes.
 const appendsPerSecond = 15
 
-func appenderConfig() platform.AppenderConfig {
+func (s *Server) appenderConfig() platform.AppenderConfig {
 	cfg := platform.DefaultAppenderConfig()
 	cfg.PerSecond = appendsPerSecond
+	cfg.Timeout = min(s.cfg.Log.AppendTimeout.Std(), cfg.RepeatFor)
+	return cfg
+}
+
+func (s *Server) guardConfig() node.GuardConfig {
+	cfg := node.DefaultGuardConfig()
+	cfg.Keys.MaxKeys = s.cfg.Limits.AnswerKeys
+	cfg.Keys.MaxBytes = int64(s.cfg.Limits.AnswerBytes)
+	cfg.Quarantine.MaxEntries = s.cfg.Limits.Suspects
 	return cfg
 }
 
@@ -174,7 +184,7 @@
 		Routing:   routing.DefaultConfig(),
 		Retry:     retry.DefaultPolicy(),
 		Throttle:  retry.DefaultThrottleConfig(),
-		Guard:     node.DefaultGuardConfig(),
+		Guard:     s.guardConfig(),
 		Seed:      newSeed(),
 		Sample:    s.cfg.Limits.TimelineSample,
 		Observer:  opts.Observer,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -86,7 +86,7 @@
 			HeaderBytes:       32 << 10,
 			TimelineEvents:    8192,
 			TimelineSample:    64,
-			Suspects:          1024,
+			Suspects:          2048,
 		},
 		Logging: Logging{Level: "info", Burst: 100, Sample: 100},
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -169,7 +169,7 @@
 	TimelineEvents int `json:"timeline_events"`
 	// TimelineSample keeps the events of one good call in so many. Default 64.
 	TimelineSample int `json:"timeline_sample"`
-	// Suspects bounds the fingerprints of crashing requests. Default 1024.
+	// Suspects bounds the fingerprints of crashing requests. Default 2048.
 	Suspects int `json:"suspects"`
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestSamplesParse(t *testing.T) {
-	for _, dir := range []string{"chikugo", "yardstick"} {
+	for _, dir := range []string{"chikugo", "yardstick", "by-hand"} {
 		paths, err := filepath.Glob(filepath.Join("../../examples", dir, "node-*.json"))
 		must.NoError(t, err)
 		must.SliceNotEmpty(t, paths)
