Time line: the local upstream is named, reads of events carry the clock

Cause: a call answered by the local upstream showed none, and FetchEvents left the hybrid clock out. Change: both filled in; a test of a lost acknowledgement of a publication.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -53,6 +53,9 @@
 	e := callEvent(kind, call)
 	e.Code = a.Code
 	e.Upstream = a.Upstream
+	if e.Upstream == "" && d.target != nil {
+		e.Upstream = d.target.Endpoint().Node
+	}
 	e.Detail = detail
 	n.Event(now, e)
 }
--- a/internal/server/admin_test.go
+++ b/internal/server/admin_test.go
@@ -101,6 +101,21 @@
 	must.StrContains(t, show.Msg.EffectiveJson, `"retry_allowance":"3"`)
 }
 
+// The log takes a change and its acknowledgement is lost. The node reads the
+// change back: the operator is told "accepted", and it was decided once.
+func TestLostAcknowledgementIsSettledByReading(t *testing.T) {
+	w, a, _ := pair(t)
+	base := w.publish(a, "letters")
+	w.log.Update(func(k *logd.Knobs) { k.LoseAcks = 1 })
+	pub, err := w.set(a, "abe", "letters", "acked", base.Version, `{"retry_allowance": 3}`)
+	must.NoError(t, err)
+	must.True(t, pub.Accepted)
+	must.Eq(t, 2, int(pub.NodesInForce))
+	next, err := w.set(a, "abe", "letters", "after", pub.Version, `{"retry_allowance": 4}`)
+	must.NoError(t, err)
+	must.True(t, next.Accepted)
+}
+
 func TestDiffAndFaultyValues(t *testing.T) {
 	w, a, _ := pair(t)
 	w.publish(a, "letters")
--- a/internal/server/events_rpc.go
+++ b/internal/server/events_rpc.go
@@ -49,7 +49,12 @@
 	if err := timeline.WriteJSONLines(&lines, events); err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	resp := &innerpb.FetchEventsResponse{JsonLines: lines.Bytes(), Forgotten: ring.Forgotten()}
+	e.server.node.Heard(r.GetHlc())
+	resp := &innerpb.FetchEventsResponse{
+		Hlc:       uint64(ring.Clock().Now(e.server.node.Now())),
+		JsonLines: lines.Bytes(),
+		Forgotten: ring.Forgotten(),
+	}
 	if len(events) > 0 {
 		resp.LastHlc = uint64(events[len(events)-1].HLC)
 	}
@@ -138,12 +143,13 @@
 		}
 		resp, err := b.peers.control(members[i]).FetchEvents(ctx, connect.NewRequest(&innerpb.FetchEventsRequest{
 			CallId: f.CallID, RequestId: f.RequestID, Workspace: f.Workspace, Upstream: f.Upstream,
-			AfterHlc: uint64(f.After),
+			AfterHlc: uint64(f.After), Hlc: uint64(b.server.node.Ring().Clock().Now(b.server.node.Now())),
 		}))
 		if err != nil {
 			out[i].err = err
 			return
 		}
+		b.server.node.Heard(resp.Msg.GetHlc())
 		out[i].forgotten = resp.Msg.GetForgotten()
 		out[i].events, out[i].err = timeline.ReadJSONLines(bytes.NewReader(resp.Msg.GetJsonLines()), maxFetched)
 	})
