--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
@@ -111,6 +112,11 @@
 	upstreamUp bool
 	slots      int
 	observer   *observer
+	// upstreamIncarnation numbers the lives of the local upstream.
+	upstreamIncarnation uint64
+	// suspicion is false while no request is suspected of crashing upstreams.
+	suspicion  atomic.Bool
+	onSuspects func([]quarantine.Suspect)
 }
 
 // NewGuard makes the guard of a node incarnation without an upstream.
@@ -174,18 +180,6 @@
 	g.keepLocked(now, e)
 }
 
-func (g *Guard) considerLocked(now time.Time, call *Call, w Waiter, d *due) (int, *Answer) {
-	if refusal := g.refuseLocked(now, call); refusal != nil {
-		return 0, g.refusedLocked(call, refusal)
-	}
-	if call.Keyed() {
-		if answer, settled := g.beginKeyLocked(now, call, w); settled {
-			return 0, answer
-		}
-	}
-	return g.admitLocked(now, call, w, d)
-}
-
 // attach joins a sending of a call that is already here: the connection of the
 // first went silent, and the call must not run again by it.
 func (e *execution) attach(w Waiter) (int, *Answer) {
@@ -197,31 +191,44 @@
 	return e.nextWaiter, nil
 }
 
+// considerLocked decides on a call that was never seen here. A key that is
+// remembered is answered from memory, also while draining: its first sending
+// may have run here, and nobody else can say so.
+func (g *Guard) considerLocked(now time.Time, call *Call, w Waiter, d *due) (int, *Answer) {
+	if call.Keyed() {
+		if answer, settled := g.beginKeyLocked(now, call, w); settled {
+			return 0, answer
+		}
+	}
+	if refusal := g.refuseLocked(now, call); refusal != nil {
+		g.forgetKeyLocked(now, call)
+		return 0, g.refusedLocked(call, refusal)
+	}
+	return g.admitLocked(now, call, w, d)
+}
+
 func (g *Guard) refuseLocked(now time.Time, call *Call) *result.Refusal {
+	if call.Keyed() && !g.authority.NeedsClaim(call) {
+		// Asked before draining: while slots move, the refusal names their
+		// next owner.
+		if _, refusal := g.authority.MayStart(now, call); refusal != nil {
+			return refusal
+		}
+	}
 	if g.draining {
 		return result.Refuse(result.Draining, "the upstream is leaving")
 	}
 	if !g.upstreamUp {
 		return result.Refuse(result.NoUpstream, "no upstream is announced to this node")
 	}
-	fp := call.Fingerprint()
-	if call.Crashes > 0 {
-		g.mergeCrashesLocked(now, fp, call)
+	if len(call.Marks) == 0 && !g.suspicion.Load() {
+		return nil
 	}
-	return g.quarantine.Admit(now, fp)
-}
-
-// mergeCrashesLocked takes over what the sender saw: a retry of a request that
-// killed an upstream reaches us sooner than its peers' suspicion.
-func (g *Guard) mergeCrashesLocked(now time.Time, fp quarantine.Fingerprint, call *Call) {
-	for i := range call.Crashes {
-		g.quarantine.Merge(now, quarantine.Suspect{
-			Fingerprint: fp,
-			Upstream:    "carried:" + call.Ctx.RequestID,
-			Incarnation: uint64(i),
-			At:          now,
-		})
+	for _, mark := range call.Marks {
+		g.quarantine.Merge(now, mark)
+		g.suspicion.Store(true)
 	}
+	return g.quarantine.Admit(now, call.Fingerprint())
 }
 
 // beginKeyLocked looks the key up; settled says that the call does not go on
@@ -303,6 +310,13 @@
 			return
 		}
 	}
+	if g.suspicion.Load() {
+		// Another suspect may have started while this one waited.
+		if refusal := g.quarantine.Admit(now, e.fingerprint); refusal != nil {
+			g.notRunLocked(now, e, refusal, d)
+			return
+		}
+	}
 	e.phase = phaseRunning
 	e.started = now
 	g.quarantine.Started(now, e.fingerprint)
@@ -349,7 +363,11 @@
 	var d due
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
-		g.observer.cleared(now, g.quarantine.Finished(now, e.fingerprint, a.Whole()))
+		cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		if len(cleared) > 0 {
+			d = append(d, func() { g.onSuspects(cleared) })
+		}
+		g.observer.cleared(now, cleared)
 		g.observer.finished(now, e, a)
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
@@ -464,6 +482,7 @@
 	g.applyLocked(now, g.admission.Tick(now), &d)
 	g.trimLocked(now)
 	g.keys.Expire(now)
+	g.refreshSuspicionLocked(now)
 	g.observer.watch(now, g.admission.Load())
 	g.mu.Unlock()
 	d.settle()
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -57,7 +57,7 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.SuspectCrashes = uint32(attempt.Crashes)
+	h.Marks = inner.FromSuspects(attempt.Marks, s.peers.node.Now())
 	h.FromNode = s.peers.node.ID()
 	h.Hlc = s.peers.node.Stamp(attempt)
 	return h
@@ -100,7 +100,7 @@
 		Code:     result.Code(h.GetCode()),
 		Unused:   int(h.GetUnusedAllowance()),
 		Load:     decodeLoad(h.GetLoad()),
-		Crashed:  h.GetUpstreamCrashed(),
+		Crashed:  h.GetCrashedIncarnation(),
 		Upstream: from,
 	}
 	if !h.GetWhole() {
@@ -109,7 +109,7 @@
 			Detail:     h.GetDetail(),
 			RetryAfter: time.Duration(h.GetRetryAfterUs()) * time.Microsecond,
 			AllFull:    h.GetAllFull(),
-			Owner:      h.GetOwnerNode(),
+			Owner:      h.GetOwnerAddr(),
 		}
 		return a
 	}
@@ -161,7 +161,7 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Crashes:   int(h.GetSuspectCrashes()),
+		Marks:     inner.ToSuspects(h.GetMarks(), p.node.Now()),
 		Reattach:  h.GetReattach(),
 		Kept:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
@@ -169,13 +169,13 @@
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, a *node.Answer) {
 	h := &innerpb.AnswerHeader{
-		CallId:          a.CallID,
-		Code:            uint32(a.Code),
-		UnusedAllowance: uint32(a.Unused),
-		Load:            encodeLoad(a.Load),
-		UpstreamCrashed: a.Crashed,
-		Whole:           a.Whole(),
-		Hlc:             p.node.Stamp(call),
+		CallId:             a.CallID,
+		Code:               uint32(a.Code),
+		UnusedAllowance:    uint32(a.Unused),
+		Load:               encodeLoad(a.Load),
+		CrashedIncarnation: a.Crashed,
+		Whole:              a.Whole(),
+		Hlc:                p.node.Stamp(call),
 	}
 	status := a.Status
 	if !a.Whole() {
@@ -183,7 +183,7 @@
 		h.Detail = a.Refusal.Detail
 		h.RetryAfterUs = a.Refusal.RetryAfter.Microseconds()
 		h.AllFull = a.Refusal.AllFull
-		h.OwnerNode = a.Refusal.Owner
+		h.OwnerAddr = a.Refusal.Owner
 	}
 	out := w.Header()
 	for name, values := range a.Header {
--- a/internal/server/events_rpc.go
+++ b/internal/server/events_rpc.go
@@ -13,7 +13,6 @@
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
-	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -61,15 +60,9 @@
 	return connect.NewResponse(resp), nil
 }
 
-// controlRPC is the Control service as far as this package has it.
-type controlRPC struct {
-	innerpbconnect.UnimplementedControlHandler
-	events eventsRPC
-}
-
-// FetchEvents implements the service.
-func (c controlRPC) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
-	return c.events.FetchEvents(ctx, req)
+// FetchEvents implements innerpbconnect.ControlHandler.
+func (h controlHandler) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	return eventsRPC{h.ownership.server}.FetchEvents(ctx, req)
 }
 
 func newest(events []timeline.Event, limit int) []timeline.Event {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,12 +11,15 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -61,6 +64,7 @@
 	peers    *proxy.Peers
 	upstream *proxy.Upstream
 	control  *control
+	own      *ownership
 	announce *announcements
 	backend  *backend
 	metrics  *metrics.Set
@@ -76,6 +80,9 @@
 	stopOnce sync.Once
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
+	// handedOver is closed once owned keys have gone to other guards.
+	handedOver chan struct{}
+	drainOnce  sync.Once
 }
 
 type listeners struct {
@@ -91,11 +98,12 @@
 // that Addresses returns.
 func Start(cfg *settings.Node, opts Options) (*Server, error) {
 	s := &Server{
-		cfg:      cfg,
-		log:      opts.Log,
-		logger:   opts.Logger,
-		metrics:  metrics.New(timerSample),
-		stopping: make(chan struct{}),
+		cfg:        cfg,
+		log:        opts.Log,
+		logger:     opts.Logger,
+		metrics:    metrics.New(timerSample),
+		stopping:   make(chan struct{}),
+		handedOver: make(chan struct{}),
 	}
 	if s.log == nil {
 		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
@@ -175,11 +183,14 @@
 	s.securePeers()
 	s.control = newControl(s)
 	s.upstream = proxy.NewUpstream(s.control)
+	id := s.identity()
+	s.own = newOwnership(s, id, s.peers.ControlTransport())
 	s.node = node.New(node.Config{
-		Identity:  s.identity(),
+		Identity:  id,
 		Clock:     systemClock{},
 		Runner:    s.upstream,
-		Authority: s.control,
+		Authority: authority{s},
+		Owners:    s.own.state,
 		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
 		Routing:   routing.DefaultConfig(),
 		Retry:     retry.DefaultPolicy(),
@@ -234,7 +245,7 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
-	innerMux.Handle(inner.NewControlHandler(controlRPC{events: eventsRPC{server: s}}))
+	innerMux.Handle(inner.NewControlHandler(controlHandler{ownership: s.own}))
 	s.opsHandler(innerMux)
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
@@ -246,6 +257,7 @@
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
 	s.loop(func() { s.tick(ctx) })
+	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
@@ -300,3 +312,19 @@
 		AdminAddr: id.AdminAddr,
 	}
 }
+
+// controlHandler answers other nodes.
+type controlHandler struct {
+	innerpbconnect.UnimplementedControlHandler
+	ownership *ownership
+}
+
+// Promise implements innerpbconnect.ControlHandler.
+func (h controlHandler) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
+	return h.ownership.Promise(ctx, req)
+}
+
+// HandOver implements innerpbconnect.ControlHandler.
+func (h controlHandler) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
+	return h.ownership.HandOver(ctx, req)
+}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -13,18 +13,23 @@
 // idleCheck is how often a stopping node looks whether calls are in flight.
 const idleCheck = 10 * time.Millisecond
 
-// BeginDrain refuses new calls, truthfully, and tells the others.
+// BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
+// sooner they have a new owner, the fewer calls meet none.
 func (s *Server) BeginDrain() { s.beginDrain("") }
 
 // beginDrain says in detail who asked for it.
 func (s *Server) beginDrain(detail string) {
-	if s.node.Guard().Draining() {
-		return
-	}
-	s.node.Guard().Drain(s.node.Now())
-	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: s.cfg.NodeID, Detail: detail})
-	s.logger.Info().Str("reason", detail).Int("in_flight", s.node.Guard().Busy()).Msg("draining")
-	s.loop(func() { s.control.leave() })
+	s.drainOnce.Do(func() {
+		s.node.Guard().Drain(s.node.Now())
+		s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: s.cfg.NodeID, Detail: detail})
+		s.logger.Info().Str("reason", detail).Int("in_flight", s.node.Guard().Busy()).Msg("draining")
+		s.loop(func() {
+			defer close(s.handedOver)
+			ctx, cancel := s.untilStopping()
+			defer cancel()
+			s.own.handOverAll(ctx)
+		})
+	})
 }
 
 // drainFor drains at an operator's word and waits as long as asked for the
@@ -57,6 +62,13 @@
 	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
 		sleep(ctx, idleCheck)
 	}
+	select {
+	case <-s.handedOver:
+	case <-ctx.Done():
+	}
+	if ctx.Err() == nil {
+		s.control.leave()
+	}
 	cut := s.closeServers(ctx)
 	s.node.Event(s.node.Now(), timeline.Event{
 		Kind: timeline.DrainFinished, Upstream: s.cfg.NodeID, Detail: fmt.Sprintf("%d calls cut", cut),
@@ -110,5 +122,19 @@
 	s.loops.Wait()
 }
 
+// untilStopping returns a context that ends when the listeners close: a stop
+// that was cut short must not wait for a hand-over to a guard that is gone.
+func (s *Server) untilStopping() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		select {
+		case <-s.stopping:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // endStreams ends what would otherwise go on until its reader leaves.
 func (s *Server) endStreams() { s.stopOnce.Do(func() { close(s.stopping) }) }
