--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -75,6 +75,7 @@
 	pause    time.Duration
 	final    *Answer
 	target   *routing.Target
+	share    *retry.Share
 	sent     time.Time
 	// watch is where decisions are recorded; nil where the router is no Node.
 	watch *Node
@@ -143,7 +144,13 @@
 		info.SuspectedCrasher = true
 		info.Node = d.home()
 	}
-	return d.router.Table().Pick(now, d.rng, info)
+	target, refusal := d.router.Table().Pick(now, d.rng, info)
+	if refusal != nil && info.Node != "" {
+		// The owner is leaving or gone: any other guard knows the next one.
+		info.Node = ""
+		return d.router.Table().Pick(now, d.rng, info)
+	}
+	return target, refusal
 }
 
 // home names the one guard where a suspect may run, so that two guards don't
@@ -162,7 +169,8 @@
 func (d *Dispatch) send(now time.Time, target *routing.Target) Order {
 	attempt := *d.call
 	attempt.Ctx.CallID = d.router.NewID()
-	attempt.Allowance = d.account.Split()
+	d.share = d.account.Lend()
+	attempt.Allowance = d.share.Amount()
 	attempt.Marks = d.marks
 	d.attempts++
 	d.target = target
@@ -177,7 +185,7 @@
 
 // Observe takes the end of the attempt last sent.
 func (d *Dispatch) Observe(now time.Time, a *Answer) {
-	d.account.Return(a.Unused)
+	d.share.Return(a.Unused)
 	wasOut := d.target.Ejected()
 	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
 	d.away += now.Sub(d.sent)
