Ownership in the metrics and on the time line; net/http's lines in the log

Cause: slots, takeovers, promises and lapses of authority were counted nowhere, and failed handshakes wrote plain lines to standard error. Change: gauges, counters and the events authority_lost and authority_gained; net/http reports through the node's logger. Conclusion: an operator sees why keyed calls are refused.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -45,6 +45,7 @@
 }
 
 func (n *Node) spread(suspects []quarantine.Suspect) {
+	n.cfg.Metrics.Inc(metrics.SuspectsSpread, int64(len(suspects)))
 	if len(suspects) > 0 && n.cfg.OnSuspects != nil {
 		n.cfg.OnSuspects(suspects)
 	}
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -189,3 +190,20 @@
 	must.Eq(t, []string{"1000", "1000", "2001", "2001"}, got)
 	must.Eq(t, 2, w.metrics(a)["calls.in_flight.turned_away"]["count"])
 }
+
+// Seen from a time at which the last proof has long ceased to count, as after
+// an outage of the log and of the other guard, the guard's authority over keys has lapsed: that is on
+// the time line, as is its return, and both are counted.
+func TestAuthorityThatLapsesIsOnTheTimeline(t *testing.T) {
+	w, s, other := pair(t)
+	w.until("ownership", func() bool { return s.OwnersSettled() && other.OwnersSettled() && s.own.state.Holds() > 0 })
+	must.Positive(t, w.metrics(s)["lease.slots_owned"]["value"])
+	must.Positive(t, w.metrics(s)["lease.takeovers"]["count"])
+	has := func(k timeline.Kind) func() bool {
+		return func() bool { return len(s.node.Ring().Events(timeline.Filter{Kinds: []timeline.Kind{k}})) > 0 }
+	}
+	s.own.watch(s.node.Now().Add(10 * lease.DefaultConfig().Validity))
+	must.True(t, has(timeline.AuthorityLost)())
+	w.until("authority", has(timeline.AuthorityGained))
+	must.Positive(t, w.metrics(s)["lease.authority_lapses"]["count"])
+}
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -15,6 +15,7 @@
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -51,6 +52,8 @@
 
 	mu         sync.Mutex
 	introduced time.Time
+	// lapsed is how many slots had no authority when last looked at.
+	lapsed int
 	// importing holds the parts of hand-overs that are not complete.
 	incomplete map[membership.Identity]bool
 }
@@ -74,6 +77,7 @@
 			return
 		case now := <-t.C:
 			o.plan(ctx, now)
+			o.watch(now)
 		case <-o.kick:
 			o.plan(ctx, o.server.node.Now())
 		}
@@ -128,6 +132,7 @@
 		_, err := o.server.appender.Append(ctx, rec)
 		switch {
 		case err == nil:
+			o.server.metrics.Inc(metrics.Takeovers, 1)
 			o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.Takeover, Service: t.Service, Detail: slotsDetail(t.Slots)})
 			return
 		case !errors.Is(err, platform.ErrUncertain):
@@ -218,6 +223,7 @@
 	}
 	slots := slotInts(req.Msg.GetSlots())
 	granted := len(slots) > 0 && o.state.Promise(now, req.Msg.GetService().GetService(), from, slots)
+	o.countPromise(len(slots) > 0, granted)
 	head, proven := o.state.Head()
 	return connect.NewResponse(&innerpb.PromiseResponse{
 		From:      o.server.nodeRef(),
--- /dev/null
+++ b/internal/server/ownership_watch.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// watch puts the loss and the return of authority on the time line: while it
+// is lost, calls under keys of the slots concerned are refused.
+func (o *ownership) watch(now time.Time) {
+	st := o.state.Status(now)
+	lapsed := lapsedSlots(&st)
+	o.mu.Lock()
+	before := o.lapsed
+	o.lapsed = lapsed
+	o.mu.Unlock()
+	switch {
+	case before == 0 && lapsed > 0:
+		o.server.metrics.Inc(metrics.AuthorityLapses, 1)
+		o.note(now, timeline.AuthorityLost, &st, lapsed)
+	case before > 0 && lapsed == 0:
+		o.note(now, timeline.AuthorityGained, &st, lapsed)
+	}
+}
+
+// lapsedSlots counts the slots that the log gives to this guard, are in effect,
+// and may start no call.
+func lapsedSlots(st *lease.Status) int {
+	return max(0, st.Owned-st.Released-st.Waiting-st.Ready)
+}
+
+func (o *ownership) note(now time.Time, kind timeline.Kind, st *lease.Status, lapsed int) {
+	detail := fmt.Sprintf("%d of %d slots without authority, proof %s old, promises %d of %d",
+		lapsed, st.Owned, st.ProofAge.Round(time.Millisecond), st.Promises, st.Takers)
+	o.server.node.Event(now, timeline.Event{Kind: kind, Service: o.state.Local(), Upstream: o.server.cfg.NodeID, Detail: detail})
+	o.server.logger.Warn().Str("event", string(kind)).Str("why", detail).Msg("authority over keys")
+}
+
+// refreshOwnership sets the gauges of ownership.
+func (s *Server) refreshOwnership() {
+	st := s.own.state.Status(s.node.Now())
+	s.metrics.SetGauge(metrics.SlotsOwned, int64(st.Owned))
+	s.metrics.SetGauge(metrics.AuthorityAgeMillis, st.ProofAge.Milliseconds())
+}
+
+// countPromise counts the answer to a question for a promise.
+func (o *ownership) countPromise(asked, granted bool) {
+	switch {
+	case granted:
+		o.server.metrics.Inc(metrics.PromisesGiven, 1)
+	case asked:
+		o.server.metrics.Inc(metrics.PromisesRefused, 1)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -267,6 +268,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
+		ErrorLog:          log.New(errorLines{s.logger}, "", 0),
 	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = serveOn(srv, l, files) })
--- a/internal/server/watch.go
+++ b/internal/server/watch.go
@@ -3,9 +3,12 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/rs/zerolog"
+
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -45,6 +48,7 @@
 	s.metrics.SetGauge(metrics.LogOffset, next)
 	s.metrics.SetGauge(metrics.LogHeadAgeMillis, age.Milliseconds())
 	s.refreshMembers()
+	s.refreshOwnership()
 	s.refreshCounters(seen)
 }
 
@@ -115,6 +119,16 @@
 		Str("why", r.Detail).Msg("refused")
 }
 
+// errorLines makes net/http's own lines, such as failed handshakes, lines of
+// the node's log.
+type errorLines struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (l errorLines) Write(p []byte) (int, error) {
+	l.logger.Warn().Str("why", strings.TrimSpace(string(p))).Msg("connection")
+	return len(p), nil
+}
+
 // connections counts the callers' open connections.
 type connections struct{ open atomic.Int64 }
 
