Re-attachments are never turned away; a lagging node publishes nothing stale

Cause: a full node answered a re-attachment "not run" while its call ran; a node that lagged would have merged an operator's values into an old version. Change: the gate takes re-attachments; a change based on a version that the node lacks is refused as not made. FetchEvents fits its answer to the bound of a control message; a drain order's wait is bounded at its receiver too. Conclusion: both faults were found by reading and have a test now.

--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -133,7 +133,9 @@
 			return
 		}
 		size := max(0, r.ContentLength)
-		if refusal := p.gate.enter(size, true); refusal != nil {
+		// A re-attachment is never turned away: its call may be running here,
+		// and "not run" would then be false.
+		if refusal := p.gate.enter(size, !call.Reattach); refusal != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
 			return
 		}
--- a/internal/server/admin_test.go
+++ b/internal/server/admin_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync"
 	"testing"
@@ -156,7 +157,8 @@
 }
 
 // One node reads the log more slowly than the other. Until it has folded a
-// change, status names it as lagging and publishing says 1 of 2.
+// change, status names it as lagging and publishing says 1 of 2. A change that
+// is based on what it lacks is not published through it.
 func TestNodeThatLagsIsNamed(t *testing.T) {
 	w := newWorld(t)
 	held := &heldLog{Server: w.log, gate: make(chan struct{})}
@@ -181,6 +183,13 @@
 		return names
 	}
 	must.Eq(t, []string{"letters-2"}, lagging())
+	doc, err := json.Marshal(libraryTemplate(t, "balanced"))
+	must.NoError(t, err)
+	_, err = w.admin(b, "mori").PublishTemplate(t.Context(), connect.NewRequest(&adminpb.PublishTemplateRequest{
+		Name: "balanced", DocumentJson: string(doc), ChangeId: "late", BasedOn: uint64(a.node.Policy().TemplateVersion("balanced")),
+	}))
+	must.Eq(t, connect.CodeUnavailable, connect.CodeOf(err))
+	must.ErrorContains(t, err, "this node lags")
 	close(held.gate)
 	w.until("the slow node to follow", func() bool { return len(lagging()) == 0 })
 }
--- a/internal/server/events_rpc.go
+++ b/internal/server/events_rpc.go
@@ -17,11 +17,10 @@
 )
 
 const (
-	// eventBytes is what one event takes at most on average; with the bound
-	// on a control message it bounds the events of one answer.
-	eventBytes = 512
 	// maxFetched bounds the events of one FetchEvents answer.
-	maxFetched = inner.MaxControlBytes / eventBytes
+	maxFetched = 8192
+	// maxFetchedBytes bounds their text, with room for the rest of the message.
+	maxFetchedBytes = inner.MaxControlBytes - 64<<10
 )
 
 // eventsRPC is the part of the Control service that reads the time line. It
@@ -43,15 +42,14 @@
 	if r.GetMaxEvents() > 0 {
 		limit = min(limit, int(r.GetMaxEvents()))
 	}
-	events = newest(events, limit)
-	var lines bytes.Buffer
-	if err := timeline.WriteJSONLines(&lines, events); err != nil {
+	events, lines, err := fitting(newest(events, limit))
+	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
 	e.server.node.Heard(r.GetHlc())
 	resp := &innerpb.FetchEventsResponse{
 		Hlc:       uint64(ring.Clock().Now(e.server.node.Now())),
-		JsonLines: lines.Bytes(),
+		JsonLines: lines,
 		Forgotten: ring.Forgotten(),
 	}
 	if len(events) > 0 {
@@ -65,6 +63,20 @@
 	return eventsRPC{h.ownership.server}.FetchEvents(ctx, req)
 }
 
+// fitting writes the newest events that an answer can hold.
+func fitting(events []timeline.Event) ([]timeline.Event, []byte, error) {
+	for {
+		var lines bytes.Buffer
+		if err := timeline.WriteJSONLines(&lines, events); err != nil {
+			return nil, nil, err
+		}
+		if lines.Len() <= maxFetchedBytes {
+			return events, lines.Bytes(), nil
+		}
+		events = events[len(events)/2:]
+	}
+}
+
 func newest(events []timeline.Event, limit int) []timeline.Event {
 	if limit > 0 && len(events) > limit {
 		return events[len(events)-limit:]
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -15,8 +15,10 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -207,3 +209,39 @@
 	w.until("authority", has(timeline.AuthorityGained))
 	must.Positive(t, w.metrics(s)["lease.authority_lapses"]["count"])
 }
+
+// A node is full, and one of its calls is sent again because its connection
+// went silent. Turning that sending away as "not run" would be false, and its
+// sender would run the call a second time elsewhere: it joins the call.
+func TestFullNodeTakesReattachments(t *testing.T) {
+	hold := make(chan struct{})
+	w, _, b := chain(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		<-hold
+		_, _ = rw.Write([]byte("hull"))
+	}))
+	b.proxy.SetLimits(limitsOf(1))
+	send := func(callID string, reattach bool) result.Code {
+		_, _, addr, _ := b.Addresses()
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr+proxy.CallPath, nil)
+		must.NoError(t, err)
+		req.Header.Set("Galena-Inner-Method", http.MethodGet)
+		req.Header.Set("Galena-Inner-Target", "/hull")
+		req.Header.Set(inner.HeaderCall, inner.EncodeCall(&inner.CallHeader{
+			CallId: callID, RequestId: callID, Workspace: "chikugo", Service: "archive", Idempotent: true, Reattach: reattach,
+			RemainingUs: 10_000_000, TargetIncarnation: formatIncarnation(b.node.Incarnation()), FromNode: "letters-1",
+		}))
+		_, h, _ := w.do(req)
+		answer, err := inner.DecodeAnswer(h.Get(inner.HeaderAnswer))
+		must.NoError(t, err)
+		return result.Code(answer.GetCode())
+	}
+	codes := make(chan result.Code, 2)
+	go func() { codes <- send("c1", false) }()
+	w.until("the call", func() bool { return b.node.Guard().Busy() == 1 })
+	must.Eq(t, result.Shed, send("c2", false))
+	go func() { codes <- send("c1", true) }()
+	w.until("the re-attachment", func() bool { return b.proxy.Held().Calls == 2 })
+	close(hold)
+	must.Eq(t, result.OK, <-codes)
+	must.Eq(t, result.OK, <-codes)
+}
--- a/internal/server/peerops.go
+++ b/internal/server/peerops.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/membership"
@@ -221,6 +222,7 @@
 			http.Error(w, "drain: "+err.Error(), http.StatusBadRequest)
 			return
 		}
+		order.WaitMillis = min(order.WaitMillis, admin.MaxWait.Milliseconds())
 		writeJSON(w, s.drainFor(r.Context(), order))
 	})
 }
--- a/internal/server/publish.go
+++ b/internal/server/publish.go
@@ -167,6 +167,9 @@
 	if d, ok := state.Decision(p.ID); ok {
 		return d, admin.Invalid("change_id is %q, which named a change of %s, must be new for %s", p.ID, d.Object, p.Object())
 	}
+	if have := versionOf(state, p); p.Based > have {
+		return policy.Decision{}, admin.Unavailable("this node lags: it has %s at version %d, the change is based on %d", p.Object(), have, p.Based)
+	}
 	if d, ok := foreseen(state, p); ok {
 		return d, nil
 	}
@@ -188,6 +191,16 @@
 	return d, nil
 }
 
+// versionOf returns the version of what p changes, as this node has it. A
+// change that is based on a newer one is not published here: the values that
+// it keeps would be taken from the older version, and undo what came between.
+func versionOf(state *policy.State, p *policy.Publication) policy.Version {
+	if p.Template != nil {
+		return state.TemplateVersion(p.Template.Name)
+	}
+	return state.InstanceVersion(p.Instance.Workspace, p.Instance.Service)
+}
+
 // noteDecision puts what the log decided on the time line.
 func (b *backend) noteDecision(p *policy.Publication, d *policy.Decision) {
 	e := timeline.Event{Kind: timeline.PublicationDecided, Detail: fmt.Sprintf("%s by %s: %s", d.Object, d.Author, d.Outcome)}
