Server tests: a failed test lets its upstream go

Cause: a test that failed with a held upstream hung until the 10 minute bound. Change: the upstream is released at the test's end too.

--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -172,6 +172,8 @@
 func TestCallsBeyondTheBoundAreRefusedAndCounted(t *testing.T) {
 	hold := make(chan struct{})
 	w, a, _ := chain(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
 	a.proxy.SetLimits(limitsOf(2))
 	codes := make(chan string, 4)
 	var wg sync.WaitGroup
@@ -182,7 +184,7 @@
 		})
 	}
 	w.until("two refusals", func() bool { return a.proxy.Held().TurnedAway == 2 })
-	close(hold)
+	release()
 	wg.Wait()
 	var got []string
 	for range 4 {
@@ -219,6 +221,8 @@
 		<-hold
 		_, _ = rw.Write([]byte("hull"))
 	}))
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release) // or a failed test would wait for its upstream for ever
 	b.proxy.SetLimits(limitsOf(1))
 	send := func(callID string, reattach bool) result.Code {
 		_, _, addr, _ := b.Addresses()
@@ -241,7 +245,7 @@
 	must.Eq(t, result.Shed, send("c2", false))
 	go func() { codes <- send("c1", true) }()
 	w.until("the re-attachment", func() bool { return b.proxy.Held().Calls == 2 })
-	close(hold)
+	release()
 	must.Eq(t, result.OK, <-codes)
 	must.Eq(t, result.OK, <-codes)
 }
