--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -22,6 +22,7 @@
 	Log       logCmd       `cmd:"" help:"Run a log stand-in as a process of its own."`
 	Upstream  upstreamCmd  `cmd:"" help:"Run an upstream stand-in behind a node."`
 	Load      loadCmd      `cmd:"" help:"Send requests to nodes and print what callers got."`
+	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
 func main() {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -57,7 +57,7 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.Marks = inner.FromSuspects(attempt.Marks, s.peers.node.Now())
+	h.Marks = node.SuspectMessages(s.peers.node.Now(), attempt.Marks)
 	h.FromNode = s.peers.node.ID()
 	h.Hlc = s.peers.node.Stamp(attempt)
 	return h
@@ -122,6 +122,8 @@
 // CallHandler serves the calls of other nodes at this node's guard.
 func (p *Proxy) CallHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.answering.Add(1)
+		defer p.answering.Add(-1)
 		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -163,7 +165,7 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Marks:     inner.ToSuspects(h.GetMarks(), p.node.Now()),
+		Marks:     node.Suspects(p.node.Now(), h.GetMarks()),
 		Reattach:  h.GetReattach(),
 		Kept:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -27,7 +27,7 @@
 func (c *control) view() *membership.View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Members()
+	return c.plane.Members()
 }
 
 // workspacesOf returns the workspaces that a member serves: its own, or, for
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -2,220 +2,296 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
-	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
-	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 const (
 	// readMax bounds the entries of one read.
 	readMax = 1000
-	// headPeriod is how often the head is read; proofs last seconds.
-	headPeriod = 500 * time.Millisecond
 	// readRetry is the pause after a read that failed.
 	readRetry = 200 * time.Millisecond
-	// joinTimeout bounds one try to get the join record into the log.
-	joinTimeout = 5 * time.Second
+	// readWait bounds the wait of a read at the log's head: half of what may
+	// pass between two proofs at a zone's reader.
+	readWait = 500 * time.Millisecond
+	// idleWait is how often a loop without work looks again.
+	idleWait = 250 * time.Millisecond
+	// planeTick is how often the plane's times are looked at.
+	planeTick = 200 * time.Millisecond
+	// appendTimeout bounds one try to get a record into the log.
+	appendTimeout = 5 * time.Second
 )
 
-// control follows the log and writes the node's own records.
+// control drives the node's share of the control plane: it moves what the
+// plane decides over the network and the log. The lock is never held across
+// I/O.
 type control struct {
-	server *Server
-	log    logState
+	server   *Server
+	log      logState
+	clients  *controlClients
+	counters controlCounters
+	kick     chan struct{} // looks at the plane at once
+	closing  chan struct{} // answers what is held
 
-	mu      sync.Mutex
-	replica *node.Replica
-	joined  *membership.Member
-	seq     uint64
-}
+	// enforcing is held while a step of the plane and what it changed for the
+	// node go through, so that they come in order. It is taken before mu.
+	enforcing sync.Mutex
 
-func newControl(s *Server) *control {
-	return &control{server: s, replica: node.NewReplica()}
+	mu    sync.Mutex
+	plane *node.Plane
+	wake  chan struct{} // closed and replaced when there is something new
+	news  uint64
+	seq   uint64
+	gone  chan struct{}
+	once  sync.Once
+	ended sync.Once
 }
 
-func (c *control) read(ctx context.Context) {
-	for ctx.Err() == nil {
-		sent := c.server.node.Now()
-		page, err := c.server.log.Read(ctx, c.next(), readMax, c.server.cfg.Log.ReadWait.Std())
-		if ctx.Err() == nil {
-			c.noteRead(sent, err)
-		}
-		if err != nil {
-			sleep(ctx, readRetry)
-			continue
-		}
-		c.apply(page, sent)
+func newControl(s *Server, clients *controlClients) *control {
+	return &control{
+		server:  s,
+		clients: clients,
+		kick:    make(chan struct{}, 1),
+		closing: make(chan struct{}),
+		wake:    make(chan struct{}),
+		gone:    make(chan struct{}),
 	}
 }
 
-// proveHead reads the head of the log, well within the validity of a proof. A
-// long read proves less: it counts from when it was sent.
-func (c *control) proveHead(ctx context.Context) {
-	for ctx.Err() == nil {
-		sent := c.server.node.Now()
-		if head, err := c.server.log.Head(ctx); err == nil {
-			c.server.own.state.Proof(sent, head)
-		}
-		sleep(ctx, headPeriod)
-	}
+// bind makes the plane of the node, whose identity is known by now.
+func (c *control) bind() {
+	s := c.server
+	seed := newSeed()
+	c.plane = node.NewPlane(planeConfig(s), s.node.Identity(), s.cfg.SeedPeers, rand.New(rand.NewChaCha8(seed)), s.node.Now())
+	c.plane.SetFollower(follower{server: s})
 }
 
-func (c *control) next() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replica.Next()
+func planeConfig(s *Server) node.PlaneConfig {
+	cfg := node.DefaultPlaneConfig(s.cfg.Log.Retention.Std())
+	cfg.Exchange = s.cfg.Timing.Exchange.Std()
+	cfg.FallBack = max(cfg.FallBack, 2*cfg.Exchange)
+	cfg.Stale = max(cfg.Stale, cfg.Exchange)
+	return cfg
+}
+
+// follower hands what the plane read to those who decide from single records.
+type follower struct{ server *Server }
+
+// Applied implements node.Follower.
+func (f follower) Applied(now time.Time, entries []platform.Entry) {
+	f.server.own.state.Apply(now, entries)
+	f.server.metrics.Inc(metrics.RecordsFolded, int64(len(entries)))
+	f.server.appender.Observe(entries)
 }
 
-// apply folds a page of the log; the read that brought it was sent at sent,
-// and proves that nothing lay beyond its head then.
-func (c *control) apply(page platform.Page, sent time.Time) {
+// Truncated implements node.Follower.
+func (f follower) Truncated() {
+	f.server.own.state.Truncated()
+}
+
+// Proof implements node.Follower.
+func (f follower) Proof(t0 time.Time, head int64) {
+	f.server.own.state.Proof(t0, head)
+}
+
+// with runs f on the plane, puts what came of it in force and wakes whoever
+// waits for news. What came of it is put in force without the plane's lock:
+// the guard asks the plane for claims with its own lock held.
+func (c *control) with(f func(now time.Time, p *node.Plane)) {
+	c.enforcing.Lock()
+	defer c.enforcing.Unlock()
 	now := c.server.node.Now()
-	c.server.own.state.Apply(now, page.Entries)
-	c.server.own.state.Proof(sent, page.Head)
-	if len(page.Entries) == 0 {
-		return
-	}
-	c.server.metrics.Inc(metrics.RecordsFolded, int64(len(page.Entries)))
-	c.mu.Lock()
-	before := c.replica.Members()
-	c.replica.Apply(now, page.Entries)
-	members, policy := c.replica.Members(), c.replica.Policy()
-	c.mu.Unlock()
-	if members != before {
-		c.server.node.SetEndpoints(now, node.Endpoints(members, func(membership.Identity) bool { return false }))
-	}
-	c.server.node.SetPolicy(now, policy)
-	c.server.appender.Observe(page.Entries)
+	c.enforce(now, c.step(now, f))
 }
 
-// join announces the node with its upstream in the log, again until it is
-// there: a node that nobody knows serves nobody.
-func (c *control) join(a node.Announcement) {
-	m := c.server.member()
-	m.Service = a.Service
-	m.Slots = a.Slots
-	m.Connections = a.Connections
-	m.JoinedAt = c.server.node.Now()
+// outcome is what a step of the plane changed for the node.
+type outcome struct {
+	policy    *policy.State
+	dirty     bool
+	endpoints []routing.Endpoint
+	suspects  []quarantine.Suspect
+	evicted   bool
+}
+
+func (c *control) step(now time.Time, f func(now time.Time, p *node.Plane)) outcome {
 	c.mu.Lock()
-	known := c.joined != nil && c.joined.Service == m.Service && c.joined.Slots == m.Slots
-	if !known {
-		c.joined = &m
+	defer c.mu.Unlock()
+	before, had := c.plane.HeadAge(now)
+	f(now, c.plane)
+	out := outcome{policy: c.plane.Policy(), suspects: c.plane.TakeSuspects(), evicted: c.plane.Evicted()}
+	if c.plane.TakeDirty() {
+		out.dirty = true
+		out.endpoints = c.plane.Endpoints()
 	}
-	c.mu.Unlock()
-	if known {
-		return
+	after, has := c.plane.HeadAge(now)
+	if c.plane.News() != c.news || before != after || had != has {
+		c.news = c.plane.News()
+		close(c.wake)
+		c.wake = make(chan struct{})
 	}
-	c.server.own.state.SetLocal(m.Service)
-	c.server.loop(func() { c.append(platform.KindJoin, membership.Join{Member: m}) })
+	return out
 }
 
-// append writes a record, trying again while the log is out.
-func (c *control) append(kind platform.Kind, body any) bool {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		c.server.logger.Error().Err(err).Str("kind", string(kind)).Msg("record")
-		return false
+func (c *control) enforce(now time.Time, out outcome) {
+	n := c.server.node
+	n.SetPolicy(now, out.policy)
+	if out.dirty {
+		n.SetEndpoints(now, out.endpoints)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
-	defer cancel()
-	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: kind, At: time.Now(), Body: raw})
-	if err != nil {
-		c.server.logger.Warn().Err(err).Str("kind", string(kind)).Msg("record was not appended")
+	if len(out.suspects) > 0 {
+		n.Guard().MergeSuspects(now, out.suspects)
+		c.kickSoon()
 	}
-	return err == nil
-}
-
-// Claim implements proxy.Claimer. The claim is settled once this node has read
-// it back: the first claim of a key in log order holds it. When the log gives
-// no answer the call is refused as not run, and the claim, should it be in the
-// log after all, stays with this guard, which a resend is then sent to.
-func (c *control) Claim(ctx context.Context, call *node.Call) *result.Refusal {
-	hash := keyHash(call)
-	id := c.server.node.Identity()
-	if holder, ok := c.holder(hash); ok {
-		return c.settled(holder)
+	if out.evicted {
+		c.once.Do(func() { close(c.gone) })
 	}
+}
+
+// awaitEnforced returns once what was folded so far is in force at this node.
+// A record counts as read back within the step that folds it, a moment before.
+func (c *control) awaitEnforced() { c.with(func(time.Time, *node.Plane) {}) }
+
+func (c *control) kickSoon() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// woken returns a channel that is closed at the next news.
+func (c *control) woken() <-chan struct{} {
 	c.mu.Lock()
-	c.seq++
-	claim := idempotency.Claim{KeyHash: hash, Node: id.Node, Incarnation: id.Incarnation, Seq: c.seq, Addr: id.InnerAddr}
-	c.mu.Unlock()
-	raw, err := json.Marshal(claim)
-	if err != nil {
-		return result.Refuse(result.NoAuthority, "claim: %v", err)
+	defer c.mu.Unlock()
+	return c.wake
+}
+
+// read reads the log whenever the plane says that this node should.
+func (c *control) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		woken := c.woken()
+		var from int64
+		var reads bool
+		c.with(func(now time.Time, p *node.Plane) { from, reads = p.ReadFrom(now) })
+		if !reads {
+			waitFor(ctx, woken, idleWait)
+			continue
+		}
+		c.readOnce(ctx, from)
 	}
-	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: platform.KindClaim, At: time.Now(), Body: raw})
-	if err != nil {
-		return result.Refuse(result.NoAuthority, "the log did not settle the claim: %v", err).After(time.Second)
+}
+
+func (c *control) readOnce(ctx context.Context, from int64) {
+	wait := min(c.server.cfg.Log.ReadWait.Std(), readWait)
+	c.counters.reads.Add(1)
+	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
+	defer cancel()
+	sent := c.server.node.Now()
+	page, err := c.server.log.Read(readCtx, from, readMax, wait)
+	if ctx.Err() == nil {
+		c.noteRead(err)
 	}
-	holder, ok := c.holder(hash)
-	if !ok {
-		return result.Refuse(result.NoAuthority, "the claim is no longer in memory")
+	var truncated *platform.TruncatedError
+	switch {
+	case err == nil:
+		c.with(func(now time.Time, p *node.Plane) { p.OnPage(now, sent, page) })
+	case errors.As(err, &truncated):
+		c.with(func(_ time.Time, p *node.Plane) { p.OnTruncated(truncated.Oldest) })
+		sleep(ctx, readRetry)
+	case ctx.Err() == nil:
+		c.with(func(_ time.Time, p *node.Plane) { p.OnReadFailed() })
+		sleep(ctx, readRetry)
 	}
-	return c.settled(holder)
 }
 
-func keyHash(call *node.Call) uint64 {
-	key := idempotency.Key{Workspace: call.Ctx.Workspace, Service: call.Ctx.Service, Key: call.Ctx.Key}
-	return key.Hash()
+// tick looks at the plane's times, and at once when kicked.
+func (c *control) tick(ctx context.Context) {
+	t := time.NewTicker(planeTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-c.kick:
+		}
+		c.spreadSuspects(ctx)
+		var actions []node.Action
+		var asks []node.Peer
+		c.with(func(now time.Time, p *node.Plane) {
+			actions = p.Tick(now)
+			asks = p.LeaderAsks(now)
+		})
+		c.perform(ctx, actions)
+		for _, peer := range asks {
+			c.server.loop(func() { c.ask(ctx, peer, 0) })
+		}
+	}
 }
 
-func (c *control) holder(hash uint64) (idempotency.Claim, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replica.Claim(hash)
+// join announces the node with its upstream: to the log, and to the peers
+// until it is there. A node that nobody knows serves nobody.
+func (c *control) join(a node.Announcement) {
+	m := c.server.member()
+	m.Service = a.Service
+	m.Slots = a.Slots
+	m.Connections = a.Connections
+	m.JoinedAt = c.server.node.Now().UTC().Round(0)
+	c.server.own.state.SetLocal(m.Service)
+	c.with(func(_ time.Time, p *node.Plane) { p.SetMember(m) })
+	c.kickSoon()
 }
 
-func (c *control) settled(holder idempotency.Claim) *result.Refusal {
-	id := c.server.node.Identity()
-	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
-		return nil
-	}
-	if !c.isLive(membership.Identity{Node: holder.Node, Incarnation: holder.Incarnation}) {
-		return result.Refuse(result.OutcomeUnknown, "node %s held the key and is gone", holder.Node)
+// drain tells the peers that this node is leaving.
+func (c *control) drain() {
+	c.with(func(now time.Time, p *node.Plane) { p.StartDrain(now) })
+	c.kickSoon()
+}
+
+// endHeld answers the questions that are held here, so that a stop need not
+// wait for them.
+func (c *control) endHeld() { c.ended.Do(func() { close(c.closing) }) }
+
+func (c *control) leave() {
+	var a node.Action
+	c.with(func(now time.Time, p *node.Plane) { a = p.LeaveRecord(now) })
+	c.perform(context.Background(), []node.Action{a})
+}
+
+// append writes a record; the plane hands it out again if it doesn't show up.
+func (c *control) append(ctx context.Context, rec platform.Record) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := c.server.appender.Append(ctx, rec); err != nil {
+		c.server.logger.Warn().Err(err).Str("kind", string(rec.Kind)).Msg("record was not appended")
 	}
-	r := result.Refuse(result.OwnedElsewhere, "node %s holds the key", holder.Node)
-	r.Owner = holder.Addr
-	return r
 }
 
-func (c *control) isLive(id membership.Identity) bool {
+// live reports whether exactly this life of a node is a member.
+func (c *control) live(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Members().Live(id)
+	return c.plane.Members().Live(id)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
+
+// waitFor returns when woken is closed, d has passed or ctx has ended.
+func waitFor(ctx context.Context, woken <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-woken:
 	case <-ctx.Done():
 	}
 }
-
-// live returns the guards of a service that are believed alive.
-func (c *control) live(service string) []membership.Identity {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var ids []membership.Identity
-	for _, m := range c.replica.Members().ByService("", service) {
-		ids = append(ids, m.Identity)
-	}
-	return ids
-}
-
-func (c *control) member(id membership.Identity) (membership.Member, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, ok := c.replica.Members().Member(id.Node)
-	return m, ok && m.Identity == id
-}
--- a/internal/server/events_rpc.go
+++ b/internal/server/events_rpc.go
@@ -59,8 +59,8 @@
 }
 
 // FetchEvents implements innerpbconnect.ControlHandler.
-func (h controlHandler) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
-	return eventsRPC{h.ownership.server}.FetchEvents(ctx, req)
+func (s service) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	return eventsRPC{s.control.server}.FetchEvents(ctx, req)
 }
 
 // fitting writes the newest events that an answer can hold.
--- a/internal/server/logstate.go
+++ b/internal/server/logstate.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -32,20 +34,16 @@
 	return page, err
 }
 
-// logState is what the reader knows of the log's health.
-type logState struct {
-	// lastRead is when the last good read was sent, in Unix nanoseconds; 0
-	// when there was none.
-	lastRead atomic.Int64
-	failing  atomic.Bool
-}
+// logState is what this node's own reads of the log tell; most nodes read none
+// and learn the log's head from others.
+type logState struct{ failing atomic.Bool }
 
-// noteRead takes the end of one read of the log that was sent at sent.
-func (c *control) noteRead(sent time.Time, err error) {
-	c.server.metrics.Inc(metrics.LogReads, 1)
+// noteRead takes the end of one read of the log.
+func (c *control) noteRead(err error) {
 	now := c.server.node.Now()
-	if err == nil {
-		c.log.lastRead.Store(sent.UnixNano())
+	c.server.metrics.Inc(metrics.LogReads, 1)
+	var truncated *platform.TruncatedError
+	if err == nil || errors.As(err, &truncated) {
 		if c.log.failing.Swap(false) {
 			c.server.node.Event(now, timeline.Event{Kind: timeline.LogBack})
 		}
@@ -58,12 +56,19 @@
 	}
 }
 
-// logHealth returns the next offset to read, the age of the last good read
-// (negative when there was none), and whether the last read went well.
+// headStale is when the log counts as unavailable to a node that does not read
+// it: its zone's reader reads twice a second, and news needs an exchange.
+const headStale = 5 * time.Second
+
+// logHealth returns the next offset to fold, the age of the newest known head
+// of the log (negative when none is known), and whether the log is there.
 func (c *control) logHealth() (next int64, age time.Duration, available bool) {
-	at := c.log.lastRead.Load()
-	if at == 0 {
-		return c.next(), -time.Millisecond, false
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next = int64(c.plane.Policy().Version())
+	age, known := c.plane.HeadAge(c.server.node.Now())
+	if !known {
+		return next, -time.Millisecond, false
 	}
-	return c.next(), c.server.node.Now().Sub(time.Unix(0, at)), !c.log.failing.Load()
+	return next, age, age < headStale && !c.log.failing.Load()
 }
--- a/internal/server/publish.go
+++ b/internal/server/publish.go
@@ -182,6 +182,7 @@
 	if _, err := b.server.appender.Append(sendCtx, rec); err != nil {
 		return policy.Decision{}, appendFailure(p, err)
 	}
+	b.server.control.awaitEnforced()
 	b.server.metrics.Observe(metrics.PublishTime, b.server.node.Now().Sub(rec.At))
 	d, ok := b.server.node.Policy().Decision(p.ID)
 	if !ok {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,20 +12,18 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/inner"
-	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
-	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -76,6 +74,8 @@
 	followers   followers
 	connections connections
 	certs       certificates
+	// innerServer is the one of servers that other nodes call.
+	innerServer *http.Server
 	// stopping is closed when the listeners close, so that streams end.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -182,38 +182,51 @@
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
 	s.securePeers()
-	s.control = newControl(s)
+	s.control = newControl(s, newControlClients(s.peers))
 	s.upstream = proxy.NewUpstream(s.control)
 	id := s.identity()
-	s.own = newOwnership(s, id, s.peers.ControlTransport())
+	s.own = newOwnership(s, id)
 	s.node = node.New(node.Config{
-		Identity:  id,
-		Clock:     systemClock{},
-		Runner:    s.upstream,
-		Authority: authority{s},
-		Owners:    s.own.state,
-		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
-		Routing:   routing.DefaultConfig(),
-		Retry:     retry.DefaultPolicy(),
-		Throttle:  retry.DefaultThrottleConfig(),
-		Guard:     s.guardConfig(),
-		Seed:      newSeed(),
-		Sample:    s.cfg.Limits.TimelineSample,
-		Observer:  opts.Observer,
-		OnCrash:   func() { s.announce.crashed() },
-		MaxQueue:  s.cfg.Limits.Queue,
-		Metrics:   s.metrics,
-		OnRefused: s.logRefusal,
+		Identity:   id,
+		Clock:      systemClock{},
+		Runner:     s.upstream,
+		Authority:  authority{s},
+		Owners:     s.own.state,
+		Ring:       timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
+		Routing:    routing.DefaultConfig(),
+		Retry:      retry.DefaultPolicy(),
+		Throttle:   retry.DefaultThrottleConfig(),
+		Guard:      s.guardConfig(),
+		Seed:       newSeed(),
+		Sample:     s.cfg.Limits.TimelineSample,
+		Observer:   opts.Observer,
+		OnCrash:    s.crashed,
+		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
+		MaxQueue:   s.cfg.Limits.Queue,
+		Metrics:    s.metrics,
+		OnRefused:  s.logRefusal,
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
+	s.control.bind()
 	s.backend = newBackend(s)
 	s.proxy.SetLimits(proxy.Limits{Calls: int64(s.cfg.Limits.CallsInFlight), HeldBytes: int64(s.cfg.Limits.HeldBytes)})
 	s.watchBounds()
 }
 
+// crashed notes that the upstream's process died: its announcement counts
+// anew, and what it ran is suspect.
+func (s *Server) crashed() {
+	s.announce.crashed()
+	s.control.kickSoon()
+}
+
+// Evicted is closed when the log says that this node is gone though it runs:
+// it has to stop and start again.
+func (s *Server) Evicted() <-chan struct{} { return s.control.gone }
+
 func (s *Server) identity() node.Identity {
 	return node.Identity{
 		Node:        s.cfg.NodeID,
@@ -246,7 +259,7 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
-	innerMux.Handle(inner.NewControlHandler(controlHandler{ownership: s.own}))
+	innerMux.Handle(inner.NewControlHandler(service{control: s.control}))
 	s.opsHandler(innerMux)
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
@@ -257,7 +270,8 @@
 	s.serve(s.listeners.admin, s.adminHandler(), s.certs.admin)
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
-	s.loop(func() { s.control.proveHead(ctx) })
+	s.loop(func() { s.control.exchange(ctx) })
+	s.loop(func() { s.control.tick(ctx) })
 	s.loop(func() { s.tick(ctx) })
 	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
@@ -270,6 +284,12 @@
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
 		ErrorLog:          log.New(errorLines{s.logger}, "", 0),
 	}
+	if l == s.listeners.inner {
+		srv.Protocols = new(http.Protocols)
+		srv.Protocols.SetHTTP1(true)
+		srv.Protocols.SetUnencryptedHTTP2(true)
+		s.innerServer = srv
+	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = serveOn(srv, l, files) })
 }
@@ -315,19 +335,3 @@
 		AdminAddr: id.AdminAddr,
 	}
 }
-
-// controlHandler answers other nodes.
-type controlHandler struct {
-	innerpbconnect.UnimplementedControlHandler
-	ownership *ownership
-}
-
-// Promise implements innerpbconnect.ControlHandler.
-func (h controlHandler) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
-	return h.ownership.Promise(ctx, req)
-}
-
-// HandOver implements innerpbconnect.ControlHandler.
-func (h controlHandler) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
-	return h.ownership.HandOver(ctx, req)
-}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -5,14 +5,15 @@
 	"fmt"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 // idleCheck is how often a stopping node looks whether calls are in flight.
 const idleCheck = 10 * time.Millisecond
 
+// flushTime is left for answers that are written to leave the machine.
+const flushTime = 20 * time.Millisecond
+
 // BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
 // sooner they have a new owner, the fewer calls meet none.
 func (s *Server) BeginDrain() { s.beginDrain("") }
@@ -23,6 +24,7 @@
 		s.node.Guard().Drain(s.node.Now())
 		s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: s.cfg.NodeID, Detail: detail})
 		s.logger.Info().Str("reason", detail).Int("in_flight", s.node.Guard().Busy()).Msg("draining")
+		s.control.drain()
 		s.loop(func() {
 			defer close(s.handedOver)
 			ctx, cancel := s.untilStopping()
@@ -48,11 +50,6 @@
 	return state
 }
 
-func (c *control) leave() {
-	id := c.server.node.Identity()
-	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
-}
-
 // Shutdown stops the node without cutting a call: it refuses new ones, waits
 // for those in flight until ctx ends, and closes. It returns how many calls it
 // cut.
@@ -91,21 +88,33 @@
 }
 
 // closeServers lets handlers end: a call that this node took from a caller for
-// another guard is also in flight. It returns how many calls it cut when ctx
-// ended first.
+// another guard is also in flight. The listener for other nodes is closed
+// once all their calls are answered, without the second that a graceful end of
+// HTTP/2 takes: callers that come meanwhile would find nobody. It returns how
+// many calls it cut when ctx ended first.
 func (s *Server) closeServers(ctx context.Context) int {
 	s.endStreams()
+	s.control.endHeld()
 	cut := 0
 	for _, srv := range s.servers {
+		if srv == s.innerServer {
+			continue
+		}
 		if err := srv.Shutdown(ctx); err != nil {
 			cut = max(cut, s.InFlight())
 			_ = srv.Close()
 		}
 	}
-	cut = max(cut, s.node.Guard().Busy())
+	for s.proxy.Answering() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	cut = max(cut, s.node.Guard().Busy(), s.proxy.Answering())
+	sleep(ctx, flushTime)
+	_ = s.innerServer.Close()
 	s.stop()
 	s.backend.peers.close()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 	return cut
 }
@@ -119,6 +128,7 @@
 	s.stop()
 	s.backend.peers.close()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
 
--- a/internal/server/tls.go
+++ b/internal/server/tls.go
@@ -53,6 +53,10 @@
 	if files == nil {
 		return srv.Serve(l)
 	}
-	srv.TLSConfig = files.Server("h2", "http/1.1")
+	protocols := []string{"h2", "http/1.1"}
+	if srv.Protocols != nil && !srv.Protocols.HTTP2() {
+		protocols = protocols[1:]
+	}
+	srv.TLSConfig = files.Server(protocols...)
 	return srv.ServeTLS(l, "", "")
 }
