--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -76,15 +77,27 @@
 	target   *routing.Target
 	share    *retry.Share
 	sent     time.Time
+	// watch is where decisions are recorded; nil where the router is no Node.
+	watch *Node
+	begun time.Time
+	// away is the time that attempts took.
+	away time.Duration
 }
 
 // NewDispatch starts a call whose retries are paid from account.
 func NewDispatch(router Router, rng *rand.Rand, call *Call, account *retry.Account) *Dispatch {
-	return &Dispatch{router: router, rng: rng, call: call, account: account}
+	watch, _ := router.(*Node)
+	return &Dispatch{router: router, rng: rng, call: call, account: account, watch: watch}
 }
 
 // Next returns the next order.
 func (d *Dispatch) Next(now time.Time) Order {
+	if d.begun.IsZero() {
+		d.begun = now
+		if d.watch != nil {
+			d.watch.began(now, d.call, d.account.Balance())
+		}
+	}
 	if d.final != nil {
 		return Order{Kind: OrderDone, Answer: d.final}
 	}
@@ -165,13 +178,21 @@
 	d.sent = now
 	d.next = ""
 	target.Start(now)
+	if d.watch != nil {
+		d.watch.routed(now, d, &attempt)
+	}
 	return Order{Kind: OrderSend, Target: target, Attempt: &attempt}
 }
 
 // Observe takes the end of the attempt last sent.
 func (d *Dispatch) Observe(now time.Time, a *Answer) {
 	d.share.Return(a.Unused)
+	wasOut := d.target.Ejected()
 	d.target.Done(now, routedOutcome(a), now.Sub(d.sent), a.Load)
+	d.away += now.Sub(d.sent)
+	if d.watch != nil {
+		d.watch.moved(now, d, wasOut)
+	}
 	throttle := d.router.Throttle(d.call.Ctx.Service)
 	if a.Whole() {
 		throttle.Success()
@@ -211,8 +232,13 @@
 		d.redirects++
 		d.next = d.router.At(d.call.Ctx.Service, a.Refusal.Owner)
 		d.pause = wait
-	case action == retry.TryElsewhere && throttle.Allow() && d.account.Spend():
+	case action == retry.TryElsewhere && !d.mayPass(throttle):
+		d.settle(a)
+	case action == retry.TryElsewhere && d.account.Spend():
 		d.retries++
+		if d.watch != nil {
+			d.watch.retried(now, d, a, wait)
+		}
 		d.tried = append(d.tried, d.target.Endpoint().Node)
 		d.pause = wait
 	default:
@@ -220,6 +246,17 @@
 	}
 }
 
+// mayPass asks the destination's throttle and counts its refusals.
+func (d *Dispatch) mayPass(throttle *retry.Throttle) bool {
+	if throttle.Allow() {
+		return true
+	}
+	if d.watch != nil {
+		d.watch.cfg.Metrics.Inc(metrics.RetriesThrottled, 1)
+	}
+	return false
+}
+
 // hold waits, once, until a request that was in flight at a crash may run
 // alone: the news of other crashes needs a moment to arrive.
 func (d *Dispatch) hold(now time.Time, a *Answer) bool {
@@ -234,6 +271,9 @@
 	d.held = true
 	d.retries++
 	d.pause = wait
+	if d.watch != nil {
+		d.watch.retried(now, d, a, wait)
+	}
 	return true
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -76,11 +76,20 @@
 	KeepDone time.Duration
 	// KeepDoneBytes bounds those answers.
 	KeepDoneBytes int64
+	// Keys bounds the idempotency keys and the answers kept for resends.
+	Keys idempotency.Config
+	// Quarantine bounds what is known of crashing requests.
+	Quarantine quarantine.Config
 }
 
 // DefaultGuardConfig suits a VM with 64 MB for the node.
 func DefaultGuardConfig() GuardConfig {
-	return GuardConfig{KeepDone: 10 * time.Second, KeepDoneBytes: 8 << 20}
+	return GuardConfig{
+		KeepDone:      10 * time.Second,
+		KeepDoneBytes: 8 << 20,
+		Keys:          idempotency.DefaultConfig(),
+		Quarantine:    quarantine.DefaultConfig(),
+	}
 }
 
 // Guard is the only way into the local upstream: it recognises resends,
@@ -102,6 +111,7 @@
 	draining   bool
 	upstreamUp bool
 	slots      int
+	observer   *observer
 	// upstreamIncarnation numbers the lives of the local upstream.
 	upstreamIncarnation uint64
 	// suspicion is false while no request is suspected of crashing upstreams.
@@ -117,8 +127,8 @@
 		authority:  authority,
 		incarn:     incarnation,
 		admission:  admission.New(admission.DefaultConfig(1), now),
-		quarantine: quarantine.New(quarantine.DefaultConfig()),
-		keys:       idempotency.NewTable(idempotency.DefaultConfig()),
+		quarantine: quarantine.New(cfg.Quarantine),
+		keys:       idempotency.NewTable(cfg.Keys),
 		calls:      make(map[string]*execution),
 	}
 }
@@ -148,6 +158,9 @@
 		return e.attach(w)
 	}
 	token, answer := g.considerLocked(now, call, w, d)
+	if answer != nil && !answer.Whole() {
+		g.observer.refused(now, call, answer.Refusal)
+	}
 	if answer != nil && call.Reattach {
 		g.remember(now, call, answer)
 	}
@@ -226,6 +239,7 @@
 	case idempotency.Start:
 		return nil, false
 	case idempotency.Join:
+		g.observer.joined(now, call, begin.RunningCallID)
 		return g.joinLocked(call, begin.RunningCallID, w), true
 	case idempotency.Replay:
 		return replayed(call, begin.Answer), true
@@ -258,6 +272,7 @@
 	}
 	g.calls[call.Ctx.CallID] = e
 	decision, others := g.admission.Offer(now, requestOf(call))
+	g.observer.offered(now, call, decision.Verdict, g.admission.Load())
 	g.applyLocked(now, others, d)
 	switch decision.Verdict {
 	case admission.Refuse:
@@ -305,11 +320,13 @@
 	e.phase = phaseRunning
 	e.started = now
 	g.quarantine.Started(now, e.fingerprint)
+	g.observer.started(now, e)
 	*d = append(*d, func() { g.runner.Run(e.call, before) })
 }
 
 // notRunLocked ends a call that got a slot and provably did not run.
 func (g *Guard) notRunLocked(now time.Time, e *execution, refusal *result.Refusal, d *due) {
+	g.observer.refused(now, e.call, refusal)
 	decisions := g.admission.Finish(now, e.call.Ctx.CallID, admission.Cancelled, 0)
 	g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), d)
 	g.applyLocked(now, decisions, d)
@@ -346,9 +363,12 @@
 	var d due
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
-		if cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole()); len(cleared) > 0 {
+		cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		if len(cleared) > 0 {
 			d = append(d, func() { g.onSuspects(cleared) })
 		}
+		g.observer.cleared(now, cleared)
+		g.observer.finished(now, e, a)
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
 	}
@@ -443,9 +463,12 @@
 	switch {
 	case e.phase == phaseQueued:
 		decisions := g.admission.Abandon(now, callID)
-		g.endLocked(now, e, Refused(callID, result.Refuse(result.Cancelled, "the caller left")), &d)
+		refusal := result.Refuse(result.Cancelled, "the caller left")
+		g.observer.refused(now, e.call, refusal)
+		g.endLocked(now, e, Refused(callID, refusal), &d)
 		g.applyLocked(now, decisions, &d)
 	case e.phase == phaseRunning && e.call.Ctx.Idempotent && e.cancel != nil:
+		g.observer.cancelled(now, e.call, "nobody waits for the running call")
 		d = append(d, e.cancel)
 	}
 	g.mu.Unlock()
@@ -460,6 +483,7 @@
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshSuspicionLocked(now)
+	g.observer.watch(now, g.admission.Load())
 	g.mu.Unlock()
 	d.settle()
 }
@@ -472,6 +496,7 @@
 			continue
 		}
 		if dec.Verdict == admission.Refuse {
+			g.observer.refused(now, e.call, dec.Refusal)
 			g.endLocked(now, e, Refused(dec.ID, dec.Refusal), d)
 			continue
 		}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -27,15 +29,65 @@
 	node *node.Node
 	dial DialFunc
 
+	open atomic.Int64
+	// dialTLS replaces dial where nodes speak TLS with each other.
+	dialTLS DialFunc
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
 // NewPeers makes the sender of a node; dial may be nil for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
-	return &Peers{dial: dial, peers: make(map[string]*peer)}
+	if dial == nil {
+		dial = plainDial
+	}
+	p := &Peers{peers: make(map[string]*peer)}
+	p.dial = p.counting(dial)
+	return p
+}
+
+// Open returns how many connections to other nodes are open.
+func (p *Peers) Open() int64 { return p.open.Load() }
+
+func (p *Peers) counting(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		p.open.Add(1)
+		return &countedConn{Conn: c, release: sync.OnceFunc(func() { p.open.Add(-1) })}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	release func()
 }
 
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// Secure makes every connection to other nodes one of TLS; wrap adds the
+// handshake. Call it before the first sending.
+func (p *Peers) Secure(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
+
+// Scheme is that of other nodes' inner addresses.
+func (p *Peers) Scheme() string {
+	if p.dialTLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// ControlTransport returns a transport to other nodes apart from that of data
+// calls, so that an operator's questions never wait behind calls.
+func (p *Peers) ControlTransport() *http.Transport { return p.newTransport(false) }
+
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
@@ -54,8 +106,8 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    newTransport(p.dial, false),
-			fresh:   newTransport(p.dial, true),
+			pool:    p.newTransport(false),
+			fresh:   p.newTransport(true),
 			rescues: make(chan struct{}, maxRescues),
 		}
 		p.peers[addr] = got
@@ -174,12 +226,10 @@
 	return answer
 }
 
-func newTransport(dial DialFunc, single bool) *http.Transport {
-	if dial == nil {
-		dial = plainDial
-	}
+func (p *Peers) newTransport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         p.dial,
+		DialTLSContext:      p.dialTLS,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -17,11 +17,11 @@
 )
 
 // controlClients keeps a client for each address. Control messages go over
-// cleartext HTTP/2: its compressed headers make a message cost less than half
+// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS: HTTP/2's compressed headers make a message cost less than half
 // of what it costs over HTTP/1.1, and a held question and a probe share a
 // connection.
 type controlClients struct {
-	dial proxy.DialFunc
+	peers *proxy.Peers
 
 	mu   sync.Mutex
 	byID map[string]*controlClient
@@ -33,8 +33,8 @@
 	used      time.Time
 }
 
-func newControlClients(dial proxy.DialFunc) *controlClients {
-	return &controlClients{dial: dial, byID: make(map[string]*controlClient)}
+func newControlClients(peers *proxy.Peers) *controlClients {
+	return &controlClients{peers: peers, byID: make(map[string]*controlClient)}
 }
 
 func (c *controlClients) client(addr string) *controlClient {
@@ -46,16 +46,16 @@
 		got.used = now
 		return got
 	}
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
 	// The transport's own IdleConnTimeout counts from the making of an HTTP/2
 	// connection: past it every message would dial one that it then closes.
-	t := &http.Transport{
-		DialContext:        c.dial,
-		Protocols:          &protocols,
-		DisableCompression: true,
+	t := c.peers.ControlTransport()
+	t.IdleConnTimeout = 0
+	if c.peers.Scheme() == "http" {
+		t.Protocols = new(http.Protocols)
+		t.Protocols.SetUnencryptedHTTP2(true)
 	}
-	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t, used: now}
+	base := c.peers.Scheme() + "://" + addr
+	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, base), transport: t, used: now}
 	c.byID[addr] = got
 	return got
 }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -15,20 +16,40 @@
 
 // BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
 // sooner they have a new owner, the fewer calls meet none.
-func (s *Server) BeginDrain() {
-	s.drainOnce.Do(s.beginDrain)
-}
+func (s *Server) BeginDrain() { s.beginDrain("") }
 
-func (s *Server) beginDrain() {
-	s.node.Guard().Drain(s.node.Now())
-	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
-	s.control.drain()
-	s.loop(func() {
-		defer close(s.handedOver)
-		s.own.handOverAll(context.Background())
+// beginDrain says in detail who asked for it.
+func (s *Server) beginDrain(detail string) {
+	s.drainOnce.Do(func() {
+		s.node.Guard().Drain(s.node.Now())
+		s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: s.cfg.NodeID, Detail: detail})
+		s.logger.Info().Str("reason", detail).Int("in_flight", s.node.Guard().Busy()).Msg("draining")
+		s.control.drain()
+		s.loop(func() {
+			defer close(s.handedOver)
+			ctx, cancel := s.untilStopping()
+			defer cancel()
+			s.own.handOverAll(ctx)
+		})
 	})
 }
 
+// drainFor drains at an operator's word and waits as long as asked for the
+// calls in flight.
+func (s *Server) drainFor(ctx context.Context, order drainOrder) drainState {
+	s.beginDrain(order.Operator + ": " + order.Reason)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(order.WaitMillis)*time.Millisecond)
+	defer cancel()
+	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	state := drainState{State: "draining", InFlight: s.node.Guard().Busy()}
+	if state.InFlight == 0 {
+		state.State = "drained"
+	}
+	return state
+}
+
 // Shutdown stops the node without cutting a call: it refuses new ones, waits
 // for those in flight until ctx ends, and closes. It returns how many calls it
 // cut.
@@ -38,13 +59,17 @@
 	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
 		sleep(ctx, idleCheck)
 	}
-	cut := s.node.Guard().Busy()
 	select {
 	case <-s.handedOver:
 	case <-ctx.Done():
 	}
-	s.control.leave()
-	s.closeServers(ctx)
+	if ctx.Err() == nil {
+		s.control.leave()
+	}
+	cut := s.closeServers(ctx)
+	s.node.Event(s.node.Now(), timeline.Event{
+		Kind: timeline.DrainFinished, Upstream: s.cfg.NodeID, Detail: fmt.Sprintf("%d calls cut", cut),
+	})
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStopped})
 	return cut
 }
@@ -56,38 +81,70 @@
 	sleep(ctx, s.cfg.Timing.DrainNotice.Std())
 }
 
+// InFlight returns how many calls the node holds in any role: those that its
+// guard runs or that wait there, and those that it took for other guards.
+func (s *Server) InFlight() int {
+	return max(s.node.Guard().Busy(), int(s.proxy.Held().Calls))
+}
+
 // closeServers lets handlers end: a call that this node took from a caller for
 // another guard is also in flight. The listener for other nodes is closed
 // once all their calls are answered, without the second that a graceful end of
-// HTTP/2 takes: callers that come meanwhile would find nobody.
-func (s *Server) closeServers(ctx context.Context) {
+// HTTP/2 takes: callers that come meanwhile would find nobody. It returns how
+// many calls it cut when ctx ended first.
+func (s *Server) closeServers(ctx context.Context) int {
+	s.endStreams()
 	s.control.endHeld()
+	cut := 0
 	for _, srv := range s.servers {
 		if srv == s.innerServer {
 			continue
 		}
 		if err := srv.Shutdown(ctx); err != nil {
+			cut = max(cut, s.InFlight())
 			_ = srv.Close()
 		}
 	}
 	for s.proxy.Answering() > 0 && ctx.Err() == nil {
 		sleep(ctx, idleCheck)
 	}
+	cut = max(cut, s.node.Guard().Busy(), s.proxy.Answering())
 	sleep(ctx, flushTime)
 	_ = s.innerServer.Close()
 	s.stop()
+	s.backend.peers.close()
 	s.peers.Close()
 	s.control.clients.close()
 	s.loops.Wait()
+	return cut
 }
 
 // Kill stops the node at once, as a crash of its VM would.
 func (s *Server) Kill() {
+	s.endStreams()
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
 	s.stop()
+	s.backend.peers.close()
 	s.peers.Close()
 	s.control.clients.close()
 	s.loops.Wait()
 }
+
+// untilStopping returns a context that ends when the listeners close: a stop
+// that was cut short must not wait for a hand-over to a guard that is gone.
+func (s *Server) untilStopping() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		select {
+		case <-s.stopping:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// endStreams ends what would otherwise go on until its reader leaves.
+func (s *Server) endStreams() { s.stopOnce.Do(func() { close(s.stopping) }) }
