Histories of runs and a check of the promises

Cause: the bench counted broken promises inside its figures, with no test that a count can be other than zero, nothing to look at afterwards, and retries, deaths and configuration versions were not judged at all. Change: internal/history holds typed records of what callers sent and got, what upstreams ran by their own ledger, the retries of each root and the versions in force at each node, and decides six properties. measurePromises uses it.

--- /dev/null
+++ b/cmd/galenabench/check.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/history"
+)
+
+type checkCmd struct {
+	File string `arg:"" help:"History written by run --history."`
+}
+
+// Run prints every violation and a count for each promise.
+func (c *checkCmd) Run() error {
+	f, err := os.Open(c.File)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	defer func() { _ = f.Close() }()
+	h, err := history.Read(f)
+	if err != nil {
+		return errors.Wrap(err, c.File)
+	}
+	fmt.Printf("%d sendings, %d executions, %d roots with retries, %d configuration versions seen\n",
+		len(h.Sends), len(h.Runs), len(h.Retries), len(h.Versions))
+	violations := history.Check(h)
+	for _, v := range violations {
+		fmt.Println(v.Error())
+	}
+	for _, p := range history.Properties() {
+		fmt.Printf("%-16s %d violations\n", p, history.Count(violations, p))
+	}
+	if len(violations) > 0 {
+		return errors.Errorf("%d violations", len(violations))
+	}
+	return nil
+}
+
+// writeHistory puts h into a new file; without a name there is nothing to do.
+func writeHistory(name string, h *history.History) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "--history")
+	}
+	if err := history.Write(f, h); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return errors.Wrap(f.Close(), "--history")
+}
--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -17,6 +17,7 @@
 type cli struct {
 	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
+	Check     checkCmd     `cmd:"" help:"Check a recorded history; the exit code is 1 if a promise is broken."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
 }
@@ -36,10 +37,14 @@
 	Policy     string `default:"galenagrade" enum:"galenagrade,baseline" help:"What carries the calls."`
 	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
 	JSON       bool   `help:"One JSON line a run."`
+	History    string `help:"File to write the run's history to, for check. One scenario on one deployment."`
 }
 
 // Run runs the chosen scenarios.
 func (c *runCmd) Run() error {
+	if c.History != "" && (c.Scenario == "all" || c.Deployment == "all") {
+		return errors.New("--history takes one run: name a --scenario and a --deployment")
+	}
 	found := false
 	for _, s := range bench.Scenarios() {
 		if c.Scenario != "all" && c.Scenario != s.Name {
@@ -61,10 +66,13 @@
 		if c.Deployment != "all" && c.Deployment != d.Name {
 			continue
 		}
-		r, err := bench.Run(s, d, c.Policy, c.Seed)
+		r, h, err := bench.Record(s, d, c.Policy, c.Seed)
 		if err != nil {
 			return errors.Wrapf(err, "%s on %s", s.Name, d.Name)
 		}
+		if err := writeHistory(c.History, h); err != nil {
+			return err
+		}
 		if err := c.print(r); err != nil {
 			return err
 		}
--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -33,10 +34,26 @@
 type Sending struct {
 	Attempt string
 	Code    int
-	Ran     result.Ran
-	// Wrong says that a success carried another request's answer.
-	Wrong bool
-	Err   string
+	// Success says that a good status came with a body that ended as announced.
+	Success bool
+	// Whole says that the body was a complete answer.
+	Whole bool
+	// AnswerTo and AnswerFrom are what the answer names.
+	AnswerTo, AnswerFrom string
+	Err                  string
+}
+
+// take notes what a success carried and reports whether it is the answer to o.
+func (s *Sending) take(body []byte, o *Outcome) bool {
+	s.Success = true
+	var a upstream.Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		s.Err = err.Error()
+		return false
+	}
+	s.Whole = a.Complete()
+	s.AnswerTo, s.AnswerFrom = a.Op, a.Service
+	return s.Whole && a.Op == o.Op && a.Service == o.Kind.Service
 }
 
 // Outcome is one caller's request from its first sending to its end.
@@ -203,14 +220,18 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.Code, _ = strconv.Atoi(resp.Header.Get(result.HeaderResult))
-	s.Ran = result.Code(s.Code).Ran()
 	if resp.StatusCode != http.StatusOK {
 		var p result.Problem
 		_ = json.NewDecoder(resp.Body).Decode(&p)
 		s.Err = p.Detail
 		return false
 	}
-	return c.check(json.NewDecoder(resp.Body), o, s)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.Err = err.Error()
+		return false
+	}
+	return s.take(body, o)
 }
 
 func (c *callers) sendBaseline(ctx context.Context, o *Outcome, s *Sending, header http.Header) bool {
@@ -219,18 +240,7 @@
 	if err != nil || status != http.StatusOK {
 		return false
 	}
-	var a upstream.Answer
-	return json.Unmarshal(body, &a) == nil && a.Op == o.Op
-}
-
-func (c *callers) check(dec *json.Decoder, o *Outcome, s *Sending) bool {
-	var a upstream.Answer
-	if err := dec.Decode(&a); err != nil {
-		s.Err = err.Error()
-		return false
-	}
-	s.Wrong = a.Op != o.Op || a.Service != o.Kind.Service
-	return !s.Wrong
+	return s.take(body, o)
 }
 
 func (c *callers) wait() []*Outcome {
--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -169,3 +170,10 @@
 	}
 	return most
 }
+
+// all returns a copy of the counts.
+func (c *retryCounter) all() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.count)
+}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
-	"github.com/galenagrade/galenagrade/internal/result"
-	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+	"github.com/galenagrade/galenagrade/internal/history"
 )
 
 // Result is one run's figures; its JSON form is one line of output.
@@ -22,12 +21,14 @@
 	Goodput         float64 `json:"goodput"`
 	WeightedGoodput float64 `json:"weighted_goodput"`
 	// CriticalServed is the share of the highest class that got its answer.
-	CriticalServed    float64 `json:"critical_served"`
-	RecoverySeconds   float64 `json:"recovery_seconds"`
-	Recovered         bool    `json:"recovered"`
-	Duplicates        int     `json:"duplicates"`
-	FalseRefusals     int     `json:"false_refusals"`
-	WrongAnswers      int     `json:"wrong_answers"`
+	CriticalServed  float64 `json:"critical_served"`
+	RecoverySeconds float64 `json:"recovery_seconds"`
+	Recovered       bool    `json:"recovered"`
+	Duplicates      int     `json:"duplicates"`
+	FalseRefusals   int     `json:"false_refusals"`
+	WrongAnswers    int     `json:"wrong_answers"`
+	// Violations counts every break of a promise in the run's history.
+	Violations        int     `json:"violations"`
 	MaxRetries        int     `json:"max_retries_per_request"`
 	RetryAllowance    int     `json:"retry_allowance"`
 	CutInFlight       int     `json:"cut_in_flight"`
@@ -57,7 +58,7 @@
 // phases are the boundaries of a run, since its start.
 type phases struct{ pressure, heal, end time.Duration }
 
-func (w *World) measure(s Scenario, seed uint64, outcomes []*Outcome, ph phases) Result {
+func (w *World) measure(s Scenario, seed uint64, outcomes []*Outcome, ph phases, h *history.History) Result {
 	d := w.deployment
 	rates := arrivalRates(outcomes, ph)
 	offered := 0.0
@@ -73,7 +74,7 @@
 	}
 	w.measureGoodput(&r, outcomes, ph)
 	r.RecoverySeconds, r.Recovered = recovery(outcomes, ph)
-	w.measurePromises(&r, outcomes)
+	w.measurePromises(&r, outcomes, h)
 	return r
 }
 
@@ -183,30 +184,19 @@
 
 // measurePromises counts what must never happen, from what callers got and
 // what upstreams recorded by themselves.
-func (w *World) measurePromises(r *Result, outcomes []*Outcome) {
-	runs := w.ledger.Runs()
-	r.Duplicates = duplicates(runs)
-	ran := map[string]bool{}
-	crashes := map[string]int{}
-	for _, run := range runs {
-		ran[run.Attempt] = true
-		if run.Poison {
-			crashes[run.Op]++
-			r.MaxCrashes = max(r.MaxCrashes, crashes[run.Op])
-		}
-	}
+func (w *World) measurePromises(r *Result, outcomes []*Outcome, h *history.History) {
+	violations := history.Check(h)
+	r.Duplicates = history.Count(violations, history.AtMostOnce)
+	r.FalseRefusals = history.Count(violations, history.TrueRefusal)
+	r.WrongAnswers = history.Count(violations, history.RightAnswer)
+	r.Violations = len(violations)
+	r.MaxCrashes = mostDeaths(h.Runs)
 	for _, o := range outcomes {
 		for _, s := range o.Sends {
 			r.Codes[s.Code]++
 			if s.Err != "" {
 				r.Details[s.Code] = s.Err
 			}
-			if s.Wrong {
-				r.WrongAnswers++
-			}
-			if s.Ran == result.RanNo && s.Code != 0 && ran[s.Attempt] {
-				r.FalseRefusals++
-			}
 		}
 	}
 	r.MaxRetries = w.retries.max()
@@ -222,32 +212,27 @@
 	}
 }
 
-func (w *World) allowance() int {
+// mostDeaths returns the most upstreams that one request killed.
+func mostDeaths(runs []history.Run) int {
+	deaths := map[string]int{}
 	most := 0
-	for _, svc := range w.deployment.Services {
-		if eff, ok := w.vms[0].node.Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
-			most = max(most, eff.RetryAllowance)
+	for _, r := range runs {
+		if r.Killed {
+			deaths[r.Request]++
+			most = max(most, deaths[r.Request])
 		}
 	}
 	return most
 }
 
-// duplicates counts executions of keyed operations beyond the first.
-func duplicates(runs []upstream.Run) int {
-	type once struct{ op, service, path string }
-	count := map[once]int{}
-	extra := 0
-	for _, r := range runs {
-		if r.Key == "" {
-			continue
-		}
-		k := once{r.Op, r.Service, r.Path}
-		count[k]++
-		if count[k] > 1 {
-			extra++
+func (w *World) allowance() int {
+	most := 0
+	for _, svc := range w.deployment.Services {
+		if eff, ok := w.vms[0].node.Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
+			most = max(most, eff.RetryAllowance)
 		}
 	}
-	return extra
+	return most
 }
 
 func ratio(a, b float64) float64 {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -2,13 +2,22 @@
 
 import (
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/history"
 )
 
 // Run runs one scenario on a deployment under a policy.
 func Run(s Scenario, d *Deployment, policyName string, seed uint64) (Result, error) {
+	r, _, err := Record(s, d, policyName, seed)
+	return r, err
+}
+
+// Record is Run that also returns the history which the figures on promises
+// come from.
+func Record(s Scenario, d *Deployment, policyName string, seed uint64) (Result, *history.History, error) {
 	w, err := NewWorld(d, policyName, seed)
 	if err != nil {
-		return Result{}, err
+		return Result{}, nil, err
 	}
 	defer w.Close()
 	c := newCallers(w)
@@ -27,7 +36,8 @@
 	for _, t := range timers {
 		t.Stop()
 	}
-	return w.measure(s, seed, outcomes, phases{pressure, heal, end}), nil
+	h := w.history(outcomes)
+	return w.measure(s, seed, outcomes, phases{pressure, heal, end}, h), h, nil
 }
 
 func (w *World) schedule(s Scenario) []*time.Timer {
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -67,6 +67,7 @@
 	network    *link.Network
 	ledger     *upstream.Ledger
 	retries    *retryCounter
+	versions   versionLog
 	vms        []*vm
 	baseline   *baselineRouter
 	reviving   atomic.Bool
@@ -131,10 +132,15 @@
 			}
 		}
 	}
-	if w.policy == PolicyGalenagrade {
-		return w.awaitReady()
+	if w.policy != PolicyGalenagrade {
+		return nil
 	}
-	return nil
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		w.watchVersions()
+	}()
+	return w.awaitReady()
 }
 
 // publish puts the templates and the deployment's instances into the log, as
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -61,6 +61,8 @@
 
 // Run is one execution that began here.
 type Run struct {
+	// Upstream is the name of the upstream that ran it.
+	Upstream                        string
 	Op, Attempt, Service, Path, Key string
 	// Poison says that it killed the upstream.
 	Poison bool
@@ -229,12 +231,13 @@
 		return
 	}
 	run := s.ledger.begin(Run{
-		Op:      r.Header.Get(HeaderOp),
-		Attempt: r.Header.Get(HeaderAttempt),
-		Service: s.cfg.Service,
-		Path:    r.URL.Path,
-		Key:     r.Header.Get("Idempotency-Key"),
-		Poison:  r.Header.Get(HeaderPoison) == s.cfg.Service,
+		Upstream: s.cfg.Name,
+		Op:       r.Header.Get(HeaderOp),
+		Attempt:  r.Header.Get(HeaderAttempt),
+		Service:  s.cfg.Service,
+		Path:     r.URL.Path,
+		Key:      r.Header.Get("Idempotency-Key"),
+		Poison:   r.Header.Get(HeaderPoison) == s.cfg.Service,
 	})
 	s.began()
 	if run.Poison {
@@ -283,6 +286,9 @@
 	Filler  string `json:"filler"`
 }
 
+// Complete reports whether nothing of the answer is missing.
+func (a *Answer) Complete() bool { return a.Filler == filler }
+
 // fillerBytes brings an answer to about 1 KB.
 const fillerBytes = 900
 
