Guard: model test; six faults found and mended

Cause: no test drove the guard in random order. The model and the stories showed: (1) a call that left the queue was reported as of unknown outcome, because its attachment was dropped before the call ended; (2) a refusal right before dispatch was delivered twice; (3) a caller that left before the runner had said how to cancel left its upstream working; (4) large answers pushed call IDs out of memory, so that a re-attachment ran a POST without a key again; (5) a re-attachment that joined another call of its key and was refused as not run was not remembered, so that its first sending, delivered late, could run; (6) bodies of ended requests were held for ten seconds without a bound. Change: each is mended in guard.go; Leave answers the leaver of a queued call, call IDs are kept for KeepDone while only their answers are given up. Conclusion: a refusal `ran: no` of a guard is now also true of sendings that arrive later, and each sending is answered once.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -65,8 +65,8 @@
 }
 
 type joined struct {
-	callID string
-	wake   Waiter
+	call *Call
+	wake Waiter
 }
 
 // GuardConfig bounds what a guard keeps.
@@ -99,6 +99,8 @@
 	calls      map[string]*execution
 	done       []*execution // finished, oldest first
 	doneBytes  int64
+	// bare counts the oldest of done whose answer is no longer held.
+	bare       int
 	draining   bool
 	upstreamUp bool
 	slots      int
@@ -243,7 +245,7 @@
 	if !ok || e.phase == phaseDone {
 		return g.refusedLocked(call, result.Refuse(result.OutcomeUnknown, "the running attempt has ended without an answer"))
 	}
-	e.joins = append(e.joins, joined{callID: call.Ctx.CallID, wake: w})
+	e.joins = append(e.joins, joined{call: call, wake: w})
 	return nil
 }
 
@@ -252,8 +254,7 @@
 		call:        call,
 		fingerprint: call.Fingerprint(),
 		account:     retry.NewAccount(call.Allowance),
-		waiters:     map[int]Waiter{1: w},
-		nextWaiter:  1,
+		waiters:     make(map[int]Waiter, 1),
 		arrived:     now,
 	}
 	g.calls[call.Ctx.CallID] = e
@@ -267,10 +268,9 @@
 	case admission.Run:
 		g.admittedLocked(now, e, d)
 	}
-	if e.phase == phaseDone {
-		return 0, e.answer
-	}
-	return 1, nil
+	// Attached only now: a refusal at dispatch goes back as the answer, and
+	// through the waiter the sender would get it a second time.
+	return e.attach(w)
 }
 
 // admittedLocked moves a call that got a slot on to its claim or its run.
@@ -334,10 +334,24 @@
 // OnCancel sets what stops the running call when nobody waits for it any more.
 func (g *Guard) OnCancel(callID string, cancel func()) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.calls[callID]; ok {
+	e, ok := g.calls[callID]
+	if ok {
 		e.cancel = cancel
 	}
+	// Everybody may have left between the start and this report; the upstream
+	// would then work to the end for nobody.
+	doomed := ok && e.doomed()
+	g.mu.Unlock()
+	if doomed {
+		cancel()
+	}
+}
+
+// doomed reports whether a running call may and should be stopped: nobody
+// waits for it, and running it again does no harm.
+func (e *execution) doomed() bool {
+	alone := len(e.waiters) == 0 && len(e.joins) == 0
+	return e.phase == phaseRunning && e.call.Ctx.Idempotent && alone
 }
 
 // Finish reports the end of a run.
@@ -368,7 +382,11 @@
 		*d = append(*d, func() { w(a) })
 	}
 	for _, j := range e.joins {
-		*d = append(*d, func() { j.wake(joinedAnswer(j.callID, a)) })
+		answer := joinedAnswer(j.call.Ctx.CallID, a)
+		if j.call.Reattach && !a.Whole() {
+			g.remember(now, j.call, answer)
+		}
+		*d = append(*d, func() { j.wake(answer) })
 	}
 	e.waiters = nil
 	e.joins = nil
@@ -402,6 +420,10 @@
 
 // keepLocked keeps a finished call for re-attachments, within its bounds.
 func (g *Guard) keepLocked(now time.Time, e *execution) {
+	if len(e.call.Body) > 0 {
+		// Nothing bounds the bodies of requests once they have ended.
+		e.call = &Call{Ctx: e.call.Ctx}
+	}
 	g.done = append(g.done, e)
 	g.doneBytes += int64(len(e.answer.Body))
 	g.trimLocked(now)
@@ -409,18 +431,30 @@
 
 func (g *Guard) trimLocked(now time.Time) {
 	n := 0
-	for n < len(g.done) {
+	for n < len(g.done) && now.Sub(g.done[n].ended) >= g.cfg.KeepDone {
 		oldest := g.done[n]
-		young := now.Sub(oldest.ended) < g.cfg.KeepDone
-		if young && g.doneBytes <= g.cfg.KeepDoneBytes {
-			break
-		}
 		g.doneBytes -= int64(len(oldest.answer.Body))
 		delete(g.calls, oldest.call.Ctx.CallID)
 		g.done[n] = nil
 		n++
 	}
 	g.done = g.done[n:]
+	g.bare = max(0, g.bare-n)
+	for g.doneBytes > g.cfg.KeepDoneBytes && g.bare < len(g.done) {
+		g.stripLocked(g.done[g.bare])
+		g.bare++
+	}
+}
+
+// stripLocked gives up the answer of a finished call but not its call ID: were
+// the ID forgotten too, a re-attachment would run the call a second time. A
+// refusal has no body and stays as it was.
+func (g *Guard) stripLocked(e *execution) {
+	if len(e.answer.Body) == 0 {
+		return
+	}
+	g.doneBytes -= int64(len(e.answer.Body))
+	e.answer = Refused(e.call.Ctx.CallID, result.Refuse(result.LostAnswer, "the call ran, and its answer is no longer held"))
 }
 
 // Leave says that the holder of an attachment is gone. Waiting calls nobody
@@ -434,24 +468,32 @@
 		g.mu.Unlock()
 		return
 	}
-	delete(e.waiters, token)
-	if len(e.waiters) > 0 || len(e.joins) > 0 {
-		g.mu.Unlock()
-		return
-	}
 	var d due
-	switch {
-	case e.phase == phaseQueued:
+	_, attached := e.waiters[token]
+	last := attached && len(e.waiters) == 1 && len(e.joins) == 0
+	if e.phase == phaseQueued && last {
+		// The leaver is still attached and hears that nothing ran.
 		decisions := g.admission.Abandon(now, callID)
-		g.endLocked(now, e, Refused(callID, result.Refuse(result.Cancelled, "the caller left")), &d)
+		g.endLocked(now, e, Refused(callID, leftRefusal(now, e.call)), &d)
 		g.applyLocked(now, decisions, &d)
-	case e.phase == phaseRunning && e.call.Ctx.Idempotent && e.cancel != nil:
-		d = append(d, e.cancel)
+	} else {
+		delete(e.waiters, token)
+		if e.doomed() && e.cancel != nil {
+			d = append(d, e.cancel)
+		}
 	}
 	g.mu.Unlock()
 	d.settle()
 }
 
+// leftRefusal says why a call left the queue before it ran.
+func leftRefusal(now time.Time, call *Call) *result.Refusal {
+	if call.Ctx.Remaining(now) <= 0 {
+		return result.Refuse(result.DeadlineTooNear, "the deadline passed while the call waited")
+	}
+	return result.Refuse(result.Cancelled, "the caller left")
+}
+
 // Tick expires waits; call it every few milliseconds while calls wait.
 func (g *Guard) Tick(now time.Time) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/node/guard_model_test.go
@@ -0,0 +1,292 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// sending is one attachment that waits for its answer.
+type sending struct {
+	call  *Call
+	token int
+	left  bool
+	got   []*Answer
+}
+
+// guardModel drives a guard in random order and keeps what must hold.
+type guardModel struct {
+	t      *rapid.T
+	g      *Guard
+	runner *fakeRunner
+	now    time.Time
+	made   int
+
+	sendings []*sending
+	calls    []*Call
+	// started are the call IDs that ran, with the time of their end.
+	started map[string]time.Time
+	// keys are the call IDs that started and may have run, by key.
+	keys map[string]string
+	// spent is what children of a call used or lost of its allowance.
+	spent map[string]int
+	// refusedAgain are call IDs whose re-attachment was answered `ran: no`.
+	refusedAgain map[string]time.Time
+	draining     bool
+}
+
+func newGuardModel(t *rapid.T) *guardModel {
+	m := &guardModel{
+		t: t, now: epoch, runner: &fakeRunner{},
+		started: map[string]time.Time{}, keys: map[string]string{},
+		spent: map[string]int{}, refusedAgain: map[string]time.Time{},
+	}
+	authority := &fakeAuthority{claims: rapid.Bool().Draw(t, "claims"), refuse: func() *result.Refusal {
+		if rapid.IntRange(0, 9).Draw(t, "authority") > 0 {
+			return nil
+		}
+		return result.Refuse(result.NoAuthority, "test")
+	}}
+	m.runner.onRun = m.onRun
+	m.g = newGuard(2, m.runner, authority)
+	return m
+}
+
+// onRun is where two executions of one call or one key would meet.
+func (m *guardModel) onRun(call *Call) {
+	id := call.Ctx.CallID
+	if _, twice := m.started[id]; twice {
+		m.t.Fatalf("call %s started twice", id)
+	}
+	if at, refused := m.refusedAgain[id]; refused {
+		m.t.Fatalf("call %s started after it was refused at %s", id, at)
+	}
+	m.started[id] = time.Time{}
+	if call.Keyed() {
+		if before, running := m.keys[call.Ctx.Key]; running {
+			m.t.Fatalf("key %s started by %s, may have run by %s", call.Ctx.Key, id, before)
+		}
+		m.keys[call.Ctx.Key] = id
+	}
+}
+
+func (m *guardModel) arrive(t *rapid.T) {
+	m.made++
+	call := newCall(fmt.Sprintf("c%d", m.made), m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond))
+	call.Ctx.Level = 2
+	call.Allowance = rapid.IntRange(0, 4).Draw(t, "allowance")
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		call.Ctx.Idempotent = true
+	case 1:
+		call.Ctx.Key = rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
+		call.BodyHash = uint64(rapid.IntRange(0, 4).Draw(t, "body") / 4)
+	}
+	m.calls = append(m.calls, call)
+	m.send(call)
+}
+
+// attach sends a call ID again, as after a connection went silent.
+func (m *guardModel) attach(t *rapid.T) {
+	if len(m.calls) == 0 {
+		t.Skip("no call yet")
+	}
+	again := *rapid.SampledFrom(m.calls).Draw(t, "call")
+	ended, ran := m.started[again.Ctx.CallID]
+	if ran && !ended.IsZero() && m.now.Sub(ended) >= m.g.cfg.KeepDone {
+		t.Skip("no longer remembered")
+	}
+	if at, ok := m.refusedAgain[again.Ctx.CallID]; ok && m.now.Sub(at) >= m.g.cfg.KeepDone {
+		t.Skip("no longer remembered")
+	}
+	again.Reattach = true
+	m.send(&again)
+}
+
+func (m *guardModel) send(call *Call) {
+	s := &sending{call: call}
+	token, answer := m.g.Arrive(m.now, call, func(a *Answer) { m.deliver(s, a) })
+	s.token = token
+	m.sendings = append(m.sendings, s)
+	if answer != nil {
+		m.deliver(s, answer)
+	}
+}
+
+func (m *guardModel) deliver(s *sending, a *Answer) {
+	if len(s.got) > 0 {
+		m.t.Fatalf("sending of %s answered twice", s.call.Ctx.CallID)
+	}
+	s.got = append(s.got, a)
+	if a.CallID != s.call.Ctx.CallID {
+		m.t.Fatalf("sending of %s got the answer of %s", s.call.Ctx.CallID, a.CallID)
+	}
+	_, ran := m.started[a.CallID]
+	if a.Unused > s.call.Allowance-m.spent[a.CallID] {
+		m.t.Fatalf("call %s brings %d home of %d, %d spent", a.CallID, a.Unused, s.call.Allowance, m.spent[a.CallID])
+	}
+	if s.call.Reattach && !ran && a.Code.Ran() == result.RanNo {
+		m.refusedAgain[a.CallID] = m.now
+	}
+}
+
+func (m *guardModel) leave(t *rapid.T) {
+	waiting := slices.DeleteFunc(slices.Clone(m.sendings), func(s *sending) bool { return s.left || len(s.got) > 0 })
+	if len(waiting) == 0 {
+		t.Skip("nobody waits")
+	}
+	s := rapid.SampledFrom(waiting).Draw(t, "who")
+	s.left = true
+	m.g.Leave(m.now, s.call.Ctx.CallID, s.token)
+}
+
+func (m *guardModel) spend(t *rapid.T) {
+	if len(m.runner.runs) == 0 {
+		t.Skip("nothing runs")
+	}
+	id := rapid.SampledFrom(m.runner.runs).Draw(t, "call").Ctx.CallID
+	_, account, ok := m.g.Parent(id)
+	if !ok {
+		t.Fatalf("running call %s is not known as a parent", id)
+	}
+	if account.Spend() {
+		m.spent[id]++
+	}
+	share := account.Lend()
+	back := rapid.IntRange(0, 5).Draw(t, "back")
+	share.Return(back)
+	share.Return(back)
+	m.spent[id] += share.Amount() - min(back, share.Amount())
+}
+
+func (m *guardModel) finish(t *rapid.T) {
+	if len(m.runner.runs) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.runner.runs)-1).Draw(t, "run")
+	call := m.runner.runs[i]
+	m.runner.runs = slices.Delete(m.runner.runs, i, i+1)
+	code := rapid.SampledFrom([]result.Code{
+		result.OK, result.OK, result.UpstreamFailed, result.LostAnswer, result.UpstreamShed, result.CancelledRunning, result.NoAuthority,
+	}).Draw(t, "code")
+	m.end(call, code)
+}
+
+func (m *guardModel) end(call *Call, code result.Code) {
+	m.started[call.Ctx.CallID] = m.now
+	if code.Ran() == result.RanNo {
+		delete(m.keys, call.Ctx.Key)
+	}
+	a := wholeAnswerOf(call, "a body of more than the bytes that are kept, so that answers push each other out")
+	if code != result.OK && code != result.UpstreamFailed {
+		a = refusedWith(call, code)
+	}
+	a.Code = code
+	m.g.Finish(m.now, call.Ctx.CallID, a)
+	m.g.Finish(m.now, call.Ctx.CallID, a) // a repeated report changes nothing
+}
+
+func (m *guardModel) claimed(t *rapid.T) {
+	if len(m.runner.claims) == 0 {
+		t.Skip("nothing claims")
+	}
+	call := m.runner.claims[0]
+	m.runner.claims = m.runner.claims[1:]
+	var refusal *result.Refusal
+	if rapid.IntRange(0, 2).Draw(t, "lost") == 0 {
+		refusal = result.Refuse(result.NoAuthority, "the log is out")
+	}
+	m.g.Claimed(m.now, call.Ctx.CallID, refusal)
+}
+
+// crash breaks every running call, and the upstream comes back.
+func (m *guardModel) crash(*rapid.T) {
+	m.g.UpstreamDown(m.now, "n")
+	for _, call := range m.runner.runs {
+		m.end(call, result.LostAnswer)
+	}
+	m.runner.runs = nil
+	m.now = m.now.Add(time.Millisecond)
+	m.g.UpstreamUp(m.now, limits(2))
+}
+
+func (m *guardModel) tick(t *rapid.T) {
+	ms := rapid.SampledFrom([]int{1, 10, 100, 1000, 11_000}).Draw(t, "ms")
+	m.now = m.now.Add(time.Duration(ms) * time.Millisecond)
+	m.g.Tick(m.now)
+}
+
+func (m *guardModel) drain(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "drain") > 0 {
+		t.Skip("not yet")
+	}
+	m.draining = true
+	m.g.Drain(m.now)
+}
+
+// check holds at every moment.
+func (m *guardModel) check(t *rapid.T) {
+	load := m.g.admission.Load()
+	if busy := m.g.Busy(); busy < len(m.runner.runs)+len(m.runner.claims) {
+		t.Fatalf("busy %d, %d run and %d claim", busy, len(m.runner.runs), len(m.runner.claims))
+	}
+	if !m.draining && load.InFlight > 2 {
+		t.Fatalf("%d calls in 2 slots", load.InFlight)
+	}
+	if m.g.doneBytes < 0 || m.g.doneBytes > m.g.cfg.KeepDoneBytes {
+		t.Fatalf("%d bytes of answers kept, bound %d", m.g.doneBytes, m.g.cfg.KeepDoneBytes)
+	}
+}
+
+// settle ends everything: claims first, since they start runs.
+func (m *guardModel) settle() {
+	for len(m.runner.claims)+len(m.runner.runs) > 0 {
+		claims := m.runner.claims
+		m.runner.claims = nil
+		for _, call := range claims {
+			m.g.Claimed(m.now, call.Ctx.CallID, nil)
+		}
+		runs := m.runner.runs
+		m.runner.runs = nil
+		for _, call := range runs {
+			m.end(call, result.OK)
+		}
+	}
+	for range 3 {
+		m.now = m.now.Add(time.Minute)
+		m.g.Tick(m.now)
+	}
+}
+
+func (m *guardModel) checkEnd(t *rapid.T) {
+	for _, s := range m.sendings {
+		if !s.left && len(s.got) != 1 {
+			t.Fatalf("sending of %s got %d answers", s.call.Ctx.CallID, len(s.got))
+		}
+	}
+	load := m.g.admission.Load()
+	if m.g.Busy() != 0 || load.InFlight != 0 || load.Queued != 0 || len(m.g.calls) != 0 {
+		t.Fatalf("busy %d, in flight %d, queued %d, remembered %d after the end", m.g.Busy(), load.InFlight, load.Queued, len(m.g.calls))
+	}
+}
+
+// In whatever order calls arrive, come again, leave, end, are claimed, lose
+// their upstream or meet a drain: each sending that waits is answered once,
+// nothing that may have run starts again, no slot and no allowance leaks.
+func TestGuardModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newGuardModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": m.arrive, "arrive too": m.arrive, "attach": m.attach, "leave": m.leave,
+			"spend": m.spend, "finish": m.finish, "claimed": m.claimed,
+			"crash": m.crash, "tick": m.tick, "drain": m.drain, "": m.check,
+		})
+		m.settle()
+		m.checkEnd(t)
+	})
+}
--- /dev/null
+++ b/internal/node/guard_story_test.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// inbox is the waiter of one attachment.
+type inbox struct{ got []*Answer }
+
+func (i *inbox) put(a *Answer) { i.got = append(i.got, a) }
+
+// A caller waits in a full guard's queue and its deadline passes. It was told
+// that the outcome is unknown, although nothing had run: the guard dropped the
+// attachment before it ended the call, so the refusal reached nobody.
+func TestLeavingTheQueueIsToldNotRun(t *testing.T) {
+	runner := &fakeRunner{}
+	g := newGuard(1, runner, &fakeAuthority{})
+	var busy, waiting inbox
+	g.Arrive(epoch, newCall("busy", epoch.Add(time.Minute)), busy.put)
+	token, answer := g.Arrive(epoch, newCall("queued", epoch.Add(time.Second)), waiting.put)
+	must.Nil(t, answer)
+	g.Leave(epoch.Add(time.Second), "queued", token)
+	must.Len(t, 1, waiting.got)
+	must.EqOp(t, result.DeadlineTooNear, waiting.got[0].Code)
+	must.EqOp(t, result.RanNo, waiting.got[0].Code.Ran())
+	must.Len(t, 1, runner.runs)
+	must.EqOp(t, 1, g.Busy())
+}
+
+// A caller leaves just after its call got a slot, before the runner said how
+// to cancel it. The upstream then worked to the end for nobody.
+func TestLeavingBeforeTheCancelIsKnown(t *testing.T) {
+	g := newGuard(1, &fakeRunner{}, &fakeAuthority{})
+	call := newCall("early", epoch.Add(time.Minute))
+	call.Ctx.Idempotent = true
+	token, _ := g.Arrive(epoch, call, func(*Answer) {})
+	g.Leave(epoch, "early", token)
+	cancelled := false
+	g.OnCancel("early", func() { cancelled = true })
+	must.True(t, cancelled)
+}
+
+// A call that must run once loses its caller; a resend will want the answer.
+func TestKeyedCallIsNotCancelled(t *testing.T) {
+	g := newGuard(1, &fakeRunner{}, &fakeAuthority{})
+	call := newCall("letter", epoch.Add(time.Minute))
+	call.Ctx.Key = "k"
+	token, _ := g.Arrive(epoch, call, func(*Answer) {})
+	cancelled := false
+	g.OnCancel("letter", func() { cancelled = true })
+	g.Leave(epoch, "letter", token)
+	must.False(t, cancelled)
+	g.Finish(epoch, "letter", wholeAnswerOf(call, "signed"))
+	again := newCall("letter-again", epoch.Add(time.Minute))
+	again.Ctx.Key = "k"
+	_, answer := g.Arrive(epoch, again, func(*Answer) {})
+	must.EqOp(t, result.Replayed, answer.Code)
+	must.Eq(t, "signed", string(answer.Body))
+	must.EqOp(t, "letter-again", answer.CallID)
+}
+
+// A guard is refused its authority right before dispatch. The sender got the
+// refusal twice, as the result of Arrive and through its waiter.
+func TestRefusalAtDispatchIsToldOnce(t *testing.T) {
+	asked := 0
+	g := newGuard(1, &fakeRunner{}, &fakeAuthority{refuse: func() *result.Refusal {
+		asked++
+		if asked == 1 {
+			return nil
+		}
+		return result.Refuse(result.NoAuthority, "lapsed")
+	}})
+	call := newCall("lapsed", epoch.Add(time.Minute))
+	call.Ctx.Key = "k"
+	var waiter inbox
+	_, answer := g.Arrive(epoch, call, waiter.put)
+	must.EqOp(t, result.NoAuthority, answer.Code)
+	must.SliceEmpty(t, waiter.got)
+}
+
+// A POST without a key is answered over a connection that has gone silent, and
+// larger answers follow. The same call ID, sent again over a fresh connection,
+// ran a second time: the bytes of the answers had pushed the ID out as well.
+func TestBytesOfAnswersDoNotForgetCallIDs(t *testing.T) {
+	runner := &fakeRunner{}
+	g := newGuard(2, runner, &fakeAuthority{})
+	first := newCall("first", epoch.Add(time.Minute))
+	g.Arrive(epoch, first, func(*Answer) {})
+	g.Finish(epoch, "first", wholeAnswerOf(first, "done"))
+	large := newCall("large", epoch.Add(time.Minute))
+	g.Arrive(epoch, large, func(*Answer) {})
+	g.Finish(epoch, "large", wholeAnswerOf(large, strings.Repeat("x", 100)))
+	again := newCall("first", epoch.Add(time.Minute))
+	again.Reattach = true
+	_, answer := g.Arrive(epoch.Add(time.Second), again, func(*Answer) {})
+	must.Len(t, 2, runner.runs)
+	must.NotNil(t, answer)
+	must.EqOp(t, result.LostAnswer, answer.Code)
+	g.Tick(epoch.Add(time.Minute))
+	must.EqOp(t, 0, g.Busy())
+	must.MapEmpty(t, g.calls)
+}
+
+// The upstream dies with one call running and two queued. Those queued are
+// told at once that they did not run; the one that ran is not, and its request
+// is under suspicion.
+func TestUpstreamDiesWithCallsQueued(t *testing.T) {
+	runner := &fakeRunner{}
+	g := newGuard(1, runner, &fakeAuthority{})
+	var ran, second, third inbox
+	running := newCall("a", epoch.Add(time.Minute))
+	g.Arrive(epoch, running, ran.put)
+	g.Arrive(epoch, newCall("b", epoch.Add(time.Minute)), second.put)
+	g.Arrive(epoch, newCall("c", epoch.Add(time.Minute)), third.put)
+	_, suspects, first := g.UpstreamDown(epoch.Add(time.Second), "n")
+	must.True(t, first)
+	must.Len(t, 1, suspects)
+	g.Finish(epoch.Add(time.Second), "a", refusedWith(running, result.LostAnswer))
+	must.EqOp(t, result.NoUpstream, second.got[0].Code)
+	must.EqOp(t, result.NoUpstream, third.got[0].Code)
+	must.EqOp(t, result.RanUnknown, ran.got[0].Code.Ran())
+	must.Len(t, 1, runner.runs)
+	must.EqOp(t, 0, g.Busy())
+}
+
+// A resend of a key comes with another body: two different letters under one
+// key. The second is refused and does not run.
+func TestResendWithAnotherBody(t *testing.T) {
+	runner := &fakeRunner{}
+	g := newGuard(2, runner, &fakeAuthority{})
+	one := newCall("one", epoch.Add(time.Minute))
+	one.Ctx.Key, one.BodyHash = "k", 1
+	two := newCall("two", epoch.Add(time.Minute))
+	two.Ctx.Key, two.BodyHash = "k", 2
+	g.Arrive(epoch, one, func(*Answer) {})
+	_, answer := g.Arrive(epoch, two, func(*Answer) {})
+	must.EqOp(t, result.KeyReused, answer.Code)
+	must.EqOp(t, 422, answer.Code.HTTPStatus())
+	must.Len(t, 1, runner.runs)
+}
+
+// Two sendings wait under one key. The second one's first connection went
+// silent and holds its request still; its re-attachment was answered `ran: no`
+// with the first. Then the silent connection delivers, and the call ran.
+func TestRefusalOfAJoinedReattachmentStays(t *testing.T) {
+	runner := &fakeRunner{}
+	g := newGuard(2, runner, &fakeAuthority{claims: true})
+	one := newCall("one", epoch.Add(time.Minute))
+	one.Ctx.Key = "k"
+	late := newCall("two", epoch.Add(time.Minute))
+	late.Ctx.Key = "k"
+	again := *late
+	again.Reattach = true
+	var joined inbox
+	g.Arrive(epoch, one, func(*Answer) {})
+	g.Arrive(epoch, &again, joined.put)
+	g.Claimed(epoch, "one", result.Refuse(result.NoAuthority, "the log is out"))
+	must.EqOp(t, result.RanNo, joined.got[0].Code.Ran())
+	_, answer := g.Arrive(epoch, late, func(*Answer) {})
+	must.NotNil(t, answer)
+	must.EqOp(t, result.NoAuthority, answer.Code)
+	must.Len(t, 1, runner.claims)
+	must.SliceEmpty(t, runner.runs)
+}
