Dispatch: property test over random answers

Cause: nothing tested that the orders of a Dispatch keep the allowance and the truth of its final code over whole sequences of answers. Change: property test with answers that may lie about unused allowance; stories for a refusal after a lost answer, for the refusal of a re-attachment and for bodies of ended calls.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -99,9 +99,9 @@
 }
 
 type latencyCmd struct {
-	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
-	For     time.Duration ` default:"5s" help:"How long to measure."`
-	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
+	Rate float64       `default:"2000" help:"Calls a second, half of them direct."`
+	For  time.Duration ` default:"5s" help:"How long to measure."`
+	Seed uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
 // Run prints one JSON line.
--- /dev/null
+++ b/internal/node/dispatch_property_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+// fakeRouter knows some upstreams of one service.
+type fakeRouter struct {
+	table    *routing.Table
+	throttle *retry.Throttle
+	ids      int
+}
+
+func newFakeRouter(upstreams int) *fakeRouter {
+	var endpoints []routing.Endpoint
+	for i := range upstreams {
+		name := fmt.Sprintf("n%d", i)
+		endpoints = append(endpoints, routing.Endpoint{Node: name, Incarnation: 1, Zone: "z", Service: "s", Addr: "addr-" + name, Slots: 10, Joined: epoch.Add(-time.Hour)})
+	}
+	table := routing.NewTable(nil, routing.DefaultConfig(), routing.Self{Node: "entry", Zone: "z"}, endpoints, epoch)
+	return &fakeRouter{table: table, throttle: retry.NewThrottle(retry.DefaultThrottleConfig())}
+}
+
+func (r *fakeRouter) Table() *routing.Table                           { return r.table }
+func (r *fakeRouter) Owner(*Call) string                              { return "" }
+func (r *fakeRouter) Throttle(string) *retry.Throttle                 { return r.throttle }
+func (r *fakeRouter) RetryPolicy() retry.Policy                       { return retry.DefaultPolicy() }
+func (r *fakeRouter) Suspicion(time.Time, *Call) []quarantine.Suspect { return nil }
+func (r *fakeRouter) Witness(_ time.Time, _ *Call, _ *Answer)         {}
+func (r *fakeRouter) At(_, addr string) string                        { return addr[len("addr-"):] }
+func (r *fakeRouter) NewID() string                                   { r.ids++; return fmt.Sprintf("id%d", r.ids) }
+
+// sentAttempt is one attempt with its answer.
+type sentAttempt struct {
+	id, node string
+	ran      result.Ran
+	whole    bool
+}
+
+// anyAnswer draws how an attempt ends, with a claim of unused allowance that
+// may be a lie.
+func anyAnswer(t *rapid.T, order Order) *Answer {
+	code := rapid.SampledFrom([]result.Code{
+		result.OK, result.UpstreamFailed, result.Shed, result.QueueExpired, result.UpstreamShed, result.Draining,
+		result.Unreachable, result.LostAnswer, result.AnswerCut, result.AnswerMismatch, result.OwnedElsewhere,
+		result.Quarantined, result.OutcomeUnknown, result.NoAuthority, result.DeadlinePassed, result.CancelledRunning,
+	}).Draw(t, "code")
+	if code == result.OK || code == result.UpstreamFailed && rapid.Bool().Draw(t, "whole") {
+		a := wholeAnswerOf(order.Attempt, "x")
+		a.Code = code
+		return a
+	}
+	a := refusedWith(order.Attempt, code)
+	a.Refusal.Owner = "addr-n1"
+	a.Refusal.AllFull = rapid.IntRange(0, 4).Draw(t, "all full") == 0
+	a.Refusal.RetryAfter = 50 * time.Millisecond
+	a.Unused = rapid.IntRange(0, 9).Draw(t, "unused")
+	if code == result.LostAnswer && rapid.Bool().Draw(t, "crashed") {
+		a.Crashed = 7
+	}
+	return a
+}
+
+// Whatever answers come back: the attempts are bounded by the allowance, what
+// is lent out and retried never exceeds it, and the caller is told `ran: no`
+// only if every attempt was answered so.
+func TestDispatchProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		router := newFakeRouter(rapid.IntRange(1, 5).Draw(t, "upstreams"))
+		allowance := rapid.IntRange(0, 6).Draw(t, "allowance")
+		call := newCall("root", epoch.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond))
+		call.Ctx.Idempotent = rapid.Bool().Draw(t, "idempotent")
+		account := retry.NewAccount(allowance)
+		d := NewDispatch(router, rand.New(rand.NewPCG(1, uint64(allowance))), call, account)
+		now, final, attempts := epoch, (*Answer)(nil), []sentAttempt(nil)
+		bound := 1 + allowance + retry.DefaultPolicy().MaxOwnerAsks
+		for final == nil {
+			switch order := d.Next(now); order.Kind {
+			case OrderDone:
+				final = order.Answer
+			case OrderPause:
+				now = now.Add(order.Pause)
+			case OrderSend:
+				if lent := order.Attempt.Allowance; lent > allowance {
+					t.Fatalf("lent %d of %d", lent, allowance)
+				}
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "took")) * time.Millisecond)
+				a := anyAnswer(t, order)
+				attempts = append(attempts, sentAttempt{order.Attempt.Ctx.CallID, order.Target.Endpoint().Node, a.Code.Ran(), a.Whole()})
+				d.Observe(now, a)
+			}
+			if len(attempts) > bound {
+				t.Fatalf("%d attempts, bound %d", len(attempts), bound)
+			}
+		}
+		checkDispatch(t, d, account, allowance, attempts, final)
+	})
+}
+
+func checkDispatch(t *rapid.T, d *Dispatch, account *retry.Account, allowance int, attempts []sentAttempt, final *Answer) {
+	if d.retries+account.Balance() > allowance {
+		t.Fatalf("%d retries and %d left, allowance %d", d.retries, account.Balance(), allowance)
+	}
+	ids := map[string]bool{}
+	mayHaveRun := 0
+	for _, a := range attempts {
+		if ids[a.id] {
+			t.Fatalf("call ID %s was sent twice", a.id)
+		}
+		ids[a.id] = true
+		if a.ran != result.RanNo {
+			mayHaveRun++
+		}
+	}
+	if !final.Whole() && final.Code.Ran() == result.RanNo && mayHaveRun > 0 {
+		t.Fatalf("%d attempts may have run, the caller is told %d %s", mayHaveRun, int(final.Code), final.Code)
+	}
+	if !d.call.Ctx.Idempotent && mayHaveRun > 1 {
+		t.Fatalf("%d attempts of a call that is not idempotent may have run", mayHaveRun)
+	}
+	if final.Whole() && !attempts[len(attempts)-1].whole {
+		t.Fatalf("a whole answer that no attempt brought")
+	}
+}
+
+// The first attempt's answer is lost after the upstream ran it; the second
+// upstream refuses, being full. A caller told "not run" would send a new
+// request for a letter that went out.
+func TestRefusalAfterALostAnswerIsNotNo(t *testing.T) {
+	call := newCall("root", epoch.Add(time.Minute))
+	call.Ctx.Idempotent = true
+	d := NewDispatch(newFakeRouter(3), rand.New(rand.NewPCG(1, 1)), call, retry.NewAccount(2))
+	now := epoch
+	for _, code := range []result.Code{result.LostAnswer, result.Shed, result.Shed} {
+		order := d.Next(now)
+		for order.Kind == OrderPause {
+			now = now.Add(order.Pause)
+			order = d.Next(now)
+		}
+		must.EqOp(t, OrderSend, order.Kind)
+		a := refusedWith(order.Attempt, code)
+		a.Unused = order.Attempt.Allowance
+		d.Observe(now, a)
+	}
+	order := d.Next(now)
+	must.EqOp(t, OrderDone, order.Kind)
+	must.EqOp(t, result.LostAnswer, order.Answer.Code)
+}
--- a/internal/node/guard_story_test.go
+++ b/internal/node/guard_story_test.go
@@ -168,3 +168,32 @@
 	must.Len(t, 1, runner.claims)
 	must.SliceEmpty(t, runner.runs)
 }
+
+// Large requests end one after another. Their bodies stayed in memory for as
+// long as their answers, and nothing bounded them.
+func TestEndedCallsHoldNoBody(t *testing.T) {
+	g := newGuard(1, &fakeRunner{}, &fakeAuthority{})
+	call := newCall("large", epoch.Add(time.Minute))
+	call.Body = make([]byte, 1<<20)
+	g.Arrive(epoch, call, func(*Answer) {})
+	g.Finish(epoch, "large", wholeAnswerOf(call, "x"))
+	must.SliceEmpty(t, g.calls["large"].call.Body)
+}
+
+// A request lies in a connection that went silent. Its re-attachment finds the
+// guard without an upstream and is answered `ran: no`. The upstream comes, then
+// the silent connection delivers: the call must not run any more.
+func TestRefusalOfAReattachmentStays(t *testing.T) {
+	runner := &fakeRunner{}
+	g := NewGuard(DefaultGuardConfig(), 1, runner, &fakeAuthority{}, epoch)
+	late := newCall("a", epoch.Add(time.Minute))
+	again := *late
+	again.Reattach = true
+	_, answer := g.Arrive(epoch, &again, func(*Answer) {})
+	must.EqOp(t, result.NoUpstream, answer.Code)
+	g.UpstreamUp(epoch, limits(2))
+	_, answer = g.Arrive(epoch.Add(time.Second), late, func(*Answer) {})
+	must.NotNil(t, answer)
+	must.EqOp(t, result.NoUpstream, answer.Code)
+	must.SliceEmpty(t, runner.runs)
+}
