--- /dev/null
+++ b/internal/proxy/main_test.go
@@ -0,0 +1,11 @@
+package proxy
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fails when a test leaves a goroutine behind: each would be a call,
+// a connection or a rescue that never ends.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// Close closes the idle connections to the upstream.
+func (u *Upstream) Close() { u.client.CloseIdleConnections() }
+
 // Bind sets the node whose guard decides.
 func (u *Upstream) Bind(n *node.Node) { u.node = n }
 
