A late refusal no longer ends a call that its second sending runs

Cause: after several times the usual wait a call is sent again over a fresh connection. A refusal of the first sending that came after that was given to the caller as `ran: no`, although the guard had accepted the second sending. The caller would send a new request, and the letter went out twice. Change: once a second sending is out, a refusal of the first waits for its answer.

--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -142,15 +142,19 @@
 	}
 }
 
-// settle chooses between the two sendings. The first one counts if it brought
-// an answer; otherwise the second one's answer does.
+// settle chooses between the two sendings. A whole answer of the first one
+// counts at once; otherwise the second one's does.
+//
+// A refusal of the first that says "not run" is true of the first only: the
+// guard may take the second, should its upstream come or a slot become free in
+// between. It shows when the refusal is late, as after a lost packet: the caller
+// was told that nothing ran while the call ran. So the second is waited for.
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
-	lost := first.Code == result.LostAnswer || first.Code == result.CancelledRunning || first.Code == result.AnswerCut
-	if !rescued || !lost {
+	if !rescued || !superseded(first) {
 		return first
 	}
 	second := <-s.fresh
@@ -160,6 +164,19 @@
 	return second
 }
 
+// superseded reports whether the answer of a first sending leaves open what a
+// second one brings.
+func superseded(first *node.Answer) bool {
+	if first.Whole() {
+		return false
+	}
+	switch first.Code {
+	case result.LostAnswer, result.CancelledRunning, result.AnswerCut:
+		return true
+	}
+	return first.Code.Ran() == result.RanNo
+}
+
 func newTransport(dial DialFunc, single bool) *http.Transport {
 	if dial == nil {
 		dial = plainDial
