--- a/internal/proxy/resend_test.go
+++ b/internal/proxy/resend_test.go
@@ -111,7 +111,9 @@
 	w.connect(map[*testNode]string{middle: "archive", deep: "tracker"})
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan reply, 1)
-	go func() { done <- w.do(ctx, request{to: entry.callers.URL, method: "GET", service: "archive", timeout: 3 * giveUp}) }()
+	go func() {
+		done <- w.do(ctx, request{to: entry.callers.URL, method: "GET", service: "archive", timeout: 3 * giveUp})
+	}()
 	eventually(t, func() bool { return deepest.count("") == 1 })
 	leave()
 	must.Error(t, (<-done).err)
