--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -20,6 +20,7 @@
 	Check     checkCmd     `cmd:"" help:"Check a recorded history; the exit code is 1 if a promise is broken."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
 func main() {
@@ -100,7 +101,7 @@
 
 type latencyCmd struct {
 	Rate float64       `default:"2000" help:"Calls a second, half of them direct."`
-	For  time.Duration ` default:"5s" help:"How long to measure."`
+	For  time.Duration `default:"5s" help:"How long to measure."`
 	Seed uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/membership"
@@ -44,7 +42,6 @@
 type ownership struct {
 	server *Server
 	state  *node.Ownership
-	client *http.Client
 	kick   chan struct{}
 
 	moving sync.Mutex // held for one move of slots
@@ -55,11 +52,10 @@
 	incomplete map[membership.Identity]bool
 }
 
-func newOwnership(s *Server, id node.Identity, dial *http.Transport) *ownership {
+func newOwnership(s *Server, id node.Identity) *ownership {
 	return &ownership{
 		server:     s,
 		state:      node.NewOwnership(lease.DefaultConfig(), id),
-		client:     &http.Client{Transport: dial},
 		kick:       make(chan struct{}, 1),
 		incomplete: make(map[membership.Identity]bool),
 	}
@@ -94,8 +90,8 @@
 	if service == "" || o.server.node.Guard().Draining() {
 		return
 	}
-	live := o.server.control.live(service)
-	for _, action := range o.state.Plan(now, live) {
+	live := o.server.control.liveOf(service)
+	for _, action := range o.state.Plan(now, identities(live)) {
 		o.server.loop(func() { o.perform(ctx, action) })
 	}
 	if o.introductionDue(now) {
@@ -145,14 +141,8 @@
 	return s.own.state.Settled(s.node.Now())
 }
 
-func (o *ownership) control(addr string) controlClient {
-	return inner.NewControlClient(o.client, "http://"+addr)
-}
-
-// controlClient is what ownership asks of another node.
-type controlClient interface {
-	Promise(context.Context, *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error)
-	HandOver(context.Context, *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error)
+func (o *ownership) control(addr string) *controlClient {
+	return o.server.control.clients.client(addr)
 }
 
 // ask sends a question about slots; none of them only exchanges heads.
@@ -161,7 +151,7 @@
 	defer cancel()
 	head, proven := o.state.Head()
 	resp, err := o.control(addr).Promise(ctx, connect.NewRequest(&innerpb.PromiseRequest{
-		Owner:     o.server.nodeRef(),
+		Owner:     node.Ref(o.server.control.self()),
 		Service:   &innerpb.ServiceRef{Service: o.state.Local()},
 		Slots:     slotNumbers(slots),
 		ProofHead: head,
@@ -170,8 +160,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if from, ok := identityOf(resp.Msg.GetFrom()); ok && resp.Msg.GetProven() {
-		o.state.HeadSeen(from, resp.Msg.GetProofHead())
+	if resp.Msg.GetProven() {
+		o.state.HeadSeen(node.IdentityOf(resp.Msg.GetFrom()), resp.Msg.GetProofHead())
 	}
 	return resp.Msg, nil
 }
@@ -181,9 +171,7 @@
 	if err != nil || !resp.GetGranted() {
 		return
 	}
-	if from, ok := identityOf(resp.GetFrom()); ok {
-		o.state.Promised(a.At, from, a.Addr)
-	}
+	o.state.Promised(a.At, node.IdentityOf(resp.GetFrom()), a.Addr)
 }
 
 func (o *ownership) introductionDue(now time.Time) bool {
@@ -198,9 +186,9 @@
 
 // introduce tells the other guards how far this one has read and learns how
 // far they have: only then may it take slots that have had an owner.
-func (o *ownership) introduce(ctx context.Context, live []membership.Identity) {
-	for _, id := range live {
-		if m, ok := o.server.control.member(id); ok && id.Node != o.server.cfg.NodeID {
+func (o *ownership) introduce(ctx context.Context, live []membership.Member) {
+	for _, m := range live {
+		if m.Node != o.server.cfg.NodeID {
 			_, _ = o.ask(ctx, m.InnerAddr, nil)
 		}
 	}
@@ -208,10 +196,7 @@
 
 // Promise answers another guard; see lease.Lessor.OnPromiseRequest.
 func (o *ownership) Promise(_ context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
-	from, ok := identityOf(req.Msg.GetOwner())
-	if !ok {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("owner: incarnation must be hexadecimal"))
-	}
+	from := node.IdentityOf(req.Msg.GetOwner())
 	now := o.server.node.Now()
 	if req.Msg.GetProven() {
 		o.state.HeadSeen(from, req.Msg.GetProofHead())
@@ -220,7 +205,7 @@
 	granted := len(slots) > 0 && o.state.Promise(now, req.Msg.GetService().GetService(), from, slots)
 	head, proven := o.state.Head()
 	return connect.NewResponse(&innerpb.PromiseResponse{
-		From:      o.server.nodeRef(),
+		From:      node.Ref(o.server.control.self()),
 		Granted:   granted,
 		ProofHead: head,
 		Proven:    proven,
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -4,14 +4,15 @@
 	"context"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 // idleCheck is how often a stopping node looks whether calls are in flight.
 const idleCheck = 10 * time.Millisecond
 
+// flushTime is left for answers that are written to leave the machine.
+const flushTime = 20 * time.Millisecond
+
 // BeginDrain refuses new calls, truthfully, and hands the owned keys over: the
 // sooner they have a new owner, the fewer calls meet none.
 func (s *Server) BeginDrain() {
@@ -21,17 +22,13 @@
 func (s *Server) beginDrain() {
 	s.node.Guard().Drain(s.node.Now())
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.DrainStarted})
+	s.control.drain()
 	s.loop(func() {
 		defer close(s.handedOver)
 		s.own.handOverAll(context.Background())
 	})
 }
 
-func (c *control) leave() {
-	id := c.server.node.Identity()
-	c.append(platform.KindLeave, membership.Leave{ID: membership.Identity{Node: id.Node, Incarnation: id.Incarnation}})
-}
-
 // Shutdown stops the node without cutting a call: it refuses new ones, waits
 // for those in flight until ctx ends, and closes. It returns how many calls it
 // cut.
@@ -60,15 +57,27 @@
 }
 
 // closeServers lets handlers end: a call that this node took from a caller for
-// another guard is also in flight.
+// another guard is also in flight. The listener for other nodes is closed
+// once all their calls are answered, without the second that a graceful end of
+// HTTP/2 takes: callers that come meanwhile would find nobody.
 func (s *Server) closeServers(ctx context.Context) {
+	s.control.endHeld()
 	for _, srv := range s.servers {
+		if srv == s.innerServer {
+			continue
+		}
 		if err := srv.Shutdown(ctx); err != nil {
 			_ = srv.Close()
 		}
 	}
+	for s.proxy.Answering() > 0 && ctx.Err() == nil {
+		sleep(ctx, idleCheck)
+	}
+	sleep(ctx, flushTime)
+	_ = s.innerServer.Close()
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
 
@@ -79,5 +88,6 @@
 	}
 	s.stop()
 	s.peers.Close()
+	s.control.clients.close()
 	s.loops.Wait()
 }
