--- a/internal/callctx/headers.go
+++ b/internal/callctx/headers.go
@@ -58,6 +58,11 @@
 // Decode reads the headers of a caller. It returns a refusal with
 // result.BadContext naming the header and its bound.
 func Decode(h http.Header) (Raw, *result.Refusal) {
+	for _, name := range []string{HeaderIdempotent, HeaderPriority, HeaderTimeout, HeaderIssuedAt} {
+		if _, refusal := single(h, name); refusal != nil {
+			return Raw{}, refusal
+		}
+	}
 	raw := Raw{Idempotent: h.Get(HeaderIdempotent) == "true"}
 	fields := []struct {
 		header string
@@ -89,7 +94,10 @@
 		raw.HasLevel = true
 		raw.Level = ParseLevel(v)
 	}
-	return raw, raw.decodeTimes(h)
+	if refusal := raw.decodeTimes(h); refusal != nil {
+		return Raw{}, refusal
+	}
+	return raw, nil
 }
 
 func (r *Raw) decodeTimes(h http.Header) *result.Refusal {
@@ -136,6 +144,9 @@
 	return "", result.Refuse(result.BadContext, "header %s was sent %d times", name, len(values))
 }
 
+// ValidName reports whether s can name a workspace or a service in a header.
+func ValidName(s string) bool { return s != "" && len(s) <= MaxNameLen && isName(s) }
+
 func isName(s string) bool {
 	for i := range len(s) {
 		c := s[i]
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
-	"net"
+	"io"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -54,27 +58,39 @@
 }
 
 func (a *announcements) put(w http.ResponseWriter, r *http.Request) {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	dec.DisallowUnknownFields()
-	var got node.Announcement
-	if err := dec.Decode(&got); err != nil {
+	got, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	if err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := checkAnnouncement(got); err != "" {
-		http.Error(w, "announcement: "+err, http.StatusBadRequest)
-		return
-	}
 	a.accept(got)
 	a.answer(w)
 }
 
+// decodeAnnouncement reads one announcement and checks its bounds. What follows
+// it is an error: two documents in one body are no announcement.
+func decodeAnnouncement(r io.Reader) (node.Announcement, error) {
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	var got node.Announcement
+	if err := dec.Decode(&got); err != nil {
+		return node.Announcement{}, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return node.Announcement{}, errors.New("something follows the document")
+	}
+	if fault := checkAnnouncement(got); fault != "" {
+		return node.Announcement{}, errors.New(fault)
+	}
+	return got, nil
+}
+
 func checkAnnouncement(a node.Announcement) string {
-	if a.Service == "" || len(a.Service) > 64 {
-		return "service must have 1 to 64 bytes"
+	if !callctx.ValidName(a.Service) {
+		return "service must have 1 to 64 letters, digits, '-', '_' or '.'"
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
-		return "address must be IP:port: " + err.Error()
+	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 {
+		return "address must be IP:port with a port from 1 to 65535"
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
 		return "slots must be from 1 to 100000"
