--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -65,8 +65,8 @@
 }
 
 type joined struct {
-	callID string
-	wake   Waiter
+	call *Call
+	wake Waiter
 }
 
 // GuardConfig bounds what a guard keeps.
@@ -108,6 +108,8 @@
 	calls      map[string]*execution
 	done       []*execution // finished, oldest first
 	doneBytes  int64
+	// bare counts the oldest of done whose answer is no longer held.
+	bare       int
 	draining   bool
 	upstreamUp bool
 	slots      int
@@ -167,19 +169,6 @@
 	return token, answer
 }
 
-// remember keeps the answer given to a re-attachment whose call was never seen
-// here. The first sending may lie in the connection that went silent and be
-// delivered yet: it must find the same answer, or a call said not to have run
-// would run after all.
-func (g *Guard) remember(now time.Time, call *Call, a *Answer) {
-	if _, known := g.calls[call.Ctx.CallID]; known {
-		return
-	}
-	e := &execution{call: call, phase: phaseDone, arrived: now, ended: now, answer: a}
-	g.calls[call.Ctx.CallID] = e
-	g.keepLocked(now, e)
-}
-
 // attach joins a sending of a call that is already here: the connection of the
 // first went silent, and the call must not run again by it.
 func (e *execution) attach(w Waiter) (int, *Answer) {
@@ -257,7 +246,7 @@
 	if !ok || e.phase == phaseDone {
 		return g.refusedLocked(call, result.Refuse(result.OutcomeUnknown, "the running attempt has ended without an answer"))
 	}
-	e.joins = append(e.joins, joined{callID: call.Ctx.CallID, wake: w})
+	e.joins = append(e.joins, joined{call: call, wake: w})
 	return nil
 }
 
@@ -266,8 +255,7 @@
 		call:        call,
 		fingerprint: call.Fingerprint(),
 		account:     retry.NewAccount(call.Allowance),
-		waiters:     map[int]Waiter{1: w},
-		nextWaiter:  1,
+		waiters:     make(map[int]Waiter, 1),
 		arrived:     now,
 	}
 	g.calls[call.Ctx.CallID] = e
@@ -282,10 +270,9 @@
 	case admission.Run:
 		g.admittedLocked(now, e, d)
 	}
-	if e.phase == phaseDone {
-		return 0, e.answer
-	}
-	return 1, nil
+	// Attached only now: a refusal at dispatch goes back as the answer, and
+	// through the waiter the sender would get it a second time.
+	return e.attach(w)
 }
 
 // admittedLocked moves a call that got a slot on to its claim or its run.
@@ -351,10 +338,24 @@
 // OnCancel sets what stops the running call when nobody waits for it any more.
 func (g *Guard) OnCancel(callID string, cancel func()) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.calls[callID]; ok {
+	e, ok := g.calls[callID]
+	if ok {
 		e.cancel = cancel
 	}
+	// Everybody may have left between the start and this report; the upstream
+	// would then work to the end for nobody.
+	doomed := ok && e.doomed()
+	g.mu.Unlock()
+	if doomed {
+		cancel()
+	}
+}
+
+// doomed reports whether a running call may and should be stopped: nobody
+// waits for it, and running it again does no harm.
+func (e *execution) doomed() bool {
+	alone := len(e.waiters) == 0 && len(e.joins) == 0
+	return e.phase == phaseRunning && e.call.Ctx.Idempotent && alone
 }
 
 // Finish reports the end of a run.
@@ -376,105 +377,6 @@
 	d.settle()
 }
 
-// endLocked settles the key, closes the account and owes everyone the answer.
-func (g *Guard) endLocked(now time.Time, e *execution, a *Answer, d *due) {
-	e.phase = phaseDone
-	e.ended = now
-	a.Unused = e.account.Close()
-	a.Load = g.loadLocked()
-	e.answer = a
-	g.settleKeyLocked(now, e.call, a)
-	for _, w := range e.waiters {
-		*d = append(*d, func() { w(a) })
-	}
-	for _, j := range e.joins {
-		*d = append(*d, func() { j.wake(joinedAnswer(j.callID, a)) })
-	}
-	e.waiters = nil
-	e.joins = nil
-	g.keepLocked(now, e)
-}
-
-// settleKeyLocked records what is now known about the key. Only a code that
-// promises "not run" lets a resend run again.
-func (g *Guard) settleKeyLocked(now time.Time, call *Call, a *Answer) {
-	if !call.Keyed() {
-		return
-	}
-	key := keyOf(call)
-	switch {
-	case a.Whole():
-		g.keys.Finish(now, key, call.Ctx.CallID, idempotency.Answer{
-			Code: a.Code, Status: a.Status, Header: a.Header, Body: a.Body,
-		})
-	case a.Code.Ran() == result.RanNo:
-		g.keys.NotRun(now, key, call.Ctx.CallID)
-	default:
-		g.keys.Lost(now, key, call.Ctx.CallID)
-	}
-}
-
-func (g *Guard) forgetKeyLocked(now time.Time, call *Call) {
-	if call.Keyed() {
-		g.keys.NotRun(now, keyOf(call), call.Ctx.CallID)
-	}
-}
-
-// keepLocked keeps a finished call for re-attachments, within its bounds.
-func (g *Guard) keepLocked(now time.Time, e *execution) {
-	g.done = append(g.done, e)
-	g.doneBytes += int64(len(e.answer.Body))
-	g.trimLocked(now)
-}
-
-func (g *Guard) trimLocked(now time.Time) {
-	n := 0
-	for n < len(g.done) {
-		oldest := g.done[n]
-		young := now.Sub(oldest.ended) < g.cfg.KeepDone
-		if young && g.doneBytes <= g.cfg.KeepDoneBytes {
-			break
-		}
-		g.doneBytes -= int64(len(oldest.answer.Body))
-		delete(g.calls, oldest.call.Ctx.CallID)
-		g.done[n] = nil
-		n++
-	}
-	g.done = g.done[n:]
-}
-
-// Leave says that the holder of an attachment is gone. Waiting calls nobody
-// waits for give up their place. Running ones are cancelled if running them
-// again does no harm; a non-idempotent one goes on to its deadline, because
-// its effect may have begun and its resend will want the answer.
-func (g *Guard) Leave(now time.Time, callID string, token int) {
-	g.mu.Lock()
-	e, ok := g.calls[callID]
-	if !ok || e.phase == phaseDone {
-		g.mu.Unlock()
-		return
-	}
-	delete(e.waiters, token)
-	if len(e.waiters) > 0 || len(e.joins) > 0 {
-		g.mu.Unlock()
-		return
-	}
-	var d due
-	switch {
-	case e.phase == phaseQueued:
-		decisions := g.admission.Abandon(now, callID)
-		refusal := result.Refuse(result.Cancelled, "the caller left")
-		g.observer.refused(now, e.call, refusal)
-		g.endLocked(now, e, Refused(callID, refusal), &d)
-		g.applyLocked(now, decisions, &d)
-	case e.phase == phaseRunning && e.call.Ctx.Idempotent && e.cancel != nil:
-		g.observer.cancelled(now, e.call, "nobody waits for the running call")
-		d = append(d, e.cancel)
-	}
-	g.mu.Unlock()
-	d.settle()
-}
-
 // Tick expires waits; call it every few milliseconds while calls wait.
 func (g *Guard) Tick(now time.Time) {
 	g.mu.Lock()
@@ -539,30 +441,6 @@
 	return idempotency.Key{Workspace: c.Ctx.Workspace, Service: c.Ctx.Service, Key: c.Ctx.Key}
 }
 
-func replayed(call *Call, kept *idempotency.Answer) *Answer {
-	return &Answer{
-		CallID: call.Ctx.CallID,
-		Code:   result.Replayed,
-		Status: kept.Status,
-		Header: kept.Header,
-		Body:   kept.Body,
-		Unused: call.Allowance,
-	}
-}
-
-// joinedAnswer gives the answer of the running attempt to another with its
-// key. The joined call used nothing of its allowance, and its share is not
-// reported: an unreported share counts as spent, which errs on the safe side.
-func joinedAnswer(callID string, a *Answer) *Answer {
-	c := *a
-	c.CallID = callID
-	c.Unused = 0
-	if c.Whole() {
-		c.Code = result.Replayed
-	}
-	return &c
-}
-
 func outcomeOf(a *Answer) admission.Outcome {
 	switch a.Code {
 	case result.OK, result.UpstreamFailed:
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -191,20 +191,24 @@
 	}
 }
 
-// settle chooses between the two sendings. The first one counts if it brought
-// an answer; otherwise the second one's answer does. When the first one's
+// settle chooses between the two sendings. A whole answer of the first one
+// counts at once; otherwise the second one's does. When the first one's
 // connection broke before a second was out, the call is attached to again now.
+//
+// A refusal of the first that says "not run" is true of the first only: the
+// guard may take the second, should its upstream come or a slot become free in
+// between. It shows when the refusal is late, as after a lost packet: the caller
+// was told that nothing ran while the call ran. So the second is waited for.
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
-	broken := first.Code == result.LostAnswer || first.Code == result.AnswerCut
 	var second *node.Answer
 	switch {
-	case rescued && (broken || first.Code == result.CancelledRunning):
+	case rescued && superseded(first):
 		second = <-s.fresh
-	case broken && s.ctx.Err() == nil:
+	case !rescued && broken(first) && s.ctx.Err() == nil:
 		second = s.reattach()
 	default:
 		return first
@@ -215,6 +219,20 @@
 	return second
 }
 
+// broken reports whether the connection of a sending failed.
+func broken(first *node.Answer) bool {
+	return first.Code == result.LostAnswer || first.Code == result.AnswerCut
+}
+
+// superseded reports whether the answer of a first sending leaves open what a
+// second one brings.
+func superseded(first *node.Answer) bool {
+	if first.Whole() {
+		return false
+	}
+	return broken(first) || first.Code == result.CancelledRunning || first.Code.Ran() == result.RanNo
+}
+
 // reattach sends the call ID again over a fresh connection.
 func (s *sending) reattach() *node.Answer {
 	again := *s.attempt
