--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -233,6 +233,9 @@
 	ReportAt time.Time
 }
 
+// Ejected reports whether the target is out, or out until its probe returns.
+func (g *Target) Ejected() bool { return g.ejection.out() }
+
 // Stats returns a snapshot.
 func (g *Target) Stats() TargetStats {
 	s := TargetStats{
@@ -254,3 +257,12 @@
 	}
 	return s
 }
+
+// idle reports whether the last report and the calls that are out from here
+// leave a slot free.
+func (g *Target) idle() bool {
+	if g.report.waiting() > 0 {
+		return false
+	}
+	return g.report.others()+float64(g.inFlight.Load()) < float64(g.report.limit())
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
@@ -42,6 +43,7 @@
 // I/O.
 type control struct {
 	server   *Server
+	log      logState
 	clients  *controlClients
 	counters controlCounters
 	kick     chan struct{} // looks at the plane at once
@@ -94,6 +96,7 @@
 // Applied implements node.Follower.
 func (f follower) Applied(now time.Time, entries []platform.Entry) {
 	f.server.own.state.Apply(now, entries)
+	f.server.metrics.Inc(metrics.RecordsFolded, int64(len(entries)))
 	f.server.appender.Observe(entries)
 }
 
@@ -160,6 +163,10 @@
 	}
 }
 
+// awaitEnforced returns once what was folded so far is in force at this node.
+// A record counts as read back within the step that folds it, a moment before.
+func (c *control) awaitEnforced() { c.with(func(time.Time, *node.Plane) {}) }
+
 func (c *control) kickSoon() {
 	select {
 	case c.kick <- struct{}{}:
@@ -202,6 +209,9 @@
 	defer cancel()
 	sent := c.server.node.Now()
 	page, err := c.server.log.Read(readCtx, from, readMax, wait)
+	if ctx.Err() == nil {
+		c.noteRead(err)
+	}
 	var truncated *platform.TruncatedError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/server/events_rpc.go
@@ -0,0 +1,214 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	// maxFetched bounds the events of one FetchEvents answer.
+	maxFetched = 8192
+	// maxFetchedBytes bounds their text, with room for the rest of the message.
+	maxFetchedBytes = inner.MaxControlBytes - 64<<10
+)
+
+// eventsRPC is the part of the Control service that reads the time line. It
+// is made to be embedded.
+type eventsRPC struct{ server *Server }
+
+// FetchEvents implements the service.
+func (e eventsRPC) FetchEvents(_ context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	r := req.Msg
+	ring := e.server.node.Ring()
+	events := ring.Events(timeline.Filter{
+		CallID:    r.GetCallId(),
+		RequestID: r.GetRequestId(),
+		Workspace: r.GetWorkspace(),
+		Upstream:  r.GetUpstream(),
+		After:     timeline.HLC(r.GetAfterHlc()),
+	})
+	limit := maxFetched
+	if r.GetMaxEvents() > 0 {
+		limit = min(limit, int(r.GetMaxEvents()))
+	}
+	events, lines, err := fitting(newest(events, limit))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	e.server.node.Heard(r.GetHlc())
+	resp := &innerpb.FetchEventsResponse{
+		Hlc:       uint64(ring.Clock().Now(e.server.node.Now())),
+		JsonLines: lines,
+		Forgotten: ring.Forgotten(),
+	}
+	if len(events) > 0 {
+		resp.LastHlc = uint64(events[len(events)-1].HLC)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// FetchEvents implements innerpbconnect.ControlHandler.
+func (s service) FetchEvents(ctx context.Context, req *connect.Request[innerpb.FetchEventsRequest]) (*connect.Response[innerpb.FetchEventsResponse], error) {
+	return eventsRPC{s.control.server}.FetchEvents(ctx, req)
+}
+
+// fitting writes the newest events that an answer can hold.
+func fitting(events []timeline.Event) ([]timeline.Event, []byte, error) {
+	for {
+		var lines bytes.Buffer
+		if err := timeline.WriteJSONLines(&lines, events); err != nil {
+			return nil, nil, err
+		}
+		if lines.Len() <= maxFetchedBytes {
+			return events, lines.Bytes(), nil
+		}
+		events = events[len(events)/2:]
+	}
+}
+
+func newest(events []timeline.Event, limit int) []timeline.Event {
+	if limit > 0 && len(events) > limit {
+		return events[len(events)-limit:]
+	}
+	return events
+}
+
+func filterOf(f *adminpb.EventFilter) timeline.Filter {
+	tf := timeline.Filter{
+		CallID:    f.GetCallId(),
+		RequestID: f.GetRequestId(),
+		Workspace: f.GetWorkspace(),
+		Upstream:  f.GetUpstream(),
+	}
+	for _, k := range f.GetKinds() {
+		tf.Kinds = append(tf.Kinds, timeline.Kind(k))
+	}
+	return tf
+}
+
+// Timeline implements admin.Backend. Members that don't answer are named; what
+// the others have stands.
+func (b *backend) Timeline(ctx context.Context, r *adminpb.TimelineRequest) (*adminpb.TimelineResponse, error) {
+	filter := filterOf(r.GetFilter())
+	if since := r.GetSinceUnixMs(); since > 0 {
+		filter.After = timeline.HLCAt(time.UnixMilli(since))
+	}
+	ring := b.server.node.Ring()
+	resp := &adminpb.TimelineResponse{Forgotten: ring.Forgotten()}
+	streams := [][]timeline.Event{ring.Events(filter)}
+	if r.GetAllNodes() {
+		for _, f := range b.fetchAll(ctx, filter) {
+			if f.err != nil {
+				resp.UnreachableNodes = append(resp.UnreachableNodes, f.node)
+				continue
+			}
+			streams = append(streams, timeline.Select(f.events, filter))
+			resp.Forgotten += f.forgotten
+		}
+	}
+	limit := int(r.GetMaxEvents())
+	if limit == 0 {
+		limit = admin.MaxEvents
+	}
+	for _, e := range newest(timeline.Merge(streams...), limit) {
+		doc, err := eventJSON(e)
+		if err != nil {
+			return nil, err
+		}
+		resp.EventsJson = append(resp.EventsJson, doc)
+	}
+	return resp, nil
+}
+
+type fetched struct {
+	node      string
+	events    []timeline.Event
+	forgotten uint64
+	err       error
+}
+
+func (b *backend) fetchAll(ctx context.Context, f timeline.Filter) []fetched {
+	members := b.server.control.view().Members()
+	out := make([]fetched, len(members))
+	b.peers.each(ctx, members, func(ctx context.Context, i int) {
+		out[i].node = members[i].Node
+		if b.peers.own(members[i]) {
+			return
+		}
+		resp, err := b.peers.control(members[i]).FetchEvents(ctx, connect.NewRequest(&innerpb.FetchEventsRequest{
+			CallId: f.CallID, RequestId: f.RequestID, Workspace: f.Workspace, Upstream: f.Upstream,
+			AfterHlc: uint64(f.After), Hlc: uint64(b.server.node.Ring().Clock().Now(b.server.node.Now())),
+		}))
+		if err != nil {
+			out[i].err = err
+			return
+		}
+		b.server.node.Heard(resp.Msg.GetHlc())
+		out[i].forgotten = resp.Msg.GetForgotten()
+		out[i].events, out[i].err = timeline.ReadJSONLines(bytes.NewReader(resp.Msg.GetJsonLines()), maxFetched)
+	})
+	return out
+}
+
+func eventJSON(e timeline.Event) (string, error) {
+	var line bytes.Buffer
+	if err := timeline.WriteJSONLines(&line, []timeline.Event{e}); err != nil {
+		return "", err
+	}
+	return string(bytes.TrimRight(line.Bytes(), "\n")), nil
+}
+
+// followers counts the open event streams, for the metrics.
+type followers struct{ n atomic.Int64 }
+
+// Events implements admin.Backend: the events of this node.
+func (b *backend) Events(ctx context.Context, r *adminpb.EventsRequest, send func(*adminpb.EventsResponse) error) error {
+	b.server.followers.n.Add(1)
+	defer b.server.followers.n.Add(-1)
+	ring := b.server.node.Ring()
+	filter := filterOf(r.GetFilter())
+	events, position, _ := ring.Since(0, filter)
+	if err := sendEvents(newest(events, int(r.GetMaxEvents())), 0, send); err != nil {
+		return err
+	}
+	for r.GetFollow() {
+		select {
+		case <-ring.Wait(position):
+		case <-ctx.Done():
+			return nil
+		case <-b.server.stopping:
+			return nil
+		}
+		var missed uint64
+		events, position, missed = ring.Since(position, filter)
+		if err := sendEvents(events, missed, send); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sendEvents(events []timeline.Event, missed uint64, send func(*adminpb.EventsResponse) error) error {
+	for _, e := range events {
+		doc, err := eventJSON(e)
+		if err != nil {
+			return err
+		}
+		if err := send(&adminpb.EventsResponse{EventJson: doc, Skipped: missed}); err != nil {
+			return errors.Wrap(err, "send event")
+		}
+		missed = 0
+	}
+	return nil
+}
