Control plane: proofs keep pace down the tree; dropped connections are closed

Cause: a question was answered at its bound just before the fresh proof came, so proofs aged by up to an exchange at each level; connections dropped with a message under way stayed open for good (200 nodes ran out of 20,000 descriptors).

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -70,6 +70,10 @@
 	Dials       float64 `json:"dials_per_second_per_node"`
 	LogReads    float64 `json:"log_reads_per_second"`
 	LogAppends  float64 `json:"log_appends_per_second"`
+	// ProofAge is the age of the newest proof of the log's head: the median
+	// of all nodes and samples, and the oldest.
+	ProofAge    float64 `json:"proof_age_ms_median"`
+	ProofOldest float64 `json:"proof_age_ms_oldest"`
 	// CPU is of one core; the whole process, log and harness included, over
 	// the members.
 	CPU       float64 `json:"cpu_percent_per_node"`
--- a/internal/bench/control_measure.go
+++ b/internal/bench/control_measure.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -52,17 +53,34 @@
 	}
 	t := time.NewTicker(every)
 	defer t.Stop()
+	sample := time.NewTicker(proofSample)
+	defer sample.Stop()
+	var ages []time.Duration
 	for running := true; running; {
 		select {
+		case <-sample.C:
+			for _, n := range w.nodes {
+				ages = append(ages, n.ControlStats().ProofAge)
+			}
 		case <-t.C:
 			_, _ = w.publish()
 		case <-end.C:
 			running = false
 		}
 	}
-	return w.result(before, w.counts())
+	r := w.result(before, w.counts())
+	slices.Sort(ages)
+	if len(ages) > 0 {
+		r.ProofAge = float64(ages[len(ages)/2].Microseconds()) / 1000
+		r.ProofOldest = float64(ages[len(ages)-1].Microseconds()) / 1000
+	}
+	return r
 }
 
+// proofSample is the time between two looks at the age of all proofs; it is no
+// multiple of the exchange's period.
+const proofSample = 330 * time.Millisecond
+
 func (w *controlWorld) result(a, b controlCounts) ControlResult {
 	seconds := b.at.Sub(a.at).Seconds()
 	perNode := seconds * float64(w.opts.Members)
--- a/internal/node/plane.go
+++ b/internal/node/plane.go
@@ -147,9 +147,9 @@
 	news     uint64 // grows with whatever is to be passed down at once
 	upNews   uint64 // grows with whatever did not come from above
 	sentUp   uint64
-	ahead    Peer              // asked from further on than this node has got
-	failing  bool              // the last read of the log failed
-	told     map[string]uint64 // by node: news of the last answer
+	ahead    Peer            // asked from further on than this node has got
+	failing  bool            // the last read of the log failed
+	told     map[string]told // by node
 	failed   map[string]time.Time
 	answered time.Time // last exchange that was answered
 	crossed  uint64    // upNews of the last exchange with all zones
@@ -175,7 +175,7 @@
 		soft:     map[string]softMember{},
 		drains:   map[membership.Identity]drain{},
 		suspects: map[suspectKey]suspectNews{},
-		told:     map[string]uint64{},
+		told:     map[string]told{},
 		failed:   map[string]time.Time{},
 	}
 	p.detector.SetPeers(nil, membership.Identity{})
--- a/internal/node/plane_exchange.go
+++ b/internal/node/plane_exchange.go
@@ -164,26 +164,39 @@
 	}
 }
 
+// told is what the last answer to a node held.
+type told struct {
+	news  uint64
+	proof time.Time
+}
+
 // MustAnswer reports whether a question should not be held any longer: there
 // is news, or a fresher proof came late in an exchange.
+//
+// A proof is passed on as it comes, or its age would grow by up to an exchange
+// at each level of the tree. The zone's reader has one several times in an
+// exchange and keeps the pace; the others follow their parent's.
 func (p *Plane) MustAnswer(now, received time.Time, q *innerpb.ExchangeRequest) bool {
 	held := now.Sub(received)
+	last := p.told[q.GetFrom().GetNodeId()]
 	switch {
 	case held >= time.Duration(q.GetHoldUs())*time.Microsecond:
 		return true
 	case p.replica.Next() > int64(q.GetRecordsFrom()):
 		return true
-	case p.told[q.GetFrom().GetNodeId()] < p.news:
+	case last.news < p.news:
 		return true
 	}
-	// A proof that was read while the question waited is worth passing on just
-	// then: its age would grow at each level of the tree otherwise.
-	return held >= p.cfg.Exchange*4/5 && p.head.known && p.head.t0.After(received.Add(-p.cfg.Exchange/2))
+	least := p.cfg.Exchange / 2
+	if p.Leads() {
+		least = p.cfg.Exchange * 4 / 5
+	}
+	return held >= least && p.head.known && p.head.t0.After(last.proof)
 }
 
 // Answer makes the answer to a question that came at received.
 func (p *Plane) Answer(now, received time.Time, q *innerpb.ExchangeRequest) *innerpb.ExchangeResponse {
-	p.told[q.GetFrom().GetNodeId()] = p.news
+	p.told[q.GetFrom().GetNodeId()] = told{news: p.news, proof: p.head.t0}
 	a := &innerpb.ExchangeResponse{
 		From:        refOf(p.self),
 		Head:        p.headOf(now),
--- a/internal/node/planeworld_test.go
+++ b/internal/node/planeworld_test.go
@@ -241,7 +241,7 @@
 		to := w.reach(n, q.peer.Addr)
 		switch {
 		case to == nil:
-			if w.now.Sub(q.sent) > 1500*time.Millisecond {
+			if w.now.Sub(q.sent) > 2*time.Second {
 				n.plane.OnAskFailed(w.now, q.peer)
 				n.asked = nil
 			}
@@ -255,7 +255,7 @@
 		n.asked = nil
 	}
 	if peer, ok := n.plane.NextExchange(w.now); ok {
-		n.asked = n.ask(peer, time.Second)
+		n.asked = n.ask(peer, 1500*time.Millisecond)
 	}
 }
 
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -17,14 +17,16 @@
 )
 
 // controlClients keeps a client for each address. Control messages go over
-// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS: HTTP/2's compressed headers make a message cost less than half
-// of what it costs over HTTP/1.1, and a held question and a probe share a
-// connection.
+// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS. HTTP/2 keeps the headers
+// that repeat in a table, and a held question and a probe share a connection.
 type controlClients struct {
 	peers *proxy.Peers
 
 	mu   sync.Mutex
 	byID map[string]*controlClient
+	// retired still had messages under way when they were dropped. They are
+	// closed once these have ended; nothing else would ever do so.
+	retired []*controlClient
 }
 
 type controlClient struct {
@@ -65,10 +67,24 @@
 func (c *controlClients) sweepLocked(now time.Time) {
 	for addr, got := range c.byID {
 		if now.Sub(got.used) > controlIdle {
-			got.transport.CloseIdleConnections()
-			delete(c.byID, addr)
+			c.retireLocked(addr, got)
 		}
 	}
+	kept := c.retired[:0]
+	for _, got := range c.retired {
+		got.transport.CloseIdleConnections()
+		if now.Sub(got.used) <= 2*controlIdle {
+			kept = append(kept, got)
+		}
+	}
+	clear(c.retired[len(kept):])
+	c.retired = kept
+}
+
+func (c *controlClients) retireLocked(addr string, got *controlClient) {
+	got.transport.CloseIdleConnections()
+	delete(c.byID, addr)
+	c.retired = append(c.retired, got)
 }
 
 // drop forgets the connection to an address on which an answer failed to come:
@@ -77,8 +93,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if got, ok := c.byID[addr]; ok {
-		got.transport.CloseIdleConnections()
-		delete(c.byID, addr)
+		c.retireLocked(addr, got)
 	}
 }
 
@@ -93,5 +108,9 @@
 	for _, got := range c.byID {
 		got.transport.CloseIdleConnections()
 	}
+	for _, got := range c.retired {
+		got.transport.CloseIdleConnections()
+	}
 	clear(c.byID)
+	c.retired = nil
 }
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -21,7 +21,7 @@
 )
 
 // exchange asks the peer that the plane names, again and again: each question
-// is held there until there is news or a second has passed.
+// is held there until there is news or a fresh proof.
 func (c *control) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		woken := c.woken()
@@ -33,13 +33,18 @@
 			continue
 		}
 		began := time.Now()
-		news := c.ask(ctx, peer, c.server.cfg.Timing.Exchange.Std())
+		news := c.ask(ctx, peer, c.hold())
 		if !news && time.Since(began) < askPause {
 			sleep(ctx, askPause)
 		}
 	}
 }
 
+// hold is how long a question may be held. Fresh proofs answer most of them
+// after about an exchange; it is longer, or a question would be answered just
+// before the proof that it waits for.
+func (c *control) hold() time.Duration { return c.server.cfg.Timing.Exchange.Std() * 3 / 2 }
+
 // ask makes one exchange and reports whether it brought records. A question
 // that is held is given up for another one when this node has news itself.
 func (c *control) ask(ctx context.Context, peer node.Peer, hold time.Duration) bool {
--- a/internal/server/stats.go
+++ b/internal/server/stats.go
@@ -1,12 +1,18 @@
 package server
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // ControlStats counts since the start what a node's control plane sent.
 type ControlStats struct {
 	Exchanges, Probes, Spreads, Fetches uint64
 	// Reads and Appends count requests to the log, failed ones included.
 	Reads, Appends uint64
+	// ProofAge is the present age of the newest proof of the log's head; 0
+	// before the first.
+	ProofAge time.Duration
 }
 
 type controlCounters struct {
@@ -16,6 +22,12 @@
 // ControlStats returns the counters.
 func (s *Server) ControlStats() ControlStats {
 	n := &s.control.counters
+	s.control.mu.Lock()
+	age, known := s.control.plane.HeadAge(s.node.Now())
+	s.control.mu.Unlock()
+	if !known {
+		age = 0
+	}
 	return ControlStats{
 		Exchanges: n.exchanges.Load(),
 		Probes:    n.probes.Load(),
@@ -23,5 +35,6 @@
 		Fetches:   n.fetches.Load(),
 		Reads:     n.reads.Load(),
 		Appends:   uint64(s.appender.Stats().Appends),
+		ProofAge:  age,
 	}
 }
