--- a/internal/node/plane_exchange.go
+++ b/internal/node/plane_exchange.go
@@ -189,7 +189,7 @@
 	}
 	least := p.cfg.Exchange / 2
 	if p.Leads() {
-		least = p.cfg.Exchange * 4 / 5
+		least = p.cfg.Exchange * 3 / 5
 	}
 	return held >= least && p.head.known && p.head.t0.After(last.proof)
 }
