Scenarios of the log, partitions, pauses and operators

Cause: the bench had load and upstream faults only; outages of the log, lost acknowledgements, cut zones, paused nodes, racing operators and the replacement of every node were not measured. Change: six scenarios; each VM reaches the log through a wrapper that fails while its zone is cut and stands still while its node is paused; connections of a paused node stand still too, and a hook holds its calls between decision and dispatch. Operators publish changes, a watch follows every node's versions. Result gains the config, append, keyed and idempotent figures. Policy claims publishes the templates with a claim for each keyed call. run measures added latency first, prints progress to stderr and exits with 3 when a promise is broken. Connection errors of the stand-ins and the node's HTTP servers no longer go to stderr.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -26,58 +26,20 @@
 	ctx := kong.Parse(&args, kong.Name("galenabench"), kong.Description("Load and experiments for galenagrade on one machine."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "galenabench:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
-type runCmd struct {
-	Scenario   string `required:"" help:"Name of a scenario, or all."`
-	Deployment string `default:"all" enum:"chikugo,yardstick,all" help:"Deployment to run."`
-	Policy     string `default:"galenagrade" enum:"galenagrade,baseline" help:"What carries the calls."`
-	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
-	JSON       bool   `help:"One JSON line a run."`
-}
-
-// Run runs the chosen scenarios.
-func (c *runCmd) Run() error {
-	found := false
-	for _, s := range bench.Scenarios() {
-		if c.Scenario != "all" && c.Scenario != s.Name {
-			continue
-		}
-		found = true
-		if err := c.runOne(s); err != nil {
-			return err
-		}
-	}
-	if !found {
-		return errors.Errorf("--scenario %q is not known; galenabench scenarios lists them", c.Scenario)
-	}
-	return nil
-}
-
-func (c *runCmd) runOne(s bench.Scenario) error {
-	for _, d := range bench.Deployments() {
-		if c.Deployment != "all" && c.Deployment != d.Name {
-			continue
-		}
-		r, err := bench.Run(s, d, c.Policy, c.Seed)
-		if err != nil {
-			return errors.Wrapf(err, "%s on %s", s.Name, d.Name)
-		}
-		if err := c.print(r); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+// exitPromise is the exit code of a run that broke a promise; 1 is that of any
+// other failure, 2 is left to shells.
+const exitPromise = 3
 
-func (c *runCmd) print(r bench.Result) error {
-	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(r)
+func exitCode(err error) int {
+	var broken *brokenPromise
+	if errors.As(err, &broken) {
+		return exitPromise
 	}
-	printTable([]bench.Result{r})
-	return nil
+	return 1
 }
 
 type scenariosCmd struct{}
--- /dev/null
+++ b/cmd/galenabench/run.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/bench"
+)
+
+// probeFor is how long the added latency is measured before a run's load.
+const probeFor = 2 * time.Second
+
+// brokenPromise is a run in which something happened that never must.
+type brokenPromise struct{ runs []string }
+
+// Error implements error.
+func (e *brokenPromise) Error() string {
+	return "promises broken: " + strings.Join(e.runs, "; ")
+}
+
+// note adds what a run broke.
+func (e *brokenPromise) note(r *bench.Result) {
+	for _, v := range r.Violations() {
+		e.runs = append(e.runs, fmt.Sprintf("%s on %s, %s, seed %d: %s", r.Scenario, r.Deployment, r.Policy, r.Seed, v))
+	}
+}
+
+// err returns nil when every promise was kept.
+func (e *brokenPromise) err() error {
+	if len(e.runs) == 0 {
+		return nil
+	}
+	return e
+}
+
+type runCmd struct {
+	Scenario   string `required:"" help:"Name of a scenario, or all."`
+	Deployment string `default:"all" enum:"chikugo,yardstick,all" help:"Deployment to run."`
+	Policy     string `default:"galenagrade" enum:"galenagrade,claims,baseline,both" help:"What carries the calls; claims is galenagrade with a claim in the log for each non-idempotent call; both is baseline, then galenagrade."`
+	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
+	JSON       bool   `help:"One JSON line a run."`
+}
+
+// Run runs the chosen scenarios. Progress goes to stderr.
+func (c *runCmd) Run() error {
+	scenarios, err := chooseScenarios(c.Scenario)
+	if err != nil {
+		return err
+	}
+	var broken brokenPromise
+	for _, s := range scenarios {
+		for _, d := range chooseDeployments(c.Deployment) {
+			for _, policy := range choosePolicies(c.Policy) {
+				r, err := c.runOne(s, d, policy)
+				if err != nil {
+					return errors.Wrapf(err, "%s on %s", s.Name, d.Name)
+				}
+				broken.note(&r)
+			}
+		}
+	}
+	return broken.err()
+}
+
+func (c *runCmd) runOne(s bench.Scenario, d *bench.Deployment, policy string) (bench.Result, error) {
+	p := &progress{out: os.Stderr, title: fmt.Sprintf("%s %s %s", s.Name, d.Name, policy)}
+	r, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
+	if err != nil {
+		return r, err
+	}
+	if c.JSON {
+		return r, json.NewEncoder(os.Stdout).Encode(r)
+	}
+	printTable([]bench.Result{r})
+	return r, nil
+}
+
+func chooseScenarios(name string) ([]bench.Scenario, error) {
+	all := bench.Scenarios()
+	if name == "all" {
+		return all, nil
+	}
+	for _, s := range all {
+		if s.Name == name {
+			return []bench.Scenario{s}, nil
+		}
+	}
+	return nil, errors.Errorf("--scenario %q is not known; galenabench scenarios lists them", name)
+}
+
+func chooseDeployments(name string) []*bench.Deployment {
+	var list []*bench.Deployment
+	for _, d := range bench.Deployments() {
+		if name == "all" || name == d.Name {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+func choosePolicies(name string) []string {
+	if name == "both" {
+		return []string{bench.PolicyBaseline, bench.PolicyGalenagrade}
+	}
+	return []string{name}
+}
--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -64,6 +64,8 @@
 	// poison is the share of poisonous requests at present.
 	poison float64
 
+	meter meter
+
 	mu       sync.Mutex
 	outcomes []*Outcome
 	wg       sync.WaitGroup
@@ -73,7 +75,7 @@
 	return &callers{
 		world: w,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         w.network.Dialer(clients),
+			DialContext:         w.holding(w.network.Dialer(clients), nil),
 			MaxIdleConnsPerHost: connsPerHost,
 			MaxConnsPerHost:     connsPerHost,
 		}},
@@ -113,8 +115,10 @@
 	}
 	o.Poison = c.rng.Float64() < c.poison
 	caller := strconv.Itoa(c.rng.IntN(distinctCallers))
-	entry := c.world.vms[c.rng.IntN(len(c.world.vms))]
-	again := c.world.vms[c.rng.IntN(len(c.world.vms))]
+	vms := c.world.all()
+	entry := vms[c.rng.IntN(len(vms))]
+	again := vms[c.rng.IntN(len(vms))]
+	c.meter.arrived()
 	c.mu.Lock()
 	c.outcomes = append(c.outcomes, o)
 	c.mu.Unlock()
@@ -157,6 +161,9 @@
 		if ok {
 			o.Latency = time.Since(began)
 			o.Good = o.Latency <= patience
+			if o.Good {
+				c.meter.answered(o.Latency, c.world.deployment.Worth[o.Level])
+			}
 			return
 		}
 		select {
--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,10 @@
 			return w.baseline.call(ctx, v.zone, step, parent)
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         w.holding((&net.Dialer{}).DialContext, nil),
+		MaxIdleConnsPerHost: 512,
+	}}
 	return func(ctx context.Context, step upstream.Step, parent http.Header) (int, []byte, error) {
 		_, exit := v.entry()
 		req, err := childRequest(ctx, "http://"+exit, step, parent)
@@ -143,6 +147,7 @@
 type retryCounter struct {
 	mu    sync.Mutex
 	count map[string]int
+	sum   int
 }
 
 func newRetryCounter() *retryCounter { return &retryCounter{count: map[string]int{}} }
@@ -151,6 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count[root] += n
+	c.sum += n
 }
 
 // CallEnded implements node.Observer.
@@ -169,3 +175,9 @@
 	}
 	return most
 }
+
+func (c *retryCounter) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sum
+}
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -97,7 +97,7 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(w.ctx, stopBound)
 	defer cancel()
-	cut := v.node.Shutdown(ctx)
+	cut := v.running().Shutdown(ctx)
 	w.noteStop(cut, v.server.LastBegin().Sub(asked))
 	if err := w.startNode(v); err != nil {
 		return
@@ -128,7 +128,7 @@
 		if !w.reviving.Load() {
 			continue
 		}
-		for _, v := range w.vms {
+		for _, v := range w.all() {
 			w.restart(v)
 		}
 	}
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -65,7 +65,7 @@
 	slices.Sort(run.through)
 	micros := func(list []time.Duration, q float64) int64 { return quantile(list, q).Microseconds() }
 	return Added{
-		Rate: rate, Nodes: len(w.vms), Calls: len(run.direct) + len(run.through), Failed: run.failed,
+		Rate: rate, Nodes: len(w.all()), Calls: len(run.direct) + len(run.through), Failed: run.failed,
 		DirectP50: micros(run.direct, 0.50),
 		DirectP99: micros(run.direct, 0.99),
 		AddedP50:  micros(run.through, 0.50) - micros(run.direct, 0.50),
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -9,42 +9,6 @@
 	"github.com/galenagrade/galenagrade/internal/standin/upstream"
 )
 
-// Result is one run's figures; its JSON form is one line of output.
-type Result struct {
-	Scenario   string  `json:"scenario"`
-	Deployment string  `json:"deployment"`
-	Policy     string  `json:"policy"`
-	Seed       uint64  `json:"seed"`
-	Capacity   float64 `json:"capacity_rps"`
-	Offered    float64 `json:"offered_rps"`
-	// Goodput is whole useful answers while pressure lasts, over what the
-	// upstreams could have served of what was offered.
-	Goodput         float64 `json:"goodput"`
-	WeightedGoodput float64 `json:"weighted_goodput"`
-	// CriticalServed is the share of the highest class that got its answer.
-	CriticalServed    float64 `json:"critical_served"`
-	RecoverySeconds   float64 `json:"recovery_seconds"`
-	Recovered         bool    `json:"recovered"`
-	Duplicates        int     `json:"duplicates"`
-	FalseRefusals     int     `json:"false_refusals"`
-	WrongAnswers      int     `json:"wrong_answers"`
-	MaxRetries        int     `json:"max_retries_per_request"`
-	RetryAllowance    int     `json:"retry_allowance"`
-	CutInFlight       int     `json:"cut_in_flight"`
-	NewWorkAfterDrain int64   `json:"new_work_after_drain_ms"`
-	AddedP50          int64   `json:"added_p50_us"`
-	AddedP99          int64   `json:"added_p99_us"`
-	P50Millis         float64 `json:"p50_ms"`
-	P99Millis         float64 `json:"p99_ms"`
-	UpstreamCrashes   int     `json:"upstream_crashes"`
-	// MaxCrashes is the most upstreams that one request killed.
-	MaxCrashes int `json:"max_crashes_per_request"`
-	// Codes counts the final codes of sendings.
-	Codes map[int]int `json:"codes"`
-	// Details holds one explanation for each code of a refusal.
-	Details map[int]string `json:"details,omitempty"`
-}
-
 const (
 	// binWidth is the resolution of recovery.
 	binWidth = 250 * time.Millisecond
@@ -73,7 +37,12 @@
 	}
 	w.measureGoodput(&r, outcomes, ph)
 	r.RecoverySeconds, r.Recovered = recovery(outcomes, ph)
+	measureKinds(&r, outcomes, ph)
 	w.measurePromises(&r, outcomes)
+	r.ConfigReverts, r.ConfigInForce, r.ConfigChanges = w.watch.figures()
+	if w.operators != nil {
+		r.RaceRounds, r.RaceViolations = w.operators.figures()
+	}
 	return r
 }
 
@@ -210,14 +179,14 @@
 		}
 	}
 	r.MaxRetries = w.retries.max()
-	if w.policy == PolicyGalenagrade {
+	if w.managed() {
 		r.RetryAllowance = w.allowance()
 	}
 	w.mu.Lock()
 	r.CutInFlight = w.cut
 	r.NewWorkAfterDrain = max(0, w.newWork.Milliseconds())
 	w.mu.Unlock()
-	for _, v := range w.vms {
+	for _, v := range w.all() {
 		r.UpstreamCrashes += v.server.Crashes()
 	}
 }
@@ -225,7 +194,7 @@
 func (w *World) allowance() int {
 	most := 0
 	for _, svc := range w.deployment.Services {
-		if eff, ok := w.vms[0].node.Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
+		if eff, ok := w.all()[0].running().Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
 			most = max(most, eff.RetryAllowance)
 		}
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -1,33 +1,94 @@
 package bench
 
 import (
+	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Phases of a run.
+const (
+	PhaseSteady   = "steady"
+	PhasePressure = "pressure"
+	PhaseRecovery = "recovery"
 )
 
+// probeRate is the calls a second of the latency probe before a run's load.
+const probeRate = 2000
+
+// Options say how a scenario is run.
+type Options struct {
+	// Policy is PolicyGalenagrade, PolicyClaims or PolicyBaseline.
+	Policy string
+	// Seed of arrivals and faults.
+	Seed uint64
+	// Probe is how long the added latency is measured first; 0 for not at all.
+	Probe time.Duration
+	// OnSample may be nil; it gets what was seen in each SamplePeriod and must
+	// not block.
+	OnSample func(Sample)
+}
+
 // Run runs one scenario on a deployment under a policy.
 func Run(s Scenario, d *Deployment, policyName string, seed uint64) (Result, error) {
-	w, err := NewWorld(d, policyName, seed)
+	return RunWith(s, d, Options{Policy: policyName, Seed: seed})
+}
+
+// RunWith runs one scenario on a deployment.
+func RunWith(s Scenario, d *Deployment, opts Options) (Result, error) {
+	var added Added
+	if opts.Probe > 0 && opts.Policy != PolicyBaseline {
+		var err error
+		if added, err = MeasureAdded(probeRate, opts.Probe, opts.Seed); err != nil {
+			return Result{}, errors.Wrap(err, "latency probe")
+		}
+	}
+	w, err := NewWorld(d, opts.Policy, opts.Seed)
 	if err != nil {
 		return Result{}, err
 	}
 	defer w.Close()
+	r := w.play(s, opts)
+	r.AddedP50, r.AddedP99 = added.AddedP50, added.AddedP99
+	return r, nil
+}
+
+// play offers the scenario's load and faults, and measures.
+func (w *World) play(s Scenario, opts Options) Result {
 	c := newCallers(w)
-	steady := d.FullCapacity() * d.SteadyLoad
+	var phase atomic.Value
+	phase.Store(PhaseSteady)
+	stopSampling := w.sample(c, &phase, opts.OnSample)
+	stopPublishing := w.publishing(s.Operators)
+	steady := w.deployment.FullCapacity() * w.deployment.SteadyLoad
+	if s.Rate > 0 {
+		steady = s.Rate
+	}
 	c.offer(steady, s.Before)
-	pressure := time.Since(c.start)
+	var ph phases
+	ph.pressure = time.Since(c.start)
+	appends := w.log.Appends()
+	phase.Store(PhasePressure)
 	timers := w.schedule(s)
 	w.reviving.Store(s.Poison > 0)
 	c.poison = s.Poison
 	c.offer(steady*s.Surge, s.Pressure)
 	c.poison = 0
-	heal := time.Since(c.start)
+	ph.heal = time.Since(c.start)
+	appends = w.log.Appends() - appends
+	phase.Store(PhaseRecovery)
 	c.offer(steady, s.After)
-	end := time.Since(c.start)
+	ph.end = time.Since(c.start)
+	stopPublishing()
 	outcomes := c.wait()
+	stopSampling()
 	for _, t := range timers {
 		t.Stop()
 	}
-	return w.measure(s, seed, outcomes, phases{pressure, heal, end}), nil
+	r := w.measure(s, opts.Seed, outcomes, ph)
+	r.AppendsPerSecond = float64(appends) / (ph.heal - ph.pressure).Seconds()
+	return r
 }
 
 func (w *World) schedule(s Scenario) []*time.Timer {
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -21,6 +21,11 @@
 	Slowdown func(d *Deployment) map[string]float64
 	Gone     func(d *Deployment) map[string]float64
 	Events   func(d *Deployment) []Event
+	// Operators publish changes throughout; more than one race.
+	Operators int
+	// Rate is the load in ordinary times, in requests a second; 0 takes the
+	// deployment's.
+	Rate float64
 	// Poison is the share of requests that crash the upstreams which run them.
 	Poison float64
 }
@@ -83,6 +88,7 @@
 		},
 	}
 	list = append(list, faultScenarios()...)
+	list = append(list, outageScenarios()...)
 	for i := range list {
 		fillPhases(&list[i])
 	}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	// PolicyBaseline runs them from service to service with the usual
 	// timeouts, three retries a hop and least-loaded routing.
 	PolicyBaseline = "baseline"
+	// PolicyClaims is PolicyGalenagrade with a claim in the log for each
+	// non-idempotent call, in place of ownership.
+	PolicyClaims = "claims"
 	// clients is where callers are.
 	clients = "clients"
 	// announcePeriod is how often an upstream announces itself.
@@ -44,10 +48,12 @@
 	name, zone, service string
 	slots               int
 	server              *upstream.Server
-	node                *server.Server
 	stopping            atomic.Bool
+	// gate is shut while the VM's node is paused.
+	gate *gate
 
 	mu            sync.Mutex
+	node          *server.Server
 	callers, exit string
 }
 
@@ -58,6 +64,13 @@
 	return v.callers, v.exit
 }
 
+// running returns the node's present process; nil under the baseline.
+func (v *vm) running() *server.Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.node
+}
+
 // World is a running deployment.
 type World struct {
 	deployment *Deployment
@@ -67,11 +80,15 @@
 	network    *link.Network
 	ledger     *upstream.Ledger
 	retries    *retryCounter
-	vms        []*vm
 	baseline   *baselineRouter
 	reviving   atomic.Bool
+	watch      *configWatch
+	operators  *operators
+	// gates finds the gate of the process that listens at an address.
+	gates sync.Map
 
 	mu      sync.Mutex
+	vms     []*vm // replaced as a whole when one joins
 	cut     int
 	newWork time.Duration
 
@@ -92,6 +109,7 @@
 		ledger:     &upstream.Ledger{},
 		retries:    newRetryCounter(),
 	}
+	w.watch = newConfigWatch(w)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.baseline = newBaselineRouter(w)
 	w.wg.Add(1)
@@ -117,7 +135,7 @@
 }
 
 func (w *World) startAll() error {
-	if w.policy == PolicyGalenagrade {
+	if w.managed() {
 		if err := w.publish(); err != nil {
 			return err
 		}
@@ -131,7 +149,7 @@
 			}
 		}
 	}
-	if w.policy == PolicyGalenagrade {
+	if w.managed() {
 		return w.awaitReady()
 	}
 	return nil
@@ -147,6 +165,9 @@
 		return err
 	}
 	for _, t := range policy.Library() {
+		if w.policy == PolicyClaims {
+			t.Behaviour.AtMostOnce = policy.AtMostOnceClaims
+		}
 		if err := add(&policy.Publication{ID: "template-" + t.Name, Author: "bench", Template: &t}); err != nil {
 			return err
 		}
@@ -169,20 +190,22 @@
 }
 
 func (w *World) startVM(svc Service, name, zone string) error {
-	v := &vm{name: name, zone: zone, service: svc.Name, slots: svc.Slots}
-	w.vms = append(w.vms, v)
+	v := &vm{name: name, zone: zone, service: svc.Name, slots: svc.Slots, gate: newGate()}
 	v.server = upstream.New(upstream.Config{
 		Name: name, Service: svc.Name, Slots: svc.Slots, Connections: svc.Connections,
-		Operations: svc.Operations, Seed: w.seed*1000 + uint64(len(w.vms)),
+		Operations: svc.Operations, Seed: w.seed*1000 + uint64(len(w.all())+1),
 	}, w.childOf(v), w.ledger)
 	if err := v.server.Start(); err != nil {
 		return err
 	}
 	w.network.Place(v.server.Addr(), zone)
 	if w.policy == PolicyBaseline {
+		w.add(v)
 		return nil
 	}
-	if err := w.startNode(v); err != nil {
+	err := w.startNode(v)
+	w.add(v)
+	if err != nil {
 		return err
 	}
 	w.wg.Add(1)
@@ -204,10 +227,11 @@
 	cfg.Inner.Advertised = "127.0.0.1:0"
 	cfg.Admin.Address = "127.0.0.1:0"
 	n, err := server.Start(cfg, server.Options{
-		Log:      w.log,
-		Dial:     w.network.Dialer(v.zone),
-		Logger:   zerolog.Nop(),
-		Observer: w.retries,
+		Log:       &vmLog{log: w.log, network: w.network, zone: v.zone, gate: v.gate},
+		Dial:      w.holding(w.network.Dialer(v.zone), v.gate),
+		Logger:    zerolog.Nop(),
+		Observer:  w.retries,
+		BeforeRun: v.gate.wait,
 	})
 	if err != nil {
 		return errors.Wrap(err, v.name)
@@ -218,9 +242,33 @@
 	v.mu.Unlock()
 	w.network.Place(callers, v.zone)
 	w.network.Place(inner, v.zone)
+	for _, addr := range []string{callers, exit, inner} {
+		w.gates.Store(addr, v.gate)
+	}
 	return nil
 }
 
+// managed reports whether the calls run through nodes.
+func (w *World) managed() bool { return w.policy != PolicyBaseline }
+
+// all returns the VMs; the slice must not be changed.
+func (w *World) all() []*vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.vms
+}
+
+func (w *World) add(v *vm) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.vms = append(slices.Clone(w.vms), v)
+}
+
+// reachable reports whether a node runs and its zone is not cut off.
+func (w *World) reachable(v *vm) bool {
+	return !v.gate.paused() && !w.network.IsCut(v.zone, platformPlace)
+}
+
 // announce tells the node of the upstream, at once and then every second.
 func (w *World) announce(v *vm) {
 	t := time.NewTicker(announcePeriod)
@@ -265,13 +313,14 @@
 }
 
 func (w *World) ready() bool {
-	for _, v := range w.vms {
+	for _, v := range w.all() {
+		n := v.running()
 		for _, svc := range w.deployment.Services {
-			if len(v.node.Node().Table().Targets(svc.Name)) < svc.Upstreams {
+			if len(n.Node().Table().Targets(svc.Name)) < svc.Upstreams {
 				return false
 			}
 		}
-		if v.node.Node().Policy().Version() == 0 || !v.node.OwnersSettled() {
+		if n.Node().Policy().Version() == 0 || !n.OwnersSettled() {
 			return false
 		}
 	}
@@ -280,7 +329,7 @@
 
 func (w *World) upstreamsOf(service string) []*vm {
 	var list []*vm
-	for _, v := range w.vms {
+	for _, v := range w.all() {
 		if v.service == service {
 			list = append(list, v)
 		}
@@ -294,7 +343,7 @@
 	if v.server.Up() {
 		return
 	}
-	if err := v.server.Start(); err == nil && v.node != nil {
+	if err := v.server.Start(); err == nil && w.managed() {
 		w.announceOnce(v)
 	}
 }
@@ -303,9 +352,10 @@
 func (w *World) Close() {
 	w.cancel()
 	w.wg.Wait()
-	for _, v := range w.vms {
-		if v.node != nil {
-			v.node.Kill()
+	for _, v := range w.all() {
+		v.gate.resume()
+		if n := v.running(); n != nil {
+			n.Kill()
 		}
 		v.server.Crash()
 	}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -497,6 +497,13 @@
 	}
 }
 
+// Load returns what the guard reports to the senders of calls.
+func (g *Guard) Load() routing.LoadReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return *g.loadLocked()
+}
+
 func (g *Guard) loadLocked() *routing.LoadReport {
 	l := g.admission.Load()
 	return &routing.LoadReport{
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -38,6 +38,11 @@
 // Upstream runs admitted calls at the local upstream. It implements
 // node.Runner. Safe for concurrent use.
 type Upstream struct {
+	// BeforeRun is called between the decision to run a call and its dispatch;
+	// a test holds it there, as a paused process would. It may be nil, and must
+	// be set before calls.
+	BeforeRun func(context.Context) error
+
 	node    *node.Node
 	claimer Claimer
 	client  *http.Transport
@@ -169,6 +174,9 @@
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.BadContext, "request line: %v", err))
 	}
 	setUpstreamRequest(req, call)
+	if u.BeforeRun != nil {
+		_ = u.BeforeRun(ctx)
+	}
 	if !before.IsZero() && u.node.Now().After(before) {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.NoAuthority, "the authority ended before dispatch"))
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +47,8 @@
 	Logger zerolog.Logger
 	// Observer may be nil.
 	Observer node.Observer
+	// BeforeRun may be nil; see proxy.Upstream.BeforeRun.
+	BeforeRun func(context.Context) error
 }
 
 // Server is a running node. Make it with Start.
@@ -144,6 +147,7 @@
 	s.peers = proxy.NewPeers(opts.Dial)
 	s.control = newControl(s)
 	s.upstream = proxy.NewUpstream(s.control)
+	s.upstream.BeforeRun = opts.BeforeRun
 	id := s.identity()
 	s.own = newOwnership(s, id, &http.Transport{DialContext: opts.Dial})
 	s.node = node.New(node.Config{
@@ -221,6 +225,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
+		ErrorLog:          log.New(s.logger.With().Str("from", "net/http").Logger(), "", 0),
 	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = srv.Serve(l) })
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -54,6 +54,13 @@
 // Heal lets new connections through again.
 func (n *Network) Heal(a, b string) { n.setCut(a, b, false) }
 
+// IsCut reports whether nothing travels between two places at present.
+func (n *Network) IsCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[[2]string{a, b}]
+}
+
 func (n *Network) setCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -105,6 +107,8 @@
 	ledger *Ledger
 	slots  chan struct{}
 	slow   atomic.Int64 // factor on service times, in thousandths
+	// waiting counts requests without a slot.
+	waiting atomic.Int64
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -145,7 +149,8 @@
 	}
 	s.addr = l.Addr().String()
 	s.listener = &limitListener{Listener: l, room: make(chan struct{}, s.cfg.Connections)}
-	s.server = &http.Server{Handler: s}
+	// Errors of single connections are part of the experiments.
+	s.server = &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
 	s.started = time.Now()
 	go func(srv *http.Server, l net.Listener) { _ = srv.Serve(l) }(s.server, s.listener)
 	return nil
@@ -221,13 +226,11 @@
 	}
 	ctx, cancel := withTimeout(r)
 	defer cancel()
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	case <-ctx.Done():
+	if !s.takeSlot(ctx) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	defer func() { <-s.slots }()
 	run := s.ledger.begin(Run{
 		Op:      r.Header.Get(HeaderOp),
 		Attempt: r.Header.Get(HeaderAttempt),
@@ -245,6 +248,23 @@
 	s.execute(ctx, w, r, op, run)
 }
 
+// takeSlot waits for a slot, and reports false when ctx ends first.
+func (s *Server) takeSlot(ctx context.Context) bool {
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Load returns how many slots are in use and how many requests wait for one.
+func (s *Server) Load() (busy, waiting int) {
+	return len(s.slots), int(s.waiting.Load())
+}
+
 func (s *Server) began() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
