--- a/cmd/galenabench/demo.go
+++ b/cmd/galenabench/demo.go
@@ -15,55 +15,90 @@
 	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
 }
 
+// demoScenario is what the demo runs.
+const demoScenario = "surge"
+
 // Run runs the surge with and without galenagrade.
 func (c *demoCmd) Run() error {
+	scenarios, err := chooseScenarios(demoScenario)
+	if err != nil {
+		return err
+	}
+	s := scenarios[0]
+	d := chooseDeployments(c.Deployment)[0]
+	describe(d, s)
+	var broken brokenPromise
 	var results []bench.Result
-	for _, d := range bench.Deployments() {
-		if d.Name != c.Deployment {
-			continue
-		}
-		describe(d)
-		for _, p := range []string{bench.PolicyBaseline, bench.PolicyGalenagrade} {
-			fmt.Printf("running %s: steady, then surge, then recovery ...\n", p)
-			r, err := bench.Run(demoScenario(), d, p, c.Seed)
-			if err != nil {
-				return errors.Wrap(err, p)
-			}
-			results = append(results, r)
+	for _, policy := range []string{bench.PolicyBaseline, bench.PolicyGalenagrade} {
+		fmt.Printf("\n%s\n", policyStories[policy])
+		p := &progress{out: os.Stdout, title: fmt.Sprintf("  %-11s", policy)}
+		r, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
+		if err != nil {
+			return errors.Wrap(err, policy)
 		}
+		broken.note(&r)
+		results = append(results, r)
 	}
-	printTable(results)
-	return nil
+	fmt.Println()
+	printDemo(results)
+	return broken.err()
 }
 
-func demoScenario() bench.Scenario {
-	for _, s := range bench.Scenarios() {
-		if s.Name == "surge" {
-			return s
+var policyStories = map[string]string{
+	bench.PolicyBaseline: "baseline: services call each other directly, to the upstream with fewest calls in flight;\n" +
+		"every hop waits 1 s and tries 3 times more",
+	bench.PolicyGalenagrade: "galenagrade: the same calls through one node on each upstream VM\n" +
+		"(before that, what one hop adds to a call is measured for 2 s)",
+}
+
+// describe states the deployment and each way in which the run differs from
+// one on VMs of its own.
+func describe(d *bench.Deployment, s bench.Scenario) {
+	fmt.Printf("%s: zones %v, %s apart one way, callers %s away\n", d.Name, d.Zones, d.ZoneDelay, d.ClientDelay)
+	for _, svc := range d.Services {
+		fmt.Printf("  %-10s %d upstreams, %d slots and %d connections each\n", svc.Name, svc.Upstreams, svc.Slots, svc.Connections)
+	}
+	full := d.FullCapacity()
+	fmt.Printf("load: %.0f requests a second, %.0f%% of what the slots can serve; %s: %s\n",
+		full*d.SteadyLoad, 100*d.SteadyLoad, s.Name, s.Story)
+	fmt.Printf("a caller wants its answer within %s, and sends up to %d times\n", bench.Patience, bench.MaxSends)
+	fmt.Println("scaling: upstreams, slots, connections and delays are full size; instead of VMs all of it")
+	fmt.Println("  runs in this one process over loopback, and upstreams sleep for their service time;")
+	fmt.Printf("  a caller site opens at most %d connections to a node (fewer where the limit of open files is low);\n", bench.ConnsPerHost())
+	fmt.Printf("  time: %s steady, %s surge, %s recovery\n", s.Before, s.Pressure, s.After)
+}
+
+// printDemo prints what an operator would compare.
+func printDemo(results []bench.Result) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 3, ' ', 0)
+	fmt.Fprintln(w, "policy\tgoodput\tworth-weighted goodput\trecovery\tduplicates\tadded p99")
+	for _, r := range results {
+		added := "-"
+		if r.Policy != bench.PolicyBaseline {
+			added = fmt.Sprintf("%.2f ms", float64(r.AddedP99)/1000)
 		}
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%s\t%d\t%s\n",
+			r.Policy, r.Goodput, r.WeightedGoodput, recoveryText(r), r.Duplicates, added)
 	}
-	return bench.Scenario{}
+	_ = w.Flush()
+	fmt.Println("goodput: useful answers during the surge over what the upstreams could have served")
 }
 
-func describe(d *bench.Deployment) {
-	fmt.Printf("%s: zones %v, %s apart, callers %s away; about %.0f requests a second at full capacity\n",
-		d.Name, d.Zones, d.ZoneDelay, d.ClientDelay, d.FullCapacity())
-	for _, s := range d.Services {
-		fmt.Printf("  %-10s %d upstreams, %d slots and %d connections each\n", s.Name, s.Upstreams, s.Slots, s.Connections)
+// recoveryText is "never" for a run that ended before it had recovered.
+func recoveryText(r bench.Result) string {
+	if !r.Recovered {
+		return "never"
 	}
+	return fmt.Sprintf("%.2f s", r.RecoverySeconds)
 }
 
 func printTable(results []bench.Result) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "deployment\tscenario\tpolicy\toffered/s\tcapacity/s\tgoodput\tweighted\tcritical\trecovery s\tp50 ms\tp99 ms\tduplicates\tfalse refusals\twrong\tretries (max/allowed)")
+	fmt.Fprintln(w, "deployment\tscenario\tpolicy\toffered/s\tcapacity/s\tgoodput\tweighted\tcritical\trecovery\tp50 ms\tp99 ms\tduplicates\tfalse refusals\twrong\tretries (max/allowed)")
 	for _, r := range results {
-		recovery := fmt.Sprintf("%.2f", r.RecoverySeconds)
-		if !r.Recovered {
-			recovery = "never"
-		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%.3f\t%.3f\t%s\t%.1f\t%.1f\t%d\t%d\t%d\t%d/%d\n",
 			r.Deployment, r.Scenario, r.Policy, r.Offered, r.Capacity, r.Goodput, r.WeightedGoodput, r.CriticalServed,
-			recovery, r.P50Millis, r.P99Millis, r.Duplicates, r.FalseRefusals, r.WrongAnswers, r.MaxRetries, r.RetryAllowance)
+			recoveryText(r), r.P50Millis, r.P99Millis, r.Duplicates, r.FalseRefusals, r.WrongAnswers, r.MaxRetries, r.RetryAllowance)
 	}
 	_ = w.Flush()
 }
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,86 @@
+package bench_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/bench"
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
+
+// tiny is three VMs: one of a service with keyed requests, and two of the
+// service that it calls.
+func tiny() *bench.Deployment {
+	deep := upstream.Step{Service: "deep", Method: "GET", Path: "/read"}
+	return &bench.Deployment{
+		Name: "tiny", Region: "local", Zones: []string{"a", "b"},
+		Services: []bench.Service{
+			{Name: "front", Upstreams: 1, Slots: 8, Connections: 300, Operations: map[string]upstream.Operation{
+				"/write": {Mean: 5 * time.Millisecond, Steps: []upstream.Step{deep}},
+			}},
+			{Name: "deep", Upstreams: 2, Slots: 2, Connections: 300, Operations: map[string]upstream.Operation{
+				"/read": {Mean: 20 * time.Millisecond},
+			}},
+		},
+		Mix: []bench.Request{
+			{Name: "read", Service: "deep", Method: "GET", Path: "/read", Share: 0.5},
+			{Name: "write", Service: "front", Method: "POST", Path: "/write", Share: 0.5},
+		},
+		LevelShares: [callctx.Levels]float64{0.25, 0.25, 0.25, 0.25},
+		Worth:       [callctx.Levels]float64{8, 4, 2, 1},
+		SteadyLoad:  0.7,
+	}
+}
+
+// short cuts a scenario to about 2 s of load; events later than that don't
+// happen.
+func short(t *testing.T, name string) bench.Scenario {
+	for _, s := range bench.Scenarios() {
+		if s.Name == name {
+			s.Before, s.Pressure, s.After = 200*time.Millisecond, 1500*time.Millisecond, 300*time.Millisecond
+			return s
+		}
+	}
+	t.Fatalf("no scenario %q", name)
+	return bench.Scenario{}
+}
+
+// Whatever fails, and however slow this machine is: no keyed request runs
+// twice, no request told "not run" has run, every answer is its caller's own,
+// retries stay within the allowance, and a planned stop cuts nothing.
+func TestPromisesHoldInScenarios(t *testing.T) {
+	const poison = 0.02 // several requests of a short run
+	for _, name := range []string{"surge", "silent-connections", "rolling-restart", "crash-request", "lost-acks"} {
+		t.Run(name, func(t *testing.T) {
+			s := short(t, name)
+			if s.Poison > 0 {
+				s.Poison = poison
+			}
+			r, err := bench.Run(s, tiny(), bench.PolicyGalenagrade, 1)
+			must.NoError(t, err)
+			must.Positive(t, r.Codes[1000])
+			must.Eq(t, s.Poison > 0, r.UpstreamCrashes > 0)
+			must.Zero(t, r.Duplicates)
+			must.Zero(t, r.FalseRefusals)
+			must.Zero(t, r.WrongAnswers)
+			must.Zero(t, r.CutInFlight)
+			must.Zero(t, r.ConfigReverts)
+			must.Zero(t, r.RaceViolations)
+			must.LessEq(t, r.RetryAllowance, r.MaxRetries)
+			must.LessEq(t, 2, r.MaxCrashes)
+		})
+	}
+}
+
+// A broken promise must not pass for a good run.
+func TestViolations(t *testing.T) {
+	r := bench.Result{Policy: bench.PolicyGalenagrade, RetryAllowance: 2, MaxRetries: 2, NewWorkAfterDrain: 2000}
+	must.SliceEmpty(t, r.Violations())
+	r.Duplicates, r.MaxRetries, r.NewWorkAfterDrain = 1, 3, 2001
+	must.SliceLen(t, 3, r.Violations())
+	r.Policy = bench.PolicyBaseline
+	must.SliceEmpty(t, r.Violations())
+}
--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -17,12 +17,12 @@
 )
 
 const (
-	// patience is how long an answer is of use to a caller.
-	patience = 4 * time.Second
+	// Patience is how long an answer is of use to a caller.
+	Patience = 4 * time.Second
 	// sendTimeout is when a caller gives a sending up and sends again.
 	sendTimeout = 2 * time.Second
-	// maxSends bounds the sendings of one request.
-	maxSends = 4
+	// MaxSends bounds the sendings of one request.
+	MaxSends = 4
 	// resendPause is how soon a caller sends again, whatever it was told.
 	resendPause = 50 * time.Millisecond
 	// callersPerLevel is how many distinct callers there are.
@@ -76,8 +76,8 @@
 		world: w,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         w.holding(w.network.Dialer(clients), nil),
-			MaxIdleConnsPerHost: connsPerHost,
-			MaxConnsPerHost:     connsPerHost,
+			MaxIdleConnsPerHost: ConnsPerHost(),
+			MaxConnsPerHost:     ConnsPerHost(),
 		}},
 		start: time.Now(),
 		rng:   rand.New(rand.NewPCG(w.seed, 7)),
@@ -152,15 +152,15 @@
 // request sends until there is an answer, patience ends or the sends do.
 func (c *callers) request(o *Outcome, caller string, entries []*vm) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), Patience)
 	defer cancel()
-	for i := range maxSends {
+	for i := range MaxSends {
 		s := Sending{Attempt: o.Op + "." + strconv.Itoa(i)}
 		ok := c.send(ctx, o, &s, caller, entries[i%len(entries)])
 		o.Sends = append(o.Sends, s)
 		if ok {
 			o.Latency = time.Since(began)
-			o.Good = o.Latency <= patience
+			o.Good = o.Latency <= Patience
 			if o.Good {
 				c.meter.answered(o.Latency, c.world.deployment.Worth[o.Level])
 			}
--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -18,8 +18,6 @@
 	// hopTimeout and hopRetries are the usual settings of a service chain.
 	hopTimeout = time.Second
 	hopRetries = 3
-	// connsPerHost keeps one process within the machine's descriptors.
-	connsPerHost = 250
 )
 
 // childOf returns how an upstream calls deeper services.
@@ -87,7 +85,7 @@
 		r.clients[zone] = &http.Client{Transport: &http.Transport{
 			DialContext:         w.network.Dialer(zone),
 			MaxIdleConnsPerHost: 512,
-			MaxConnsPerHost:     connsPerHost,
+			MaxConnsPerHost:     ConnsPerHost(),
 		}}
 	}
 	return r
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -191,11 +191,15 @@
 	}
 }
 
+// allowance is asked of every node: one that has just been replaced may not
+// have read its configuration yet.
 func (w *World) allowance() int {
 	most := 0
-	for _, svc := range w.deployment.Services {
-		if eff, ok := w.all()[0].running().Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
-			most = max(most, eff.RetryAllowance)
+	for _, v := range w.all() {
+		for _, svc := range w.deployment.Services {
+			if eff, ok := v.running().Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
+				most = max(most, eff.RetryAllowance)
+			}
 		}
 	}
 	return most
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,8 @@
 	PhaseSteady   = "steady"
 	PhasePressure = "pressure"
 	PhaseRecovery = "recovery"
+	// PhaseFinish has no arrivals; the last requests end.
+	PhaseFinish = "finish"
 )
 
 // probeRate is the calls a second of the latency probe before a run's load.
@@ -70,7 +73,7 @@
 	ph.pressure = time.Since(c.start)
 	appends := w.log.Appends()
 	phase.Store(PhasePressure)
-	timers := w.schedule(s)
+	stopEvents := w.schedule(s)
 	w.reviving.Store(s.Poison > 0)
 	c.poison = s.Poison
 	c.offer(steady*s.Surge, s.Pressure)
@@ -80,21 +83,34 @@
 	phase.Store(PhaseRecovery)
 	c.offer(steady, s.After)
 	ph.end = time.Since(c.start)
+	phase.Store(PhaseFinish)
 	stopPublishing()
 	outcomes := c.wait()
 	stopSampling()
-	for _, t := range timers {
-		t.Stop()
-	}
+	stopEvents()
 	r := w.measure(s, opts.Seed, outcomes, ph)
 	r.AppendsPerSecond = float64(appends) / (ph.heal - ph.pressure).Seconds()
 	return r
 }
 
-func (w *World) schedule(s Scenario) []*time.Timer {
-	var timers []*time.Timer
+// schedule starts the scenario's events. The returned function drops those to
+// come and waits for those that go on: a planned stop is measured to its end.
+func (w *World) schedule(s Scenario) (stop func()) {
+	dropped := make(chan struct{})
+	var wg sync.WaitGroup
 	for _, e := range s.Events(w.deployment) {
-		timers = append(timers, time.AfterFunc(e.At, func() { e.Do(w) }))
+		wg.Go(func() {
+			t := time.NewTimer(e.At)
+			defer t.Stop()
+			select {
+			case <-t.C:
+				e.Do(w)
+			case <-dropped:
+			}
+		})
+	}
+	return func() {
+		close(dropped)
+		wg.Wait()
 	}
-	return timers
 }
