A refusal of one sending is not taken for the call's

After the usual wait an entry node sends the same call ID over a fresh connection. When the first sending was then refused, or its dial failed, its refusal was taken for the call's outcome, while the second arrived later and ran. Beside it, a kept connection that breaks makes the transport dial for a repeat, and a refused dial was taken for proof that nothing was sent. Change: with a second sending out, a refusal of the first waits for the second one's answer; a dial error proves nothing once a connection was there.

--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -175,6 +175,7 @@
 			}
 			if s.Ran == result.RanNo && s.Code != 0 && ran[s.Attempt] {
 				r.FalseRefusals++
+				r.evidence(o, s, runs)
 			}
 		}
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -1,6 +1,11 @@
 package bench
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+)
 
 // Result is one run's figures; its JSON form is one line of output.
 type Result struct {
@@ -59,6 +64,8 @@
 	MaxCrashes int `json:"max_crashes_per_request"`
 	// Codes counts the final codes of sendings.
 	Codes map[int]int `json:"codes"`
+	// Evidence tells of the first few false refusals.
+	Evidence []string `json:"evidence,omitempty"`
 	// Details holds one explanation for each code of a refusal.
 	Details map[int]string `json:"details,omitempty"`
 }
@@ -70,6 +77,25 @@
 	newWorkBound = 2000
 )
 
+// evidence tells what ran under a sending that was told that nothing did, and
+// what became of its request's other sendings.
+func (r *Result) evidence(o *Outcome, refused Sending, runs []upstream.Run) {
+	const most = 5
+	if len(r.Evidence) >= most {
+		return
+	}
+	text := fmt.Sprintf("%s arrived %s: sending %s refused with %d (%s);", o.Kind.Name, o.Arrived.Round(time.Millisecond), refused.Attempt, refused.Code, refused.Err)
+	for _, s := range o.Sends {
+		text += fmt.Sprintf(" %s -> %d", s.Attempt, s.Code)
+	}
+	for _, run := range runs {
+		if run.Attempt == refused.Attempt {
+			text += fmt.Sprintf("; ran %s%s done %t", run.Service, run.Path, run.Done)
+		}
+	}
+	r.Evidence = append(r.Evidence, text)
+}
+
 // Violations names each promise that the run broke. The baseline makes none.
 func (r *Result) Violations() []string {
 	if r.Policy == PolicyBaseline {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -31,7 +33,11 @@
 )
 
 func (s *sending) roundTrip(ctx context.Context, transport *http.Transport, attempt *node.Call) *node.Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "address %s: %v", s.to.Addr, err))
 	}
@@ -46,7 +52,7 @@
 	req.Header = header
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return lost(ctx, attempt, err)
+		return lost(ctx, attempt, connected.Load(), err)
 	}
 	defer resp.Body.Close()
 	return readInner(ctx, attempt, resp, s.to.Node)
@@ -62,8 +68,12 @@
 	return h
 }
 
-func lost(ctx context.Context, attempt *node.Call, err error) *node.Answer {
-	if isDialError(err) {
+// lost tells what the failure of a sending says. A dial error proves that
+// nothing was sent only if no connection came before it: when a kept connection
+// breaks under a request, the transport dials for the repeat, and a peer that
+// died after running the call refuses that dial.
+func lost(ctx context.Context, attempt *node.Call, connected bool, err error) *node.Answer {
+	if isDialError(err) && !connected {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "no connection: %v", err))
 	}
 	if ctx.Err() != nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -143,14 +143,18 @@
 }
 
 // settle chooses between the two sendings. The first one counts if it brought
-// an answer; otherwise the second one's answer does.
+// an answer, or says that nobody can know; otherwise the second one's answer
+// does. So it is too when the first was refused as not run: the guard refused
+// that sending only, or its dial failed, and the second may have arrived later
+// and run. Taken for the call's end, the refusal would be false.
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
 	lost := first.Code == result.LostAnswer || first.Code == result.CancelledRunning || first.Code == result.AnswerCut
-	if !rescued || !lost {
+	refused := !first.Whole() && first.Code.Ran() == result.RanNo
+	if !rescued || !lost && !refused {
 		return first
 	}
 	second := <-s.fresh
--- /dev/null
+++ b/internal/proxy/peers_test.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// guard serves what a test says in place of a guard, and returns the sender of
+// calls to it.
+func guard(t *testing.T, serve func(l net.Listener, h *innerpb.CallHeader, w http.ResponseWriter)) func(callID string) *node.Answer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
+		must.NoError(t, err)
+		serve(l, h, w)
+	})}
+	go func() { _ = srv.Serve(l) }()
+	peers := NewPeers(nil)
+	peers.Bind(node.New(node.Config{Clock: wallClock{}, Ring: timeline.NewRing("n", 16, &timeline.Clock{})}))
+	t.Cleanup(func() {
+		peers.Close()
+		_ = srv.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	return func(callID string) *node.Answer {
+		call := &node.Call{Ctx: callctx.Context{RequestID: callID, CallID: callID, Workspace: "w", Service: "s", Deadline: time.Now().Add(time.Minute)}, Method: "POST", Target: "/"}
+		return peers.Send(ctx, routing.Endpoint{Node: "g", Addr: l.Addr().String()}, call)
+	}
+}
+
+func whole(callID string) *node.Answer {
+	return &node.Answer{CallID: callID, Code: result.OK, Status: http.StatusOK}
+}
+
+// A caller is told "not run", and the upstream has run its request. The guard
+// gets the call over a kept connection, runs it and dies before it answers; the
+// transport repeats the request, and the dial for that is refused.
+func TestDialErrorAfterSendingIsNoRefusal(t *testing.T) {
+	send := guard(t, func(l net.Listener, h *innerpb.CallHeader, w http.ResponseWriter) {
+		if h.GetCallId() == "kept" {
+			writeInner(w, whole("kept"))
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		must.NoError(t, err)
+		must.NoError(t, l.Close())
+		must.NoError(t, conn.Close())
+	})
+	must.Eq(t, result.OK, send("kept").Code)
+	must.Eq(t, result.LostAnswer, send("ran").Code)
+	must.Eq(t, result.Unreachable, send("never sent").Code)
+}
+
+// A caller is told "not run", and the upstream has run its request. The first
+// sending is held up, so the call is sent again over a fresh connection; the
+// guard refuses the first, which lacked authority, and runs the second.
+func TestRefusalOfOneSendingIsNotTheCalls(t *testing.T) {
+	second, refused := make(chan struct{}), make(chan struct{})
+	send := guard(t, func(_ net.Listener, h *innerpb.CallHeader, w http.ResponseWriter) {
+		if h.GetReattach() {
+			close(second)
+			<-refused
+			writeInner(w, whole("c"))
+			return
+		}
+		<-second
+		writeInner(w, node.Refused("c", result.Refuse(result.NoAuthority, "last proof is too old")))
+		close(refused)
+	})
+	must.Eq(t, result.OK, send("c").Code)
+}
