galenabench report: the course of a run under both policies

Cause: figures of a whole run don't show when goodput fell or came back. Measured: the package's tests pass; no report of a real run has been looked at yet. Conclusion: look at one, then mend what can't be read.

--- a/cmd/galenabench/demo.go
+++ b/cmd/galenabench/demo.go
@@ -78,27 +78,19 @@
 			added = fmt.Sprintf("%.2f ms", float64(r.AddedP99)/1000)
 		}
 		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%s\t%d\t%s\n",
-			r.Policy, r.Goodput, r.WeightedGoodput, recoveryText(r), r.Duplicates, added)
+			r.Policy, r.Goodput, r.WeightedGoodput, r.Recovery(), r.Duplicates, added)
 	}
 	_ = w.Flush()
 	fmt.Println("goodput: useful answers during the surge over what the upstreams could have served")
 }
 
-// recoveryText is "never" for a run that ended before it had recovered.
-func recoveryText(r bench.Result) string {
-	if !r.Recovered {
-		return "never"
-	}
-	return fmt.Sprintf("%.2f s", r.RecoverySeconds)
-}
-
 func printTable(results []bench.Result) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "deployment\tscenario\tpolicy\toffered/s\tcapacity/s\tgoodput\tweighted\tcritical\trecovery\tp50 ms\tp99 ms\tduplicates\tfalse refusals\twrong\tretries (max/allowed)")
 	for _, r := range results {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f\t%.0f\t%.3f\t%.3f\t%.3f\t%s\t%.1f\t%.1f\t%d\t%d\t%d\t%d/%d\n",
 			r.Deployment, r.Scenario, r.Policy, r.Offered, r.Capacity, r.Goodput, r.WeightedGoodput, r.CriticalServed,
-			recoveryText(r), r.P50Millis, r.P99Millis, r.Duplicates, r.FalseRefusals, r.WrongAnswers, r.MaxRetries, r.RetryAllowance)
+			r.Recovery(), r.P50Millis, r.P99Millis, r.Duplicates, r.FalseRefusals, r.WrongAnswers, r.MaxRetries, r.RetryAllowance)
 	}
 	_ = w.Flush()
 }
--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -17,6 +17,7 @@
 type cli struct {
 	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
+	Report    reportCmd    `cmd:"" help:"Run a scenario under both policies and draw their courses into an HTML file."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
 }
--- /dev/null
+++ b/internal/bench/report/report.go
@@ -0,0 +1,129 @@
+// Package report draws the course of runs into one HTML file that needs
+// nothing else: the charts are SVG inside it.
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+
+	"github.com/galenagrade/galenagrade/internal/bench"
+)
+
+// Run is one run with its course.
+type Run struct {
+	Result  bench.Result
+	Samples []bench.Sample
+}
+
+// pressure returns from when to when pressure lasted, in seconds.
+func (r *Run) pressure() (from, to float64) {
+	for i := range r.Samples {
+		s := &r.Samples[i]
+		if s.Phase != bench.PhasePressure {
+			continue
+		}
+		if from == 0 {
+			from = max(0, (s.At - bench.SamplePeriod).Seconds())
+		}
+		to = s.At.Seconds()
+	}
+	return from, to
+}
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Parse(pageText))
+
+// row is one chart for each run.
+type row struct{ Charts []template.HTML }
+
+// figure is one line of the table.
+type figure struct {
+	Name, Help string
+	Values     []string
+}
+
+type document struct {
+	Scenario, Story, Deployment string
+	Seed                        uint64
+	Offered, Capacity           string
+	Policies                    []string
+	Figures                     []figure
+	Rows                        []row
+}
+
+// Write draws runs of one scenario on one deployment, beside each other.
+func Write(w io.Writer, s bench.Scenario, d *bench.Deployment, runs []Run) error {
+	if len(runs) == 0 {
+		return fmt.Errorf("report: runs is empty, must hold at least one")
+	}
+	doc := document{
+		Scenario: s.Name, Story: s.Story, Deployment: d.Name,
+		Seed:     runs[0].Result.Seed,
+		Offered:  fmt.Sprintf("%.0f", runs[0].Result.Offered),
+		Capacity: fmt.Sprintf("%.0f", runs[0].Result.Capacity),
+		Figures:  figures(runs),
+	}
+	seconds := 0.0
+	for i := range runs {
+		doc.Policies = append(doc.Policies, runs[i].Result.Policy)
+		if n := len(runs[i].Samples); n > 0 {
+			seconds = max(seconds, runs[i].Samples[n-1].At.Seconds())
+		}
+	}
+	for _, c := range charts(d.Deepest()) {
+		r, err := drawRow(&c, runs, seconds)
+		if err != nil {
+			return err
+		}
+		doc.Rows = append(doc.Rows, r)
+	}
+	return page.Execute(w, doc)
+}
+
+func drawRow(c *chart, runs []Run, seconds float64) (row, error) {
+	var r row
+	top := c.top(runs)
+	for i := range runs {
+		drawn, err := c.draw(&runs[i], top, seconds)
+		if err != nil {
+			return r, fmt.Errorf("chart %q of %s: %w", c.title, runs[i].Result.Policy, err)
+		}
+		r.Charts = append(r.Charts, drawn)
+	}
+	return r, nil
+}
+
+func figures(runs []Run) []figure {
+	list := []struct {
+		name, help string
+		value      func(*bench.Result) string
+	}{
+		{"goodput", "useful answers while pressure lasted, over what the upstreams could have served",
+			func(r *bench.Result) string { return fmt.Sprintf("%.3f", r.Goodput) }},
+		{"worth-weighted goodput", "the same by worth, over the worthiest that could have been served",
+			func(r *bench.Result) string { return fmt.Sprintf("%.3f", r.WeightedGoodput) }},
+		{"highest class answered", "share of the requests of the highest class",
+			func(r *bench.Result) string { return fmt.Sprintf("%.3f", r.CriticalServed) }},
+		{"recovery", "time after pressure until requests are answered as before",
+			(*bench.Result).Recovery},
+		{"latency p50 / p99", "of good answers while pressure lasted",
+			func(r *bench.Result) string { return fmt.Sprintf("%.0f / %.0f ms", r.P50Millis, r.P99Millis) }},
+		{"duplicates", "side effects beyond the first",
+			func(r *bench.Result) string { return fmt.Sprint(r.Duplicates) }},
+		{"retries of one request", "the most within the system, over its whole tree",
+			func(r *bench.Result) string { return fmt.Sprint(r.MaxRetries) }},
+	}
+	var out []figure
+	for _, f := range list {
+		fig := figure{Name: f.name, Help: f.help}
+		for i := range runs {
+			fig.Values = append(fig.Values, f.value(&runs[i].Result))
+		}
+		out = append(out, fig)
+	}
+	return out
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -96,6 +96,15 @@
 	r.Evidence = append(r.Evidence, text)
 }
 
+// Recovery is the time until recovery in words; "never" for a run that ended
+// before.
+func (r *Result) Recovery() string {
+	if !r.Recovered {
+		return "never"
+	}
+	return fmt.Sprintf("%.2f s", r.RecoverySeconds)
+}
+
 // Violations names each promise that the run broke. The baseline makes none.
 func (r *Result) Violations() []string {
 	if r.Policy == PolicyBaseline {
