--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -206,6 +208,7 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		s.Err = err.Error()
+		s.Ran = ranUnsent(err)
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -220,6 +223,16 @@
 	return c.check(json.NewDecoder(resp.Body), o, s)
 }
 
+// ranUnsent tells what a caller knows of a sending without an answer: no
+// connection, nothing run.
+func ranUnsent(err error) result.Ran {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.RanNo
+	}
+	return result.RanUnknown
+}
+
 func (c *callers) sendBaseline(ctx context.Context, o *Outcome, s *Sending, header http.Header) bool {
 	step := upstream.Step{Service: o.Kind.Service, Method: o.Kind.Method, Path: o.Kind.Path}
 	status, body, err := c.world.baseline.call(ctx, clients, step, header)
--- a/internal/bench/measure_keyed.go
+++ b/internal/bench/measure_keyed.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, s := range o.Sends {
-		if s.Code == 0 || s.Ran == result.RanUnknown {
+		if s.Ran == result.RanUnknown || s.Ran == "" {
 			r.UnknownOutcomes++
 			return
 		}
--- a/internal/bench/report/chart.go
+++ b/internal/bench/report/chart.go
@@ -22,8 +22,11 @@
 	chartHeight = 7 * vg.Centimeter
 	textSize    = vg.Length(10)
 	lineWidth   = vg.Length(1.6)
-	// headroom keeps the highest line clear of the legend.
-	headroom = 1.25
+	// headroom and loggedHeadroom keep the highest line clear of the legend.
+	headroom       = 1.45
+	loggedHeadroom = 6
+	// tickSeconds is the distance of labels on the axis of time.
+	tickSeconds = 5
 	// leastLogged is the lower end of a logarithmic axis, in its unit.
 	leastLogged = 10
 )
@@ -110,9 +113,10 @@
 	p.X.Label.Text = "s since the run's start"
 	p.Y.Label.Text = c.unit
 	p.X.Min, p.X.Max = 0, seconds
+	p.X.Tick.Marker = plot.TickerFunc(timeTicks)
 	p.Y.Min, p.Y.Max = 0, top*headroom
 	if c.log {
-		p.Y.Min, p.Y.Max = leastLogged, math.Pow(10, math.Ceil(math.Log10(top)))
+		p.Y.Min, p.Y.Max = leastLogged, max(top, leastLogged)*loggedHeadroom
 		p.Y.Scale = plot.LogScale{}
 		p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
 	}
@@ -131,6 +135,19 @@
 	return svg(p)
 }
 
+// timeTicks marks each second and labels some.
+func timeTicks(from, to float64) []plot.Tick {
+	var ticks []plot.Tick
+	for second := int(math.Ceil(from)); float64(second) <= to; second++ {
+		tick := plot.Tick{Value: float64(second)}
+		if second%tickSeconds == 0 {
+			tick.Label = fmt.Sprint(second)
+		}
+		ticks = append(ticks, tick)
+	}
+	return ticks
+}
+
 func style(p *plot.Plot) {
 	face := font.Font{Typeface: "Liberation", Variant: "Sans", Size: textSize}
 	for _, text := range []*font.Font{
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -114,7 +114,7 @@
 			func(r *bench.Result) string { return fmt.Sprintf("%.0f / %.0f ms", r.P50Millis, r.P99Millis) }},
 		{"duplicates", "side effects beyond the first",
 			func(r *bench.Result) string { return fmt.Sprint(r.Duplicates) }},
-		{"retries of one request", "the most within the system, over its whole tree",
+		{"retries of one sending", "the most within the system, over its whole tree",
 			func(r *bench.Result) string { return fmt.Sprint(r.MaxRetries) }},
 	}
 	var out []figure
