Goodput counts the answers given under pressure; late arrivals are shown

Cause: goodput took every request that came under pressure, also when it was answered after it, by upstreams that had healed. Change: answers count by when they were given. late_arrivals_ms says how far the load fell behind: of a machine too busy for the run.

--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -66,6 +66,8 @@
 	// poison is the share of poisonous requests at present.
 	poison float64
 
+	// late is how far arrivals fell behind their time at worst.
+	late  time.Duration
 	meter meter
 
 	mu       sync.Mutex
@@ -97,6 +99,7 @@
 			if due > d.Seconds() {
 				return
 			}
+			c.late = max(c.late, time.Since(begin)-time.Duration(due*float64(time.Second)))
 			c.arrive()
 			due += c.rng.ExpFloat64() / rate
 		}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -59,34 +59,35 @@
 	return rates
 }
 
+// during reports whether t lies in the time of pressure.
+func (ph phases) during(t time.Duration) bool { return t >= ph.pressure && t < ph.heal }
+
+// measureGoodput counts answers by when they were given: those given after the
+// pressure, to requests that came before its end, were served by upstreams that
+// had healed.
 func (w *World) measureGoodput(r *Result, outcomes []*Outcome, ph phases) {
-	var good, all, goodWorth, allWorth, critical, criticalGood float64
+	var good, goodWorth float64
+	var critical share
 	var latencies []time.Duration
 	for _, o := range outcomes {
-		if o.Arrived < ph.pressure || o.Arrived >= ph.heal || o.Poison {
+		if o.Poison {
 			continue
 		}
-		worth := w.deployment.Worth[o.Level]
-		all++
-		allWorth += worth
-		if o.Level == callctx.LevelCritical {
-			critical++
+		if o.Level == callctx.LevelCritical && ph.during(o.Arrived) {
+			critical.add(o.Good)
 		}
-		if !o.Good {
+		if !o.Good || !ph.during(o.Arrived+o.Latency) {
 			continue
 		}
 		good++
-		goodWorth += worth
+		goodWorth += w.deployment.Worth[o.Level]
 		latencies = append(latencies, o.Latency)
-		if o.Level == callctx.LevelCritical {
-			criticalGood++
-		}
 	}
 	seconds := (ph.heal - ph.pressure).Seconds()
 	served := r.Capacity * seconds
 	r.Goodput = ratio(good, served)
 	r.WeightedGoodput = ratio(goodWorth, w.bestWorth(outcomes, ph, served))
-	r.CriticalServed = ratio(criticalGood, critical)
+	r.CriticalServed = ratio(critical.good, critical.all)
 	slices.Sort(latencies)
 	r.P50Millis = millis(quantile(latencies, 0.50))
 	r.P99Millis = millis(quantile(latencies, 0.99))
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -15,8 +15,12 @@
 	Seed       uint64  `json:"seed"`
 	Capacity   float64 `json:"capacity_rps"`
 	Offered    float64 `json:"offered_rps"`
-	// Goodput is whole useful answers while pressure lasts, over what the
-	// upstreams could have served of what was offered.
+	// LateArrivals is how far the load fell behind its time at worst: a machine
+	// too busy for the run, whose figures say nothing then.
+	LateArrivals int64 `json:"late_arrivals_ms"`
+	// Goodput is whole useful answers given while pressure lasts, over what the
+	// upstreams could have served of what was offered. Requests in flight when
+	// it begins count, those in flight at its end don't.
 	Goodput         float64 `json:"goodput"`
 	WeightedGoodput float64 `json:"weighted_goodput"`
 	// CriticalServed is the share of the highest class that got its answer.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -89,6 +89,7 @@
 	stopSampling()
 	stopEvents()
 	r := w.measure(s, opts.Seed, outcomes, ph)
+	r.LateArrivals = c.late.Milliseconds()
 	r.AppendsPerSecond = float64(appends) / (ph.heal - ph.pressure).Seconds()
 	return r
 }
