--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -20,6 +20,7 @@
 	Report    reportCmd    `cmd:"" help:"Run a scenario under both policies and draw their courses into an HTML file."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
 func main() {
@@ -54,14 +55,14 @@
 }
 
 type latencyCmd struct {
-	Rate    float64       `default:"2000" help:"Calls a second, half of them direct."`
-	Seconds time.Duration `name:"for" default:"5s" help:"How long to measure."`
-	Seed    uint64        `default:"1" help:"Seed of the stand-ins."`
+	Rate float64       `default:"2000" help:"Calls a second, half of them direct."`
+	For  time.Duration `default:"5s" help:"How long to measure."`
+	Seed uint64        `default:"1" help:"Seed of the stand-ins."`
 }
 
 // Run prints one JSON line.
 func (c *latencyCmd) Run() error {
-	added, err := bench.MeasureAdded(c.Rate, c.Seconds, c.Seed)
+	added, err := bench.MeasureAdded(c.Rate, c.For, c.Seed)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/descriptors.go
+++ b/internal/bench/descriptors.go
@@ -5,7 +5,7 @@
 const (
 	// mostConnsPerHost is what one site opens to one address at most, where
 	// the machine's open files allow it.
-	mostConnsPerHost = 250
+	mostConnsPerHost = 120
 	// leastConnsPerHost still carries the steady load of a deployment.
 	leastConnsPerHost = 32
 	// descriptorsPerConn is how many descriptors a run needs for each unit of
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -1,13 +1,10 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -24,23 +21,16 @@
 	// headerMethod and headerTarget carry the caller's request line.
 	headerMethod = "Galena-Inner-Method"
 	headerTarget = "Galena-Inner-Target"
-	// headerReplay is understood by net/http alone: with no value it is not
-	// sent, and lets the transport repeat a request whose reused connection
-	// broke. Between nodes that is safe: a guard runs a call ID once.
-	headerReplay = "X-Idempotency-Key"
 	// maxAnswerBody bounds what is held of an answer, far above the templates'.
 	maxAnswerBody = 64 << 20
 )
 
 func (s *sending) roundTrip(ctx context.Context, transport *http.Transport, attempt *node.Call) *node.Answer {
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+s.to.Addr+CallPath, bytes.NewReader(attempt.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to.Addr+CallPath, nil)
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "address %s: %v", s.to.Addr, err))
 	}
+	setBody(req, attempt.Body)
 	header := attempt.Header.Clone()
 	if header == nil {
 		header = make(http.Header)
@@ -48,11 +38,10 @@
 	header.Set(headerMethod, attempt.Method)
 	header.Set(headerTarget, attempt.Target)
 	header.Set(inner.HeaderCall, inner.EncodeCall(s.encode(attempt)))
-	header[headerReplay] = nil
 	req.Header = header
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return lost(ctx, attempt, connected.Load(), err)
+		return lost(ctx, attempt, err)
 	}
 	defer resp.Body.Close()
 	return readInner(ctx, attempt, resp, s.to.Node)
@@ -63,17 +52,13 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.Marks = inner.FromSuspects(attempt.Marks, s.peers.node.Now())
+	h.Marks = node.SuspectMessages(s.peers.node.Now(), attempt.Marks)
 	h.FromNode = s.peers.node.ID()
 	return h
 }
 
-// lost tells what the failure of a sending says. A dial error proves that
-// nothing was sent only if no connection came before it: when a kept connection
-// breaks under a request, the transport dials for the repeat, and a peer that
-// died after running the call refuses that dial.
-func lost(ctx context.Context, attempt *node.Call, connected bool, err error) *node.Answer {
-	if isDialError(err) && !connected {
+func lost(ctx context.Context, attempt *node.Call, err error) *node.Answer {
+	if isDialError(err) {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "no connection: %v", err))
 	}
 	if ctx.Err() != nil {
@@ -130,6 +115,8 @@
 // CallHandler serves the calls of other nodes at this node's guard.
 func (p *Proxy) CallHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.answering.Add(1)
+		defer p.answering.Add(-1)
 		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -160,7 +147,7 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Marks:     inner.ToSuspects(h.GetMarks(), p.node.Now()),
+		Marks:     node.Suspects(p.node.Now(), h.GetMarks()),
 		Reattach:  h.GetReattach(),
 	}
 }
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -12,6 +12,7 @@
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -24,7 +25,7 @@
 	if service == "" {
 		return
 	}
-	live := o.server.control.live(service)
+	live := identities(o.server.control.liveOf(service))
 	for ctx.Err() == nil {
 		moves := o.state.StopPlan(live)
 		if len(moves) == 0 {
@@ -114,7 +115,7 @@
 	for part := uint32(0); ; part++ {
 		n := min(len(entries), partEntries)
 		req := &innerpb.HandOverRequest{
-			From:    o.server.nodeRef(),
+			From:    node.Ref(o.server.control.self()),
 			Service: &innerpb.ServiceRef{Service: o.state.Local()},
 			Part:    part,
 			Last:    n == len(entries),
@@ -140,13 +141,9 @@
 // HandOver takes another guard's memory. A part that found no room spoils the
 // whole: its keys would be new here and could run again.
 func (o *ownership) HandOver(_ context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
-	from, ok := identityOf(req.Msg.GetFrom())
-	if !ok {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("from: incarnation must be hexadecimal"))
-	}
-	detail := o.take(from, req.Msg)
+	detail := o.take(node.IdentityOf(req.Msg.GetFrom()), req.Msg)
 	return connect.NewResponse(&innerpb.HandOverResponse{
-		From:     o.server.nodeRef(),
+		From:     node.Ref(o.server.control.self()),
 		Accepted: detail == "",
 		Detail:   detail,
 	}), nil
@@ -191,7 +188,7 @@
 			CleanInUs:     s.CleanIn.Microseconds(),
 		}
 		if !s.UnknownBefore.IsZero() {
-			out[i].UnknownBeforeUnixUs = s.UnknownBefore.UnixMicro()
+			out[i].UnknownBeforeUnixMicros = s.UnknownBefore.UnixMicro()
 		}
 	}
 	return out
@@ -206,7 +203,7 @@
 			EffectiveIn: time.Duration(s.GetEffectiveInUs()) * time.Microsecond,
 			CleanIn:     time.Duration(s.GetCleanInUs()) * time.Microsecond,
 		}
-		if us := s.GetUnknownBeforeUnixUs(); us != 0 {
+		if us := s.GetUnknownBeforeUnixMicros(); us != 0 {
 			out[i].UnknownBefore = time.UnixMicro(us)
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,17 +12,15 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/inner"
-	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
-	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -67,8 +65,10 @@
 
 	listeners listeners
 	servers   []*http.Server
-	stop      context.CancelFunc
-	loops     sync.WaitGroup
+	// innerServer is the one of servers that other nodes call.
+	innerServer *http.Server
+	stop        context.CancelFunc
+	loops       sync.WaitGroup
 	// handedOver is closed once owned keys have gone to other guards.
 	handedOver chan struct{}
 	drainOnce  sync.Once
@@ -145,33 +145,46 @@
 
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
-	s.control = newControl(s)
+	s.control = newControl(s, newControlClients(opts.Dial))
 	s.upstream = proxy.NewUpstream(s.control)
 	s.upstream.BeforeRun = opts.BeforeRun
 	id := s.identity()
-	s.own = newOwnership(s, id, &http.Transport{DialContext: opts.Dial})
+	s.own = newOwnership(s, id)
 	s.node = node.New(node.Config{
-		Identity:  id,
-		Clock:     systemClock{},
-		Runner:    s.upstream,
-		Authority: authority{s},
-		Owners:    s.own.state,
-		Ring:      timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
-		Routing:   routing.DefaultConfig(),
-		Retry:     retry.DefaultPolicy(),
-		Throttle:  retry.DefaultThrottleConfig(),
-		Guard:     node.DefaultGuardConfig(),
-		Seed:      newSeed(),
-		Sample:    s.cfg.Limits.TimelineSample,
-		Observer:  opts.Observer,
-		OnCrash:   func() { s.announce.crashed() },
+		Identity:   id,
+		Clock:      systemClock{},
+		Runner:     s.upstream,
+		Authority:  authority{s},
+		Owners:     s.own.state,
+		Ring:       timeline.NewRing(s.cfg.NodeID, s.cfg.Limits.TimelineEvents, &timeline.Clock{}),
+		Routing:    routing.DefaultConfig(),
+		Retry:      retry.DefaultPolicy(),
+		Throttle:   retry.DefaultThrottleConfig(),
+		Guard:      node.DefaultGuardConfig(),
+		Seed:       newSeed(),
+		Sample:     s.cfg.Limits.TimelineSample,
+		Observer:   opts.Observer,
+		OnCrash:    s.crashed,
+		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
+	s.control.bind()
 }
 
+// crashed notes that the upstream's process died: its announcement counts
+// anew, and what it ran is suspect.
+func (s *Server) crashed() {
+	s.announce.crashed()
+	s.control.kickSoon()
+}
+
+// Evicted is closed when the log says that this node is gone though it runs:
+// it has to stop and start again.
+func (s *Server) Evicted() <-chan struct{} { return s.control.gone }
+
 func (s *Server) identity() node.Identity {
 	return node.Identity{
 		Node:        s.cfg.NodeID,
@@ -204,7 +217,7 @@
 	s.stop = cancel
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
-	innerMux.Handle(inner.NewControlHandler(controlHandler{ownership: s.own}))
+	innerMux.Handle(inner.NewControlHandler(service{control: s.control}))
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
@@ -214,7 +227,8 @@
 	s.serve(s.listeners.admin, http.NewServeMux())
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
-	s.loop(func() { s.control.proveHead(ctx) })
+	s.loop(func() { s.control.exchange(ctx) })
+	s.loop(func() { s.control.tick(ctx) })
 	s.loop(func() { s.tick(ctx) })
 	s.loop(func() { s.own.run(ctx) })
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
@@ -227,6 +241,12 @@
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
 		ErrorLog:          log.New(s.logger.With().Str("from", "net/http").Logger(), "", 0),
 	}
+	if l == s.listeners.inner {
+		srv.Protocols = new(http.Protocols)
+		srv.Protocols.SetHTTP1(true)
+		srv.Protocols.SetUnencryptedHTTP2(true)
+		s.innerServer = srv
+	}
 	s.servers = append(s.servers, srv)
 	s.loop(func() { _ = srv.Serve(l) })
 }
@@ -272,19 +292,3 @@
 		AdminAddr: id.AdminAddr,
 	}
 }
-
-// controlHandler answers other nodes.
-type controlHandler struct {
-	innerpbconnect.UnimplementedControlHandler
-	ownership *ownership
-}
-
-// Promise implements innerpbconnect.ControlHandler.
-func (h controlHandler) Promise(ctx context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
-	return h.ownership.Promise(ctx, req)
-}
-
-// HandOver implements innerpbconnect.ControlHandler.
-func (h controlHandler) HandOver(ctx context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
-	return h.ownership.HandOver(ctx, req)
-}
