--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -76,7 +76,7 @@
 		})
 	}
 	allowance := history.Unbounded
-	if w.policy == PolicyGalenagrade {
+	if w.managed() {
 		allowance = w.allowance()
 	}
 	counts := w.retries.all()
