Benchmark of one hop beside the direct call, with allocations

Cause: the hot path had no figure of its own. Change: BenchmarkHop alternates a direct call and one over entry and guard.

--- /dev/null
+++ b/internal/server/bench_test.go
@@ -0,0 +1,60 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/settings"
+)
+
+// BenchmarkHop compares a call over an entry and a guard node with the same
+// call made directly, in one run: the metric "added" is the difference of the
+// means in microseconds. Allocations are those of caller, nodes and upstream.
+func BenchmarkHop(b *testing.B) {
+	w := newWorld(b)
+	quiet := func(cfg *settings.Node) {
+		cfg.Limits.TimelineSample = 1 << 20
+		cfg.Timing.UpstreamSilence = settings.Duration(time.Minute)
+	}
+	entry, guard := w.start("entry", quiet), w.start("guard", quiet)
+	w.publish(entry, "archive")
+	up := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Content-Length", "1024")
+		_, _ = rw.Write(make([]byte, 1024))
+	}))
+	b.Cleanup(up.Close)
+	w.announceAt(guard, "archive", up.Listener.Addr().String())
+	w.knows("archive", 1, entry)
+	callers, _, _, _ := entry.Addresses()
+	var direct, through time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		began := time.Now()
+		must.Eq(b, http.StatusOK, w.get(up.Listener.Addr().String()))
+		middle := time.Now()
+		must.Eq(b, http.StatusOK, w.get(callers))
+		direct += middle.Sub(began)
+		through += time.Since(middle)
+	}
+	b.ReportMetric(float64((through-direct).Microseconds())/float64(b.N), "added-us/op")
+	b.ReportMetric(float64(through)/float64(direct), "through/direct")
+}
+
+func (w *world) get(addr string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/search", nil)
+	must.NoError(w.t, err)
+	req.Header.Set(callctx.HeaderWorkspace, "chikugo")
+	req.Header.Set(callctx.HeaderService, "archive")
+	resp, err := w.http.Do(req)
+	must.NoError(w.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(w.t, err)
+	must.NoError(w.t, resp.Body.Close())
+	return resp.StatusCode
+}
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -30,14 +30,14 @@
 
 // world is a log stand-in and the nodes that follow it.
 type world struct {
-	t    *testing.T
+	t    testing.TB
 	log  *logd.Server
 	http *http.Client
 	// scheme is that of the admin addresses.
 	scheme string
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	tr := &http.Transport{}
 	t.Cleanup(tr.CloseIdleConnections)
 	return &world{t: t, log: logd.New(logd.Options{Seed: 1}), http: &http.Client{Transport: tr}, scheme: "http"}
@@ -176,7 +176,7 @@
 	return resp.Msg.Publication, nil
 }
 
-func libraryTemplate(t *testing.T, name string) policy.Template {
+func libraryTemplate(t testing.TB, name string) policy.Template {
 	for _, x := range policy.Library() {
 		if x.Name == name {
 			return x
