Control exchanges and the relay's role in the metrics

Cause: the control plane's counters were not in the document, and members.is_relay stayed 0. Change: both are taken over when the metrics are read; the test waits until the zone has one relay. Conclusion: the cost of control can be read from a node.

--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -163,6 +163,10 @@
 	must.Eq(t, float64(a.node.Policy().NewestChange()), top["config.version"]["value"])
 	must.Positive(t, top["admission.limit"]["value"])
 	must.Positive(t, top["log.appends"]["count"])
+	must.Positive(t, top["control.exchanges"]["count"]+deep["control.exchanges"]["count"])
+	w.until("a relay for the zone", func() bool {
+		return w.metrics(a)["members.is_relay"]["value"]+w.metrics(b)["members.is_relay"]["value"] == 1
+	})
 	must.Positive(t, top["timeline.events.size"]["value"])
 	must.Eq(t, 0, top["bodies.held_bytes.size"]["value"])
 }
--- a/internal/server/watch.go
+++ b/internal/server/watch.go
@@ -33,6 +33,7 @@
 // counted is what the metrics have taken over of others' counters so far.
 type counted struct {
 	appender platform.AppenderStats
+	control  ControlStats
 	held     int64
 	// forgotten are the events that the ring pushed out.
 	forgotten int64
@@ -74,6 +75,7 @@
 	s.metrics.Inc(metrics.LogAppendsSettled, now.Uncertain-seen.appender.Uncertain)
 	s.metrics.TurnedAway(metrics.BoundAppends, now.Refused-seen.appender.Refused)
 	seen.appender = now
+	s.refreshControl(seen)
 	held := s.proxy.Held().TurnedAway
 	s.metrics.TurnedAway(metrics.BoundCallsInFlight, held-seen.held)
 	seen.held = held
@@ -82,6 +84,17 @@
 	seen.forgotten = forgotten
 }
 
+// refreshControl takes over what the control plane counted.
+func (s *Server) refreshControl(seen *counted) {
+	now := s.ControlStats()
+	s.metrics.Inc(metrics.ControlExchanges, int64(now.Exchanges-seen.control.Exchanges))
+	seen.control = now
+	s.control.mu.Lock()
+	leads := s.control.plane.Leads()
+	s.control.mu.Unlock()
+	s.metrics.SetGauge(metrics.IsRelay, asInt(leads))
+}
+
 // watchBounds shows everything that is held and has a limit. A limit of 0 in
 // the document means that the size is bounded elsewhere: members by the log's
 // records, and connections to peers by the calls that use them.
