--- a/internal/node/dispatch_property_test.go
+++ b/internal/node/dispatch_property_test.go
@@ -22,13 +22,13 @@
 	ids      int
 }
 
-func newFakeRouter(upstreams int) *fakeRouter {
+func newFakeRouter(upstreams int, now time.Time) *fakeRouter {
 	var endpoints []routing.Endpoint
 	for i := range upstreams {
 		name := fmt.Sprintf("n%d", i)
-		endpoints = append(endpoints, routing.Endpoint{Node: name, Incarnation: 1, Zone: "z", Service: "s", Addr: "addr-" + name, Slots: 10, Joined: epoch.Add(-time.Hour)})
+		endpoints = append(endpoints, routing.Endpoint{Node: name, Incarnation: 1, Zone: "z", Service: "s", Addr: "addr-" + name, Slots: 10, Joined: now.Add(-time.Hour)})
 	}
-	table := routing.NewTable(nil, routing.DefaultConfig(), routing.Self{Node: "entry", Zone: "z"}, endpoints, epoch)
+	table := routing.NewTable(nil, routing.DefaultConfig(), routing.Self{Node: "entry", Zone: "z"}, endpoints, now)
 	return &fakeRouter{table: table, throttle: retry.NewThrottle(retry.DefaultThrottleConfig())}
 }
 
@@ -77,7 +77,7 @@
 // only if every attempt was answered so.
 func TestDispatchProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		router := newFakeRouter(rapid.IntRange(1, 5).Draw(t, "upstreams"))
+		router := newFakeRouter(rapid.IntRange(1, 5).Draw(t, "upstreams"), epoch)
 		allowance := rapid.IntRange(0, 6).Draw(t, "allowance")
 		call := newCall("root", epoch.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond))
 		call.Ctx.Idempotent = rapid.Bool().Draw(t, "idempotent")
@@ -140,7 +140,7 @@
 func TestRefusalAfterALostAnswerIsNotNo(t *testing.T) {
 	call := newCall("root", epoch.Add(time.Minute))
 	call.Ctx.Idempotent = true
-	d := NewDispatch(newFakeRouter(3), rand.New(rand.NewPCG(1, 1)), call, retry.NewAccount(2))
+	d := NewDispatch(newFakeRouter(3, epoch), rand.New(rand.NewPCG(1, 1)), call, retry.NewAccount(2))
 	now := epoch
 	for _, code := range []result.Code{result.LostAnswer, result.Shed, result.Shed} {
 		order := d.Next(now)
