--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -20,6 +20,9 @@
 	Check     checkCmd     `cmd:"" help:"Check a recorded history; the exit code is 1 if a promise is broken."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Log       logCmd       `cmd:"" help:"Run a log stand-in as a process of its own."`
+	Upstream  upstreamCmd  `cmd:"" help:"Run an upstream stand-in behind a node."`
+	Load      loadCmd      `cmd:"" help:"Send requests to nodes and print what callers got."`
 	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
--- a/internal/lease/unit_test.go
+++ b/internal/lease/unit_test.go
@@ -16,9 +16,7 @@
 func TestConfigValidate(t *testing.T) {
 	must.NoError(t, DefaultConfig().Validate())
 	must.NoError(t, simConfig().Validate())
-	c := DefaultConfig()
-	c.Slots = 0
-	must.ErrorContains(t, c.Validate(), "Slots = 0, must be from 1 to 4096")
+	must.ErrorContains(t, Config{}.Validate(), "Slots = 0, must be from 1 to 4096")
 }
 
 // A promise must not be given by a guard that may already have taken the slot,
@@ -121,14 +119,25 @@
 	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
 }
 
-// An owner that reads its own evict record must stop, though its proof is young.
-func TestEvictedOwnerStops(t *testing.T) {
+// A record of an evicted guard, and one whose taker did not know the owner's
+// latest record, change nothing; a hand-over of an ownership that has been
+// renewed since is worth no more than a crash.
+func TestRecordsThatDoNotCount(t *testing.T) {
 	w := calm()
 	a := w.starter()
-	must.Eq(t, result.OK, w.code(a, time.Time{}))
-	a.l.Evicted(w.local(a), a.l.Next(), a.id)
-	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
-	must.SliceEmpty(t, a.l.Plan(w.local(a), nil))
+	b, l := w.others(a)[0], w.others(a)[1].l
+	now := epoch.Add(time.Hour)
+	by := func(id Identity, folded int64) Takeover { return Takeover{Slots: []int{0}, By: id, Folded: folded} }
+	stale := l.Next()
+	l.Apply(now, stale, by(a.id, stale)) // the owner writes its record again
+	l.Apply(now, l.Next(), by(b.id, stale))
+	must.Eq(t, a.id, l.slots[0].owner)
+	l.received[0] = received{from: a.id, offset: stale - 1}
+	l.Apply(now, l.Next(), by(l.self, l.Next()))
+	must.Eq(t, now.Add(simConfig().takeoverWait()), l.slots[0].effective)
+	l.Evicted(now, l.Next(), b.id)
+	l.Apply(now, l.Next(), by(b.id, l.Next()))
+	must.Eq(t, l.self, l.slots[0].owner)
 }
 
 func TestStateRestores(t *testing.T) {
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -124,11 +124,14 @@
 	if e.phase == phaseQueued && last {
 		// The leaver is still attached and hears that nothing ran.
 		decisions := g.admission.Abandon(now, callID)
-		g.endLocked(now, e, Refused(callID, leftRefusal(now, e.call)), &d)
+		refusal := leftRefusal(now, e.call)
+		g.observer.refused(now, e.call, refusal)
+		g.endLocked(now, e, Refused(callID, refusal), &d)
 		g.applyLocked(now, decisions, &d)
 	} else {
 		delete(e.waiters, token)
 		if e.doomed() && e.cancel != nil {
+			g.observer.cancelled(now, e.call, "nobody waits for the running call")
 			d = append(d, e.cancel)
 		}
 	}
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -87,6 +87,31 @@
 	return g.draining
 }
 
+// Load returns a reading of the guard's limits and what they hold.
+func (g *Guard) Load() admission.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.admission.Load()
+	l.Draining = l.Draining || g.draining
+	return l
+}
+
+// Kept is what the guard remembers for resends.
+type Kept struct{ Keys, MaxKeys, Bytes, MaxBytes int64 }
+
+// Kept returns how many keys and bytes of answers are remembered.
+func (g *Guard) Kept() Kept {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bounds := g.cfg.Keys
+	return Kept{
+		Keys:     int64(g.keys.Len()),
+		MaxKeys:  int64(bounds.MaxKeys),
+		Bytes:    g.keys.Bytes() + g.doneBytes,
+		MaxBytes: bounds.MaxBytes + g.cfg.KeepDoneBytes,
+	}
+}
+
 // Busy returns how many calls wait, claim or run.
 func (g *Guard) Busy() int {
 	g.mu.Lock()
@@ -97,11 +122,19 @@
 // Parent returns the context and account of a call that runs here, for the
 // calls that its upstream makes.
 func (g *Guard) Parent(callID string) (callctx.Context, *retry.Account, bool) {
+	call, account, ok := g.parent(callID)
+	if !ok {
+		return callctx.Context{}, nil, false
+	}
+	return call.Ctx, account, true
+}
+
+func (g *Guard) parent(callID string) (*Call, *retry.Account, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.calls[callID]
 	if !ok || e.phase != phaseRunning {
-		return callctx.Context{}, nil, false
+		return nil, nil, false
 	}
-	return e.call.Ctx, e.account, true
+	return e.call, e.account, true
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -27,15 +29,65 @@
 	node *node.Node
 	dial DialFunc
 
+	open atomic.Int64
+	// dialTLS replaces dial where nodes speak TLS with each other.
+	dialTLS DialFunc
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
 // NewPeers makes the sender of a node; dial may be nil for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
-	return &Peers{dial: dial, peers: make(map[string]*peer)}
+	if dial == nil {
+		dial = plainDial
+	}
+	p := &Peers{peers: make(map[string]*peer)}
+	p.dial = p.counting(dial)
+	return p
+}
+
+// Open returns how many connections to other nodes are open.
+func (p *Peers) Open() int64 { return p.open.Load() }
+
+func (p *Peers) counting(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		p.open.Add(1)
+		return &countedConn{Conn: c, release: sync.OnceFunc(func() { p.open.Add(-1) })}, nil
+	}
 }
 
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// Secure makes every connection to other nodes one of TLS; wrap adds the
+// handshake. Call it before the first sending.
+func (p *Peers) Secure(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
+
+// Scheme is that of other nodes' inner addresses.
+func (p *Peers) Scheme() string {
+	if p.dialTLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// ControlTransport returns a transport to other nodes apart from that of data
+// calls, so that an operator's questions never wait behind calls.
+func (p *Peers) ControlTransport() *http.Transport { return p.newTransport(false) }
+
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
@@ -54,8 +106,8 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    newTransport(p.dial, false),
-			fresh:   newTransport(p.dial, true),
+			pool:    p.newTransport(false),
+			fresh:   p.newTransport(true),
 			rescues: make(chan struct{}, maxRescues),
 		}
 		p.peers[addr] = got
@@ -131,19 +183,17 @@
 	s.rescued = true
 	s.mu.Unlock()
 
-	again := *s.attempt
-	again.Reattach = true
-	answer := s.roundTrip(s.ctx, s.peer.fresh, &again)
+	answer := s.reattach()
 	s.fresh <- answer
 	if answer.Code != result.Unreachable {
-		s.peers.node.Reattached(s.attempt, s.to.Node, answer)
 		s.cancel()
 		s.peer.pool.CloseIdleConnections()
 	}
 }
 
 // settle chooses between the two sendings. A whole answer of the first one
-// counts at once; otherwise the second one's does.
+// counts at once; otherwise the second one's does. When the first one's
+// connection broke before a second was out, the call is attached to again now.
 //
 // A refusal of the first that says "not run" is true of the first only: the
 // guard may take the second, should its upstream come or a slot become free in
@@ -154,35 +204,50 @@
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
-	if !rescued || !superseded(first) {
+	var second *node.Answer
+	switch {
+	case rescued && superseded(first):
+		second = <-s.fresh
+	case !rescued && broken(first) && s.ctx.Err() == nil:
+		second = s.reattach()
+	default:
 		return first
 	}
-	second := <-s.fresh
 	if second.Code == result.Unreachable {
 		return first
 	}
 	return second
 }
 
+// broken reports whether the connection of a sending failed.
+func broken(first *node.Answer) bool {
+	return first.Code == result.LostAnswer || first.Code == result.AnswerCut
+}
+
 // superseded reports whether the answer of a first sending leaves open what a
 // second one brings.
 func superseded(first *node.Answer) bool {
 	if first.Whole() {
 		return false
 	}
-	switch first.Code {
-	case result.LostAnswer, result.CancelledRunning, result.AnswerCut:
-		return true
-	}
-	return first.Code.Ran() == result.RanNo
+	return broken(first) || first.Code == result.CancelledRunning || first.Code.Ran() == result.RanNo
 }
 
-func newTransport(dial DialFunc, single bool) *http.Transport {
-	if dial == nil {
-		dial = plainDial
+// reattach sends the call ID again over a fresh connection.
+func (s *sending) reattach() *node.Answer {
+	again := *s.attempt
+	again.Reattach = true
+	answer := s.roundTrip(s.ctx, s.peer.fresh, &again)
+	if answer.Code != result.Unreachable {
+		s.peers.node.Reattached(s.attempt, s.to.Node, answer)
 	}
+	return answer
+}
+
+func (p *Peers) newTransport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         p.dial,
+		DialTLSContext:      p.dialTLS,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -14,17 +14,14 @@
 	// controlIdle bounds the age of an idle connection for control: a node
 	// probes six peers in turn, one a second, and keeps theirs open.
 	controlIdle = 15 * time.Second
-	// maxControlClients bounds the clients kept; the least is lost by making
-	// all anew, since those in use are few.
-	maxControlClients = 64
 )
 
 // controlClients keeps a client for each address. Control messages go over
-// cleartext HTTP/2: its compressed headers make a message cost less than half
+// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS: HTTP/2's compressed headers make a message cost less than half
 // of what it costs over HTTP/1.1, and a held question and a probe share a
 // connection.
 type controlClients struct {
-	dial proxy.DialFunc
+	peers *proxy.Peers
 
 	mu   sync.Mutex
 	byID map[string]*controlClient
@@ -33,34 +30,47 @@
 type controlClient struct {
 	innerpbconnect.ControlClient
 	transport *http.Transport
+	used      time.Time
 }
 
-func newControlClients(dial proxy.DialFunc) *controlClients {
-	return &controlClients{dial: dial, byID: make(map[string]*controlClient)}
+func newControlClients(peers *proxy.Peers) *controlClients {
+	return &controlClients{peers: peers, byID: make(map[string]*controlClient)}
 }
 
 func (c *controlClients) client(addr string) *controlClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	c.sweepLocked(now)
 	if got, ok := c.byID[addr]; ok {
+		got.used = now
 		return got
 	}
-	if len(c.byID) >= maxControlClients {
-		c.closeLocked()
+	// The transport's own IdleConnTimeout counts from the making of an HTTP/2
+	// connection: past it every message would dial one that it then closes.
+	t := c.peers.ControlTransport()
+	t.IdleConnTimeout = 0
+	if c.peers.Scheme() == "http" {
+		t.Protocols = new(http.Protocols)
+		t.Protocols.SetUnencryptedHTTP2(true)
 	}
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	t := &http.Transport{
-		DialContext:        c.dial,
-		Protocols:          &protocols,
-		IdleConnTimeout:    controlIdle,
-		DisableCompression: true,
-	}
-	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, "http://"+addr), transport: t}
+	base := c.peers.Scheme() + "://" + addr
+	got := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, base), transport: t, used: now}
 	c.byID[addr] = got
 	return got
 }
 
+// sweepLocked closes connections that were not used for a while; a question
+// that is held ends long before.
+func (c *controlClients) sweepLocked(now time.Time) {
+	for addr, got := range c.byID {
+		if now.Sub(got.used) > controlIdle {
+			got.transport.CloseIdleConnections()
+			delete(c.byID, addr)
+		}
+	}
+}
+
 // drop forgets the connection to an address on which an answer failed to come:
 // it may have gone silent for good while a new one works.
 func (c *controlClients) drop(addr string) {
--- a/internal/server/hooks.go
+++ b/internal/server/hooks.go
@@ -12,13 +12,16 @@
 	return s.control.plane.Live()
 }
 
-// liveOf returns the live members that serve a service.
+// liveOf returns the members that serve a service and are not dead. Those that
+// are leaving count: were they left out, the others would take their keys over
+// while they hand them on, and the memory of what ran would be lost.
 func (c *control) liveOf(service string) []membership.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	dead := c.plane.Dead()
 	var out []membership.Member
-	for _, id := range c.plane.Live() {
-		if m, ok := c.plane.Members().Member(id.Node); ok && m.Identity == id && m.Service == service {
+	for _, m := range c.plane.Members().ByService("", service) {
+		if !dead[m.Identity] {
 			out = append(out, m)
 		}
 	}
--- /dev/null
+++ b/internal/server/logstate.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// meteredLog times what the node asks of the log.
+type meteredLog struct {
+	platform.Log
+	metrics *metrics.Set
+}
+
+// Append implements platform.Log.
+func (l *meteredLog) Append(ctx context.Context, records []platform.Record) (int64, error) {
+	began := time.Now()
+	first, err := l.Log.Append(ctx, records)
+	l.metrics.Observe(metrics.LogAppendTime, time.Since(began))
+	return first, err
+}
+
+// Read implements platform.Log. The time includes the wait at the log's head.
+func (l *meteredLog) Read(ctx context.Context, from int64, most int, wait time.Duration) (platform.Page, error) {
+	began := time.Now()
+	page, err := l.Log.Read(ctx, from, most, wait)
+	l.metrics.Observe(metrics.LogReadTime, time.Since(began))
+	return page, err
+}
+
+// logState is what this node's own reads of the log tell; most nodes read none
+// and learn the log's head from others.
+type logState struct{ failing atomic.Bool }
+
+// noteRead takes the end of one read of the log.
+func (c *control) noteRead(err error) {
+	now := c.server.node.Now()
+	c.server.metrics.Inc(metrics.LogReads, 1)
+	var truncated *platform.TruncatedError
+	if err == nil || errors.As(err, &truncated) {
+		if c.log.failing.Swap(false) {
+			c.server.node.Event(now, timeline.Event{Kind: timeline.LogBack})
+		}
+		return
+	}
+	c.server.metrics.Inc(metrics.LogReadFailures, 1)
+	if !c.log.failing.Swap(true) {
+		c.server.node.Event(now, timeline.Event{Kind: timeline.LogUnavailable, Detail: err.Error()})
+		c.server.logger.Warn().Err(err).Msg("the log can't be read")
+	}
+}
+
+// headStale is when the log counts as unavailable to a node that does not read
+// it: its zone's reader reads twice a second, and news needs an exchange.
+const headStale = 5 * time.Second
+
+// logHealth returns the next offset to fold, the age of the newest known head
+// of the log (negative when none is known), and whether the log is there.
+func (c *control) logHealth() (next int64, age time.Duration, available bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next = int64(c.plane.Policy().Version())
+	age, known := c.plane.HeadAge(c.server.node.Now())
+	if !known {
+		return next, -time.Millisecond, false
+	}
+	return next, age, age < headStale && !c.log.failing.Load()
+}
