--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -38,6 +38,8 @@
 	// announcePeriod is how often an upstream announces itself.
 	announcePeriod = time.Second
 	readyTimeout   = 15 * time.Second
+	// seedPeerCount is how many nodes each node's settings name.
+	seedPeerCount = 3
 	// logAppends and logDelayMillis are the platform's log as the brief has it.
 	logAppends     = 400
 	logDelayMillis = 2
@@ -55,6 +57,7 @@
 	mu            sync.Mutex
 	node          *server.Server
 	callers, exit string
+	inner         string
 }
 
 // entry returns where callers and the upstream reach the node at present.
@@ -226,6 +229,7 @@
 	cfg.Inner.Address = "127.0.0.1:0"
 	cfg.Inner.Advertised = "127.0.0.1:0"
 	cfg.Admin.Address = "127.0.0.1:0"
+	cfg.SeedPeers = w.seedPeers(v)
 	n, err := server.Start(cfg, server.Options{
 		Log:       &vmLog{log: w.log, network: w.network, zone: v.zone, gate: v.gate},
 		Dial:      w.holding(w.network.Dialer(v.zone), v.gate),
@@ -238,7 +242,7 @@
 	}
 	callers, exit, inner, _ := n.Addresses()
 	v.mu.Lock()
-	v.node, v.callers, v.exit = n, callers, exit
+	v.node, v.callers, v.exit, v.inner = n, callers, exit, inner
 	v.mu.Unlock()
 	w.network.Place(callers, v.zone)
 	w.network.Place(inner, v.zone)
@@ -248,6 +252,24 @@
 	return nil
 }
 
+// seedPeers are the first few other nodes, which a node's settings name so
+// that it finds the others while the log is out.
+func (w *World) seedPeers(of *vm) []string {
+	var addrs []string
+	for _, v := range w.all() {
+		if v == of || len(addrs) == seedPeerCount {
+			continue
+		}
+		v.mu.Lock()
+		inner := v.inner
+		v.mu.Unlock()
+		if inner != "" {
+			addrs = append(addrs, inner)
+		}
+	}
+	return addrs
+}
+
 // managed reports whether the calls run through nodes.
 func (w *World) managed() bool { return w.policy != PolicyBaseline }
 
