--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,8 +19,6 @@
 	// hopTimeout and hopRetries are the usual settings of a service chain.
 	hopTimeout = time.Second
 	hopRetries = 3
-	// connsPerHost keeps one process within the machine's descriptors.
-	connsPerHost = 120
 )
 
 // childOf returns how an upstream calls deeper services.
@@ -29,7 +28,10 @@
 			return w.baseline.call(ctx, v.zone, step, parent)
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         w.holding((&net.Dialer{}).DialContext, nil),
+		MaxIdleConnsPerHost: 512,
+	}}
 	return func(ctx context.Context, step upstream.Step, parent http.Header) (int, []byte, error) {
 		_, exit := v.entry()
 		req, err := childRequest(ctx, "http://"+exit, step, parent)
@@ -84,7 +86,7 @@
 		r.clients[zone] = &http.Client{Transport: &http.Transport{
 			DialContext:         w.network.Dialer(zone),
 			MaxIdleConnsPerHost: 512,
-			MaxConnsPerHost:     connsPerHost,
+			MaxConnsPerHost:     ConnsPerHost(),
 		}}
 	}
 	return r
@@ -144,6 +146,7 @@
 type retryCounter struct {
 	mu    sync.Mutex
 	count map[string]int
+	sum   int
 }
 
 func newRetryCounter() *retryCounter { return &retryCounter{count: map[string]int{}} }
@@ -152,6 +155,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count[root] += n
+	c.sum += n
 }
 
 // CallEnded implements node.Observer.
@@ -177,3 +181,9 @@
 	defer c.mu.Unlock()
 	return maps.Clone(c.count)
 }
+
+func (c *retryCounter) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sum
+}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -8,44 +8,6 @@
 	"github.com/galenagrade/galenagrade/internal/history"
 )
 
-// Result is one run's figures; its JSON form is one line of output.
-type Result struct {
-	Scenario   string  `json:"scenario"`
-	Deployment string  `json:"deployment"`
-	Policy     string  `json:"policy"`
-	Seed       uint64  `json:"seed"`
-	Capacity   float64 `json:"capacity_rps"`
-	Offered    float64 `json:"offered_rps"`
-	// Goodput is whole useful answers while pressure lasts, over what the
-	// upstreams could have served of what was offered.
-	Goodput         float64 `json:"goodput"`
-	WeightedGoodput float64 `json:"weighted_goodput"`
-	// CriticalServed is the share of the highest class that got its answer.
-	CriticalServed  float64 `json:"critical_served"`
-	RecoverySeconds float64 `json:"recovery_seconds"`
-	Recovered       bool    `json:"recovered"`
-	Duplicates      int     `json:"duplicates"`
-	FalseRefusals   int     `json:"false_refusals"`
-	WrongAnswers    int     `json:"wrong_answers"`
-	// Violations counts every break of a promise in the run's history.
-	Violations        int     `json:"violations"`
-	MaxRetries        int     `json:"max_retries_per_request"`
-	RetryAllowance    int     `json:"retry_allowance"`
-	CutInFlight       int     `json:"cut_in_flight"`
-	NewWorkAfterDrain int64   `json:"new_work_after_drain_ms"`
-	AddedP50          int64   `json:"added_p50_us"`
-	AddedP99          int64   `json:"added_p99_us"`
-	P50Millis         float64 `json:"p50_ms"`
-	P99Millis         float64 `json:"p99_ms"`
-	UpstreamCrashes   int     `json:"upstream_crashes"`
-	// MaxCrashes is the most upstreams that one request killed.
-	MaxCrashes int `json:"max_crashes_per_request"`
-	// Codes counts the final codes of sendings.
-	Codes map[int]int `json:"codes"`
-	// Details holds one explanation for each code of a refusal.
-	Details map[int]string `json:"details,omitempty"`
-}
-
 const (
 	// binWidth is the resolution of recovery.
 	binWidth = 250 * time.Millisecond
@@ -74,7 +36,12 @@
 	}
 	w.measureGoodput(&r, outcomes, ph)
 	r.RecoverySeconds, r.Recovered = recovery(outcomes, ph)
+	measureKinds(&r, outcomes, ph)
 	w.measurePromises(&r, outcomes, h)
+	r.ConfigReverts, r.ConfigInForce, r.ConfigChanges = w.watch.figures()
+	if w.operators != nil {
+		r.RaceRounds, r.RaceViolations = w.operators.figures()
+	}
 	return r
 }
 
@@ -91,34 +58,35 @@
 	return rates
 }
 
+// during reports whether t lies in the time of pressure.
+func (ph phases) during(t time.Duration) bool { return t >= ph.pressure && t < ph.heal }
+
+// measureGoodput counts answers by when they were given: those given after the
+// pressure, to requests that came before its end, were served by upstreams that
+// had healed.
 func (w *World) measureGoodput(r *Result, outcomes []*Outcome, ph phases) {
-	var good, all, goodWorth, allWorth, critical, criticalGood float64
+	var good, goodWorth float64
+	var critical share
 	var latencies []time.Duration
 	for _, o := range outcomes {
-		if o.Arrived < ph.pressure || o.Arrived >= ph.heal || o.Poison {
+		if o.Poison {
 			continue
 		}
-		worth := w.deployment.Worth[o.Level]
-		all++
-		allWorth += worth
-		if o.Level == callctx.LevelCritical {
-			critical++
+		if o.Level == callctx.LevelCritical && ph.during(o.Arrived) {
+			critical.add(o.Good)
 		}
-		if !o.Good {
+		if !o.Good || !ph.during(o.Arrived+o.Latency) {
 			continue
 		}
 		good++
-		goodWorth += worth
+		goodWorth += w.deployment.Worth[o.Level]
 		latencies = append(latencies, o.Latency)
-		if o.Level == callctx.LevelCritical {
-			criticalGood++
-		}
 	}
 	seconds := (ph.heal - ph.pressure).Seconds()
 	served := r.Capacity * seconds
 	r.Goodput = ratio(good, served)
 	r.WeightedGoodput = ratio(goodWorth, w.bestWorth(outcomes, ph, served))
-	r.CriticalServed = ratio(criticalGood, critical)
+	r.CriticalServed = ratio(critical.good, critical.all)
 	slices.Sort(latencies)
 	r.P50Millis = millis(quantile(latencies, 0.50))
 	r.P99Millis = millis(quantile(latencies, 0.99))
@@ -184,12 +152,31 @@
 
 // measurePromises counts what must never happen, from what callers got and
 // what upstreams recorded by themselves.
+// maxEvidence bounds the broken promises that a result tells of.
+const maxEvidence = 5
+
+// mostDeaths returns the most upstreams that one request killed.
+func mostDeaths(runs []history.Run) int {
+	deaths := map[string]int{}
+	most := 0
+	for _, r := range runs {
+		if r.Killed {
+			deaths[r.Request]++
+			most = max(most, deaths[r.Request])
+		}
+	}
+	return most
+}
+
 func (w *World) measurePromises(r *Result, outcomes []*Outcome, h *history.History) {
 	violations := history.Check(h)
 	r.Duplicates = history.Count(violations, history.AtMostOnce)
 	r.FalseRefusals = history.Count(violations, history.TrueRefusal)
 	r.WrongAnswers = history.Count(violations, history.RightAnswer)
-	r.Violations = len(violations)
+	r.Broken = len(violations)
+	for _, v := range violations[:min(len(violations), maxEvidence)] {
+		r.Evidence = append(r.Evidence, v.Error())
+	}
 	r.MaxCrashes = mostDeaths(h.Runs)
 	for _, o := range outcomes {
 		for _, s := range o.Sends {
@@ -200,36 +187,27 @@
 		}
 	}
 	r.MaxRetries = w.retries.max()
-	if w.policy == PolicyGalenagrade {
+	if w.managed() {
 		r.RetryAllowance = w.allowance()
 	}
 	w.mu.Lock()
 	r.CutInFlight = w.cut
 	r.NewWorkAfterDrain = max(0, w.newWork.Milliseconds())
 	w.mu.Unlock()
-	for _, v := range w.vms {
+	for _, v := range w.all() {
 		r.UpstreamCrashes += v.server.Crashes()
 	}
 }
 
-// mostDeaths returns the most upstreams that one request killed.
-func mostDeaths(runs []history.Run) int {
-	deaths := map[string]int{}
-	most := 0
-	for _, r := range runs {
-		if r.Killed {
-			deaths[r.Request]++
-			most = max(most, deaths[r.Request])
-		}
-	}
-	return most
-}
-
+// allowance is asked of every node: one that has just been replaced may not
+// have read its configuration yet.
 func (w *World) allowance() int {
 	most := 0
-	for _, svc := range w.deployment.Services {
-		if eff, ok := w.vms[0].node.Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
-			most = max(most, eff.RetryAllowance)
+	for _, v := range w.all() {
+		for _, svc := range w.deployment.Services {
+			if eff, ok := v.running().Node().Policy().Lookup(w.deployment.Name, svc.Name); ok {
+				most = max(most, eff.RetryAllowance)
+			}
 		}
 	}
 	return most
--- a/internal/bench/promises_test.go
+++ b/internal/bench/promises_test.go
@@ -50,7 +50,7 @@
 		},
 	}
 	fillPhases(&s)
-	_, h, err := Record(s, small(), PolicyGalenagrade, 1)
+	_, h, err := RunWith(s, small(), Options{Policy: PolicyGalenagrade, Seed: 1})
 	must.NoError(t, err)
 	must.SliceEmpty(t, history.Check(h))
 	must.Positive(t, len(h.Sends))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,6 +50,8 @@
 	Logger zerolog.Logger
 	// Observer may be nil.
 	Observer node.Observer
+	// BeforeRun may be nil; see proxy.Upstream.BeforeRun.
+	BeforeRun func(context.Context) error
 }
 
 // Server is a running node. Make it with Start.
@@ -184,6 +186,7 @@
 	s.securePeers()
 	s.control = newControl(s, newControlClients(s.peers))
 	s.upstream = proxy.NewUpstream(s.control)
+	s.upstream.BeforeRun = opts.BeforeRun
 	id := s.identity()
 	s.own = newOwnership(s, id)
 	s.node = node.New(node.Config{
