A caller's request target can no longer name another host

Cause: Go takes "x:@host/" in a request line for an opaque URL. Its target, "@host/", put behind the upstream's address, turned the address into a user name: a hostile caller could make a node send requests, with the headers of the system, to any host that the node reaches. Change: a target that does not begin with '/' is refused with bad_context, at the entry before the body is read and again before the upstream is called. Conclusion: the host of a call is always the announced upstream.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -98,6 +98,10 @@
 		return
 	}
 	defer func() { p.gate.leave(size) }()
+	if !isPathTarget(r.URL.RequestURI()) {
+		p.turnCall(w, call, badTarget())
+		return
+	}
 	body, refusal := readBody(w, r, p.node.MaxBody(call))
 	if refusal != nil {
 		p.turnCall(w, call, refusal)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -167,6 +167,9 @@
 }
 
 func (u *Upstream) roundTrip(ctx context.Context, call *node.Call, before time.Time) *node.Answer {
+	if !isPathTarget(call.Target) {
+		return node.Refused(call.Ctx.CallID, badTarget())
+	}
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+u.Addr()+call.Target, nil)
 	if err != nil {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.BadContext, "request line: %v", err))
@@ -183,6 +186,17 @@
 	return u.read(ctx, call, resp)
 }
 
+// isPathTarget reports whether a target stays on the host that it is put
+// behind. Go takes "x:@host/" in a request line for an opaque URL and gives
+// "@host/" as its target: behind the upstream's address that would turn the
+// address into a user name, and the request would go to a host of the caller's
+// choice.
+func isPathTarget(target string) bool { return strings.HasPrefix(target, "/") }
+
+func badTarget() *result.Refusal {
+	return result.Refuse(result.BadContext, "the target of a request must begin with '/'")
+}
+
 // setUpstreamRequest fills the request.
 func setUpstreamRequest(req *http.Request, call *node.Call) {
 	req.Header = call.Header.Clone()
