No further attempt for a caller that has left

Cause: a caller that left in the pause between two attempts, or before the first one, was not noticed until the next attempt had been sent. At a local guard a call that is not idempotent then ran to its end for nobody. Change: Dispatch.Leave ends a call while no attempt is out; what it says is truthful, as for any other refusal. The proxy asks before each order. Conclusion: the work of a caller that has left ends at its next step.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -128,6 +128,15 @@
 	d.final = a
 }
 
+// Leave ends a call whose caller left while no attempt was out. Without it the
+// next one would still be sent, and one that is not idempotent would run to its
+// end for nobody.
+func (d *Dispatch) Leave() {
+	if d.final == nil {
+		d.settle(Refused(d.call.Ctx.CallID, result.Refuse(result.Cancelled, "the caller left before the next attempt")))
+	}
+}
+
 func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
 	info := routing.PickInfo{
 		Service: d.call.Ctx.Service,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -135,8 +135,14 @@
 func (p *Proxy) run(ctx context.Context, call *node.Call, account *retry.Account) *node.Answer {
 	rng := p.rngs.Get().(*rand.Rand)
 	defer p.rngs.Put(rng)
-	d := node.NewDispatch(p.node, rng, call, account)
+	return p.follow(ctx, call, node.NewDispatch(p.node, rng, call, account))
+}
+
+func (p *Proxy) follow(ctx context.Context, call *node.Call, d *node.Dispatch) *node.Answer {
 	for {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			d.Leave()
+		}
 		order := d.Next(p.node.Now())
 		switch order.Kind {
 		case node.OrderDone:
--- a/internal/proxy/target_test.go
+++ b/internal/proxy/target_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -17,8 +18,8 @@
 // host of its own. Put behind the upstream's address it made that address the
 // user name, and the node sent the request, headers and all, to that host.
 func TestTargetCannotNameAnotherHost(t *testing.T) {
-	stolen := 0
-	thief := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { stolen++ }))
+	var stolen atomic.Int32
+	thief := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { stolen.Add(1) }))
 	defer thief.Close()
 	w := newWorld(t)
 	entry, guard := w.start(nil, nil), w.start(nil, nil)
@@ -42,5 +43,5 @@
 			_ = conn.Close()
 		}
 	}
-	must.EqOp(t, 0, stolen)
+	must.EqOp(t, 0, stolen.Load())
 }
