A claim that outlives a crash starts nothing

Cause: when the upstream died, calls that waited for their claim stayed. Once it was back, a claim that came started its call, for which the new controller counted no slot: three calls ran in two slots.

--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -35,7 +35,9 @@
 }
 
 // UpstreamDown says that the local upstream's process died. What it ran
-// becomes suspect; what waited is refused as not run. Reports of the same
+// becomes suspect; what waited, also for its claim, is refused as not run: a
+// claim that came after the upstream's return would start a call for which no
+// slot is counted. Reports of the same
 // death by several calls count once: only the first finds the upstream up.
 func (g *Guard) UpstreamDown(now time.Time, upstream string) (incarnation uint64, suspects []quarantine.Suspect, first bool) {
 	g.mu.Lock()
@@ -46,13 +48,15 @@
 	}
 	g.upstreamUp = false
 	var running []quarantine.Fingerprint
-	var waiting []*execution
+	var waiting, claiming []*execution
 	for _, e := range g.calls {
 		switch e.phase {
 		case phaseRunning:
 			running = append(running, e.fingerprint)
 		case phaseQueued:
 			waiting = append(waiting, e)
+		case phaseClaiming:
+			claiming = append(claiming, e)
 		}
 	}
 	suspects = g.quarantine.Crashed(now, upstream, incarnation, running)
@@ -60,14 +64,22 @@
 	var d due
 	for _, e := range waiting {
 		g.admission.Abandon(now, e.call.Ctx.CallID)
-		refusal := result.Refuse(result.NoUpstream, "the upstream died while the call waited")
-		g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), &d)
+		g.diedWaitingLocked(now, e, &d)
+	}
+	for _, e := range claiming {
+		g.admission.Finish(now, e.call.Ctx.CallID, admission.Cancelled, 0)
+		g.diedWaitingLocked(now, e, &d)
 	}
 	g.mu.Unlock()
 	d.settle()
 	return incarnation, suspects, true
 }
 
+func (g *Guard) diedWaitingLocked(now time.Time, e *execution, d *due) {
+	refusal := result.Refuse(result.NoUpstream, "the upstream died while the call waited")
+	g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), d)
+}
+
 // Drain refuses new calls from now on; those in flight go on.
 func (g *Guard) Drain(now time.Time) {
 	g.mu.Lock()
