--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -18,12 +20,12 @@
 )
 
 const (
-	// patience is how long an answer is of use to a caller.
-	patience = 4 * time.Second
+	// Patience is how long an answer is of use to a caller.
+	Patience = 4 * time.Second
 	// sendTimeout is when a caller gives a sending up and sends again.
 	sendTimeout = 2 * time.Second
-	// maxSends bounds the sendings of one request.
-	maxSends = 4
+	// MaxSends bounds the sendings of one request.
+	MaxSends = 4
 	// resendPause is how soon a caller sends again, whatever it was told.
 	resendPause = 50 * time.Millisecond
 	// callersPerLevel is how many distinct callers there are.
@@ -34,6 +36,8 @@
 type Sending struct {
 	Attempt string
 	Code    int
+	// Ran is what the caller knows of the effect; empty under the baseline.
+	Ran result.Ran
 	// Success says that a good status came with a body that ended as announced.
 	Success bool
 	// Whole says that the body was a complete answer.
@@ -81,6 +85,10 @@
 	// poison is the share of poisonous requests at present.
 	poison float64
 
+	// late is how far arrivals fell behind their time at worst.
+	late  time.Duration
+	meter meter
+
 	mu       sync.Mutex
 	outcomes []*Outcome
 	wg       sync.WaitGroup
@@ -90,9 +98,9 @@
 	return &callers{
 		world: w,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         w.network.Dialer(clients),
-			MaxIdleConnsPerHost: connsPerHost,
-			MaxConnsPerHost:     connsPerHost,
+			DialContext:         w.holding(w.network.Dialer(clients), nil),
+			MaxIdleConnsPerHost: ConnsPerHost(),
+			MaxConnsPerHost:     ConnsPerHost(),
 		}},
 		start: time.Now(),
 		rng:   rand.New(rand.NewPCG(w.seed, 7)),
@@ -110,6 +118,7 @@
 			if due > d.Seconds() {
 				return
 			}
+			c.late = max(c.late, time.Since(begin)-time.Duration(due*float64(time.Second)))
 			c.arrive()
 			due += c.rng.ExpFloat64() / rate
 		}
@@ -130,8 +139,10 @@
 	}
 	o.Poison = c.rng.Float64() < c.poison
 	caller := strconv.Itoa(c.rng.IntN(distinctCallers))
-	entry := c.world.vms[c.rng.IntN(len(c.world.vms))]
-	again := c.world.vms[c.rng.IntN(len(c.world.vms))]
+	vms := c.world.all()
+	entry := vms[c.rng.IntN(len(vms))]
+	again := vms[c.rng.IntN(len(vms))]
+	c.meter.arrived()
 	c.mu.Lock()
 	c.outcomes = append(c.outcomes, o)
 	c.mu.Unlock()
@@ -165,15 +176,18 @@
 // request sends until there is an answer, patience ends or the sends do.
 func (c *callers) request(o *Outcome, caller string, entries []*vm) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), Patience)
 	defer cancel()
-	for i := range maxSends {
+	for i := range MaxSends {
 		s := Sending{Attempt: o.Op + "." + strconv.Itoa(i)}
 		ok := c.send(ctx, o, &s, caller, entries[i%len(entries)])
 		o.Sends = append(o.Sends, s)
 		if ok {
 			o.Latency = time.Since(began)
-			o.Good = o.Latency <= patience
+			o.Good = o.Latency <= Patience
+			if o.Good {
+				c.meter.answered(o.Latency, c.world.deployment.Worth[o.Level])
+			}
 			return
 		}
 		select {
@@ -216,10 +230,12 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		s.Err = err.Error()
+		s.Ran = ranUnsent(err)
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.Code, _ = strconv.Atoi(resp.Header.Get(result.HeaderResult))
+	s.Ran = result.Code(s.Code).Ran()
 	if resp.StatusCode != http.StatusOK {
 		var p result.Problem
 		_ = json.NewDecoder(resp.Body).Decode(&p)
@@ -234,6 +250,16 @@
 	return s.take(body, o)
 }
 
+// ranUnsent tells what a caller knows of a sending without an answer: no
+// connection, nothing run.
+func ranUnsent(err error) result.Ran {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.RanNo
+	}
+	return result.RanUnknown
+}
+
 func (c *callers) sendBaseline(ctx context.Context, o *Outcome, s *Sending, header http.Header) bool {
 	step := upstream.Step{Service: o.Kind.Service, Method: o.Kind.Method, Path: o.Kind.Path}
 	status, body, err := c.world.baseline.call(ctx, clients, step, header)
