--- a/cmd/galenabench/demo.go
+++ b/cmd/galenabench/demo.go
@@ -32,7 +32,7 @@
 	for _, policy := range []string{bench.PolicyBaseline, bench.PolicyGalenagrade} {
 		fmt.Printf("\n%s\n", policyStories[policy])
 		p := &progress{out: os.Stdout, title: fmt.Sprintf("  %-11s", policy)}
-		r, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
+		r, _, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
 		if err != nil {
 			return errors.Wrap(err, policy)
 		}
--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -17,9 +17,13 @@
 type cli struct {
 	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
+	Check     checkCmd     `cmd:"" help:"Check a recorded history; the exit code is 1 if a promise is broken."`
 	Report    reportCmd    `cmd:"" help:"Run a scenario under both policies and draw their courses into an HTML file."`
 	Latency   latencyCmd   `cmd:"" help:"Measure what one hop through the nodes adds to a direct call."`
 	Scenarios scenariosCmd `cmd:"" help:"List the scenarios with their stories."`
+	Log       logCmd       `cmd:"" help:"Run a log stand-in as a process of its own."`
+	Upstream  upstreamCmd  `cmd:"" help:"Run an upstream stand-in behind a node."`
+	Load      loadCmd      `cmd:"" help:"Send requests to nodes and print what callers got."`
 	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 }
 
--- a/cmd/galenabench/report.go
+++ b/cmd/galenabench/report.go
@@ -57,7 +57,7 @@
 	p := &progress{out: os.Stderr, title: fmt.Sprintf("%s %s %s", s.Name, d.Name, policy)}
 	var run report.Run
 	var err error
-	run.Result, err = bench.RunWith(s, d, bench.Options{Policy: policy, Seed: seed, OnSample: func(sample bench.Sample) {
+	run.Result, _, err = bench.RunWith(s, d, bench.Options{Policy: policy, Seed: seed, OnSample: func(sample bench.Sample) {
 		run.Samples = append(run.Samples, sample)
 		p.add(sample)
 	}})
--- a/cmd/galenabench/run.go
+++ b/cmd/galenabench/run.go
@@ -44,10 +44,14 @@
 	Policy     string `default:"galenagrade" enum:"galenagrade,claims,baseline,both" help:"What carries the calls; claims is galenagrade with a claim in the log for each non-idempotent call; both is baseline, then galenagrade."`
 	Seed       uint64 `default:"1" help:"Seed of arrivals and faults."`
 	JSON       bool   `help:"One JSON line a run."`
+	History    string `help:"File to write the run's history to, for check. One scenario on one deployment under one policy."`
 }
 
 // Run runs the chosen scenarios. Progress goes to stderr.
 func (c *runCmd) Run() error {
+	if c.History != "" && (c.Scenario == "all" || c.Deployment == "all" || c.Policy == "both") {
+		return errors.New("--history takes one run: name a --scenario, a --deployment and a --policy")
+	}
 	scenarios, err := chooseScenarios(c.Scenario)
 	if err != nil {
 		return err
@@ -69,10 +73,13 @@
 
 func (c *runCmd) runOne(s bench.Scenario, d *bench.Deployment, policy string) (bench.Result, error) {
 	p := &progress{out: os.Stderr, title: fmt.Sprintf("%s %s %s", s.Name, d.Name, policy)}
-	r, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
+	r, h, err := bench.RunWith(s, d, bench.Options{Policy: policy, Seed: c.Seed, Probe: probeFor, OnSample: p.add})
 	if err != nil {
 		return r, err
 	}
+	if err := writeHistory(c.History, h); err != nil {
+		return r, err
+	}
 	if c.JSON {
 		return r, json.NewEncoder(os.Stdout).Encode(r)
 	}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
-	"github.com/galenagrade/galenagrade/internal/result"
-	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+	"github.com/galenagrade/galenagrade/internal/history"
 )
 
 const (
@@ -21,7 +20,7 @@
 // phases are the boundaries of a run, since its start.
 type phases struct{ pressure, heal, end time.Duration }
 
-func (w *World) measure(s Scenario, seed uint64, outcomes []*Outcome, ph phases) Result {
+func (w *World) measure(s Scenario, seed uint64, outcomes []*Outcome, ph phases, h *history.History) Result {
 	d := w.deployment
 	rates := arrivalRates(outcomes, ph)
 	offered := 0.0
@@ -38,7 +37,7 @@
 	w.measureGoodput(&r, outcomes, ph)
 	r.RecoverySeconds, r.Recovered = recovery(outcomes, ph)
 	measureKinds(&r, outcomes, ph)
-	w.measurePromises(&r, outcomes)
+	w.measurePromises(&r, outcomes, h)
 	r.ConfigReverts, r.ConfigInForce, r.ConfigChanges = w.watch.figures()
 	if w.operators != nil {
 		r.RaceRounds, r.RaceViolations = w.operators.figures()
@@ -153,31 +152,38 @@
 
 // measurePromises counts what must never happen, from what callers got and
 // what upstreams recorded by themselves.
-func (w *World) measurePromises(r *Result, outcomes []*Outcome) {
-	runs := w.ledger.Runs()
-	r.Duplicates = duplicates(runs)
-	ran := map[string]bool{}
-	crashes := map[string]int{}
-	for _, run := range runs {
-		ran[run.Attempt] = true
-		if run.Poison {
-			crashes[run.Op]++
-			r.MaxCrashes = max(r.MaxCrashes, crashes[run.Op])
+// maxEvidence bounds the broken promises that a result tells of.
+const maxEvidence = 5
+
+// mostDeaths returns the most upstreams that one request killed.
+func mostDeaths(runs []history.Run) int {
+	deaths := map[string]int{}
+	most := 0
+	for _, r := range runs {
+		if r.Killed {
+			deaths[r.Request]++
+			most = max(most, deaths[r.Request])
 		}
 	}
+	return most
+}
+
+func (w *World) measurePromises(r *Result, outcomes []*Outcome, h *history.History) {
+	violations := history.Check(h)
+	r.Duplicates = history.Count(violations, history.AtMostOnce)
+	r.FalseRefusals = history.Count(violations, history.TrueRefusal)
+	r.WrongAnswers = history.Count(violations, history.RightAnswer)
+	r.Broken = len(violations)
+	for _, v := range violations[:min(len(violations), maxEvidence)] {
+		r.Evidence = append(r.Evidence, v.Error())
+	}
+	r.MaxCrashes = mostDeaths(h.Runs)
 	for _, o := range outcomes {
 		for _, s := range o.Sends {
 			r.Codes[s.Code]++
 			if s.Err != "" {
 				r.Details[s.Code] = s.Err
 			}
-			if s.Wrong {
-				r.WrongAnswers++
-			}
-			if s.Ran == result.RanNo && s.Code != 0 && ran[s.Attempt] {
-				r.FalseRefusals++
-				r.evidence(o, s, runs)
-			}
 		}
 	}
 	r.MaxRetries = w.retries.max()
@@ -207,24 +213,6 @@
 	return most
 }
 
-// duplicates counts executions of keyed operations beyond the first.
-func duplicates(runs []upstream.Run) int {
-	type once struct{ op, service, path string }
-	count := map[once]int{}
-	extra := 0
-	for _, r := range runs {
-		if r.Key == "" {
-			continue
-		}
-		k := once{r.Op, r.Service, r.Path}
-		count[k]++
-		if count[k] > 1 {
-			extra++
-		}
-	}
-	return extra
-}
-
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 1
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"time"
-
-	"github.com/galenagrade/galenagrade/internal/standin/upstream"
 )
 
 // Result is one run's figures; its JSON form is one line of output.
@@ -68,7 +65,9 @@
 	MaxCrashes int `json:"max_crashes_per_request"`
 	// Codes counts the final codes of sendings.
 	Codes map[int]int `json:"codes"`
-	// Evidence tells of the first few false refusals.
+	// Broken counts every break of a promise in the run's history; Evidence
+	// tells of the first few.
+	Broken   int      `json:"broken_promises"`
 	Evidence []string `json:"evidence,omitempty"`
 	// Details holds one explanation for each code of a refusal.
 	Details map[int]string `json:"details,omitempty"`
@@ -81,25 +80,6 @@
 	newWorkBound = 2000
 )
 
-// evidence tells what ran under a sending that was told that nothing did, and
-// what became of its request's other sendings.
-func (r *Result) evidence(o *Outcome, refused Sending, runs []upstream.Run) {
-	const most = 5
-	if len(r.Evidence) >= most {
-		return
-	}
-	text := fmt.Sprintf("%s arrived %s: sending %s refused with %d (%s);", o.Kind.Name, o.Arrived.Round(time.Millisecond), refused.Attempt, refused.Code, refused.Err)
-	for _, s := range o.Sends {
-		text += fmt.Sprintf(" %s -> %d", s.Attempt, s.Code)
-	}
-	for _, run := range runs {
-		if run.Attempt == refused.Attempt {
-			text += fmt.Sprintf("; ran %s%s done %t", run.Service, run.Path, run.Done)
-		}
-	}
-	r.Evidence = append(r.Evidence, text)
-}
-
 // Recovery is the time until recovery in words; "never" for a run that ended
 // before.
 func (r *Result) Recovery() string {
@@ -126,6 +106,7 @@
 		{"max_retries_per_request", int64(r.MaxRetries), int64(r.RetryAllowance)},
 		{"max_crashes_per_request", int64(r.MaxCrashes), maxCrashesBound},
 		{"new_work_after_drain_ms", r.NewWorkAfterDrain, newWorkBound},
+		{"broken_promises", int64(r.Broken), 0},
 		{"config_reverts", int64(r.ConfigReverts), 0},
 		{"race_violations", int64(r.RaceViolations), 0},
 	} {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/history"
 )
 
 // Phases of a run.
@@ -35,30 +37,32 @@
 
 // Run runs one scenario on a deployment under a policy.
 func Run(s Scenario, d *Deployment, policyName string, seed uint64) (Result, error) {
-	return RunWith(s, d, Options{Policy: policyName, Seed: seed})
+	r, _, err := RunWith(s, d, Options{Policy: policyName, Seed: seed})
+	return r, err
 }
 
-// RunWith runs one scenario on a deployment.
-func RunWith(s Scenario, d *Deployment, opts Options) (Result, error) {
+// RunWith runs one scenario on a deployment and also returns the history that
+// the figures on promises come from.
+func RunWith(s Scenario, d *Deployment, opts Options) (Result, *history.History, error) {
 	var added Added
 	if opts.Probe > 0 && opts.Policy != PolicyBaseline {
 		var err error
 		if added, err = MeasureAdded(probeRate, opts.Probe, opts.Seed); err != nil {
-			return Result{}, errors.Wrap(err, "latency probe")
+			return Result{}, nil, errors.Wrap(err, "latency probe")
 		}
 	}
 	w, err := NewWorld(d, opts.Policy, opts.Seed)
 	if err != nil {
-		return Result{}, err
+		return Result{}, nil, err
 	}
 	defer w.Close()
-	r := w.play(s, opts)
+	r, h := w.play(s, opts)
 	r.AddedP50, r.AddedP99 = added.AddedP50, added.AddedP99
-	return r, nil
+	return r, h, nil
 }
 
 // play offers the scenario's load and faults, and measures.
-func (w *World) play(s Scenario, opts Options) Result {
+func (w *World) play(s Scenario, opts Options) (Result, *history.History) {
 	c := newCallers(w)
 	var phase atomic.Value
 	phase.Store(PhaseSteady)
@@ -88,10 +92,11 @@
 	outcomes := c.wait()
 	stopSampling()
 	stopEvents()
-	r := w.measure(s, opts.Seed, outcomes, ph)
+	h := w.history(outcomes)
+	r := w.measure(s, opts.Seed, outcomes, ph, h)
 	r.LateArrivals = c.late.Milliseconds()
 	r.AppendsPerSecond = float64(appends) / (ph.heal - ph.pressure).Seconds()
-	return r
+	return r, h
 }
 
 // schedule starts the scenario's events. The returned function drops those to
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -83,6 +83,7 @@
 	network    *link.Network
 	ledger     *upstream.Ledger
 	retries    *retryCounter
+	versions   versionLog
 	baseline   *baselineRouter
 	reviving   atomic.Bool
 	watch      *configWatch
@@ -152,10 +153,15 @@
 			}
 		}
 	}
-	if w.managed() {
-		return w.awaitReady()
+	if !w.managed() {
+		return nil
 	}
-	return nil
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		w.watchVersions()
+	}()
+	return w.awaitReady()
 }
 
 // publish puts the templates and the deployment's instances into the log, as
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -65,8 +65,8 @@
 }
 
 type joined struct {
-	callID string
-	wake   Waiter
+	call *Call
+	wake Waiter
 }
 
 // GuardConfig bounds what a guard keeps.
@@ -76,11 +76,20 @@
 	KeepDone time.Duration
 	// KeepDoneBytes bounds those answers.
 	KeepDoneBytes int64
+	// Keys bounds the idempotency keys and the answers kept for resends.
+	Keys idempotency.Config
+	// Quarantine bounds what is known of crashing requests.
+	Quarantine quarantine.Config
 }
 
 // DefaultGuardConfig suits a VM with 64 MB for the node.
 func DefaultGuardConfig() GuardConfig {
-	return GuardConfig{KeepDone: 10 * time.Second, KeepDoneBytes: 8 << 20}
+	return GuardConfig{
+		KeepDone:      10 * time.Second,
+		KeepDoneBytes: 8 << 20,
+		Keys:          idempotency.DefaultConfig(),
+		Quarantine:    quarantine.DefaultConfig(),
+	}
 }
 
 // Guard is the only way into the local upstream: it recognises resends,
@@ -99,9 +108,12 @@
 	calls      map[string]*execution
 	done       []*execution // finished, oldest first
 	doneBytes  int64
+	// bare counts the oldest of done whose answer is no longer held.
+	bare       int
 	draining   bool
 	upstreamUp bool
 	slots      int
+	observer   *observer
 	// upstreamIncarnation numbers the lives of the local upstream.
 	upstreamIncarnation uint64
 	// suspicion is false while no request is suspected of crashing upstreams.
@@ -117,8 +129,8 @@
 		authority:  authority,
 		incarn:     incarnation,
 		admission:  admission.New(admission.DefaultConfig(1), now),
-		quarantine: quarantine.New(quarantine.DefaultConfig()),
-		keys:       idempotency.NewTable(idempotency.DefaultConfig()),
+		quarantine: quarantine.New(cfg.Quarantine),
+		keys:       idempotency.NewTable(cfg.Keys),
 		calls:      make(map[string]*execution),
 	}
 }
@@ -148,25 +160,15 @@
 		return e.attach(w)
 	}
 	token, answer := g.considerLocked(now, call, w, d)
+	if answer != nil && !answer.Whole() {
+		g.observer.refused(now, call, answer.Refusal)
+	}
 	if answer != nil && call.Reattach {
 		g.remember(now, call, answer)
 	}
 	return token, answer
 }
 
-// remember keeps the answer given to a re-attachment whose call was never seen
-// here. The first sending may lie in the connection that went silent and be
-// delivered yet: it must find the same answer, or a call said not to have run
-// would run after all.
-func (g *Guard) remember(now time.Time, call *Call, a *Answer) {
-	if _, known := g.calls[call.Ctx.CallID]; known {
-		return
-	}
-	e := &execution{call: call, phase: phaseDone, arrived: now, ended: now, answer: a}
-	g.calls[call.Ctx.CallID] = e
-	g.keepLocked(now, e)
-}
-
 // attach joins a sending of a call that is already here: the connection of the
 // first went silent, and the call must not run again by it.
 func (e *execution) attach(w Waiter) (int, *Answer) {
@@ -226,6 +228,7 @@
 	case idempotency.Start:
 		return nil, false
 	case idempotency.Join:
+		g.observer.joined(now, call, begin.RunningCallID)
 		return g.joinLocked(call, begin.RunningCallID, w), true
 	case idempotency.Replay:
 		return replayed(call, begin.Answer), true
@@ -243,7 +246,7 @@
 	if !ok || e.phase == phaseDone {
 		return g.refusedLocked(call, result.Refuse(result.OutcomeUnknown, "the running attempt has ended without an answer"))
 	}
-	e.joins = append(e.joins, joined{callID: call.Ctx.CallID, wake: w})
+	e.joins = append(e.joins, joined{call: call, wake: w})
 	return nil
 }
 
@@ -252,12 +255,12 @@
 		call:        call,
 		fingerprint: call.Fingerprint(),
 		account:     retry.NewAccount(call.Allowance),
-		waiters:     map[int]Waiter{1: w},
-		nextWaiter:  1,
+		waiters:     make(map[int]Waiter, 1),
 		arrived:     now,
 	}
 	g.calls[call.Ctx.CallID] = e
 	decision, others := g.admission.Offer(now, requestOf(call))
+	g.observer.offered(now, call, decision.Verdict, g.admission.Load())
 	g.applyLocked(now, others, d)
 	switch decision.Verdict {
 	case admission.Refuse:
@@ -267,10 +270,9 @@
 	case admission.Run:
 		g.admittedLocked(now, e, d)
 	}
-	if e.phase == phaseDone {
-		return 0, e.answer
-	}
-	return 1, nil
+	// Attached only now: a refusal at dispatch goes back as the answer, and
+	// through the waiter the sender would get it a second time.
+	return e.attach(w)
 }
 
 // admittedLocked moves a call that got a slot on to its claim or its run.
@@ -305,11 +307,13 @@
 	e.phase = phaseRunning
 	e.started = now
 	g.quarantine.Started(now, e.fingerprint)
+	g.observer.started(now, e)
 	*d = append(*d, func() { g.runner.Run(e.call, before) })
 }
 
 // notRunLocked ends a call that got a slot and provably did not run.
 func (g *Guard) notRunLocked(now time.Time, e *execution, refusal *result.Refusal, d *due) {
+	g.observer.refused(now, e.call, refusal)
 	decisions := g.admission.Finish(now, e.call.Ctx.CallID, admission.Cancelled, 0)
 	g.endLocked(now, e, Refused(e.call.Ctx.CallID, refusal), d)
 	g.applyLocked(now, decisions, d)
@@ -334,10 +338,24 @@
 // OnCancel sets what stops the running call when nobody waits for it any more.
 func (g *Guard) OnCancel(callID string, cancel func()) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.calls[callID]; ok {
+	e, ok := g.calls[callID]
+	if ok {
 		e.cancel = cancel
 	}
+	// Everybody may have left between the start and this report; the upstream
+	// would then work to the end for nobody.
+	doomed := ok && e.doomed()
+	g.mu.Unlock()
+	if doomed {
+		cancel()
+	}
+}
+
+// doomed reports whether a running call may and should be stopped: nobody
+// waits for it, and running it again does no harm.
+func (e *execution) doomed() bool {
+	alone := len(e.waiters) == 0 && len(e.joins) == 0
+	return e.phase == phaseRunning && e.call.Ctx.Idempotent && alone
 }
 
 // Finish reports the end of a run.
@@ -346,9 +364,12 @@
 	var d due
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
-		if cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole()); len(cleared) > 0 {
+		cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		if len(cleared) > 0 {
 			d = append(d, func() { g.onSuspects(cleared) })
 		}
+		g.observer.cleared(now, cleared)
+		g.observer.finished(now, e, a)
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
 	}
@@ -356,102 +377,6 @@
 	d.settle()
 }
 
-// endLocked settles the key, closes the account and owes everyone the answer.
-func (g *Guard) endLocked(now time.Time, e *execution, a *Answer, d *due) {
-	e.phase = phaseDone
-	e.ended = now
-	a.Unused = e.account.Close()
-	a.Load = g.loadLocked()
-	e.answer = a
-	g.settleKeyLocked(now, e.call, a)
-	for _, w := range e.waiters {
-		*d = append(*d, func() { w(a) })
-	}
-	for _, j := range e.joins {
-		*d = append(*d, func() { j.wake(joinedAnswer(j.callID, a)) })
-	}
-	e.waiters = nil
-	e.joins = nil
-	g.keepLocked(now, e)
-}
-
-// settleKeyLocked records what is now known about the key. Only a code that
-// promises "not run" lets a resend run again.
-func (g *Guard) settleKeyLocked(now time.Time, call *Call, a *Answer) {
-	if !call.Keyed() {
-		return
-	}
-	key := keyOf(call)
-	switch {
-	case a.Whole():
-		g.keys.Finish(now, key, call.Ctx.CallID, idempotency.Answer{
-			Code: a.Code, Status: a.Status, Header: a.Header, Body: a.Body,
-		})
-	case a.Code.Ran() == result.RanNo:
-		g.keys.NotRun(now, key, call.Ctx.CallID)
-	default:
-		g.keys.Lost(now, key, call.Ctx.CallID)
-	}
-}
-
-func (g *Guard) forgetKeyLocked(now time.Time, call *Call) {
-	if call.Keyed() {
-		g.keys.NotRun(now, keyOf(call), call.Ctx.CallID)
-	}
-}
-
-// keepLocked keeps a finished call for re-attachments, within its bounds.
-func (g *Guard) keepLocked(now time.Time, e *execution) {
-	g.done = append(g.done, e)
-	g.doneBytes += int64(len(e.answer.Body))
-	g.trimLocked(now)
-}
-
-func (g *Guard) trimLocked(now time.Time) {
-	n := 0
-	for n < len(g.done) {
-		oldest := g.done[n]
-		young := now.Sub(oldest.ended) < g.cfg.KeepDone
-		if young && g.doneBytes <= g.cfg.KeepDoneBytes {
-			break
-		}
-		g.doneBytes -= int64(len(oldest.answer.Body))
-		delete(g.calls, oldest.call.Ctx.CallID)
-		g.done[n] = nil
-		n++
-	}
-	g.done = g.done[n:]
-}
-
-// Leave says that the holder of an attachment is gone. Waiting calls nobody
-// waits for give up their place. Running ones are cancelled if running them
-// again does no harm; a non-idempotent one goes on to its deadline, because
-// its effect may have begun and its resend will want the answer.
-func (g *Guard) Leave(now time.Time, callID string, token int) {
-	g.mu.Lock()
-	e, ok := g.calls[callID]
-	if !ok || e.phase == phaseDone {
-		g.mu.Unlock()
-		return
-	}
-	delete(e.waiters, token)
-	if len(e.waiters) > 0 || len(e.joins) > 0 {
-		g.mu.Unlock()
-		return
-	}
-	var d due
-	switch {
-	case e.phase == phaseQueued:
-		decisions := g.admission.Abandon(now, callID)
-		g.endLocked(now, e, Refused(callID, result.Refuse(result.Cancelled, "the caller left")), &d)
-		g.applyLocked(now, decisions, &d)
-	case e.phase == phaseRunning && e.call.Ctx.Idempotent && e.cancel != nil:
-		d = append(d, e.cancel)
-	}
-	g.mu.Unlock()
-	d.settle()
-}
-
 // Tick expires waits; call it every few milliseconds while calls wait.
 func (g *Guard) Tick(now time.Time) {
 	g.mu.Lock()
@@ -460,6 +385,7 @@
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshSuspicionLocked(now)
+	g.observer.watch(now, g.admission.Load())
 	g.mu.Unlock()
 	d.settle()
 }
@@ -472,6 +398,7 @@
 			continue
 		}
 		if dec.Verdict == admission.Refuse {
+			g.observer.refused(now, e.call, dec.Refusal)
 			g.endLocked(now, e, Refused(dec.ID, dec.Refusal), d)
 			continue
 		}
@@ -497,13 +424,6 @@
 	}
 }
 
-// Load returns what the guard reports to the senders of calls.
-func (g *Guard) Load() routing.LoadReport {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return *g.loadLocked()
-}
-
 func (g *Guard) loadLocked() *routing.LoadReport {
 	l := g.admission.Load()
 	return &routing.LoadReport{
@@ -521,30 +441,6 @@
 	return idempotency.Key{Workspace: c.Ctx.Workspace, Service: c.Ctx.Service, Key: c.Ctx.Key}
 }
 
-func replayed(call *Call, kept *idempotency.Answer) *Answer {
-	return &Answer{
-		CallID: call.Ctx.CallID,
-		Code:   result.Replayed,
-		Status: kept.Status,
-		Header: kept.Header,
-		Body:   kept.Body,
-		Unused: call.Allowance,
-	}
-}
-
-// joinedAnswer gives the answer of the running attempt to another with its
-// key. The joined call used nothing of its allowance, and its share is not
-// reported: an unreported share counts as spent, which errs on the safe side.
-func joinedAnswer(callID string, a *Answer) *Answer {
-	c := *a
-	c.CallID = callID
-	c.Unused = 0
-	if c.Whole() {
-		c.Code = result.Replayed
-	}
-	return &c
-}
-
 func outcomeOf(a *Answer) admission.Outcome {
 	switch a.Code {
 	case result.OK, result.UpstreamFailed:
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -27,15 +29,65 @@
 	node *node.Node
 	dial DialFunc
 
+	open atomic.Int64
+	// dialTLS replaces dial where nodes speak TLS with each other.
+	dialTLS DialFunc
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
 // NewPeers makes the sender of a node; dial may be nil for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
-	return &Peers{dial: dial, peers: make(map[string]*peer)}
+	if dial == nil {
+		dial = plainDial
+	}
+	p := &Peers{peers: make(map[string]*peer)}
+	p.dial = p.counting(dial)
+	return p
+}
+
+// Open returns how many connections to other nodes are open.
+func (p *Peers) Open() int64 { return p.open.Load() }
+
+func (p *Peers) counting(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		p.open.Add(1)
+		return &countedConn{Conn: c, release: sync.OnceFunc(func() { p.open.Add(-1) })}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
 }
 
+// Secure makes every connection to other nodes one of TLS; wrap adds the
+// handshake. Call it before the first sending.
+func (p *Peers) Secure(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
+
+// Scheme is that of other nodes' inner addresses.
+func (p *Peers) Scheme() string {
+	if p.dialTLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// ControlTransport returns a transport to other nodes apart from that of data
+// calls, so that an operator's questions never wait behind calls.
+func (p *Peers) ControlTransport() *http.Transport { return p.newTransport(false) }
+
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
@@ -54,8 +106,8 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    newTransport(p.dial, false),
-			fresh:   newTransport(p.dial, true),
+			pool:    p.newTransport(false),
+			fresh:   p.newTransport(true),
 			rescues: make(chan struct{}, maxRescues),
 		}
 		p.peers[addr] = got
@@ -139,25 +191,24 @@
 	}
 }
 
-// settle chooses between the two sendings. The first one counts if it brought
-// an answer; otherwise the second one's answer does. When the first one's
+// settle chooses between the two sendings. A whole answer of the first one
+// counts at once; otherwise the second one's does. When the first one's
 // connection broke before a second was out, the call is attached to again now.
 //
-// A refusal of the first one, as not run, is not the call's while a second one
-// is out: the guard refused that sending only, or its dial failed, and the
-// second may have arrived later and run. The refusal would then be false.
+// A refusal of the first that says "not run" is true of the first only: the
+// guard may take the second, should its upstream come or a slot become free in
+// between. It shows when the refusal is late, as after a lost packet: the caller
+// was told that nothing ran while the call ran. So the second is waited for.
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
 	rescued := s.rescued
 	s.mu.Unlock()
-	broken := first.Code == result.LostAnswer || first.Code == result.AnswerCut
-	refused := !first.Whole() && first.Code.Ran() == result.RanNo
 	var second *node.Answer
 	switch {
-	case rescued && (broken || refused || first.Code == result.CancelledRunning):
+	case rescued && superseded(first):
 		second = <-s.fresh
-	case broken && s.ctx.Err() == nil:
+	case !rescued && broken(first) && s.ctx.Err() == nil:
 		second = s.reattach()
 	default:
 		return first
@@ -168,6 +219,20 @@
 	return second
 }
 
+// broken reports whether the connection of a sending failed.
+func broken(first *node.Answer) bool {
+	return first.Code == result.LostAnswer || first.Code == result.AnswerCut
+}
+
+// superseded reports whether the answer of a first sending leaves open what a
+// second one brings.
+func superseded(first *node.Answer) bool {
+	if first.Whole() {
+		return false
+	}
+	return broken(first) || first.Code == result.CancelledRunning || first.Code.Ran() == result.RanNo
+}
+
 // reattach sends the call ID again over a fresh connection.
 func (s *sending) reattach() *node.Answer {
 	again := *s.attempt
@@ -179,12 +244,10 @@
 	return answer
 }
 
-func newTransport(dial DialFunc, single bool) *http.Transport {
-	if dial == nil {
-		dial = plainDial
-	}
+func (p *Peers) newTransport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         p.dial,
+		DialTLSContext:      p.dialTLS,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// writeInner answers as a guard does.
+func writeInner(w http.ResponseWriter, a *node.Answer) {
+	p := &Proxy{node: node.New(node.Config{Clock: wallClock{}, Ring: timeline.NewRing("g", 16, &timeline.Clock{})})}
+	p.writeInner(w, &node.Call{}, a)
+}
+
 func whole(callID string) *node.Answer {
 	return &node.Answer{CallID: callID, Code: result.OK, Status: http.StatusOK}
 }
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
@@ -20,15 +21,21 @@
 	readMax = 1000
 	// readRetry is the pause after a read that failed.
 	readRetry = 200 * time.Millisecond
-	// readWait bounds the wait of a read at the log's head: half of what may
-	// pass between two proofs at a zone's reader.
-	readWait = 500 * time.Millisecond
+	// leaderWait bounds the wait of a zone's reader at the log's head. A proof
+	// counts from the sending of its read, so the wait is the age that it has
+	// when it sets out for the other nodes; theirs then stays below half of
+	// the validity of ownership, past which promises are asked for. Whoever
+	// reads beside it waits as long as settings say.
+	leaderWait = 250 * time.Millisecond
 	// idleWait is how often a loop without work looks again.
 	idleWait = 250 * time.Millisecond
 	// planeTick is how often the plane's times are looked at.
 	planeTick = 200 * time.Millisecond
 	// appendTimeout bounds one try to get a record into the log.
 	appendTimeout = 5 * time.Second
+	// leaveTimeout bounds the wait for the leave record at a planned stop. The
+	// peers know of the drain already, and will find the node gone.
+	leaveTimeout = time.Second
 )
 
 // control drives the node's share of the control plane: it moves what the
@@ -36,6 +43,7 @@
 // I/O.
 type control struct {
 	server   *Server
+	log      logState
 	clients  *controlClients
 	counters controlCounters
 	kick     chan struct{} // looks at the plane at once
@@ -88,6 +96,7 @@
 // Applied implements node.Follower.
 func (f follower) Applied(now time.Time, entries []platform.Entry) {
 	f.server.own.state.Apply(now, entries)
+	f.server.metrics.Inc(metrics.RecordsFolded, int64(len(entries)))
 	f.server.appender.Observe(entries)
 }
 
@@ -154,6 +163,10 @@
 	}
 }
 
+// awaitEnforced returns once what was folded so far is in force at this node.
+// A record counts as read back within the step that folds it, a moment before.
+func (c *control) awaitEnforced() { c.with(func(time.Time, *node.Plane) {}) }
+
 func (c *control) kickSoon() {
 	select {
 	case c.kick <- struct{}{}:
@@ -173,23 +186,32 @@
 	for ctx.Err() == nil {
 		woken := c.woken()
 		var from int64
-		var reads bool
-		c.with(func(now time.Time, p *node.Plane) { from, reads = p.ReadFrom(now) })
+		var reads, leads bool
+		c.with(func(now time.Time, p *node.Plane) {
+			from, reads = p.ReadFrom(now)
+			leads = p.Leads()
+		})
 		if !reads {
 			waitFor(ctx, woken, idleWait)
 			continue
 		}
-		c.readOnce(ctx, from)
+		wait := c.server.cfg.Log.ReadWait.Std()
+		if leads {
+			wait = min(wait, leaderWait)
+		}
+		c.readOnce(ctx, from, wait)
 	}
 }
 
-func (c *control) readOnce(ctx context.Context, from int64) {
-	wait := min(c.server.cfg.Log.ReadWait.Std(), readWait)
+func (c *control) readOnce(ctx context.Context, from int64, wait time.Duration) {
 	c.counters.reads.Add(1)
 	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
 	defer cancel()
 	sent := c.server.node.Now()
 	page, err := c.server.log.Read(readCtx, from, readMax, wait)
+	if ctx.Err() == nil {
+		c.noteRead(err)
+	}
 	var truncated *platform.TruncatedError
 	switch {
 	case err == nil:
@@ -251,10 +273,14 @@
 // wait for them.
 func (c *control) endHeld() { c.ended.Do(func() { close(c.closing) }) }
 
+// leave returns once the leave record was read back: what is under way when the
+// appender ends may be lost.
 func (c *control) leave() {
-	var a node.Action
-	c.with(func(now time.Time, p *node.Plane) { a = p.LeaveRecord(now) })
-	c.perform(context.Background(), []node.Action{a})
+	var rec platform.Record
+	c.with(func(now time.Time, p *node.Plane) { rec = p.LeaveRecord(now) })
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	c.append(ctx, rec)
 }
 
 // append writes a record; the plane hands it out again if it doesn't show up.
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -13,6 +13,7 @@
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
@@ -48,6 +49,8 @@
 
 	mu         sync.Mutex
 	introduced time.Time
+	// lapsed is how many slots had no authority when last looked at.
+	lapsed int
 	// importing holds the parts of hand-overs that are not complete.
 	incomplete map[membership.Identity]bool
 }
@@ -70,6 +73,7 @@
 			return
 		case now := <-t.C:
 			o.plan(ctx, now)
+			o.watch(now)
 		case <-o.kick:
 			o.plan(ctx, o.server.node.Now())
 		}
@@ -124,6 +128,7 @@
 		_, err := o.server.appender.Append(ctx, rec)
 		switch {
 		case err == nil:
+			o.server.metrics.Inc(metrics.Takeovers, 1)
 			o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.Takeover, Service: t.Service, Detail: slotsDetail(t.Slots)})
 			return
 		case !errors.Is(err, platform.ErrUncertain):
@@ -203,6 +208,7 @@
 	}
 	slots := slotInts(req.Msg.GetSlots())
 	granted := len(slots) > 0 && o.state.Promise(now, req.Msg.GetService().GetService(), from, slots)
+	o.countPromise(len(slots) > 0, granted)
 	head, proven := o.state.Head()
 	return connect.NewResponse(&innerpb.PromiseResponse{
 		From:      node.Ref(o.server.control.self()),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,8 +15,11 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
@@ -33,6 +36,8 @@
 	guardTick = 10 * time.Millisecond
 	// headerTimeout bounds the time in which a request's header must arrive.
 	headerTimeout = 10 * time.Second
+	// timerSample takes one duration in so many of those on a call's path.
+	timerSample = 8
 )
 
 // Options are what a test or demo puts in place of the platform.
@@ -62,13 +67,22 @@
 	control  *control
 	own      *ownership
 	announce *announcements
+	backend  *backend
+	metrics  *metrics.Set
+	tokens   *admin.Tokens
 
-	listeners listeners
-	servers   []*http.Server
+	listeners   listeners
+	servers     []*http.Server
+	followers   followers
+	connections connections
+	certs       certificates
 	// innerServer is the one of servers that other nodes call.
 	innerServer *http.Server
-	stop        context.CancelFunc
-	loops       sync.WaitGroup
+	// stopping is closed when the listeners close, so that streams end.
+	stopping chan struct{}
+	stopOnce sync.Once
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
 	// handedOver is closed once owned keys have gone to other guards.
 	handedOver chan struct{}
 	drainOnce  sync.Once
@@ -86,15 +100,29 @@
 // be valid; port 0 lets the system choose, and the addresses are then those
 // that Addresses returns.
 func Start(cfg *settings.Node, opts Options) (*Server, error) {
-	s := &Server{cfg: cfg, log: opts.Log, logger: opts.Logger, handedOver: make(chan struct{})}
+	s := &Server{
+		cfg:        cfg,
+		log:        opts.Log,
+		logger:     opts.Logger,
+		metrics:    metrics.New(timerSample),
+		stopping:   make(chan struct{}),
+		handedOver: make(chan struct{}),
+	}
 	if s.log == nil {
-		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{})
+		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
 	}
-	appender, err := platform.NewAppender(s.log, appenderConfig())
+	s.log = &meteredLog{Log: s.log, metrics: s.metrics}
+	appender, err := platform.NewAppender(s.log, s.appenderConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "appender")
 	}
 	s.appender = appender
+	if s.tokens, err = admin.NewTokens(cfg.Tokens); err != nil {
+		return nil, err
+	}
+	if err := s.loadCerts(); err != nil {
+		return nil, err
+	}
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -107,9 +135,18 @@
 // 15 stay below the several hundred appends a second that it takes.
 const appendsPerSecond = 15
 
-func appenderConfig() platform.AppenderConfig {
+func (s *Server) appenderConfig() platform.AppenderConfig {
 	cfg := platform.DefaultAppenderConfig()
 	cfg.PerSecond = appendsPerSecond
+	cfg.Timeout = min(s.cfg.Log.AppendTimeout.Std(), cfg.RepeatFor)
+	return cfg
+}
+
+func (s *Server) guardConfig() node.GuardConfig {
+	cfg := node.DefaultGuardConfig()
+	cfg.Keys.MaxKeys = s.cfg.Limits.AnswerKeys
+	cfg.Keys.MaxBytes = int64(s.cfg.Limits.AnswerBytes)
+	cfg.Quarantine.MaxEntries = s.cfg.Limits.Suspects
 	return cfg
 }
 
@@ -131,6 +168,7 @@
 		}
 		*l.into = opened
 	}
+	s.listeners.callers = s.limitCallers(s.listeners.callers)
 	return nil
 }
 
@@ -145,7 +183,8 @@
 
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
-	s.control = newControl(s, newControlClients(opts.Dial))
+	s.securePeers()
+	s.control = newControl(s, newControlClients(s.peers))
 	s.upstream = proxy.NewUpstream(s.control)
 	s.upstream.BeforeRun = opts.BeforeRun
 	id := s.identity()
@@ -160,18 +199,24 @@
 		Routing:    routing.DefaultConfig(),
 		Retry:      retry.DefaultPolicy(),
 		Throttle:   retry.DefaultThrottleConfig(),
-		Guard:      node.DefaultGuardConfig(),
+		Guard:      s.guardConfig(),
 		Seed:       newSeed(),
 		Sample:     s.cfg.Limits.TimelineSample,
 		Observer:   opts.Observer,
 		OnCrash:    s.crashed,
 		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
+		MaxQueue:   s.cfg.Limits.Queue,
+		Metrics:    s.metrics,
+		OnRefused:  s.logRefusal,
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcements{server: s}
 	s.control.bind()
+	s.backend = newBackend(s)
+	s.proxy.SetLimits(proxy.Limits{Calls: int64(s.cfg.Limits.CallsInFlight), HeldBytes: int64(s.cfg.Limits.HeldBytes)})
+	s.watchBounds()
 }
 
 // crashed notes that the upstream's process died: its announcement counts
@@ -218,13 +263,14 @@
 	innerMux := http.NewServeMux()
 	innerMux.Handle(proxy.CallPath, s.proxy.CallHandler())
 	innerMux.Handle(inner.NewControlHandler(service{control: s.control}))
+	s.opsHandler(innerMux)
 	exitMux := http.NewServeMux()
 	exitMux.Handle("/v1/upstream", s.announce)
 	exitMux.Handle("/", s.proxy.ExitHandler())
-	s.serve(s.listeners.callers, s.proxy.CallerHandler())
-	s.serve(s.listeners.exit, exitMux)
-	s.serve(s.listeners.inner, innerMux)
-	s.serve(s.listeners.admin, http.NewServeMux())
+	s.serve(s.listeners.callers, s.requireToken(s.proxy.CallerHandler()), s.certs.callers)
+	s.serve(s.listeners.exit, exitMux, nil)
+	s.serve(s.listeners.inner, innerMux, s.certs.inner)
+	s.serve(s.listeners.admin, s.adminHandler(), s.certs.admin)
 	s.loop(func() { s.appender.Run(ctx) })
 	s.loop(func() { s.control.read(ctx) })
 	s.loop(func() { s.control.exchange(ctx) })
@@ -234,12 +280,12 @@
 	s.node.Event(s.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
-func (s *Server) serve(l net.Listener, h http.Handler) {
+func (s *Server) serve(l net.Listener, h http.Handler, files *certs.Files) {
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
-		ErrorLog:          log.New(s.logger.With().Str("from", "net/http").Logger(), "", 0),
+		ErrorLog:          log.New(errorLines{s.logger}, "", 0),
 	}
 	if l == s.listeners.inner {
 		srv.Protocols = new(http.Protocols)
@@ -248,7 +294,7 @@
 		s.innerServer = srv
 	}
 	s.servers = append(s.servers, srv)
-	s.loop(func() { _ = srv.Serve(l) })
+	s.loop(func() { _ = serveOn(srv, l, files) })
 }
 
 func (s *Server) loop(f func()) {
