A run with too few open files is refused

Change: galenabench says that 10,000 are needed and ends with exit code 1; the bound on callers' connections is 120 everywhere. The peak under 20,000 was 8,177, at up to 196 connections.

--- a/cmd/galenabench/demo.go
+++ b/cmd/galenabench/demo.go
@@ -64,7 +64,7 @@
 	fmt.Printf("a caller wants its answer within %s, and sends up to %d times\n", bench.Patience, bench.MaxSends)
 	fmt.Println("scaling: upstreams, slots, connections and delays are full size; instead of VMs all of it")
 	fmt.Println("  runs in this one process over loopback, and upstreams sleep for their service time;")
-	fmt.Printf("  a caller site opens at most %d connections to a node (fewer where the limit of open files is low);\n", bench.ConnsPerHost())
+	fmt.Printf("  a caller site opens at most %d connections to a node;\n", bench.ConnsPerHost)
 	fmt.Printf("  time: %s steady, %s surge, %s recovery\n", s.Before, s.Pressure, s.After)
 }
 
--- a/cmd/galenabench/run.go
+++ b/cmd/galenabench/run.go
@@ -87,7 +87,12 @@
 	return r, nil
 }
 
+// chooseScenarios returns what --scenario names, once the machine is known to be
+// able to run it.
 func chooseScenarios(name string) ([]bench.Scenario, error) {
+	if err := bench.CheckDescriptors(); err != nil {
+		return nil, err
+	}
 	all := bench.Scenarios()
 	if name == "all" {
 		return all, nil
--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -99,8 +99,8 @@
 		world: w,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         w.holding(w.network.Dialer(clients), nil),
-			MaxIdleConnsPerHost: ConnsPerHost(),
-			MaxConnsPerHost:     ConnsPerHost(),
+			MaxIdleConnsPerHost: ConnsPerHost,
+			MaxConnsPerHost:     ConnsPerHost,
 		}},
 		start: time.Now(),
 		rng:   rand.New(rand.NewPCG(w.seed, 7)),
--- a/internal/bench/child.go
+++ b/internal/bench/child.go
@@ -19,6 +19,9 @@
 	// hopTimeout and hopRetries are the usual settings of a service chain.
 	hopTimeout = time.Second
 	hopRetries = 3
+	// ConnsPerHost is what one site opens to one address at most, so that one
+	// process can hold both ends of a deployment's connections.
+	ConnsPerHost = 120
 )
 
 // childOf returns how an upstream calls deeper services.
@@ -86,7 +89,7 @@
 		r.clients[zone] = &http.Client{Transport: &http.Transport{
 			DialContext:         w.network.Dialer(zone),
 			MaxIdleConnsPerHost: 512,
-			MaxConnsPerHost:     ConnsPerHost(),
+			MaxConnsPerHost:     ConnsPerHost,
 		}}
 	}
 	return r
--- a/internal/bench/descriptors.go
+++ b/internal/bench/descriptors.go
@@ -1,26 +1,26 @@
 package bench
 
-import "syscall"
+import (
+	"syscall"
 
-const (
-	// mostConnsPerHost is what one site opens to one address at most, where
-	// the machine's open files allow it.
-	mostConnsPerHost = 120
-	// leastConnsPerHost still carries the steady load of a deployment.
-	leastConnsPerHost = 32
-	// descriptorsPerConn is how many descriptors a run needs for each unit of
-	// ConnsPerHost. A surge on the larger deployment peaked at 8,177 with 196,
-	// so 42 each; the rest is to spare.
-	descriptorsPerConn = 70
+	"github.com/pkg/errors"
 )
 
-// ConnsPerHost returns how many connections one site opens to one address.
-// Every connection has both of its ends in this process; with too few
-// descriptors a run would show the machine's limit, not the deployment's.
-func ConnsPerHost() int {
+// needDescriptors is what a run of a full deployment needs: a surge on the
+// larger one had 8,177 open at its peak. All connections have both of their
+// ends in this process.
+const needDescriptors = 10_000
+
+// CheckDescriptors fails where a deployment would run out of open files: its
+// figures would show the machine's limit, not the policy's. The language's
+// runtime has raised the limit to the hard one.
+func CheckDescriptors() error {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return leastConnsPerHost
+		return errors.Wrap(err, "limit of open files")
+	}
+	if limit.Cur < needDescriptors {
+		return errors.Errorf("limit of open files is %d, must be at least %d: raise it with ulimit -Hn", limit.Cur, needDescriptors)
 	}
-	return int(min(mostConnsPerHost, max(leastConnsPerHost, limit.Cur/descriptorsPerConn)))
+	return nil
 }
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -74,7 +74,7 @@
 }
 
 func latencyClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: ConnsPerHost()}}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: ConnsPerHost}}
 }
 
 type latencyRun struct {
