Settings of connections to nodes take effect; no metric stays unset

Cause: timing.connect, timing.idle_connection and limits.peer_connections were read and used nowhere. Six counters were listed and never set, three of them named on the operators' page.

Change: proxy.Connections carries the three settings to the transports for data calls. timing.idle_connection now defaults to the 5s that were in force, not to the 30s of the page. control.exchange_failures and members.probes_failed are counted; calls.hedged, control.bytes_in, control.bytes_out and records.refused are removed with their places on the page.

Conclusion: what the settings page says of connections is what the node does.

--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -13,7 +13,6 @@
 	CallsRetried
 	CallsReattached
 	CallsJoined
-	CallsHedged
 	CallsCancelled
 	RetriesThrottled
 	UpstreamsEjected
@@ -25,12 +24,9 @@
 	LogReads
 	LogReadFailures
 	LogAppendsSettled
-	ControlBytesIn
-	ControlBytesOut
 	ControlExchanges
 	ControlExchangeFailures
 	RecordsFolded
-	RecordsRefused
 	Takeovers
 	AuthorityLapses
 	PromisesGiven
@@ -49,7 +45,6 @@
 	CallsRetried:            "calls.retried",
 	CallsReattached:         "calls.reattached",
 	CallsJoined:             "calls.joined",
-	CallsHedged:             "calls.hedged",
 	CallsCancelled:          "calls.cancelled",
 	RetriesThrottled:        "retry.throttled",
 	UpstreamsEjected:        "routing.ejected",
@@ -61,12 +56,9 @@
 	LogReads:                "log.reads",
 	LogReadFailures:         "log.read_failures",
 	LogAppendsSettled:       "log.appends_settled",
-	ControlBytesIn:          "control.bytes_in",
-	ControlBytesOut:         "control.bytes_out",
 	ControlExchanges:        "control.exchanges",
 	ControlExchangeFailures: "control.exchange_failures",
 	RecordsFolded:           "records.folded",
-	RecordsRefused:          "records.refused",
 	Takeovers:               "lease.takeovers",
 	AuthorityLapses:         "lease.authority_lapses",
 	PromisesGiven:           "lease.promises_given",
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -13,21 +13,35 @@
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
-const (
-	// peerIdle bounds the age of an idle connection: something between the two
+// maxRescues bounds the second connections that are out to one peer at a time,
+// so that a slow peer isn't met with a burst of them.
+const maxRescues = 16
+
+// Connections says how connections to other nodes are made and kept.
+type Connections struct {
+	// Connect bounds making one without its TLS handshake; a new connection
+	// takes about 1 ms. A dial function given to NewPeers has its own bound.
+	Connect time.Duration
+	// Idle bounds how long one is kept without use: something between the two
 	// ends may have forgotten it, and nothing on it would ever say so.
-	peerIdle = 5 * time.Second
-	// connectTimeout bounds making a connection; a new one takes about 1 ms.
-	connectTimeout = 250 * time.Millisecond
-	// maxRescues bounds the second connections that are out to one peer at a
-	// time, so that a slow peer isn't met with a burst of them.
-	maxRescues = 16
-)
+	Idle time.Duration
+	// Kept bounds the idle ones to one node. Those that carry calls have no
+	// bound of their own: a call that waited for one would look like a slow
+	// peer.
+	Kept int
+}
+
+// DefaultConnections are those of the settings' defaults.
+func DefaultConnections() Connections {
+	return Connections{Connect: 250 * time.Millisecond, Idle: 5 * time.Second, Kept: 256}
+}
 
 // Peers carries attempts to the guards of other nodes. Safe for concurrent use.
 type Peers struct {
-	node *node.Node
-	dial DialFunc
+	node        *node.Node
+	dial        DialFunc
+	plain       bool // dial was not given
+	connections Connections
 
 	open atomic.Int64
 	// dialTLS replaces dial where nodes speak TLS with each other.
@@ -37,16 +51,24 @@
 	peers map[string]*peer
 }
 
-// NewPeers makes the sender of a node; dial may be nil for plain TCP.
+// NewPeers makes the sender of a node with DefaultConnections; dial may be nil
+// for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
-	if dial == nil {
-		dial = plainDial
-	}
-	p := &Peers{peers: make(map[string]*peer)}
+	p := &Peers{peers: make(map[string]*peer), plain: dial == nil}
 	p.dial = p.counting(dial)
+	p.SetConnections(DefaultConnections())
 	return p
 }
 
+// SetConnections replaces the defaults. Call it before Secure and before the
+// first sending.
+func (p *Peers) SetConnections(c Connections) {
+	p.connections = c
+	if p.plain {
+		p.dial = p.counting((&net.Dialer{Timeout: c.Connect}).DialContext)
+	}
+}
+
 // Open returns how many connections to other nodes are open.
 func (p *Peers) Open() int64 { return p.open.Load() }
 
@@ -248,8 +270,8 @@
 	return &http.Transport{
 		DialContext:         p.dial,
 		DialTLSContext:      p.dialTLS,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     peerIdle,
+		MaxIdleConnsPerHost: p.connections.Kept,
+		IdleConnTimeout:     p.connections.Idle,
 		DisableCompression:  true,
 		DisableKeepAlives:   single,
 	}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -31,7 +31,7 @@
 	if !first && f.holdDials != nil {
 		<-f.holdDials
 	}
-	conn, err := plainDial(ctx, network, addr)
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 	if err != nil || !first {
 		return conn, err
 	}
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -10,11 +10,6 @@
 // DialFunc makes a connection to another node.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-func plainDial(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout}
-	return d.DialContext(ctx, network, addr)
-}
-
 const (
 	// minRescueWait keeps ordinary variation from costing connections.
 	minRescueWait = 100 * time.Millisecond
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 )
 
@@ -58,6 +59,7 @@
 	if err != nil {
 		if ctx.Err() != context.Canceled {
 			c.clients.drop(peer.Addr)
+			c.server.metrics.Inc(metrics.ControlExchangeFailures, 1)
 			c.with(func(now time.Time, p *node.Plane) { p.OnAskFailed(now, peer) })
 		}
 		return false
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
@@ -62,6 +63,7 @@
 	resp, err := c.clients.client(addr).Probe(ctx, connect.NewRequest(&innerpb.ProbeRequest{}))
 	if err != nil {
 		c.clients.drop(addr)
+		c.server.metrics.Inc(metrics.ProbesFailed, 1)
 		return membership.Identity{}, false
 	}
 	return node.IdentityOf(resp.Msg.GetFrom()), true
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -72,7 +72,7 @@
 			CallTimeout:     Duration(10 * time.Second),
 			MaxCallTimeout:  Duration(2 * time.Minute),
 			Connect:         Duration(250 * time.Millisecond),
-			IdleConnection:  Duration(30 * time.Second),
+			IdleConnection:  Duration(5 * time.Second),
 		},
 		Limits: Limits{
 			CallerConnections: 4096,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -140,7 +140,8 @@
 	MaxCallTimeout Duration `json:"max_call_timeout"`
 	// Connect bounds making a connection. Default 250ms.
 	Connect Duration `json:"connect"`
-	// IdleConnection is how long an idle connection is kept. Default 30s.
+	// IdleConnection is how long an unused connection to another node is kept
+	// for calls. Default 5s.
 	IdleConnection Duration `json:"idle_connection"`
 }
 
@@ -150,7 +151,8 @@
 	CallerConnections int `json:"caller_connections"`
 	// CallsInFlight bounds calls held by the node in any role. Default 8192.
 	CallsInFlight int `json:"calls_in_flight"`
-	// PeerConnections bounds connections to one other node. Default 256.
+	// PeerConnections bounds idle connections kept to one other node.
+	// Default 256.
 	PeerConnections int `json:"peer_connections"`
 	// Queue bounds the guard's queue, in calls. Default 1024.
 	Queue int `json:"queue"`
