Settings without effect are wired or gone

Cause: of the documented settings, eight did nothing. timing.authority and limits.body_bytes were never read; timing.probe, probe_timeout, suspect and dead have no counterpart in the failure detector, whose times are fixed; and timing.call_timeout and max_call_timeout stand in each template as default_timeout and max_timeout.

Change: timing.authority is the validity of ownership proofs; limits.body_bytes bounds a body whatever the template allows, by default the most that a template may allow, so that nothing changes by itself. The test of an order between two periods used suspect and dead and now uses exchange and authority, with the same form of error.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,9 @@
 	// MaxQueue bounds the guard's queue whatever a template asks for; 0 leaves
 	// it to the template.
 	MaxQueue int
+	// MaxBody bounds one body in bytes whatever a template asks for; 0 leaves
+	// it to the template.
+	MaxBody int64
 	// Metrics takes the node's numbers; nil keeps them nowhere.
 	Metrics *metrics.Set
 	// OnRefused is told of every refusal that leaves the node to a caller or
@@ -300,10 +303,14 @@
 
 // MaxBody returns the bound of a body held for the call, in bytes.
 func (n *Node) MaxBody(call *Call) int64 {
+	bound := int64(defaultMaxBody)
 	if eff, ok := n.policy.Load().Lookup(call.Ctx.Workspace, call.Ctx.Service); ok {
-		return eff.MaxBody
+		bound = eff.MaxBody
+	}
+	if n.cfg.MaxBody > 0 {
+		bound = min(bound, n.cfg.MaxBody)
 	}
-	return defaultMaxBody
+	return bound
 }
 
 // RefuseCall makes the answer to a call that the guard never saw.
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -56,9 +56,11 @@
 }
 
 func newOwnership(s *Server, id node.Identity) *ownership {
+	cfg := lease.DefaultConfig()
+	cfg.Validity = s.cfg.Timing.Authority.Std()
 	return &ownership{
 		server:     s,
-		state:      node.NewOwnership(lease.DefaultConfig(), id),
+		state:      node.NewOwnership(cfg, id),
 		kick:       make(chan struct{}, 1),
 		incomplete: make(map[membership.Identity]bool),
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -211,6 +211,7 @@
 		OnCrash:    s.crashed,
 		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
 		MaxQueue:   s.cfg.Limits.Queue,
+		MaxBody:    int64(s.cfg.Limits.BodyBytes),
 		Metrics:    s.metrics,
 		OnRefused:  s.logRefusal,
 	})
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -28,16 +28,10 @@
 func (t *Timing) validate() error {
 	err := checkDurations([]durationCheck{
 		{"timing.exchange", t.Exchange, 50 * time.Millisecond, time.Minute},
-		{"timing.probe", t.Probe, 50 * time.Millisecond, time.Minute},
-		{"timing.probe_timeout", t.ProbeTimeout, 10 * time.Millisecond, 10 * time.Second},
-		{"timing.suspect", t.Suspect, 100 * time.Millisecond, time.Minute},
-		{"timing.dead", t.Dead, 200 * time.Millisecond, 5 * time.Minute},
 		{"timing.upstream_silence", t.UpstreamSilence, 100 * time.Millisecond, time.Minute},
 		{"timing.authority", t.Authority, 200 * time.Millisecond, time.Minute},
 		{"timing.drain_notice", t.DrainNotice, 0, time.Minute},
 		{"timing.stop_timeout", t.StopTimeout, time.Second, time.Hour},
-		{"timing.call_timeout", t.CallTimeout, 10 * time.Millisecond, time.Hour},
-		{"timing.max_call_timeout", t.MaxCallTimeout, 10 * time.Millisecond, 24 * time.Hour},
 		{"timing.connect", t.Connect, time.Millisecond, 30 * time.Second},
 		{"timing.idle_connection", t.IdleConnection, time.Second, time.Hour},
 	})
@@ -53,9 +47,6 @@
 		lowField, highField string
 		low, high           Duration
 	}{
-		{"timing.suspect", "timing.dead", t.Suspect, t.Dead},
-		{"timing.probe_timeout", "timing.suspect", t.ProbeTimeout, t.Suspect},
-		{"timing.call_timeout", "timing.max_call_timeout", t.CallTimeout, t.MaxCallTimeout},
 		{"timing.drain_notice", "timing.stop_timeout", t.DrainNotice, t.StopTimeout},
 		{"timing.exchange", "timing.authority", t.Exchange, t.Authority},
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -116,28 +116,17 @@
 	// Exchange is the period of the exchange with a relay. Default 1s: with
 	// 2 KB/s for control it leaves 2 KB for each.
 	Exchange Duration `json:"exchange"`
-	// Probe is the period of probing one peer. Default 1s.
-	Probe Duration `json:"probe"`
-	// ProbeTimeout is when a probe has failed. Default 500ms.
-	ProbeTimeout Duration `json:"probe_timeout"`
-	// Suspect is when a silent peer is suspected. Default 2s.
-	Suspect Duration `json:"suspect"`
-	// Dead is when a suspected peer is held for dead. Default 6s.
-	Dead Duration `json:"dead"`
 	// UpstreamSilence is when an upstream that stopped announcing itself is
 	// held for gone. Default 3s, three announcements.
 	UpstreamSilence Duration `json:"upstream_silence"`
-	// Authority is L: how long a proof of ownership counts. Default 3s.
+	// Authority is how long a proof of key ownership counts; the same on all
+	// nodes of a service. Default 3s.
 	Authority Duration `json:"authority"`
 	// DrainNotice is how long a leaving node goes on telling so before it
 	// waits for calls in flight. Default 2s.
 	DrainNotice Duration `json:"drain_notice"`
 	// StopTimeout bounds a planned stop as a whole. Default 60s.
 	StopTimeout Duration `json:"stop_timeout"`
-	// CallTimeout is the deadline of a request that names none. Default 10s.
-	CallTimeout Duration `json:"call_timeout"`
-	// MaxCallTimeout cuts what a request may ask for. Default 2m.
-	MaxCallTimeout Duration `json:"max_call_timeout"`
 	// Connect bounds making a connection. Default 250ms.
 	Connect Duration `json:"connect"`
 	// IdleConnection is how long an unused connection to another node is kept
@@ -156,8 +145,8 @@
 	PeerConnections int `json:"peer_connections"`
 	// Queue bounds the guard's queue, in calls. Default 1024.
 	Queue int `json:"queue"`
-	// BodyBytes bounds one request's or answer's body held in memory.
-	// Default 1 MiB.
+	// BodyBytes bounds one request's or answer's body held in memory, whatever
+	// a template allows. Default 16 MiB, the most that a template may allow.
 	BodyBytes int `json:"body_bytes"`
 	// HeldBytes bounds all bodies held at once. Default 64 MiB.
 	HeldBytes int `json:"held_bytes"`
