--- a/examples/by-hand.sh
+++ b/examples/by-hand.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs galenagrade by hand on loopback: a log, two nodes with their upstreams,
 # published instances, load, and a planned stop with calls in flight. It takes
-# about 15 s and ends every process that it started, by its ID.
+# about 20 s and ends every process that it started, by its ID.
 #
 # Ports: 7000 (log), 7100-7103 (letters), 7110-7113 (archive).
 set -eu
@@ -90,6 +90,7 @@
 kill -TERM "$letters"
 wait "$letters" && echo "node kurume-letters-1 stopped, exit code 0"
 wait "$load"
+echo "the load went on; after the only upstream of letters left, calls are refused as not run (2004):"
 cat "$dir/stop.json"
 grep -h '"message":"stopp' "$dir/letters-node.err"
 step done
