--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -183,6 +183,11 @@
 
 func (s *Server) build(opts Options) {
 	s.peers = proxy.NewPeers(opts.Dial)
+	s.peers.SetConnections(proxy.Connections{
+		Connect: s.cfg.Timing.Connect.Std(),
+		Idle:    s.cfg.Timing.IdleConnection.Std(),
+		Kept:    s.cfg.Limits.PeerConnections,
+	})
 	s.securePeers()
 	s.control = newControl(s, newControlClients(s.peers))
 	s.upstream = proxy.NewUpstream(s.control)
@@ -206,6 +211,7 @@
 		OnCrash:    s.crashed,
 		OnSuspects: func([]quarantine.Suspect) { s.control.kickSoon() },
 		MaxQueue:   s.cfg.Limits.Queue,
+		MaxBody:    int64(s.cfg.Limits.BodyBytes),
 		Metrics:    s.metrics,
 		OnRefused:  s.logRefusal,
 	})
