--- a/internal/server/bench_test.go
+++ b/internal/server/bench_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,20 +33,30 @@
 	w.announceAt(guard, "archive", up.Listener.Addr().String())
 	w.knows("archive", 1, entry)
 	callers, _, _, _ := entry.Addresses()
-	var direct, through time.Duration
+	var direct, through, directCPU, throughCPU time.Duration
 	b.ReportAllocs()
 	for b.Loop() {
-		began := time.Now()
+		began, beganCPU := time.Now(), processorTime(b)
 		must.Eq(b, http.StatusOK, w.get(up.Listener.Addr().String()))
-		middle := time.Now()
+		middle, middleCPU := time.Now(), processorTime(b)
 		must.Eq(b, http.StatusOK, w.get(callers))
 		direct += middle.Sub(began)
 		through += time.Since(middle)
+		directCPU += middleCPU - beganCPU
+		throughCPU += processorTime(b) - middleCPU
 	}
+	b.ReportMetric(float64((throughCPU-directCPU).Microseconds())/float64(b.N), "added-cpu-us/op")
 	b.ReportMetric(float64((through-direct).Microseconds())/float64(b.N), "added-us/op")
 	b.ReportMetric(float64(through)/float64(direct), "through/direct")
 }
 
+// processorTime is what the process has used, in user and system mode.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	must.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (w *world) get(addr string) int {
 	req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/search", nil)
 	must.NoError(w.t, err)
