--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -138,6 +138,7 @@
 	doc    ErrorResponse
 }
 
+// Error implements error.
 func (e *statusError) Error() string {
 	return fmt.Sprintf("log answered %d: %s", e.status, e.doc.Error)
 }
--- a/internal/policy/decode.go
+++ b/internal/policy/decode.go
@@ -69,20 +69,6 @@
 	return list, nil
 }
 
-// DecodeTemplates reads a JSON array of templates and validates each.
-func DecodeTemplates(data []byte) ([]Template, error) {
-	var list []Template
-	if errs := decodeStrict(data, &list); len(errs) > 0 {
-		return nil, errs
-	}
-	for i := range list {
-		if err := list[i].Validate(); err != nil {
-			return nil, fmt.Errorf("templates[%d]: %w", i, err)
-		}
-	}
-	return list, nil
-}
-
 // decodeStrict refuses unknown fields and anything after the document.
 func decodeStrict(data []byte, into any) FieldErrors {
 	dec := json.NewDecoder(bytes.NewReader(data))
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -79,21 +80,10 @@
 			return nil, err
 		}
 		p.open.Add(1)
-		return &countedConn{Conn: c, release: sync.OnceFunc(func() { p.open.Add(-1) })}, nil
+		return conns.OnClose(c, func() { p.open.Add(-1) }), nil
 	}
 }
 
-type countedConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
-}
-
 // Secure makes every connection to other nodes one of TLS; wrap adds the
 // handshake. Call it before the first sending.
 func (p *Peers) Secure(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -219,8 +219,11 @@
 // unreplayable is an empty body that net/http cannot take for http.NoBody.
 type unreplayable struct{}
 
+// Read implements io.Reader.
 func (unreplayable) Read([]byte) (int, error) { return 0, io.EOF }
-func (unreplayable) Close() error             { return nil }
+
+// Close implements io.Closer.
+func (unreplayable) Close() error { return nil }
 
 func (u *Upstream) failed(ctx context.Context, call *node.Call, err error) *node.Answer {
 	if ctx.Err() != nil {
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -20,6 +21,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/settings"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -253,3 +255,29 @@
 	must.Eq(t, result.OK, <-codes)
 	must.Eq(t, result.OK, <-codes)
 }
+
+// A template allows a larger body than the node has memory for. The node's own
+// bound holds, and the request is refused as not run.
+func TestBodyBeyondTheNodesBoundIsRefused(t *testing.T) {
+	var ran atomic.Int32
+	w, a, _ := chain(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	small := w.start("saga-letters-1", func(c *settings.Node) { c.Limits.BodyBytes = 1024 })
+	w.until("the configuration", func() bool {
+		return small.node.Policy().NewestChange() == a.node.Policy().NewestChange() && len(small.node.Table().Targets("archive")) > 0
+	})
+	post := func(s *Server, bytes int) string {
+		callers, _, _, _ := s.Addresses()
+		req, err := http.NewRequest(http.MethodPost, "http://"+callers+"/x", strings.NewReader(strings.Repeat("x", bytes)))
+		must.NoError(t, err)
+		req.Header.Set("Galena-Workspace", "chikugo")
+		req.Header.Set("Galena-Service", "archive")
+		req.Header.Set("Galena-Idempotent", "true")
+		_, h, _ := w.do(req)
+		return h.Get(result.HeaderResult)
+	}
+	must.Eq(t, "4004", post(small, 1025))
+	must.Eq(t, 0, ran.Load())
+	must.Eq(t, "1000", post(small, 1024))
+	must.Eq(t, "1000", post(a, 1025))
+	must.Eq(t, 2, ran.Load())
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,6 +94,7 @@
 
 type systemClock struct{}
 
+// Now implements node.Clock.
 func (systemClock) Now() time.Time { return time.Now() }
 
 // Start opens the listeners of a node and begins to serve. The settings must
--- a/internal/server/watch.go
+++ b/internal/server/watch.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/admin"
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/platform"
@@ -166,21 +167,10 @@
 		}
 		open := &l.server.connections.open
 		if open.Add(1) <= l.limit {
-			return &countedConn{Conn: c, release: sync.OnceFunc(func() { open.Add(-1) })}, nil
+			return conns.OnClose(c, func() { open.Add(-1) }), nil
 		}
 		open.Add(-1)
 		l.server.metrics.TurnedAway(metrics.BoundCallerConnections, 1)
 		_ = c.Close()
 	}
 }
-
-type countedConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
-}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/conns"
 )
 
 // Headers by which a test follows one logical operation along the chain.
@@ -357,6 +359,7 @@
 	room chan struct{}
 }
 
+// Accept implements net.Listener.
 func (l *limitListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -365,19 +368,9 @@
 		}
 		select {
 		case l.room <- struct{}{}:
-			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.room })}, nil
+			return conns.OnClose(c, func() { <-l.room }), nil
 		default:
 			_ = c.Close()
 		}
 	}
 }
-
-type limitedConn struct {
-	net.Conn
-	release func()
-}
-
-func (c *limitedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
-}
