--- a/cmd/galenactl/main.go
+++ b/cmd/galenactl/main.go
@@ -1,4 +1,4 @@
-// Galenactl is the operators' command line: it publishes templates, sets
+// Command galenactl is the operators' command line: it publishes templates, sets
 // instances, and shows the state, the members and the timeline of the nodes.
 package main
 
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -51,7 +51,7 @@
 	rates := map[string]float64{}
 	seconds := (ph.heal - ph.pressure).Seconds()
 	for _, o := range outcomes {
-		if o.Arrived >= ph.pressure && o.Arrived < ph.heal {
+		if ph.during(o.Arrived) {
 			rates[o.Kind.Name] += 1 / seconds
 		}
 	}
@@ -97,7 +97,7 @@
 func (w *World) bestWorth(outcomes []*Outcome, ph phases, served float64) float64 {
 	var count [callctx.Levels]float64
 	for _, o := range outcomes {
-		if o.Arrived >= ph.pressure && o.Arrived < ph.heal {
+		if ph.during(o.Arrived) {
 			count[o.Level]++
 		}
 	}
--- a/internal/bench/measure_keyed.go
+++ b/internal/bench/measure_keyed.go
@@ -26,7 +26,7 @@
 		if o.Poison {
 			continue
 		}
-		pressed := o.Arrived >= ph.pressure && o.Arrived < ph.heal
+		pressed := ph.during(o.Arrived)
 		if o.Kind.Keyed() {
 			r.addKeyed(o)
 			if pressed && o.Good {
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -17,9 +17,9 @@
 )
 
 // controlClients keeps a client for each address. Control messages go over
-// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS: HTTP/2's compressed headers make a message cost less than half
-// of what it costs over HTTP/1.1, and a held question and a probe share a
-// connection.
+// cleartext HTTP/2, or HTTP/1.1 where nodes speak TLS: HTTP/2's compressed
+// headers make a message cost less than half of what it costs over HTTP/1.1, and
+// a held question and a probe share a connection.
 type controlClients struct {
 	peers *proxy.Peers
 
