Test: authority over keys lasts as long as timing.authority

Cause: the setting was wired without a test.

Change: two guards with 1s lose authority, seen from 2s ahead.

Conclusion: the setting can't lose its effect unseen.

--- /dev/null
+++ b/internal/server/settings_test.go
@@ -0,0 +1,29 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// An operator shortens timing.authority so that the slots of a crashed guard are
+// free sooner. A guard that went on for longer by an old proof could start a
+// call that the next owner starts as well.
+func TestAuthorityLastsAsLongAsSettingsSay(t *testing.T) {
+	const authority = time.Second
+	w := newWorld(t)
+	short := func(c *settings.Node) { c.Timing.Authority = settings.Duration(authority) }
+	s, other := w.start("letters-1", short), w.start("letters-2", short)
+	w.announceAt(s, "letters", "127.0.0.1:1")
+	w.announceAt(other, "letters", "127.0.0.1:1")
+	w.until("ownership", func() bool { return s.OwnersSettled() && other.OwnersSettled() && s.own.state.Holds() > 0 })
+	must.Less(t, lease.DefaultConfig().Validity, 2*authority)
+	s.own.watch(s.node.Now().Add(2 * authority))
+	lost := timeline.Filter{Kinds: []timeline.Kind{timeline.AuthorityLost}}
+	must.Positive(t, len(s.node.Ring().Events(lost)))
+}
