--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -98,6 +98,10 @@
 		return
 	}
 	defer func() { p.gate.leave(size) }()
+	if !isPathTarget(r.URL.RequestURI()) {
+		p.turnCall(w, call, badTarget())
+		return
+	}
 	body, refusal := readBody(w, r, p.node.MaxBody(call))
 	if refusal != nil {
 		p.turnCall(w, call, refusal)
@@ -131,8 +135,14 @@
 func (p *Proxy) run(ctx context.Context, call *node.Call, account *retry.Account) *node.Answer {
 	rng := p.rngs.Get().(*rand.Rand)
 	defer p.rngs.Put(rng)
-	d := node.NewDispatch(p.node, rng, call, account)
+	return p.follow(ctx, call, node.NewDispatch(p.node, rng, call, account))
+}
+
+func (p *Proxy) follow(ctx context.Context, call *node.Call, d *node.Dispatch) *node.Answer {
 	for {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			d.Leave()
+		}
 		order := d.Next(p.node.Now())
 		switch order.Kind {
 		case node.OrderDone:
