--- a/internal/policy/library.go
+++ b/internal/policy/library.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// balanced favours whole answers: longer queues and more retries while there
+// balanced favours goodput: longer queues and more retries while there
 // is capacity for them.
 func balanced() Template {
 	b := commonBehaviour()
@@ -73,7 +73,7 @@
 			Help: "longest wait in a queue"})
 	return Template{
 		Name: "balanced", Revision: 1, Parameters: params, Behaviour: b,
-		Help: "most whole answers: moderate queues and retries",
+		Help: "highest goodput: moderate queues and retries",
 	}
 }
 
@@ -101,7 +101,7 @@
 		worthParameter("worth_normal", "2"))
 	return Template{
 		Name: "recovery-first", Revision: 1, Parameters: params, Behaviour: b,
-		Help: "quick return to normal: short queues, one retry, worth by level",
+		Help: "shortest recovery time: short queues, one retry, worth by level",
 	}
 }
 
