Fields of a template that nodes did not act on are in force

Cause: eight fields were published and validated, and no node read them. With resend_horizon 1h a key was forgotten after a built-in 15 min, and its call could run a second time. Change: horizon, kept answers and quarantine reach the guard and ownership, slow start and ejection the routing of the service, the ratio its throttle.

--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -60,6 +60,14 @@
 	return kindNames[k]
 }
 
+// Reconfigure puts cfg in force; an invalid one changes nothing. A shorter
+// KeepKeys forgets keys that a caller may still resend by the longer one.
+func (t *Table) Reconfigure(cfg Config) {
+	if cfg.Validate() == nil {
+		t.cfg = cfg
+	}
+}
+
 // Begin is the answer to a look-up.
 type Begin struct {
 	Kind Kind
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -34,6 +35,14 @@
 	d.settle()
 }
 
+// configureMemory sets how long keys, answers and crashing requests are known.
+func (g *Guard) configureMemory(keys idempotency.Config, crashes quarantine.Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.keys.Reconfigure(keys)
+	g.quarantine.Reconfigure(crashes)
+}
+
 // UpstreamDown says that the local upstream's process died. What it ran
 // becomes suspect; what waited, also for its claim, is refused as not run: a
 // claim that came after the upstream's return would start a call for which no
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,9 @@
 type Owners interface {
 	// Owner returns its inner address; empty when none is known.
 	Owner(service string, keyHash uint64) string
+	// SetResendHorizon raises the time in which keys of the local service may
+	// be sent again.
+	SetResendHorizon(d time.Duration)
 }
 
 // Observer is told how calls end at their entry or exit node. It is called
@@ -102,6 +105,10 @@
 
 	throttles sync.Map // service name to *retry.Throttle
 
+	// endpoints are those of the table in force; only the control loop, which
+	// also sets the configuration, touches them.
+	endpoints []routing.Endpoint
+
 	idMu  sync.Mutex
 	idSrc *rand.ChaCha8
 }
@@ -165,7 +172,7 @@
 	if t, ok := n.throttles.Load(service); ok {
 		return t.(*retry.Throttle)
 	}
-	t, _ := n.throttles.LoadOrStore(service, retry.NewThrottle(n.cfg.Throttle))
+	t, _ := n.throttles.LoadOrStore(service, retry.NewThrottle(n.throttleConfig(service)))
 	return t.(*retry.Throttle)
 }
 
@@ -187,7 +194,14 @@
 // SetEndpoints puts a new routing table in force. Only the control loop calls
 // it, so that no two tables are built from the same predecessor.
 func (n *Node) SetEndpoints(now time.Time, endpoints []routing.Endpoint) {
-	n.table.Store(routing.NewTable(n.table.Load(), n.cfg.Routing, n.self(), endpoints, now))
+	n.endpoints = endpoints
+	n.buildTable(now)
+}
+
+func (n *Node) buildTable(now time.Time) {
+	cfg := n.cfg.Routing
+	cfg.Services = routingOverrides(n.policy.Load())
+	n.table.Store(routing.NewTable(n.table.Load(), cfg, n.self(), n.endpoints, now))
 }
 
 // SetPolicy puts a configuration in force. An older one than that in force is
@@ -202,7 +216,7 @@
 	if change == old.NewestChange() {
 		return
 	}
-	n.reconfigureGuard(now)
+	n.reconfigure(now)
 	n.Event(now, timeline.Event{Kind: timeline.ConfigApplied, Detail: fmt.Sprintf("version %d", change)})
 }
 
--- /dev/null
+++ b/internal/node/reconfigure.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+// instancesOf returns the behaviours of every workspace for a service, by
+// workspace. Workspaces that share a service share its upstreams.
+func instancesOf(s *policy.State, service string) []*policy.Effective {
+	var out []*policy.Effective
+	for _, i := range s.Instances() {
+		if i.Service != service {
+			continue
+		}
+		if eff, ok := s.Lookup(i.Workspace, i.Service); ok {
+			out = append(out, eff)
+		}
+	}
+	return out
+}
+
+// instanceFor returns the behaviour that decides where a service can have only
+// one: that of the first workspace in order.
+func instanceFor(s *policy.State, service string) (*policy.Effective, bool) {
+	all := instancesOf(s, service)
+	if len(all) == 0 {
+		return nil, false
+	}
+	return all[0], true
+}
+
+// reconfigure puts what a new configuration changed in force.
+func (n *Node) reconfigure(now time.Time) {
+	n.throttles.Clear()
+	n.buildTable(now)
+	service := n.service.Load()
+	if service == nil {
+		return
+	}
+	n.guard.reconfigureWith(now, func(slots int) admission.Config {
+		return n.admissionConfig(*service, slots)
+	})
+	n.configureMemory()
+}
+
+// configureMemory sets how long the guard remembers keys, answers and crashing
+// requests. The longest horizon of any workspace decides: a key forgotten
+// before its caller stops resending it would run a second time.
+func (n *Node) configureMemory() {
+	service := n.service.Load()
+	if service == nil {
+		return
+	}
+	all := instancesOf(n.policy.Load(), *service)
+	if len(all) == 0 {
+		return
+	}
+	keys, crashes := n.cfg.Guard.Keys, n.cfg.Guard.Quarantine
+	keys.KeepKeys, keys.KeepAnswers = 0, 0
+	for _, eff := range all {
+		keys.KeepAnswers = max(keys.KeepAnswers, eff.KeepAnswers)
+		keys.KeepKeys = max(keys.KeepKeys, eff.ResendHorizon, eff.KeepAnswers)
+		if eff.KeepAnswerBytes > 0 {
+			keys.MaxBytes = min(n.cfg.Guard.Keys.MaxBytes, eff.KeepAnswerBytes)
+		}
+		if eff.QuarantineFor > 0 {
+			crashes.QuarantineFor = eff.QuarantineFor
+		}
+	}
+	n.guard.configureMemory(keys, crashes)
+	if n.cfg.Owners != nil {
+		n.cfg.Owners.SetResendHorizon(keys.KeepKeys)
+	}
+}
+
+func (n *Node) throttleConfig(service string) retry.ThrottleConfig {
+	cfg := n.cfg.Throttle
+	if eff, ok := instanceFor(n.policy.Load(), service); ok && eff.RetryRatio > 0 {
+		cfg.TokenRatio = eff.RetryRatio
+	}
+	return cfg
+}
+
+// routingOverrides are the values of each service's template for routing.
+func routingOverrides(s *policy.State) map[string]routing.Override {
+	out := make(map[string]routing.Override)
+	for _, i := range s.Instances() {
+		if _, known := out[i.Service]; known {
+			continue
+		}
+		if eff, ok := s.Lookup(i.Workspace, i.Service); ok {
+			out[i.Service] = routing.Override{SlowStart: eff.SlowStart, EjectFor: eff.EjectFor, MaxEjectedShare: eff.MaxEjectedShare}
+		}
+	}
+	return out
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -25,6 +25,7 @@
 func (n *Node) UpstreamAnnounced(now time.Time, a Announcement) {
 	n.service.Store(&a.Service)
 	n.guard.UpstreamUp(now, n.admissionConfig(a.Service, a.Slots))
+	n.configureMemory()
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
 }
 
@@ -75,15 +76,6 @@
 	return cfg
 }
 
-func instanceFor(s *policy.State, service string) (*policy.Effective, bool) {
-	for _, i := range s.Instances() {
-		if i.Service == service {
-			return s.Lookup(i.Workspace, i.Service)
-		}
-	}
-	return nil, false
-}
-
 func withTemplate(cfg admission.Config, eff *policy.Effective) admission.Config {
 	cfg.QueueLimit = eff.QueueLimit
 	cfg.SojournTarget = eff.SojournTarget
@@ -93,13 +85,3 @@
 	cfg.Adapt = eff.Adapt
 	return cfg
 }
-
-func (n *Node) reconfigureGuard(now time.Time) {
-	service := n.service.Load()
-	if service == nil {
-		return
-	}
-	n.guard.reconfigureWith(now, func(slots int) admission.Config {
-		return n.admissionConfig(*service, slots)
-	})
-}
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -43,6 +43,8 @@
 
 func (o *owner) Owner(string, uint64) string { return o.addr }
 
+func (o *owner) SetResendHorizon(time.Duration) {}
+
 // testNode is one node with its listeners on loopback.
 type testNode struct {
 	name     string
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// Reconfigure puts cfg in force; an invalid one changes nothing.
+func (t *Tracker) Reconfigure(cfg Config) {
+	if cfg.Validate() == nil {
+		t.cfg = cfg
+	}
+}
+
 // Crashed records that the local upstream died running these, and returns the
 // records to spread. All runs count as ended; a later Finished changes nothing.
 func (t *Tracker) Crashed(now time.Time, upstream string, incarnation uint64, running []Fingerprint) []Suspect {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -43,6 +43,30 @@
 	SubsetSize int
 	// RetryAfter is what an early refusal tells the caller to wait.
 	RetryAfter time.Duration
+	// Services overrides some values for single services; may be nil.
+	Services map[string]Override
+}
+
+// Override holds the values that a service's template may set.
+type Override struct {
+	SlowStart, EjectFor time.Duration
+	MaxEjectedShare     float64
+}
+
+// forService returns the configuration in force for a service.
+func (c *Config) forService(name string) *Config {
+	o, ok := c.Services[name]
+	if !ok {
+		return c
+	}
+	own := *c
+	own.SlowStart = o.SlowStart
+	own.EjectFor = o.EjectFor
+	own.MaxEjectedShare = o.MaxEjectedShare
+	if own.Validate() != nil {
+		return c
+	}
+	return &own
 }
 
 // DefaultConfig returns values for services of some hundred slots whose calls
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -64,7 +64,7 @@
 	}
 	c := choice{
 		at:         int64(now.Sub(t.epoch)),
-		cfg:        &t.cfg,
+		cfg:        v.svc.cfg.Load(),
 		svc:        v.svc,
 		rng:        rng,
 		rank:       info.Rank,
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -135,7 +135,7 @@
 	} else {
 		s = newService(t.epoch)
 	}
-	s.cfg.Store(&t.cfg)
+	s.cfg.Store(t.cfg.forService(name))
 	return s
 }
 
