A guard without its upstream is left for another; throttles outlive unrelated changes

Cause: a guard whose upstream had died refused its share of the calls for a second while the others had room: its refusal was final. Each change of configuration began every throttle anew and built the routing table again. Change: no_upstream from a guard is retried elsewhere and counts as unreachable for routing; a throttle is replaced when its ratio changes, the table when a service's values do.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -299,7 +299,8 @@
 	switch {
 	case a.Whole():
 		return routing.Answered
-	case a.Code == result.Unreachable:
+	case a.Code == result.Unreachable, a.Code == result.NoUpstream:
+		// A node without its upstream is no better than one that isn't there.
 		return routing.Unreachable
 	case a.Code == result.Cancelled, a.Code == result.CancelledRunning:
 		return routing.Cancelled
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,11 +103,12 @@
 	policy  atomic.Pointer[policy.State]
 	service atomic.Pointer[string] // of the local upstream; nil when none
 
-	throttles sync.Map // service name to *retry.Throttle
+	throttles sync.Map // service name to *throttle
 
 	// endpoints are those of the table in force; only the control loop, which
 	// also sets the configuration, touches them.
 	endpoints []routing.Endpoint
+	overrides map[string]routing.Override
 
 	idMu  sync.Mutex
 	idSrc *rand.ChaCha8
@@ -170,10 +171,11 @@
 // Throttle implements Router.
 func (n *Node) Throttle(service string) *retry.Throttle {
 	if t, ok := n.throttles.Load(service); ok {
-		return t.(*retry.Throttle)
+		return t.(*throttle).Throttle
 	}
-	t, _ := n.throttles.LoadOrStore(service, retry.NewThrottle(n.throttleConfig(service)))
-	return t.(*retry.Throttle)
+	cfg := n.throttleConfig(service)
+	t, _ := n.throttles.LoadOrStore(service, &throttle{retry.NewThrottle(cfg), cfg})
+	return t.(*throttle).Throttle
 }
 
 // idBytes gives 128 random bits: no two of 5.5 million calls a second over
@@ -200,7 +202,8 @@
 
 func (n *Node) buildTable(now time.Time) {
 	cfg := n.cfg.Routing
-	cfg.Services = routingOverrides(n.policy.Load())
+	n.overrides = routingOverrides(n.policy.Load())
+	cfg.Services = n.overrides
 	n.table.Store(routing.NewTable(n.table.Load(), cfg, n.self(), n.endpoints, now))
 }
 
--- a/internal/node/reconfigure.go
+++ b/internal/node/reconfigure.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
@@ -36,8 +37,10 @@
 
 // reconfigure puts what a new configuration changed in force.
 func (n *Node) reconfigure(now time.Time) {
-	n.throttles.Clear()
-	n.buildTable(now)
+	n.dropChangedThrottles()
+	if !maps.Equal(n.overrides, routingOverrides(n.policy.Load())) {
+		n.buildTable(now)
+	}
 	service := n.service.Load()
 	if service == nil {
 		return
@@ -78,6 +81,24 @@
 	}
 }
 
+// dropChangedThrottles forgets the throttles whose ratio is another now. The
+// others keep what they learned: changes come every few seconds at the planned
+// size, and a throttle that starts anew each time would hold nothing back.
+func (n *Node) dropChangedThrottles() {
+	n.throttles.Range(func(service, t any) bool {
+		if t.(*throttle).cfg != n.throttleConfig(service.(string)) {
+			n.throttles.Delete(service)
+		}
+		return true
+	})
+}
+
+// throttle is a service's retry throttle with what it was made of.
+type throttle struct {
+	*retry.Throttle
+	cfg retry.ThrottleConfig
+}
+
 func (n *Node) throttleConfig(service string) retry.ThrottleConfig {
 	cfg := n.cfg.Throttle
 	if eff, ok := instanceFor(n.policy.Load(), service); ok && eff.RetryRatio > 0 {
--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -69,3 +70,23 @@
 	must.NotEq(t, result.RanNo, again.Code.Ran())
 	must.Eq(t, 7*time.Second, routingOverrides(n.Policy())["s"].SlowStart)
 }
+
+// Configuration changes every few seconds at the planned size. A throttle that
+// began anew at each of them would never hold retries back in an outage.
+func TestThrottleOutlivesChangesThatDoNotConcernIt(t *testing.T) {
+	n := New(Config{
+		Clock: stillClock{at: epoch}, Runner: &fakeRunner{}, Authority: &fakeAuthority{}, Guard: DefaultGuardConfig(),
+		Routing: routing.DefaultConfig(), Throttle: retry.DefaultThrottleConfig(), Ring: timeline.NewRing("n", 16, &timeline.Clock{}),
+	})
+	state := published(t, nil)
+	n.SetPolicy(epoch, state)
+	before := n.Throttle("s")
+	for before.Allow() {
+		before.Failure()
+	}
+	other := publish(t, state, policy.Publication{ID: "o", Author: "op", Instance: &policy.Instance{
+		Workspace: "w", Service: "other", Template: "balanced", Revision: 1,
+	}})
+	n.SetPolicy(epoch, other)
+	must.False(t, n.Throttle("s").Allow())
+}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -129,7 +129,7 @@
 	switch c {
 	case result.Shed, result.QueueExpired, result.UpstreamShed:
 		return kindRefused
-	case result.Draining, result.Unreachable, result.Starting:
+	case result.Draining, result.Unreachable, result.Starting, result.NoUpstream:
 		return kindNotReached
 	case result.OwnedElsewhere:
 		return kindOwner
--- a/internal/retry/decide_test.go
+++ b/internal/retry/decide_test.go
@@ -73,6 +73,9 @@
 		{"quarantined", Attempt{Code: result.Quarantined, Idempotent: true}, ReturnIt},
 		{"owner known", Attempt{Code: result.OwnedElsewhere, Owner: "a"}, AskOwner},
 		{"owner not known", Attempt{Code: result.OwnedElsewhere}, ReturnIt},
+		// An upstream died; its node refused a third of the service's calls for
+		// the second until it was back, while the others had room.
+		{"upstream gone", Attempt{Code: result.NoUpstream}, TryElsewhere},
 		{"owners disagree", Attempt{Code: result.OwnedElsewhere, Owner: "a", OwnerAsked: DefaultPolicy().MaxOwnerAsks}, ReturnIt},
 		{"silent connection", Attempt{Code: result.LostAnswer, SameIncarnation: true}, Reattach},
 		{"silent again", Attempt{Code: result.LostAnswer, SameIncarnation: true, Reattached: true}, ReturnIt},
