Twelve whole nodes in one goroutine, twice alike

Cause: only the control plane had such a harness; the decisions on a call's path had none over many nodes. Change: a test drives guards, dispatches, routing, configuration and membership of twelve nodes through a simulated minute with a crash, a drain and a surge.

--- /dev/null
+++ b/internal/node/twelve_test.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/standin/logd"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	minuteOneWay = 500 * time.Microsecond
+	minuteTick   = 10 * time.Millisecond
+)
+
+// minute drives nodes, the log and the network in one goroutine of virtual time.
+type minute struct {
+	t     *testing.T
+	now   time.Time
+	seq   int
+	queue minuteQueue
+	rng   *rand.Rand
+	log   *logd.Server
+	nodes []*minuteNode
+	lines []string
+}
+
+type minuteNode struct {
+	*Node
+	s       *minute
+	service string
+	replica *Replica
+	life    int // counts the upstream's crashes
+}
+
+type minuteEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type minuteQueue []minuteEvent
+
+func (q minuteQueue) Len() int { return len(q) }
+func (q minuteQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q minuteQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *minuteQueue) Push(x any)   { *q = append(*q, x.(minuteEvent)) }
+func (q *minuteQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// Now implements Clock.
+func (s *minute) Now() time.Time { return s.now }
+
+func (s *minute) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, minuteEvent{s.now.Add(d), s.seq, do})
+}
+
+func (s *minute) run(until time.Duration) {
+	end := epoch.Add(until)
+	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
+		e := heap.Pop(&s.queue).(minuteEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// newMinute makes four nodes for each of three services; front calls middle, and
+// middle calls back.
+func newMinute(t *testing.T, seed uint64) *minute {
+	s := &minute{t: t, now: epoch, rng: rand.New(rand.NewPCG(seed, 1))}
+	s.log = logd.New(logd.Options{Now: s.Now, Seed: seed})
+	s.publish()
+	for i := range 12 {
+		s.start(i, seed)
+	}
+	return s
+}
+
+func (s *minute) publish() {
+	var records []platform.Record
+	add := func(p policy.Publication) {
+		rec, err := p.Record(s.now)
+		must.NoError(s.t, err)
+		records = append(records, rec)
+	}
+	for _, tpl := range policy.Library() {
+		add(policy.Publication{ID: "t" + tpl.Name, Author: "op", Template: &tpl})
+	}
+	for _, service := range []string{"front", "middle", "back"} {
+		add(policy.Publication{ID: "i" + service, Author: "op", Instance: &policy.Instance{
+			Workspace: "w", Service: service, Template: "balanced", Revision: 1,
+		}})
+	}
+	_, err := s.log.Append(context.Background(), records)
+	must.NoError(s.t, err)
+}
+
+func (s *minute) start(i int, seed uint64) {
+	n := &minuteNode{s: s, service: []string{"front", "middle", "back"}[i%3], replica: NewReplica()}
+	id := Identity{Node: fmt.Sprintf("n%02d", i), Incarnation: 1, Region: "r", Zone: fmt.Sprintf("z%d", i%2), InnerAddr: fmt.Sprintf("10.0.0.%d:1", i)}
+	n.Node = New(Config{
+		Identity: id, Clock: s, Runner: n, Authority: &fakeAuthority{}, Guard: DefaultGuardConfig(), Routing: routing.DefaultConfig(),
+		Retry: retry.DefaultPolicy(), Throttle: retry.DefaultThrottleConfig(), Seed: [32]byte{byte(i), byte(seed)},
+		Ring: timeline.NewRing(id.Node, 1<<15, &timeline.Clock{}), Sample: 1,
+	})
+	s.nodes = append(s.nodes, n)
+	body, err := json.Marshal(membership.Join{Member: membership.Member{
+		Identity: membership.Identity{Node: id.Node, Incarnation: 1}, Region: id.Region, Zone: id.Zone,
+		Service: n.service, InnerAddr: id.InnerAddr, Slots: 6, JoinedAt: s.now,
+	}})
+	must.NoError(s.t, err)
+	_, err = s.log.Append(context.Background(), []platform.Record{{ID: id.Node, Kind: platform.KindJoin, Body: body}})
+	must.NoError(s.t, err)
+	n.announce()
+	n.tick()
+	n.follow()
+}
+
+func (n *minuteNode) announce() {
+	n.UpstreamAnnounced(n.s.now, Announcement{Service: n.service, Address: "10.0.0.1:2", Slots: 6})
+}
+
+func (n *minuteNode) tick() {
+	n.Guard().Tick(n.s.now)
+	n.s.after(minuteTick, n.tick)
+}
+
+// follow reads the log once a second.
+func (n *minuteNode) follow() {
+	page, err := n.s.log.Read(context.Background(), n.replica.Next(), 1000, 0)
+	must.NoError(n.s.t, err)
+	n.replica.Take(n.s.now, page)
+	n.SetPolicy(n.s.now, n.replica.Policy())
+	n.SetEndpoints(n.s.now, Endpoints(n.replica.Members(), func(membership.Identity) bool { return false }))
+	n.s.after(time.Second, n.follow)
+}
+
+// Claim implements Runner.
+func (n *minuteNode) Claim(call *Call) { n.s.t.Fatalf("call %s asked for a claim", call.Ctx.CallID) }
+
+// Run implements Runner: the upstream works, then calls deeper.
+func (n *minuteNode) Run(call *Call, _ time.Time) {
+	life := n.life
+	end := func(a *Answer) {
+		if n.life != life {
+			a = Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the upstream died"))
+			a.Crashed = n.UpstreamCrashed(n.s.now)
+		}
+		n.Guard().Finish(n.s.now, call.Ctx.CallID, a)
+	}
+	deeper := map[string]string{"front": "middle", "middle": "back"}[n.service]
+	n.s.after(time.Duration((0.5+n.s.rng.Float64())*float64(20*time.Millisecond)), func() {
+		if deeper == "" || n.life != life {
+			end(wholeAnswerOf(call, "done"))
+			return
+		}
+		n.callDeeper(call, deeper, end)
+	})
+}
+
+func (n *minuteNode) callDeeper(call *Call, service string, end func(*Answer)) {
+	child, account, refusal := n.Child(n.s.now, callctx.Raw{Parent: call.Ctx.CallID, Service: service}, "GET")
+	if refusal != nil {
+		end(Refused(call.Ctx.CallID, refusal))
+		return
+	}
+	child.Method, child.Target = "GET", "/"+child.Ctx.CallID
+	n.dispatch(child, account, func(a *Answer) {
+		if !a.Whole() {
+			end(&Answer{CallID: call.Ctx.CallID, Code: result.UpstreamFailed, Status: 502})
+			return
+		}
+		end(wholeAnswerOf(call, "done"))
+	})
+}
+
+// dispatch follows a Dispatch over the simulated network.
+func (n *minuteNode) dispatch(call *Call, account *retry.Account, done func(*Answer)) {
+	d := NewDispatch(n.Node, n.s.rng, call, account)
+	var next func()
+	next = func() {
+		switch o := d.Next(n.s.now); o.Kind {
+		case OrderDone:
+			n.Answered(call, o.Answer, d)
+			done(o.Answer)
+		case OrderPause:
+			n.s.after(o.Pause, next)
+		case OrderSend:
+			to := n.s.node(o.Target.Endpoint().Node)
+			n.s.after(minuteOneWay, func() {
+				to.arrive(o.Attempt, func(a *Answer) {
+					n.s.after(minuteOneWay, func() {
+						d.Observe(n.s.now, a)
+						next()
+					})
+				})
+			})
+		}
+	}
+	next()
+}
+
+func (n *minuteNode) arrive(call *Call, answer func(*Answer)) {
+	if _, a := n.Guard().Arrive(n.s.now, call, answer); a != nil {
+		answer(a)
+	}
+}
+
+func (s *minute) node(name string) *minuteNode {
+	for _, n := range s.nodes {
+		if n.ID() == name {
+			return n
+		}
+	}
+	s.t.Fatalf("no node %s", name)
+	return nil
+}
+
+// offer makes root requests, four times as many from the 30th to the 40th second.
+func (s *minute) offer() {
+	rate := 100.0
+	if e := s.now.Sub(epoch); e >= 30*time.Second && e < 40*time.Second {
+		rate = 400
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.offer)
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	raw := callctx.Raw{Workspace: "w", Service: "front", HasLevel: true, Level: callctx.Level(s.rng.IntN(callctx.Levels)), Timeout: time.Second}
+	call, allowance, refusal := n.Root(s.now, raw, "GET", fmt.Sprint(s.rng.IntN(50)))
+	if refusal != nil {
+		s.lines = append(s.lines, refusal.Error())
+		return
+	}
+	call.Method, call.Target = "GET", "/"+call.Ctx.CallID
+	n.dispatch(call, retry.NewAccount(allowance), func(a *Answer) {
+		s.lines = append(s.lines, fmt.Sprintf("%s %s %s %d", s.now.Sub(epoch), n.ID(), call.Ctx.RequestID, a.Code))
+	})
+}
+
+// simulatedMinute returns the outcomes and every event of a minute with a
+// crash, a drain and a surge.
+func simulatedMinute(t *testing.T, seed uint64) []string {
+	s := newMinute(t, seed)
+	s.after(time.Second, s.offer)
+	s.after(10*time.Second, func() { s.nodes[2].life++; s.nodes[2].UpstreamCrashed(s.now) })
+	s.after(12*time.Second, s.nodes[2].announce)
+	s.after(20*time.Second, func() { s.nodes[4].Guard().Drain(s.now) })
+	s.run(time.Minute)
+	for _, n := range s.nodes {
+		for _, e := range n.Ring().Events(timeline.Filter{}) {
+			s.lines = append(s.lines, fmt.Sprint(e.HLC, e.Node, e.Kind, e.CallID, e.Upstream, e.Code, e.Detail))
+		}
+	}
+	return s.lines
+}
+
+// The decisions of twelve nodes read no clock, no network and no randomness of
+// their own: one goroutine drives them through a minute, twice to the same
+// list of events, and to another one with another seed.
+func TestTwelveNodesInOneGoroutineTwiceAlike(t *testing.T) {
+	first := simulatedMinute(t, 7)
+	must.Greater(t, 5000, len(first))
+	answered := 0
+	for _, line := range first {
+		if strings.HasSuffix(line, " 1000") {
+			answered++
+		}
+	}
+	must.Greater(t, 4000, answered)
+	must.Eq(t, first, simulatedMinute(t, 7))
+	must.NotEq(t, first[100], simulatedMinute(t, 8)[100])
+}
