Admission: the threshold admits a quarter more than was started

Cause: with the deepest service slowed the queue of important calls ran empty now and then, and an unimportant deep call took the slot for a whole long run. Change: fitMargin 1.05 -> 1.25.

--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -20,7 +20,7 @@
 	maxOpen   = 64 * bucketWidth
 	// fitMargin is the work admitted over what was started, so that the slots
 	// stay busy.
-	fitMargin = 1.05
+	fitMargin = 1.25
 	// turnedShare is the part of offers turned away by a full queue that counts
 	// as pressure even without a standing delay.
 	turnedShare = 0.05
