--- a/internal/bench/outages.go
+++ b/internal/bench/outages.go
@@ -63,18 +63,7 @@
 			Story:     "three operators publish conflicting values of one instance, again and again",
 			Operators: racers,
 		},
-		{
-			Name:      "vm-crash",
-			Story:     "a VM of the first and one of the deepest service die with their nodes, in the middle of calls, and stay away",
-			Operators: 1,
-			Gone:      oneGone,
-			Events: func(d *Deployment) []Event {
-				return []Event{
-					{time.Second, func(w *World) { w.kill(w.upstreamsOf(d.Services[0].Name)[0]) }},
-					{3 * time.Second, func(w *World) { w.kill(w.upstreamsOf(d.Deepest())[0]) }},
-				}
-			},
-		},
+		vmCrash(),
 		{
 			Name:      "replace-all",
 			Story:     "every node is replaced as planned, one after another, under load",
@@ -85,6 +74,22 @@
 	}
 }
 
+// vmCrash takes two VMs away for good.
+func vmCrash() Scenario {
+	return Scenario{
+		Name:      "vm-crash",
+		Story:     "a VM of the first and one of the deepest service die with their nodes, in the middle of calls, and stay away",
+		Operators: 1,
+		Gone:      oneGone,
+		Events: func(d *Deployment) []Event {
+			return []Event{
+				{time.Second, func(w *World) { w.kill(w.upstreamsOf(d.Services[0].Name)[0]) }},
+				{3 * time.Second, func(w *World) { w.kill(w.upstreamsOf(d.Deepest())[0]) }},
+			}
+		},
+	}
+}
+
 // oneGone is the capacity that the two VMs of vm-crash take with them.
 func oneGone(d *Deployment) map[string]float64 {
 	gone := map[string]float64{}
