--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -122,7 +122,8 @@
 // refusal that promises "not run" would then be false, and the caller gets the
 // earlier outcome.
 func (d *Dispatch) settle(a *Answer) {
-	if !a.Whole() && a.Code.Ran() == result.RanNo && d.unproven != nil {
+	last := retry.Attempt{Code: a.Code, MayHaveRun: d.unproven != nil}
+	if retry.FinalCode(last) != a.Code {
 		a = d.unproven
 	}
 	d.final = a
