--- a/cmd/galenad/main.go
+++ b/cmd/galenad/main.go
@@ -28,16 +28,25 @@
 var version string
 
 type cli struct {
-	Config  string           `required:"" type:"existingfile" help:"Settings of the node, one JSON file."`
-	Check   bool             `help:"Check the settings and exit."`
+	Run  runCommand  `cmd:"" default:"withargs" help:"Run a node that callers address by workspace and service."`
+	Mesh meshCommand `cmd:"" help:"Run a node whose requests come by routes."`
+
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
+type runCommand struct {
+	Config string `required:"" type:"existingfile" help:"Settings of the node, one JSON file."`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
 func main() {
 	var args cli
-	kong.Parse(&args, kong.Name("galenad"), kong.Description("Overload control node of one upstream VM."),
+	parsed := kong.Parse(&args, kong.Name("galenad"), kong.Description("Overload control node of one upstream VM."),
 		kong.Vars{"version": buildVersion()})
-	os.Exit(run(args))
+	if parsed.Command() == "mesh" {
+		os.Exit(runMesh(args.Mesh))
+	}
+	os.Exit(run(args.Run))
 }
 
 func buildVersion() string {
@@ -57,7 +66,7 @@
 	return info.Main.Version + revision + " " + info.GoVersion
 }
 
-func run(args cli) int {
+func run(args runCommand) int {
 	cfg, err := settings.Load(args.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "galenad:", err)
--- /dev/null
+++ b/cmd/galenad/mesh.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/mesh"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/platform"
+)
+
+type meshCommand struct {
+	Config string `required:"" type:"existingfile" env:"GALENAGRADE_NODE_FILE" help:"Settings of the node, one JSON file."`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
+// memoryShare of what the VM gives is where the garbage collector begins to work
+// harder: stacks, buffers of the kernel and fragmentation need the rest.
+const memoryShare = 0.6
+
+func runMesh(args meshCommand) int {
+	cfg, err := settings.LoadMesh(args.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "galenad:", err)
+		return exitSettings
+	}
+	if args.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	logger, err := metrics.NewLogger(os.Stdout, cfg.NodeID, cfg.Logging)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "galenad:", err)
+		return exitSettings
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Resources.MemoryMB) * (1 << 20)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, logger), logger)
+	if err != nil {
+		logger.Error().Err(err).Msg("not started")
+		return exitFailure
+	}
+	logger.Info().Str("version", buildVersion()).Str("zone", cfg.Zone).Str("service", cfg.Service).
+		Str("callers", cfg.Listen.Callers).Str("inner", cfg.Listen.Inner).Str("store", cfg.Store.Address).
+		Int("memory_mb", cfg.Resources.MemoryMB).Msg("started")
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			logger.Info().Msg("signal to reload; nothing in the settings can change while the node runs")
+			continue
+		}
+		break
+	}
+	return stopMesh(m, logger)
+}
+
+func stopMesh(m *mesh.Mesh, logger zerolog.Logger) int {
+	logger.Info().Int("in_flight", m.InFlight()).Msg("stopping")
+	if cut := m.Stop(); cut > 0 {
+		logger.Error().Int("cut", cut).Msg("stopped with calls in flight")
+		return exitCut
+	}
+	logger.Info().Msg("stopped")
+	return 0
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -2,8 +2,10 @@
 package conns
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // OnClose returns c so that its first Close calls done before c is closed.
@@ -22,3 +24,12 @@
 	c.done()
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn where the wrapped connection does, so that
+// a look at the socket still finds what its other end did.
+func (c *closing) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- /dev/null
+++ b/internal/mesh/follow.go
@@ -0,0 +1,142 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Item is the newest record of a key.
+type Item struct {
+	Key string
+	// Value is empty when the key was deleted.
+	Value []byte
+}
+
+// ErrExpired matches a read of records that the store keeps no more.
+var ErrExpired = errors.New("records have expired")
+
+// Topic is a keyed topic of the store: the newest record of each key lasts.
+type Topic interface {
+	// Name names the topic in logs.
+	Name() string
+	// Put appends a record. On an error it may have taken effect.
+	Put(ctx context.Context, key string, value []byte) error
+	// Newest returns the newest record of each key, and the offset from which
+	// Read returns what came later.
+	Newest(ctx context.Context) (items []Item, next int64, err error)
+	// Read returns the records from offset from on. With none there it waits up
+	// to wait for one. It fails with ErrExpired when from is kept no more.
+	Read(ctx context.Context, from int64, wait time.Duration) (items []Item, next int64, err error)
+}
+
+const (
+	// readWait is how long a read at the end of a topic waits for news. A read
+	// costs the same however long it waits; whether its connection lives is
+	// shown by keep-alive probes, not by its end.
+	readWait = 25 * time.Second
+	// minPause and maxPause bound the wait after a failed call of the store. An
+	// entry has to be back about two seconds after the store's return.
+	minPause = 150 * time.Millisecond
+	maxPause = 1200 * time.Millisecond
+	// callTimeout bounds a call of the store that doesn't wait. Slow stores
+	// answer in some hundred milliseconds.
+	callTimeout = 2 * time.Second
+)
+
+// follower applies the records of a topic from the first to the newest, for as
+// long as the node runs.
+type follower struct {
+	topic  Topic
+	apply  func([]Item)
+	logger zerolog.Logger
+	// kick makes a pause end at once.
+	kick chan struct{}
+	// synced is called each time the newest records were applied; may be nil.
+	synced func()
+
+	lostAt time.Time
+}
+
+func (f *follower) run(ctx context.Context) {
+	failures := 0
+	next := int64(-1)
+	for ctx.Err() == nil {
+		var err error
+		next, err = f.step(ctx, next)
+		if err == nil {
+			f.regained()
+			failures = 0
+			continue
+		}
+		if errors.Is(err, ErrExpired) {
+			f.logger.Info().Str("topic", f.topic.Name()).Int64("offset", next).Msg("records expired before they were read; reading the newest of each key")
+			next = -1
+			continue
+		}
+		f.lost(ctx, err)
+		failures++
+		f.pause(ctx, failures)
+	}
+}
+
+// step reads once and returns the offset to go on from; -1 reads everything.
+func (f *follower) step(ctx context.Context, next int64) (int64, error) {
+	if next < 0 {
+		return f.snapshot(ctx)
+	}
+	items, after, err := f.topic.Read(ctx, next, readWait)
+	if err != nil {
+		return next, err
+	}
+	if len(items) > 0 {
+		f.apply(items)
+	}
+	return after, nil
+}
+
+func (f *follower) snapshot(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	items, next, err := f.topic.Newest(ctx)
+	if err != nil {
+		return -1, err
+	}
+	f.apply(items)
+	if f.synced != nil {
+		f.synced()
+	}
+	return next, nil
+}
+
+func (f *follower) lost(ctx context.Context, err error) {
+	if !f.lostAt.IsZero() || ctx.Err() != nil {
+		return
+	}
+	f.lostAt = time.Now()
+	f.logger.Warn().Str("topic", f.topic.Name()).Err(err).Msg("store lost")
+}
+
+func (f *follower) regained() {
+	if f.lostAt.IsZero() {
+		return
+	}
+	f.logger.Info().Str("topic", f.topic.Name()).Dur("after_ms", time.Since(f.lostAt)).Msg("store regained")
+	f.lostAt = time.Time{}
+}
+
+// pause waits longer with each failure, by a random part, so that the nodes of a
+// deployment don't all ask in the moment of the store's return.
+func (f *follower) pause(ctx context.Context, failures int) {
+	bound := min(maxPause, minPause<<min(failures-1, 5))
+	t := time.NewTimer(bound/2 + rand.N(bound/2))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.kick:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/mesh/listen.go
@@ -0,0 +1,186 @@
+package mesh
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/settings"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's header must arrive where
+	// the routes set no bound.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds a request's header where the routes set no bound.
+	headerBytes = 64 << 10
+	// innerIdle outlasts peerIdle, so that the node that sends calls is the one
+	// that closes.
+	innerIdle = 60 * time.Second
+)
+
+type listeners struct {
+	callers, inner, ready, announce, metrics net.Listener
+}
+
+func (l *listeners) open(cfg *settings.Mesh) error {
+	for _, x := range []struct {
+		into  *net.Listener
+		field string
+		addr  string
+	}{
+		{&l.callers, "listen.callers", cfg.Listen.Callers},
+		{&l.inner, "listen.inner", cfg.Listen.Inner},
+		{&l.ready, "listen.ready", cfg.Listen.Ready},
+		{&l.announce, "listen.announce", cfg.Listen.Announce},
+		{&l.metrics, "listen.metrics", cfg.Listen.Metrics},
+	} {
+		if x.addr == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", x.addr)
+		if err != nil {
+			l.close()
+			return errors.Wrapf(err, "%s %s", x.field, x.addr)
+		}
+		*x.into = opened
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, open := range []net.Listener{l.callers, l.inner, l.ready, l.announce, l.metrics} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+// servers are the HTTP servers on the listeners.
+type servers struct {
+	callers, inner, ready, announce, metrics *http.Server
+	// control carries questions to other nodes, apart from calls.
+	control *http.Transport
+}
+
+func (s *servers) all() []*http.Server {
+	return []*http.Server{s.callers, s.inner, s.ready, s.announce, s.metrics}
+}
+
+func (m *Mesh) serve() {
+	s := &m.servers
+	s.control = m.peers.ControlTransport()
+	callers := m.proxy.ServeRoutes(m.platform)
+	inner := http.NewServeMux()
+	inner.Handle(proxy.CallPath, m.proxy.CallHandler())
+	inner.Handle(routesPath, m.routes)
+	s.callers = m.newServer(m.closing(callers))
+	s.callers.IdleTimeout = idleSentinel
+	s.inner = m.newServer(inner)
+	s.inner.IdleTimeout = innerIdle
+	s.ready = m.newServer(http.HandlerFunc(m.serveReady))
+	s.announce = m.newServer(m.platform.AnnounceHandler(m.local))
+	m.start(s.callers, &callerListener{Listener: m.listeners.callers, mesh: m})
+	m.start(s.inner, m.listeners.inner)
+	m.start(s.ready, m.listeners.ready)
+	m.start(s.announce, m.listeners.announce)
+	if m.listeners.metrics != nil {
+		s.metrics = m.newServer(m.metrics.Handler())
+		m.start(s.metrics, m.listeners.metrics)
+	}
+}
+
+func (m *Mesh) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          log.New(errorLines{m.logger}, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return context.Background() },
+	}
+}
+
+func (m *Mesh) start(srv *http.Server, l net.Listener) {
+	m.loop(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			m.logger.Error().Err(err).Str("address", l.Addr().String()).Msg("listener failed")
+		}
+	})
+}
+
+// errorLines turns the lines of net/http's servers into log lines.
+type errorLines struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (e errorLines) Write(line []byte) (int, error) {
+	e.logger.Debug().Str("detail", string(line)).Msg("http server")
+	return len(line), nil
+}
+
+func (m *Mesh) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !m.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// closing tells callers of a stopping node to open their next connection
+// elsewhere: an idle connection that is closed under a caller loses what the
+// caller sends at that moment.
+func (m *Mesh) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if m.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// idleSentinel is the idle timeout that net/http is given; callerConn replaces
+// it by the one of the routes in force, which may change while the server runs.
+const idleSentinel = 1000 * time.Hour
+
+// defaultIdle holds where the routes set no idle timeout.
+const defaultIdle = 60 * time.Second
+
+type callerListener struct {
+	net.Listener
+	mesh *Mesh
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, mesh: l.mesh}, nil
+}
+
+type callerConn struct {
+	net.Conn
+	mesh *Mesh
+}
+
+// SetReadDeadline implements net.Conn. A deadline about as far away as the
+// sentinel is net/http's wait for the next request.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if time.Until(t) > idleSentinel/2 {
+		t = time.Now().Add(c.mesh.idleTimeout())
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (m *Mesh) idleTimeout() time.Duration {
+	if t := m.proxy.Routes(); t != nil && t.Config().Limits.IdleTimeout > 0 {
+		return t.Config().Limits.IdleTimeout
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/mesh/local.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"sync"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/node"
+)
+
+// localUpstream puts what the upstream beside the node says of itself in force.
+// It implements Announcements.
+type localUpstream struct {
+	mesh *Mesh
+
+	mu    sync.Mutex
+	known fleet.LocalUpstream
+}
+
+// Reported implements Announcements. When it returns, a drain is in force at the
+// guard: the acknowledgement of a report binds the node.
+func (l *localUpstream) Reported(r fleet.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Service != l.mesh.cfg.Service {
+		l.mesh.logger.Warn().Str("upstream", r.ID).Str("service", r.Service).Msg("report of another service ignored")
+		return
+	}
+	_, served := l.known.Current()
+	change := l.known.Heard(r)
+	switch change {
+	case fleet.Started:
+		l.started(r, served)
+	case fleet.Left:
+		l.left(r, "reported")
+	case fleet.Updated:
+		l.publish(r, fleet.Serving)
+	case fleet.Outdated:
+		l.mesh.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Int64("born", r.Born).Msg("outdated report ignored")
+	case fleet.Unchanged:
+	}
+}
+
+// Departed implements Announcements.
+func (l *localUpstream) Departed(id string, born int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known.Departed(id, born) == fleet.Left {
+		r, _ := l.known.Current()
+		l.left(r, "departed")
+	}
+}
+
+// started takes a new process into service. If another one served until now and
+// never said that it left, it died.
+func (l *localUpstream) started(r fleet.Report, served bool) {
+	m := l.mesh
+	now := m.node.Now()
+	if served {
+		m.node.UpstreamCrashed(now)
+	}
+	m.platform.SetUpstream(r.ID)
+	m.upstream.SetAddr(r.Address)
+	m.node.UpstreamReplaced(now, node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	l.publish(r, fleet.Serving)
+	m.logger.Info().Str("upstream", r.ID).Str("address", r.Address).Int("slots", r.Slots).Int64("born", r.Born).
+		Str("version", r.Version).Dur("cold_ms", r.ColdFor).Bool("predecessor_died", served).Msg("upstream started")
+}
+
+func (l *localUpstream) left(r fleet.Report, how string) {
+	m := l.mesh
+	m.node.Guard().Drain(m.node.Now())
+	l.publish(r, fleet.Leaving)
+	m.logger.Info().Str("upstream", r.ID).Str("how", how).Int64("sequence", r.Sequence).Int("in_flight", m.node.Guard().Busy()).Msg("upstream left")
+}
+
+// publish writes the node's own record, and puts it in force here at once.
+func (l *localUpstream) publish(r fleet.Report, state fleet.State) {
+	if l.mesh.stopping.Load() {
+		state = fleet.Leaving
+	}
+	record := l.mesh.publisher.update(func(own *fleet.Member) {
+		own.Upstream = r.ID
+		own.Slots = r.Slots
+		own.Born = r.Born
+		own.State = state
+	})
+	l.mesh.members.learn(record)
+}
--- /dev/null
+++ b/internal/mesh/members.go
@@ -0,0 +1,148 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+)
+
+// members follows the records of all nodes and puts them in force for routing.
+type members struct {
+	logger zerolog.Logger
+	// endpoints takes the routing table's input.
+	changed func(*fleet.Registry)
+
+	mu       sync.Mutex
+	registry *fleet.Registry
+}
+
+func (m *members) apply(items []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	news := false
+	for _, item := range items {
+		if len(item.Value) == 0 {
+			continue
+		}
+		record, err := fleet.DecodeMember(item.Value)
+		if err != nil {
+			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record unreadable, ignored")
+			continue
+		}
+		if m.registry.Apply(record) {
+			news = true
+			m.logger.Info().Str("member", record.Node).Str("service", record.Service).Str("upstream", record.Upstream).
+				Str("state", string(record.State)).Str("address", record.Address).Int("slots", record.Slots).Msg("member changed")
+		}
+	}
+	if news {
+		m.changed(m.registry)
+	}
+}
+
+// learn takes a record that did not come from the store.
+func (m *members) learn(record fleet.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.registry.Apply(record) {
+		m.changed(m.registry)
+	}
+}
+
+func (m *members) list() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.Members()
+}
+
+// publisher keeps the node's own record in the store: the newest that was set is
+// written, again and again until the store takes it.
+type publisher struct {
+	topic  Topic
+	logger zerolog.Logger
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	record fleet.Member
+	// written is the revision that the store has confirmed.
+	written uint64
+}
+
+func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member) *publisher {
+	return &publisher{topic: topic, logger: logger, wake: make(chan struct{}, 1), record: record}
+}
+
+// update changes the record and has it written.
+func (p *publisher) update(change func(*fleet.Member)) fleet.Member {
+	p.mu.Lock()
+	change(&p.record)
+	p.record.Revision++
+	record := p.record
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return record
+}
+
+func (p *publisher) pending() (fleet.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record, p.record.Revision > p.written
+}
+
+func (p *publisher) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		record, due := p.pending()
+		if !due {
+			failures = 0
+			select {
+			case <-p.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := p.write(ctx, record); err != nil {
+			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own record not written yet")
+			failures++
+			p.pause(ctx, failures)
+			continue
+		}
+		failures = 0
+	}
+}
+
+func (p *publisher) write(ctx context.Context, record fleet.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	raw, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	if err := p.topic.Put(ctx, record.Node, raw); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.written = max(p.written, record.Revision)
+	p.mu.Unlock()
+	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own record written")
+	return nil
+}
+
+func (p *publisher) pause(ctx context.Context, failures int) {
+	bound := min(maxPause, minPause<<min(failures-1, 5))
+	t := time.NewTimer(bound/2 + rand.N(bound/2))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,219 @@
+package mesh
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+const (
+	// timerSample takes one duration in so many of those on a call's path.
+	timerSample = 8
+	// timelineEvents bounds the ring of events; at 200 bytes each it holds 0.2 MB.
+	timelineEvents = 1024
+	// timelineSample keeps the events of one good call in so many.
+	timelineSample = 256
+	// reroutes is how many upstreams that were not reached a call may pass by:
+	// with a third of a service gone three in a row are met by one call in 27.
+	reroutes = 3
+)
+
+// Mesh is a running node.
+type Mesh struct {
+	cfg      *settings.Mesh
+	platform Platform
+	logger   zerolog.Logger
+	metrics  *metrics.Set
+	node     *node.Node
+	proxy    *proxy.Proxy
+	peers    *proxy.Peers
+	upstream *proxy.Upstream
+
+	members   *members
+	publisher *publisher
+	routes    *routeKeeper
+	local     *localUpstream
+	pace      *pace
+
+	listeners listeners
+	servers   servers
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+}
+
+type systemClock struct{}
+
+// Now implements node.Clock.
+func (systemClock) Now() time.Time { return time.Now() }
+
+// noKeys is the authority over idempotency keys where callers send none.
+type noKeys struct{}
+
+// MayStart implements node.Authority.
+func (noKeys) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
+	return time.Time{}, nil
+}
+
+// NeedsClaim implements node.Authority.
+func (noKeys) NeedsClaim(*node.Call) bool { return false }
+
+// Claim implements proxy.Claimer.
+func (noKeys) Claim(context.Context, *node.Call) *result.Refusal { return nil }
+
+// Start opens the listeners of a node and begins to serve.
+func Start(cfg *settings.Mesh, platform Platform, logger zerolog.Logger) (*Mesh, error) {
+	m := &Mesh{cfg: cfg, platform: platform, logger: logger, metrics: metrics.New(timerSample)}
+	if err := m.listeners.open(cfg); err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	m.build()
+	m.run()
+	return m, nil
+}
+
+func (m *Mesh) build() {
+	id := node.Identity{
+		Node:        m.cfg.NodeID,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Region:      m.cfg.Region,
+		Zone:        m.cfg.Zone,
+		InnerAddr:   m.listeners.inner.Addr().String(),
+	}
+	m.peers = proxy.NewPeers(nil)
+	m.peers.SetConnections(proxy.Connections{Connect: peerConnect, Idle: peerIdle, Kept: peerKept})
+	m.upstream = proxy.NewUpstream(noKeys{})
+	m.upstream.Speak(m.platform)
+	m.upstream.SetAddr(m.cfg.UpstreamAddress)
+	m.node = node.New(node.Config{
+		Identity:  id,
+		Clock:     systemClock{},
+		Runner:    m.upstream,
+		Authority: noKeys{},
+		Ring:      timeline.NewRing(m.cfg.NodeID, timelineEvents, &timeline.Clock{}),
+		Routing:   routingConfig(),
+		Retry:     retry.DefaultPolicy(),
+		Throttle:  retry.DefaultThrottleConfig(),
+		Guard:     node.DefaultGuardConfig(),
+		Seed:      newSeed(),
+		Sample:    timelineSample,
+		Reroutes:  reroutes,
+		Metrics:   m.metrics,
+		OnRefused: m.logRefusal,
+	})
+	m.peers.Bind(m.node)
+	m.upstream.Bind(m.node)
+	m.proxy = proxy.New(m.node, m.peers, m.upstream)
+	m.pace = newPace(m.node.Guard())
+	m.upstream.OnQueued(m.pace.kick)
+	m.members = &members{logger: m.logger, registry: fleet.NewRegistry(), changed: m.setEndpoints}
+	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id))
+	m.local = &localUpstream{mesh: m}
+	m.routes = newRouteKeeper(m)
+	m.peers.SetVersions(m.routes)
+}
+
+const (
+	// peerConnect bounds a connection to another node: one way between zones
+	// takes 1 ms, and a lost opening packet is sent again after a second.
+	peerConnect = 250 * time.Millisecond
+	// peerIdle is how long an unused connection to another node is kept. Nodes
+	// keep theirs open for longer, so no call crosses a close.
+	peerIdle = 20 * time.Second
+	// peerKept bounds the idle connections to one node.
+	peerKept = 64
+)
+
+func routingConfig() routing.Config {
+	cfg := routing.DefaultConfig()
+	cfg.RetryAfter = 300 * time.Millisecond
+	return cfg
+}
+
+func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
+	return fleet.Member{
+		Node:        id.Node,
+		Incarnation: id.Incarnation,
+		Region:      id.Region,
+		Zone:        id.Zone,
+		Address:     id.InnerAddr,
+		Service:     m.cfg.Service,
+		State:       fleet.Gone,
+	}
+}
+
+// setEndpoints is called by members, one call at a time.
+func (m *Mesh) setEndpoints(r *fleet.Registry) {
+	endpoints := r.Endpoints()
+	m.node.SetEndpoints(m.node.Now(), endpoints)
+	addrs := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		addrs[e.Addr] = true
+	}
+	m.peers.Retain(addrs)
+}
+
+func newSeed() [32]byte {
+	var seed [32]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		binary.LittleEndian.PutUint64(seed[:], uint64(time.Now().UnixNano()))
+	}
+	return seed
+}
+
+func (m *Mesh) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.serve()
+	m.loop(func() { m.pace.run(ctx) })
+	m.loop(func() { m.routes.follower.run(ctx) })
+	m.loop(func() { m.publisher.run(ctx) })
+	follow := &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1)}
+	m.loop(func() { follow.run(ctx) })
+	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
+}
+
+func (m *Mesh) loop(f func()) {
+	m.loops.Add(1)
+	go func() {
+		defer m.loops.Done()
+		f()
+	}()
+}
+
+// ready reports whether callers may be sent here.
+func (m *Mesh) ready() bool { return !m.stopping.Load() && m.proxy.Routes() != nil }
+
+func (m *Mesh) logRefusal(call *node.Call, r *result.Refusal) {
+	c := &call.Ctx
+	m.logger.Info().Str("request", c.RequestID).Str("service", c.Service).Int("code", int(r.Code)).
+		Str("result", r.Code.String()).Dur("retry_after_ms", r.RetryAfter).Str("detail", r.Detail).Msg("refused")
+}
+
+// Addresses are those that the node listens on.
+func (m *Mesh) Addresses() (callers, inner, ready, announce net.Addr) {
+	l := &m.listeners
+	return l.callers.Addr(), l.inner.Addr(), l.ready.Addr(), l.announce.Addr()
+}
+
+// InFlight returns how many calls the node holds in any role.
+func (m *Mesh) InFlight() int {
+	return max(m.node.Guard().Busy(), int(m.proxy.Held().Calls))
+}
--- /dev/null
+++ b/internal/mesh/routekeeper.go
@@ -0,0 +1,128 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/routes"
+)
+
+const (
+	// routesPath is where a node gives its routes to others.
+	routesPath = "/routes"
+	// maxRoutesBytes bounds routes taken from another node: 16,384 routes of some
+	// 300 bytes.
+	maxRoutesBytes = 8 << 20
+	// askPause is the least time between two questions to other nodes.
+	askPause = 200 * time.Millisecond
+)
+
+// routeKeeper holds the routes in force. A version is never replaced by an older
+// one. It implements proxy.Versions.
+type routeKeeper struct {
+	mesh     *Mesh
+	follower *follower
+	version  atomic.Int64
+	asking   atomic.Bool
+
+	mu sync.Mutex
+}
+
+func newRouteKeeper(m *Mesh) *routeKeeper {
+	k := &routeKeeper{mesh: m}
+	k.follower = &follower{topic: m.platform.RoutesTopic(), apply: k.apply, logger: m.logger, kick: make(chan struct{}, 1)}
+	return k
+}
+
+// Version implements proxy.Versions.
+func (k *routeKeeper) Version() int64 { return k.version.Load() }
+
+// Heard implements proxy.Versions. A node that can't reach the store learns from
+// the calls of others that it is behind, and asks the one that is ahead.
+func (k *routeKeeper) Heard(addr string, version int64) {
+	if addr == "" || version <= k.version.Load() || !k.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer k.asking.Store(false)
+		if err := k.ask(addr); err != nil {
+			k.mesh.logger.Warn().Str("address", addr).Int64("version", version).Err(err).Msg("routes not fetched from another node")
+			time.Sleep(askPause)
+		}
+	}()
+}
+
+func (k *routeKeeper) ask(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+routesPath, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := k.mesh.servers.control.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	var config routes.Config
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRoutesBytes)).Decode(&config); err != nil {
+		return err
+	}
+	return k.put(&config, "node "+addr)
+}
+
+func (k *routeKeeper) apply(items []Item) {
+	for _, item := range items {
+		config, ok, err := k.mesh.platform.DecodeRoutes(item)
+		if err != nil {
+			k.mesh.logger.Error().Str("key", item.Key).Err(err).Msg("published routes refused; those before stay in force")
+			continue
+		}
+		if !ok {
+			continue
+		}
+		if err := k.put(config, "store"); err != nil {
+			k.mesh.logger.Error().Int64("version", config.Version).Err(err).Msg("published routes refused; those before stay in force")
+		}
+	}
+}
+
+// put puts routes in force unless they are older than those that are.
+func (k *routeKeeper) put(config *routes.Config, source string) error {
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if config.Version <= k.version.Load() {
+		return nil
+	}
+	seed := k.mesh.node.Incarnation()
+	k.mesh.proxy.SetRoutes(routes.NewTable(k.mesh.proxy.Routes(), config, seed))
+	old := k.version.Swap(config.Version)
+	k.mesh.logger.Info().Int64("version", config.Version).Int64("before", old).Str("source", source).Int("routes", len(config.Routes)).Msg("routes in force")
+	return nil
+}
+
+// ServeHTTP gives the routes in force to other nodes.
+func (k *routeKeeper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	table := k.mesh.proxy.Routes()
+	if table == nil {
+		http.Error(w, "no routes yet", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(table.Config()); err != nil {
+		k.mesh.logger.Warn().Err(err).Msg("routes not sent")
+	}
+}
--- /dev/null
+++ b/internal/node/accept.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/retry"
+)
+
+// Routed is what a route and the caller's headers say of a request.
+type Routed struct {
+	// RequestID is the caller's name of the request; one that is no valid name
+	// is replaced.
+	RequestID string
+	Service   string
+	Level     callctx.Level
+	// Timeout is how long the caller may be kept waiting.
+	Timeout    time.Duration
+	Idempotent bool
+	// Retries is how many further upstreams may be tried.
+	Retries int
+	// Caller spreads callers for shedding.
+	Caller string
+}
+
+// routedWorkspace is the one workspace of requests that come by routes.
+const routedWorkspace = "default"
+
+// Accept makes the call of a request that a route matched, and the account that
+// pays its retries.
+func (n *Node) Accept(now time.Time, r Routed) (*Call, *retry.Account) {
+	id := n.NewID()
+	call := &Call{Routed: true, Ctx: callctx.Context{
+		RequestID:    r.RequestID,
+		CallID:       id,
+		Workspace:    routedWorkspace,
+		Service:      r.Service,
+		Level:        r.Level,
+		Deadline:     now.Add(r.Timeout),
+		RootAdmitted: now,
+		CallerHash:   callctx.HashCaller(routedWorkspace, r.Caller),
+		Idempotent:   r.Idempotent,
+	}}
+	if !callctx.ValidName(r.RequestID) {
+		call.Ctx.RequestID = id
+	}
+	n.cfg.Metrics.Inc(metrics.CallsReceived, 1)
+	call.Kept = n.Sampled(call.Ctx.RequestID)
+	return call, retry.NewAccount(r.Retries)
+}
+
+// AcceptChild makes the call of a request that the local upstream made while it
+// runs parent: the child is as important as its root, its time ends with its
+// parent's, and the allowance of the whole tree pays its retries. It returns
+// false when parent does not run here.
+func (n *Node) AcceptChild(now time.Time, r Routed, parent string) (*Call, *retry.Account, bool) {
+	running, account, ok := n.guard.parent(parent)
+	if !ok {
+		return nil, nil, false
+	}
+	call, _ := n.Accept(now, r)
+	ctx := &call.Ctx
+	ctx.ParentID = running.Ctx.CallID
+	ctx.Level = running.Ctx.Level
+	ctx.Depth = running.Ctx.Depth + 1
+	ctx.RootAdmitted = running.Ctx.RootAdmitted
+	ctx.CallerHash = running.Ctx.CallerHash
+	if running.Ctx.Deadline.Before(ctx.Deadline) {
+		ctx.Deadline = running.Ctx.Deadline
+	}
+	call.Repeat = running.Repeat
+	return call, account, true
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -17,6 +17,14 @@
 	Ctx callctx.Context
 	// Method and Target (path and query) as the caller sent them.
 	Method, Target string
+	// Host is the Host of the caller's request; empty leaves the upstream's
+	// address.
+	Host string
+	// Routed says that a route matched the request, and no template.
+	Routed bool
+	// Repeat says that an earlier attempt may have reached an upstream, or that
+	// the call was made by a run that was itself a repeat.
+	Repeat bool
 	// Header holds only what goes on to the upstream.
 	Header   http.Header
 	Body     []byte
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -70,6 +70,8 @@
 	unproven *Answer
 	attempts int
 	retries  int
+	// reroutes counts attempts that did not reach an upstream and cost nothing.
+	reroutes int
 	marks    []quarantine.Suspect
 	held     bool // paused once until a suspect may run
 	pause    time.Duration
@@ -80,6 +82,8 @@
 	// watch is where decisions are recorded; nil where the router is no Node.
 	watch *Node
 	begun time.Time
+	// arrived says that an attempt may have reached an upstream.
+	arrived bool
 	// away is the time that attempts took.
 	away time.Duration
 }
@@ -183,6 +187,7 @@
 	d.share = d.account.Lend()
 	attempt.Allowance = d.share.Amount()
 	attempt.Marks = d.marks
+	attempt.Repeat = d.call.Repeat || d.arrived
 	d.attempts++
 	d.target = target
 	d.sent = now
@@ -209,6 +214,7 @@
 		d.final = a
 		return
 	}
+	d.arrived = d.arrived || !neverArrived(a.Code)
 	if countsAgainstThrottle(a.Code) {
 		throttle.Failure()
 	}
@@ -242,6 +248,9 @@
 		d.redirects++
 		d.next = d.router.At(d.call.Ctx.Service, a.Refusal.Owner)
 		d.pause = wait
+	case action == retry.TryElsewhere && d.reroute(a):
+		d.tried = append(d.tried, d.target.Endpoint().Node)
+		d.pause = wait
 	case action == retry.TryElsewhere && !d.mayPass(throttle):
 		d.settle(a)
 	case action == retry.TryElsewhere && d.account.Spend():
@@ -256,6 +265,27 @@
 	}
 }
 
+// reroute reports whether the call may go elsewhere without cost: it did not
+// reach an upstream, so it adds no load to any, and a node that learns late that
+// an upstream left must not use up what a caller has for real failures.
+func (d *Dispatch) reroute(a *Answer) bool {
+	if d.watch == nil || d.reroutes >= d.watch.cfg.Reroutes || !neverArrived(a.Code) {
+		return false
+	}
+	d.reroutes++
+	return true
+}
+
+// neverArrived reports whether an attempt with this end did not reach an
+// upstream.
+func neverArrived(c result.Code) bool {
+	switch c {
+	case result.Shed, result.QueueExpired, result.Draining, result.NoUpstream, result.Unreachable, result.Starting:
+		return true
+	}
+	return false
+}
+
 // mayPass asks the destination's throttle and counts its refusals.
 func (d *Dispatch) mayPass(throttle *retry.Throttle) bool {
 	if throttle.Allow() {
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -24,6 +24,27 @@
 	g.admission = admission.New(cfg, now)
 }
 
+// UpstreamReplaced says that another process of the upstream serves from now on.
+// What waited for the old one is refused as not run; what runs goes on until its
+// connection ends. A drain of the old process does not bind the new one.
+func (g *Guard) UpstreamReplaced(now time.Time, cfg admission.Config) {
+	g.mu.Lock()
+	var d due
+	for _, e := range g.calls {
+		if e.phase == phaseQueued {
+			g.admission.Abandon(now, e.call.Ctx.CallID)
+			g.diedWaitingLocked(now, e, &d)
+		}
+	}
+	g.upstreamUp = true
+	g.draining = false
+	g.slots = cfg.Slots
+	g.upstreamIncarnation = uint64(now.UnixNano())
+	g.admission = admission.New(cfg, now)
+	g.mu.Unlock()
+	d.settle()
+}
+
 // reconfigureWith changes the limits of a running upstream; its slots stay.
 func (g *Guard) reconfigureWith(now time.Time, config func(slots int) admission.Config) {
 	g.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,9 @@
 	Sample int
 	// Observer may be nil.
 	Observer Observer
+	// Reroutes is how often a call that did not reach an upstream is sent to
+	// another one without cost to its allowance.
+	Reroutes int
 	// MaxQueue bounds the guard's queue whatever a template asks for; 0 leaves
 	// it to the template.
 	MaxQueue int
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -29,6 +29,14 @@
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
 }
 
+// UpstreamReplaced takes another process of the local upstream into service.
+func (n *Node) UpstreamReplaced(now time.Time, a Announcement) {
+	n.service.Store(&a.Service)
+	n.guard.UpstreamReplaced(now, n.admissionConfig(a.Service, a.Slots))
+	n.configureMemory()
+	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
+}
+
 // UpstreamCrashed records the death of the local upstream's process, once, and
 // spreads what it ran as suspects. It returns the incarnation that died last.
 func (n *Node) UpstreamCrashed(now time.Time) uint64 {
--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -92,9 +92,11 @@
 	must.EqOp(t, result.AnswerCut, got.code)
 }
 
-// The upstream answers late, on a connection that by then carries another call.
+// The upstream answers late, on a connection that by then carries another call,
+// and closes it before it answers that one.
 func TestAnswerOfAnotherCallByTheUpstream(t *testing.T) {
 	got := throughUpstream(t, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Connection", "close")
 		rw.Header().Set(callctx.HeaderContext, "another")
 		_, _ = io.WriteString(rw, "secret")
 	})
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -21,32 +23,52 @@
 	// headerMethod and headerTarget carry the caller's request line.
 	headerMethod = "Galena-Inner-Method"
 	headerTarget = "Galena-Inner-Target"
+	// headerHost carries the Host of a caller's request that came by a route.
+	headerHost = "Galena-Inner-Host"
+	// headerRepeat marks a call of which an earlier attempt may have reached an
+	// upstream.
+	headerRepeat = "Galena-Inner-Repeat"
+	// headerConfig carries the version of the sender's routes, both ways: a node
+	// cut off from the store learns from its peers that it is behind.
+	headerConfig = "Galena-Inner-Config"
 	// maxAnswerBody bounds what is held of an answer, far above the templates'.
 	maxAnswerBody = 64 << 20
 )
 
-func (s *sending) roundTrip(ctx context.Context, transport *http.Transport, attempt *node.Call) *node.Answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.peers.Scheme()+"://"+s.to.Addr+CallPath, nil)
-	if err != nil {
-		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "address %s: %v", s.to.Addr, err))
-	}
-	setBody(req, attempt.Body)
-	header := attempt.Header.Clone()
-	if header == nil {
-		header = make(http.Header)
+func (s *sending) roundTrip(ctx context.Context, pool *h1.Pool, attempt *node.Call) *node.Answer {
+	header := make(http.Header, len(attempt.Header)+innerHeaders)
+	for name, values := range attempt.Header {
+		header[name] = values
 	}
 	header.Set(headerMethod, attempt.Method)
 	header.Set(headerTarget, attempt.Target)
+	if attempt.Routed {
+		header.Set(headerHost, attempt.Host)
+	}
+	if attempt.Repeat {
+		header.Set(headerRepeat, "1")
+	}
+	if version := s.peers.configVersion(); version > 0 {
+		header.Set(headerConfig, strconv.FormatInt(version, 10))
+	}
 	header.Set(inner.HeaderCall, inner.EncodeCall(s.encode(attempt)))
-	req.Header = header
-	resp, err := transport.RoundTrip(req)
+	got, err := pool.Do(ctx, &h1.Request{
+		Method: http.MethodPost,
+		Target: CallPath,
+		Host:   s.to.Addr,
+		Header: header,
+		Body:   attempt.Body,
+	})
 	if err != nil {
 		return lost(ctx, attempt, err)
 	}
-	defer resp.Body.Close()
-	return s.readInner(ctx, attempt, resp)
+	s.peers.heardVersion(s.to.Addr, got.Header.Get(headerConfig))
+	return s.readInner(attempt, got)
 }
 
+// innerHeaders is how many headers a hop adds.
+const innerHeaders = 6
+
 func (s *sending) encode(attempt *node.Call) *innerpb.CallHeader {
 	h := inner.FromContext(&attempt.Ctx, s.peers.node.Now(), uint32(attempt.Allowance))
 	h.BodyHash = attempt.BodyHash
@@ -59,19 +81,23 @@
 }
 
 func lost(ctx context.Context, attempt *node.Call, err error) *node.Answer {
-	if isDialError(err) {
-		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "no connection: %v", err))
+	var failed *h1.Error
+	if errors.As(err, &failed) && failed.Stage == h1.StageConnect {
+		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.Unreachable, "no connection: %v", failed.Cause))
 	}
 	if ctx.Err() != nil {
 		return node.Refused(attempt.Ctx.CallID, endedRefusal(ctx))
 	}
+	if failed != nil && failed.Stage >= h1.StageBody {
+		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerCut, "answer ended early: %v", err))
+	}
 	return node.Refused(attempt.Ctx.CallID, result.Refuse(result.LostAnswer, "the connection broke: %v", err))
 }
 
-// readInner checks that the answer is whole and of this call. A connection
-// that delivers another call's answer shows as a differing call ID.
-func (s *sending) readInner(ctx context.Context, attempt *node.Call, resp *http.Response) *node.Answer {
-	h, err := inner.DecodeAnswer(resp.Header.Get(inner.HeaderAnswer))
+// readInner checks that the answer is of this call. A connection that delivers
+// another call's answer shows as a differing call ID.
+func (s *sending) readInner(attempt *node.Call, got *h1.Answer) *node.Answer {
+	h, err := inner.DecodeAnswer(got.Header.Get(inner.HeaderAnswer))
 	if err != nil {
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerMismatch, "answer header: %v", err))
 	}
@@ -79,17 +105,10 @@
 		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerMismatch, "answer is for call %.64q", h.GetCallId()))
 	}
 	s.peers.node.Heard(h.GetHlc())
-	body, err := readSized(io.LimitReader(resp.Body, maxAnswerBody), resp.ContentLength)
-	if err != nil && ctx.Err() != nil {
-		return node.Refused(attempt.Ctx.CallID, endedRefusal(ctx))
-	}
-	if err != nil {
-		return node.Refused(attempt.Ctx.CallID, result.Refuse(result.AnswerCut, "answer ended early: %v", err))
-	}
-	return decodeAnswer(h, resp, body, s.to.Node)
+	return decodeAnswer(h, got, s.to.Node)
 }
 
-func decodeAnswer(h *innerpb.AnswerHeader, resp *http.Response, body []byte, from string) *node.Answer {
+func decodeAnswer(h *innerpb.AnswerHeader, got *h1.Answer, from string) *node.Answer {
 	a := &node.Answer{
 		CallID:   h.GetCallId(),
 		Code:     result.Code(h.GetCode()),
@@ -108,9 +127,9 @@
 		}
 		return a
 	}
-	a.Status = resp.StatusCode
-	a.Header = callctx.Forwardable(resp.Header)
-	a.Body = body
+	a.Status = got.Status
+	a.Header = callctx.Forwardable(got.Header)
+	a.Body = got.Body
 	return a
 }
 
@@ -119,6 +138,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.answering.Add(1)
 		defer p.answering.Add(-1)
+		p.peers.heardVersion("", r.Header.Get(headerConfig))
 		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -157,6 +177,9 @@
 		Ctx:       *inner.ToContext(h, p.node.Now()),
 		Method:    r.Header.Get(headerMethod),
 		Target:    r.Header.Get(headerTarget),
+		Host:      r.Header.Get(headerHost),
+		Routed:    r.Header.Get(headerHost) != "",
+		Repeat:    r.Header.Get(headerRepeat) != "",
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
@@ -189,6 +212,9 @@
 		out[name] = values
 	}
 	out.Set(inner.HeaderAnswer, inner.EncodeAnswer(h))
+	if version := p.peers.configVersion(); version > 0 {
+		out.Set(headerConfig, strconv.FormatInt(version, 10))
+	}
 	out.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(a.Body)
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -48,10 +50,41 @@
 	// dialTLS replaces dial where nodes speak TLS with each other.
 	dialTLS DialFunc
 
+	// versions is told of the versions of routes; nil where there are none.
+	versions Versions
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
+// Versions compares the node's routes with those of others.
+type Versions interface {
+	// Version returns the version in force; 0 when there is none.
+	Version() int64
+	// Heard says that the node at an inner address has that version in force;
+	// the address is empty when it isn't known. It must not block.
+	Heard(addr string, version int64)
+}
+
+// SetVersions sets who compares versions; call it before the first sending.
+func (p *Peers) SetVersions(v Versions) { p.versions = v }
+
+func (p *Peers) configVersion() int64 {
+	if p == nil || p.versions == nil {
+		return 0
+	}
+	return p.versions.Version()
+}
+
+func (p *Peers) heardVersion(addr, text string) {
+	if p == nil || p.versions == nil || text == "" {
+		return
+	}
+	if version, err := strconv.ParseInt(text, 10, 64); err == nil {
+		p.versions.Heard(addr, version)
+	}
+}
+
 // NewPeers makes the sender of a node with DefaultConnections; dial may be nil
 // for plain TCP.
 func NewPeers(dial DialFunc) *Peers {
@@ -98,7 +131,7 @@
 
 // ControlTransport returns a transport to other nodes apart from that of data
 // calls, so that an operator's questions never wait behind calls.
-func (p *Peers) ControlTransport() *http.Transport { return p.newTransport(false) }
+func (p *Peers) ControlTransport() *http.Transport { return p.newTransport() }
 
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
@@ -106,8 +139,8 @@
 // peer is one guard's address: a pool of kept connections, and a way to make
 // fresh ones that never come from the pool.
 type peer struct {
-	pool    *http.Transport
-	fresh   *http.Transport
+	pool    *h1.Pool
+	fresh   *h1.Pool
 	wait    waitEstimator
 	rescues chan struct{}
 }
@@ -118,8 +151,8 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    p.newTransport(false),
-			fresh:   p.newTransport(true),
+			pool:    p.newPool(addr, p.connections.Idle),
+			fresh:   p.newPool(addr, 0),
 			rescues: make(chan struct{}, maxRescues),
 		}
 		p.peers[addr] = got
@@ -133,7 +166,7 @@
 	defer p.mu.Unlock()
 	for addr, gone := range p.peers {
 		if !addrs[addr] {
-			gone.pool.CloseIdleConnections()
+			gone.pool.Close()
 			delete(p.peers, addr)
 		}
 	}
@@ -199,7 +232,7 @@
 	s.fresh <- answer
 	if answer.Code != result.Unreachable {
 		s.cancel()
-		s.peer.pool.CloseIdleConnections()
+		s.peer.pool.Reset()
 	}
 }
 
@@ -256,13 +289,21 @@
 	return answer
 }
 
-func (p *Peers) newTransport(single bool) *http.Transport {
+// newPool makes the connections to one address; those of idle 0 carry one call.
+func (p *Peers) newPool(addr string, idle time.Duration) *h1.Pool {
+	dial := p.dial
+	if p.dialTLS != nil {
+		dial = p.dialTLS
+	}
+	return h1.NewPool(addr, h1.Config{Dial: h1.DialFunc(dial), Idle: idle, Kept: p.connections.Kept, MaxBody: maxAnswerBody})
+}
+
+func (p *Peers) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         p.dial,
 		DialTLSContext:      p.dialTLS,
 		MaxIdleConnsPerHost: p.connections.Kept,
 		IdleConnTimeout:     p.connections.Idle,
 		DisableCompression:  true,
-		DisableKeepAlives:   single,
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,6 +26,8 @@
 	upstream *Upstream
 	gate     gate
 	rngs     sync.Pool
+	// routed is set where requests come by routes; see ServeRoutes.
+	routed *routed
 	// answering counts the calls of other nodes whose answers are not written.
 	answering atomic.Int64
 }
@@ -77,7 +79,7 @@
 		p.turn(w, raw, "", refusal)
 		return
 	}
-	p.serve(w, r, r.Context(), call, retry.NewAccount(allowance))
+	p.serve(r.Context(), exchange{w: w, r: r, out: plainWriter{p}}, call, retry.NewAccount(allowance))
 }
 
 func (p *Proxy) serveChild(w http.ResponseWriter, r *http.Request, raw callctx.Raw) {
@@ -88,36 +90,56 @@
 	}
 	ctx, stop := p.upstream.whileRunning(r.Context(), raw.Parent)
 	defer stop()
-	p.serve(w, r, ctx, call, account)
+	p.serve(ctx, exchange{w: w, r: r, out: plainWriter{p}}, call, account)
 }
 
-func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, ctx context.Context, call *node.Call, account *retry.Account) {
-	size := max(0, r.ContentLength)
+// exchange is one request with the way to answer it.
+type exchange struct {
+	w   http.ResponseWriter
+	r   *http.Request
+	out answerWriter
+}
+
+// answerWriter puts answers into the words of those who asked.
+type answerWriter interface {
+	// refuse answers a request that did not become a call.
+	refuse(w http.ResponseWriter, call *node.Call, refusal *result.Refusal)
+	// answer gives the answer of a call.
+	answer(w http.ResponseWriter, call *node.Call, a *node.Answer)
+}
+
+func (p *Proxy) serve(ctx context.Context, x exchange, call *node.Call, account *retry.Account) {
+	size := max(0, x.r.ContentLength)
 	if refusal := p.gate.enter(size, call.Ctx.Depth == 0); refusal != nil {
-		p.turnCall(w, call, refusal)
+		x.out.refuse(x.w, call, refusal)
 		return
 	}
 	defer func() { p.gate.leave(size) }()
-	if !isPathTarget(r.URL.RequestURI()) {
-		p.turnCall(w, call, badTarget())
+	if !isPathTarget(x.r.RequestURI) {
+		x.out.refuse(x.w, call, badTarget())
 		return
 	}
-	body, refusal := readBody(w, r, p.node.MaxBody(call))
+	body, refusal := readBody(x.w, x.r, p.maxBody(call))
 	if refusal != nil {
-		p.turnCall(w, call, refusal)
+		x.out.refuse(x.w, call, refusal)
 		return
 	}
 	size += p.gate.hold(int64(len(body)) - size)
-	call.Method = r.Method
-	call.Target = r.URL.RequestURI()
-	call.Header = callctx.Forwardable(r.Header)
+	call.Method = x.r.Method
+	call.Target = x.r.RequestURI
+	if call.Routed {
+		call.Host = x.r.Host
+	}
+	if call.Header == nil {
+		call.Header = callctx.Forwardable(x.r.Header)
+	}
 	call.Body = body
 	call.BodyHash = node.HashBody(body)
 	ctx, cancel := context.WithDeadline(ctx, call.Ctx.Deadline)
 	defer cancel()
 	answer := p.run(ctx, call, account)
 	size += p.gate.hold(int64(len(answer.Body)))
-	writeAnswer(w, call, answer)
+	x.out.answer(x.w, call, answer)
 }
 
 // turn refuses a request that did not become a call.
@@ -126,9 +148,16 @@
 	refusal.Write(w, requestID)
 }
 
-func (p *Proxy) turnCall(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
+// plainWriter answers in the product's own words.
+type plainWriter struct{ p *Proxy }
+
+func (o plainWriter) refuse(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
 	c := &call.Ctx
-	p.turn(w, callctx.Raw{Workspace: c.Workspace, Service: c.Service}, c.RequestID, refusal)
+	o.p.turn(w, callctx.Raw{Workspace: c.Workspace, Service: c.Service}, c.RequestID, refusal)
+}
+
+func (plainWriter) answer(w http.ResponseWriter, call *node.Call, a *node.Answer) {
+	writeAnswer(w, call, a)
 }
 
 // run follows the orders of a Dispatch until the call has its answer.
--- /dev/null
+++ b/internal/proxy/routed.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routes"
+)
+
+// Intake is what the headers of a request say, whatever their names are.
+type Intake struct {
+	// RequestID is the caller's name of the request.
+	RequestID string
+	// Parent is the name of the request for which this one was made, as far as
+	// that can be told; empty when it can't. It is a hint.
+	Parent string
+	// Timeout is how long the caller will wait; 0 when it doesn't say.
+	Timeout time.Duration
+	// Header holds what goes on to the upstream.
+	Header http.Header
+}
+
+// Edge decodes the requests of a deployment and writes the node's own answers.
+// It is called concurrently.
+type Edge interface {
+	// Decode reads the headers of a request.
+	Decode(r *http.Request) (Intake, *result.Refusal)
+	// Refuse writes a refusal as the whole answer.
+	Refuse(w http.ResponseWriter, refusal *result.Refusal)
+}
+
+// routed serves requests that come by routes.
+type routed struct {
+	p     *Proxy
+	edge  Edge
+	table atomic.Pointer[routes.Table]
+}
+
+// ServeRoutes makes the proxy serve requests by routes and returns their
+// handler. Call it once, before the first request.
+func (p *Proxy) ServeRoutes(edge Edge) http.Handler {
+	p.routed = &routed{p: p, edge: edge}
+	return p.routed
+}
+
+// SetRoutes puts routes in force.
+func (p *Proxy) SetRoutes(t *routes.Table) { p.routed.table.Store(t) }
+
+// Routes returns the routes in force; nil when there are none yet.
+func (p *Proxy) Routes() *routes.Table { return p.routed.table.Load() }
+
+// ServeHTTP implements http.Handler.
+func (s *routed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	in, refusal := s.edge.Decode(r)
+	if refusal != nil {
+		s.turn(w, in.RequestID, "", refusal)
+		return
+	}
+	table := s.table.Load()
+	if table == nil {
+		s.turn(w, in.RequestID, "", result.Refuse(result.Starting, "no routes have reached this node yet").After(startingPause))
+		return
+	}
+	route := table.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		s.turn(w, in.RequestID, "", result.Refuse(result.UnknownRoute, "no route for host %.64q and path %.128q", r.Host, r.URL.Path))
+		return
+	}
+	call, account := s.accept(in, route, r)
+	call.Header = in.Header
+	ctx := r.Context()
+	if call.Ctx.ParentID != "" {
+		bounded, stop := s.p.upstream.whileRunning(ctx, call.Ctx.ParentID)
+		defer stop()
+		ctx = bounded
+	}
+	s.p.serve(ctx, exchange{w: w, r: r, out: s}, call, account)
+}
+
+// startingPause is when a caller may come back to a node without routes: a read
+// of the store takes milliseconds, a restart of it a second.
+const startingPause = time.Second
+
+func (s *routed) accept(in Intake, route *routes.Entry, r *http.Request) (*node.Call, *retry.Account) {
+	want := node.Routed{
+		RequestID:  in.RequestID,
+		Service:    route.Service(),
+		Level:      route.Level,
+		Timeout:    route.Timeout,
+		Idempotent: route.Idempotent,
+		Retries:    route.MaxAttempts - 1,
+		Caller:     in.RequestID,
+	}
+	if in.Timeout > 0 {
+		want.Timeout = min(want.Timeout, in.Timeout)
+	}
+	now := s.p.node.Now()
+	if parent := s.p.upstream.runningAs(in.Parent); parent != "" {
+		if call, account, ok := s.p.node.AcceptChild(now, want, parent); ok {
+			return call, account
+		}
+	}
+	return s.p.node.Accept(now, want)
+}
+
+func (s *routed) turn(w http.ResponseWriter, requestID, service string, refusal *result.Refusal) {
+	s.p.node.Turned("", service, requestID, refusal)
+	s.edge.Refuse(w, refusal)
+}
+
+// refuse implements answerWriter.
+func (s *routed) refuse(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
+	s.turn(w, call.Ctx.RequestID, call.Ctx.Service, refusal)
+}
+
+// answer implements answerWriter. The upstream's answer is passed on as it is.
+func (s *routed) answer(w http.ResponseWriter, call *node.Call, a *node.Answer) {
+	if !a.Whole() {
+		s.edge.Refuse(w, a.Refusal)
+		return
+	}
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	if _, given := h["Content-Type"]; !given {
+		h["Content-Type"] = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	if call.Method != http.MethodHead {
+		_, _ = w.Write(a.Body)
+	}
+}
+
+// maxBody is the bound of the routes in force where there are routes.
+func (p *Proxy) maxBody(call *node.Call) int64 {
+	if p.routed == nil {
+		return p.node.MaxBody(call)
+	}
+	if t := p.Routes(); t != nil && t.Config().Limits.BodyBytes > 0 {
+		return t.Config().Limits.BodyBytes
+	}
+	return defaultRoutedBody
+}
+
+// defaultRoutedBody bounds a body where the routes set no bound, in bytes.
+const defaultRoutedBody = 16 << 20
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,20 +11,23 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
 
 const (
-	// headerRan set to "no" by an upstream on a 429 or 503 promises that the
-	// request had no effect. Without it a failure is never taken for a refusal.
-	headerRan = "Galena-Ran"
 	// crashProbeTimeout bounds the connection attempt that tells a crashed
 	// upstream from a single broken connection; the upstream is on loopback.
 	crashProbeTimeout = 200 * time.Millisecond
+	// upstreamConnect bounds a connection to the upstream, which is on the same
+	// VM: one that has more than it accepts doesn't answer.
+	upstreamConnect = time.Second
 	// upstreamIdle stays below the idle timeouts usual for servers, so that
 	// this side closes first and no call is sent into a closing connection.
-	upstreamIdle = 2 * time.Second
+	upstreamIdle = 5 * time.Second
+	// upstreamKept bounds the idle connections to the upstream.
+	upstreamKept = 1024
 )
 
 // Claimer gets claims of idempotency keys into the log.
@@ -45,45 +46,68 @@
 
 	node    *node.Node
 	claimer Claimer
-	client  *http.Transport
+	dialect Dialect
+	// queued is told when a call has to wait; may be nil.
+	queued func()
 
 	mu      sync.Mutex
-	addr    string
+	pool    *h1.Pool
 	running map[string]context.Context
+	// byRequest finds the running call of a request that callers named.
+	byRequest map[string]string
 }
 
 // NewUpstream makes the runner of a node; Bind must follow before calls.
 func NewUpstream(claimer Claimer) *Upstream {
 	return &Upstream{
-		claimer: claimer,
-		client: &http.Transport{
-			MaxIdleConnsPerHost: 1024,
-			IdleConnTimeout:     upstreamIdle,
-			DisableCompression:  true,
-		},
-		running: make(map[string]context.Context),
+		claimer:   claimer,
+		dialect:   ownDialect{},
+		pool:      newUpstreamPool(""),
+		running:   make(map[string]context.Context),
+		byRequest: make(map[string]string),
 	}
 }
 
+func newUpstreamPool(addr string) *h1.Pool {
+	return h1.NewPool(addr, h1.Config{
+		Dial:    (&net.Dialer{Timeout: upstreamConnect}).DialContext,
+		Idle:    upstreamIdle,
+		Kept:    upstreamKept,
+		MaxBody: maxAnswerBody,
+	})
+}
+
+// Speak sets how the upstream is spoken to; call it before the first call.
+func (u *Upstream) Speak(d Dialect) { u.dialect = d }
+
+// OnQueued sets what is told when a call has to wait; call it before the first
+// call. It must not block.
+func (u *Upstream) OnQueued(f func()) { u.queued = f }
+
 // Close closes the idle connections to the upstream.
-func (u *Upstream) Close() { u.client.CloseIdleConnections() }
+func (u *Upstream) Close() { u.connections().Close() }
+
+func (u *Upstream) connections() *h1.Pool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.pool
+}
 
 // Bind sets the node whose guard decides.
 func (u *Upstream) Bind(n *node.Node) { u.node = n }
 
-// SetAddr sets the address that the upstream announced.
+// SetAddr sets the address that the upstream announced. Connections to the
+// process before are not used again.
 func (u *Upstream) SetAddr(addr string) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.addr = addr
+	old := u.pool
+	u.pool = newUpstreamPool(addr)
+	u.mu.Unlock()
+	old.Close()
 }
 
 // Addr returns the announced address; empty when there is none.
-func (u *Upstream) Addr() string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.addr
-}
+func (u *Upstream) Addr() string { return u.connections().Addr() }
 
 // Serve takes a call to its answer at this node's guard. When ctx ends first
 // the attachment is given up and the answer says what may have happened.
@@ -94,6 +118,9 @@
 	if answer != nil {
 		return answer
 	}
+	if u.queued != nil {
+		u.queued()
+	}
 	select {
 	case answer = <-ch:
 		return answer
@@ -137,24 +164,39 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), call.Ctx.Deadline)
 		defer cancel()
-		u.track(ctx, call.Ctx.CallID)
-		defer u.untrack(call.Ctx.CallID)
+		u.track(ctx, call)
+		defer u.untrack(call)
 		u.node.Guard().OnCancel(call.Ctx.CallID, cancel)
 		answer := u.roundTrip(ctx, call, before)
 		u.node.Guard().Finish(u.node.Now(), call.Ctx.CallID, answer)
 	}()
 }
 
-func (u *Upstream) track(ctx context.Context, callID string) {
+func (u *Upstream) track(ctx context.Context, call *node.Call) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[call.Ctx.CallID] = ctx
+	u.byRequest[call.Ctx.RequestID] = call.Ctx.CallID
+}
+
+func (u *Upstream) untrack(call *node.Call) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running[callID] = ctx
+	delete(u.running, call.Ctx.CallID)
+	if u.byRequest[call.Ctx.RequestID] == call.Ctx.CallID {
+		delete(u.byRequest, call.Ctx.RequestID)
+	}
 }
 
-func (u *Upstream) untrack(callID string) {
+// runningAs returns the ID of the call that runs here for a request that callers
+// named; empty when there is none.
+func (u *Upstream) runningAs(requestID string) string {
+	if requestID == "" {
+		return ""
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.running, callID)
+	return u.byRequest[requestID]
 }
 
 // whileRunning bounds a child call by its parent: when the parent is
@@ -175,23 +217,44 @@
 	if !isPathTarget(call.Target) {
 		return node.Refused(call.Ctx.CallID, badTarget())
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+u.Addr()+call.Target, nil)
-	if err != nil {
-		return node.Refused(call.Ctx.CallID, result.Refuse(result.BadContext, "request line: %v", err))
-	}
-	setUpstreamRequest(req, call)
 	if u.BeforeRun != nil {
 		_ = u.BeforeRun(ctx)
 	}
 	if !before.IsZero() && u.node.Now().After(before) {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.NoAuthority, "the authority ended before dispatch"))
 	}
-	resp, err := u.client.RoundTrip(req)
+	pool := u.connections()
+	header := call.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	u.dialect.Prepare(header, call, call.Ctx.Remaining(u.node.Now()))
+	host := call.Host
+	if host == "" {
+		host = pool.Addr()
+	}
+	got, err := pool.Do(ctx, &h1.Request{
+		Method:  call.Method,
+		Target:  call.Target,
+		Host:    host,
+		Header:  header,
+		Body:    call.Body,
+		MaxBody: u.maxAnswer(call),
+		Mine:    func(h http.Header) bool { return u.dialect.Mine(h, call) },
+	})
 	if err != nil {
 		return u.failed(ctx, call, err)
 	}
-	defer resp.Body.Close()
-	return u.read(ctx, call, resp)
+	return u.answered(call, got)
+}
+
+// maxAnswer is the template's bound of a body; a call that came by a route has
+// no template.
+func (u *Upstream) maxAnswer(call *node.Call) int64 {
+	if call.Routed {
+		return maxAnswerBody
+	}
+	return u.node.MaxBody(call)
 }
 
 // isPathTarget reports whether a target stays on the host that it is put
@@ -205,55 +268,40 @@
 	return result.Refuse(result.BadContext, "the target of a request must begin with '/'")
 }
 
-// setUpstreamRequest fills the request.
-func setUpstreamRequest(req *http.Request, call *node.Call) {
-	req.Header = call.Header.Clone()
-	req.Header.Set(callctx.HeaderContext, call.Ctx.CallID)
-	req.Header.Set(callctx.HeaderWorkspace, call.Ctx.Workspace)
-	req.Header.Set(callctx.HeaderPriority, call.Ctx.Level.String())
-	req.Header.Set(callctx.HeaderTimeout, call.Ctx.Remaining(time.Now()).String())
-	setBody(req, call.Body)
-}
-
-// setBody sets a body that net/http cannot rewind. It would send a request
-// again when a reused connection breaks, if it can rewind the body and sees an
-// idempotent method or an Idempotency-Key header. An upstream may have run the
-// first one; and when the second one finds no connection, its error reads as
-// if nothing had ever been sent.
-func setBody(req *http.Request, body []byte) {
-	req.GetBody = nil
-	if len(body) == 0 {
-		req.Body = unreplayable{}
-		return
-	}
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	req.ContentLength = int64(len(body))
-}
-
-// unreplayable is an empty body that net/http cannot take for http.NoBody.
-type unreplayable struct{}
-
-// Read implements io.Reader.
-func (unreplayable) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close implements io.Closer.
-func (unreplayable) Close() error { return nil }
-
 func (u *Upstream) failed(ctx context.Context, call *node.Call, err error) *node.Answer {
-	if ctx.Err() != nil {
-		return node.Refused(call.Ctx.CallID, endedRefusal(ctx))
+	var broken *h1.Error
+	if !errors.As(err, &broken) {
+		broken = &h1.Error{Stage: h1.StageSend, Cause: err}
 	}
-	if isDialError(err) {
+	id := call.Ctx.CallID
+	if broken.Stage == h1.StageConnect {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			u.crashed()
 		}
-		return node.Refused(call.Ctx.CallID, result.Refuse(result.NoUpstream, "the upstream takes no connection: %v", err))
+		return node.Refused(id, result.Refuse(result.NoUpstream, "the upstream takes no connection: %v", err))
+	}
+	if ctx.Err() != nil && broken.Stage != h1.StageMismatch {
+		return node.Refused(id, endedRefusal(ctx))
+	}
+	a := node.Refused(id, brokenRefusal(broken))
+	if broken.Stage != h1.StageTooLarge && broken.Stage != h1.StageMismatch {
+		a.Crashed = u.probeCrash()
 	}
-	a := node.Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the connection to the upstream broke: %v", err))
-	a.Crashed = u.probeCrash()
 	return a
 }
 
+func brokenRefusal(broken *h1.Error) *result.Refusal {
+	switch broken.Stage {
+	case h1.StageBody:
+		return result.Refuse(result.AnswerCut, "the upstream's answer ended early: %v", broken.Cause)
+	case h1.StageTooLarge:
+		return result.Refuse(result.AnswerCut, "the upstream's answer exceeds %d bytes: %v", maxAnswerBody, broken.Cause)
+	case h1.StageMismatch:
+		return result.Refuse(result.AnswerMismatch, "the upstream answered another call: %v", broken.Cause)
+	}
+	return result.Refuse(result.LostAnswer, "the connection to the upstream broke: %v", broken)
+}
+
 // probeCrash tells a dead upstream from a single broken connection: all its
 // connections break at once, but only a dead one refuses a new one. Any other
 // error, such as this process running out of descriptors, says nothing about
@@ -272,49 +320,23 @@
 }
 
 func (u *Upstream) crashed() uint64 {
-	u.client.CloseIdleConnections()
+	u.connections().Reset()
 	return u.node.UpstreamCrashed(u.node.Now())
 }
 
-func (u *Upstream) read(ctx context.Context, call *node.Call, resp *http.Response) *node.Answer {
-	if got := resp.Header.Get(callctx.HeaderContext); got != "" && got != call.Ctx.CallID {
-		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerMismatch, "the upstream answered call %.64q", got))
-	}
-	limit := u.node.MaxBody(call)
-	body, err := readSized(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return node.Refused(call.Ctx.CallID, endedRefusal(ctx))
-	case err != nil:
-		a := node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerCut, "the upstream's answer ended early: %v", err))
-		a.Crashed = u.probeCrash()
-		return a
-	case int64(len(body)) > limit:
-		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerCut, "the upstream's answer exceeds %d bytes", limit))
-	}
-	return wholeAnswer(call, resp, body)
-}
-
-func wholeAnswer(call *node.Call, resp *http.Response, body []byte) *node.Answer {
-	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	if shed && strings.EqualFold(resp.Header.Get(headerRan), string(result.RanNo)) {
-		return node.Refused(call.Ctx.CallID, result.Refuse(result.UpstreamShed, "the upstream shed the call with status %d", resp.StatusCode))
+func (u *Upstream) answered(call *node.Call, got *h1.Answer) *node.Answer {
+	if refusal := u.dialect.NotRun(got.Status, got.Header); refusal != nil {
+		return node.Refused(call.Ctx.CallID, refusal)
 	}
 	code := result.OK
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if got.Status >= http.StatusInternalServerError {
 		code = result.UpstreamFailed
 	}
 	return &node.Answer{
 		CallID: call.Ctx.CallID,
 		Code:   code,
-		Status: resp.StatusCode,
-		Header: callctx.Forwardable(resp.Header),
-		Body:   body,
+		Status: got.Status,
+		Header: callctx.Forwardable(got.Header),
+		Body:   got.Body,
 	}
 }
-
-// isDialError reports that no connection was made, so that nothing was sent.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -89,6 +89,8 @@
 	TooDeep Code = 4006
 	// Unauthorized means that the token does not cover the workspace.
 	Unauthorized Code = 4007
+	// UnknownRoute means that no route covers the host and path.
+	UnknownRoute Code = 4008
 
 	// UpstreamFailed means that the upstream answered with a server error.
 	UpstreamFailed Code = 5001
@@ -135,6 +137,7 @@
 	KeyRequired:      {"key_required", RanNo, 400, "template demands an Idempotency-Key"},
 	TooDeep:          {"too_deep", RanNo, 508, "call chain exceeds its depth bound"},
 	Unauthorized:     {"unauthorized", RanNo, 403, "token does not cover the workspace"},
+	UnknownRoute:     {"unknown_route", RanNo, 404, "no route covers the host and path"},
 	UpstreamFailed:   {"upstream_failed", RanYes, 502, "upstream ran the call and failed"},
 	UpstreamShed:     {"upstream_shed", RanNo, 503, "upstream itself refused the call as overloaded"},
 }
--- a/internal/settings/strict.go
+++ b/internal/settings/strict.go
@@ -137,6 +137,9 @@
 	if t == durationType {
 		return &FieldError{path, v.String(), kindName(t)}
 	}
+	if t.Kind() == reflect.Float64 {
+		return nil
+	}
 	if err := checkKind(t, path, reflect.Int, v.String()); err != nil {
 		return err
 	}
@@ -164,6 +167,8 @@
 		return "an array"
 	case reflect.Int:
 		return "a whole number"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Bool:
 		return "true or false"
 	default:
