Repeats bounded at each guard; crashes spread through the store; tests of the new packages

Cause: nothing bounded what all nodes together send to a service again, and a request that crashes upstreams was known at one node only.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func member(node string, incarnation, revision uint64, state State) Member {
+	return Member{Node: node, Incarnation: incarnation, Revision: revision, Address: node + ":1", Service: "s", Slots: 4, State: state}
+}
+
+// A node dies and starts again; the record of its first life is read after that
+// of its second. The second must stay, or calls would go to an incarnation that
+// refuses them.
+func TestLateRecordOfAnOldIncarnation(t *testing.T) {
+	r := NewRegistry()
+	must.True(t, r.Apply(member("n", 2, 1, Serving)))
+	must.False(t, r.Apply(member("n", 1, 9, Leaving)))
+	got := r.Endpoints()
+	must.Len(t, 1, got)
+	must.EqOp(t, 2, got[0].Incarnation)
+	must.False(t, got[0].Draining)
+}
+
+// The VM of a node is gone for good and its address is given to a node of
+// another service. Only the later one may be reached by it.
+func TestReusedAddressBelongsToTheLaterNode(t *testing.T) {
+	r := NewRegistry()
+	old, next := member("old", 1, 1, Serving), member("next", 2, 1, Serving)
+	next.Address, next.Service = old.Address, "other"
+	r.Apply(next)
+	r.Apply(old)
+	got := r.Endpoints()
+	must.Len(t, 1, got)
+	must.EqOp(t, "next", got[0].Node)
+}
+
+// Nodes read the records in different orders, some twice. All must come to the
+// same endpoints.
+func TestFoldDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Member
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			records = append(records, member(
+				rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node"),
+				rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+				uint64(len(records)+1),
+				rapid.SampledFrom([]State{Serving, Leaving, Gone}).Draw(t, "state")))
+		}
+		first, second := NewRegistry(), NewRegistry()
+		for _, m := range records {
+			first.Apply(m)
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		rng := rand.New(rand.NewPCG(seed, seed))
+		for range 2 {
+			for _, i := range rng.Perm(len(records)) {
+				second.Apply(records[i])
+			}
+		}
+		must.Eq(t, first.Endpoints(), second.Endpoints())
+	})
+}
+
+func TestMemberRoundTrip(t *testing.T) {
+	m := member("n", 7, 3, Serving)
+	raw, err := m.Encode()
+	must.NoError(t, err)
+	got, err := DecodeMember(raw)
+	must.NoError(t, err)
+	must.Eq(t, m, got)
+}
+
+// Records may come from another writer: anything may stand in them.
+func FuzzDecodeMember(f *testing.F) {
+	m := member("n", 7, 3, Serving)
+	raw, _ := m.Encode()
+	f.Add(raw)
+	f.Add([]byte(`{"node":1}`))
+	f.Add([]byte("\xff{"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := DecodeMember(raw)
+		if err != nil {
+			return
+		}
+		must.NoError(t, m.Validate())
+		NewRegistry().Apply(m)
+	})
+}
+
+func report(id string, born, sequence int64) Report {
+	return Report{ID: id, Service: "s", Address: "a:1", Slots: 4, Born: born, Sequence: sequence}
+}
+
+// An upstream dies behind a cut; another takes its place and reports. Then a
+// report of the dead one that was held up arrives. Calls must not be sent to the
+// dead one's name.
+func TestLateReportOfADeadProcess(t *testing.T) {
+	var u LocalUpstream
+	must.EqOp(t, Started, u.Heard(report("old", 100, 5)))
+	must.EqOp(t, Started, u.Heard(report("new", 200, 1)))
+	must.EqOp(t, Outdated, u.Heard(report("old", 100, 6)))
+	must.EqOp(t, Outdated, u.Departed("old", 100))
+	got, serving := u.Current()
+	must.EqOp(t, "new", got.ID)
+	must.True(t, serving)
+}
+
+// The same, where upstreams don't state their start.
+func TestLateReportWithoutBirth(t *testing.T) {
+	var u LocalUpstream
+	u.Heard(report("old", 0, 5))
+	must.EqOp(t, Started, u.Heard(report("new", 0, 1)))
+	must.EqOp(t, Outdated, u.Heard(report("old", 0, 6)))
+	got, _ := u.Current()
+	must.EqOp(t, "new", got.ID)
+}
+
+// An upstream starts again under the ID it had. Its counts begin anew, and the
+// drain of its former life doesn't bind it.
+func TestSameIDStartsAgain(t *testing.T) {
+	var u LocalUpstream
+	u.Heard(report("u", 100, 50))
+	leaving := report("u", 100, 51)
+	leaving.Leaving = true
+	must.EqOp(t, Left, u.Heard(leaving))
+	must.EqOp(t, Outdated, u.Heard(report("u", 100, 49)))
+	must.EqOp(t, Started, u.Heard(report("u", 200, 1)))
+	must.EqOp(t, Outdated, u.Departed("u", 100))
+	_, serving := u.Current()
+	must.True(t, serving)
+}
+
+// A process that has said that it leaves reports once more without saying so. It
+// stays out: the acknowledgement of its leaving binds.
+func TestLeavingIsFinal(t *testing.T) {
+	var u LocalUpstream
+	u.Heard(report("u", 100, 1))
+	must.EqOp(t, Left, u.Departed("u", 0))
+	must.EqOp(t, Unchanged, u.Heard(report("u", 100, 2)))
+	_, serving := u.Current()
+	must.False(t, serving)
+}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report is what the upstream beside a node says of itself.
 type Report struct {
@@ -48,8 +51,21 @@
 	current Report
 	known   bool
 	left    bool
+	// replaced are the processes before the present one, oldest first. Where
+	// upstreams don't state their start only this tells an old one from a new.
+	replaced []process
+}
+
+// process names one process of an upstream.
+type process struct {
+	id   string
+	born int64
 }
 
+// maxReplaced bounds the processes remembered: a report is held up for seconds,
+// and an upstream dies at most a few times in that time.
+const maxReplaced = 64
+
 // Current returns the newest report and whether its process takes work.
 func (u *LocalUpstream) Current() (r Report, serving bool) {
 	return u.current, u.known && !u.left
@@ -63,9 +79,11 @@
 	if u.sameProcess(r) {
 		return u.progress(r)
 	}
-	if r.Born < u.current.Born {
+	if r.Born < u.current.Born || slices.Contains(u.replaced, process{r.ID, r.Born}) {
 		return Outdated
 	}
+	u.replaced = append(u.replaced, process{u.current.ID, u.current.Born})
+	u.replaced = u.replaced[max(0, len(u.replaced)-maxReplaced):]
 	return u.start(r)
 }
 
--- /dev/null
+++ b/internal/h1/main_test.go
@@ -0,0 +1,9 @@
+package h1
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -128,15 +128,17 @@
 	f.lostAt = time.Time{}
 }
 
-// pause waits longer with each failure, by a random part, so that the nodes of a
-// deployment don't all ask in the moment of the store's return.
-func (f *follower) pause(ctx context.Context, failures int) {
+func (f *follower) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, f.kick) }
+
+// pauseAfter waits longer with each failure, by a random part, so that the nodes
+// of a deployment don't all ask in the moment of the store's return.
+func pauseAfter(ctx context.Context, failures int, wake <-chan struct{}) {
 	bound := min(maxPause, minPause<<min(failures-1, 5))
 	t := time.NewTimer(bound/2 + rand.N(bound/2))
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-f.kick:
+	case <-wake:
 	case <-ctx.Done():
 	}
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -37,6 +37,7 @@
 	case fleet.Outdated:
 		l.mesh.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Int64("born", r.Born).Msg("outdated report ignored")
 	case fleet.Unchanged:
+		l.revive(r)
 	}
 }
 
@@ -66,6 +67,17 @@
 		Str("version", r.Version).Dur("cold_ms", r.ColdFor).Bool("predecessor_died", served).Msg("upstream started")
 }
 
+// revive takes the upstream back that was taken for dead: its process goes on to
+// report, so what refused a connection was not its end.
+func (l *localUpstream) revive(r fleet.Report) {
+	m := l.mesh
+	if _, serving := l.known.Current(); !serving || m.node.Guard().Serving() {
+		return
+	}
+	m.node.UpstreamReplaced(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	m.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Msg("upstream goes on reporting and is taken back")
+}
+
 func (l *localUpstream) left(r fleet.Report, how string) {
 	m := l.mesh
 	m.node.Guard().Drain(m.node.Now())
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -2,20 +2,23 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"strings"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 )
 
+// nodePrefix begins the keys of nodes' own records.
+const nodePrefix = "node/"
+
 // members follows the records of all nodes and puts them in force for routing.
 type members struct {
 	logger zerolog.Logger
-	// endpoints takes the routing table's input.
-	changed func(*fleet.Registry)
+	// changed takes the registry after a change, with the lock held.
+	changed  func(*fleet.Registry)
+	suspects *suspects
 
 	mu       sync.Mutex
 	registry *fleet.Registry
@@ -29,6 +32,10 @@
 		if len(item.Value) == 0 {
 			continue
 		}
+		if strings.HasPrefix(item.Key, crashPrefix) {
+			m.suspects.apply(item)
+			continue
+		}
 		record, err := fleet.DecodeMember(item.Value)
 		if err != nil {
 			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record unreadable, ignored")
@@ -126,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.topic.Put(ctx, record.Node, raw); err != nil {
+	if err := p.topic.Put(ctx, nodePrefix+record.Node, raw); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -136,13 +143,4 @@
 	return nil
 }
 
-func (p *publisher) pause(ctx context.Context, failures int) {
-	bound := min(maxPause, minPause<<min(failures-1, 5))
-	t := time.NewTimer(bound/2 + rand.N(bound/2))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-p.wake:
-	case <-ctx.Done():
-	}
-}
+func (p *publisher) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, p.wake) }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -48,6 +48,7 @@
 
 	members   *members
 	publisher *publisher
+	suspects  *suspects
 	routes    *routeKeeper
 	local     *localUpstream
 	pace      *pace
@@ -99,31 +100,34 @@
 	}
 	m.peers = proxy.NewPeers(nil)
 	m.peers.SetConnections(proxy.Connections{Connect: peerConnect, Idle: peerIdle, Kept: peerKept})
+	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.logger)
 	m.upstream = proxy.NewUpstream(noKeys{})
 	m.upstream.Speak(m.platform)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
 	m.node = node.New(node.Config{
-		Identity:  id,
-		Clock:     systemClock{},
-		Runner:    m.upstream,
-		Authority: noKeys{},
-		Ring:      timeline.NewRing(m.cfg.NodeID, timelineEvents, &timeline.Clock{}),
-		Routing:   routingConfig(),
-		Retry:     retry.DefaultPolicy(),
-		Throttle:  retry.DefaultThrottleConfig(),
-		Guard:     node.DefaultGuardConfig(),
-		Seed:      newSeed(),
-		Sample:    timelineSample,
-		Reroutes:  reroutes,
-		Metrics:   m.metrics,
-		OnRefused: m.logRefusal,
+		Identity:   id,
+		Clock:      systemClock{},
+		Runner:     m.upstream,
+		Authority:  noKeys{},
+		Ring:       timeline.NewRing(m.cfg.NodeID, timelineEvents, &timeline.Clock{}),
+		Routing:    routingConfig(),
+		Retry:      retry.DefaultPolicy(),
+		Throttle:   retry.DefaultThrottleConfig(),
+		Guard:      guardConfig(),
+		Seed:       newSeed(),
+		Sample:     timelineSample,
+		Reroutes:   reroutes,
+		Metrics:    m.metrics,
+		OnRefused:  m.logRefusal,
+		OnSuspects: m.suspects.spread,
 	})
+	m.suspects.guard = m.node.Guard()
 	m.peers.Bind(m.node)
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
-	m.members = &members{logger: m.logger, registry: fleet.NewRegistry(), changed: m.setEndpoints}
+	m.members = &members{logger: m.logger, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id))
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
@@ -147,6 +151,16 @@
 	return cfg
 }
 
+// provenRequests is how many requests that succeeded lately each guard remembers,
+// of 8 bytes and a map's place.
+const provenRequests = 8192
+
+func guardConfig() node.GuardConfig {
+	cfg := node.DefaultGuardConfig()
+	cfg.Quarantine.Proven = provenRequests
+	return cfg
+}
+
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
 	return fleet.Member{
 		Node:        id.Node,
@@ -168,6 +182,20 @@
 		addrs[e.Addr] = true
 	}
 	m.peers.Retain(addrs)
+	m.node.Guard().SetRepeats(m.repeatBudget(endpoints))
+}
+
+// repeatBudget is this guard's part of what its service may get: the floor is
+// shared by the guards of the service.
+func (m *Mesh) repeatBudget(endpoints []routing.Endpoint) retry.BudgetConfig {
+	guards := 0
+	for _, e := range endpoints {
+		if e.Service == m.cfg.Service {
+			guards++
+		}
+	}
+	r := m.cfg.Retries
+	return retry.BudgetConfig{Ratio: r.Ratio, Floor: float64(r.Floor) / float64(max(guards, 1)), Window: r.Window.Std()}
 }
 
 func newSeed() [32]byte {
@@ -185,6 +213,7 @@
 	m.loop(func() { m.pace.run(ctx) })
 	m.loop(func() { m.routes.follower.run(ctx) })
 	m.loop(func() { m.publisher.run(ctx) })
+	m.loop(func() { m.suspects.run(ctx) })
 	follow := &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1)}
 	m.loop(func() { follow.run(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -80,6 +80,8 @@
 	Keys idempotency.Config
 	// Quarantine bounds what is known of crashing requests.
 	Quarantine quarantine.Config
+	// Repeats bounds the calls of which an earlier attempt reached an upstream.
+	Repeats retry.BudgetConfig
 }
 
 // DefaultGuardConfig suits a VM with 64 MB for the node.
@@ -105,6 +107,7 @@
 	admission  *admission.Controller
 	quarantine *quarantine.Tracker
 	keys       *idempotency.Table
+	repeats    *retry.Budget
 	calls      map[string]*execution
 	done       []*execution // finished, oldest first
 	doneBytes  int64
@@ -131,6 +134,7 @@
 		admission:  admission.New(admission.DefaultConfig(1), now),
 		quarantine: quarantine.New(cfg.Quarantine),
 		keys:       idempotency.NewTable(cfg.Keys),
+		repeats:    retry.NewBudget(cfg.Repeats),
 		calls:      make(map[string]*execution),
 	}
 }
@@ -210,6 +214,9 @@
 	if !g.upstreamUp {
 		return result.Refuse(result.NoUpstream, "no upstream is announced to this node")
 	}
+	if refusal := g.countLocked(now, call); refusal != nil {
+		return refusal
+	}
 	if len(call.Marks) == 0 && !g.suspicion.Load() {
 		return nil
 	}
@@ -220,6 +227,29 @@
 	return g.quarantine.Admit(now, call.Fingerprint())
 }
 
+// countLocked counts the call towards the budget of repeats. Only firsts that
+// callers sent count for it: the calls that upstreams make grow with the repeats
+// of their callers, and a budget that grew with them would bound nothing.
+func (g *Guard) countLocked(now time.Time, call *Call) *result.Refusal {
+	if !call.Repeat {
+		if call.Ctx.Depth == 0 {
+			g.repeats.First(now)
+		}
+		return nil
+	}
+	if g.repeats.Repeat(now) {
+		return nil
+	}
+	return result.Refuse(result.RepeatsSpent, "this guard's part of the repeats that the service may get is used up")
+}
+
+// SetRepeats puts other bounds of repeats in force.
+func (g *Guard) SetRepeats(cfg retry.BudgetConfig) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.repeats.Reconfigure(cfg)
+}
+
 // beginKeyLocked looks the key up; settled says that the call does not go on
 // to admission.
 func (g *Guard) beginKeyLocked(now time.Time, call *Call, w Waiter) (answer *Answer, settled bool) {
@@ -365,6 +395,9 @@
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
 		cleared := g.quarantine.Finished(now, e.fingerprint, a.Whole())
+		if a.Crashed != 0 && g.quarantine.Proven(e.fingerprint) {
+			a.Crashed = 0
+		}
 		if len(cleared) > 0 {
 			d = append(d, func() { g.onSuspects(cleared) })
 		}
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -122,6 +122,13 @@
 	d.settle()
 }
 
+// Serving reports whether the local upstream is up.
+func (g *Guard) Serving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.upstreamUp
+}
+
 // Draining reports whether new calls are refused for good.
 func (g *Guard) Draining() bool {
 	g.mu.Lock()
--- a/internal/quarantine/config.go
+++ b/internal/quarantine/config.go
@@ -35,6 +35,9 @@
 	// that crashes at other guards at the same time are known before it runs.
 	// It has to cover twice the spread of a record and the longest run.
 	SettleFor time.Duration
+	// Proven is how many fingerprints that succeeded lately are remembered; what
+	// one of them runs at a crash is not suspected. 0 remembers none.
+	Proven int
 }
 
 // DefaultConfig returns the parameters for today's sizes.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -30,6 +30,7 @@
 	members map[event][]Fingerprint
 	// running holds the runs here; the upstream's slots bound it.
 	running map[Fingerprint]runs
+	proven  proven
 }
 
 // runs are those of one fingerprint; asSuspect says that one of them started
@@ -63,7 +64,7 @@
 // Crashed records that the local upstream died running these, and returns the
 // records to spread. All runs count as ended; a later Finished changes nothing.
 func (t *Tracker) Crashed(now time.Time, upstream string, incarnation uint64, running []Fingerprint) []Suspect {
-	fingerprints := slices.Clone(running)
+	fingerprints := t.proven.unproven(running)
 	slices.Sort(fingerprints)
 	fingerprints = slices.Compact(fingerprints)
 	only := t.onlySuspect(now, fingerprints)
@@ -213,6 +214,9 @@
 // going elsewhere.
 func (t *Tracker) Finished(now time.Time, f Fingerprint, ok bool) []Suspect {
 	r := t.running[f]
+	if ok {
+		t.proven.add(f, t.cfg.Proven)
+	}
 	if r.count == 0 {
 		return nil
 	}
@@ -260,6 +264,10 @@
 	)
 }
 
+// Proven reports whether f succeeded here lately, so that its crash is not held
+// against it.
+func (t *Tracker) Proven(f Fingerprint) bool { return t.proven.has(f) }
+
 // Suspected reports whether f is under suspicion, and so belongs to Home.
 func (t *Tracker) Suspected(now time.Time, f Fingerprint) bool {
 	return t.verdict(now, f) != innocent
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -61,6 +61,9 @@
 	Cancelled Code = 2013
 	// ShedEarly means that every candidate was known to shed this class.
 	ShedEarly Code = 2014
+	// RepeatsSpent means that the guard has let through as many repeats as the
+	// service may get at present.
+	RepeatsSpent Code = 2015
 
 	// LostAnswer means that the call was sent and no whole answer came back.
 	LostAnswer Code = 3001
@@ -124,6 +127,7 @@
 	ParentGone:       {"parent_gone", RanNo, 503, "the call that made this one is no longer running"},
 	Cancelled:        {"cancelled", RanNo, 499, "caller left before the call was run"},
 	ShedEarly:        {"shed_early", RanNo, 503, "every candidate upstream is known to shed this class"},
+	RepeatsSpent:     {"repeats_spent", RanNo, 503, "service gets as many repeats as it may"},
 	LostAnswer:       {"lost_answer", RanUnknown, 502, "sent, and no whole answer came back"},
 	DeadlinePassed:   {"deadline_passed", RanUnknown, 504, "deadline passed while the call ran"},
 	OutcomeUnknown:   {"outcome_unknown", RanUnknown, 503, "an earlier owner of the key may have run it"},
