--- a/cmd/galenad/mesh.go
+++ b/cmd/galenad/mesh.go
@@ -27,7 +27,7 @@
 
 // gcPercent trades processor time for memory: a VM has a few hundred MB for the
 // node and spends a tenth of a core on it.
-const gcPercent = 40
+const gcPercent = 100
 
 // lastLines bounds the wait for the reader of the log at the end of the process.
 const lastLines = 200 * time.Millisecond
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -114,7 +114,6 @@
 		Retry:      retry.DefaultPolicy(),
 		Throttle:   retry.DefaultThrottleConfig(),
 		Guard:      guardConfig(),
-		Admission:  admissionConfig,
 		Seed:       newSeed(),
 		Sample:     timelineSample,
 		Reroutes:   reroutes,
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -97,6 +97,10 @@
 	}
 }
 
+// PutRoutes puts routes in force here that did not come from the store, unless
+// they are older than those in force.
+func (m *Mesh) PutRoutes(config *routes.Config) error { return m.routes.put(config, "given") }
+
 // put puts routes in force unless they are older than those that are.
 func (k *routeKeeper) put(config *routes.Config, source string) error {
 	if err := config.Validate(); err != nil {
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
@@ -12,7 +13,10 @@
 	// stopNotice is how long a stopping node goes on taking callers: the platform
 	// asks once a second whether it is ready and believes the second no.
 	stopNotice = 2500 * time.Millisecond
-	// stopReserve of the grace is kept for closing.
+	// answerShare of the grace is kept for the last answers: nothing new is taken
+	// then, so that what was read can end.
+	answerShare = 0.3
+	// stopReserve of the grace is kept for the end of the process.
 	stopReserve = 400 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether calls are in flight.
 	stopPoll = 20 * time.Millisecond
@@ -28,12 +32,19 @@
 	m.stopping.Store(true)
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: m.cfg.NodeID})
 	m.leave()
-	m.awaitQuiet(begun)
-	cut := m.InFlight()
+	grace := m.cfg.Stop.Grace.Std()
+	m.awaitQuiet(begun, begun.Add(time.Duration((1-answerShare)*float64(grace))))
+	cut := m.finish(begun.Add(grace - stopReserve))
 	m.close()
 	return cut
 }
 
+// Kill ends the node at once, as the end of its process would.
+func (m *Mesh) Kill() {
+	m.stopping.Store(true)
+	m.close()
+}
+
 // leave tells the other nodes to send their calls elsewhere, and refuses those
 // that come all the same: taken, one of several seconds would still run when the
 // grace ends, and be cut. A refusal costs its sender a millisecond.
@@ -48,8 +59,7 @@
 	m.members.learn(record)
 }
 
-func (m *Mesh) awaitQuiet(begun time.Time) {
-	end := begun.Add(m.cfg.Stop.Grace.Std() - stopReserve)
+func (m *Mesh) awaitQuiet(begun, end time.Time) {
 	quietSince := begun
 	for now := begun; now.Before(end); now = time.Now() {
 		if m.InFlight() > 0 {
@@ -62,16 +72,21 @@
 	}
 }
 
-// close ends the listeners and loops; what is in flight gets the rest of the
-// reserve.
-func (m *Mesh) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+// finish takes no more connections and lets what was read end. It returns how
+// many calls are left.
+func (m *Mesh) finish(end time.Time) int {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	for _, srv := range m.servers.all() {
-		if srv != nil {
-			_ = srv.Shutdown(ctx)
+	for _, srv := range []*http.Server{m.servers.callers, m.servers.inner} {
+		if err := srv.Shutdown(ctx); err != nil {
+			m.logger.Warn().Err(err).Int("in_flight", m.InFlight()).Msg("the grace ended before the last answers")
 		}
 	}
+	return m.InFlight()
+}
+
+// close ends the listeners and loops.
+func (m *Mesh) close() {
 	for _, srv := range m.servers.all() {
 		if srv != nil {
 			_ = srv.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/policy"
@@ -63,9 +62,6 @@
 	// Reroutes is how often a call that did not reach an upstream is sent to
 	// another one without cost to its allowance.
 	Reroutes int
-	// Admission gives the guard's limits for an upstream with that many slots
-	// where no template does; nil takes the defaults of package admission.
-	Admission func(slots int) admission.Config
 	// MaxQueue bounds the guard's queue whatever a template asks for; 0 leaves
 	// it to the template.
 	MaxQueue int
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -75,9 +75,6 @@
 // the first workspace in order decides.
 func (n *Node) admissionConfig(service string, slots int) admission.Config {
 	cfg := admission.DefaultConfig(slots)
-	if n.cfg.Admission != nil {
-		cfg = n.cfg.Admission(slots)
-	}
 	if eff, ok := instanceFor(n.policy.Load(), service); ok {
 		cfg = withTemplate(cfg, eff)
 	}
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -116,7 +116,7 @@
 		}
 		key := routeKey{r.Host, r.Prefix}
 		if seen[key] {
-			return &FieldError{r.field("path_prefix"), r.Prefix, "given once for the host"}
+			return &FieldError{r.field("prefix"), r.Prefix, "given once for the host"}
 		}
 		seen[key] = true
 	}
@@ -132,7 +132,7 @@
 		return &FieldError{r.field("host"), `""`, "given"}
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return &FieldError{r.field("path_prefix"), r.Prefix, "begun and ended with '/'"}
+		return &FieldError{r.field("prefix"), r.Prefix, "begun and ended with '/'"}
 	}
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		return &FieldError{r.field("timeout"), r.Timeout, "above 0s and at most 10m"}
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -1,7 +1,6 @@
 package routes
 
 import (
-	"net"
 	"slices"
 	"strings"
 )
@@ -77,10 +76,8 @@
 
 // hostName takes a port off, and folds the case: host names have none.
 func hostName(host string) string {
-	if strings.Contains(host, ":") {
-		if name, _, err := net.SplitHostPort(host); err == nil {
-			host = name
-		}
+	if colon := strings.LastIndexByte(host, ':'); colon > strings.LastIndexByte(host, ']') {
+		host = host[:colon]
 	}
 	return strings.ToLower(host)
 }
--- /dev/null
+++ b/internal/upkeep/wire_test.go
@@ -0,0 +1,44 @@
+package upkeep
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// wireNames are names that only the adapter may know.
+var wireNames = regexp.MustCompile(`X-(Request-Id|Timeout-Ms|Server-Stamp|Not-Executed|Expected-Instance|Caller-Service|Instance-Id)|` +
+	`heartbeat_addr|traffic_split|route_type|path_prefix"|cold_remaining|log-(append|read|newest|join|commit)|keyed\.op`)
+
+// A field of the platform's wire gets another name. If code outside the adapter
+// knew the old one, the change would have to be made there too, and one place
+// would be forgotten.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	for _, s := range sources(t) {
+		if strings.HasPrefix(s.path, "platform/") || s.path == "internal/upkeep/wire_test.go" {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(root, s.path))
+		must.NoError(t, err)
+		must.Eq(t, "", wireNames.FindString(string(text)), must.Sprint(s.path))
+	}
+}
+
+// maxAdapterLines bounds the adapter: it translates and decides nothing.
+const maxAdapterLines = 1500
+
+func TestAdapterStaysSmall(t *testing.T) {
+	lines := 0
+	for _, s := range sources(t) {
+		if strings.HasPrefix(s.path, "platform/") && !strings.HasSuffix(s.path, "_test.go") {
+			text, err := os.ReadFile(filepath.Join(root, s.path))
+			must.NoError(t, err)
+			lines += strings.Count(string(text), "\n")
+		}
+	}
+	must.Between(t, 200, lines, maxAdapterLines)
+}
