Events of the time line as log lines; galenactl explain

Cause: on call there are only logs, and a node wrote refusals alone: what was believed, routed and retried stood in a ring in its memory.

Ruled out: a second set of log calls beside the events: the two would differ.

--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -34,6 +34,7 @@
 	Members  membersCmd  `cmd:"" help:"Upstreams and their nodes."`
 	Drain    drainCmd    `cmd:"" help:"Let a node finish its work and leave."`
 	Timeline timelineCmd `cmd:"" help:"Merged events of all nodes."`
+	Explain  explainCmd  `cmd:"" help:"Why a request ended as it did, from the nodes' logs."`
 	Events   eventsCmd   `cmd:"" help:"Events of one node as they happen."`
 }
 
--- /dev/null
+++ b/internal/mesh/eventlog.go
@@ -0,0 +1,46 @@
+package mesh
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// eventMessage marks the log lines that are events of the time line.
+const eventMessage = "event"
+
+// logEvent writes an event as a log line, under the names that it has on the
+// time line, so that galenactl reads both. Failures, and what changes the node's
+// beliefs, are warnings: the logger bounds each level for itself, and a flood of
+// good calls takes no line from them.
+func (m *Mesh) logEvent(e *timeline.Event) {
+	line := m.logger.WithLevel(levelOf(e))
+	if line == nil {
+		return
+	}
+	line.Str("hlc", e.HLC.String()).Str("kind", string(e.Kind))
+	for _, f := range []struct{ name, value string }{
+		{"call_id", e.CallID}, {"request_id", e.RequestID}, {"service", e.Service}, {"upstream", e.Upstream}, {"detail", e.Detail},
+	} {
+		if f.value != "" {
+			line.Str(f.name, f.value)
+		}
+	}
+	if e.Code != 0 {
+		line.Int("code", int(e.Code)).Str("result", e.Code.String()).Str("ran", string(e.Code.Ran()))
+	}
+	line.Int64("routes_version", m.routes.Version()).Msg(eventMessage)
+}
+
+func levelOf(e *timeline.Event) zerolog.Level {
+	switch e.Kind {
+	case timeline.CallReceived, timeline.CallRouted, timeline.CallAdmitted, timeline.CallQueued, timeline.CallStarted, timeline.CallJoined:
+		return zerolog.InfoLevel
+	case timeline.CallAnswered:
+		if e.Code == result.OK || e.Code == result.Replayed {
+			return zerolog.InfoLevel
+		}
+	}
+	return zerolog.WarnLevel
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -118,7 +118,7 @@
 		Sample:     timelineSample,
 		Reroutes:   reroutes,
 		Metrics:    m.metrics,
-		OnRefused:  m.logRefusal,
+		OnEvent:    m.logEvent,
 		OnSuspects: m.suspects.spread,
 	})
 	m.suspects.guard = m.node.Guard()
@@ -244,12 +244,6 @@
 // ready reports whether callers may be sent here.
 func (m *Mesh) ready() bool { return !m.stopping.Load() && m.proxy.Routes() != nil }
 
-func (m *Mesh) logRefusal(call *node.Call, r *result.Refusal) {
-	c := &call.Ctx
-	m.logger.Info().Str("request", c.RequestID).Str("service", c.Service).Int("code", int(r.Code)).
-		Str("result", r.Code.String()).Dur("retry_after_ms", r.RetryAfter).Str("detail", r.Detail).Msg("refused")
-}
-
 // Addresses are those that the node listens on.
 func (m *Mesh) Addresses() (callers, inner, ready, announce net.Addr) {
 	l := &m.listeners
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -11,8 +11,12 @@
 
 // Event puts an event on the node's time line.
 func (n *Node) Event(now time.Time, e timeline.Event) {
-	if n.cfg.Ring != nil {
-		n.cfg.Ring.Add(now, e)
+	if n.cfg.Ring == nil {
+		return
+	}
+	e = n.cfg.Ring.Put(now, e)
+	if n.cfg.OnEvent != nil {
+		n.cfg.OnEvent(&e)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,9 @@
 	// OnRefused is told of every refusal that leaves the node to a caller or
 	// to the local upstream; may be nil. It must not block.
 	OnRefused func(call *Call, r *result.Refusal)
+	// OnEvent is told of every event that goes on the time line; may be nil. It
+	// must not block nor keep the event.
+	OnEvent func(*timeline.Event)
 	// OnCrash is called when the local upstream's process died; may be nil.
 	OnCrash func()
 	// OnSuspects is given records of crashing requests for the peers; may be
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -42,7 +42,7 @@
 	must.NoError(t, good().Validate())
 	for name, spoil := range map[string]func(*Config){
 		"version":      func(c *Config) { c.Version = 0 },
-		"prefix":  func(c *Config) { c.Routes[0].Prefix = "/x" },
+		"prefix":       func(c *Config) { c.Routes[0].Prefix = "/x" },
 		"host":         func(c *Config) { c.Routes[0].Host = "" },
 		"timeout":      func(c *Config) { c.Routes[0].Timeout = 0 },
 		"max_attempts": func(c *Config) { c.Routes[0].MaxAttempts = 0 },
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -32,7 +32,10 @@
 
 // Add stamps e at now and keeps it, pushing out the oldest when full. The
 // lock is held for one copy.
-func (r *Ring) Add(now time.Time, e Event) {
+func (r *Ring) Add(now time.Time, e Event) { r.Put(now, e) }
+
+// Put is Add; it returns the event as it was stored.
+func (r *Ring) Put(now time.Time, e Event) Event {
 	if e.Node == "" {
 		e.Node = r.node
 	}
@@ -46,6 +49,7 @@
 		r.wake = make(chan struct{})
 		r.waiting = false
 	}
+	return e
 }
 
 // Clock returns the clock that stamps the events.
