Fresh upstreams get their share by and by

Cause: reports don't state a birth here, so every upstream looked as if it had served since 1970 and a cold one got its full share at once.

Change: the record of a node says since when a cold upstream serves; slow start takes 4 s.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -45,9 +45,10 @@
 	// Upstream names the process of the upstream.
 	Upstream string `json:"upstream,omitempty"`
 	Slots    int    `json:"slots"`
-	// Born is the start of the upstream's process in Unix milliseconds.
-	Born  int64 `json:"born,omitempty"`
-	State State `json:"state"`
+	// ServesSince is when the upstream began to take work, in Unix milliseconds;
+	// 0 means long ago. A fresh one is slow and gets its share by and by.
+	ServesSince int64 `json:"serves_since,omitempty"`
+	State       State `json:"state"`
 }
 
 // MaxMemberBytes bounds a member's record.
@@ -151,7 +152,7 @@
 		Service:     m.Service,
 		Addr:        m.Address,
 		Slots:       m.Slots,
-		Joined:      time.UnixMilli(m.Born),
+		Joined:      time.UnixMilli(m.ServesSince),
 		Draining:    m.State == Leaving,
 	}
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -85,6 +86,15 @@
 	m.logger.Info().Str("upstream", r.ID).Str("how", how).Int64("sequence", r.Sequence).Int("in_flight", m.node.Guard().Busy()).Msg("upstream left")
 }
 
+// servesSince is now for an upstream that says it is still slow after its start.
+// One that doesn't has been warm for longer than anybody would spare it.
+func servesSince(r fleet.Report, now time.Time) int64 {
+	if r.ColdFor <= 0 {
+		return 0
+	}
+	return now.UnixMilli()
+}
+
 // publish writes the node's own record, and puts it in force here at once.
 func (l *localUpstream) publish(r fleet.Report, state fleet.State) {
 	if l.mesh.stopping.Load() {
@@ -93,7 +103,7 @@
 	record := l.mesh.publisher.update(func(own *fleet.Member) {
 		own.Upstream = r.ID
 		own.Slots = r.Slots
-		own.Born = r.Born
+		own.ServesSince = servesSince(r, l.mesh.node.Now())
 		own.State = state
 	})
 	l.mesh.members.learn(record)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -145,9 +145,14 @@
 	peerKept = 64
 )
 
+// slowStart is how long a fresh upstream takes to its full share; those of today
+// say that they are slow for 3 s.
+const slowStart = 4 * time.Second
+
 func routingConfig() routing.Config {
 	cfg := routing.DefaultConfig()
 	cfg.RetryAfter = 300 * time.Millisecond
+	cfg.SlowStart = slowStart
 	return cfg
 }
 
