A stopping node takes calls that find no other upstream

One upstream of the deepest service had left, a second was leaving, and the node of the third was being restarted and refused at once: 756 calls found every upstream leaving.

Ruled out: the cut of a zone, which came 3 s later; the store, which was well.

Change: a node that stops is a last resort, apart from an upstream that leaves; its guard takes such calls for 45 % of the grace.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -22,7 +22,12 @@
 const (
 	// Serving means that the upstream takes work.
 	Serving State = "serving"
-	// Leaving means that the upstream, or its node, takes no new work.
+	// Stopping means that the node is about to end while its upstream goes on. It
+	// still takes what finds no other one: several nodes of a service may be
+	// restarted while others of its upstreams leave, and until they were told
+	// apart every caller was refused though upstreams were idle.
+	Stopping State = "stopping"
+	// Leaving means that the upstream takes no new work.
 	Leaving State = "leaving"
 	// Gone means that there is no upstream, and none is to be tried.
 	Gone State = "gone"
@@ -65,8 +70,8 @@
 		return fmt.Errorf("member %s: address is empty", m.Node)
 	case !callctx.ValidName(m.Service):
 		return fmt.Errorf("member %s: service is %q, must be a name", m.Node, m.Service)
-	case m.State != Serving && m.State != Leaving && m.State != Gone:
-		return fmt.Errorf("member %s: state is %q, must be serving, leaving or gone", m.Node, m.State)
+	case !slices.Contains([]State{Serving, Stopping, Leaving, Gone}, m.State):
+		return fmt.Errorf("member %s: state is %q, must be serving, stopping, leaving or gone", m.Node, m.State)
 	case m.State == Serving && m.Slots < 1:
 		return fmt.Errorf("member %s: slots are %d, must be at least 1", m.Node, m.Slots)
 	}
@@ -154,5 +159,6 @@
 		Slots:       m.Slots,
 		Joined:      time.UnixMilli(m.ServesSince),
 		Draining:    m.State == Leaving,
+		LastResort:  m.State == Stopping,
 	}
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -97,8 +97,8 @@
 
 // publish writes the node's own record, and puts it in force here at once.
 func (l *localUpstream) publish(r fleet.Report, state fleet.State) {
-	if l.mesh.stopping.Load() {
-		state = fleet.Leaving
+	if l.mesh.stopping.Load() && state == fleet.Serving {
+		state = fleet.Stopping
 	}
 	record := l.mesh.publisher.update(func(own *fleet.Member) {
 		own.Upstream = r.ID
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -13,6 +13,10 @@
 	// stopNotice is how long a stopping node goes on taking callers: the platform
 	// asks once a second whether it is ready and believes the second no.
 	stopNotice = 2500 * time.Millisecond
+	// takeShare of the grace is how long calls of other nodes are still taken,
+	// where they find no other upstream. Later ones would still run when the grace
+	// ends and be cut; a refusal costs their sender a millisecond.
+	takeShare = 0.45
 	// answerShare of the grace is kept for the last answers: nothing new is taken
 	// then, so that what was read can end.
 	answerShare = 0.3
@@ -33,6 +37,8 @@
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: m.cfg.NodeID})
 	m.leave()
 	grace := m.cfg.Stop.Grace.Std()
+	refuse := time.AfterFunc(time.Duration(takeShare*float64(grace)), func() { m.node.Guard().Drain(m.node.Now()) })
+	defer refuse.Stop()
 	m.awaitQuiet(begun, begun.Add(time.Duration((1-answerShare)*float64(grace))))
 	cut := m.finish(begun.Add(grace - stopReserve))
 	m.close()
@@ -45,15 +51,12 @@
 	m.close()
 }
 
-// leave tells the other nodes to send their calls elsewhere, and refuses those
-// that come all the same: taken, one of several seconds would still run when the
-// grace ends, and be cut. A refusal costs its sender a millisecond.
+// leave tells the other nodes to send their calls elsewhere if they can.
 func (m *Mesh) leave() {
-	m.node.Guard().Drain(m.node.Now())
 
 	record := m.publisher.update(func(own *fleet.Member) {
 		if own.State == fleet.Serving {
-			own.State = fleet.Leaving
+			own.State = fleet.Stopping
 		}
 	})
 	m.members.learn(record)
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -24,6 +24,8 @@
 	hasRoom verdict = iota
 	// isBusy would queue it, or is cold and had its share of calls.
 	isBusy
+	// isSpare is to be left alone while another one takes the call.
+	isSpare
 	// wouldShed would refuse it, as a fresh report says.
 	wouldShed
 	// isOut is ejected or suspect.
@@ -47,6 +49,7 @@
 	// The best of each verdict but hasRoom that was met.
 	busy      *Target
 	busyScore float64
+	spare     *Target
 	shedding  *Target
 	out       *Target
 	draining  bool
@@ -249,6 +252,9 @@
 	if g.isSuspect(c.at, c.cfg) {
 		return isOut
 	}
+	if g.lastResort.Load() {
+		return isSpare
+	}
 	fresh := g.report.fresh(c.at, c.cfg.LoadAge)
 	if fresh && g.report.sheds(c.rank) && !(c.deep && g.idle()) {
 		return wouldShed
@@ -275,6 +281,10 @@
 		if c.busy == nil || score < c.busyScore {
 			c.busy, c.busyScore = g, score
 		}
+	case isSpare:
+		if c.spare == nil {
+			c.spare = g
+		}
 	case wouldShed:
 		if c.shedding == nil {
 			c.shedding = g
@@ -292,6 +302,9 @@
 	if c.busy != nil {
 		return c.busy, nil
 	}
+	if c.spare != nil {
+		return c.spare, nil
+	}
 	if c.shedding != nil {
 		if probe || c.rollProbe() {
 			return c.shedding, nil
--- /dev/null
+++ b/internal/routing/spare_test.go
@@ -0,0 +1,29 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// The nodes of a service are restarted one after another while another of its
+// upstreams leaves. For seconds the only upstream that takes work is one whose
+// node is being stopped; callers were refused though it was idle.
+func TestPick_LastResort(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	stopping := Endpoint{Node: "stopping", Incarnation: 1, Service: "s", Addr: "a:1", Slots: 4, LastResort: true}
+	other := Endpoint{Node: "other", Incarnation: 1, Service: "s", Addr: "b:1", Slots: 4}
+	table := NewTable(nil, DefaultConfig(), Self{}, []Endpoint{stopping, other}, origin)
+	for range 50 {
+		g, refusal := table.Pick(origin, rng, PickInfo{Service: "s"})
+		must.Nil(t, refusal)
+		must.EqOp(t, "other", g.Endpoint().Node)
+	}
+	other.Draining = true
+	table = NewTable(table, DefaultConfig(), Self{}, []Endpoint{stopping, other}, origin.Add(time.Second))
+	g, refusal := table.Pick(origin.Add(time.Second), rng, PickInfo{Service: "s"})
+	must.Nil(t, refusal)
+	must.EqOp(t, "stopping", g.Endpoint().Node)
+}
