--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -51,7 +51,10 @@
 }
 
 // SetRoutes puts routes in force.
-func (p *Proxy) SetRoutes(t *routes.Table) { p.routed.table.Store(t) }
+func (p *Proxy) SetRoutes(t *routes.Table) {
+	p.routed.table.Store(t)
+	p.routed.gates.retain(t)
+}
 
 // Routes returns the routes in force; nil when there are none yet.
 func (p *Proxy) Routes() *routes.Table { return p.routed.table.Load() }
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/routes"
 )
 
 // treeGates are those of the routes that requests came by here.
@@ -33,6 +34,17 @@
 	return got.(*treeGate)
 }
 
+// retain forgets the gates of routes that are gone.
+func (g *treeGates) retain(t *routes.Table) {
+	g.byRoute.Range(func(name, _ any) bool {
+		n := name.(routeName)
+		if !t.Has(n.host, n.prefix) {
+			g.byRoute.Delete(name)
+		}
+		return true
+	})
+}
+
 // admit decides on a root request. A call made for a running request always goes
 // on: what was spent on that one would be lost.
 func (g *treeGate) admit(now time.Time, call *node.Call, objective time.Duration) *result.Refusal {
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -63,6 +63,11 @@
 // Config returns what the table was made from.
 func (t *Table) Config() *Config { return t.config }
 
+// Has reports whether there is a route for exactly this host and prefix.
+func (t *Table) Has(host, prefix string) bool {
+	return slices.ContainsFunc(t.hosts[host], func(e *Entry) bool { return e.Prefix == prefix })
+}
+
 // Match returns the route with the longest prefix of the path among those of
 // the host; nil when there is none. path has no query.
 func (t *Table) Match(host, path string) *Entry {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -14,7 +14,10 @@
 const MaxFileBytes = 1 << 20
 
 // Load reads, completes and validates the settings file at path.
-func Load(path string) (*Node, error) {
+func Load(path string) (*Node, error) { return load(path, Parse) }
+
+// load reads the file at path and parses it; every error names the file.
+func load[T any](path string, parse func([]byte) (*T, error)) (*T, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "open settings")
@@ -24,21 +27,15 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "read settings %s", path)
 	}
-	n, err := Parse(doc)
-	return n, errors.WithMessage(err, path)
+	parsed, err := parse(doc)
+	return parsed, errors.WithMessage(err, path)
 }
 
 // Parse reads a settings document, fills in defaults and validates it.
 func Parse(doc []byte) (*Node, error) {
-	if len(doc) > MaxFileBytes {
-		return nil, errors.Errorf("settings: document is %d bytes or more, must be at most %d", len(doc), MaxFileBytes)
-	}
-	if err := checkShape(doc, reflect.TypeFor[Node]()); err != nil {
-		return nil, err
-	}
 	n := Defaults()
-	if err := json.Unmarshal(doc, n); err != nil {
-		return nil, errors.Wrap(err, "settings")
+	if err := decode(doc, n); err != nil {
+		return nil, err
 	}
 	n.complete()
 	if err := n.Validate(); err != nil {
@@ -47,6 +44,18 @@
 	return n, nil
 }
 
+// decode reads a document into settings that hold the defaults. A field that
+// isn't known, or holds another type, is an error that names it.
+func decode[T any](doc []byte, into *T) error {
+	if len(doc) > MaxFileBytes {
+		return errors.Errorf("settings: document is %d bytes or more, must be at most %d", len(doc), MaxFileBytes)
+	}
+	if err := checkShape(doc, reflect.TypeFor[T]()); err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(doc, into), "settings")
+}
+
 // Defaults returns settings with every default and nothing else; they don't
 // validate until the names, addresses and log URL are given.
 func Defaults() *Node {
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -1,14 +1,8 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
-	"os"
-	"reflect"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Mesh is the settings file of a node whose requests come by routes.
@@ -79,31 +73,13 @@
 }
 
 // LoadMesh reads, completes and validates the settings file at path.
-func LoadMesh(path string) (*Mesh, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "open settings")
-	}
-	defer f.Close()
-	doc, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
-	if err != nil {
-		return nil, errors.Wrapf(err, "read settings %s", path)
-	}
-	m, err := ParseMesh(doc)
-	return m, errors.WithMessage(err, path)
-}
+func LoadMesh(path string) (*Mesh, error) { return load(path, ParseMesh) }
 
 // ParseMesh reads a settings document, fills in defaults and validates it.
 func ParseMesh(doc []byte) (*Mesh, error) {
-	if len(doc) > MaxFileBytes {
-		return nil, errors.Errorf("settings: document is %d bytes or more, must be at most %d", len(doc), MaxFileBytes)
-	}
-	if err := checkShape(doc, reflect.TypeFor[Mesh]()); err != nil {
-		return nil, err
-	}
 	m := MeshDefaults()
-	if err := json.Unmarshal(doc, m); err != nil {
-		return nil, errors.Wrap(err, "settings")
+	if err := decode(doc, m); err != nil {
+		return nil, err
 	}
 	if err := m.Validate(); err != nil {
 		return nil, err
@@ -124,6 +100,15 @@
 
 // Validate reports the first field that is out of bounds as a *FieldError.
 func (m *Mesh) Validate() error {
+	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateFigures, m.Logging.validate} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) validateNames() error {
 	for _, x := range []struct{ field, value string }{
 		{"node_id", m.NodeID}, {"region", m.Region}, {"zone", m.Zone}, {"service", m.Service},
 	} {
@@ -131,40 +116,48 @@
 			return err
 		}
 	}
-	for _, x := range []struct {
-		field, value string
-		optional     bool
-	}{
-		{"upstream_address", m.UpstreamAddress, false},
-		{"listen.callers", m.Listen.Callers, false},
-		{"listen.inner", m.Listen.Inner, false},
-		{"listen.ready", m.Listen.Ready, false},
-		{"listen.announce", m.Listen.Announce, false},
-		{"listen.metrics", m.Listen.Metrics, true},
-		{"store.address", m.Store.Address, false},
-	} {
-		if x.value == "" && x.optional {
-			continue
+	return nil
+}
+
+func (m *Mesh) validateAddresses() error {
+	if m.Listen.Metrics != "" {
+		if _, err := checkAddr("listen.metrics", m.Listen.Metrics, true); err != nil {
+			return err
 		}
+	}
+	for _, x := range []struct{ field, value string }{
+		{"upstream_address", m.UpstreamAddress},
+		{"listen.callers", m.Listen.Callers},
+		{"listen.inner", m.Listen.Inner},
+		{"listen.ready", m.Listen.Ready},
+		{"listen.announce", m.Listen.Announce},
+		{"store.address", m.Store.Address},
+	} {
 		if _, err := checkAddr(x.field, x.value, true); err != nil {
 			return err
 		}
 	}
-	switch {
-	case m.Resources.MemoryMB < 32:
-		return &FieldError{Field: "resources.memory_mb", Value: fmt.Sprint(m.Resources.MemoryMB), Bound: "at least 32"}
-	case m.Resources.Descriptors < 256:
-		return &FieldError{Field: "resources.descriptors", Value: fmt.Sprint(m.Resources.Descriptors), Bound: "at least 256"}
-	case m.Stop.Grace.Std() < time.Second:
-		return &FieldError{Field: "stop.grace", Value: fmt.Sprint(m.Stop.Grace), Bound: "at least 1s"}
-	case m.Retries.Ratio < 0 || m.Retries.Ratio > 10:
-		return &FieldError{Field: "retries.ratio", Value: fmt.Sprint(m.Retries.Ratio), Bound: "0 to 10"}
-	case m.Retries.Floor < 0:
-		return &FieldError{Field: "retries.floor", Value: fmt.Sprint(m.Retries.Floor), Bound: "at least 0"}
-	case m.Retries.Window.Std() < time.Second:
-		return &FieldError{Field: "retries.window", Value: fmt.Sprint(m.Retries.Window), Bound: "at least 1s"}
-	case m.Store.RecordBytes < 1024:
-		return &FieldError{Field: "store.record_bytes", Value: fmt.Sprint(m.Store.RecordBytes), Bound: "at least 1024"}
+	return nil
+}
+
+func (m *Mesh) validateFigures() error {
+	for _, x := range []struct {
+		ok    bool
+		field string
+		value any
+		bound string
+	}{
+		{m.Resources.MemoryMB >= 32, "resources.memory_mb", m.Resources.MemoryMB, "at least 32"},
+		{m.Resources.Descriptors >= 256, "resources.descriptors", m.Resources.Descriptors, "at least 256"},
+		{m.Stop.Grace.Std() >= time.Second, "stop.grace", m.Stop.Grace, "at least 1s"},
+		{m.Retries.Ratio >= 0 && m.Retries.Ratio <= 10, "retries.ratio", m.Retries.Ratio, "0 to 10"},
+		{m.Retries.Floor >= 0, "retries.floor", m.Retries.Floor, "at least 0"},
+		{m.Retries.Window.Std() >= time.Second, "retries.window", m.Retries.Window, "at least 1s"},
+		{m.Store.RecordBytes >= 1024, "store.record_bytes", m.Store.RecordBytes, "at least 1024"},
+	} {
+		if !x.ok {
+			return &FieldError{Field: x.field, Value: fmt.Sprint(x.value), Bound: x.bound}
+		}
 	}
-	return m.Logging.validate()
+	return nil
 }
