--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -22,7 +22,7 @@
 	DecodeRoutes(item Item) (config *routes.Config, ok bool, err error)
 	// AnnounceHandler takes what the local upstream says of itself.
 	AnnounceHandler(sink Announcements) http.Handler
-	// Upstream sets who is behind the local upstream's address from now on.
+	// SetUpstream sets who is behind the local upstream's address from now on.
 	SetUpstream(id string)
 	// Close ends what the adapter holds open.
 	Close()
