A node that starts without the store is told by its zone

Cause: a node's routes and the other nodes' records come from the store alone.

Ruled out: to keep state beside the process (no VM has a disk); to learn by calls of others alone (nobody sends calls to a node whose record says that it stops, and calls carry no records); a constant gossip of all nodes (0.8 KB/s a node of the 2 KB/s, for a case of seconds).

Change: members of the own zone that don't serve, by their record or because calls fail, are looked for twice a second for a minute (fleet.Absent, pure), by three nodes on average. An introduction carries the sender's record and brings the receiver's; who lacks routes or records fetches them from the sender. Records fold by incarnation and revision, routes by version: nothing goes back. At rest nothing is sent.

--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,6 +60,8 @@
 	settle time.Duration
 
 	lostAt time.Time
+	// lost is whether the last read failed.
+	lost atomic.Bool
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -77,7 +80,7 @@
 			next = -1
 			continue
 		}
-		f.lost(ctx, err)
+		f.noteLost(ctx, err)
 		failures++
 		f.pause(ctx, failures)
 	}
@@ -110,11 +113,12 @@
 	return next, nil
 }
 
-func (f *follower) lost(ctx context.Context, err error) {
+func (f *follower) noteLost(ctx context.Context, err error) {
 	if !f.lostAt.IsZero() || ctx.Err() != nil {
 		return
 	}
 	f.lostAt = time.Now()
+	f.lost.Store(true)
 	f.logger.Warn().Str("topic", f.topic.Name()).Err(err).Msg("store lost")
 }
 
@@ -124,6 +128,7 @@
 	}
 	f.logger.Info().Str("topic", f.topic.Name()).Dur("after_ms", time.Since(f.lostAt)).Msg("store regained")
 	f.lostAt = time.Time{}
+	f.lost.Store(false)
 }
 
 func (f *follower) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, f.kick) }
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -80,6 +80,8 @@
 	inner := http.NewServeMux()
 	inner.Handle(proxy.CallPath, m.proxy.CallHandler())
 	inner.Handle(routesPath, m.routes)
+	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
+	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	s.callers = m.newServer(m.closing(callers))
 	s.callers.IdleTimeout = idleSentinel
 	s.inner = m.newServer(inner)
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
 // nodePrefix begins the keys of nodes' own records.
@@ -22,11 +24,15 @@
 
 	mu       sync.Mutex
 	registry *fleet.Registry
+	// told is whether the records of the deployment were read once, from the
+	// store or from another node.
+	told bool
 }
 
 func (m *members) apply(items []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.told = true
 	news := false
 	for _, item := range items {
 		if len(item.Value) == 0 {
@@ -61,6 +67,48 @@
 	}
 }
 
+// takeOver folds records that another node knows; unsound ones are left out.
+func (m *members) takeOver(records []fleet.Member, from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told = true
+	news := 0
+	for i := range records {
+		if err := records[i].Validate(); err != nil {
+			m.logger.Warn().Str("from", from).Err(err).Msg("member record unreadable, ignored")
+			continue
+		}
+		if m.registry.Apply(records[i]) {
+			news++
+		}
+	}
+	m.logger.Info().Str("from", from).Int("members", len(records)).Int("changed", news).Msg("members taken over from another node")
+	if news > 0 {
+		m.changed(m.registry)
+	}
+}
+
+// informed reports whether the records of the deployment were read once.
+func (m *members) informed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.told
+}
+
+// all returns the newest record of each node.
+func (m *members) all() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.Members()
+}
+
+// inZone returns the records of the other nodes of the zone.
+func (m *members) inZone(cfg *settings.Mesh) []fleet.Member {
+	return slices.DeleteFunc(m.all(), func(x fleet.Member) bool {
+		return x.Node == cfg.NodeID || x.Region != cfg.Region || x.Zone != cfg.Zone
+	})
+}
+
 // publisher keeps the node's own record in the store: the newest that was set is
 // written, again and again until the store takes it.
 type publisher struct {
@@ -92,6 +140,13 @@
 	return record
 }
 
+// newest returns the record as it stands, written or not.
+func (p *publisher) newest() fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record
+}
+
 func (p *publisher) pending() (fleet.Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -47,6 +47,7 @@
 	upstream *proxy.Upstream
 
 	members   *members
+	following *follower
 	publisher *publisher
 	suspects  *suspects
 	routes    *routeKeeper
@@ -134,6 +135,7 @@
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
 	m.members = &members{logger: m.logger, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
+	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: membersSettle}
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id))
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
@@ -248,8 +250,8 @@
 	m.loop(func() { m.routes.follower.run(ctx) })
 	m.loop(func() { m.publisher.run(ctx) })
 	m.loop(func() { m.suspects.run(ctx) })
-	follow := &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: membersSettle}
-	m.loop(func() { follow.run(ctx) })
+	m.loop(func() { m.following.run(ctx) })
+	m.loop(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -47,13 +46,22 @@
 // Heard implements proxy.Versions. A node that can't reach the store learns from
 // the calls of others that it is behind, and asks the one that is ahead.
 func (k *routeKeeper) Heard(addr string, version int64) {
-	if addr == "" || version <= k.version.Load() || !k.asking.CompareAndSwap(false, true) {
+	if addr == "" || version <= k.version.Load() {
+		return
+	}
+	k.fetch(addr)
+}
+
+// fetch gets the routes of another node, and the records of members where none
+// were read yet. It doesn't block; one is under way at a time.
+func (k *routeKeeper) fetch(addr string) {
+	if !k.asking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer k.asking.Store(false)
 		if err := k.ask(addr); err != nil {
-			k.mesh.logger.Warn().Str("address", addr).Int64("version", version).Err(err).Msg("routes not fetched from another node")
+			k.mesh.logger.Warn().Str("address", addr).Int64("version", k.Version()).Err(err).Msg("routes not fetched from another node")
 			time.Sleep(askPause)
 		}
 	}()
@@ -62,21 +70,22 @@
 func (k *routeKeeper) ask(addr string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	if !k.mesh.members.informed() {
+		if err := k.mesh.fetchMembers(ctx, addr); err != nil {
+			return err
+		}
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+routesPath, nil)
 	if err != nil {
 		return err
 	}
-	resp, err := k.mesh.servers.control.RoundTrip(req)
+	raw, err := k.mesh.askNode(req, maxRoutesBytes)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", resp.StatusCode)
-	}
 	var config routes.Config
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRoutesBytes)).Decode(&config); err != nil {
-		return err
+	if err := json.Unmarshal(raw, &config); err != nil {
+		return errors.Wrap(err, "routes of another node")
 	}
 	return k.put(&config, "node "+addr)
 }
@@ -125,8 +134,5 @@
 		http.Error(w, "no routes yet", http.StatusNotFound)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(table.Config()); err != nil {
-		k.mesh.logger.Warn().Err(err).Msg("routes not sent")
-	}
+	k.mesh.sendJSON(w, table.Config())
 }
