Header bounds, header time and changed settings are in force without a restart

Cause: the limits published with routes were in force only for bodies and idle time; headers had fixed bounds (64 KB, 10 s). A changed settings file was logged at SIGHUP and else not seen, so a moved store meant a restart.

Ruled out: changing net/http's fields while it runs (it reads them without a lock); closing connections to apply a bound.

Change: a header over the bound in force gets 4009 header_too_large (431); the time of a header is set by the connection from the routes in force, and begins with the first byte: net/http counts it from the opening, which would cut what callers send on connections that they open in advance. The settings file is looked at every 2 s and at SIGHUP; budgets of retries, grace, memory, log level and the store's address change at once, the rest is named as needing a restart, a file with an error changes nothing. When the store moves, reads that wait at the old address end and everything is read again.

--- a/cmd/galenad/mesh.go
+++ b/cmd/galenad/mesh.go
@@ -44,13 +44,16 @@
 	}
 	out := metrics.NewAsyncWriter(os.Stdout)
 	defer out.Close(lastLines)
-	logger, err := metrics.NewLogger(out, cfg.NodeID, cfg.Logging)
+	// The level in force is the global one, so that it can change.
+	sampled := cfg.Logging
+	sampled.Level = zerolog.LevelDebugValue
+	logger, err := metrics.NewLogger(out, cfg.NodeID, sampled)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "galenad:", err)
 		return exitSettings
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Resources.MemoryMB) * (1 << 20)))
+	applyToProcess(cfg, logger)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, logger), logger)
@@ -61,13 +64,9 @@
 	logger.Info().Str("version", buildVersion()).Str("zone", cfg.Zone).Str("service", cfg.Service).
 		Str("callers", cfg.Listen.Callers).Str("inner", cfg.Listen.Inner).Str("store", cfg.Store.Address).
 		Int("memory_mb", cfg.Resources.MemoryMB).Msg("started")
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			logger.Info().Msg("signal to reload; nothing in the settings can change while the node runs")
-			continue
-		}
-		break
-	}
+	file := &settingsFile{path: args.Config, mesh: m, logger: logger}
+	file.remember()
+	file.watch(signals)
 	return stopMesh(m, logger)
 }
 
--- /dev/null
+++ b/internal/mesh/callerconn_test.go
@@ -0,0 +1,70 @@
+package mesh
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+type fixedBounds struct{ idle, header time.Duration }
+
+func (b fixedBounds) idleTimeout() time.Duration   { return b.idle }
+func (b fixedBounds) headerTimeout() time.Duration { return b.header }
+
+// connPair returns the node's and the caller's end of a connection.
+func connPair(t *testing.T, b callerBounds) (node *callerConn, caller net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	caller, err = net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
+	return &callerConn{Conn: accepted, bounds: b}, caller
+}
+
+func sentinel(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// A caller opens connections in advance and sends on them later than a header may
+// take. net/http counts the header's time from the opening, and cut what the
+// caller sent at that moment.
+func TestConnectionOpenedInAdvanceIsKept(t *testing.T) {
+	node, caller := connPair(t, fixedBounds{idle: 10 * time.Second, header: 50 * time.Millisecond})
+	must.NoError(t, node.SetReadDeadline(sentinel(headerSentinel)))
+	time.AfterFunc(150*time.Millisecond, func() { _, _ = caller.Write([]byte("GET")) })
+	buf := make([]byte, 8)
+	n, err := node.Read(buf)
+	must.NoError(t, err)
+	must.EqOp(t, "GET", string(buf[:n]))
+	// From the first byte on the header has its time and no more.
+	begun := time.Now()
+	_, err = node.Read(buf)
+	must.True(t, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint(err))
+	must.Less(t, 5*time.Second, time.Since(begun))
+}
+
+// Later headers have their time from net/http's deadline on, and the wait between
+// requests the idle timeout in force.
+func TestDeadlinesOfAUsedConnection(t *testing.T) {
+	node, caller := connPair(t, fixedBounds{idle: 200 * time.Millisecond, header: 50 * time.Millisecond})
+	must.NoError(t, node.SetReadDeadline(sentinel(headerSentinel)))
+	_, err := caller.Write([]byte("x"))
+	must.NoError(t, err)
+	buf := make([]byte, 8)
+	_, err = node.Read(buf)
+	must.NoError(t, err)
+	wait := func(deadline time.Duration) time.Duration {
+		must.NoError(t, node.SetReadDeadline(sentinel(deadline)))
+		begun := time.Now()
+		_, err := node.Read(buf)
+		must.True(t, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint(err))
+		return time.Since(begun)
+	}
+	must.Greater(t, 190*time.Millisecond, wait(idleSentinel))
+	must.Between(t, 40*time.Millisecond, wait(headerSentinel), 180*time.Millisecond)
+}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -59,6 +59,8 @@
 	// settle is how long to wait after news before the next read.
 	settle time.Duration
 
+	// afresh is set to read everything once more.
+	afresh atomic.Bool
 	lostAt time.Time
 	// lost is whether the last read failed.
 	lost atomic.Bool
@@ -88,7 +90,7 @@
 
 // step reads once and returns the offset to go on from; -1 reads everything.
 func (f *follower) step(ctx context.Context, next int64) (int64, error) {
-	if next < 0 {
+	if f.afresh.Swap(false) || next < 0 {
 		return f.snapshot(ctx)
 	}
 	items, after, err := f.topic.Read(ctx, next, readWait)
@@ -113,6 +115,15 @@
 	return next, nil
 }
 
+// restart reads everything once more, at once.
+func (f *follower) restart() {
+	f.afresh.Store(true)
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) noteLost(ctx context.Context, err error) {
 	if !f.lostAt.IsZero() || ctx.Err() != nil {
 		return
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -20,6 +20,9 @@
 	headerTimeout = 10 * time.Second
 	// headerBytes bounds a request's header where the routes set no bound.
 	headerBytes = 64 << 10
+	// mostHeaderBytes bounds it whatever the routes say: a thousand callers may
+	// send headers at a time.
+	mostHeaderBytes = 256 << 10
 	// innerIdle outlasts peerIdle, so that the node that sends calls is the one
 	// that closes.
 	innerIdle = 60 * time.Second
@@ -84,6 +87,8 @@
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	s.callers = m.newServer(m.closing(callers))
 	s.callers.IdleTimeout = idleSentinel
+	s.callers.ReadHeaderTimeout = headerSentinel
+	s.callers.MaxHeaderBytes = mostHeaderBytes
 	s.inner = m.newServer(inner)
 	s.inner.IdleTimeout = innerIdle
 	s.ready = m.newServer(http.HandlerFunc(m.serveReady))
@@ -144,45 +149,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// idleSentinel is the idle timeout that net/http is given; callerConn replaces
-// it by the one of the routes in force, which may change while the server runs.
-const idleSentinel = 1000 * time.Hour
-
-// defaultIdle holds where the routes set no idle timeout.
-const defaultIdle = 60 * time.Second
-
-type callerListener struct {
-	net.Listener
-	mesh *Mesh
-}
-
-// Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: c, mesh: l.mesh}, nil
-}
-
-type callerConn struct {
-	net.Conn
-	mesh *Mesh
-}
-
-// SetReadDeadline implements net.Conn. A deadline about as far away as the
-// sentinel is net/http's wait for the next request.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if time.Until(t) > idleSentinel/2 {
-		t = time.Now().Add(c.mesh.idleTimeout())
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-func (m *Mesh) idleTimeout() time.Duration {
-	if t := m.proxy.Routes(); t != nil && t.Config().Limits.IdleTimeout > 0 {
-		return t.Config().Limits.IdleTimeout
-	}
-	return defaultIdle
-}
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// refresh puts the records in force again, under settings that changed.
+func (m *members) refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.changed(m.registry)
+}
+
 // takeOver folds records that another node knows; unsound ones are left out.
 func (m *members) takeOver(records []fleet.Member, from string) {
 	m.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,7 +37,10 @@
 
 // Mesh is a running node.
 type Mesh struct {
+	// cfg is what the node started with. What may change while it runs is read
+	// from tunable.
 	cfg      *settings.Mesh
+	tunable  atomic.Pointer[settings.Mesh]
 	platform Platform
 	logger   zerolog.Logger
 	metrics  *metrics.Set
@@ -83,6 +86,7 @@
 // Start opens the listeners of a node and begins to serve.
 func Start(cfg *settings.Mesh, platform Platform, logger zerolog.Logger) (*Mesh, error) {
 	m := &Mesh{cfg: cfg, platform: platform, logger: logger, metrics: metrics.New(timerSample)}
+	m.tunable.Store(cfg)
 	if err := m.listeners.open(cfg); err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -230,7 +234,7 @@
 			guards++
 		}
 	}
-	r := m.cfg.Retries
+	r := m.Settings().Retries
 	return retry.BudgetConfig{Ratio: r.Ratio, Floor: float64(r.Floor) / float64(max(guards, 1)), Window: r.Window.Std()}
 }
 
--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -24,6 +24,10 @@
 	AnnounceHandler(sink Announcements) http.Handler
 	// SetUpstream sets who is behind the local upstream's address from now on.
 	SetUpstream(id string)
+	// SetStore sets the store's address, IP:port, from now on.
+	SetStore(address string)
+	// StoreStats returns what the calls of the store came to since the start.
+	StoreStats() StoreStats
 	// Close ends what the adapter holds open.
 	Close()
 }
@@ -36,3 +40,9 @@
 	// when it was not given.
 	Departed(id string, born int64)
 }
+
+// StoreStats counts calls of the store since the start.
+type StoreStats struct {
+	Calls, Failures          int64
+	BytesSent, BytesReceived int64 // of bodies
+}
--- /dev/null
+++ b/internal/mesh/reload.go
@@ -0,0 +1,23 @@
+package mesh
+
+import "github.com/galenagrade/galenagrade/internal/settings"
+
+// Reload puts settings in force that may change while the node runs: budgets of
+// retries, the grace of a stop, the store's address. next must be valid. It
+// returns the fields that differ and need a restart; those stay as they were.
+func (m *Mesh) Reload(next *settings.Mesh) []string {
+	before := m.tunable.Swap(next)
+	if before.Store.Address != next.Store.Address {
+		m.platform.SetStore(next.Store.Address)
+		m.routes.follower.restart()
+		m.following.restart()
+	}
+	m.members.refresh()
+	fixed := m.cfg.NeedRestart(next)
+	m.logger.Info().Strs("need_restart", fixed).Float64("retry_ratio", next.Retries.Ratio).Int("retry_floor", next.Retries.Floor).
+		Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
+	return fixed
+}
+
+// Settings returns the settings in force; they must not be changed.
+func (m *Mesh) Settings() *settings.Mesh { return m.tunable.Load() }
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -36,7 +36,7 @@
 	m.stopping.Store(true)
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.DrainStarted, Upstream: m.cfg.NodeID})
 	m.leave()
-	grace := m.cfg.Stop.Grace.Std()
+	grace := m.Settings().Stop.Grace.Std()
 	refuse := time.AfterFunc(time.Duration(takeShare*float64(grace)), func() { m.node.Guard().Drain(m.node.Now()) })
 	defer refuse.Stop()
 	m.awaitQuiet(begun, begun.Add(time.Duration((1-answerShare)*float64(grace))))
@@ -53,7 +53,6 @@
 
 // leave tells the other nodes to send their calls elsewhere if they can.
 func (m *Mesh) leave() {
-
 	record := m.publisher.update(func(own *fleet.Member) {
 		if own.State == fleet.Serving {
 			own.State = fleet.Stopping
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -71,6 +71,10 @@
 		s.turn(w, in.RequestID, "", result.Refuse(result.Starting, "no routes have reached this node yet").After(startingPause))
 		return
 	}
+	if bound := table.Config().Limits.HeaderBytes; bound > 0 && headerSize(r) > bound {
+		s.turn(w, in.RequestID, "", result.Refuse(result.HeaderTooLarge, "header of %d bytes, bound %d", headerSize(r), bound))
+		return
+	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
 		s.turn(w, in.RequestID, "", result.Refuse(result.UnknownRoute, "no route for host %.64q and path %.128q", r.Host, r.URL.Path))
@@ -92,6 +96,20 @@
 	s.p.serve(ctx, exchange{w: w, r: r, out: gatedWriter{s, gate}}, call, account)
 }
 
+// headerSize returns the bytes of a request's line and header as callers send
+// them, but for spaces that they may leave out.
+func headerSize(r *http.Request) int {
+	const lineEnd, separator = 2, 2
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + 2 + lineEnd
+	size += len("Host") + separator + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + separator + len(value) + lineEnd
+		}
+	}
+	return size + lineEnd
+}
+
 // startingPause is when a caller may come back to a node without routes: a read
 // of the store takes milliseconds, a restart of it a second.
 const startingPause = time.Second
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -94,6 +94,8 @@
 	Unauthorized Code = 4007
 	// UnknownRoute means that no route covers the host and path.
 	UnknownRoute Code = 4008
+	// HeaderTooLarge means that a header exceeds what the routes allow.
+	HeaderTooLarge Code = 4009
 
 	// UpstreamFailed means that the upstream answered with a server error.
 	UpstreamFailed Code = 5001
@@ -142,6 +144,7 @@
 	TooDeep:          {"too_deep", RanNo, 508, "call chain exceeds its depth bound"},
 	Unauthorized:     {"unauthorized", RanNo, 403, "token does not cover the workspace"},
 	UnknownRoute:     {"unknown_route", RanNo, 404, "no route covers the host and path"},
+	HeaderTooLarge:   {"header_too_large", RanNo, 431, "header exceeds the bound in force"},
 	UpstreamFailed:   {"upstream_failed", RanYes, 502, "upstream ran the call and failed"},
 	UpstreamShed:     {"upstream_shed", RanNo, 503, "upstream itself refused the call as overloaded"},
 }
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -108,6 +108,31 @@
 	return nil
 }
 
+// NeedRestart names the fields of next that differ and can't change while the
+// node runs: who it is, and where it listens.
+func (m *Mesh) NeedRestart(next *Mesh) []string {
+	var fields []string
+	for _, x := range []struct {
+		field string
+		same  bool
+	}{
+		{"node_id", m.NodeID == next.NodeID},
+		{"region", m.Region == next.Region},
+		{"zone", m.Zone == next.Zone},
+		{"service", m.Service == next.Service},
+		{"upstream_address", m.UpstreamAddress == next.UpstreamAddress},
+		{"listen", m.Listen == next.Listen},
+		{"store.record_bytes", m.Store.RecordBytes == next.Store.RecordBytes},
+		{"logging.burst", m.Logging.Burst == next.Logging.Burst},
+		{"logging.sample", m.Logging.Sample == next.Logging.Sample},
+	} {
+		if !x.same {
+			fields = append(fields, x.field)
+		}
+	}
+	return fields
+}
+
 func (m *Mesh) validateNames() error {
 	for _, x := range []struct{ field, value string }{
 		{"node_id", m.NodeID}, {"region", m.Region}, {"zone", m.Zone}, {"service", m.Service},
