Metrics by route as text; galenactl shows what a node believes

Cause: metrics were JSON and not by route; what a node of `galenad mesh` has in force (routes, members, their age) could be read from its log only.

The series of a route that is gone is dropped.

--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -32,6 +32,7 @@
 	Instance instanceCmd `cmd:"" help:"Templates with the values for one workspace and service."`
 	Status   statusCmd   `cmd:"" help:"Versions in force on every node."`
 	Members  membersCmd  `cmd:"" help:"Upstreams and their nodes."`
+	Node     nodeCmd     `cmd:"" help:"One node that serves by routes; --address is where its metrics are."`
 	Drain    drainCmd    `cmd:"" help:"Let a node finish its work and leave."`
 	Timeline timelineCmd `cmd:"" help:"Merged events of all nodes."`
 	Explain  explainCmd  `cmd:"" help:"Why a request ended as it did, from the nodes' logs."`
@@ -42,6 +43,7 @@
 type app struct {
 	ctx     context.Context
 	client  adminpbconnect.AdminClient
+	http    *http.Client
 	stdin   io.Reader
 	stdout  io.Writer
 	stderr  io.Writer
@@ -116,6 +118,7 @@
 	return &app{
 		ctx:     ctx,
 		client:  admin.NewClient(client, address, c.Token),
+		http:    client,
 		stdin:   stdin,
 		stdout:  stdout,
 		stderr:  stderr,
--- /dev/null
+++ b/cmd/galenactl/node.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/mesh"
+	"github.com/galenagrade/galenagrade/internal/routes"
+)
+
+// nodeCmd shows one node that serves by routes. --address is where its metrics
+// are.
+type nodeCmd struct {
+	Status  nodeStatusCmd  `cmd:"" help:"State, limits, and the age of what it believes."`
+	Routes  nodeRoutesCmd  `cmd:"" help:"Routes in force, optionally against another node's."`
+	Members nodeMembersCmd `cmd:"" help:"Members as it knows them."`
+}
+
+type nodeStatusCmd struct{}
+
+// Run implements the command.
+func (nodeStatusCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	t := newTable("WHAT", "VALUE", "AGE", "STORE")
+	t.row("ready", s.Ready, "", "")
+	t.row("stopping", s.Stopping, "", "")
+	t.row("routes, version", s.Routes.Version, beliefAge(s.Routes), beliefLink(s.Routes))
+	t.row("members", len(s.Records), beliefAge(s.Members), beliefLink(s.Members))
+	t.row("upstream serving", s.Guard.Serving, "", "")
+	t.row("in flight, queued, limit", [3]int{s.Guard.InFlight, s.Guard.Queued, s.Guard.Limit}, "", "")
+	t.row("overloaded", s.Guard.Overloaded, "", "")
+	t.row("repeats left", s.Guard.RepeatsLeft, "", "")
+	t.row("store calls, failed", [2]int64{s.Store.Calls, s.Store.Failures}, "", "")
+	t.note("%s in zone %s, service %s, incarnation %d", s.Node, s.Zone, s.Service, s.Incarnation)
+	return a.print(s, t)
+}
+
+type nodeRoutesCmd struct {
+	Diff string `help:"Metrics address of another node: only what differs from its routes."`
+}
+
+// Run implements the command.
+func (c *nodeRoutesCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	if s.Config == nil {
+		return errors.Errorf("%s has no routes yet", s.Node)
+	}
+	if c.Diff != "" {
+		return c.diff(a, s)
+	}
+	t := newTable("ROUTE", "HOST", "PREFIX", "TO", "TIMEOUT", "ATTEMPTS", "OBJECTIVE", "LEVEL", "IDEMPOTENT")
+	for i := range s.Config.Routes {
+		r := &s.Config.Routes[i]
+		t.row(r.Name, r.Host, r.Prefix, r.To(), r.Timeout, r.MaxAttempts, r.Objective, r.Level, r.Idempotent)
+	}
+	t.note("version %d, confirmed %s ago", s.Config.Version, beliefAge(s.Routes))
+	return a.print(s.Config, t)
+}
+
+func (c *nodeRoutesCmd) diff(a *app, s *mesh.NodeState) error {
+	other, err := a.nodeState(baseURL(c.Diff))
+	if err != nil {
+		return err
+	}
+	if other.Config == nil {
+		return errors.Errorf("%s has no routes yet", other.Node)
+	}
+	changes := routes.Diff(s.Config, other.Config)
+	t := newTable("ROUTE", "FIELD", s.Node, other.Node)
+	for _, x := range changes {
+		t.row(x.Route, x.Field, x.Old, x.New)
+	}
+	t.note("version %d at %s, %d at %s", s.Config.Version, s.Node, other.Config.Version, other.Node)
+	return a.print(orEmpty(changes), t)
+}
+
+type nodeMembersCmd struct {
+	Service string `help:"Only this service."`
+	Zone    string `help:"Only this availability zone."`
+}
+
+// Run implements the command.
+func (c *nodeMembersCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	picked := []mesh.MemberState{}
+	t := newTable("NODE", "ZONE", "SERVICE", "UPSTREAM", "STATE", "REACHED", "SLOTS", "ADDRESS")
+	for i := range s.Records {
+		m := &s.Records[i]
+		if (c.Service != "" && m.Service != c.Service) || (c.Zone != "" && m.Zone != c.Zone) {
+			continue
+		}
+		picked = append(picked, *m)
+		t.row(m.Node, m.Zone, m.Service, m.Upstream, m.State, !m.Unreached, m.Slots, m.Address)
+	}
+	t.note("as %s knows them, confirmed %s ago, store %s", s.Node, beliefAge(s.Members), beliefLink(s.Members))
+	return a.print(picked, t)
+}
+
+func beliefAge(b mesh.Belief) string {
+	if b.AgeMillis < 0 {
+		return "never"
+	}
+	return (time.Duration(b.AgeMillis) * time.Millisecond).String()
+}
+
+func beliefLink(b mesh.Belief) string {
+	if b.Lost {
+		return "LOST"
+	}
+	return "reached"
+}
+
+// nodeState asks a node what it believes.
+func (a *app) nodeState(address string) (*mesh.NodeState, error) {
+	ctx, cancel := a.call(0)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address+mesh.StatePath, nil)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	resp, err := a.http.Do(req)
+	if err != nil {
+		return nil, &codedError{exitUnreachable, "node " + address + " does not answer: " + err.Error()}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s%s answered %s; --address is where the node's metrics are", address, mesh.StatePath, resp.Status)
+	}
+	var s mesh.NodeState
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return nil, errors.Wrap(err, "state of the node")
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/cmd/galenactl/node_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/mesh"
+	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/platform"
+	"github.com/galenagrade/galenagrade/platform/standin"
+)
+
+// meshNode runs a node with routes of that version to the service.
+func meshNode(t *testing.T, name string, version int64, service string) string {
+	store := standin.Start()
+	t.Cleanup(store.Close)
+	cfg := settings.MeshDefaults()
+	cfg.NodeID, cfg.Region, cfg.Zone, cfg.Service = name, "r", "z", "archive"
+	cfg.UpstreamAddress = "127.0.0.1:1"
+	const free = "127.0.0.1:0"
+	cfg.Listen = settings.MeshListen{Callers: free, Inner: free, Ready: free, Announce: free, Metrics: free}
+	cfg.Store.Address = store.Address()
+	must.NoError(t, cfg.Validate())
+	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, zerolog.Nop()), zerolog.Nop())
+	must.NoError(t, err)
+	t.Cleanup(m.Kill)
+	must.NoError(t, m.PutRoutes(&routes.Config{Version: version, Services: []routes.Service{{Name: service}}, Routes: []routes.Route{{
+		Name: "lookup", Host: "h", Prefix: "/a/", Timeout: time.Second, Objective: time.Second, MaxAttempts: 2,
+		Targets: []routes.WeightedService{{Service: service, Weight: 1}},
+	}}}))
+	m.Learn(fleet.Member{Node: "other", Incarnation: 1, Revision: 1, Zone: "z", Address: "127.0.0.1:2", Service: "letters", Slots: 3, State: fleet.Serving})
+	return m.MetricsAddress().String()
+}
+
+func runNode(t *testing.T, address, line string, code int) string {
+	var out, errs bytes.Buffer
+	args := append([]string{"--address", address, "node"}, strings.Fields(line)...)
+	must.EqOp(t, code, run(context.Background(), args, strings.NewReader(""), &out, &errs), must.Sprint(errs.String()))
+	return out.String() + errs.String()
+}
+
+// Operators see what one node believes: routes and their difference to another
+// node's, members, and how old that is.
+func TestNodeShowsWhatItBelieves(t *testing.T) {
+	a, b := meshNode(t, "a", 3, "archive"), meshNode(t, "b", 4, "letters")
+	must.StrContains(t, runNode(t, a, "routes", exitOK), "/a/")
+	diff := runNode(t, a, "routes --diff "+b, exitOK)
+	must.StrContains(t, diff, "letters")
+	must.StrContains(t, diff, "version 3 at a, 4 at b")
+	must.StrContains(t, runNode(t, a, "members --service letters", exitOK), "other")
+	must.StrNotContains(t, runNode(t, a, "members --service archive", exitOK), "other")
+	must.StrContains(t, runNode(t, a, "status", exitOK), "repeats left")
+	must.StrContains(t, runNode(t, "127.0.0.1:1", "status", exitUnreachable), "does not answer")
+}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -59,6 +59,9 @@
 	// settle is how long to wait after news before the next read; nil: not at all.
 	settle func() time.Duration
 
+	// confirmed is when the newest read that succeeded was sent, in Unix
+	// milliseconds; 0 means never. What is believed was true then.
+	confirmed atomic.Int64
 	// afresh is set to read everything once more.
 	afresh atomic.Bool
 	lostAt time.Time
@@ -93,10 +96,12 @@
 	if f.afresh.Swap(false) || next < 0 {
 		return f.snapshot(ctx)
 	}
+	sent := time.Now()
 	items, after, err := f.topic.Read(ctx, next, readWait)
 	if err != nil {
 		return next, err
 	}
+	f.confirm(sent, len(items) > 0)
 	if len(items) > 0 {
 		f.apply(items)
 		if f.settle != nil {
@@ -109,14 +114,35 @@
 func (f *follower) snapshot(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	sent := time.Now()
 	items, next, err := f.topic.Newest(ctx)
 	if err != nil {
 		return -1, err
 	}
+	f.confirm(sent, true)
 	f.apply(items)
 	return next, nil
 }
 
+// confirm notes a read. One that waited and brought nothing says that nothing
+// came until its answer.
+func (f *follower) confirm(sent time.Time, news bool) {
+	if !news {
+		sent = time.Now()
+	}
+	f.confirmed.Store(sent.UnixMilli())
+}
+
+// age returns how long ago what is believed was true; negative when nothing was
+// read yet.
+func (f *follower) age(now time.Time) time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return -time.Millisecond
+	}
+	return max(0, now.Sub(time.UnixMilli(at)))
+}
+
 // restart reads everything once more, at once.
 func (f *follower) restart() {
 	f.afresh.Store(true)
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -98,7 +98,7 @@
 	m.start(s.ready, m.listeners.ready)
 	m.start(s.announce, m.listeners.announce)
 	if m.listeners.metrics != nil {
-		s.metrics = m.newServer(m.metrics.Handler())
+		s.metrics = m.newServer(m.observing())
 		m.start(s.metrics, m.listeners.metrics)
 	}
 }
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -74,6 +74,10 @@
 	m.changed(m.registry)
 }
 
+// Learn takes in a record that did not come from the store, unless a newer one is
+// known.
+func (m *Mesh) Learn(record fleet.Member) { m.members.learn(record) }
+
 // takeOver folds records that another node knows; unsound ones are left out.
 func (m *members) takeOver(records []fleet.Member, from string) {
 	m.mu.Lock()
@@ -102,10 +106,6 @@
 	return m.told
 }
 
-// all returns the newest record of each node.
-func (m *members) all() []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 // count returns how many nodes are known.
 func (m *members) count() int {
 	m.mu.Lock()
@@ -113,6 +113,10 @@
 	return m.registry.Len()
 }
 
+// all returns the newest record of each node.
+func (m *members) all() []fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.registry.Members()
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -289,6 +289,14 @@
 	return l.callers.Addr(), l.inner.Addr(), l.ready.Addr(), l.announce.Addr()
 }
 
+// MetricsAddress is where metrics and state are served; nil when they aren't.
+func (m *Mesh) MetricsAddress() net.Addr {
+	if m.listeners.metrics == nil {
+		return nil
+	}
+	return m.listeners.metrics.Addr()
+}
+
 // InFlight returns how many calls the node holds in any role.
 func (m *Mesh) InFlight() int {
 	return max(m.node.Guard().Busy(), int(m.proxy.Held().Calls))
--- /dev/null
+++ b/internal/mesh/observe.go
@@ -0,0 +1,135 @@
+package mesh
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/routes"
+)
+
+// StatePath is where a node says what it believes, on the address of its metrics.
+const StatePath = "/state"
+
+// NodeState is what a node believes and what is in force at it.
+type NodeState struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	Routes      Belief `json:"routes"`
+	Members     Belief `json:"members"`
+	Guard       Guard  `json:"guard"`
+	// Config is nil until routes are in force.
+	Config  *routes.Config `json:"config"`
+	Records []MemberState  `json:"records"`
+	Store   StoreStats     `json:"store"`
+}
+
+// Belief is how new something is that came from the store.
+type Belief struct {
+	Version int64 `json:"version,omitempty"`
+	// AgeMillis is how long ago it was true for certain; negative when it never
+	// came from the store.
+	AgeMillis int64 `json:"age_ms"`
+	// Lost is whether the last read failed.
+	Lost bool `json:"lost"`
+}
+
+// Guard is what the guard of the local upstream has in force.
+type Guard struct {
+	Serving     bool  `json:"serving"`
+	InFlight    int   `json:"in_flight"`
+	Queued      int   `json:"queued"`
+	Limit       int   `json:"limit"`
+	Overloaded  bool  `json:"overloaded"`
+	RepeatsLeft int64 `json:"repeats_left"`
+}
+
+// MemberState is a member as this node sees it.
+type MemberState struct {
+	fleet.Member
+	// Unreached is whether calls to it fail.
+	Unreached bool `json:"unreached"`
+}
+
+// observing serves metrics as text and the node's state.
+func (m *Mesh) observing() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+StatePath, func(w http.ResponseWriter, _ *http.Request) { m.sendJSON(w, m.State()) })
+	mux.Handle("/", m.metrics.TextHandler(m.refreshMetrics))
+	return mux
+}
+
+// State returns what the node believes now.
+func (m *Mesh) State() *NodeState {
+	now := time.Now()
+	s := &NodeState{
+		Node: m.cfg.NodeID, Incarnation: m.node.Incarnation(), Zone: m.cfg.Zone, Service: m.cfg.Service,
+		Ready: m.ready(), Stopping: m.stopping.Load(),
+		Routes:  beliefOf(m.routes.follower, now),
+		Members: beliefOf(m.following, now),
+		Guard:   m.guardState(),
+		Store:   m.platform.StoreStats(),
+	}
+	s.Routes.Version = m.routes.Version()
+	if t := m.proxy.Routes(); t != nil {
+		s.Config = t.Config()
+	}
+	for _, record := range m.members.all() {
+		s.Records = append(s.Records, MemberState{Member: record, Unreached: m.unreached(record.Node)})
+	}
+	return s
+}
+
+func beliefOf(f *follower, now time.Time) Belief {
+	return Belief{AgeMillis: f.age(now).Milliseconds(), Lost: f.lost.Load()}
+}
+
+func (m *Mesh) guardState() Guard {
+	guard := m.node.Guard()
+	load := guard.Load()
+	return Guard{
+		Serving: guard.Serving(), InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Overloaded: load.Overloaded,
+		RepeatsLeft: int64(min(guard.RepeatsLeft(m.node.Now()), math.MaxInt32)),
+	}
+}
+
+// refreshMetrics sets the gauges that are read rather than counted.
+func (m *Mesh) refreshMetrics() {
+	s := m.State()
+	known, live := 0, 0
+	for i := range s.Records {
+		known++
+		if s.Records[i].State == fleet.Serving && !s.Records[i].Unreached {
+			live++
+		}
+	}
+	for gauge, value := range map[metrics.Gauge]int64{
+		metrics.ConfigVersion:      s.Routes.Version,
+		metrics.RoutesAgeMillis:    s.Routes.AgeMillis,
+		metrics.MembersAgeMillis:   s.Members.AgeMillis,
+		metrics.UpstreamsKnown:     int64(known),
+		metrics.UpstreamsLive:      int64(live),
+		metrics.IsDraining:         flag(s.Stopping || !s.Guard.Serving),
+		metrics.AdmissionLimit:     int64(s.Guard.Limit),
+		metrics.RepeatsLeft:        s.Guard.RepeatsLeft,
+		metrics.StoreCalls:         s.Store.Calls,
+		metrics.StoreFailures:      s.Store.Failures,
+		metrics.StoreBytesSent:     s.Store.BytesSent,
+		metrics.StoreBytesReceived: s.Store.BytesReceived,
+	} {
+		m.metrics.SetGauge(gauge, value)
+	}
+}
+
+func flag(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -43,6 +43,9 @@
 
 // StoreStats counts calls of the store since the start.
 type StoreStats struct {
-	Calls, Failures          int64
-	BytesSent, BytesReceived int64 // of bodies
+	Calls    int64 `json:"calls"`
+	Failures int64 `json:"failures"`
+	// BytesSent and BytesReceived are of bodies.
+	BytesSent     int64 `json:"bytes_sent"`
+	BytesReceived int64 `json:"bytes_received"`
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,9 +1,10 @@
 // Package metrics holds the numbers of one node in a go-metrics registry under
-// typed names, serves them as JSON and makes the node's logger.
+// typed names, serves them as JSON or text and makes the node's logger.
 package metrics
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -29,6 +30,8 @@
 	results  map[result.Code]gometrics.Counter
 	unknown  gometrics.Counter
 	every    uint32
+	// series is by kind and label.
+	series sync.Map
 }
 
 // New returns a set whose timers on a request's path take one value in every;
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -86,6 +86,13 @@
 	UpstreamsLive
 	IsRelay
 	IsDraining
+	RepeatsLeft
+	RoutesAgeMillis
+	MembersAgeMillis
+	StoreCalls
+	StoreFailures
+	StoreBytesSent
+	StoreBytesReceived
 	numGauges
 )
 
@@ -101,6 +108,13 @@
 	UpstreamsLive:      "members.upstreams_live",
 	IsRelay:            "members.is_relay",
 	IsDraining:         "node.is_draining",
+	RepeatsLeft:        "retry.repeats_left",
+	RoutesAgeMillis:    "store.routes_age_ms",
+	MembersAgeMillis:   "store.members_age_ms",
+	StoreCalls:         "store.calls",
+	StoreFailures:      "store.failures",
+	StoreBytesSent:     "store.bytes_sent",
+	StoreBytesReceived: "store.bytes_received",
 }
 
 // String returns the name in the JSON document.
--- /dev/null
+++ b/internal/metrics/series_test.go
@@ -0,0 +1,58 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// A route's requests are counted by what became of them, and shown as text. When
+// the route is gone its numbers are, too.
+func TestSeriesOfARoute(t *testing.T) {
+	s := New(1)
+	route := s.Series("route", "h/a/")
+	must.True(t, route == s.Series("route", "h/a/"))
+	for range 3 {
+		route.Offered()
+	}
+	route.Ended(result.OK, 2*time.Millisecond)
+	route.Ended(result.Shed, 0)
+	route.Ended(result.Shed, 0)
+	read := func() string {
+		w := httptest.NewRecorder()
+		s.TextHandler(func() { s.SetGauge(ConfigVersion, 7) }).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		must.EqOp(t, 200, w.Code)
+		return w.Body.String()
+	}
+	text := read()
+	for _, line := range []string{
+		"config.version 7\n", "route.offered{h/a/} 3\n", "route.answered{h/a/} 1\n", "route.ended.shed{h/a/} 2\n", "route.latency_us.max{h/a/} 2000\n",
+	} {
+		must.StrContains(t, text, line)
+	}
+	s.Drop("route", "h/a/")
+	must.StrNotContains(t, read(), "h/a/")
+}
+
+// BenchmarkSeries is what the metrics of its route cost a request.
+func BenchmarkSeries(b *testing.B) {
+	s := New(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			x := s.Series("route", "h/a/")
+			x.Offered()
+			x.Ended(result.OK, time.Millisecond)
+		}
+	})
+}
+
+func TestTextIsOnlyRead(t *testing.T) {
+	w := httptest.NewRecorder()
+	New(1).TextHandler(func() {}).ServeHTTP(w, httptest.NewRequest("POST", "/metrics", strings.NewReader("")))
+	must.EqOp(t, 405, w.Code)
+}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -252,6 +252,13 @@
 	g.repeats.Reconfigure(cfg)
 }
 
+// RepeatsLeft returns how many repeats the budget allows at now.
+func (g *Guard) RepeatsLeft(now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.repeats.Left(now)
+}
+
 // beginKeyLocked looks the key up; settled says that the call does not go on
 // to admission.
 func (g *Guard) beginKeyLocked(now time.Time, call *Call, w Waiter) (answer *Answer, settled bool) {
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -46,7 +46,7 @@
 // ServeRoutes makes the proxy serve requests by routes and returns their
 // handler. Call it once, before the first request.
 func (p *Proxy) ServeRoutes(edge Edge) http.Handler {
-	p.routed = &routed{p: p, edge: edge}
+	p.routed = &routed{p: p, edge: edge, gates: treeGates{metrics: p.node.Metrics()}}
 	return p.routed
 }
 
@@ -83,7 +83,10 @@
 	call, account := s.accept(in, route, r)
 	call.Header = in.Header
 	gate := s.gates.of(route.Host, route.Prefix)
-	if refusal := gate.admit(s.p.node.Now(), call, route.Objective); refusal != nil {
+	begun := s.p.node.Now()
+	gate.series.Offered()
+	if refusal := gate.admit(begun, call, route.Objective); refusal != nil {
+		gate.series.Ended(refusal.Code, 0)
 		s.turn(w, in.RequestID, call.Ctx.Service, refusal)
 		return
 	}
@@ -93,7 +96,7 @@
 		defer stop()
 		ctx = bounded
 	}
-	s.p.serve(ctx, exchange{w: w, r: r, out: gatedWriter{s, gate}}, call, account)
+	s.p.serve(ctx, exchange{w: w, r: r, out: gatedWriter{s, gate, begun}}, call, account)
 }
 
 // headerSize returns the bytes of a request's line and header as callers send
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routes"
@@ -14,15 +15,22 @@
 
 // treeGates are those of the routes that requests came by here.
 type treeGates struct {
+	metrics *metrics.Set
 	byRoute sync.Map // routeName to *treeGate
 }
 
 type routeName struct{ host, prefix string }
 
+// routeSeries is the kind of the metrics of routes.
+const routeSeries = "route"
+
+func (n routeName) label() string { return n.host + n.prefix }
+
 // treeGate is an admission.TreeGate for concurrent use.
 type treeGate struct {
-	mu    sync.Mutex
-	state admission.TreeGate
+	series *metrics.Series
+	mu     sync.Mutex
+	state  admission.TreeGate
 }
 
 func (g *treeGates) of(host, prefix string) *treeGate {
@@ -30,7 +38,7 @@
 	if got, ok := g.byRoute.Load(name); ok {
 		return got.(*treeGate)
 	}
-	got, _ := g.byRoute.LoadOrStore(name, &treeGate{})
+	got, _ := g.byRoute.LoadOrStore(name, &treeGate{series: g.metrics.Series(routeSeries, name.label())})
 	return got.(*treeGate)
 }
 
@@ -40,6 +48,7 @@
 		n := name.(routeName)
 		if !t.Has(n.host, n.prefix) {
 			g.byRoute.Delete(name)
+			g.metrics.Drop(routeSeries, n.label())
 		}
 		return true
 	})
@@ -71,7 +80,14 @@
 // gatedWriter tells the gate of a route what its answers say.
 type gatedWriter struct {
 	*routed
-	gate *treeGate
+	gate  *treeGate
+	begun time.Time
+}
+
+// refuse implements answerWriter.
+func (o gatedWriter) refuse(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
+	o.gate.series.Ended(refusal.Code, 0)
+	o.routed.refuse(w, call, refusal)
 }
 
 // answer implements answerWriter.
@@ -79,5 +95,6 @@
 	now := o.p.node.Now()
 	o.gate.learn(now, call, a)
 	o.p.node.ChildEnded(now, call, a)
+	o.gate.series.Ended(a.Code, now.Sub(o.begun))
 	o.routed.answer(w, call, a)
 }
--- a/internal/proxy/treegate_test.go
+++ b/internal/proxy/treegate_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/routes"
 )
 
@@ -15,7 +16,7 @@
 	route := func(prefix string) routes.Route {
 		return routes.Route{Name: prefix, Host: "h", Prefix: prefix, Targets: []routes.WeightedService{{Service: "s", Weight: 1}}, Timeout: time.Second, MaxAttempts: 1}
 	}
-	var g treeGates
+	g := treeGates{metrics: metrics.New(1)}
 	kept, gone := g.of("h", "/kept/"), g.of("h", "/gone/")
 	config := &routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}, Routes: []routes.Route{route("/kept/")}}
 	must.NoError(t, config.Validate())
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BudgetConfig bounds the repeats that one guard lets through.
 type BudgetConfig struct {
@@ -77,8 +80,11 @@
 	return true
 }
 
-// Left returns how many repeats may go on at now.
+// Left returns how many repeats may go on at now; infinitely many without a bound.
 func (b *Budget) Left(now time.Time) float64 {
+	if b.cfg.Window <= 0 {
+		return math.Inf(1)
+	}
 	firsts, repeats := b.sum(now)
 	return max(0, b.allowed(firsts)-repeats)
 }
--- /dev/null
+++ b/internal/routes/diff.go
@@ -0,0 +1,106 @@
+package routes
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Difference is one field of a route, or a whole route, that two configurations
+// don't share.
+type Difference struct {
+	// Route is the host and path prefix.
+	Route string `json:"route"`
+	// Field is empty where only one of them has the route.
+	Field string `json:"field,omitempty"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
+
+// String returns the service, with its weight where there is one.
+func (w WeightedService) String() string {
+	if w.Weight == 0 {
+		return w.Service
+	}
+	return fmt.Sprintf("%s:%d", w.Service, w.Weight)
+}
+
+// To returns where a route leads, as text.
+func (r *Route) To() string {
+	names := make([]string, len(r.Targets))
+	for i, t := range r.Targets {
+		names[i] = t.String()
+	}
+	return strings.Join(names, " ")
+}
+
+// Diff returns what differs between two configurations: limits, then routes in
+// the order of host and prefix.
+func Diff(before, after *Config) []Difference {
+	out := fieldsOf("limits", limitFields(&before.Limits), limitFields(&after.Limits))
+	old, next := byPlace(before), byPlace(after)
+	places := slices.Sorted(maps.Keys(old))
+	for place := range next {
+		if _, ok := old[place]; !ok {
+			places = append(places, place)
+		}
+	}
+	slices.Sort(places)
+	for _, place := range places {
+		out = append(out, diffRoute(place, old[place], next[place])...)
+	}
+	return out
+}
+
+func byPlace(c *Config) map[string]*Route {
+	m := make(map[string]*Route, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		m[r.Host+r.Prefix] = r
+	}
+	return m
+}
+
+func diffRoute(place string, before, after *Route) []Difference {
+	switch {
+	case before == nil:
+		return []Difference{{Route: place, New: after.To()}}
+	case after == nil:
+		return []Difference{{Route: place, Old: before.To()}}
+	}
+	return fieldsOf(place, routeFields(before), routeFields(after))
+}
+
+type field struct{ name, value string }
+
+func routeFields(r *Route) []field {
+	return []field{
+		{"name", r.Name},
+		{"to", r.To()},
+		{"timeout", r.Timeout.String()},
+		{"objective", r.Objective.String()},
+		{"attempts", fmt.Sprint(r.MaxAttempts)},
+		{"level", r.Level.String()},
+		{"idempotent", fmt.Sprint(r.Idempotent)},
+	}
+}
+
+func limitFields(l *Limits) []field {
+	return []field{
+		{"header_bytes", fmt.Sprint(l.HeaderBytes)},
+		{"body_bytes", fmt.Sprint(l.BodyBytes)},
+		{"header_timeout", l.HeaderTimeout.String()},
+		{"idle_timeout", l.IdleTimeout.String()},
+	}
+}
+
+func fieldsOf(place string, before, after []field) []Difference {
+	var out []Difference
+	for i, f := range before {
+		if f.value != after[i].value {
+			out = append(out, Difference{Route: place, Field: f.name, Old: f.value, New: after[i].value})
+		}
+	}
+	return out
+}
