--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -49,8 +49,7 @@
 		}
 		if m.registry.Apply(record) {
 			news = true
-			m.logger.Info().Str("member", record.Node).Str("service", record.Service).Str("upstream", record.Upstream).
-				Str("state", string(record.State)).Str("address", record.Address).Int("slots", record.Slots).Msg("member changed")
+			m.note(&record, "store")
 		}
 	}
 	if news {
@@ -63,10 +62,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.registry.Apply(record) {
+		m.note(&record, "node")
 		m.changed(m.registry)
 	}
 }
 
+func (m *members) note(record *fleet.Member, source string) {
+	m.logger.Info().Str("member", record.Node).Str("service", record.Service).Str("upstream", record.Upstream).
+		Str("state", string(record.State)).Str("address", record.Address).Int("slots", record.Slots).
+		Uint64("revision", record.Revision).Str("source", source).Msg("member changed")
+}
+
 // refresh puts the records in force again, under settings that changed.
 func (m *members) refresh() {
 	m.mu.Lock()
