A limit that an upstream's refusals by lot lowered is restored

Cause: an upstream that refuses a share of its calls however few it has ("upstream_shed", it ran nothing) took the guard's limit down to an eighth of the slots in 0.3 s and held it there for as long as it refused.

Ruled out: that the cut helped (the share of refusals stays the same at any limit, answers a second fall with it); more repeats (the service's budget is 1.7 % of its arrivals there).

An upstream that is short of room answers as many with fewer at once.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -8,6 +8,9 @@
 	raiseShare = 8
 	// shedShare: one call shed by the upstream takes off at most an eighth.
 	shedShare = 8
+	// holdShare of the floor is where sheds hold the limit until their effect was
+	// measured, so that it can meet a room of a little less than half at once.
+	holdShare = 0.75
 	// shedPause is the pause before the limit rises after a shed call.
 	shedPause = 200 * time.Millisecond
 	// shedMemory is how long after it the limit rises only by one at a time.
@@ -64,8 +67,9 @@
 	// raiseAfter is when the limit may rise next, lastShed when the upstream
 	// shed a call.
 	raiseAfter, lastShed time.Time
-	// floor is the least limit that sheds may reach within this interval.
+	// floor is the least limit that sheds may reach before their effect was measured.
 	floor int
+	sheds shedTrial
 
 	// reference is the median latency without congestion, 0 when not known.
 	reference time.Duration
@@ -113,17 +117,21 @@
 func (l *limiter) answered(latency time.Duration) {
 	l.epoch.answers++
 	l.epoch.latency.add(latency)
+	l.sheds.answers++
 }
 
 // upstreamShed lowers the limit towards inFlight, which is what the upstream
 // holds besides the call that it shed. It reacts at once, since a shed call
 // frees its slot within a millisecond and the next one would be shed as well.
 func (l *limiter) upstreamShed(now time.Time, inFlight int) {
-	if !l.cfg.Adapt {
+	if !l.cfg.Adapt || now.Before(l.sheds.ignoredUntil) {
 		return
 	}
+	l.sheds.begin(now, l.limit)
+	l.sheds.sheds++
 	lower := l.limit - max(1, l.limit/shedShare)
-	l.limit = min(l.limit, max(lower, inFlight, l.floor, l.cfg.MinLimit))
+	floor := int(holdShare * float64(l.floor))
+	l.limit = min(l.limit, max(lower, inFlight, floor, l.cfg.MinLimit))
 	l.lastShed = now
 	l.raiseAfter = now.Add(shedPause)
 	l.trial = trialIdle
@@ -137,7 +145,30 @@
 	l.epoch.saturated = l.epoch.saturated && saturated
 	l.closeEpoch(now)
 	l.raise(now, saturated)
-	l.floor = l.limit / 2
+	l.followSheds(now, saturated)
+}
+
+// followSheds lets the limit fall further, or undoes what sheds took off it.
+func (l *limiter) followSheds(now time.Time, saturated bool) {
+	if !l.sheds.active {
+		l.floor = l.limit / 2
+		return
+	}
+	if now.Sub(l.lastShed) >= shedMemory {
+		l.sheds.end()
+		l.floor = l.limit / 2
+		return
+	}
+	switch l.sheds.judge(now, l.limit, saturated, l.reference) {
+	case undecided:
+	case mayFall:
+		l.floor = l.limit / 2
+	case wrongCut:
+		l.limit = min(l.sheds.limitBefore, l.cfg.Slots)
+		l.sheds.undo(now)
+		l.raiseAfter, l.lastShed = time.Time{}, time.Time{}
+		l.floor = l.limit / 2
+	}
 }
 
 // raise lets the limit go up unless a trial runs, a pause holds or latency says
--- a/internal/admission/story_test.go
+++ b/internal/admission/story_test.go
@@ -91,6 +91,51 @@
 	must.Eq(t, 25, m.ctl.Load().Limit)
 }
 
+// An ill upstream refuses a share of its calls at once, however few it has, for eight
+// seconds. The limit followed the refusals to an eighth of the slots: the rest stood
+// idle, and callers were refused for want of them. What it does not refuse must go on being
+// answered.
+func TestRefusalsByLotKeepLimit(t *testing.T) {
+	for _, share := range []float64{0.3, 0.4, 0.55, 0.7} {
+		for _, demand := range []float64{800, 1200, 2000} {
+			m := mixed(122, 2*time.Second, between(0, 0, 0, 70*time.Millisecond), steady(demand))
+			ill := func() bool { return m.elapsed() >= 3*time.Second && m.elapsed() < 11*time.Second }
+			m.sheds = func(m *model) bool { return ill() && m.rng.Float64() < share }
+			m.run(11 * time.Second)
+			answered, _ := m.sum(m.good, 5, 11)
+			must.Greater(t, 0.9*(1-share)*demand*6, float64(answered), must.Sprintf("share %.2f of %.0f calls/s", share, demand))
+		}
+	}
+}
+
+// An upstream of 122 slots loses all but 20 of them and refuses what is beyond. It
+// looks like illness at first, since most calls are refused; but fewer calls at once
+// are answered as often. The limit must come down and stay down.
+func TestLimitFollowsCollapsedUpstream(t *testing.T) {
+	m := mixed(122, 2*time.Second, between(0, 0, 0, 70*time.Millisecond), steady(1200))
+	running, shed := 0, 0
+	service := m.service
+	m.service = func(m *model, c *modelCall) time.Duration {
+		took := service(m, c)
+		running++
+		m.after(took, func() { running-- })
+		return took
+	}
+	m.sheds = func(m *model) bool {
+		full := m.elapsed() >= 3*time.Second && running >= 20
+		if full {
+			shed++
+		}
+		return full
+	}
+	m.run(5 * time.Second)
+	must.Between(t, 15, m.ctl.Load().Limit, 25)
+	early := shed
+	m.run(12 * time.Second)
+	must.Between(t, 15, m.ctl.Load().Limit, 25)
+	must.Less(t, 0.25*1200*7, float64(shed-early))
+}
+
 // An upstream announced 25 slots and has processors for 8. With 25 calls at once
 // each takes three times as long and none is answered sooner: the trial cut must
 // find that fewer slots answer as many.
