--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -101,7 +102,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Region:      m.cfg.Region,
 		Zone:        m.cfg.Zone,
-		InnerAddr:   m.listeners.inner.Addr().String(),
+		InnerAddr:   cmp.Or(m.cfg.Listen.InnerAdvertised, m.listeners.inner.Addr().String()),
 	}
 	m.peers = proxy.NewPeers(nil)
 	m.peers.SetConnections(proxy.Connections{
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -146,7 +146,7 @@
 	return &view{
 		svc:        s,
 		noUpstream: result.Refuse(result.NoUpstream, "no untried upstream of %q", name).After(cfg.RetryAfter),
-		draining:   result.Refuse(result.Draining, "every upstream of %q is leaving", name).After(cfg.RetryAfter),
+		draining:   result.Refuse(result.Draining, "every upstream of %q that was not tried is leaving", name).After(cfg.RetryAfter),
 		shedEarly:  shed,
 	}
 }
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,9 @@
 	Callers string `json:"callers"`
 	// Inner takes calls of other nodes.
 	Inner string `json:"inner"`
+	// InnerAdvertised is where other nodes reach Inner; empty where that is the
+	// same address.
+	InnerAdvertised string `json:"inner_advertised"`
 	// Ready answers whether the node takes callers.
 	Ready string `json:"ready"`
 	// Announce takes what the local upstream says of itself.
@@ -145,8 +148,14 @@
 }
 
 func (m *Mesh) validateAddresses() error {
-	if m.Listen.Metrics != "" {
-		if _, err := checkAddr("listen.metrics", m.Listen.Metrics, true); err != nil {
+	for _, x := range []struct{ field, value string }{
+		{"listen.metrics", m.Listen.Metrics},
+		{"listen.inner_advertised", m.Listen.InnerAdvertised},
+	} {
+		if x.value == "" {
+			continue
+		}
+		if _, err := checkAddr(x.field, x.value, true); err != nil {
 			return err
 		}
 	}
