A process that was started again takes the calls meant for the one before

Cause: calls carry the incarnation that the sender knows, and a node refused one for another incarnation (2010 unreachable, "incarnation ... has been replaced by ..."), which is right where idempotency keys decide who ran what. Routes carry none.

Ruled out: that the senders should wait for the new records (they are at the very address); that it was the network.

Change: where routes are served, the successor takes such a call if it is for its own service. A re-attachment is still refused, since it asks for what the earlier process ran, and so is a call of another service at an address that was given away.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -141,6 +141,7 @@
 	m.peers.Bind(m.node)
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
+	m.proxy.TakeOver(m.cfg.Service)
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
 	m.members = &members{logger: m.bounded, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -148,8 +148,8 @@
 			return
 		}
 		call := p.decodeCall(h, r)
-		if own := formatIncarnation(p.node.Incarnation()); h.GetTargetIncarnation() != own {
-			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.Unreachable, "incarnation %s has been replaced by %s", h.GetTargetIncarnation(), own)))
+		if refusal := p.forAnother(h, call); refusal != nil {
+			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
 			return
 		}
 		size := max(0, r.ContentLength)
@@ -174,6 +174,22 @@
 	})
 }
 
+// forAnother refuses a call that is meant for an earlier process at this address.
+// Where routes are served, the successor takes it if it serves the same service:
+// after a loss of power all nodes know each other's earlier processes only, and
+// 1,800 calls were refused until each had read the new records. A re-attachment asks
+// for what the earlier process ran, which this one can't tell.
+func (p *Proxy) forAnother(h *innerpb.CallHeader, call *node.Call) *result.Refusal {
+	own := formatIncarnation(p.node.Incarnation())
+	if h.GetTargetIncarnation() == own {
+		return nil
+	}
+	if !call.Reattach && p.successorOf != "" && call.Ctx.Service == p.successorOf {
+		return nil
+	}
+	return result.Refuse(result.Unreachable, "incarnation %s has been replaced by %s", h.GetTargetIncarnation(), own)
+}
+
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	p.node.Heard(h.GetHlc())
 	return &node.Call{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,9 @@
 	rngs     sync.Pool
 	// routed is set where requests come by routes; see ServeRoutes.
 	routed *routed
+	// successorOf is the service whose calls for an earlier process at this address
+	// are taken; empty takes none.
+	successorOf string
 	// answering counts the calls of other nodes whose answers are not written.
 	answering atomic.Int64
 }
@@ -39,6 +42,12 @@
 	return p
 }
 
+// TakeOver lets the node take calls that are meant for an earlier process at its
+// address, if they are for that service. It is for deployments without idempotency
+// keys: who ran what is not kept from one process to the next. Call it before
+// serving.
+func (p *Proxy) TakeOver(service string) { p.successorOf = service }
+
 // Answering returns how many calls of other nodes have not got their whole
 // answer yet.
 func (p *Proxy) Answering() int { return int(p.answering.Load()) }
