--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -24,7 +24,7 @@
 
 // All 76 nodes of a deployment are restarted over 20 s, and each reads what the
 // others wrote. With a pause of 0.3 s whatever their number they called the store
-// 6,053 times in two minutes. The deployment as a whole must stay at a hundredth of
+// 6,053 times on a day of about a minute. The deployment as a whole must stay at a hundredth of
 // the store's rate, and a record must not grow older than two seconds on the way.
 // Beyond 120 nodes both can't hold without one reader for many.
 func TestReadsOfMembersAreBoundedForTheDeployment(t *testing.T) {
