--- /dev/null
+++ b/internal/mesh/config.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+const (
+	// timerSample takes one duration in so many of those on a call's path.
+	timerSample = 8
+	// timelineEvents bounds the ring of events; at 200 bytes each it holds 0.2 MB.
+	timelineEvents = 1024
+	// timelineSample keeps the events of one good call in so many.
+	timelineSample = 256
+	// reroutes is how many upstreams that were not reached a call may pass by:
+	// with a third of a service gone three in a row are met by one call in 27.
+	reroutes = 3
+)
+
+const (
+	// peerConnect bounds a connection to another node: one way between zones
+	// takes 1 ms, and a lost opening packet is sent again after a second.
+	peerConnect = 250 * time.Millisecond
+	// peerIdle is how long an unused connection to another node is kept. Nodes
+	// keep theirs open for longer, so no call crosses a close.
+	peerIdle = 20 * time.Second
+	// peerSilence is how long a path between nodes may be silent: two lost packets
+	// in a row are sent again within 0.7 s.
+	peerSilence = time.Second
+	// peerRescueMin and peerRescueMax bound the wait for an answer after which a
+	// fresh connection is tried though the path is not silent. A bound of 100 ms
+	// to 1 s replaced some 30 sound connections a second, since the time of calls
+	// with calls of their own varies by more than that.
+	peerRescueMin = 2 * time.Second
+	peerRescueMax = 4 * time.Second
+	// peerKept bounds the idle connections to one node.
+	peerKept = 64
+)
+
+// slowStart is how long a fresh upstream takes to its full share; those of today
+// say that they are slow for 3 s.
+const slowStart = 4 * time.Second
+
+func routingConfig() routing.Config {
+	cfg := routing.DefaultConfig()
+	cfg.RetryAfter = 300 * time.Millisecond
+	cfg.SlowStart = slowStart
+	return cfg
+}
+
+const (
+	// minSettle and maxSettle bound the time in which changes of members are gathered
+	// for one read. When all nodes start, each of them would else read once for each
+	// of the others. A record is old for this long at most; a drain binds at its own
+	// guard before, so what an old record costs is a call that goes on elsewhere.
+	minSettle = 300 * time.Millisecond
+	maxSettle = 2 * time.Second
+	// readsPerSecond is what all nodes together read while members change: a
+	// hundredth of what a store of 6,000 reads a second serves.
+	readsPerSecond = 60
+)
+
+// settleFor is how long one of that many nodes gathers changes.
+func settleFor(nodes int) time.Duration {
+	return min(max(minSettle, time.Duration(nodes)*time.Second/readsPerSecond), maxSettle)
+}
+
+// provenRequests is how many requests that succeeded lately each guard remembers,
+// of 8 bytes and a map's place.
+const provenRequests = 8192
+
+const (
+	// keepDone is how long the answer of a finished call is kept for a sender
+	// whose connection went silent: it asks again within a second.
+	keepDone = 3 * time.Second
+	// keepDoneBytes bounds those answers.
+	keepDoneBytes = 2 << 20
+)
+
+func guardConfig() node.GuardConfig {
+	cfg := node.DefaultGuardConfig()
+	cfg.Quarantine.Proven = provenRequests
+	cfg.KeepDone = keepDone
+	cfg.KeepDoneBytes = keepDoneBytes
+	return cfg
+}
--- /dev/null
+++ b/internal/mesh/exchange.go
@@ -0,0 +1,111 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+)
+
+const (
+	// introductionPath is where a node takes another one's record and answers with
+	// its own.
+	introductionPath = "/introduction"
+	// membersPath is where a node gives the records that it knows to others.
+	membersPath = "/members"
+	// introduceTimeout bounds one introduction within the zone.
+	introduceTimeout = 300 * time.Millisecond
+	// maxMembersBytes bounds records taken from another node: 14,000 of some 250
+	// bytes, twice.
+	maxMembersBytes = 8 << 20
+)
+
+// exchangeRecords gives the node's own record to another node and returns that
+// one's.
+func (m *Mesh) exchangeRecords(ctx context.Context, address string) (fleet.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	defer cancel()
+	own := m.publisher.newest()
+	raw, err := own.Encode()
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+introductionPath, bytes.NewReader(raw))
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	answer, err := m.askNode(req, fleet.MaxMemberBytes)
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	return fleet.DecodeMember(answer)
+}
+
+// askNode sends a question to another node and returns the answer's body.
+func (m *Mesh) askNode(req *http.Request, most int64) ([]byte, error) {
+	resp, err := m.servers.control.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, most))
+}
+
+// serveIntroduction takes another node's record and answers with this one's. A
+// node that lacks routes or records fetches them there.
+func (m *Mesh) serveIntroduction(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleet.MaxMemberBytes))
+	if err != nil {
+		http.Error(w, "record unreadable", http.StatusBadRequest)
+		return
+	}
+	record, err := fleet.DecodeMember(raw)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	m.members.learn(record)
+	if m.routes.Version() == 0 || !m.members.informed() {
+		m.routes.fetch(record.Address)
+	}
+	own := m.publisher.newest()
+	m.sendJSON(w, &own)
+}
+
+// serveMembers gives the records known here to other nodes.
+func (m *Mesh) serveMembers(w http.ResponseWriter, _ *http.Request) { m.sendJSON(w, m.members.all()) }
+
+func (m *Mesh) sendJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		m.logger.Warn().Err(err).Msg("answer to another node not sent")
+	}
+}
+
+// fetchMembers takes over what another node knows. Records are folded: older
+// ones change nothing.
+func (m *Mesh) fetchMembers(ctx context.Context, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+membersPath, nil)
+	if err != nil {
+		return err
+	}
+	raw, err := m.askNode(req, maxMembersBytes)
+	if err != nil {
+		return err
+	}
+	var records []fleet.Member
+	if err := json.Unmarshal(raw, &records); err != nil {
+		return errors.Wrap(err, "records of another node")
+	}
+	m.members.takeOver(records, address)
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/publisher.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+)
+
+// publisher keeps the node's own record in the store: the newest that was set is
+// written, again and again until the store takes it.
+type publisher struct {
+	topic  Topic
+	logger zerolog.Logger
+	wake   chan struct{}
+	// unwritten is called when the store did not take the record.
+	unwritten func(context.Context)
+
+	mu     sync.Mutex
+	record fleet.Member
+	// written is the revision that the store has confirmed.
+	written uint64
+}
+
+func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member, unwritten func(context.Context)) *publisher {
+	return &publisher{topic: topic, logger: logger, wake: make(chan struct{}, 1), record: record, unwritten: unwritten}
+}
+
+// update changes the record and has it written.
+func (p *publisher) update(change func(*fleet.Member)) fleet.Member {
+	p.mu.Lock()
+	change(&p.record)
+	p.record.Revision++
+	record := p.record
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return record
+}
+
+// newest returns the record as it stands, written or not.
+func (p *publisher) newest() fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record
+}
+
+func (p *publisher) pending() (fleet.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record, p.record.Revision > p.written
+}
+
+func (p *publisher) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		record, due := p.pending()
+		if !due {
+			failures = 0
+			select {
+			case <-p.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := p.write(ctx, record); err != nil {
+			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own record not written yet")
+			failures++
+			p.unwritten(ctx)
+			p.pause(ctx, failures)
+			continue
+		}
+		failures = 0
+	}
+}
+
+func (p *publisher) write(ctx context.Context, record fleet.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	raw, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	if err := p.topic.Put(ctx, nodePrefix+record.Node, raw); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.written = max(p.written, record.Revision)
+	p.mu.Unlock()
+	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own record written")
+	return nil
+}
+
+func (p *publisher) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, p.wake) }
