--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -68,8 +68,8 @@
 	// shed a call.
 	raiseAfter, lastShed time.Time
 	// floor is the least limit that sheds may reach before their effect was measured.
-	floor int
-	sheds shedTrial
+	floor     int
+	shedTrial shedTrial
 
 	// reference is the median latency without congestion, 0 when not known.
 	reference time.Duration
@@ -117,18 +117,18 @@
 func (l *limiter) answered(latency time.Duration) {
 	l.epoch.answers++
 	l.epoch.latency.add(latency)
-	l.sheds.answers++
+	l.shedTrial.answers++
 }
 
 // upstreamShed lowers the limit towards inFlight, which is what the upstream
 // holds besides the call that it shed. It reacts at once, since a shed call
 // frees its slot within a millisecond and the next one would be shed as well.
 func (l *limiter) upstreamShed(now time.Time, inFlight int) {
-	if !l.cfg.Adapt || now.Before(l.sheds.ignoredUntil) {
+	if !l.cfg.Adapt || now.Before(l.shedTrial.ignoredUntil) {
 		return
 	}
-	l.sheds.begin(now, l.limit)
-	l.sheds.sheds++
+	l.shedTrial.begin(now, l.limit)
+	l.shedTrial.sheds++
 	lower := l.limit - max(1, l.limit/shedShare)
 	floor := int(holdShare * float64(l.floor))
 	l.limit = min(l.limit, max(lower, inFlight, floor, l.cfg.MinLimit))
@@ -150,22 +150,22 @@
 
 // followSheds lets the limit fall further, or undoes what sheds took off it.
 func (l *limiter) followSheds(now time.Time, saturated bool) {
-	if !l.sheds.active {
+	if !l.shedTrial.active {
 		l.floor = l.limit / 2
 		return
 	}
 	if now.Sub(l.lastShed) >= shedMemory {
-		l.sheds.end()
+		l.shedTrial.end()
 		l.floor = l.limit / 2
 		return
 	}
-	switch l.sheds.judge(now, l.limit, saturated, l.reference) {
+	switch l.shedTrial.judge(now, l.limit, saturated, l.reference) {
 	case undecided:
 	case mayFall:
 		l.floor = l.limit / 2
 	case wrongCut:
-		l.limit = min(l.sheds.limitBefore, l.cfg.Slots)
-		l.sheds.undo(now)
+		l.limit = min(l.shedTrial.limitBefore, l.cfg.Slots)
+		l.shedTrial.undo(now)
 		l.raiseAfter, l.lastShed = time.Time{}, time.Time{}
 		l.floor = l.limit / 2
 	}
--- a/internal/admission/shedtrial.go
+++ b/internal/admission/shedtrial.go
@@ -73,14 +73,13 @@
 	t.saturated = true
 }
 
-// settles reports whether calls from before the trial still count.
-func (t *shedTrial) settles(now time.Time, median time.Duration) bool {
-	if t.settled || now.Sub(t.since) < 2*median {
-		return !t.settled
+// settle waits until calls from before the trial have mostly ended, and begins to
+// measure then.
+func (t *shedTrial) settle(now time.Time, median time.Duration) {
+	if now.Sub(t.since) >= 2*median {
+		t.settled = true
+		t.restart(now)
 	}
-	t.settled = true
-	t.restart(now)
-	return true
 }
 
 // verdict is what a measurement says of the limit.
@@ -98,7 +97,8 @@
 // judge is called at the end of each interval.
 func (t *shedTrial) judge(now time.Time, limit int, saturated bool, median time.Duration) verdict {
 	t.saturated = t.saturated && saturated
-	if t.settles(now, median) {
+	if !t.settled {
+		t.settle(now, median)
 		return undecided
 	}
 	length := now.Sub(t.since)
