explain: beliefs about nodes of the request alone, in plain words

Cause: at 73 nodes the story of one request had 44 lines, most of them about nodes that had nothing to do with it, each with its raw JSON. Change: lines that are of no request are shown if they tell of the node itself or of a node of the request; fields by name instead of JSON.

--- a/cmd/galenactl/explain.go
+++ b/cmd/galenactl/explain.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -34,6 +35,8 @@
 	Ran     string `json:"ran,omitempty"`
 	// RoutesVersion is that in force at the node when it wrote the line.
 	RoutesVersion int64 `json:"routes_version,omitempty"`
+	// Member is the node that a line about another node is about.
+	Member string `json:"member,omitempty"`
 	// at is Time parsed.
 	at time.Time
 	// raw is the line as it was read, for lines that are no events.
@@ -129,7 +132,7 @@
 	sortStory(out)
 	begin, end := out[0].at.Add(-c.Near), out[len(out)-1].at
 	for _, l := range lines {
-		if l.RequestID == "" && nodes[l.Node] && !l.at.Before(begin) && !l.at.After(end) {
+		if l.RequestID == "" && !l.at.Before(begin) && !l.at.After(end) && l.bearsOn(nodes) {
 			out = append(out, l)
 		}
 	}
@@ -137,6 +140,19 @@
 	return out
 }
 
+// bearsOn reports whether a line that is of no request tells what a node of the
+// request believed: about itself, its store or its overload, or about another node of
+// the request. In a large deployment each node learns of many others meanwhile.
+func (l *logLine) bearsOn(nodes map[string]bool) bool {
+	if !nodes[l.Node] {
+		return false
+	}
+	if l.Kind == "" {
+		return l.Member == "" || nodes[l.Member]
+	}
+	return l.Upstream == "" || nodes[l.Upstream]
+}
+
 // concerns: the ID of a call that an upstream made begins with that of the
 // request for which it was made, a dot between.
 func (c *explainCmd) concerns(l *logLine) bool {
@@ -180,9 +196,27 @@
 	timeline.CallAnswered:   "answered it",
 }
 
+// envelope are the fields of every line; they stand elsewhere or say nothing here.
+var envelope = []string{"level", "node", "time", "message"}
+
+// fields returns what else a line says, by name.
+func (l *logLine) fields() string {
+	var all map[string]any
+	if err := json.Unmarshal([]byte(l.raw), &all); err != nil {
+		return " " + l.raw
+	}
+	var out strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if !slices.Contains(envelope, name) {
+			fmt.Fprintf(&out, ", %s %v", name, all[name])
+		}
+	}
+	return out.String()
+}
+
 func (l *logLine) say() string {
 	if l.Kind == "" {
-		return "log: " + l.Message + " " + l.raw
+		return l.Message + l.fields()
 	}
 	words, ok := phrases[l.Kind]
 	if !ok {
--- a/cmd/galenactl/explain_test.go
+++ b/cmd/galenactl/explain_test.go
@@ -58,3 +58,18 @@
 	must.EqOp(t, exitOK, code, must.Sprint(errs.String()))
 	must.EqOp(t, 4, strings.Count(out.String(), "\n"))
 }
+
+// While a lookup fails a third of a large deployment is restarted, and the entry
+// learns of each of them. The engineer sees what the entry learned of the node that
+// it sent the lookup to, in plain words, and not the dozens of other lines.
+func TestExplainShowsBeliefsAboutNodesOfTheRequest(t *testing.T) {
+	log := lookupLog + `{"level":"info","node":"entry","member":"front","state":"leaving","time":"2026-08-22T11:21:57.100Z","message":"member changed"}
+{"level":"info","node":"entry","member":"other","state":"leaving","time":"2026-08-22T11:21:57.100Z","message":"member changed"}
+{"level":"warn","node":"entry","kind":"upstream_ejected","upstream":"other","time":"2026-08-22T11:21:57.100Z","message":"event"}
+`
+	var out, errs bytes.Buffer
+	code := run(t.Context(), []string{"explain", "ab"}, strings.NewReader(log), &out, &errs)
+	must.EqOp(t, exitOK, code, must.Sprint(errs.String()))
+	must.StrContains(t, out.String(), "member changed, member front, state leaving")
+	must.StrNotContains(t, out.String(), "other")
+}
