--- a/cmd/galenactl/explain.go
+++ b/cmd/galenactl/explain.go
@@ -22,6 +22,7 @@
 type explainCmd struct {
 	ID   string        `arg:"" help:"Request ID, as a caller or a log line has it."`
 	From []string      `help:"Log files of the nodes, or of many nodes in one; standard input when none is given."`
+	SVG  string        `name:"svg" help:"Draw the request's events to this file; - is standard output."`
 	Near time.Duration `help:"Show what nodes of the request learned this long before it." default:"3s"`
 }
 
@@ -56,6 +57,9 @@
 	if unread > 0 {
 		fmt.Fprintf(a.stderr, "galenactl: %d lines are no JSON and were passed over\n", unread)
 	}
+	if c.SVG != "" {
+		return writePicture(a.stdout, c.SVG, "request "+c.ID, eventsOf(story))
+	}
 	if a.json {
 		enc := json.NewEncoder(a.stdout)
 		for _, l := range story {
@@ -88,6 +92,17 @@
 	return lines, unread, nil
 }
 
+// eventsOf returns the events among log lines.
+func eventsOf(lines []logLine) []timeline.Event {
+	var events []timeline.Event
+	for i := range lines {
+		if lines[i].Kind != "" {
+			events = append(events, lines[i].Event)
+		}
+	}
+	return events
+}
+
 // readLog reads lines of JSON; whatever stands before the first brace, such as
 // the prefix of a log collector, is passed over.
 func readLog(r io.Reader) (lines []logLine, unread int, err error) {
@@ -104,7 +119,7 @@
 			unread++
 			continue
 		}
-		if l.at, err = time.Parse(time.RFC3339Nano, l.Time); err != nil {
+		if !l.dated() {
 			unread++
 			continue
 		}
@@ -113,6 +128,19 @@
 	return lines, unread, errors.Wrap(sc.Err(), "read log")
 }
 
+// dated sets when the line was written and reports whether that is known. Events
+// that were taken from a node and not from its log have only the clock that travels
+// with calls.
+func (l *logLine) dated() bool {
+	at, err := time.Parse(time.RFC3339Nano, l.Time)
+	if err == nil {
+		l.at = at
+		return true
+	}
+	l.at = l.HLC.Time()
+	return l.Time == "" && l.HLC != 0
+}
+
 // story picks the lines of the request and of the calls made for it, and what
 // the nodes concerned learned shortly before and meanwhile.
 func (c *explainCmd) story(lines []logLine) []logLine {
--- a/cmd/galenactl/explain_test.go
+++ b/cmd/galenactl/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +75,20 @@
 	must.StrContains(t, out.String(), "member changed, member front, state leaving")
 	must.StrNotContains(t, out.String(), "other")
 }
+
+// The engineer wants the same story as a picture, from the same log file: explain
+// draws the request, timeline whatever is in the log.
+func TestLogsOfNodesAsAPicture(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	must.NoError(t, os.WriteFile(path, []byte(lookupLog), 0o600))
+	for _, args := range [][]string{{"explain", "ab", "--from", path, "--svg", "-"}, {"timeline", "--from", path, "--svg", "-"}} {
+		var out, errs bytes.Buffer
+		must.EqOp(t, exitOK, run(t.Context(), args, strings.NewReader(""), &out, &errs), must.Sprint(errs.String()))
+		must.StrHasPrefix(t, "<svg", strings.TrimSpace(out.String()))
+		must.StrContains(t, out.String(), "deep")
+	}
+	must.NoError(t, os.WriteFile(path, []byte("no log\n"), 0o600))
+	var out, errs bytes.Buffer
+	must.EqOp(t, exitUsage, run(t.Context(), []string{"timeline", "--from", path}, strings.NewReader(""), &out, &errs))
+	must.StrContains(t, errs.String(), "none of 1 lines is an event")
+}
--- a/cmd/galenactl/timeline.go
+++ b/cmd/galenactl/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -45,7 +46,7 @@
 	Max         uint32        `help:"At most so many events, the newest." default:"2000"`
 	Local       bool          `help:"Only the events of the node asked."`
 	SVG         string        `name:"svg" help:"Write a picture to this file; - is standard output."`
-	From        []string      `help:"Read JSON lines from these files and ask no node."`
+	From        []string      `help:"Read events or logs of nodes from these files and ask no node."`
 }
 
 // Run implements the command.
@@ -58,7 +59,7 @@
 		fmt.Fprintf(a.stderr, "galenactl: no events from %s: it did not answer\n", n)
 	}
 	if c.SVG != "" {
-		return c.draw(a, events)
+		return writePicture(a.stdout, c.SVG, c.title(), events)
 	}
 	if a.json {
 		return timeline.WriteJSONLines(a.stdout, events)
@@ -85,6 +86,8 @@
 	return timeline.Merge(events), resp.Msg.UnreachableNodes, err
 }
 
+// readFiles reads events that were written as JSON lines, and logs of nodes, whose
+// other lines are passed over.
 func readFiles(paths []string) ([]timeline.Event, error) {
 	var streams [][]timeline.Event
 	for _, p := range paths {
@@ -92,8 +95,12 @@
 		if err != nil {
 			return nil, usageError{err}
 		}
-		events, err := timeline.ReadJSONLines(f, admin.MaxEvents)
+		lines, unread, err := readLog(f)
 		f.Close()
+		events := eventsOf(lines)
+		if err == nil && len(events) == 0 && unread > 0 {
+			err = errors.Errorf("none of %d lines is an event", unread)
+		}
 		if err != nil {
 			return nil, usageError{errors.WithMessage(err, p)}
 		}
@@ -102,15 +109,16 @@
 	return timeline.Merge(streams...), nil
 }
 
-func (c *timelineCmd) draw(a *app, events []timeline.Event) error {
-	if c.SVG == "-" {
-		return timeline.WriteSVG(a.stdout, c.title(), events)
+// writePicture draws events to a file, or to w where the name is a dash.
+func writePicture(w io.Writer, name, title string, events []timeline.Event) error {
+	if name == "-" {
+		return timeline.WriteSVG(w, title, events)
 	}
-	f, err := os.Create(c.SVG)
+	f, err := os.Create(name)
 	if err != nil {
 		return usageError{err}
 	}
-	if err := timeline.WriteSVG(f, c.title(), events); err != nil {
+	if err := timeline.WriteSVG(f, title, events); err != nil {
 		f.Close()
 		return err
 	}
