admission: sheds by lot are told by the load at which they come

Cause: on the new deployment the deepest service has upstreams of 16 slots. While they refused 55 % of all calls by lot, the guards' limits fell to 2 and stayed there for 8 s (the limit in the details of refusals: 2 in 192 of 194 lines from 14 s to 16 s). The trial that should undo such a cut compares rates of answers, and needs full slots throughout and 40 answers: with demand that leaves a slot empty now and then it never decided.

Ruled out: more repeats (the bound of the deepest service allows some 6 a second of 500 arrivals); a longer measurement (the case without full slots stays undecided).

Change: each call shed is compared with the calls taken meanwhile by how many ran beside it. Upstreams short of room never shed at a load at which they take a call; by lot the two overlap by a half. It needs neither rates nor full slots. shedTrial is replaced.

In those seconds most is lost to the lot itself (a lookup needs four answers of the ill service, a filing eight).

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -200,12 +200,14 @@
 // run gives a slot to a call that is not in the queue.
 func (c *Controller) run(w *call) Decision {
 	w.running = true
+	w.beside = c.inFlight
 	c.inFlight++
 	if w.above {
 		c.aboveInFlight++
 	}
 	c.starts++
 	c.shedder.start()
+	c.limiter.start(w.beside)
 	return Decision{ID: w.request.ID, Verdict: Run}
 }
 
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -208,7 +208,7 @@
 		c.learnProbe(w, false)
 		c.estimate.exceeded(level, latency)
 	case UpstreamShed:
-		c.limiter.upstreamShed(now, c.inFlight)
+		c.limiter.upstreamShed(now, c.inFlight, w.beside)
 	case Failed, Cancelled:
 		// Neither tells how long the service takes.
 	}
--- /dev/null
+++ b/internal/admission/fewslots_test.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+)
+
+// deepCalls offers calls made by running requests, as the deepest service of a
+// chain gets them.
+func (m *model) deepCalls(level callctx.Level, rate float64, timeout time.Duration) {
+	request := m.request(level, timeout)
+	m.stream(steady(rate), func() Request {
+		r := request()
+		r.Depth = 3
+		return r
+	})
+}
+
+// The deepest service has upstreams of 16 slots, and one of them refuses a share of
+// its calls by lot for eight seconds. Callers see nearly every request fail, also those
+// that need a single answer of it: the guard's limit fell to 2 slots and stayed there,
+// so besides the lot nearly all calls found no slot.
+func TestRefusalsByLotKeepLimitOfFewSlots(t *testing.T) {
+	for _, share := range []float64{0.3, 0.45, 0.55, 0.7} {
+		for _, demand := range []float64{100, 170, 250} {
+			m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
+			m.deepCalls(callctx.LevelCritical, demand/2, 700*time.Millisecond)
+			m.deepCalls(callctx.LevelNormal, demand/2, 700*time.Millisecond)
+			ill := func() bool { return m.elapsed() >= 3*time.Second && m.elapsed() < 11*time.Second }
+			m.sheds = func(m *model) bool { return ill() && m.rng.Float64() < share }
+			m.run(11 * time.Second)
+			answered, _ := m.sum(m.good, 5, 11)
+			must.Greater(t, 0.9*(1-share)*demand*6, float64(answered), must.Sprintf("share %.2f of %.0f calls/s", share, demand))
+		}
+	}
+}
+
+// The same, right after an overload that kept all slots in use. The limit must be
+// back within a second of the last refusal, since callers come back by then.
+func TestLimitIsBackAfterRefusalsByLot(t *testing.T) {
+	m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
+	m.deepCalls(callctx.LevelNormal, 400, 700*time.Millisecond)
+	m.sheds = func(m *model) bool {
+		return m.elapsed() >= 6*time.Second && m.elapsed() < 14*time.Second && m.rng.Float64() < 0.55
+	}
+	m.run(15 * time.Second)
+	must.GreaterEq(t, 15, m.ctl.Load().Limit) // one slot may be on trial
+}
+
+// An upstream whose calls take longer than a second, since they wait for deeper
+// services, refuses half of them by lot. What it takes is known only when it ends; the
+// limit must be back by then all the same.
+func TestRefusalsByLotOfSlowCallsKeepLimit(t *testing.T) {
+	m := newModel(DefaultConfig(37), func(m *model, _ *modelCall) time.Duration { return m.jittered(1300 * time.Millisecond) })
+	m.deepCalls(callctx.LevelNormal, 40, 4*time.Second)
+	m.sheds = func(m *model) bool { return m.elapsed() >= 4*time.Second && m.rng.Float64() < 0.5 }
+	m.run(16 * time.Second)
+	answered, _ := m.sum(m.good, 9, 16)
+	must.Greater(t, 0.9*0.5*40*7, float64(answered))
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -69,7 +69,7 @@
 	raiseAfter, lastShed time.Time
 	// floor is the least limit that sheds may reach before their effect was measured.
 	floor     int
-	shedTrial shedTrial
+	shedCause shedCause
 
 	// reference is the median latency without congestion, 0 when not known.
 	reference time.Duration
@@ -109,30 +109,36 @@
 	l.cfg = cfg
 	l.trial = trialIdle
 	if wasFull || !cfg.Adapt {
-		l.limit = cfg.Slots
+		l.limit = l.cfg.Slots
 	}
-	l.limit = min(max(l.limit, cfg.MinLimit), cfg.Slots)
+	l.limit = min(max(l.limit, cfg.MinLimit), l.cfg.Slots)
 }
 
+// start takes a call that begins beside that many others.
+func (l *limiter) start(beside int) { l.shedCause.start(beside, l.cfg.Slots) }
+
 func (l *limiter) answered(latency time.Duration) {
 	l.epoch.answers++
 	l.epoch.latency.add(latency)
-	l.shedTrial.answers++
 }
 
 // upstreamShed lowers the limit towards inFlight, which is what the upstream
 // holds besides the call that it shed. It reacts at once, since a shed call
 // frees its slot within a millisecond and the next one would be shed as well.
-func (l *limiter) upstreamShed(now time.Time, inFlight int) {
-	if !l.cfg.Adapt || now.Before(l.shedTrial.ignoredUntil) {
+// beside is how many others ran when the call began.
+func (l *limiter) upstreamShed(now time.Time, inFlight, beside int) {
+	if !l.cfg.Adapt {
+		return
+	}
+	l.shedCause.begin(now, l.limit)
+	l.shedCause.shed.add(beside, l.cfg.Slots)
+	l.lastShed = now
+	if l.shedCause.byLot(now) {
 		return
 	}
-	l.shedTrial.begin(now, l.limit)
-	l.shedTrial.sheds++
 	lower := l.limit - max(1, l.limit/shedShare)
 	floor := int(holdShare * float64(l.floor))
 	l.limit = min(l.limit, max(lower, inFlight, floor, l.cfg.MinLimit))
-	l.lastShed = now
 	l.raiseAfter = now.Add(shedPause)
 	l.trial = trialIdle
 }
@@ -145,30 +151,30 @@
 	l.epoch.saturated = l.epoch.saturated && saturated
 	l.closeEpoch(now)
 	l.raise(now, saturated)
-	l.followSheds(now, saturated)
+	l.followSheds(now)
 }
 
 // followSheds lets the limit fall further, or undoes what sheds took off it.
-func (l *limiter) followSheds(now time.Time, saturated bool) {
-	if !l.shedTrial.active {
+func (l *limiter) followSheds(now time.Time) {
+	if !l.shedCause.active {
 		l.floor = l.limit / 2
 		return
 	}
 	if now.Sub(l.lastShed) >= shedMemory {
-		l.shedTrial.end()
+		l.shedCause.end()
 		l.floor = l.limit / 2
 		return
 	}
-	switch l.shedTrial.judge(now, l.limit, saturated, l.reference) {
-	case undecided:
-	case mayFall:
-		l.floor = l.limit / 2
-	case wrongCut:
-		l.limit = min(l.shedTrial.limitBefore, l.cfg.Slots)
-		l.shedTrial.undo(now)
-		l.raiseAfter, l.lastShed = time.Time{}, time.Time{}
-		l.floor = l.limit / 2
+	known := l.shedCause.byLot(now)
+	verdict := l.shedCause.judge(now)
+	if verdict == undecided {
+		return
+	}
+	if verdict == wrongCut && !known {
+		l.limit = min(l.shedCause.limitBefore, l.cfg.Slots)
+		l.raiseAfter = time.Time{}
 	}
+	l.floor = l.limit / 2
 }
 
 // raise lets the limit go up unless a trial runs, a pause holds or latency says
@@ -181,7 +187,8 @@
 		return
 	}
 	step := max(1, l.cfg.Slots/raiseShare)
-	if !l.lastShed.IsZero() && now.Sub(l.lastShed) < shedMemory {
+	recent := !l.lastShed.IsZero() && now.Sub(l.lastShed) < shedMemory
+	if recent && !l.shedCause.byLot(now) {
 		step = 1
 	}
 	l.limit = min(l.limit+step, l.cfg.Slots)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -14,6 +14,8 @@
 	probe bool
 	// above marks a deep call that took an idle slot from above the threshold.
 	above bool
+	// beside is how many calls ran when this one got its slot.
+	beside int
 	// seq breaks ties in order of arrival.
 	seq uint64
 	// expiry is when the wait ends without a slot.
