admission: leave the slots empty that slow all others

Its upstreams answer fewer calls a second with the last slot in use than without it, on all three deployments.

Ruled out: lost work: outside of refusals by lot 34,650 of some 35,100 runs of the deepest service belong to requests that were served, so order and refusals have little to give while throughput has. The trial of a cut by a quarter starts at twice the usual median and never sees a third.

Change: while all slots are in use, a sixteenth fewer is tried; the answers of at least half a second and 200 calls before and after decide. Steps go on in the direction that helps and turn round, with a pause that doubles, when one doesn't.

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -50,7 +50,7 @@
 	useBelow := min(1, (c.busy-c.busyAbove)/whole)
 	c.busy = 0
 	c.busyAbove = 0
-	c.limiter.adjust(now, use > saturatedUse)
+	c.limiter.adjust(now, use)
 	for range min(elapsed/c.cfg.SojournInterval, maxQuietIntervals) {
 		c.shedder.relax(useBelow, use)
 	}
--- a/internal/admission/fewslots_test.go
+++ b/internal/admission/fewslots_test.go
@@ -62,3 +62,47 @@
 	answered, _ := m.sum(m.good, 9, 16)
 	must.Greater(t, 0.9*0.5*40*7, float64(answered))
 }
+
+// slowWhenFull answers like an upstream that gets slower as its last slots fill: calls
+// that begin beside more than 95 % of the slots take 1.3 times as long.
+func slowWhenFull(slots int, usual time.Duration) func(*model, *modelCall) time.Duration {
+	return func(m *model, _ *modelCall) time.Duration {
+		took := m.jittered(usual)
+		if float64(m.ctl.Load().InFlight) > 0.95*float64(slots) {
+			took = time.Duration(1.3 * float64(took))
+		}
+		return took
+	}
+}
+
+// For 20 seconds callers send a third more than the deepest service can take, and its
+// upstreams are slower the moment their last slot is in use. With all slots in use a
+// quarter of what they could answer is lost, just when room is short; with one slot
+// in 16 left empty it isn't. The guard must find that out within three seconds, and
+// hold it.
+func TestLimitLeavesTheSlotsThatSlowTheOthers(t *testing.T) {
+	for _, slots := range []int{16, 29, 122} {
+		rate := func(limit int) float64 { return float64(limit) / 0.055 }
+		best := rate(int(0.95 * float64(slots)))
+		m := newModel(DefaultConfig(slots), slowWhenFull(slots, 55*time.Millisecond))
+		m.deepCalls(callctx.LevelCritical, 0.6*best, 700*time.Millisecond)
+		m.deepCalls(callctx.LevelNormal, 0.75*best, 700*time.Millisecond)
+		m.run(20 * time.Second)
+		answered, _ := m.sum(m.good, 3, 20)
+		must.Greater(t, 0.95*best*17, float64(answered), must.Sprintf("%d slots", slots))
+	}
+}
+
+// The same load at an upstream that is as quick with all slots in use: what the guard
+// tries must not cost more than one answer in fifty.
+func TestLimitKeepsAllSlotsThatHelp(t *testing.T) {
+	for _, slots := range []int{16, 29, 122} {
+		best := float64(slots) / 0.055
+		m := newModel(DefaultConfig(slots), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
+		m.deepCalls(callctx.LevelCritical, 0.6*best, 700*time.Millisecond)
+		m.deepCalls(callctx.LevelNormal, 0.75*best, 700*time.Millisecond)
+		m.run(20 * time.Second)
+		answered, _ := m.sum(m.good, 3, 20)
+		must.Greater(t, 0.98*best*17, float64(answered), must.Sprintf("%d slots", slots))
+	}
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -70,6 +70,7 @@
 	// floor is the least limit that sheds may reach before their effect was measured.
 	floor     int
 	shedCause shedCause
+	headroom  headroom
 
 	// reference is the median latency without congestion, 0 when not known.
 	reference time.Duration
@@ -105,21 +106,28 @@
 
 // reconfigure keeps the present limit inside the new bounds.
 func (l *limiter) reconfigure(cfg Config) {
-	wasFull := l.limit >= l.cfg.Slots
+	wasFull := l.limit >= l.top()
+	if cfg.Slots != l.cfg.Slots || !cfg.Adapt {
+		l.headroom = headroom{}
+	}
 	l.cfg = cfg
 	l.trial = trialIdle
 	if wasFull || !cfg.Adapt {
-		l.limit = l.cfg.Slots
+		l.limit = l.top()
 	}
-	l.limit = min(max(l.limit, cfg.MinLimit), l.cfg.Slots)
+	l.limit = min(max(l.limit, cfg.MinLimit), l.top())
 }
 
+// top is the greatest limit.
+func (l *limiter) top() int { return max(l.cfg.Slots-l.headroom.inForce(), l.cfg.MinLimit) }
+
 // start takes a call that begins beside that many others.
 func (l *limiter) start(beside int) { l.shedCause.start(beside, l.cfg.Slots) }
 
 func (l *limiter) answered(latency time.Duration) {
 	l.epoch.answers++
 	l.epoch.latency.add(latency)
+	l.headroom.answers++
 }
 
 // upstreamShed lowers the limit towards inFlight, which is what the upstream
@@ -133,25 +141,39 @@
 	l.shedCause.begin(now, l.limit)
 	l.shedCause.shed.add(beside, l.cfg.Slots)
 	l.lastShed = now
+	l.headroom.abort(now)
 	if l.shedCause.byLot(now) {
 		return
 	}
 	lower := l.limit - max(1, l.limit/shedShare)
 	floor := int(holdShare * float64(l.floor))
-	l.limit = min(l.limit, max(lower, inFlight, floor, l.cfg.MinLimit))
+	l.limit = min(l.limit, l.top(), max(lower, inFlight, floor, l.cfg.MinLimit))
 	l.raiseAfter = now.Add(shedPause)
 	l.trial = trialIdle
 }
 
-// adjust is called once per interval; saturated says that no slot is free.
-func (l *limiter) adjust(now time.Time, saturated bool) {
+// adjust is called once per interval with the part of the slots in use.
+func (l *limiter) adjust(now time.Time, use float64) {
 	if !l.cfg.Adapt {
 		return
 	}
+	saturated := use > saturatedUse
 	l.epoch.saturated = l.epoch.saturated && saturated
 	l.closeEpoch(now)
 	l.raise(now, saturated)
 	l.followSheds(now)
+	l.adjustHeadroom(now, use > fullSlots)
+}
+
+// adjustHeadroom lets a trial of the headroom go on while nothing else holds the limit
+// down.
+func (l *limiter) adjustHeadroom(now time.Time, full bool) {
+	if l.trial != trialIdle || l.limit < l.top() {
+		l.headroom.abort(now)
+		return
+	}
+	l.headroom.adjust(now, full, l.reference, l.cfg)
+	l.limit = l.top()
 }
 
 // followSheds lets the limit fall further, or undoes what sheds took off it.
@@ -171,7 +193,7 @@
 		return
 	}
 	if verdict == wrongCut && !known {
-		l.limit = min(l.shedCause.limitBefore, l.cfg.Slots)
+		l.limit = min(l.shedCause.limitBefore, l.top())
 		l.raiseAfter = time.Time{}
 	}
 	l.floor = l.limit / 2
@@ -191,7 +213,7 @@
 	if recent && !l.shedCause.byLot(now) {
 		step = 1
 	}
-	l.limit = min(l.limit+step, l.cfg.Slots)
+	l.limit = min(l.limit+step, l.top())
 }
 
 // closeEpoch evaluates the epoch once it is long enough to measure throughput.
@@ -250,6 +272,7 @@
 	if !slow || !enough || now.Before(l.nextTrial) || l.limit <= l.cfg.MinLimit {
 		return
 	}
+	l.headroom.abort(now)
 	l.limitBefore = l.limit
 	l.answersBefore = rate
 	l.limit = max(l.cfg.MinLimit, int(trialCut*float64(l.limit)))
