mesh: a restarted node finds its upstream at work

Ruled out: asking the upstream alone (its health doesn't tell its slots), and the record alone (it may be of a process that is gone, or leaving).

Change: the record of the node's earlier process and the upstream's answer for its health together put it in service; its first report then counts as of the same process.

--- /dev/null
+++ b/internal/admission/forest_test.go
@@ -0,0 +1,311 @@
+package admission
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// treeRoute is one kind of request: a root that makes calls of the deepest service, one
+// after the other.
+type treeRoute struct {
+	level callctx.Level
+	rate  float64
+	// calls of the deepest service; 0 for a route that is served by it directly.
+	calls   int
+	work    time.Duration
+	worth   float64
+	timeout time.Duration
+}
+
+// forest is a deployment in virtual time: entries with a gate a route, and the guards
+// of the deepest service. What lies between takes its time and always succeeds.
+type forest struct {
+	model   *model
+	routes  []treeRoute
+	entries []map[int]*TreeGate
+	guards  []*forestGuard
+	service func(g *forestGuard) time.Duration
+	last    int
+	// from is when counting begins.
+	from  time.Duration
+	tally []treeTally
+}
+
+// treeTally counts what became of the requests of a route.
+type treeTally struct{ asked, admitted, completed, refused, failed int }
+
+type forestGuard struct {
+	ctl   *Controller
+	calls map[string]*forestCall
+}
+
+type forestCall struct {
+	run    func()
+	refuse func(*result.Refusal)
+}
+
+// forestTree is one request on its way.
+type forestTree struct {
+	route    int
+	entry    int
+	level    callctx.Level
+	hash     uint32
+	began    time.Time
+	asked    time.Time
+	deadline time.Time
+	left     int
+	// sheds is the least threshold met.
+	sheds uint32
+	again bool
+}
+
+func newForest(entries, guards, slots int, routes []treeRoute) *forest {
+	f := &forest{routes: routes, tally: make([]treeTally, len(routes))}
+	start := time.Unix(1_000_000, 0)
+	f.model = &model{now: start, start: start, rng: rand.New(rand.NewPCG(3, 4))}
+	for range entries {
+		gates := map[int]*TreeGate{}
+		for r := range routes {
+			gates[r] = &TreeGate{}
+		}
+		f.entries = append(f.entries, gates)
+	}
+	for range guards {
+		f.guards = append(f.guards, &forestGuard{ctl: New(DefaultConfig(slots), start), calls: map[string]*forestCall{}})
+	}
+	f.service = func(*forestGuard) time.Duration { return f.jittered(55 * time.Millisecond) }
+	f.model.after(10*time.Millisecond, f.tick)
+	for r, route := range routes {
+		f.model.after(0, func() { f.arrive(r, route) })
+	}
+	return f
+}
+
+func (f *forest) jittered(d time.Duration) time.Duration {
+	return time.Duration((0.3 + 1.4*f.model.rng.Float64()) * float64(d))
+}
+
+func (f *forest) tick() {
+	for _, g := range f.guards {
+		f.apply(g, g.ctl.Tick(f.model.now))
+	}
+	f.model.after(10*time.Millisecond, f.tick)
+}
+
+func (f *forest) counted() bool { return f.model.elapsed() >= f.from }
+
+// arrive lets callers ask, some 2 a second each entry and more.
+func (f *forest) arrive(r int, route treeRoute) {
+	f.ask(&forestTree{route: r, asked: f.model.now})
+	f.model.after(time.Duration(f.model.rng.ExpFloat64()/route.rate*float64(time.Second)), func() { f.arrive(r, route) })
+}
+
+// ask is one attempt of a caller.
+func (f *forest) ask(t *forestTree) {
+	now, route := f.model.now, &f.routes[t.route]
+	t.entry = f.model.rng.IntN(len(f.entries))
+	t.level, t.hash = route.level, f.model.rng.Uint32()
+	t.began, t.deadline = now, now.Add(route.timeout)
+	t.left = max(route.calls, 1)
+	t.sheds = nothingShed
+	if f.counted() && !t.again {
+		f.tally[t.route].asked++
+	}
+	gate := f.entries[t.entry][t.route]
+	if refusal := gate.Admit(now, t.level, t.hash, 2*time.Second, f.model.rng.Float64(), f.model.rng.Float64()); refusal != nil {
+		f.refused(t, refusal)
+		return
+	}
+	if f.counted() {
+		f.tally[t.route].admitted++
+	}
+	f.model.after(f.jittered(route.work), func() { f.step(t) })
+}
+
+// refused lets a caller come back once.
+func (f *forest) refused(t *forestTree, refusal *result.Refusal) {
+	if t.again {
+		if f.counted() {
+			f.tally[t.route].refused++
+		}
+		return
+	}
+	back := *t
+	back.again = true
+	f.model.after(max(refusal.RetryAfter, 50*time.Millisecond), func() { f.ask(&back) })
+}
+
+// pick returns the guard with the least work for its slots that does not shed the rank.
+func (f *forest) pick(t *forestTree, avoid *forestGuard) *forestGuard {
+	var best *forestGuard
+	least := 0.0
+	for _, g := range f.guards {
+		load := g.ctl.Load()
+		if g == avoid || Rank(t.level, t.hash) >= load.Threshold && load.InFlight >= load.Limit {
+			continue
+		}
+		score := float64(load.InFlight+load.Queued) / float64(load.Limit)
+		if best == nil || score < least {
+			best, least = g, score
+		}
+	}
+	return best
+}
+
+// met notes what all guards shed from, as answers carry it.
+func (f *forest) met(t *forestTree) {
+	most := uint32(0)
+	for _, g := range f.guards {
+		most = max(most, g.ctl.Load().Threshold)
+	}
+	t.sheds = min(t.sheds, most)
+}
+
+func (f *forest) step(t *forestTree) {
+	if t.left == 0 {
+		f.end(t, true)
+		return
+	}
+	f.met(t)
+	g := f.pick(t, nil)
+	if g == nil {
+		f.turnedAway(t)
+		return
+	}
+	f.call(t, g, func(refusal *result.Refusal) {
+		other := f.pick(t, g)
+		if other == nil {
+			f.turnedAway(t)
+			return
+		}
+		f.call(t, other, func(*result.Refusal) { f.turnedAway(t) })
+	})
+}
+
+// turnedAway ends a tree whose call found no room. A request that needs the deepest
+// service alone has not run and may come back.
+func (f *forest) turnedAway(t *forestTree) {
+	if f.routes[t.route].calls == 0 {
+		f.refused(t, result.Refuse(result.Shed, "").After(300*time.Millisecond))
+		return
+	}
+	f.end(t, false)
+}
+
+func (f *forest) call(t *forestTree, g *forestGuard, refuse func(*result.Refusal)) {
+	f.last++
+	id := strconv.Itoa(f.last)
+	depth, deadline := 3, t.deadline
+	if f.routes[t.route].calls == 0 {
+		depth = 0
+	} else if latest := f.model.now.Add(700 * time.Millisecond); latest.Before(deadline) {
+		deadline = latest
+	}
+	g.calls[id] = &forestCall{refuse: refuse, run: func() {
+		began := f.model.now
+		took := f.service(g)
+		if depth == 0 {
+			took *= 3
+		}
+		f.model.after(took, func() {
+			f.apply(g, g.ctl.Finish(f.model.now, id, Answered, f.model.now.Sub(began)))
+			t.left--
+			f.model.after(2*time.Millisecond, func() { f.step(t) })
+		})
+	}}
+	d, others := g.ctl.Offer(f.model.now, Request{ID: id, Level: t.level, CallerHash: t.hash, Deadline: deadline, RootAdmitted: t.began, Depth: depth})
+	f.apply(g, others)
+	f.apply(g, []Decision{d})
+}
+
+func (f *forest) apply(g *forestGuard, ds []Decision) {
+	for _, d := range ds {
+		c := g.calls[d.ID]
+		if d.Verdict == Wait || c == nil {
+			continue
+		}
+		delete(g.calls, d.ID)
+		if d.Verdict == Run {
+			c.run()
+		} else {
+			c.refuse(d.Refusal)
+		}
+	}
+}
+
+func (f *forest) end(t *forestTree, completed bool) {
+	if completed && f.model.now.After(t.deadline) {
+		completed = false
+	}
+	f.entries[t.entry][t.route].Learn(f.model.now, t.sheds)
+	if !f.counted() {
+		return
+	}
+	if completed {
+		f.tally[t.route].completed++
+	} else {
+		f.tally[t.route].failed++
+	}
+}
+
+func (f *forest) run(until time.Duration) { f.model.run(until) }
+
+var _ = heap.Init
+
+// lakes are the routes of a deployment whose deepest service is short.
+func lakes(scale float64) []treeRoute {
+	return []treeRoute{
+		{level: callctx.LevelNormal, rate: 57 * scale, calls: 4, work: 250 * time.Millisecond, worth: 1, timeout: 1200 * time.Millisecond},
+		{level: callctx.LevelCritical, rate: 34 * scale, calls: 8, work: 320 * time.Millisecond, worth: 3, timeout: 1500 * time.Millisecond},
+		{level: callctx.LevelNormal, rate: 7 * scale, work: 0, worth: 1, timeout: time.Second},
+	}
+}
+
+func TestForestDbg(t *testing.T) {
+	for _, x := range []struct {
+		entries, guards, slots int
+		scale                  float64
+	}{{14, 1, 16, 1}, {14, 2, 16, 1}, {14, 2, 16, 1.7}, {14, 3, 16, 1.7}, {76, 1, 126, 10}, {76, 2, 126, 10}} {
+		f := newForest(x.entries, x.guards, x.slots, lakes(x.scale))
+		f.from = 4 * time.Second
+		f.run(34 * time.Second)
+		capacity := float64(x.guards*x.slots) / 0.055
+		worth := 0.0
+		calls := 0
+		for r, n := range f.tally {
+			t.Logf("   route %d: asked %d admitted %d completed %d (%.2f of admitted, %.2f of asked) refused %d failed %d", r, n.asked, n.admitted, n.completed, float64(n.completed)/float64(n.admitted), float64(n.completed)/float64(n.asked), n.refused, n.failed)
+			worth += f.routes[r].worth * float64(n.completed)
+			c := f.routes[r].calls
+			if c == 0 {
+				c = 3
+			}
+			calls += c * n.completed
+		}
+		d := lakes(x.scale)
+		room := capacity * 30
+		best := 0.0
+		for _, r := range []int{1, 2, 0} {
+			c := float64(d[r].calls)
+			if c == 0 {
+				c = 3
+			}
+			n := min(d[r].rate*30, room/c)
+			room -= n * c
+			best += n * d[r].worth
+		}
+		thr := []uint32{}
+		for _, g := range f.guards {
+			thr = append(thr, g.ctl.Load().Threshold)
+		}
+		t.Logf("%+v worth %.0f of %.0f = %.2f; slots well used %.2f thr %x", x, worth, best, worth/best, float64(calls)/(capacity*30), thr)
+	}
+	must.True(t, true)
+}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -120,6 +120,12 @@
 	return true
 }
 
+// Member returns the newest record of a node.
+func (r *Registry) Member(node string) (m Member, known bool) {
+	m, known = r.members[node]
+	return m, known
+}
+
 // Len returns how many nodes are known.
 func (r *Registry) Len() int { return len(r.members) }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -51,6 +51,9 @@
 	current Report
 	known   bool
 	left    bool
+	// adopted says that the process was found at work and has not reported yet: its
+	// start and sequence aren't known.
+	adopted bool
 	// replaced are the processes before the present one, oldest first. Where
 	// upstreams don't state their start only this tells an old one from a new.
 	replaced []process
@@ -71,8 +74,26 @@
 	return u.current, u.known && !u.left
 }
 
+// Adopt takes a process that was found at work before it reported. It is false when
+// one has reported meanwhile.
+func (u *LocalUpstream) Adopt(r Report) bool {
+	if u.known {
+		return false
+	}
+	u.current = r
+	u.known = true
+	u.adopted = true
+	return true
+}
+
 // Heard takes a report.
 func (u *LocalUpstream) Heard(r Report) Change {
+	if u.adopted {
+		u.adopted = false
+		if r.ID == u.current.ID {
+			u.current.Born, u.current.Sequence = r.Born, r.Sequence-1
+		}
+	}
 	if !u.known {
 		return u.start(r)
 	}
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -42,6 +42,33 @@
 	}
 }
 
+// adopt takes the upstream into service that was found at work beside a node that has
+// just started. It is false when the upstream has reported meanwhile.
+func (l *localUpstream) adopt(record *fleet.Member, address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := fleet.Report{ID: record.Upstream, Service: record.Service, Address: address, Slots: record.Slots}
+	if !l.known.Adopt(r) {
+		return false
+	}
+	m := l.mesh
+	m.platform.SetUpstream(r.ID)
+	m.upstream.SetAddr(r.Address)
+	m.node.UpstreamReplaced(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	l.publishSince(r, fleet.Serving, record.ServesSince)
+	m.logger.Info().Str("upstream", r.ID).Str("address", r.Address).Int("slots", r.Slots).
+		Uint64("record_incarnation", record.Incarnation).Msg("upstream found at work")
+	return true
+}
+
+// heardOf is whether anything is known of the upstream.
+func (l *localUpstream) heardOf() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, _ := l.known.Current()
+	return r.ID != ""
+}
+
 // Departed implements Announcements.
 func (l *localUpstream) Departed(id string, born int64) {
 	l.mu.Lock()
@@ -97,13 +124,17 @@
 
 // publish writes the node's own record, and puts it in force here at once.
 func (l *localUpstream) publish(r fleet.Report, state fleet.State) {
+	l.publishSince(r, state, servesSince(r, l.mesh.node.Now()))
+}
+
+func (l *localUpstream) publishSince(r fleet.Report, state fleet.State, since int64) {
 	if l.mesh.stopping.Load() && state == fleet.Serving {
 		state = fleet.Stopping
 	}
 	record := l.mesh.publisher.update(func(own *fleet.Member) {
 		own.Upstream = r.ID
 		own.Slots = r.Slots
-		own.ServesSince = servesSince(r, l.mesh.node.Now())
+		own.ServesSince = since
 		own.State = state
 	})
 	l.mesh.members.learn(record)
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -114,6 +114,14 @@
 	return m.told
 }
 
+// predecessor returns the record that an earlier process of the node left.
+func (m *members) predecessor(node string, incarnation uint64) (record fleet.Member, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record, known = m.registry.Member(node)
+	return record, known && record.Incarnation < incarnation
+}
+
 // count returns how many nodes are known.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -196,6 +196,7 @@
 	m.loop(func() { m.suspects.run(ctx) })
 	m.loop(func() { m.following.run(ctx) })
 	m.loop(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
+	m.loop(func() { m.adoptUpstream(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -24,6 +24,9 @@
 	AnnounceHandler(sink Announcements) http.Handler
 	// SetUpstream sets who is behind the local upstream's address from now on.
 	SetUpstream(id string)
+	// Identify returns the name of the upstream that answered a question for its
+	// health so; empty when it takes no work.
+	Identify(status int, h http.Header) string
 	// SetStore sets the store's address, IP:port, from now on.
 	SetStore(address string)
 	// StoreStats returns what the calls of the store came to since the start.
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -26,6 +26,9 @@
 // Service is a service that routes may name.
 type Service struct {
 	Name string
+	// HealthPath is where its upstreams answer whether they take work; empty where
+	// that is not known.
+	HealthPath string
 }
 
 // Limits bound what a caller may send. 0 leaves the node's own bound.
@@ -158,6 +161,17 @@
 	return nil
 }
 
+// HealthPath returns where upstreams of a service answer whether they take work;
+// empty when that is not known.
+func (c *Config) HealthPath(service string) string {
+	for _, s := range c.Services {
+		if s.Name == service {
+			return s.HealthPath
+		}
+	}
+	return ""
+}
+
 // Sorted returns the routes by host and prefix.
 func (c *Config) Sorted() []Route {
 	out := slices.Clone(c.Routes)
