galenabench ceiling: how much of the worth a scarce service leaves room for

Cause: without a bound nobody can tell a loss that a better decision would save from one that slots, lots or cuts force.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -26,6 +26,7 @@
 	Load      loadCmd      `cmd:"" help:"Send requests to nodes and print what callers got."`
 	Control   controlCmd   `cmd:"" help:"Measure what the control plane costs a node, without calls."`
 	State     stateCmd     `cmd:"" help:"Measure the state that one node holds of a system of some size."`
+	Ceiling   ceilingCmd   `cmd:"" help:"Work out how much of the worth asked for the scarcest service leaves room for."`
 }
 
 func main() {
