--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -34,6 +34,9 @@
 	case fleet.Left:
 		l.left(r, "reported")
 	case fleet.Updated:
+		if r.Address != l.mesh.upstream.Addr() {
+			l.mesh.upstream.SetAddr(r.Address)
+		}
 		l.publish(r, fleet.Serving)
 	case fleet.Outdated:
 		l.mesh.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Int64("born", r.Born).Msg("outdated report ignored")
