--- a/internal/admission/shedcause.go
+++ b/internal/admission/shedcause.go
@@ -33,9 +33,9 @@
 // An upstream that is short of room never sheds a call at a load at which it takes
 // another one; one that sheds by lot does so at every load alike. So each call shed
 // is compared with the calls taken since the first one was shed, by how many ran
-// beside it when it began. Unlike a comparison of rates this needs neither full slots nor steady
-// demand, and a few dozen calls decide: with 16 slots, 55 ms a call and 55 % refused
-// the limit is back within 0.3 s, where it had stayed at 2 for as long as it lasted.
+// beside it when it began. Unlike a comparison of rates this needs neither full slots nor
+// steady demand, and a few dozen calls decide: with 16 slots, 55 ms a call and 55 %
+// refused the limit is back within 0.3 s; by rates it stays at 2 for as long as it lasts.
 type shedCause struct {
 	// active is set from the first shed on, until there was none for shedMemory.
 	active bool
--- a/internal/admission/forest_test.go
+++ b/internal/admission/treemodel_test.go
@@ -33,14 +33,14 @@
 	timeout time.Duration
 }
 
-// forest is a deployment in virtual time: entries with a gate for the deepest service,
+// treeModel is a deployment in virtual time: entries with a gate for the deepest service,
 // which all routes that call it share, and the guards of that service. What lies between takes its time and always succeeds.
-type forest struct {
+type treeModel struct {
 	model   *model
 	routes  []treeRoute
 	entries []map[int]*TreeGate
-	guards  []*forestGuard
-	service func(g *forestGuard) time.Duration
+	guards  []*modelGuard
+	service func(g *modelGuard) time.Duration
 	last    int
 	// from is when counting begins.
 	from  time.Duration
@@ -50,18 +50,18 @@
 // treeTally counts what became of the requests of a route.
 type treeTally struct{ asked, admitted, completed, refused, failed int }
 
-type forestGuard struct {
+type modelGuard struct {
 	ctl   *Controller
-	calls map[string]*forestCall
+	calls map[string]*guardCall
 }
 
-type forestCall struct {
+type guardCall struct {
 	run    func()
 	refuse func(*result.Refusal)
 }
 
-// forestTree is one request on its way.
-type forestTree struct {
+// treeRequest is one request on its way.
+type treeRequest struct {
 	route    int
 	entry    int
 	level    callctx.Level
@@ -75,8 +75,8 @@
 	again bool
 }
 
-func newForest(entries, guards, slots int, routes []treeRoute) *forest {
-	f := &forest{routes: routes, tally: make([]treeTally, len(routes))}
+func newTreeModel(entries, guards, slots int, routes []treeRoute) *treeModel {
+	f := &treeModel{routes: routes, tally: make([]treeTally, len(routes))}
 	start := time.Unix(1_000_000, 0)
 	f.model = &model{now: start, start: start, rng: rand.New(rand.NewPCG(3, 4))}
 	for range entries {
@@ -91,9 +91,9 @@
 		f.entries = append(f.entries, gates)
 	}
 	for range guards {
-		f.guards = append(f.guards, &forestGuard{ctl: New(DefaultConfig(slots), start), calls: map[string]*forestCall{}})
+		f.guards = append(f.guards, &modelGuard{ctl: New(DefaultConfig(slots), start), calls: map[string]*guardCall{}})
 	}
-	f.service = func(*forestGuard) time.Duration { return f.jittered(usualCall) }
+	f.service = func(*modelGuard) time.Duration { return f.jittered(usualCall) }
 	f.model.after(10*time.Millisecond, f.tick)
 	for r, route := range routes {
 		f.model.after(0, func() { f.arrive(r, route) })
@@ -101,27 +101,27 @@
 	return f
 }
 
-func (f *forest) jittered(d time.Duration) time.Duration {
+func (f *treeModel) jittered(d time.Duration) time.Duration {
 	return time.Duration((0.3 + 1.4*f.model.rng.Float64()) * float64(d))
 }
 
-func (f *forest) tick() {
+func (f *treeModel) tick() {
 	for _, g := range f.guards {
 		f.apply(g, g.ctl.Tick(f.model.now))
 	}
 	f.model.after(10*time.Millisecond, f.tick)
 }
 
-func (f *forest) counted() bool { return f.model.elapsed() >= f.from }
+func (f *treeModel) counted() bool { return f.model.elapsed() >= f.from }
 
 // arrive lets callers ask, some 2 a second each entry and more.
-func (f *forest) arrive(r int, route treeRoute) {
-	f.ask(&forestTree{route: r, asked: f.model.now})
+func (f *treeModel) arrive(r int, route treeRoute) {
+	f.ask(&treeRequest{route: r, asked: f.model.now})
 	f.model.after(time.Duration(f.model.rng.ExpFloat64()/route.rate*float64(time.Second)), func() { f.arrive(r, route) })
 }
 
 // ask is one attempt of a caller.
-func (f *forest) ask(t *forestTree) {
+func (f *treeModel) ask(t *treeRequest) {
 	now, route := f.model.now, &f.routes[t.route]
 	t.entry = f.model.rng.IntN(len(f.entries))
 	t.level, t.hash = route.level, f.model.rng.Uint32()
@@ -143,7 +143,7 @@
 }
 
 // refused lets a caller come back once.
-func (f *forest) refused(t *forestTree, refusal *result.Refusal) {
+func (f *treeModel) refused(t *treeRequest, refusal *result.Refusal) {
 	if t.again {
 		if f.counted() {
 			f.tally[t.route].refused++
@@ -156,8 +156,8 @@
 }
 
 // pick returns the guard with the least work for its slots that does not shed the rank.
-func (f *forest) pick(t *forestTree, avoid *forestGuard) *forestGuard {
-	var best *forestGuard
+func (f *treeModel) pick(t *treeRequest, avoid *modelGuard) *modelGuard {
+	var best *modelGuard
 	least := 0.0
 	for _, g := range f.guards {
 		load := g.ctl.Load()
@@ -173,7 +173,7 @@
 }
 
 // met notes what all guards shed from, as answers carry it.
-func (f *forest) met(t *forestTree) {
+func (f *treeModel) met(t *treeRequest) {
 	most := uint32(0)
 	for _, g := range f.guards {
 		most = max(most, g.ctl.Load().Threshold)
@@ -181,7 +181,7 @@
 	t.sheds = min(t.sheds, most)
 }
 
-func (f *forest) step(t *forestTree) {
+func (f *treeModel) step(t *treeRequest) {
 	if t.left == 0 {
 		f.end(t, true)
 		return
@@ -204,7 +204,7 @@
 
 // turnedAway ends a tree whose call found no room. A request that needs the deepest
 // service alone has not run and may come back.
-func (f *forest) turnedAway(t *forestTree) {
+func (f *treeModel) turnedAway(t *treeRequest) {
 	if f.routes[t.route].calls == 0 {
 		f.refused(t, result.Refuse(result.Shed, "").After(300*time.Millisecond))
 		return
@@ -212,7 +212,7 @@
 	f.end(t, false)
 }
 
-func (f *forest) call(t *forestTree, g *forestGuard, refuse func(*result.Refusal)) {
+func (f *treeModel) call(t *treeRequest, g *modelGuard, refuse func(*result.Refusal)) {
 	f.last++
 	id := strconv.Itoa(f.last)
 	depth, deadline := 3, t.deadline
@@ -221,7 +221,7 @@
 	} else if latest := f.model.now.Add(700 * time.Millisecond); latest.Before(deadline) {
 		deadline = latest
 	}
-	g.calls[id] = &forestCall{refuse: refuse, run: func() {
+	g.calls[id] = &guardCall{refuse: refuse, run: func() {
 		began := f.model.now
 		took := f.service(g)
 		if depth == 0 {
@@ -238,7 +238,7 @@
 	f.apply(g, []Decision{d})
 }
 
-func (f *forest) apply(g *forestGuard, ds []Decision) {
+func (f *treeModel) apply(g *modelGuard, ds []Decision) {
 	for _, d := range ds {
 		c := g.calls[d.ID]
 		if d.Verdict == Wait || c == nil {
@@ -253,7 +253,7 @@
 	}
 }
 
-func (f *forest) end(t *forestTree, completed bool) {
+func (f *treeModel) end(t *treeRequest, completed bool) {
 	if completed && f.model.now.After(t.deadline) {
 		completed = false
 	}
@@ -268,7 +268,7 @@
 	}
 }
 
-func (f *forest) run(until time.Duration) { f.model.run(until) }
+func (f *treeModel) run(until time.Duration) { f.model.run(until) }
 
 // lakes are the routes of a deployment whose deepest service is short.
 func lakes(scale float64) []treeRoute {
@@ -281,7 +281,7 @@
 
 // best is the worth that the deepest service has room for: whole requests, those worth
 // most for their calls first.
-func (f *forest) best(d time.Duration, capacity float64) float64 {
+func (f *treeModel) best(d time.Duration, capacity float64) float64 {
 	routes := slices.Clone(f.routes)
 	slices.SortFunc(routes, func(a, b treeRoute) int { return cmp.Compare(b.worth/b.room(), a.worth/a.room()) })
 	left, worth := capacity*d.Seconds(), 0.0
@@ -311,7 +311,7 @@
 		entries, guards, slots int
 		scale                  float64
 	}{{14, 1, 16, 1}, {14, 2, 16, 1}, {14, 2, 16, 1.7}, {14, 3, 16, 1.7}, {76, 1, 126, 10}, {76, 2, 126, 10}} {
-		f := newForest(x.entries, x.guards, x.slots, lakes(x.scale))
+		f := newTreeModel(x.entries, x.guards, x.slots, lakes(x.scale))
 		f.from = 4 * time.Second
 		f.run(34 * time.Second)
 		worth := 0.0
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -31,9 +31,9 @@
 // is nearly over. It returns how many calls it cut.
 //
 // Until its last caller is answered the node can't end, and its upstream goes on
-// taking calls of other nodes that find no other one, as far as these end in time. A
-// fixed bound of 45 % of the grace had refused them for up to 2.5 s beside an idle
-// upstream: with several nodes of a service stopped in turn, 192 calls in two seconds.
+// taking calls of other nodes that find no other one, as far as these end in time. With
+// a fixed bound they are refused for seconds beside an idle upstream: of several nodes of
+// a service stopped in turn, 192 calls in two seconds at 45 % of the grace.
 func (m *Mesh) Stop() int {
 	begun := time.Now()
 	m.stopping.Store(true)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -199,10 +199,10 @@
 		case node.OrderPause:
 			pause(ctx, order.Pause)
 		case node.OrderSend:
-			// The time is taken after the answer. As an argument beside the call it was the
-			// time before: every latency was microseconds, a slow upstream looked like a
-			// quick one, and reports of load were as old as the call. Worth of single days
-			// before and after: 0.698 to 0.704, 0.804 to 0.806, 0.775 to 0.785.
+			// The time is taken after the answer. As an argument beside the call it is the
+			// time before: every latency is microseconds, a slow upstream looks like a quick
+			// one, and reports of load are as old as the call. Worth of single days without
+			// and with: 0.698 and 0.704, 0.804 and 0.806, 0.775 and 0.785.
 			answer := p.send(ctx, order)
 			d.Observe(p.node.Now(), answer)
 		}
