--- a/internal/admission/shedcause.go
+++ b/internal/admission/shedcause.go
@@ -35,7 +35,8 @@
 // is compared with the calls taken since the first one was shed, by how many ran
 // beside it when it began. Unlike a comparison of rates this needs neither full slots nor
 // steady demand, and a few dozen calls decide: with 16 slots, 55 ms a call and 55 %
-// refused the limit is back in 0.2 to 0.8 s (100 to 250 calls a second); by rates it stays at 2 for as long as it lasts.
+// refused the limit is back in 0.2 to 0.8 s (100 to 250 calls a second); by rates it
+// stays at 2 for as long as it lasts.
 type shedCause struct {
 	// active is set from the first shed on, until there was none for shedMemory.
 	active bool
