platform: a test's blind reader is blind to reads that already wait

The test blinds its reader after the reader was started; a read that already waited at the log passed, showed the records of the first append at once, and nothing was left to repeat. Ruled out: the draw of lost acknowledgements. A repeat that isn't counted: copies are counted where they are folded. Change: the reader asks whether it is blind after the read, so the story's condition (no reader sees the records for 5 s) holds in each run.

--- a/internal/platform/appender_test.go
+++ b/internal/platform/appender_test.go
@@ -61,10 +61,13 @@
 }
 
 func (l *slowReader) Read(ctx context.Context, from int64, max int, wait time.Duration) (platform.Page, error) {
+	page, err := l.Log.Read(ctx, from, max, wait)
+	// Asked after the read: one that waits at the log since before the reader
+	// went blind must not show the records either.
 	if l.blind.Load() {
 		return platform.Page{}, &platform.UnavailableError{Cause: context.DeadlineExceeded}
 	}
-	return l.Log.Read(ctx, from, max, wait)
+	return page, err
 }
 
 // bench is one writer and one reader against a stand-in, in a synctest bubble.
