Log lines: whole trees are kept, and a failure names its deepest decision

Ruled out: thinning alone. Messages between nodes about what to keep. Change: (1) an answer that isn't good carries the code, service and node that it comes down to, from the deepest call up to the entry, whose line has it as 'cause'; explain uses it where the deeper line is missing. (2) Lines of calls are bounded by trees: a node that must thin keeps the trees whose root's hash ends in so many zeros, so all keep what the busiest keeps; 'one_in' says how many are left out.

--- a/cmd/galenactl/explain.go
+++ b/cmd/galenactl/explain.go
@@ -281,5 +281,8 @@
 	if cause == nil {
 		return "No decision against the request is in these logs."
 	}
+	if deeper := cause.Cause; deeper != nil {
+		return fmt.Sprintf("Cause: %s, as the answer to %s said; its own line is not in these logs. %s.", deeper, cause.Node, deeper.Code.Help())
+	}
 	return fmt.Sprintf("Cause: %d %s at %s for %s: %s. %s.", int(cause.Code), cause.Code, cause.Node, cause.Service, cause.Detail, cause.Code.Help())
 }
--- a/cmd/galenactl/explain_test.go
+++ b/cmd/galenactl/explain_test.go
@@ -47,6 +47,22 @@
 	must.StrContains(t, errs.String(), "1 lines are no JSON")
 }
 
+// Under a flood the deepest node left the line out that tells of its refusal. The
+// entry's line carries what it decided, and the engineer still gets the cause.
+func TestExplainFindsTheCauseThatTheEntryWasTold(t *testing.T) {
+	log := strings.Replace(lookupLog, `"detail":"attempts 1"`, `"detail":"attempts 1","cause":{"code":2003,"service":"tracker","node":"deep"}`, 1)
+	var kept []string
+	for line := range strings.Lines(log) {
+		if !strings.Contains(line, "ab.1.2") {
+			kept = append(kept, line)
+		}
+	}
+	var out, errs bytes.Buffer
+	code := run(t.Context(), []string{"explain", "ab"}, strings.NewReader(strings.Join(kept, "")), &out, &errs)
+	must.EqOp(t, exitOK, code, must.Sprint(errs.String()))
+	must.StrContains(t, out.String(), "Cause: 2003 queue_expired at deep for tracker, as the answer to entry said")
+}
+
 func TestExplainUnknownRequest(t *testing.T) {
 	var out, errs bytes.Buffer
 	code := run(t.Context(), []string{"explain", "zz"}, strings.NewReader(lookupLog), &out, &errs)
--- a/internal/mesh/eventlog.go
+++ b/internal/mesh/eventlog.go
@@ -10,12 +10,22 @@
 // eventMessage marks the log lines that are events of the time line.
 const eventMessage = "event"
 
-// logEvent writes an event as a log line, under the names that it has on the
-// time line, so that galenactl reads both. Failures, and what changes the node's
-// beliefs, are warnings: the logger bounds each level for itself, and a flood of
-// good calls takes no line from them.
+// logEvent writes an event as a log line, under the names that it has on the time
+// line, so that galenactl reads both. Failures, and what changes the node's beliefs,
+// are warnings. Lines of calls are bounded for each level by itself, and a flood of good
+// calls takes no line from failures; those of a tree of calls are kept or left out
+// together.
 func (m *Mesh) logEvent(e *timeline.Event) {
-	line := m.bounded.WithLevel(levelOf(e))
+	level := levelOf(e)
+	logger, oneIn := &m.bounded, 1
+	if e.RequestID != "" {
+		keep := false
+		if keep, oneIn = m.treesOf(level).Keep(e.Time(), e.RequestID); !keep {
+			return
+		}
+		logger = &m.logger
+	}
+	line := logger.WithLevel(level)
 	if line == nil {
 		return
 	}
@@ -30,9 +40,22 @@
 	if e.Code != 0 {
 		line.Int("code", int(e.Code)).Str("result", e.Code.String()).Str("ran", string(e.Code.Ran()))
 	}
+	if e.Cause != nil {
+		line.Interface("cause", e.Cause)
+	}
+	if oneIn > 1 {
+		line.Int("one_in", oneIn)
+	}
 	line.Int64("routes_version", m.routes.Version()).Msg(eventMessage)
 }
 
+func (m *Mesh) treesOf(level zerolog.Level) *timeline.TreeSampler {
+	if level == zerolog.InfoLevel {
+		return &m.good
+	}
+	return &m.bad
+}
+
 func levelOf(e *timeline.Event) zerolog.Level {
 	switch e.Kind {
 	case timeline.CallReceived, timeline.CallRouted, timeline.CallAdmitted, timeline.CallQueued, timeline.CallStarted, timeline.CallJoined:
--- a/internal/mesh/eventlog_bench_test.go
+++ b/internal/mesh/eventlog_bench_test.go
@@ -27,7 +27,8 @@
 			defer out.Close(0)
 			logger, err := metrics.NewLogger(out, "vm-1", settings.Logging{Level: "info", Burst: burst, Sample: 100})
 			must.NoError(b, err)
-			m := &Mesh{bounded: logger, routes: &routeKeeper{}}
+			m := &Mesh{logger: logger.Sample(nil), bounded: logger, routes: &routeKeeper{}}
+			m.bad.Budget = burst
 			b.ReportAllocs()
 			for b.Loop() {
 				m.logEvent(event)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,13 +34,16 @@
 	// logger is for what happens seldom, and bounded for lines of which there are as
 	// many as requests or records: it keeps to so many a second and leaves the rest
 	// out. A start, a stop or a lost store must not be among those.
-	logger   zerolog.Logger
-	bounded  zerolog.Logger
-	metrics  *metrics.Set
-	node     *node.Node
-	proxy    *proxy.Proxy
-	peers    *proxy.Peers
-	upstream *proxy.Upstream
+	logger  zerolog.Logger
+	bounded zerolog.Logger
+	// good and bad choose the trees of calls whose lines are written, those of good
+	// calls and those of failures.
+	good, bad timeline.TreeSampler
+	metrics   *metrics.Set
+	node      *node.Node
+	proxy     *proxy.Proxy
+	peers     *proxy.Peers
+	upstream  *proxy.Upstream
 
 	members   *members
 	following *follower
@@ -79,6 +82,7 @@
 // Start opens the listeners of a node and begins to serve.
 func Start(cfg *settings.Mesh, platform Platform, logger zerolog.Logger) (*Mesh, error) {
 	m := &Mesh{cfg: cfg, platform: platform, logger: logger.Sample(nil), bounded: logger, metrics: metrics.New(timerSample)}
+	m.good.Budget, m.bad.Budget = cfg.Logging.Burst, cfg.Logging.Burst
 	m.tunable.Store(cfg)
 	if err := m.listeners.open(cfg); err != nil {
 		return nil, errors.Wrap(err, "listen")
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 )
 
@@ -51,13 +53,27 @@
 }
 
 // ChildEnded tells the running call that made this one what its end says of the
-// services behind: the answer of the whole tree carries it to its entry.
+// services behind, and what it failed for: the answer of the whole tree carries both
+// to its entry, whose log line then names the deepest decision although that node's
+// own line was one too many for its bound.
 func (n *Node) ChildEnded(now time.Time, call *Call, a *Answer) {
 	if call.Ctx.ParentID == "" {
 		return
 	}
 	n.guard.noteShedding(call.Ctx.ParentID, a.ShedsFrom, a.ShedsBy)
 	n.guard.noteShedding(call.Ctx.ParentID, n.table.Load().ShedsFrom(now, call.Ctx.Service), call.Ctx.Service)
+	if !a.Good() {
+		n.guard.noteCause(call.Ctx.ParentID, n.causeOf(call, a))
+	}
+}
+
+// causeOf is what the failure of call comes down to: what its answer says of the calls
+// made for it, or that answer itself.
+func (n *Node) causeOf(call *Call, a *Answer) *result.Cause {
+	if a.Cause != nil {
+		return a.Cause
+	}
+	return &result.Cause{Code: a.Code, Service: call.Ctx.Service, Node: cmp.Or(a.Upstream, n.ID())}
 }
 
 // AcceptChild makes the call of a request that the local upstream made while it
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -78,6 +78,9 @@
 	ShedsFrom uint32
 	// ShedsBy names the service that sheds from there on; empty when none does.
 	ShedsBy string
+	// Cause is what an answer that isn't good comes down to, where a call made for
+	// it failed; nil when none did.
+	Cause *result.Cause
 	// Unused is the part of the travelled allowance that comes home.
 	Unused int
 	// Load is what the guard said about itself; nil when it said nothing.
@@ -94,5 +97,8 @@
 	return &Answer{CallID: callID, Code: r.Code, Refusal: r, ShedsFrom: routing.NoThreshold}
 }
 
+// Good reports whether the upstream's answer is no failure.
+func (a *Answer) Good() bool { return a.Code == result.OK || a.Code == result.Replayed }
+
 // Whole reports whether the answer may be given to the caller as it is.
 func (a *Answer) Whole() bool { return a.Refusal == nil }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -61,6 +61,7 @@
 		e.Upstream = d.target.Endpoint().Node
 	}
 	e.Detail = detail
+	e.Cause = a.Cause
 	n.Event(now, e)
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -64,6 +64,9 @@
 	shedsFrom uint32
 	// shedsBy is the service that said so.
 	shedsBy string
+	// cause is what the last failure of a call made by this one comes down to; nil
+	// when none failed.
+	cause *result.Cause
 	// joins are the calls of the same key that wait for this one's answer.
 	joins []joined
 }
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -104,6 +104,9 @@
 			d = append(d, func() { g.onSuspects(cleared) })
 		}
 		g.observer.cleared(now, cleared)
+		if !a.Good() {
+			a.Cause = e.cause
+		}
 		g.observer.finished(now, e, a)
 		g.endLocked(now, e, a, &d)
 		g.applyLocked(now, decisions, &d)
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -200,6 +200,15 @@
 	}
 }
 
+// noteCause records what a failed call made by the running call callID comes down to.
+func (g *Guard) noteCause(callID string, cause *result.Cause) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
+		e.cause = cause
+	}
+}
+
 func (g *Guard) parent(callID string) (*Call, *retry.Account, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -171,7 +171,9 @@
 	if !a.Whole() {
 		detail += ": " + a.Refusal.Detail
 	}
-	o.node.note(now, timeline.CallAnswered, e.call, a.Code, o.node.ID(), detail)
+	answered := callEvent(timeline.CallAnswered, e.call)
+	answered.Code, answered.Upstream, answered.Detail, answered.Cause = a.Code, o.node.ID(), detail, a.Cause
+	o.node.Event(now, answered)
 }
 
 func (o *observer) joined(now time.Time, call *Call, running string) {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -31,6 +31,8 @@
 	headerRepeat = "Galena-Inner-Repeat"
 	// headerSheds carries Answer.ShedsFrom and Answer.ShedsBy where something is shed.
 	headerSheds = "Galena-Inner-Sheds"
+	// headerCause carries Answer.Cause where a call made for the answer failed.
+	headerCause = "Galena-Inner-Cause"
 	// headerConfig carries the version of the sender's routes, both ways: a node
 	// cut off from the store learns from its peers that it is behind.
 	headerConfig = "Galena-Inner-Config"
@@ -121,6 +123,7 @@
 		Upstream: from,
 	}
 	a.ShedsFrom, a.ShedsBy = decodeSheds(got.Header.Get(headerSheds))
+	a.Cause = result.DecodeCause(got.Header.Get(headerCause))
 	if !h.GetWhole() {
 		a.Refusal = &result.Refusal{
 			Code:       a.Code,
@@ -235,6 +238,9 @@
 	if a.ShedsFrom != routing.NoThreshold {
 		out.Set(headerSheds, encodeSheds(a))
 	}
+	if a.Cause != nil {
+		out.Set(headerCause, a.Cause.Encode())
+	}
 	if version := p.peers.configVersion(); version > 0 {
 		out.Set(headerConfig, strconv.FormatInt(version, 10))
 	}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -77,6 +77,8 @@
 	Upstream string      `json:"upstream,omitempty"`
 	Code     result.Code `json:"code,omitempty"`
 	Detail   string      `json:"detail,omitempty"`
+	// Cause is what a failed call comes down to, where a call made for it failed.
+	Cause *result.Cause `json:"cause,omitempty"`
 }
 
 // Time is the physical time of the event, to the millisecond.
--- a/internal/timeline/sample.go
+++ b/internal/timeline/sample.go
@@ -1,5 +1,7 @@
 package timeline
 
+import "strings"
+
 // Sampler chooses which good calls leave events. All processes of a chain
 // choose alike, since the choice depends on the root request alone: a sampled
 // request is seen whole.
@@ -21,6 +23,13 @@
 	return hash(requestID)%s.every == 0
 }
 
+// RootOf returns the ID of the request that a call was made for: the ID of a call
+// begins with it, a dot between.
+func RootOf(requestID string) string {
+	root, _, _ := strings.Cut(requestID, ".")
+	return root
+}
+
 // hash is FNV-1a; it is written out because the library's form allocates.
 func hash(s string) uint32 {
 	const (
