--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -8,10 +8,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
@@ -43,25 +44,25 @@
 		return out, err
 	}
 	out.Records = len(entries)
-	page := platform.Page{Entries: entries, Next: int64(len(entries)), Head: int64(len(entries))}
+	page := logstore.Page{Entries: entries, Next: int64(len(entries)), Head: int64(len(entries))}
 	now := time.Now()
 
 	base := liveHeap()
-	replica := node.NewReplica()
+	replica := control.NewReplica()
 	began := time.Now()
 	replica.Take(now, page)
 	out.FoldMillis = time.Since(began).Milliseconds()
 	out.ReplicaBytes = liveHeap() - base
 
 	base = liveHeap()
-	own := node.NewOwnership(lease.DefaultConfig(), node.Identity{Node: "m0", Incarnation: 1, InnerAddr: addrOf(0)})
+	own := control.NewOwnership(lease.DefaultConfig(), node.Identity{Node: "m0", Incarnation: 1, InnerAddr: addrOf(0)})
 	began = time.Now()
 	own.Apply(now, entries)
 	out.OwnershipMillis = time.Since(began).Milliseconds()
 	out.OwnershipBytes = liveHeap() - base
 
 	base = liveHeap()
-	endpoints := node.Endpoints(replica.Members(), func(membership.Identity) bool { return false })
+	endpoints := control.Endpoints(replica.Members(), func(membership.Identity) bool { return false })
 	began = time.Now()
 	table := routing.NewTable(nil, routing.DefaultConfig(), routing.Self{Node: "m0", Region: "r0", Zone: "z0"}, endpoints, now)
 	out.TableMillis = time.Since(began).Milliseconds()
@@ -87,18 +88,18 @@
 func addrOf(i int) string { return fmt.Sprintf("10.%d.%d.%d:7100", i>>16, i>>8&255, i&255) }
 
 // stateLog writes the log that such a system leaves once it has settled.
-func stateLog(opts StateOptions) ([]platform.Entry, error) {
-	var entries []platform.Entry
+func stateLog(opts StateOptions) ([]logstore.Entry, error) {
+	var entries []logstore.Entry
 	var failed error
-	add := func(rec platform.Record, err error) {
+	add := func(rec logstore.Record, err error) {
 		if err != nil && failed == nil {
 			failed = err
 		}
-		entries = append(entries, platform.Entry{Offset: int64(len(entries)), Record: rec})
+		entries = append(entries, logstore.Entry{Offset: int64(len(entries)), Record: rec})
 	}
-	record := func(kind platform.Kind, body any) {
+	record := func(kind logstore.Kind, body any) {
 		raw, err := json.Marshal(body)
-		add(platform.Record{ID: fmt.Sprintf("r%d", len(entries)), Kind: kind, Body: raw}, err)
+		add(logstore.Record{ID: fmt.Sprintf("r%d", len(entries)), Kind: kind, Body: raw}, err)
 	}
 	for _, t := range policy.Library() {
 		add((&policy.Publication{ID: "template-" + t.Name, Author: "bench", Template: &t}).Record(time.Unix(0, 0)))
@@ -108,7 +109,7 @@
 		add((&policy.Publication{ID: "i" + i.Service, Author: "bench", Instance: &i}).Record(time.Unix(0, 0)))
 	}
 	for m := range opts.Members {
-		record(platform.KindJoin, membership.Join{Member: membership.Member{
+		record(logstore.KindJoin, membership.Join{Member: membership.Member{
 			Identity: membership.Identity{Node: fmt.Sprintf("m%d", m), Incarnation: 1},
 			Region:   fmt.Sprintf("r%d", m%opts.Zones%11), Zone: fmt.Sprintf("z%d", m%opts.Zones),
 			Service: serviceName(m % opts.Services), InnerAddr: addrOf(m), AdminAddr: addrOf(m),
@@ -125,7 +126,7 @@
 			for slot := m / opts.Services; slot < lease.DefaultConfig().Slots; slot += perService {
 				t.Slots = append(t.Slots, slot)
 			}
-			record(platform.KindTakeover, t)
+			record(logstore.KindTakeover, t)
 		}
 	}
 	return entries, failed
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/server"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -209,7 +209,7 @@
 	cfg.Timing.UpstreamSilence = settings.Duration(time.Hour)
 	transport := &http.Transport{DialContext: w.logs.dial((&net.Dialer{}).DialContext)}
 	n, err := server.Start(cfg, server.Options{
-		Log:    platform.NewClient(w.url, platform.ClientOptions{HTTP: &http.Client{Transport: transport}}),
+		Log:    logstore.NewClient(w.url, logstore.ClientOptions{HTTP: &http.Client{Transport: transport}}),
 		Dial:   w.peers.dial(w.network.Dialer(cfg.Zone)),
 		Logger: zerolog.Nop(),
 	})
@@ -251,7 +251,7 @@
 	if err != nil {
 		return 0, err
 	}
-	at, err := w.log.Append(context.Background(), []platform.Record{rec})
+	at, err := w.log.Append(context.Background(), []logstore.Record{rec})
 	return policy.Version(at + 1), err
 }
 
--- a/internal/bench/operators.go
+++ b/internal/bench/operators.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/policy"
 )
 
@@ -105,18 +105,18 @@
 }
 
 // append repeats a record in doubt, and returns when it first took effect.
-func (o *operators) append(ctx context.Context, rec platform.Record) (time.Time, bool) {
+func (o *operators) append(ctx context.Context, rec logstore.Record) (time.Time, bool) {
 	var first time.Time
 	for ctx.Err() == nil {
-		_, err := o.world.log.Append(ctx, []platform.Record{rec})
-		uncertain := errors.Is(err, platform.ErrUncertain)
+		_, err := o.world.log.Append(ctx, []logstore.Record{rec})
+		uncertain := errors.Is(err, logstore.ErrUncertain)
 		if first.IsZero() && (err == nil || uncertain) {
 			first = time.Now()
 		}
 		if err == nil {
 			return first, true
 		}
-		if !uncertain && !errors.Is(err, platform.ErrOverloaded) {
+		if !uncertain && !errors.Is(err, logstore.ErrOverloaded) {
 			return first, !first.IsZero()
 		}
 		time.Sleep(publishRepeat)
--- a/internal/bench/vmlog.go
+++ b/internal/bench/vmlog.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/link"
 )
 
@@ -17,18 +17,18 @@
 // vmLog is the log as one VM reaches it: out of reach while the zone is cut
 // off, standing still while the VM is paused.
 type vmLog struct {
-	log     platform.Log
+	log     logstore.Log
 	network *link.Network
 	zone    string
 	gate    *gate
 }
 
-var _ platform.Log = (*vmLog)(nil)
+var _ logstore.Log = (*vmLog)(nil)
 
 // pass is taken by a request on its way and by the answer on its way back.
 func (l *vmLog) pass(ctx context.Context) error {
 	if err := l.gate.wait(ctx); err != nil {
-		return &platform.UnavailableError{Cause: err}
+		return &logstore.UnavailableError{Cause: err}
 	}
 	if !l.network.IsCut(l.zone, platformPlace) {
 		return nil
@@ -37,35 +37,35 @@
 	case <-time.After(cutLogDelay):
 	case <-ctx.Done():
 	}
-	return &platform.UnavailableError{Cause: link.ErrCut}
+	return &logstore.UnavailableError{Cause: link.ErrCut}
 }
 
-// Append implements platform.Log. When the cut comes before the answer does,
+// Append implements logstore.Log. When the cut comes before the answer does,
 // the append took effect and its writer can't know.
-func (l *vmLog) Append(ctx context.Context, records []platform.Record) (int64, error) {
+func (l *vmLog) Append(ctx context.Context, records []logstore.Record) (int64, error) {
 	if err := l.pass(ctx); err != nil {
 		return 0, err
 	}
 	first, err := l.log.Append(ctx, records)
 	if lost := l.pass(ctx); lost != nil {
-		return 0, &platform.UncertainError{Cause: lost}
+		return 0, &logstore.UncertainError{Cause: lost}
 	}
 	return first, err
 }
 
-// Read implements platform.Log.
-func (l *vmLog) Read(ctx context.Context, from int64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements logstore.Log.
+func (l *vmLog) Read(ctx context.Context, from int64, max int, wait time.Duration) (logstore.Page, error) {
 	if err := l.pass(ctx); err != nil {
-		return platform.Page{}, err
+		return logstore.Page{}, err
 	}
 	page, err := l.log.Read(ctx, from, max, wait)
 	if lost := l.pass(ctx); lost != nil {
-		return platform.Page{}, lost
+		return logstore.Page{}, lost
 	}
 	return page, err
 }
 
-// Head implements platform.Log.
+// Head implements logstore.Log.
 func (l *vmLog) Head(ctx context.Context) (int64, error) {
 	if err := l.pass(ctx); err != nil {
 		return 0, err
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/server"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -167,7 +167,7 @@
 // publish puts the templates and the deployment's instances into the log, as
 // operators would.
 func (w *World) publish() error {
-	var records []platform.Record
+	var records []logstore.Record
 	add := func(p *policy.Publication) error {
 		rec, err := p.Record(time.Now())
 		records = append(records, rec)
--- a/internal/node/plane_codec.go
+++ b/internal/control/codec.go
@@ -1,26 +1,23 @@
-package node
+package control
 
 import (
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
-	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
 func age(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// refOf names a node as briefly as the protocol allows.
-func refOf(id membership.Identity) *innerpb.NodeRef {
+// Ref names a node to its peers, as briefly as the protocol allows.
+func Ref(id membership.Identity) *innerpb.NodeRef {
 	return &innerpb.NodeRef{NodeId: id.Node, Incarnation: strconv.FormatUint(id.Incarnation, 10)}
 }
 
-// Ref names a node to its peers.
-func Ref(id membership.Identity) *innerpb.NodeRef { return refOf(id) }
-
 // IdentityOf returns whom a reference names.
 func IdentityOf(r *innerpb.NodeRef) membership.Identity {
 	return identityOf(r.GetNodeId(), r.GetIncarnation())
@@ -31,59 +28,17 @@
 	return membership.Identity{Node: node, Incarnation: n}
 }
 
-// SuspectMessage is a record of suspicion as nodes pass it on: clocks differ,
-// so its time travels as an age.
-func SuspectMessage(now time.Time, s quarantine.Suspect) *innerpb.Suspect {
-	return &innerpb.Suspect{
-		Fingerprint: uint64(s.Fingerprint),
-		Upstream:    s.Upstream,
-		Incarnation: s.Incarnation,
-		AgeUs:       max(0, now.Sub(s.At).Microseconds()),
-		Cleared:     s.Cleared,
-		Alone:       s.Alone,
-	}
-}
-
-func suspectOf(now time.Time, s *innerpb.Suspect) quarantine.Suspect {
-	return quarantine.Suspect{
-		Fingerprint: quarantine.Fingerprint(s.GetFingerprint()),
-		Upstream:    s.GetUpstream(),
-		Incarnation: s.GetIncarnation(),
-		At:          now.Add(-age(s.GetAgeUs())),
-		Cleared:     s.GetCleared(),
-		Alone:       s.GetAlone(),
-	}
-}
-
-// SuspectMessages makes messages of records known at now.
-func SuspectMessages(now time.Time, list []quarantine.Suspect) []*innerpb.Suspect {
-	var out []*innerpb.Suspect
-	for _, s := range list {
-		out = append(out, SuspectMessage(now, s))
-	}
-	return out
-}
-
-// Suspects makes records of messages received at now.
-func Suspects(now time.Time, list []*innerpb.Suspect) []quarantine.Suspect {
-	var out []quarantine.Suspect
-	for _, s := range list {
-		out = append(out, suspectOf(now, s))
-	}
-	return out
-}
-
 // OnSuspects takes suspects that a peer spread.
 func (p *Plane) OnSuspects(now time.Time, list []*innerpb.Suspect) {
 	for _, s := range list {
-		p.incoming = append(p.incoming, suspectOf(now, s))
+		p.incoming = append(p.incoming, inner.Suspect(now, s))
 	}
 }
 
 func livenessOf(findings []membership.Finding) []*innerpb.Liveness {
 	var out []*innerpb.Liveness
 	for _, f := range findings {
-		target := refOf(f.Target)
+		target := Ref(f.Target)
 		state := innerpb.LivenessState_LIVENESS_STATE_SUSPECT
 		if f.Alive {
 			state = innerpb.LivenessState_LIVENESS_STATE_ALIVE
@@ -110,7 +65,7 @@
 	return out
 }
 
-func recordsOf(entries []platform.Entry) []*innerpb.Record {
+func recordsOf(entries []logstore.Entry) []*innerpb.Record {
 	out := make([]*innerpb.Record, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, &innerpb.Record{
@@ -121,11 +76,11 @@
 	return out
 }
 
-func entriesOf(records []*innerpb.Record) []platform.Entry {
-	out := make([]platform.Entry, 0, len(records))
+func entriesOf(records []*innerpb.Record) []logstore.Entry {
+	out := make([]logstore.Entry, 0, len(records))
 	for _, r := range records {
-		out = append(out, platform.Entry{Offset: int64(r.GetOffset()), Record: platform.Record{
-			ID: r.GetAppendId(), Kind: platform.Kind(r.GetKind()),
+		out = append(out, logstore.Entry{Offset: int64(r.GetOffset()), Record: logstore.Record{
+			ID: r.GetAppendId(), Kind: logstore.Kind(r.GetKind()),
 			At: time.UnixMilli(r.GetLoggedUnixMs()), Body: r.GetBody(),
 		}})
 	}
@@ -146,7 +101,7 @@
 	if p.beat.seq == 0 {
 		return nil
 	}
-	ref := refOf(p.beat.hb.From)
+	ref := Ref(p.beat.hb.From)
 	ref.Zone = p.zone
 	ref.InnerAddr = p.beat.addr
 	return &innerpb.Relay{Node: ref, Rank: p.beat.hb.Rank, Sequence: p.beat.seq}
--- a/internal/node/plane_exchange.go
+++ b/internal/control/exchange.go
@@ -1,12 +1,12 @@
-package node
+package control
 
 import (
 	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 )
 
 const (
@@ -135,7 +135,7 @@
 	p.sentUp = p.upNews
 	p.ahead = Peer{}
 	return &innerpb.ExchangeRequest{
-		From:        refOf(p.self),
+		From:        Ref(p.self),
 		Suspects:    p.suspectNews(now),
 		Drains:      p.drainNews(now),
 		Liveness:    livenessOf(p.detector.Findings(now)),
@@ -198,7 +198,7 @@
 func (p *Plane) Answer(now, received time.Time, q *innerpb.ExchangeRequest) *innerpb.ExchangeResponse {
 	p.told[q.GetFrom().GetNodeId()] = told{news: p.news, proof: p.head.t0}
 	a := &innerpb.ExchangeResponse{
-		From:        refOf(p.self),
+		From:        Ref(p.self),
 		Head:        p.headOf(now),
 		HeldUs:      now.Sub(received).Microseconds(),
 		Suspects:    p.suspectNews(now),
@@ -285,7 +285,7 @@
 		return false
 	}
 	before := p.replica.Next()
-	page := platform.Page{
+	page := logstore.Page{
 		Entries: entriesOf(a.GetRecords()),
 		Next:    int64(a.GetRecordsNext()),
 		Head:    int64(a.GetHead().GetNextOffset()),
--- a/internal/node/plane_log.go
+++ b/internal/control/log.go
@@ -1,10 +1,10 @@
-package node
+package control
 
 import (
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 )
 
 const (
@@ -17,11 +17,11 @@
 // feed keeps the newest records for those that ask.
 type feed struct {
 	from    int64
-	entries []platform.Entry
+	entries []logstore.Entry
 	bytes   int
 }
 
-func (f *feed) add(entries []platform.Entry, from, next int64) {
+func (f *feed) add(entries []logstore.Entry, from, next int64) {
 	if from != f.from+int64(len(f.entries)) {
 		*f = feed{from: from}
 	}
@@ -43,7 +43,7 @@
 
 // since returns the records from an offset on, at most max and at least one
 // if any, in at most about bytes.
-func (f *feed) since(from int64, max, bytes int) []platform.Entry {
+func (f *feed) since(from int64, max, bytes int) []logstore.Entry {
 	if from < f.from || from-f.from >= int64(len(f.entries)) {
 		return nil
 	}
@@ -58,7 +58,7 @@
 	return out
 }
 
-func recordSize(e platform.Entry) int { return len(e.Record.Body) + len(e.Record.ID) + 48 }
+func recordSize(e logstore.Entry) int { return len(e.Record.Body) + len(e.Record.ID) + 48 }
 
 // ReadFrom returns the offset to read the log from, and whether this node
 // should read it at all now.
@@ -102,7 +102,7 @@
 }
 
 // OnPage takes a page of the log; sent is when its read was sent.
-func (p *Plane) OnPage(now, sent time.Time, page platform.Page) {
+func (p *Plane) OnPage(now, sent time.Time, page logstore.Page) {
 	p.failing = false
 	p.take(now, page)
 	if page.Next >= page.Head {
@@ -129,7 +129,7 @@
 }
 
 // take folds a page of the log, whoever read it.
-func (p *Plane) take(now time.Time, page platform.Page) {
+func (p *Plane) take(now time.Time, page logstore.Page) {
 	if len(page.Entries) == 0 {
 		return
 	}
--- a/internal/node/plane_news.go
+++ b/internal/control/news.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"encoding/json"
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
@@ -64,7 +65,7 @@
 func (p *Plane) takeNews(now time.Time, m newsBearer, up bool) {
 	p.takeElected(now, m.GetElected())
 	for _, s := range m.GetSuspects() {
-		p.incoming = append(p.incoming, suspectOf(now, s))
+		p.incoming = append(p.incoming, inner.Suspect(now, s))
 	}
 	for _, d := range m.GetDrains() {
 		p.takeDrain(now, identityOf(d.GetNodeId(), d.GetIncarnation()), age(d.GetAgeUs()), up)
@@ -99,7 +100,7 @@
 		if now.Sub(d.heard) >= newsFor && id != p.self || len(out) == maxNews {
 			continue
 		}
-		ref := refOf(id)
+		ref := Ref(id)
 		out = append(out, &innerpb.Drain{NodeId: ref.NodeId, Incarnation: ref.Incarnation, AgeUs: now.Sub(d.began).Microseconds()})
 	}
 	return out
@@ -177,7 +178,7 @@
 	var out []*innerpb.Suspect
 	for _, n := range p.suspects {
 		if now.Sub(n.heard) < newsFor && len(out) < maxNews {
-			out = append(out, SuspectMessage(now, n.suspect))
+			out = append(out, inner.SuspectMessage(now, n.suspect))
 		}
 	}
 	return out
--- a/internal/node/ownership.go
+++ b/internal/control/ownership.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"encoding/json"
@@ -8,8 +8,9 @@
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // NewOwnership returns the fold of nothing. All nodes must use the same cfg.
-func NewOwnership(cfg lease.Config, id Identity) *Ownership {
+func NewOwnership(cfg lease.Config, id node.Identity) *Ownership {
 	return &Ownership{
 		cfg:     cfg,
 		self:    membership.Identity{Node: id.Node, Incarnation: id.Incarnation},
@@ -88,7 +89,7 @@
 }
 
 // Apply folds entries in log order; now is when they were read.
-func (o *Ownership) Apply(now time.Time, entries []platform.Entry) {
+func (o *Ownership) Apply(now time.Time, entries []logstore.Entry) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range entries {
@@ -96,7 +97,7 @@
 			continue
 		}
 		o.next = e.Offset + 1
-		if e.Record.Kind == platform.KindTakeover {
+		if e.Record.Kind == logstore.KindTakeover {
 			o.takeoverLocked(now, e)
 		} else if rec := memberRecord(e.Record); rec != nil {
 			o.memberLocked(now, e.Offset, rec)
@@ -107,7 +108,7 @@
 	}
 }
 
-func (o *Ownership) takeoverLocked(now time.Time, e platform.Entry) {
+func (o *Ownership) takeoverLocked(now time.Time, e logstore.Entry) {
 	var t lease.Takeover
 	if err := json.Unmarshal(e.Record.Body, &t); err != nil {
 		return
@@ -177,7 +178,7 @@
 
 // MayStart decides whether a keyed call may start at this guard now, and until
 // when it must have been dispatched.
-func (o *Ownership) MayStart(now time.Time, call *Call) (time.Time, *result.Refusal) {
+func (o *Ownership) MayStart(now time.Time, call *node.Call) (time.Time, *result.Refusal) {
 	issued := call.Ctx.KeyIssued
 	if issued.IsZero() {
 		issued, _ = idempotency.IssuedAt(call.Ctx.Key)
@@ -188,7 +189,7 @@
 	if !ok || call.Ctx.Service != o.local {
 		return time.Time{}, result.Refuse(result.NoAuthority, "this guard does not serve %s", call.Ctx.Service)
 	}
-	a := l.MayStart(now, keyOf(call).Hash(), issued)
+	a := l.MayStart(now, call.IdempotencyKey().Hash(), issued)
 	return a.Deadline, a.Refusal
 }
 
--- a/internal/node/ownership_status.go
+++ b/internal/control/ownership_status.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"time"
--- a/internal/node/plane.go
+++ b/internal/control/plane.go
@@ -1,4 +1,8 @@
-package node
+// Package control decides for the control plane of the product's own interface: who is
+// a member, which configuration is in force, who owns which keys. It is a state machine
+// without I/O; package server moves its messages. The mesh on the operators' platform
+// has none of it.
+package control
 
 import (
 	"fmt"
@@ -7,8 +11,9 @@
 	"slices"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
@@ -79,7 +84,7 @@
 // methods are called in turn and must not call the Plane.
 type Follower interface {
 	// Applied gets every entry once, in log order and without a gap.
-	Applied(now time.Time, entries []platform.Entry)
+	Applied(now time.Time, entries []logstore.Entry)
 	// Truncated says that entries expired before they were read here.
 	Truncated()
 	// Proof says that at some time after t0 the next offset of the log was
@@ -161,7 +166,7 @@
 }
 
 // NewPlane returns the share of a node that knows nobody; cfg must be valid.
-func NewPlane(cfg PlaneConfig, id Identity, seeds []string, rng *rand.Rand, now time.Time) *Plane {
+func NewPlane(cfg PlaneConfig, id node.Identity, seeds []string, rng *rand.Rand, now time.Time) *Plane {
 	self := membership.Identity{Node: id.Node, Incarnation: id.Incarnation}
 	p := &Plane{
 		cfg: cfg, self: self, region: id.Region, zone: id.Zone, addr: id.InnerAddr,
--- a/internal/node/plane_test.go
+++ b/internal/control/plane_test.go
@@ -1,4 +1,4 @@
-package node_test
+package control_test
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
@@ -101,9 +101,9 @@
 	raw, err := json.Marshal(idempotency.Claim{KeyHash: 7, Node: "a-0", Incarnation: 1})
 	must.NoError(t, err)
 	w.settle()
-	w.append(platform.Record{ID: "claim", Kind: platform.KindClaim, At: w.now, Body: raw})
+	w.append(logstore.Record{ID: "claim", Kind: logstore.KindClaim, At: w.now, Body: raw})
 	for i := range 5000 {
-		w.append(platform.Record{ID: fmt.Sprint("fill", i), Kind: platform.KindDrain, At: w.now})
+		w.append(logstore.Record{ID: fmt.Sprint("fill", i), Kind: logstore.KindDrain, At: w.now})
 	}
 	w.run(2 * time.Second)
 	w.logCut[""] = true
@@ -160,7 +160,7 @@
 		return w.all(func(n *planeNode) bool { return !n.routes("b-2", 1) })
 	})
 	t.Logf("all zones after %v", took)
-	must.Eq(t, 1, w.kinds(platform.KindEvict))
+	must.Eq(t, 1, w.kinds(logstore.KindEvict))
 }
 
 // A zone is cut off from the log and the other zones for five minutes while an
@@ -180,7 +180,7 @@
 	must.False(t, w.named("c-0").configured(version))
 	must.True(t, w.named("c-0").configured(old))
 	must.True(t, w.all(func(n *planeNode) bool { return len(n.plane.Endpoints()) == 12 }))
-	must.Eq(t, 0, w.kinds(platform.KindEvict))
+	must.Eq(t, 0, w.kinds(logstore.KindEvict))
 	clear(w.cut)
 	clear(w.logCut)
 	took := w.until(9*time.Second, "the zone follows", func() bool {
@@ -201,7 +201,7 @@
 	}
 	w.cut[[2]string{"a", "a2"}] = true
 	w.run(2 * time.Minute)
-	must.Eq(t, 0, w.kinds(platform.KindEvict))
+	must.Eq(t, 0, w.kinds(logstore.KindEvict))
 	clear(w.cut)
 	w.until(30*time.Second, "all route to all again", func() bool {
 		return w.all(func(n *planeNode) bool { return len(n.plane.Endpoints()) == 12 })
@@ -241,8 +241,8 @@
 	})
 	_, known := n.plane.Policy().Template("t-x", 0)
 	must.True(t, known)
-	snapshots := w.kinds(platform.KindSnapshot)
-	t.Logf("%d snapshots, %d joins in an hour", snapshots, w.kinds(platform.KindJoin))
+	snapshots := w.kinds(logstore.KindSnapshot)
+	t.Logf("%d snapshots, %d joins in an hour", snapshots, w.kinds(logstore.KindJoin))
 	must.Between(t, 8, snapshots, 32)
 }
 
--- a/internal/node/replica.go
+++ b/internal/control/replica.go
@@ -1,12 +1,12 @@
-package node
+package control
 
 import (
 	"encoding/json"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
@@ -19,7 +19,7 @@
 	maxClaims = 200_000
 	// dedupWindow is how many offsets back a repeated record is recognised. A
 	// node repeats for about 30 s, in which today's 17 nodes append less than
-	// 300 times 30 groups; see platform.Dedup.
+	// 300 times 30 groups; see logstore.Dedup.
 	dedupWindow = 20_000
 )
 
@@ -34,7 +34,7 @@
 type Replica struct {
 	next    int64
 	strict  int64
-	dedup   *platform.Dedup
+	dedup   *logstore.Dedup
 	policy  *policy.Replica
 	members *membership.View
 	claims  *idempotency.Claims
@@ -43,7 +43,7 @@
 // NewReplica returns the fold of nothing.
 func NewReplica() *Replica {
 	return &Replica{
-		dedup:   platform.NewDedup(dedupWindow),
+		dedup:   logstore.NewDedup(dedupWindow),
 		policy:  policy.NewReplica(nil),
 		members: &membership.View{},
 		claims:  idempotency.NewClaims(claimHorizon, maxClaims),
@@ -73,16 +73,16 @@
 // Take folds a page in log order and returns the entries that continue what
 // was seen without a gap. A record whose body cannot be read is skipped by
 // every replica alike.
-func (r *Replica) Take(now time.Time, page platform.Page) []platform.Entry {
+func (r *Replica) Take(now time.Time, page logstore.Page) []logstore.Entry {
 	r.policy.Take(page)
 	r.takeMembers(page.Entries)
-	var seen []platform.Entry
+	var seen []logstore.Entry
 	for _, e := range page.Entries {
 		if e.Offset != r.strict {
 			continue
 		}
 		r.strict++
-		if e.Record.Kind == platform.KindClaim {
+		if e.Record.Kind == logstore.KindClaim {
 			r.applyClaim(now, e)
 		}
 		seen = append(seen, e)
@@ -90,7 +90,7 @@
 	return seen
 }
 
-func (r *Replica) takeMembers(entries []platform.Entry) {
+func (r *Replica) takeMembers(entries []logstore.Entry) {
 	var members []membership.Entry
 	for _, e := range entries {
 		if e.Offset < r.next {
@@ -133,7 +133,7 @@
 	return true
 }
 
-func (r *Replica) applyClaim(now time.Time, e platform.Entry) {
+func (r *Replica) applyClaim(now time.Time, e logstore.Entry) {
 	var c idempotency.Claim
 	if err := json.Unmarshal(e.Record.Body, &c); err != nil {
 		return
@@ -141,19 +141,19 @@
 	r.claims.Apply(e.Offset, now, c)
 }
 
-func memberRecord(rec platform.Record) membership.Record {
+func memberRecord(rec logstore.Record) membership.Record {
 	switch rec.Kind {
-	case platform.KindJoin:
+	case logstore.KindJoin:
 		return decodeMember[membership.Join](rec)
-	case platform.KindLeave:
+	case logstore.KindLeave:
 		return decodeMember[membership.Leave](rec)
-	case platform.KindEvict:
+	case logstore.KindEvict:
 		return decodeMember[membership.Evict](rec)
 	}
 	return nil
 }
 
-func decodeMember[T membership.Record](rec platform.Record) membership.Record {
+func decodeMember[T membership.Record](rec logstore.Record) membership.Record {
 	var body T
 	if err := json.Unmarshal(rec.Body, &body); err != nil {
 		return nil
--- a/internal/node/plane_state.go
+++ b/internal/control/state.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"time"
@@ -13,7 +13,7 @@
 // State makes the answer to a node that can't get on by single records.
 func (p *Plane) State(now time.Time) (*innerpb.FetchStateResponse, error) {
 	out := &innerpb.FetchStateResponse{
-		From:        refOf(p.self),
+		From:        Ref(p.self),
 		Head:        p.headOf(now),
 		Drains:      p.drainNews(now),
 		SoftMembers: p.softNews(now),
--- a/internal/node/plane_tick.go
+++ b/internal/control/tick.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"encoding/json"
@@ -6,8 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 )
 
@@ -41,7 +41,7 @@
 
 // AppendRecord writes a record to the log. It need not be reported back: what
 // does not show up is handed out again.
-type AppendRecord struct{ Record platform.Record }
+type AppendRecord struct{ Record logstore.Record }
 
 func (SendProbe) planeAction()    {}
 func (SendProbeVia) planeAction() {}
@@ -185,7 +185,7 @@
 	if alive || !p.dead[id] || !p.Leads() || !p.Members().Live(id) {
 		return nil
 	}
-	return p.appendRecord(now, platform.KindEvict, membership.Evict{ID: id, By: p.self})
+	return p.appendRecord(now, logstore.KindEvict, membership.Evict{ID: id, By: p.self})
 }
 
 // joinTurn writes this node's join until it shows up, and again before the log
@@ -203,7 +203,7 @@
 		return nil
 	}
 	p.joinedAt = now
-	return p.appendRecord(now, platform.KindJoin, membership.Join{Member: *p.me})
+	return p.appendRecord(now, logstore.KindJoin, membership.Join{Member: *p.me})
 }
 
 // snapshotTurn writes the configuration again well before the log drops it.
@@ -230,18 +230,18 @@
 }
 
 // LeaveRecord is the last record of a planned stop.
-func (p *Plane) LeaveRecord(now time.Time) platform.Record {
-	return p.record(now, platform.KindLeave, membership.Leave{ID: p.self})
+func (p *Plane) LeaveRecord(now time.Time) logstore.Record {
+	return p.record(now, logstore.KindLeave, membership.Leave{ID: p.self})
 }
 
-func (p *Plane) appendRecord(now time.Time, kind platform.Kind, body any) []Action {
+func (p *Plane) appendRecord(now time.Time, kind logstore.Kind, body any) []Action {
 	return []Action{AppendRecord{Record: p.record(now, kind, body)}}
 }
 
-func (p *Plane) record(now time.Time, kind platform.Kind, body any) platform.Record {
+func (p *Plane) record(now time.Time, kind logstore.Kind, body any) logstore.Record {
 	// Membership records hold only strings, numbers and times: they marshal.
 	raw, _ := json.Marshal(body)
-	return platform.Record{ID: p.recordID(), Kind: kind, At: now, Body: raw}
+	return logstore.Record{ID: p.recordID(), Kind: kind, At: now, Body: raw}
 }
 
 // recordID names a record by 128 random bits.
--- a/internal/node/twelve_test.go
+++ b/internal/control/twelve_test.go
@@ -1,4 +1,4 @@
-package node
+package control_test
 
 import (
 	"container/heap"
@@ -13,8 +13,10 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/control"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -28,6 +30,24 @@
 	minuteTick   = 10 * time.Millisecond
 )
 
+// epoch is when the minute begins.
+var epoch = time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
+
+// freeAuthority permits every start without a claim.
+type freeAuthority struct{}
+
+// NeedsClaim implements node.Authority.
+func (freeAuthority) NeedsClaim(*node.Call) bool { return false }
+
+// MayStart implements node.Authority.
+func (freeAuthority) MayStart(time.Time, *node.Call) (time.Time, *result.Refusal) {
+	return time.Time{}, nil
+}
+
+func doneAnswer(call *node.Call) *node.Answer {
+	return &node.Answer{CallID: call.Ctx.CallID, Code: result.OK, Status: 200, Body: []byte("done")}
+}
+
 // minute drives nodes, the log and the network in one goroutine of virtual time.
 type minute struct {
 	t     *testing.T
@@ -41,10 +61,10 @@
 }
 
 type minuteNode struct {
-	*Node
+	*node.Node
 	s       *minute
 	service string
-	replica *Replica
+	replica *control.Replica
 	life    int // counts the upstream's crashes
 }
 
@@ -99,7 +119,7 @@
 }
 
 func (s *minute) publish() {
-	var records []platform.Record
+	var records []logstore.Record
 	add := func(p policy.Publication) {
 		rec, err := p.Record(s.now)
 		must.NoError(s.t, err)
@@ -118,10 +138,10 @@
 }
 
 func (s *minute) start(i int, seed uint64) {
-	n := &minuteNode{s: s, service: []string{"front", "middle", "back"}[i%3], replica: NewReplica()}
-	id := Identity{Node: fmt.Sprintf("n%02d", i), Incarnation: 1, Region: "r", Zone: fmt.Sprintf("z%d", i%2), InnerAddr: fmt.Sprintf("10.0.0.%d:1", i)}
-	n.Node = New(Config{
-		Identity: id, Clock: s, Runner: n, Authority: &fakeAuthority{}, Guard: DefaultGuardConfig(), Routing: routing.DefaultConfig(),
+	n := &minuteNode{s: s, service: []string{"front", "middle", "back"}[i%3], replica: control.NewReplica()}
+	id := node.Identity{Node: fmt.Sprintf("n%02d", i), Incarnation: 1, Region: "r", Zone: fmt.Sprintf("z%d", i%2), InnerAddr: fmt.Sprintf("10.0.0.%d:1", i)}
+	n.Node = node.New(node.Config{
+		Identity: id, Clock: s, Runner: n, Authority: freeAuthority{}, Guard: node.DefaultGuardConfig(), Routing: routing.DefaultConfig(),
 		Retry: retry.DefaultPolicy(), Throttle: retry.DefaultThrottleConfig(), Seed: [32]byte{byte(i), byte(seed)},
 		Ring: timeline.NewRing(id.Node, 1<<15, &timeline.Clock{}), Sample: 1,
 	})
@@ -131,7 +151,7 @@
 		Service: n.service, InnerAddr: id.InnerAddr, Slots: 6, JoinedAt: s.now,
 	}})
 	must.NoError(s.t, err)
-	_, err = s.log.Append(context.Background(), []platform.Record{{ID: id.Node, Kind: platform.KindJoin, Body: body}})
+	_, err = s.log.Append(context.Background(), []logstore.Record{{ID: id.Node, Kind: logstore.KindJoin, Body: body}})
 	must.NoError(s.t, err)
 	n.announce()
 	n.tick()
@@ -139,7 +159,7 @@
 }
 
 func (n *minuteNode) announce() {
-	n.UpstreamAnnounced(n.s.now, Announcement{Service: n.service, Address: "10.0.0.1:2", Slots: 6})
+	n.UpstreamAnnounced(n.s.now, node.Announcement{Service: n.service, Address: "10.0.0.1:2", Slots: 6})
 }
 
 func (n *minuteNode) tick() {
@@ -153,19 +173,21 @@
 	must.NoError(n.s.t, err)
 	n.replica.Take(n.s.now, page)
 	n.SetPolicy(n.s.now, n.replica.Policy())
-	n.SetEndpoints(n.s.now, Endpoints(n.replica.Members(), func(membership.Identity) bool { return false }))
+	n.SetEndpoints(n.s.now, control.Endpoints(n.replica.Members(), func(membership.Identity) bool { return false }))
 	n.s.after(time.Second, n.follow)
 }
 
 // Claim implements Runner.
-func (n *minuteNode) Claim(call *Call) { n.s.t.Fatalf("call %s asked for a claim", call.Ctx.CallID) }
+func (n *minuteNode) Claim(call *node.Call) {
+	n.s.t.Fatalf("call %s asked for a claim", call.Ctx.CallID)
+}
 
 // Run implements Runner: the upstream works, then calls deeper.
-func (n *minuteNode) Run(call *Call, _ time.Time) {
+func (n *minuteNode) Run(call *node.Call, _ time.Time) {
 	life := n.life
-	end := func(a *Answer) {
+	end := func(a *node.Answer) {
 		if n.life != life {
-			a = Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the upstream died"))
+			a = node.Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the upstream died"))
 			a.Crashed = n.UpstreamCrashed(n.s.now)
 		}
 		n.Guard().Finish(n.s.now, call.Ctx.CallID, a)
@@ -173,44 +195,44 @@
 	deeper := map[string]string{"front": "middle", "middle": "back"}[n.service]
 	n.s.after(time.Duration((0.5+n.s.rng.Float64())*float64(20*time.Millisecond)), func() {
 		if deeper == "" || n.life != life {
-			end(wholeAnswerOf(call, "done"))
+			end(doneAnswer(call))
 			return
 		}
 		n.callDeeper(call, deeper, end)
 	})
 }
 
-func (n *minuteNode) callDeeper(call *Call, service string, end func(*Answer)) {
+func (n *minuteNode) callDeeper(call *node.Call, service string, end func(*node.Answer)) {
 	child, account, refusal := n.Child(n.s.now, callctx.Raw{Parent: call.Ctx.CallID, Service: service}, "GET")
 	if refusal != nil {
-		end(Refused(call.Ctx.CallID, refusal))
+		end(node.Refused(call.Ctx.CallID, refusal))
 		return
 	}
 	child.Method, child.Target = "GET", "/"+child.Ctx.CallID
-	n.dispatch(child, account, func(a *Answer) {
+	n.dispatch(child, account, func(a *node.Answer) {
 		if !a.Whole() {
-			end(&Answer{CallID: call.Ctx.CallID, Code: result.UpstreamFailed, Status: 502})
+			end(&node.Answer{CallID: call.Ctx.CallID, Code: result.UpstreamFailed, Status: 502})
 			return
 		}
-		end(wholeAnswerOf(call, "done"))
+		end(doneAnswer(call))
 	})
 }
 
 // dispatch follows a Dispatch over the simulated network.
-func (n *minuteNode) dispatch(call *Call, account *retry.Account, done func(*Answer)) {
-	d := NewDispatch(n.Node, n.s.rng, call, account)
+func (n *minuteNode) dispatch(call *node.Call, account *retry.Account, done func(*node.Answer)) {
+	d := node.NewDispatch(n.Node, n.s.rng, call, account)
 	var next func()
 	next = func() {
 		switch o := d.Next(n.s.now); o.Kind {
-		case OrderDone:
+		case node.OrderDone:
 			n.Answered(call, o.Answer, d)
 			done(o.Answer)
-		case OrderPause:
+		case node.OrderPause:
 			n.s.after(o.Pause, next)
-		case OrderSend:
+		case node.OrderSend:
 			to := n.s.node(o.Target.Endpoint().Node)
 			n.s.after(minuteOneWay, func() {
-				to.arrive(o.Attempt, func(a *Answer) {
+				to.arrive(o.Attempt, func(a *node.Answer) {
 					n.s.after(minuteOneWay, func() {
 						d.Observe(n.s.now, a)
 						next()
@@ -222,7 +244,7 @@
 	next()
 }
 
-func (n *minuteNode) arrive(call *Call, answer func(*Answer)) {
+func (n *minuteNode) arrive(call *node.Call, answer func(*node.Answer)) {
 	if _, a := n.Guard().Arrive(n.s.now, call, answer); a != nil {
 		answer(a)
 	}
@@ -253,7 +275,7 @@
 		return
 	}
 	call.Method, call.Target = "GET", "/"+call.Ctx.CallID
-	n.dispatch(call, retry.NewAccount(allowance), func(a *Answer) {
+	n.dispatch(call, retry.NewAccount(allowance), func(a *node.Answer) {
 		s.lines = append(s.lines, fmt.Sprintf("%s %s %s %d", s.now.Sub(epoch), n.ID(), call.Ctx.RequestID, a.Code))
 	})
 }
--- a/internal/node/planeworld_test.go
+++ b/internal/control/world_test.go
@@ -1,4 +1,4 @@
-package node_test
+package control_test
 
 import (
 	"fmt"
@@ -8,10 +8,11 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
@@ -22,7 +23,7 @@
 type planeWorld struct {
 	t       *testing.T
 	now     time.Time
-	entries []platform.Entry
+	entries []logstore.Entry
 	heads   []headAt        // history of the log's end
 	logCut  map[string]bool // by zone; "" cuts everyone
 	cut     map[[2]string]bool
@@ -42,7 +43,7 @@
 type planeNode struct {
 	w     *planeWorld
 	id    node.Identity
-	plane *node.Plane
+	plane *control.Plane
 	up    bool
 	side  string // where it is on the network; its zone unless moved
 	asked *question
@@ -52,7 +53,7 @@
 }
 
 type question struct {
-	peer node.Peer
+	peer control.Peer
 	sent time.Time
 	q    *innerpb.ExchangeRequest
 }
@@ -78,7 +79,7 @@
 	id := node.Identity{Node: name, Incarnation: incarnation, Region: "r", Zone: zone, InnerAddr: name + ":1"}
 	rng := rand.New(rand.NewPCG(uint64(len(w.nodes)), incarnation))
 	n := &planeNode{w: w, id: id, up: true, side: zone, guard: quarantine.New(quarantine.DefaultConfig())}
-	n.plane = node.NewPlane(node.DefaultPlaneConfig(w.retention), id, seeds, rng, w.now)
+	n.plane = control.NewPlane(control.DefaultPlaneConfig(w.retention), id, seeds, rng, w.now)
 	n.plane.SetFollower(n)
 	n.plane.SetMember(membership.Member{
 		Identity: membership.Identity{Node: name, Incarnation: incarnation}, Region: "r", Zone: zone,
@@ -89,7 +90,7 @@
 }
 
 // Applied checks that no entry is missed or comes twice.
-func (n *planeNode) Applied(_ time.Time, entries []platform.Entry) {
+func (n *planeNode) Applied(_ time.Time, entries []logstore.Entry) {
 	for _, e := range entries {
 		must.Eq(n.w.t, n.next, e.Offset, must.Sprint(n.id.Node))
 		n.next++
@@ -114,8 +115,8 @@
 	return head
 }
 
-func (w *planeWorld) append(rec platform.Record) {
-	w.entries = append(w.entries, platform.Entry{Offset: int64(len(w.entries)), Record: rec})
+func (w *planeWorld) append(rec logstore.Record) {
+	w.entries = append(w.entries, logstore.Entry{Offset: int64(len(w.entries)), Record: rec})
 	w.heads = append(w.heads, headAt{w.now, int64(len(w.entries))})
 }
 
@@ -173,7 +174,7 @@
 		n.plane.OnTruncated(w.oldest)
 	} else if reads && w.logUp(n) {
 		w.reads++
-		n.plane.OnPage(w.now, w.now, platform.Page{
+		n.plane.OnPage(w.now, w.now, logstore.Page{
 			Entries: w.entries[from:], Next: int64(len(w.entries)), Head: int64(len(w.entries)), Oldest: w.oldest,
 		})
 	}
@@ -194,24 +195,24 @@
 	w.version[n.id.Node] = version
 }
 
-func (n *planeNode) perform(actions []node.Action) {
+func (n *planeNode) perform(actions []control.Action) {
 	w := n.w
 	for _, a := range actions {
 		switch a := a.(type) {
-		case node.AppendRecord:
+		case control.AppendRecord:
 			if w.logUp(n) {
 				w.append(a.Record)
 			}
-		case node.SendProbe:
+		case control.SendProbe:
 			to := w.reach(n, a.To.Addr)
 			var from membership.Identity
 			if to != nil {
 				from = to.identity()
 			}
 			n.perform(n.plane.OnProbe(w.now, a.To.ID, from, to != nil))
-		case node.SendProbeVia:
+		case control.SendProbeVia:
 			n.plane.OnProbeVia(w.now, a.Target.ID, n.via(a.Helper, a.Target))
-		case node.CheckEvict:
+		case control.CheckEvict:
 			alive := false
 			for _, h := range a.Helpers {
 				alive = alive || n.via(h, a.Target)
@@ -225,7 +226,7 @@
 	return membership.Identity{Node: n.id.Node, Incarnation: n.id.Incarnation}
 }
 
-func (n *planeNode) via(helper, target node.Peer) bool {
+func (n *planeNode) via(helper, target control.Peer) bool {
 	h := n.w.reach(n, helper.Addr)
 	if h == nil {
 		return false
@@ -260,7 +261,7 @@
 }
 
 // ask sends a question; with a hold of 0 it is answered at once.
-func (n *planeNode) ask(peer node.Peer, hold time.Duration) *question {
+func (n *planeNode) ask(peer control.Peer, hold time.Duration) *question {
 	w := n.w
 	q := &question{peer: peer, sent: w.now, q: n.plane.Ask(w.now, hold)}
 	to := w.reach(n, peer.Addr)
@@ -334,7 +335,7 @@
 	return found
 }
 
-func (w *planeWorld) kinds(kind platform.Kind) (count int) {
+func (w *planeWorld) kinds(kind logstore.Kind) (count int) {
 	for _, e := range w.entries {
 		if e.Record.Kind == kind {
 			count++
--- a/internal/platform/appender_test.go
+++ b/internal/logstore/appender_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logstore_test
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
 )
 
 // sink counts what folds and hands every page to an Appender.
 type sink struct {
-	app   *platform.Appender
-	dedup *platform.Dedup
+	app   *logstore.Appender
+	dedup *logstore.Dedup
 
 	mu     sync.Mutex
 	next   int64
@@ -33,7 +33,7 @@
 	return s.next
 }
 
-func (s *sink) Take(page platform.Page, _ time.Time) {
+func (s *sink) Take(page logstore.Page, _ time.Time) {
 	s.mu.Lock()
 	for _, e := range page.Entries {
 		s.copies[e.Record.ID]++
@@ -56,16 +56,16 @@
 
 // slowReader refuses reads while blind.
 type slowReader struct {
-	platform.Log
+	logstore.Log
 	blind atomic.Bool
 }
 
-func (l *slowReader) Read(ctx context.Context, from int64, max int, wait time.Duration) (platform.Page, error) {
+func (l *slowReader) Read(ctx context.Context, from int64, max int, wait time.Duration) (logstore.Page, error) {
 	page, err := l.Log.Read(ctx, from, max, wait)
 	// Asked after the read: one that waits at the log since before the reader
 	// went blind must not show the records either.
 	if l.blind.Load() {
-		return platform.Page{}, &platform.UnavailableError{Cause: context.DeadlineExceeded}
+		return logstore.Page{}, &logstore.UnavailableError{Cause: context.DeadlineExceeded}
 	}
 	return page, err
 }
@@ -74,34 +74,34 @@
 type bench struct {
 	log  *logd.Server
 	read *slowReader
-	app  *platform.Appender
+	app  *logstore.Appender
 	sink *sink
 	stop func()
 }
 
-func newBench(t *testing.T, change func(*platform.AppenderConfig)) *bench {
+func newBench(t *testing.T, change func(*logstore.AppenderConfig)) *bench {
 	t.Helper()
 	log := logd.New(logd.Options{Seed: 1})
-	cfg := platform.DefaultAppenderConfig()
+	cfg := logstore.DefaultAppenderConfig()
 	cfg.Rand = rand.New(rand.NewPCG(1, 2))
 	if change != nil {
 		change(&cfg)
 	}
-	app, err := platform.NewAppender(log, cfg)
+	app, err := logstore.NewAppender(log, cfg)
 	must.NoError(t, err)
-	s := &sink{app: app, dedup: platform.NewDedup(10_000), copies: map[string]int{}, folds: map[string]int{}}
+	s := &sink{app: app, dedup: logstore.NewDedup(10_000), copies: map[string]int{}, folds: map[string]int{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = app.Run(ctx) })
-	fc := platform.DefaultFollowConfig()
+	fc := logstore.DefaultFollowConfig()
 	fc.Rand = rand.New(rand.NewPCG(3, 4))
 	read := &slowReader{Log: log}
-	wg.Go(func() { _ = platform.Follow(ctx, read, fc, s) })
+	wg.Go(func() { _ = logstore.Follow(ctx, read, fc, s) })
 	return &bench{log: log, read: read, app: app, sink: s, stop: func() { cancel(); wg.Wait() }}
 }
 
-func rec(id string) platform.Record {
-	return platform.Record{ID: id, Kind: platform.KindClaim, At: time.Now(), Body: []byte(`{}`)}
+func rec(id string) logstore.Record {
+	return logstore.Record{ID: id, Kind: logstore.KindClaim, At: time.Now(), Body: []byte(`{}`)}
 }
 
 // An operator's publication takes effect, its acknowledgement is lost, and the
@@ -154,7 +154,7 @@
 // the node's budget, so that the log has room for the other nodes.
 func TestSurgeStaysWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, func(c *platform.AppenderConfig) { c.PerSecond, c.Burst = 4, 2 })
+		b := newBench(t, func(c *logstore.AppenderConfig) { c.PerSecond, c.Burst = 4, 2 })
 		b.log.Update(func(k *logd.Knobs) { k.DelayMillis = 5 })
 		start := time.Now()
 		var wg sync.WaitGroup
@@ -187,7 +187,7 @@
 		go func() { _, err := b.app.Append(ctx, rec("sent")); sent <- err }()
 		synctest.Wait()
 		go func() { _, err := b.app.Append(ctx, rec("unsent")); unsent <- err }()
-		must.ErrorIs(t, <-sent, platform.ErrUncertain)
+		must.ErrorIs(t, <-sent, logstore.ErrUncertain)
 		err := <-unsent
 		must.ErrorIs(t, err, context.DeadlineExceeded)
 		must.False(t, isUncertain(err))
@@ -199,7 +199,7 @@
 }
 
 func isUncertain(err error) bool {
-	_, ok := err.(*platform.UncertainError)
+	_, ok := err.(*logstore.UncertainError)
 	return ok
 }
 
@@ -212,7 +212,7 @@
 		b.log.Update(func(k *logd.Knobs) { k.Outage = true })
 		start := time.Now()
 		_, err := b.app.Append(t.Context(), rec("old"))
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, logstore.ErrUnavailable)
 		must.LessEq(t, 40*time.Second, time.Since(start))
 		b.log.Update(func(k *logd.Knobs) { k.Outage = false })
 		_, err = b.app.Append(t.Context(), rec("new"))
@@ -226,7 +226,7 @@
 // bound and holds nothing of those who left.
 func TestQueueIsBoundedThroughOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, func(c *platform.AppenderConfig) { c.MaxQueue = 8 })
+		b := newBench(t, func(c *logstore.AppenderConfig) { c.MaxQueue = 8 })
 		b.log.Update(func(k *logd.Knobs) { k.Hang = true })
 		refused := 0
 		for round := range 20 {
@@ -238,7 +238,7 @@
 					_, err := b.app.Append(ctx, rec(fmt.Sprint(round, "-", i)))
 					mu.Lock()
 					defer mu.Unlock()
-					if err == platform.ErrQueueFull {
+					if err == logstore.ErrQueueFull {
 						refused++
 					}
 				})
@@ -253,18 +253,18 @@
 }
 
 func TestAppenderConfigNamesWhatIsWrong(t *testing.T) {
-	cfg := platform.DefaultAppenderConfig()
+	cfg := logstore.DefaultAppenderConfig()
 	cfg.RepeatFor = time.Second
-	_, err := platform.NewAppender(logd.New(logd.Options{}), cfg)
+	_, err := logstore.NewAppender(logd.New(logd.Options{}), cfg)
 	must.ErrorContains(t, err, "repeat_for is 1s, must be at least timeout 2s")
 }
 
 // Two replicas read the same log, one from further back. A repeat within the
 // window is no news to either; past the window the memory is empty again.
 func TestDedupWindow(t *testing.T) {
-	long, short := platform.NewDedup(10), platform.NewDedup(10)
-	entry := func(o int64, id string) platform.Entry {
-		return platform.Entry{Offset: o, Record: platform.Record{ID: id}}
+	long, short := logstore.NewDedup(10), logstore.NewDedup(10)
+	entry := func(o int64, id string) logstore.Entry {
+		return logstore.Entry{Offset: o, Record: logstore.Record{ID: id}}
 	}
 	for o := range int64(100) {
 		e := entry(o, fmt.Sprint("id", o/3))
--- a/internal/platform/client_test.go
+++ b/internal/logstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logstore_test
 
 import (
 	"bytes"
@@ -11,24 +11,24 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
 )
 
-func overHTTP(t *testing.T) (*logd.Server, *platform.Client, string) {
+func overHTTP(t *testing.T) (*logd.Server, *logstore.Client, string) {
 	t.Helper()
 	log := logd.New(logd.Options{Seed: 1})
 	srv := httptest.NewUnstartedServer(log.Handler())
 	srv.Config.ErrorLog = nil
 	srv.Start()
 	t.Cleanup(srv.Close)
-	return log, platform.NewClient(srv.URL+"/", platform.ClientOptions{}), srv.URL
+	return log, logstore.NewClient(srv.URL+"/", logstore.ClientOptions{}), srv.URL
 }
 
 func TestClientRoundTrip(t *testing.T) {
 	log, c, _ := overHTTP(t)
 	ctx := t.Context()
-	first, err := c.Append(ctx, []platform.Record{rec("a"), rec("b")})
+	first, err := c.Append(ctx, []logstore.Record{rec("a"), rec("b")})
 	must.NoError(t, err)
 	must.Eq(t, 0, first)
 	page, err := c.Read(ctx, 1, 10, 0)
@@ -38,8 +38,8 @@
 	must.Eq(t, 2, page.Next)
 	log.Truncate(1)
 	_, err = c.Read(ctx, 0, 10, 0)
-	must.ErrorIs(t, err, platform.ErrTruncated)
-	must.Eq(t, 1, err.(*platform.TruncatedError).Oldest)
+	must.ErrorIs(t, err, logstore.ErrTruncated)
+	must.Eq(t, 1, err.(*logstore.TruncatedError).Oldest)
 	head, err := c.Head(ctx)
 	must.NoError(t, err)
 	must.Eq(t, 2, head)
@@ -52,22 +52,22 @@
 	log, c, _ := overHTTP(t)
 	ctx := t.Context()
 	log.SetKnobs(logd.Knobs{LoseAcks: 1})
-	_, err := c.Append(ctx, []platform.Record{rec("a")})
-	must.ErrorIs(t, err, platform.ErrUncertain)
+	_, err := c.Append(ctx, []logstore.Record{rec("a")})
+	must.ErrorIs(t, err, logstore.ErrUncertain)
 	must.Eq(t, 1, log.Appends())
 	log.SetKnobs(logd.Knobs{Outage: true})
-	_, err = c.Append(ctx, []platform.Record{rec("b")})
-	must.ErrorIs(t, err, platform.ErrUncertain)
+	_, err = c.Append(ctx, []logstore.Record{rec("b")})
+	must.ErrorIs(t, err, logstore.ErrUncertain)
 	log.SetKnobs(logd.Knobs{AppendsPerSecond: 1e-6})
-	_, err = c.Append(ctx, []platform.Record{rec("c")})
-	must.ErrorIs(t, err, platform.ErrOverloaded)
+	_, err = c.Append(ctx, []logstore.Record{rec("c")})
+	must.ErrorIs(t, err, logstore.ErrOverloaded)
 	must.Eq(t, 1, log.Appends())
-	dead := platform.NewClient("http://127.0.0.1:1", platform.ClientOptions{})
-	_, err = dead.Append(ctx, []platform.Record{rec("d")})
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	dead := logstore.NewClient("http://127.0.0.1:1", logstore.ClientOptions{})
+	_, err = dead.Append(ctx, []logstore.Record{rec("d")})
+	must.ErrorIs(t, err, logstore.ErrUnavailable)
 	must.False(t, isUncertain(err))
 	_, err = c.Append(ctx, nil)
-	must.ErrorIs(t, err, platform.ErrBadRequest)
+	must.ErrorIs(t, err, logstore.ErrBadRequest)
 }
 
 // A proxy between node and log answers with something else: too much, or a
@@ -78,27 +78,27 @@
 		_, _ = w.Write([]byte(body))
 	}))
 	t.Cleanup(srv.Close)
-	c := platform.NewClient(srv.URL, platform.ClientOptions{})
+	c := logstore.NewClient(srv.URL, logstore.ClientOptions{})
 	for _, body = range []string{
 		`{"entries":[{"offset":7,"record":{}}],"next":6}`,
 		`{"entries":[{"offset":5,"record":{}}],"next":7}`,
 		`{"entries":[`,
-		strings.Repeat(" ", platform.MaxPageBytes+1),
+		strings.Repeat(" ", logstore.MaxPageBytes+1),
 	} {
 		_, err := c.Read(t.Context(), 5, 10, 0)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, logstore.ErrUnavailable)
 	}
 }
 
 func TestReadWaitsForAnAppend(t *testing.T) {
 	_, c, _ := overHTTP(t)
-	got := make(chan platform.Page)
+	got := make(chan logstore.Page)
 	go func() {
-		page, err := c.Read(t.Context(), 0, 10, platform.MaxWait)
+		page, err := c.Read(t.Context(), 0, 10, logstore.MaxWait)
 		must.NoError(t, err)
 		got <- page
 	}()
-	_, err := c.Append(t.Context(), []platform.Record{rec("a")})
+	_, err := c.Append(t.Context(), []logstore.Record{rec("a")})
 	must.NoError(t, err)
 	must.Len(t, 1, (<-got).Entries)
 }
@@ -121,11 +121,11 @@
 	log := logd.New(logd.Options{Now: func() time.Time { return now }})
 	log.SetKnobs(logd.Knobs{RetentionMillis: 1000})
 	for range 3 {
-		_, err := log.Append(t.Context(), []platform.Record{rec("a")})
+		_, err := log.Append(t.Context(), []logstore.Record{rec("a")})
 		must.NoError(t, err)
 		now = now.Add(600 * time.Millisecond)
 	}
 	_, err := log.Read(t.Context(), 0, 10, 0)
-	must.ErrorIs(t, err, platform.ErrTruncated)
-	must.Eq(t, 2, err.(*platform.TruncatedError).Oldest)
+	must.ErrorIs(t, err, logstore.ErrTruncated)
+	must.Eq(t, 2, err.(*logstore.TruncatedError).Oldest)
 }
--- a/internal/platform/dedup.go
+++ b/internal/logstore/dedup.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 // Dedup remembers the IDs of the last window offsets, so that a record that a
 // writer appended again after a lost acknowledgement folds once.
--- a/internal/platform/fuzz_test.go
+++ b/internal/logstore/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logstore_test
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
 )
 
@@ -23,15 +23,15 @@
 // FuzzPage gives the client hostile pages: it fails, or what it returns is one
 // contiguous run from the offset asked.
 func FuzzPage(f *testing.F) {
-	good, err := json.Marshal(platform.Page{Entries: []platform.Entry{{Offset: 5, Record: rec("a")}}, Next: 6, Head: 9})
+	good, err := json.Marshal(logstore.Page{Entries: []logstore.Entry{{Offset: 5, Record: rec("a")}}, Next: 6, Head: 9})
 	must.NoError(f, err)
 	f.Add(good)
 	f.Add([]byte(`{"entries":[{"offset":5},{"offset":5}],"next":7}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := platform.NewClient("http://log", platform.ClientOptions{HTTP: &http.Client{Transport: answerer(data)}})
+		c := logstore.NewClient("http://log", logstore.ClientOptions{HTTP: &http.Client{Transport: answerer(data)}})
 		page, err := c.Read(t.Context(), 5, 10, 0)
 		if err != nil {
-			must.ErrorIs(t, err, platform.ErrUnavailable)
+			must.ErrorIs(t, err, logstore.ErrUnavailable)
 			return
 		}
 		must.Eq(t, 5+int64(len(page.Entries)), page.Next)
@@ -44,25 +44,25 @@
 // FuzzAppend sends hostile documents to the stand-in: what it takes reads back
 // as valid records.
 func FuzzAppend(f *testing.F) {
-	good, err := json.Marshal(platform.AppendRequest{Records: []platform.Record{rec("a"), rec("b")}})
+	good, err := json.Marshal(logstore.AppendRequest{Records: []logstore.Record{rec("a"), rec("b")}})
 	must.NoError(f, err)
 	f.Add(good)
 	f.Add([]byte(`{"records":[{"id":""}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		log := logd.New(logd.Options{})
 		w := httptest.NewRecorder()
-		log.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, platform.PathAppend, bytes.NewReader(data)))
-		page, err := log.Read(t.Context(), 0, platform.MaxPageEntries, 0)
+		log.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, logstore.PathAppend, bytes.NewReader(data)))
+		page, err := log.Read(t.Context(), 0, logstore.MaxPageEntries, 0)
 		must.NoError(t, err)
 		must.Eq(t, w.Code == http.StatusOK, len(page.Entries) > 0)
 		if w.Code != http.StatusOK {
 			must.Eq(t, http.StatusBadRequest, w.Code)
 			return
 		}
-		records := make([]platform.Record, len(page.Entries))
+		records := make([]logstore.Record, len(page.Entries))
 		for i := range page.Entries {
 			records[i] = page.Entries[i].Record
 		}
-		must.NoError(t, platform.CheckRecords(records))
+		must.NoError(t, logstore.CheckRecords(records))
 	})
 }
--- a/internal/platform/log.go
+++ b/internal/logstore/log.go
@@ -1,8 +1,8 @@
-// Package platform is the client of the platform's append-only log service,
+// Package logstore is the client of the platform's append-only log service,
 // the only place where something lasts. It holds the Log interface, its HTTP
 // client, the Appender that groups a node's records into few appends, and the
 // Dedup memory that lets a repeated record fold once.
-package platform
+package logstore
 
 import (
 	"context"
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -62,6 +63,11 @@
 // Keyed reports whether the call runs at most once under its key.
 func (c *Call) Keyed() bool { return !c.Ctx.Idempotent && c.Ctx.Key != "" }
 
+// IdempotencyKey is the key under which a keyed call runs at most once.
+func (c *Call) IdempotencyKey() idempotency.Key {
+	return idempotency.Key{Workspace: c.Ctx.Workspace, Service: c.Ctx.Service, Key: c.Ctx.Key}
+}
+
 // Answer is the end of one attempt: whole, or a refusal.
 type Answer struct {
 	CallID string
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -95,7 +95,7 @@
 // beginKeyLocked looks the key up; settled says that the call does not go on
 // to admission.
 func (g *Guard) beginKeyLocked(now time.Time, call *Call, w Waiter) (answer *Answer, settled bool) {
-	begin := g.keys.Begin(now, keyOf(call), call.BodyHash, call.Ctx.CallID)
+	begin := g.keys.Begin(now, call.IdempotencyKey(), call.BodyHash, call.Ctx.CallID)
 	switch begin.Kind {
 	case idempotency.Start:
 		return nil, false
@@ -165,7 +165,3 @@
 		Depth:        call.Ctx.Depth,
 	}
 }
-
-func keyOf(c *Call) idempotency.Key {
-	return idempotency.Key{Workspace: c.Ctx.Workspace, Service: c.Ctx.Service, Key: c.Ctx.Key}
-}
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -39,7 +39,7 @@
 	if !call.Keyed() {
 		return
 	}
-	key := keyOf(call)
+	key := call.IdempotencyKey()
 	switch {
 	case a.Whole():
 		g.keys.Finish(now, key, call.Ctx.CallID, idempotency.Answer{
@@ -54,7 +54,7 @@
 
 func (g *Guard) forgetKeyLocked(now time.Time, call *Call) {
 	if call.Keyed() {
-		g.keys.NotRun(now, keyOf(call), call.Ctx.CallID)
+		g.keys.NotRun(now, call.IdempotencyKey(), call.Ctx.CallID)
 	}
 }
 
--- a/internal/node/guard_keys.go
+++ b/internal/node/guard_keys.go
@@ -13,7 +13,7 @@
 	defer g.mu.Unlock()
 	n := 0
 	for _, e := range g.calls {
-		if e.phase != phaseDone && e.call.Keyed() && match(keyOf(e.call)) {
+		if e.phase != phaseDone && e.call.Keyed() && match(e.call.IdempotencyKey()) {
 			n++
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,5 +1,5 @@
-// Package node puts the decisions of one node together: what it knows of the
-// others, how calls are routed, admitted, retried and remembered. It does no
+// Package node is the path of a request through one node, its decisions put together:
+// how calls are routed, admitted, retried and remembered. It does no
 // I/O and reads no clock of its own: a Clock, a Runner and the messages that
 // arrive are given to it, so that many nodes can be driven by one goroutine.
 package node
@@ -348,7 +348,7 @@
 	if n.cfg.Owners == nil || !n.owned(call) {
 		return ""
 	}
-	return n.At(call.Ctx.Service, n.cfg.Owners.Owner(call.Ctx.Service, keyOf(call).Hash()))
+	return n.At(call.Ctx.Service, n.cfg.Owners.Owner(call.Ctx.Service, call.IdempotencyKey().Hash()))
 }
 
 // owned reports whether the call's key is decided by the owner of its slot.
--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -37,7 +37,7 @@
 func publish(t *testing.T, s *policy.State, p policy.Publication) *policy.State {
 	rec, err := p.Record(epoch)
 	must.NoError(t, err)
-	return s.Apply(platform.Entry{Offset: int64(s.Version()), Record: rec})
+	return s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: rec})
 }
 
 // An operator gave callers an hour to send a letter again. One did after forty
--- a/internal/policy/bench_test.go
+++ b/internal/policy/bench_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // plannedServices is the planned number of services.
@@ -20,7 +20,7 @@
 			Workspace: fmt.Sprint("workspace-", i%40), Service: fmt.Sprint("service-", i), Template: "balanced", Revision: 1,
 			Values: map[string]string{"default_timeout": "8s", "queue_limit": "75", "retry_allowance": "2", "slow_start": "20s"},
 		}}
-		s = s.Apply(platform.Entry{Offset: int64(s.Version()), Record: record(p)})
+		s = s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: record(p)})
 	}
 	must.Len(b, plannedServices, s.Instances())
 	return s
@@ -38,7 +38,7 @@
 
 func BenchmarkApplyOther(b *testing.B) {
 	s := plannedState(b)
-	e := platform.Entry{Record: platform.Record{ID: "c", Kind: platform.KindClaim}}
+	e := logstore.Entry{Record: logstore.Record{ID: "c", Kind: logstore.KindClaim}}
 	b.ReportAllocs()
 	for b.Loop() {
 		e.Offset = int64(s.Version())
@@ -54,7 +54,7 @@
 	for b.Loop() {
 		n++
 		p := &Publication{ID: fmt.Sprint("b", n), Author: "ito", Based: s.InstanceVersion(inst.Workspace, inst.Service), Instance: &inst}
-		s = s.Apply(platform.Entry{Offset: int64(s.Version()), Record: record(p)})
+		s = s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: record(p)})
 		if d, _ := s.Decision(p.ID); d.Outcome != Accepted {
 			b.Fatal(d)
 		}
--- a/internal/policy/decide.go
+++ b/internal/policy/decide.go
@@ -5,7 +5,7 @@
 	"maps"
 	"strconv"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // Check decides p as if it came next in the log, and returns what it would
@@ -29,7 +29,7 @@
 // publish folds one publication into a state that is not shared yet. A record
 // whose ID was decided before is a repeat after a lost acknowledgement: it
 // must neither be decided again nor be told that it lost to itself.
-func (s *State) publish(e platform.Entry) {
+func (s *State) publish(e logstore.Entry) {
 	if _, ok := s.decisions.get(e.Record.ID); ok {
 		return
 	}
@@ -52,7 +52,7 @@
 	}
 }
 
-func (s *State) decideEntry(e platform.Entry) outcome {
+func (s *State) decideEntry(e logstore.Entry) outcome {
 	version := Version(e.Offset) + 1
 	p, errs := decodePublication(e.Record.Body)
 	if p == nil {
--- a/internal/policy/decode.go
+++ b/internal/policy/decode.go
@@ -8,7 +8,7 @@
 	"io"
 	"strings"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // DecodeTemplate reads one template strictly and validates it.
@@ -96,8 +96,8 @@
 
 // needsNewerRules reports whether e is a publication that only a newer release
 // can decide. It reads leniently: the rest may hold fields not known here.
-func needsNewerRules(e platform.Entry) bool {
-	if e.Record.Kind != platform.KindTemplate && e.Record.Kind != platform.KindInstance {
+func needsNewerRules(e logstore.Entry) bool {
+	if e.Record.Kind != logstore.KindTemplate && e.Record.Kind != logstore.KindInstance {
 		return false
 	}
 	if len(e.Record.Body) > MaxPublicationBytes {
--- a/internal/policy/fuzz_test.go
+++ b/internal/policy/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // FuzzPublication folds hostile records. Whatever is accepted must survive a
@@ -24,7 +24,7 @@
 	base := newHistory()
 	base.append(record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)}))
 	f.Fuzz(func(t *testing.T, kind string, body []byte) {
-		e := platform.Entry{Offset: 1, Record: platform.Record{ID: "x", Kind: platform.Kind(kind), Body: body}}
+		e := logstore.Entry{Offset: 1, Record: logstore.Record{ID: "x", Kind: logstore.Kind(kind), Body: body}}
 		s := base.now().Apply(e)
 		if needsNewerRules(e) {
 			must.Eq(t, base.now(), s)
--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // epoch is the start of every test's clock.
@@ -30,7 +30,7 @@
 	}
 }
 
-func record(p *Publication) platform.Record {
+func record(p *Publication) logstore.Record {
 	r, err := p.Record(epoch)
 	if err != nil {
 		panic(err)
@@ -41,10 +41,10 @@
 // history drives one log and several replicas that read it at their own pace.
 // The oracle folds every record at once and keeps every state it went through.
 type history struct {
-	log      []platform.Record
+	log      []logstore.Record
 	oldest   int64
 	oracle   []*State
-	stale    []platform.Record
+	stale    []logstore.Record
 	replicas []*Replica
 	serial   int
 }
@@ -75,16 +75,16 @@
 
 func (h *history) now() *State { return h.oracle[len(h.oracle)-1] }
 
-func (h *history) append(r platform.Record) {
-	e := platform.Entry{Offset: int64(len(h.log)), Record: r}
+func (h *history) append(r logstore.Record) {
+	e := logstore.Entry{Offset: int64(len(h.log)), Record: r}
 	h.log = append(h.log, r)
 	h.oracle = append(h.oracle, h.now().Apply(e))
 }
 
-func (h *history) page(from int64, most int) platform.Page {
-	p := platform.Page{Next: from, Head: int64(len(h.log)), Oldest: h.oldest}
+func (h *history) page(from int64, most int) logstore.Page {
+	p := logstore.Page{Next: from, Head: int64(len(h.log)), Oldest: h.oldest}
 	for p.Next < p.Head && len(p.Entries) < most {
-		p.Entries = append(p.Entries, platform.Entry{Offset: p.Next, Record: h.log[p.Next]})
+		p.Entries = append(p.Entries, logstore.Entry{Offset: p.Next, Record: h.log[p.Next]})
 		p.Next++
 	}
 	return p
@@ -143,11 +143,11 @@
 				h.append(rapid.SampledFrom(h.log).Draw(t, "again"))
 			}
 		},
-		"unknown": func(*rapid.T) { h.append(platform.Record{ID: "c", Kind: platform.KindClaim}) },
+		"unknown": func(*rapid.T) { h.append(logstore.Record{ID: "c", Kind: logstore.KindClaim}) },
 		"garbage": func(t *rapid.T) {
-			kind := rapid.SampledFrom([]platform.Kind{platform.KindSnapshot, platform.KindInstance}).Draw(t, "kind")
+			kind := rapid.SampledFrom([]logstore.Kind{logstore.KindSnapshot, logstore.KindInstance}).Draw(t, "kind")
 			h.serial++
-			h.append(platform.Record{ID: fmt.Sprint("g", h.serial), Kind: kind, Body: []byte(`{"format":1,"version":1}x`)})
+			h.append(logstore.Record{ID: fmt.Sprint("g", h.serial), Kind: kind, Body: []byte(`{"format":1,"version":1}x`)})
 		},
 		"take snapshot": func(t *rapid.T) {
 			h.serial++
--- a/internal/policy/linear_test.go
+++ b/internal/policy/linear_test.go
@@ -13,7 +13,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
 )
 
@@ -81,8 +81,8 @@
 
 // operator is one client with its own appender and replica.
 type operator struct {
-	log     platform.Log
-	app     *platform.Appender
+	log     logstore.Log
+	app     *logstore.Appender
 	mu      sync.Mutex
 	replica *Replica
 }
@@ -93,7 +93,7 @@
 	return o.replica.Next()
 }
 
-func (o *operator) Take(page platform.Page, _ time.Time) {
+func (o *operator) Take(page logstore.Page, _ time.Time) {
 	o.mu.Lock()
 	o.replica.Take(page)
 	o.mu.Unlock()
@@ -130,7 +130,7 @@
 // publish sends one change of the one instance and reports what it was told.
 func (o *operator) publish(ctx context.Context, id string, based Version, allowance int) answer {
 	p := &Publication{ID: id, Author: "ito", Based: based, Instance: testInstance("letters", "strict", 1, fmt.Sprint(allowance))}
-	if _, err := o.app.Append(ctx, record(p)); errors.Is(err, platform.ErrUncertain) {
+	if _, err := o.app.Append(ctx, record(p)); errors.Is(err, logstore.ErrUncertain) {
 		return answer{}
 	}
 	d, ok := o.state().Decision(id)
@@ -199,7 +199,7 @@
 
 func concurrentRun(t *testing.T, seed uint64) []porcupine.Operation {
 	log := logd.New(logd.Options{Seed: seed})
-	_, err := log.Append(t.Context(), []platform.Record{record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)})})
+	_, err := log.Append(t.Context(), []logstore.Record{record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)})})
 	must.NoError(t, err)
 	log.SetKnobs(logd.Knobs{AppendsPerSecond: 40, AckLoss: 0.3, DelayMillis: 7})
 	outage := time.AfterFunc(2*time.Second, func() { log.Update(func(k *logd.Knobs) { k.Hang = true }) })
@@ -212,7 +212,7 @@
 	for client := range 4 {
 		o := newOperator(t, log, seed+uint64(client))
 		loops.Go(func() { _ = o.app.Run(ctx) })
-		loops.Go(func() { _ = platform.Follow(ctx, log, platform.DefaultFollowConfig(), o) })
+		loops.Go(func() { _ = logstore.Follow(ctx, log, logstore.DefaultFollowConfig(), o) })
 		clients.Go(func() { o.work(ctx, &rec, client, rand.New(rand.NewPCG(seed, uint64(client)))) })
 	}
 	clients.Wait()
@@ -221,10 +221,10 @@
 	return rec.ops
 }
 
-func newOperator(t *testing.T, log platform.Log, seed uint64) *operator {
-	cfg := platform.DefaultAppenderConfig()
+func newOperator(t *testing.T, log logstore.Log, seed uint64) *operator {
+	cfg := logstore.DefaultAppenderConfig()
 	cfg.Rand = rand.New(rand.NewPCG(seed, 1))
-	app, err := platform.NewAppender(log, cfg)
+	app, err := logstore.NewAppender(log, cfg)
 	must.NoError(t, err)
 	return &operator{log: log, app: app, replica: NewReplica(nil)}
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // Version of an object is the offset of the record that decided it plus one;
@@ -94,25 +94,25 @@
 	MaxValueBytes = 128
 	// MaxStateBytes bounds the accepted templates and instances as snapshots
 	// hold them. Beside it a snapshot holds at most maxDecisions decisions, so
-	// that it always fits platform.MaxRecordBytes: a state that no snapshot
+	// that it always fits logstore.MaxRecordBytes: a state that no snapshot
 	// can hold would be lost when its records expire.
 	MaxStateBytes = 1280 << 10
 )
 
 // Record returns the log record of p, written at now.
-func (p *Publication) Record(now time.Time) (platform.Record, error) {
+func (p *Publication) Record(now time.Time) (logstore.Record, error) {
 	body, err := json.Marshal(p)
 	if err != nil {
-		return platform.Record{}, fmt.Errorf("publication %s: %w", p.ID, err)
+		return logstore.Record{}, fmt.Errorf("publication %s: %w", p.ID, err)
 	}
-	return platform.Record{ID: p.ID, Kind: p.kind(), At: now, Body: body}, nil
+	return logstore.Record{ID: p.ID, Kind: p.kind(), At: now, Body: body}, nil
 }
 
-func (p *Publication) kind() platform.Kind {
+func (p *Publication) kind() logstore.Kind {
 	if p.Template != nil {
-		return platform.KindTemplate
+		return logstore.KindTemplate
 	}
-	return platform.KindInstance
+	return logstore.KindInstance
 }
 
 // Object names what p changes, such as "instance chikugo/letters".
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // Replica decides for one process what to read of the log and which state is
@@ -70,7 +70,7 @@
 
 // Take folds a page that was read from Next and reports whether the state
 // changed.
-func (r *Replica) Take(page platform.Page) bool {
+func (r *Replica) Take(page logstore.Page) bool {
 	before := r.state.version
 	r.headBelow = page.Head < int64(before)
 	for i := range page.Entries {
@@ -93,7 +93,7 @@
 // since a newer snapshot spares folding from an older one, and ends only when
 // the entries after the state are still there. A log may hold millions of
 // entries of other kinds, so it jumps to the newest window first.
-func (r *Replica) scanOn(page platform.Page) {
+func (r *Replica) scanOn(page logstore.Page) {
 	closed := int64(r.state.version) >= page.Oldest && !r.Blocked()
 	switch {
 	case page.Next < page.Head:
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // formatVersion is that of the snapshot document.
@@ -202,20 +202,20 @@
 }
 
 // SnapshotRecord returns the record that repeats s, written at now.
-func (s *State) SnapshotRecord(id string, now time.Time) (platform.Record, error) {
+func (s *State) SnapshotRecord(id string, now time.Time) (logstore.Record, error) {
 	body, err := s.Marshal()
 	if err != nil {
-		return platform.Record{}, err
+		return logstore.Record{}, err
 	}
-	if len(body) > platform.MaxRecordBytes {
-		return platform.Record{}, FieldErrors{{"snapshot", fmt.Sprintf("%d bytes", len(body)), fmt.Sprintf("at most %d bytes", platform.MaxRecordBytes)}}
+	if len(body) > logstore.MaxRecordBytes {
+		return logstore.Record{}, FieldErrors{{"snapshot", fmt.Sprintf("%d bytes", len(body)), fmt.Sprintf("at most %d bytes", logstore.MaxRecordBytes)}}
 	}
-	return platform.Record{ID: id, Kind: platform.KindSnapshot, At: now, Body: body}, nil
+	return logstore.Record{ID: id, Kind: logstore.KindSnapshot, At: now, Body: body}, nil
 }
 
 // adopt takes the snapshot of e across a gap. One that claims to fold its own
 // place or later is not the fold of what stood before it, and is ignored.
-func (s *State) adopt(e platform.Entry) *State {
+func (s *State) adopt(e logstore.Entry) *State {
 	version, ok := snapshotVersion(e)
 	if !ok || version <= s.version {
 		return s
@@ -230,7 +230,7 @@
 // mark notes that a snapshot is in the log. A slow process may append an old
 // one after a newer; the newest counts, and contents are never taken from it:
 // s has folded all that it could hold.
-func (s *State) mark(e platform.Entry) {
+func (s *State) mark(e logstore.Entry) {
 	version, ok := snapshotVersion(e)
 	if !ok || version <= s.snapshot.Version {
 		return
@@ -241,8 +241,8 @@
 	}
 }
 
-func snapshotVersion(e platform.Entry) (Version, bool) {
-	if e.Record.Kind != platform.KindSnapshot {
+func snapshotVersion(e logstore.Entry) (Version, bool) {
+	if e.Record.Kind != logstore.KindSnapshot {
 		return 0, false
 	}
 	var head struct {
--- a/internal/policy/state.go
+++ b/internal/policy/state.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // State is the fold of the log up to Version. It is immutable: Apply returns
@@ -154,7 +154,7 @@
 }
 
 // Gap reports whether entries between s and e are missing.
-func (s *State) Gap(e platform.Entry) bool { return Version(e.Offset) > s.version }
+func (s *State) Gap(e logstore.Entry) bool { return Version(e.Offset) > s.version }
 
 // Apply folds e and returns the state after it. An entry that is folded
 // already changes nothing. Neither does one after a gap, unless it is a
@@ -162,7 +162,7 @@
 // differ. For the same reason a state stays before a publication whose rules
 // this release does not know; it keeps what is in force, and Replica goes on
 // from the snapshot or peer of a release that could decide.
-func (s *State) Apply(e platform.Entry) *State {
+func (s *State) Apply(e logstore.Entry) *State {
 	if Version(e.Offset) < s.version {
 		return s
 	}
@@ -175,9 +175,9 @@
 	next := *s
 	next.version = Version(e.Offset) + 1
 	switch e.Record.Kind {
-	case platform.KindTemplate, platform.KindInstance:
+	case logstore.KindTemplate, logstore.KindInstance:
 		next.publish(e)
-	case platform.KindSnapshot:
+	case logstore.KindSnapshot:
 		next.mark(e)
 	}
 	return &next
--- a/internal/policy/stories_test.go
+++ b/internal/policy/stories_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // Two operators publish a change of one instance, both based on what they see.
@@ -99,9 +99,9 @@
 func TestSnapshotFromTheFutureIsIgnored(t *testing.T) {
 	r, err := EmptyAt(90).SnapshotRecord("s", epoch)
 	must.NoError(t, err)
-	s := NewState().Apply(platform.Entry{Offset: 50, Record: r})
+	s := NewState().Apply(logstore.Entry{Offset: 50, Record: r})
 	must.Eq(t, 0, s.Version())
-	s = s.Apply(platform.Entry{Offset: 90, Record: r})
+	s = s.Apply(logstore.Entry{Offset: 90, Record: r})
 	must.Eq(t, 90, s.Version())
 }
 
@@ -112,7 +112,7 @@
 	first := record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)})
 	h.append(first)
 	for i := range maxDecisions + 10 {
-		h.append(platform.Record{ID: fmt.Sprint("x", i), Kind: platform.KindInstance, Body: []byte("{}")})
+		h.append(logstore.Record{ID: fmt.Sprint("x", i), Kind: logstore.KindInstance, Body: []byte("{}")})
 	}
 	_, ok := h.now().Decision("t")
 	must.False(t, ok)
@@ -133,7 +133,7 @@
 func TestOldReleaseStopsBeforeNewRules(t *testing.T) {
 	h := startedHistory()
 	r := h.replicas[0]
-	h.append(platform.Record{ID: "n", Kind: platform.KindInstance, Body: []byte(`{"id":"n","rules":2,"author":"ito","colour":1}`)})
+	h.append(logstore.Record{ID: "n", Kind: logstore.KindInstance, Body: []byte(`{"id":"n","rules":2,"author":"ito","colour":1}`)})
 	p := &Publication{ID: "i", Author: "ito", Instance: testInstance("letters", "strict", 1, "1")}
 	h.append(record(p))
 	for range 3 {
@@ -167,7 +167,7 @@
 	must.ErrorContains(t, d.Err(), "must be at most 1310720 bytes in all")
 	r, err := h.now().SnapshotRecord("s", epoch)
 	must.NoError(t, err)
-	must.Less(t, platform.MaxRecordBytes, len(r.Body))
+	must.Less(t, logstore.MaxRecordBytes, len(r.Body))
 	copied, err := UnmarshalState(r.Body)
 	must.NoError(t, err)
 	must.Eq(t, h.now().bytes, copied.bytes)
@@ -183,7 +183,7 @@
 	gone := &Instance{Workspace: "chikugo", Service: "letters", Withdrawn: true}
 	h.append(record(&Publication{ID: "w", Author: "ito", Based: 3, Instance: gone}))
 	for i := range maxDecisions {
-		h.append(platform.Record{ID: fmt.Sprint("x", i), Kind: platform.KindInstance, Body: []byte("{}")})
+		h.append(logstore.Record{ID: fmt.Sprint("x", i), Kind: logstore.KindInstance, Body: []byte("{}")})
 	}
 	h.append(first)
 	copied, err := UnmarshalState([]byte(mustMarshal(t, h.now())))
@@ -220,7 +220,7 @@
 	e, _ := started.State().Lookup("chikugo", "letters")
 	must.Eq(t, 2, e.RetryAllowance)
 	must.False(t, started.HeadBelow())
-	started.Take(platform.Page{Next: 4, Head: 0})
+	started.Take(logstore.Page{Next: 4, Head: 0})
 	must.True(t, started.HeadBelow())
 }
 
@@ -232,7 +232,7 @@
 		h := startedHistory()
 		claims := func(n int) {
 			for range n {
-				h.append(platform.Record{ID: "c", Kind: platform.KindClaim})
+				h.append(logstore.Record{ID: "c", Kind: logstore.KindClaim})
 			}
 		}
 		claims(600)
--- a/internal/policy/validate_test.go
+++ b/internal/policy/validate_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 func libraryState(t testing.TB) *State {
@@ -34,7 +34,7 @@
 		s := libraryState(t)
 		for i := range list {
 			p := &Publication{ID: list[i].Service, Author: "ito", Instance: &list[i]}
-			s = s.Apply(platform.Entry{Offset: int64(s.Version()), Record: record(p)})
+			s = s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: record(p)})
 			d, _ := s.Decision(p.ID)
 			must.NoError(t, d.Err())
 			e, ok := s.Lookup(workspace, list[i].Service)
@@ -135,7 +135,7 @@
 func TestCheckShowsTheDiff(t *testing.T) {
 	s := libraryState(t)
 	inst := &Instance{Workspace: "w", Service: "s", Template: "balanced", Revision: 1}
-	s = s.Apply(platform.Entry{Offset: int64(s.Version()), Record: record(&Publication{ID: "a", Author: "ito", Instance: inst})})
+	s = s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: record(&Publication{ID: "a", Author: "ito", Instance: inst})})
 	next := *inst
 	next.Values = map[string]string{"queue_limit": "10"}
 	next.Template = "strict"
@@ -191,7 +191,7 @@
 	must.False(t, r.SnapshotDue(&rule, epoch.Add(rule.Every), 0))
 	must.True(t, r.SnapshotDue(&rule, epoch.Add(2*rule.Every), 0))
 	for range 10 {
-		h.append(platform.Record{ID: "c", Kind: platform.KindClaim})
+		h.append(logstore.Record{ID: "c", Kind: logstore.KindClaim})
 	}
 	h.oldest = 1
 	fresh := NewReplica(h.now())
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -79,7 +79,7 @@
 	h.BodyHash = attempt.BodyHash
 	h.TargetIncarnation = formatIncarnation(s.to.Incarnation)
 	h.Reattach = attempt.Reattach
-	h.Marks = node.SuspectMessages(s.peers.node.Now(), attempt.Marks)
+	h.Marks = inner.SuspectMessages(s.peers.node.Now(), attempt.Marks)
 	h.FromNode = s.peers.node.ID()
 	h.Hlc = s.peers.node.Stamp(attempt)
 	return h
@@ -206,7 +206,7 @@
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
-		Marks:     node.Suspects(p.node.Now(), h.GetMarks()),
+		Marks:     inner.Suspects(p.node.Now(), h.GetMarks()),
 		Reattach:  h.GetReattach(),
 		Kept:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -15,8 +15,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -128,7 +128,7 @@
 		p.Author = "test"
 		rec, err := p.Record(time.Now())
 		must.NoError(w.t, err)
-		state = state.Apply(platform.Entry{Offset: int64(state.Version()), Record: rec})
+		state = state.Apply(logstore.Entry{Offset: int64(state.Version()), Record: rec})
 	}
 	for _, t := range policy.Library() {
 		add(policy.Publication{Template: &t})
--- a/internal/server/authority.go
+++ b/internal/server/authority.go
@@ -23,7 +23,7 @@
 	if a.NeedsClaim(call) {
 		return time.Time{}, nil
 	}
-	if holder, ok := a.server.control.holder(keyHash(call)); ok {
+	if holder, ok := a.server.control.holder(call.IdempotencyKey().Hash()); ok {
 		if refusal := a.server.control.settled(holder); refusal != nil {
 			return time.Time{}, refusal
 		}
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -24,7 +24,7 @@
 func newBackend(s *Server) *backend { return &backend{server: s, peers: newPeerOps(s)} }
 
 // view returns the members folded so far.
-func (c *control) view() *membership.View {
+func (c *controlLoop) view() *membership.View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Members()
@@ -32,14 +32,14 @@
 
 // known returns the members that calls can be routed to: those folded so far
 // and those whose join has not been read yet, this node among them.
-func (c *control) known() []membership.Member {
+func (c *controlLoop) known() []membership.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Known()
 }
 
 // knownNode returns the known member of that node ID.
-func (c *control) knownNode(nodeID string) (membership.Member, bool) {
+func (c *controlLoop) knownNode(nodeID string) (membership.Member, bool) {
 	for _, m := range c.known() {
 		if m.Node == nodeID {
 			return m, true
--- a/internal/server/claim.go
+++ b/internal/server/claim.go
@@ -8,9 +8,9 @@
 	"github.com/google/uuid"
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
 
@@ -18,8 +18,8 @@
 // it back: the first claim of a key in log order holds it. When the log gives
 // no answer the call is refused as not run, and the claim, should it be in the
 // log after all, stays with this guard, which a resend is then sent to.
-func (c *control) Claim(ctx context.Context, call *node.Call) *result.Refusal {
-	hash := keyHash(call)
+func (c *controlLoop) Claim(ctx context.Context, call *node.Call) *result.Refusal {
+	hash := call.IdempotencyKey().Hash()
 	id := c.server.node.Identity()
 	if holder, ok := c.holder(hash); ok {
 		return c.settled(holder)
@@ -32,7 +32,7 @@
 	if err != nil {
 		return result.Refuse(result.NoAuthority, "claim: %v", err)
 	}
-	_, err = c.server.appender.Append(ctx, platform.Record{ID: uuid.NewString(), Kind: platform.KindClaim, At: time.Now(), Body: raw})
+	_, err = c.server.appender.Append(ctx, logstore.Record{ID: uuid.NewString(), Kind: logstore.KindClaim, At: time.Now(), Body: raw})
 	if err != nil {
 		return result.Refuse(result.NoAuthority, "the log did not settle the claim: %v", err).After(time.Second)
 	}
@@ -43,18 +43,13 @@
 	return c.settled(holder)
 }
 
-func keyHash(call *node.Call) uint64 {
-	key := idempotency.Key{Workspace: call.Ctx.Workspace, Service: call.Ctx.Service, Key: call.Ctx.Key}
-	return key.Hash()
-}
-
-func (c *control) holder(hash uint64) (idempotency.Claim, bool) {
+func (c *controlLoop) holder(hash uint64) (idempotency.Claim, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Replica().Claim(hash)
 }
 
-func (c *control) settled(holder idempotency.Claim) *result.Refusal {
+func (c *controlLoop) settled(holder idempotency.Claim) *result.Refusal {
 	id := c.server.node.Identity()
 	if holder.Node == id.Node && holder.Incarnation == id.Incarnation {
 		return nil
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -7,10 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/control"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -38,10 +39,10 @@
 	leaveTimeout = time.Second
 )
 
-// control drives the node's share of the control plane: it moves what the
+// controlLoop drives the node's share of the control plane: it moves what the
 // plane decides over the network and the log. The lock is never held across
 // I/O.
-type control struct {
+type controlLoop struct {
 	server   *Server
 	log      logState
 	clients  *controlClients
@@ -54,7 +55,7 @@
 	enforcing sync.Mutex
 
 	mu    sync.Mutex
-	plane *node.Plane
+	plane *control.Plane
 	wake  chan struct{} // closed and replaced when there is something new
 	news  uint64
 	seq   uint64
@@ -63,8 +64,8 @@
 	ended sync.Once
 }
 
-func newControl(s *Server, clients *controlClients) *control {
-	return &control{
+func newControl(s *Server, clients *controlClients) *controlLoop {
+	return &controlLoop{
 		server:  s,
 		clients: clients,
 		kick:    make(chan struct{}, 1),
@@ -75,15 +76,15 @@
 }
 
 // bind makes the plane of the node, whose identity is known by now.
-func (c *control) bind() {
+func (c *controlLoop) bind() {
 	s := c.server
 	seed := newSeed()
-	c.plane = node.NewPlane(planeConfig(s), s.node.Identity(), s.cfg.SeedPeers, rand.New(rand.NewChaCha8(seed)), s.node.Now())
+	c.plane = control.NewPlane(planeConfig(s), s.node.Identity(), s.cfg.SeedPeers, rand.New(rand.NewChaCha8(seed)), s.node.Now())
 	c.plane.SetFollower(follower{server: s})
 }
 
-func planeConfig(s *Server) node.PlaneConfig {
-	cfg := node.DefaultPlaneConfig(s.cfg.Log.Retention.Std())
+func planeConfig(s *Server) control.PlaneConfig {
+	cfg := control.DefaultPlaneConfig(s.cfg.Log.Retention.Std())
 	cfg.Exchange = s.cfg.Timing.Exchange.Std()
 	cfg.FallBack = max(cfg.FallBack, 2*cfg.Exchange)
 	cfg.Stale = max(cfg.Stale, cfg.Exchange)
@@ -93,19 +94,19 @@
 // follower hands what the plane read to those who decide from single records.
 type follower struct{ server *Server }
 
-// Applied implements node.Follower.
-func (f follower) Applied(now time.Time, entries []platform.Entry) {
+// Applied implements control.Follower.
+func (f follower) Applied(now time.Time, entries []logstore.Entry) {
 	f.server.own.state.Apply(now, entries)
 	f.server.metrics.Inc(metrics.RecordsFolded, int64(len(entries)))
 	f.server.appender.Observe(entries)
 }
 
-// Truncated implements node.Follower.
+// Truncated implements control.Follower.
 func (f follower) Truncated() {
 	f.server.own.state.Truncated()
 }
 
-// Proof implements node.Follower.
+// Proof implements control.Follower.
 func (f follower) Proof(t0 time.Time, head int64) {
 	f.server.own.state.Proof(t0, head)
 }
@@ -113,7 +114,7 @@
 // with runs f on the plane, puts what came of it in force and wakes whoever
 // waits for news. What came of it is put in force without the plane's lock:
 // the guard asks the plane for claims with its own lock held.
-func (c *control) with(f func(now time.Time, p *node.Plane)) {
+func (c *controlLoop) with(f func(now time.Time, p *control.Plane)) {
 	c.enforcing.Lock()
 	defer c.enforcing.Unlock()
 	now := c.server.node.Now()
@@ -129,7 +130,7 @@
 	evicted   bool
 }
 
-func (c *control) step(now time.Time, f func(now time.Time, p *node.Plane)) outcome {
+func (c *controlLoop) step(now time.Time, f func(now time.Time, p *control.Plane)) outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, had := c.plane.HeadAge(now)
@@ -148,7 +149,7 @@
 	return out
 }
 
-func (c *control) enforce(now time.Time, out outcome) {
+func (c *controlLoop) enforce(now time.Time, out outcome) {
 	n := c.server.node
 	n.SetPolicy(now, out.policy)
 	if out.dirty {
@@ -165,9 +166,9 @@
 
 // awaitEnforced returns once what was folded so far is in force at this node.
 // A record counts as read back within the step that folds it, a moment before.
-func (c *control) awaitEnforced() { c.with(func(time.Time, *node.Plane) {}) }
+func (c *controlLoop) awaitEnforced() { c.with(func(time.Time, *control.Plane) {}) }
 
-func (c *control) kickSoon() {
+func (c *controlLoop) kickSoon() {
 	select {
 	case c.kick <- struct{}{}:
 	default:
@@ -175,19 +176,19 @@
 }
 
 // woken returns a channel that is closed at the next news.
-func (c *control) woken() <-chan struct{} {
+func (c *controlLoop) woken() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.wake
 }
 
 // read reads the log whenever the plane says that this node should.
-func (c *control) read(ctx context.Context) {
+func (c *controlLoop) read(ctx context.Context) {
 	for ctx.Err() == nil {
 		woken := c.woken()
 		var from int64
 		var reads, leads bool
-		c.with(func(now time.Time, p *node.Plane) {
+		c.with(func(now time.Time, p *control.Plane) {
 			from, reads = p.ReadFrom(now)
 			leads = p.Leads()
 		})
@@ -203,7 +204,7 @@
 	}
 }
 
-func (c *control) readOnce(ctx context.Context, from int64, wait time.Duration) {
+func (c *controlLoop) readOnce(ctx context.Context, from int64, wait time.Duration) {
 	c.counters.reads.Add(1)
 	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
 	defer cancel()
@@ -212,21 +213,21 @@
 	if ctx.Err() == nil {
 		c.noteRead(err)
 	}
-	var truncated *platform.TruncatedError
+	var truncated *logstore.TruncatedError
 	switch {
 	case err == nil:
-		c.with(func(now time.Time, p *node.Plane) { p.OnPage(now, sent, page) })
+		c.with(func(now time.Time, p *control.Plane) { p.OnPage(now, sent, page) })
 	case errors.As(err, &truncated):
-		c.with(func(_ time.Time, p *node.Plane) { p.OnTruncated(truncated.Oldest) })
+		c.with(func(_ time.Time, p *control.Plane) { p.OnTruncated(truncated.Oldest) })
 		sleep(ctx, readRetry)
 	case ctx.Err() == nil:
-		c.with(func(_ time.Time, p *node.Plane) { p.OnReadFailed() })
+		c.with(func(_ time.Time, p *control.Plane) { p.OnReadFailed() })
 		sleep(ctx, readRetry)
 	}
 }
 
 // tick looks at the plane's times, and at once when kicked.
-func (c *control) tick(ctx context.Context) {
+func (c *controlLoop) tick(ctx context.Context) {
 	t := time.NewTicker(planeTick)
 	defer t.Stop()
 	for {
@@ -237,9 +238,9 @@
 		case <-c.kick:
 		}
 		c.spreadSuspects(ctx)
-		var actions []node.Action
-		var asks []node.Peer
-		c.with(func(now time.Time, p *node.Plane) {
+		var actions []control.Action
+		var asks []control.Peer
+		c.with(func(now time.Time, p *control.Plane) {
 			actions = p.Tick(now)
 			asks = p.LeaderAsks(now)
 		})
@@ -252,39 +253,39 @@
 
 // join announces the node with its upstream: to the log, and to the peers
 // until it is there. A node that nobody knows serves nobody.
-func (c *control) join(a node.Announcement) {
+func (c *controlLoop) join(a node.Announcement) {
 	m := c.server.member()
 	m.Service = a.Service
 	m.Slots = a.Slots
 	m.Connections = a.Connections
 	m.JoinedAt = c.server.node.Now().UTC().Round(0)
 	c.server.own.state.SetLocal(m.Service)
-	c.with(func(_ time.Time, p *node.Plane) { p.SetMember(m) })
+	c.with(func(_ time.Time, p *control.Plane) { p.SetMember(m) })
 	c.kickSoon()
 }
 
 // drain tells the peers that this node is leaving.
-func (c *control) drain() {
-	c.with(func(now time.Time, p *node.Plane) { p.StartDrain(now) })
+func (c *controlLoop) drain() {
+	c.with(func(now time.Time, p *control.Plane) { p.StartDrain(now) })
 	c.kickSoon()
 }
 
 // endHeld answers the questions that are held here, so that a stop need not
 // wait for them.
-func (c *control) endHeld() { c.ended.Do(func() { close(c.closing) }) }
+func (c *controlLoop) endHeld() { c.ended.Do(func() { close(c.closing) }) }
 
 // leave returns once the leave record was read back: what is under way when the
 // appender ends may be lost.
-func (c *control) leave() {
-	var rec platform.Record
-	c.with(func(now time.Time, p *node.Plane) { rec = p.LeaveRecord(now) })
+func (c *controlLoop) leave() {
+	var rec logstore.Record
+	c.with(func(now time.Time, p *control.Plane) { rec = p.LeaveRecord(now) })
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	c.append(ctx, rec)
 }
 
 // append writes a record; the plane hands it out again if it doesn't show up.
-func (c *control) append(ctx context.Context, rec platform.Record) {
+func (c *controlLoop) append(ctx context.Context, rec logstore.Record) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := c.server.appender.Append(ctx, rec); err != nil {
@@ -293,7 +294,7 @@
 }
 
 // live reports whether exactly this life of a node is a member.
-func (c *control) live(id membership.Identity) bool {
+func (c *controlLoop) live(id membership.Identity) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.plane.Members().Live(id)
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -7,9 +7,9 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/metrics"
-	"github.com/galenagrade/galenagrade/internal/node"
 )
 
 const (
@@ -24,12 +24,12 @@
 
 // exchange asks the peer that the plane names, again and again: each question
 // is held there until there is news or a fresh proof.
-func (c *control) exchange(ctx context.Context) {
+func (c *controlLoop) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		woken := c.woken()
-		var peer node.Peer
+		var peer control.Peer
 		var ok bool
-		c.with(func(now time.Time, p *node.Plane) { peer, ok = p.NextExchange(now) })
+		c.with(func(now time.Time, p *control.Plane) { peer, ok = p.NextExchange(now) })
 		if !ok {
 			waitFor(ctx, woken, idleWait)
 			continue
@@ -45,11 +45,11 @@
 // hold is how long a question may be held. Fresh proofs answer most of them
 // after about an exchange; it is longer, or a question would be answered just
 // before the proof that it waits for.
-func (c *control) hold() time.Duration { return c.server.cfg.Timing.Exchange.Std() * 3 / 2 }
+func (c *controlLoop) hold() time.Duration { return c.server.cfg.Timing.Exchange.Std() * 3 / 2 }
 
 // ask makes one exchange and reports whether it brought records. A question
 // that is held is given up for another one when this node has news itself.
-func (c *control) ask(ctx context.Context, peer node.Peer, hold time.Duration) bool {
+func (c *controlLoop) ask(ctx context.Context, peer control.Peer, hold time.Duration) bool {
 	resp, sent, err := c.question(ctx, peer, hold)
 	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil && hold > 0 {
 		// The connection may have gone silent for good while new ones work:
@@ -63,12 +63,12 @@
 	if err != nil {
 		c.clients.drop(peer.Addr)
 		c.server.metrics.Inc(metrics.ControlExchangeFailures, 1)
-		c.with(func(now time.Time, p *node.Plane) { p.OnAskFailed(now, peer) })
+		c.with(func(now time.Time, p *control.Plane) { p.OnAskFailed(now, peer) })
 		return false
 	}
 	c.clients.answer(peer.Addr)
 	var fetch bool
-	c.with(func(now time.Time, p *node.Plane) { fetch = p.OnAnswer(now, sent, peer, resp) })
+	c.with(func(now time.Time, p *control.Plane) { fetch = p.OnAnswer(now, sent, peer, resp) })
 	if fetch {
 		c.fetch(peer)
 	}
@@ -77,12 +77,12 @@
 
 // question sends one question and returns its answer and when it was sent. The
 // error is context.Canceled when the question was given up for news.
-func (c *control) question(ctx context.Context, peer node.Peer, hold time.Duration) (*innerpb.ExchangeResponse, time.Time, error) {
+func (c *controlLoop) question(ctx context.Context, peer control.Peer, hold time.Duration) (*innerpb.ExchangeResponse, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+rpcTimeout)
 	defer cancel()
 	var q *innerpb.ExchangeRequest
 	var sent time.Time
-	c.with(func(now time.Time, p *node.Plane) { q, sent = p.Ask(now, hold), now })
+	c.with(func(now time.Time, p *control.Plane) { q, sent = p.Ask(now, hold), now })
 	done := make(chan struct{})
 	defer close(done)
 	if hold > 0 {
@@ -100,7 +100,7 @@
 }
 
 // cancelForNews ends a held question once this node has news for its peer.
-func (c *control) cancelForNews(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
+func (c *controlLoop) cancelForNews(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
 	sleep(ctx, askPause)
 	for ctx.Err() == nil {
 		c.mu.Lock()
@@ -120,17 +120,17 @@
 }
 
 // fetch takes over a peer's whole state.
-func (c *control) fetch(peer node.Peer) {
+func (c *controlLoop) fetch(peer control.Peer) {
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
-	req := &innerpb.FetchStateRequest{From: node.Ref(c.self())}
+	req := &innerpb.FetchStateRequest{From: control.Ref(c.self())}
 	c.counters.fetches.Add(1)
 	resp, err := c.clients.client(peer.Addr).FetchState(ctx, connect.NewRequest(req))
 	if err != nil {
 		c.server.logger.Warn().Err(err).Str("peer", peer.Addr).Msg("state was not fetched")
 		return
 	}
-	c.with(func(now time.Time, p *node.Plane) {
+	c.with(func(now time.Time, p *control.Plane) {
 		if err := p.OnState(now, resp.Msg); err != nil {
 			c.server.logger.Warn().Err(err).Str("peer", peer.Addr).Msg("state was refused")
 		}
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -8,11 +8,11 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
 	"github.com/galenagrade/galenagrade/internal/membership"
-	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -115,7 +115,7 @@
 	for part := uint32(0); ; part++ {
 		n := min(len(entries), partEntries)
 		req := &innerpb.HandOverRequest{
-			From:    node.Ref(o.server.control.self()),
+			From:    control.Ref(o.server.control.self()),
 			Service: &innerpb.ServiceRef{Service: o.state.Local()},
 			Part:    part,
 			Last:    n == len(entries),
@@ -141,9 +141,9 @@
 // HandOver takes another guard's memory. A part that found no room spoils the
 // whole: its keys would be new here and could run again.
 func (o *ownership) HandOver(_ context.Context, req *connect.Request[innerpb.HandOverRequest]) (*connect.Response[innerpb.HandOverResponse], error) {
-	detail := o.take(node.IdentityOf(req.Msg.GetFrom()), req.Msg)
+	detail := o.take(control.IdentityOf(req.Msg.GetFrom()), req.Msg)
 	return connect.NewResponse(&innerpb.HandOverResponse{
-		From:     node.Ref(o.server.control.self()),
+		From:     control.Ref(o.server.control.self()),
 		Accepted: detail == "",
 		Detail:   detail,
 	}), nil
--- a/internal/server/hooks.go
+++ b/internal/server/hooks.go
@@ -15,7 +15,7 @@
 // liveOf returns the members that serve a service and are not dead. Those that
 // are leaving count: were they left out, the others would take their keys over
 // while they hand them on, and the memory of what ran would be lost.
-func (c *control) liveOf(service string) []membership.Member {
+func (c *controlLoop) liveOf(service string) []membership.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	dead := c.plane.Dead()
--- a/internal/server/logstate.go
+++ b/internal/server/logstate.go
@@ -7,27 +7,27 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/metrics"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 // meteredLog times what the node asks of the log.
 type meteredLog struct {
-	platform.Log
+	logstore.Log
 	metrics *metrics.Set
 }
 
-// Append implements platform.Log.
-func (l *meteredLog) Append(ctx context.Context, records []platform.Record) (int64, error) {
+// Append implements logstore.Log.
+func (l *meteredLog) Append(ctx context.Context, records []logstore.Record) (int64, error) {
 	began := time.Now()
 	first, err := l.Log.Append(ctx, records)
 	l.metrics.Observe(metrics.LogAppendTime, time.Since(began))
 	return first, err
 }
 
-// Read implements platform.Log. The time includes the wait at the log's head.
-func (l *meteredLog) Read(ctx context.Context, from int64, most int, wait time.Duration) (platform.Page, error) {
+// Read implements logstore.Log. The time includes the wait at the log's head.
+func (l *meteredLog) Read(ctx context.Context, from int64, most int, wait time.Duration) (logstore.Page, error) {
 	began := time.Now()
 	page, err := l.Log.Read(ctx, from, most, wait)
 	l.metrics.Observe(metrics.LogReadTime, time.Since(began))
@@ -39,10 +39,10 @@
 type logState struct{ failing atomic.Bool }
 
 // noteRead takes the end of one read of the log.
-func (c *control) noteRead(err error) {
+func (c *controlLoop) noteRead(err error) {
 	now := c.server.node.Now()
 	c.server.metrics.Inc(metrics.LogReads, 1)
-	var truncated *platform.TruncatedError
+	var truncated *logstore.TruncatedError
 	if err == nil || errors.As(err, &truncated) {
 		if c.log.failing.Swap(false) {
 			c.server.node.Event(now, timeline.Event{Kind: timeline.LogBack})
@@ -62,7 +62,7 @@
 
 // logHealth returns the next offset to fold, the age of the newest known head
 // of the log (negative when none is known), and whether the log is there.
-func (c *control) logHealth() (next int64, age time.Duration, available bool) {
+func (c *controlLoop) logHealth() (next int64, age time.Duration, available bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next = int64(c.plane.Policy().Version())
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -10,12 +10,13 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/lease"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -38,11 +39,11 @@
 	takenTimeout = 3 * time.Second
 )
 
-// ownership drives node.Ownership: it appends takeovers, asks for promises and
+// ownership drives control.Ownership: it appends takeovers, asks for promises and
 // moves slots.
 type ownership struct {
 	server *Server
-	state  *node.Ownership
+	state  *control.Ownership
 	kick   chan struct{}
 
 	moving sync.Mutex // held for one move of slots
@@ -60,7 +61,7 @@
 	cfg.Validity = s.cfg.Timing.Authority.Std()
 	return &ownership{
 		server:     s,
-		state:      node.NewOwnership(cfg, id),
+		state:      control.NewOwnership(cfg, id),
 		kick:       make(chan struct{}, 1),
 		incomplete: make(map[membership.Identity]bool),
 	}
@@ -125,7 +126,7 @@
 		o.state.NotAppended(t)
 		return
 	}
-	rec := platform.Record{ID: uuid.NewString(), Kind: platform.KindTakeover, At: t.At, Body: body}
+	rec := logstore.Record{ID: uuid.NewString(), Kind: logstore.KindTakeover, At: t.At, Body: body}
 	for {
 		_, err := o.server.appender.Append(ctx, rec)
 		switch {
@@ -133,7 +134,7 @@
 			o.server.metrics.Inc(metrics.Takeovers, 1)
 			o.server.node.Event(o.server.node.Now(), timeline.Event{Kind: timeline.Takeover, Service: t.Service, Detail: slotsDetail(t.Slots)})
 			return
-		case !errors.Is(err, platform.ErrUncertain):
+		case !errors.Is(err, logstore.ErrUncertain):
 			o.state.NotAppended(t)
 			return
 		case ctx.Err() != nil:
@@ -158,7 +159,7 @@
 	defer cancel()
 	head, proven := o.state.Head()
 	resp, err := o.control(addr).Promise(ctx, connect.NewRequest(&innerpb.PromiseRequest{
-		Owner:     node.Ref(o.server.control.self()),
+		Owner:     control.Ref(o.server.control.self()),
 		Service:   &innerpb.ServiceRef{Service: o.state.Local()},
 		Slots:     slotNumbers(slots),
 		ProofHead: head,
@@ -168,7 +169,7 @@
 		return nil, err
 	}
 	if resp.Msg.GetProven() {
-		o.state.HeadSeen(node.IdentityOf(resp.Msg.GetFrom()), resp.Msg.GetProofHead())
+		o.state.HeadSeen(control.IdentityOf(resp.Msg.GetFrom()), resp.Msg.GetProofHead())
 	}
 	return resp.Msg, nil
 }
@@ -178,7 +179,7 @@
 	if err != nil || !resp.GetGranted() {
 		return
 	}
-	o.state.Promised(a.At, node.IdentityOf(resp.GetFrom()), a.Addr)
+	o.state.Promised(a.At, control.IdentityOf(resp.GetFrom()), a.Addr)
 }
 
 func (o *ownership) introductionDue(now time.Time) bool {
@@ -203,7 +204,7 @@
 
 // Promise answers another guard; see lease.Lessor.OnPromiseRequest.
 func (o *ownership) Promise(_ context.Context, req *connect.Request[innerpb.PromiseRequest]) (*connect.Response[innerpb.PromiseResponse], error) {
-	from := node.IdentityOf(req.Msg.GetOwner())
+	from := control.IdentityOf(req.Msg.GetOwner())
 	now := o.server.node.Now()
 	if req.Msg.GetProven() {
 		o.state.HeadSeen(from, req.Msg.GetProofHead())
@@ -213,7 +214,7 @@
 	o.countPromise(len(slots) > 0, granted)
 	head, proven := o.state.Head()
 	return connect.NewResponse(&innerpb.PromiseResponse{
-		From:      node.Ref(o.server.control.self()),
+		From:      control.Ref(o.server.control.self()),
 		Granted:   granted,
 		ProofHead: head,
 		Proven:    proven,
--- a/internal/server/plane_test.go
+++ b/internal/server/plane_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/wait"
 	"go.uber.org/goleak"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/server"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -23,24 +23,24 @@
 
 // gate is a node's way to the log, which can be shut for that node alone.
 type gate struct {
-	platform.Log
+	logstore.Log
 	shut atomic.Bool
 }
 
-func (g *gate) Read(ctx context.Context, from int64, max int, hold time.Duration) (platform.Page, error) {
+func (g *gate) Read(ctx context.Context, from int64, max int, hold time.Duration) (logstore.Page, error) {
 	if g.shut.Load() {
-		return platform.Page{}, platform.ErrUnavailable
+		return logstore.Page{}, logstore.ErrUnavailable
 	}
 	page, err := g.Log.Read(ctx, from, max, hold)
 	if g.shut.Load() {
-		return platform.Page{}, platform.ErrUnavailable
+		return logstore.Page{}, logstore.ErrUnavailable
 	}
 	return page, err
 }
 
-func (g *gate) Append(ctx context.Context, records []platform.Record) (int64, error) {
+func (g *gate) Append(ctx context.Context, records []logstore.Record) (int64, error) {
 	if g.shut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	return g.Log.Append(ctx, records)
 }
@@ -62,7 +62,7 @@
 	return p
 }
 
-func (p *planeCase) start(zone string, log platform.Log, seeds ...string) *server.Server {
+func (p *planeCase) start(zone string, log logstore.Log, seeds ...string) *server.Server {
 	cfg := settings.Defaults()
 	cfg.NodeID = fmt.Sprintf("n%d", len(p.nodes))
 	cfg.Region, cfg.Zone, cfg.SeedPeers = "r", zone, seeds
@@ -93,7 +93,7 @@
 	pub := policy.Publication{ID: id, Author: "op", Template: &t}
 	rec, err := pub.Record(time.Now())
 	must.NoError(p.t, err)
-	at, err := p.log.Append(p.t.Context(), []platform.Record{rec})
+	at, err := p.log.Append(p.t.Context(), []logstore.Record{rec})
 	must.NoError(p.t, err)
 	return policy.Version(at + 1)
 }
--- a/internal/server/probe.go
+++ b/internal/server/probe.go
@@ -6,10 +6,11 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/galenagrade/galenagrade/internal/control"
+	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
-	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 )
 
@@ -20,43 +21,43 @@
 	helperTimeout = 300 * time.Millisecond
 )
 
-func (c *control) self() membership.Identity {
+func (c *controlLoop) self() membership.Identity {
 	id := c.server.node.Identity()
 	return membership.Identity{Node: id.Node, Incarnation: id.Incarnation}
 }
 
 // perform carries out what the plane wants, each on its own.
-func (c *control) perform(ctx context.Context, actions []node.Action) {
+func (c *controlLoop) perform(ctx context.Context, actions []control.Action) {
 	for _, a := range actions {
 		c.server.loop(func() { c.performOne(ctx, a) })
 	}
 }
 
-func (c *control) performOne(ctx context.Context, a node.Action) {
+func (c *controlLoop) performOne(ctx context.Context, a control.Action) {
 	switch a := a.(type) {
-	case node.AppendRecord:
+	case control.AppendRecord:
 		c.append(ctx, a.Record)
-	case node.SendProbe:
+	case control.SendProbe:
 		from, ok := c.probe(ctx, a.To.Addr, probeTimeout)
-		var more []node.Action
-		c.with(func(now time.Time, p *node.Plane) { more = p.OnProbe(now, a.To.ID, from, ok) })
+		var more []control.Action
+		c.with(func(now time.Time, p *control.Plane) { more = p.OnProbe(now, a.To.ID, from, ok) })
 		c.perform(ctx, more)
-	case node.SendProbeVia:
+	case control.SendProbeVia:
 		reached := c.probeVia(ctx, a.Helper, a.Target)
-		c.with(func(now time.Time, p *node.Plane) { p.OnProbeVia(now, a.Target.ID, reached) })
-	case node.CheckEvict:
+		c.with(func(now time.Time, p *control.Plane) { p.OnProbeVia(now, a.Target.ID, reached) })
+	case control.CheckEvict:
 		alive := false
 		for _, h := range a.Helpers {
 			alive = alive || c.probeVia(ctx, h, a.Target)
 		}
-		var more []node.Action
-		c.with(func(now time.Time, p *node.Plane) { more = p.OnEvictChecked(now, a.Target.ID, alive) })
+		var more []control.Action
+		c.with(func(now time.Time, p *control.Plane) { more = p.OnEvictChecked(now, a.Target.ID, alive) })
 		c.perform(ctx, more)
 	}
 }
 
 // probe asks whoever is at an address for its identity.
-func (c *control) probe(ctx context.Context, addr string, timeout time.Duration) (membership.Identity, bool) {
+func (c *controlLoop) probe(ctx context.Context, addr string, timeout time.Duration) (membership.Identity, bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.counters.probes.Add(1)
@@ -66,15 +67,15 @@
 		c.server.metrics.Inc(metrics.ProbesFailed, 1)
 		return membership.Identity{}, false
 	}
-	return node.IdentityOf(resp.Msg.GetFrom()), true
+	return control.IdentityOf(resp.Msg.GetFrom()), true
 }
 
 // probeVia asks a helper to probe a target; it counts as reached only if the
 // same life of it answered.
-func (c *control) probeVia(ctx context.Context, helper, target node.Peer) bool {
+func (c *controlLoop) probeVia(ctx context.Context, helper, target control.Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	ref := node.Ref(target.ID)
+	ref := control.Ref(target.ID)
 	ref.InnerAddr = target.Addr
 	req := &innerpb.ProbeRequest{Indirect: ref, TargetIncarnation: ref.Incarnation}
 	c.counters.probes.Add(1)
@@ -88,21 +89,21 @@
 
 // spreadSuspects tells the guards of the same service in the zone what is new
 // about crashing requests; the exchange tells all others.
-func (c *control) spreadSuspects(ctx context.Context) {
+func (c *controlLoop) spreadSuspects(ctx context.Context) {
 	now := c.server.node.Now()
 	known := c.server.node.Guard().Suspects(now)
 	var fresh []quarantine.Suspect
-	var peers []node.Peer
-	c.with(func(now time.Time, p *node.Plane) {
+	var peers []control.Peer
+	c.with(func(now time.Time, p *control.Plane) {
 		fresh = p.SetSuspects(now, known)
 		peers = p.ServicePeers()
 	})
 	if len(fresh) == 0 {
 		return
 	}
-	req := &innerpb.SpreadSuspectsRequest{From: node.Ref(c.self())}
+	req := &innerpb.SpreadSuspectsRequest{From: control.Ref(c.self())}
 	for _, s := range fresh {
-		req.Suspects = append(req.Suspects, node.SuspectMessage(now, s))
+		req.Suspects = append(req.Suspects, inner.SuspectMessage(now, s))
 	}
 	for _, peer := range peers {
 		c.server.loop(func() {
--- a/internal/server/publish.go
+++ b/internal/server/publish.go
@@ -13,8 +13,8 @@
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/metrics"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -245,9 +245,9 @@
 
 func appendFailure(p *policy.Publication, err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, logstore.ErrUncertain):
 		return admin.Undecided("change %s may be in the log: %v", p.ID, err)
-	case errors.Is(err, platform.ErrBadRequest):
+	case errors.Is(err, logstore.ErrBadRequest):
 		return admin.Invalid("change %s: %v", p.ID, err)
 	}
 	return admin.Unavailable("change %s was not published: %v", p.ID, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,10 +18,10 @@
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/inner"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -43,7 +43,7 @@
 // Options are what a test or demo puts in place of the platform.
 type Options struct {
 	// Log stands in for the log service; nil means the client of settings.
-	Log platform.Log
+	Log logstore.Log
 	// Dial makes connections to other nodes; nil means TCP.
 	Dial proxy.DialFunc
 	// Logger receives JSON lines.
@@ -57,14 +57,14 @@
 // Server is a running node. Make it with Start.
 type Server struct {
 	cfg      *settings.Node
-	log      platform.Log
-	appender *platform.Appender
+	log      logstore.Log
+	appender *logstore.Appender
 	logger   zerolog.Logger
 	node     *node.Node
 	proxy    *proxy.Proxy
 	peers    *proxy.Peers
 	upstream *proxy.Upstream
-	control  *control
+	control  *controlLoop
 	own      *ownership
 	announce *announcements
 	backend  *backend
@@ -110,10 +110,10 @@
 		handedOver: make(chan struct{}),
 	}
 	if s.log == nil {
-		s.log = platform.NewClient(cfg.Log.URL, platform.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
+		s.log = logstore.NewClient(cfg.Log.URL, logstore.ClientOptions{Timeout: cfg.Log.ReadTimeout.Std()})
 	}
 	s.log = &meteredLog{Log: s.log, metrics: s.metrics}
-	appender, err := platform.NewAppender(s.log, s.appenderConfig())
+	appender, err := logstore.NewAppender(s.log, s.appenderConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "appender")
 	}
@@ -136,8 +136,8 @@
 // 15 stay below the several hundred appends a second that it takes.
 const appendsPerSecond = 15
 
-func (s *Server) appenderConfig() platform.AppenderConfig {
-	cfg := platform.DefaultAppenderConfig()
+func (s *Server) appenderConfig() logstore.AppenderConfig {
+	cfg := logstore.DefaultAppenderConfig()
 	cfg.PerSecond = appendsPerSecond
 	cfg.Timeout = min(s.cfg.Log.AppendTimeout.Std(), cfg.RepeatFor)
 	return cfg
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -6,9 +6,9 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
-	"github.com/galenagrade/galenagrade/internal/node"
 )
 
 // maxHold bounds how long a question is held, whatever its sender asks for.
@@ -17,7 +17,7 @@
 // service answers the control messages of other nodes.
 type service struct {
 	innerpbconnect.UnimplementedControlHandler
-	control *control
+	control *controlLoop
 }
 
 // Exchange implements innerpbconnect.ControlHandler.
@@ -27,7 +27,7 @@
 	hold := min(time.Duration(q.GetHoldUs())*time.Microsecond, maxHold)
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
-	c.with(func(now time.Time, p *node.Plane) { p.OnAsked(now, q) })
+	c.with(func(now time.Time, p *control.Plane) { p.OnAsked(now, q) })
 	for expired := false; ; {
 		a, woken := c.answer(received, q, expired)
 		if a != nil {
@@ -46,7 +46,7 @@
 }
 
 // answer answers a question, or returns what to wait on while it is held.
-func (c *control) answer(received time.Time, q *innerpb.ExchangeRequest, expired bool) (*innerpb.ExchangeResponse, <-chan struct{}) {
+func (c *controlLoop) answer(received time.Time, q *innerpb.ExchangeRequest, expired bool) (*innerpb.ExchangeResponse, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.server.node.Now()
@@ -59,10 +59,10 @@
 // Probe implements innerpbconnect.ControlHandler.
 func (s service) Probe(ctx context.Context, req *connect.Request[innerpb.ProbeRequest]) (*connect.Response[innerpb.ProbeResponse], error) {
 	c, q := s.control, req.Msg
-	resp := &innerpb.ProbeResponse{From: node.Ref(c.self()), Reached: true}
+	resp := &innerpb.ProbeResponse{From: control.Ref(c.self()), Reached: true}
 	if target := q.GetIndirect(); target != nil {
 		found, ok := c.probe(ctx, target.GetInnerAddr(), helperTimeout)
-		resp.Reached = ok && found == node.IdentityOf(target)
+		resp.Reached = ok && found == control.IdentityOf(target)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -82,7 +82,7 @@
 // SpreadSuspects implements innerpbconnect.ControlHandler.
 func (s service) SpreadSuspects(_ context.Context, req *connect.Request[innerpb.SpreadSuspectsRequest]) (*connect.Response[innerpb.SpreadSuspectsResponse], error) {
 	list := req.Msg.GetSuspects()
-	s.control.with(func(now time.Time, p *node.Plane) { p.OnSuspects(now, list) })
+	s.control.with(func(now time.Time, p *control.Plane) { p.OnSuspects(now, list) })
 	return connect.NewResponse(&innerpb.SpreadSuspectsResponse{Taken: uint32(len(list))}), nil
 }
 
--- a/internal/server/watch.go
+++ b/internal/server/watch.go
@@ -11,9 +11,9 @@
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
 
@@ -33,7 +33,7 @@
 
 // counted is what the metrics have taken over of others' counters so far.
 type counted struct {
-	appender platform.AppenderStats
+	appender logstore.AppenderStats
 	control  ControlStats
 	held     int64
 	// forgotten are the events that the ring pushed out.
--- a/internal/server/world_test.go
+++ b/internal/server/world_test.go
@@ -21,8 +21,8 @@
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb/adminpbconnect"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/platform"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/settings"
@@ -76,7 +76,7 @@
 }
 
 // startWith runs a node that has that log for itself.
-func (w *world) startWith(id string, log platform.Log, change func(*settings.Node)) *Server {
+func (w *world) startWith(id string, log logstore.Log, change func(*settings.Node)) *Server {
 	cfg := testSettings(id)
 	if change != nil {
 		change(cfg)
@@ -195,11 +195,11 @@
 // unjoinedLog takes everything but joins, as if they were lost on the way.
 type unjoinedLog struct{ *logd.Server }
 
-// Append implements platform.Log.
-func (l unjoinedLog) Append(ctx context.Context, records []platform.Record) (int64, error) {
-	kept := slices.DeleteFunc(slices.Clone(records), func(r platform.Record) bool { return r.Kind == platform.KindJoin })
+// Append implements logstore.Log.
+func (l unjoinedLog) Append(ctx context.Context, records []logstore.Record) (int64, error) {
+	kept := slices.DeleteFunc(slices.Clone(records), func(r logstore.Record) bool { return r.Kind == logstore.KindJoin })
 	if len(kept) == 0 {
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	return l.Server.Append(ctx, kept)
 }
--- a/internal/standin/logd/http.go
+++ b/internal/standin/logd/http.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // PathKnobs takes GET and PUT of Knobs as JSON; PathTruncate takes POST with
@@ -19,14 +19,14 @@
 )
 
 // maxRequestBytes leaves room for the envelope around MaxAppendBytes.
-const maxRequestBytes = platform.MaxAppendBytes + 1<<20
+const maxRequestBytes = logstore.MaxAppendBytes + 1<<20
 
 // Handler serves the log and its admin paths.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathAppend, s.serveAppend)
-	mux.HandleFunc("GET "+platform.PathRead, s.serveRead)
-	mux.HandleFunc("GET "+platform.PathHead, s.serveHead)
+	mux.HandleFunc("POST "+logstore.PathAppend, s.serveAppend)
+	mux.HandleFunc("GET "+logstore.PathRead, s.serveRead)
+	mux.HandleFunc("GET "+logstore.PathHead, s.serveHead)
 	mux.HandleFunc("GET "+PathKnobs, s.serveKnobs)
 	mux.HandleFunc("PUT "+PathKnobs, s.serveSetKnobs)
 	mux.HandleFunc("POST "+PathTruncate, s.serveTruncate)
@@ -34,16 +34,16 @@
 }
 
 func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var req platform.AppendRequest
+	var req logstore.AppendRequest
 	if !decode(w, r, &req) {
 		return
 	}
 	first, err := s.Append(r.Context(), req.Records)
-	if errors.Is(err, platform.ErrUncertain) {
+	if errors.Is(err, logstore.ErrUncertain) {
 		// A lost acknowledgement looks to the client like a cut connection.
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, platform.AppendResponse{First: first}, err)
+	reply(w, logstore.AppendResponse{First: first}, err)
 }
 
 func (s *Server) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -52,7 +52,7 @@
 	limit, err2 := strconv.Atoi(q.Get("max"))
 	wait, err3 := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
 	if err := errors.Join(err1, err2, err3); err != nil {
-		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+		fail(w, http.StatusBadRequest, logstore.ErrorResponse{Error: err.Error()})
 		return
 	}
 	page, err := s.Read(r.Context(), from, limit, time.Duration(wait)*time.Millisecond)
@@ -61,7 +61,7 @@
 
 func (s *Server) serveHead(w http.ResponseWriter, r *http.Request) {
 	head, err := s.Head(r.Context())
-	reply(w, platform.HeadResponse{Head: head}, err)
+	reply(w, logstore.HeadResponse{Head: head}, err)
 }
 
 func (s *Server) serveKnobs(w http.ResponseWriter, _ *http.Request) {
@@ -80,7 +80,7 @@
 func (s *Server) serveTruncate(w http.ResponseWriter, r *http.Request) {
 	oldest, err := strconv.ParseInt(r.URL.Query().Get("oldest"), 10, 64)
 	if err != nil {
-		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+		fail(w, http.StatusBadRequest, logstore.ErrorResponse{Error: err.Error()})
 		return
 	}
 	s.Truncate(oldest)
@@ -93,32 +93,32 @@
 		err = json.Unmarshal(body, into)
 	}
 	if err != nil {
-		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+		fail(w, http.StatusBadRequest, logstore.ErrorResponse{Error: err.Error()})
 	}
 	return err == nil
 }
 
 func reply(w http.ResponseWriter, v any, err error) {
-	var truncated *platform.TruncatedError
-	var over *platform.OverloadedError
+	var truncated *logstore.TruncatedError
+	var over *logstore.OverloadedError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, v)
 	case errors.As(err, &truncated):
-		fail(w, http.StatusGone, platform.ErrorResponse{Error: err.Error(), Oldest: truncated.Oldest})
+		fail(w, http.StatusGone, logstore.ErrorResponse{Error: err.Error(), Oldest: truncated.Oldest})
 	case errors.As(err, &over):
-		fail(w, http.StatusTooManyRequests, platform.ErrorResponse{
+		fail(w, http.StatusTooManyRequests, logstore.ErrorResponse{
 			Error:            err.Error(),
 			RetryAfterMillis: over.RetryAfter.Milliseconds() + 1,
 		})
-	case errors.Is(err, platform.ErrBadRequest):
-		fail(w, http.StatusBadRequest, platform.ErrorResponse{Error: err.Error()})
+	case errors.Is(err, logstore.ErrBadRequest):
+		fail(w, http.StatusBadRequest, logstore.ErrorResponse{Error: err.Error()})
 	default:
-		fail(w, http.StatusServiceUnavailable, platform.ErrorResponse{Error: err.Error()})
+		fail(w, http.StatusServiceUnavailable, logstore.ErrorResponse{Error: err.Error()})
 	}
 }
 
-func fail(w http.ResponseWriter, status int, doc platform.ErrorResponse) {
+func fail(w http.ResponseWriter, status int, doc logstore.ErrorResponse) {
 	writeJSON(w, status, doc)
 }
 
--- a/internal/standin/logd/logd.go
+++ b/internal/standin/logd/logd.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/platform"
+	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
 // Knobs are the limits and faults in force. The zero value is a log without
@@ -39,7 +39,7 @@
 	Seed uint64
 }
 
-// Server is the log. It implements platform.Log directly and is an
+// Server is the log. It implements logstore.Log directly and is an
 // http.Handler for the same over HTTP.
 type Server struct {
 	now func() time.Time
@@ -59,12 +59,12 @@
 }
 
 type stored struct {
-	entry platform.Entry
+	entry logstore.Entry
 	at    time.Time
 }
 
 var (
-	_ platform.Log = (*Server)(nil)
+	_ logstore.Log = (*Server)(nil)
 
 	errOutage  = errors.New("log stand-in is out")
 	errAckLost = errors.New("log stand-in dropped the acknowledgement")
@@ -119,9 +119,9 @@
 	return s.appends
 }
 
-// Append implements platform.Log.
-func (s *Server) Append(ctx context.Context, records []platform.Record) (int64, error) {
-	if err := platform.CheckRecords(records); err != nil {
+// Append implements logstore.Log.
+func (s *Server) Append(ctx context.Context, records []logstore.Record) (int64, error) {
+	if err := logstore.CheckRecords(records); err != nil {
 		return 0, err
 	}
 	if err := s.enter(ctx); err != nil {
@@ -130,22 +130,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if wait := s.overLocked(); wait > 0 {
-		return 0, &platform.OverloadedError{RetryAfter: wait}
+		return 0, &logstore.OverloadedError{RetryAfter: wait}
 	}
 	first := s.appendLocked(records)
 	if s.loseAckLocked() {
-		return 0, &platform.UncertainError{Cause: &platform.UnavailableError{Cause: errAckLost}}
+		return 0, &logstore.UncertainError{Cause: &logstore.UnavailableError{Cause: errAckLost}}
 	}
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (s *Server) Read(ctx context.Context, from int64, max int, wait time.Duration) (platform.Page, error) {
+// Read implements logstore.Log.
+func (s *Server) Read(ctx context.Context, from int64, max int, wait time.Duration) (logstore.Page, error) {
 	if err := s.enter(ctx); err != nil {
-		return platform.Page{}, err
+		return logstore.Page{}, err
 	}
-	max = clamp(max, platform.MaxPageEntries)
-	timer := time.NewTimer(min(wait, platform.MaxWait))
+	max = clamp(max, logstore.MaxPageEntries)
+	timer := time.NewTimer(min(wait, logstore.MaxWait))
 	defer timer.Stop()
 	for {
 		page, grown, err := s.page(from, max)
@@ -157,12 +157,12 @@
 		case <-timer.C:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, &platform.UnavailableError{Cause: ctx.Err()}
+			return logstore.Page{}, &logstore.UnavailableError{Cause: ctx.Err()}
 		}
 	}
 }
 
-// Head implements platform.Log.
+// Head implements logstore.Log.
 func (s *Server) Head(ctx context.Context) (int64, error) {
 	if err := s.enter(ctx); err != nil {
 		return 0, err
@@ -179,7 +179,7 @@
 		k, changed := s.knobs, s.changed
 		s.mu.Unlock()
 		if k.Outage {
-			return &platform.UnavailableError{Cause: errOutage}
+			return &logstore.UnavailableError{Cause: errOutage}
 		}
 		if !k.Hang {
 			return delay(ctx, time.Duration(k.DelayMillis)*time.Millisecond)
@@ -187,25 +187,25 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return &platform.UnavailableError{Cause: ctx.Err()}
+			return &logstore.UnavailableError{Cause: ctx.Err()}
 		}
 	}
 }
 
-func (s *Server) page(from int64, max int) (platform.Page, chan struct{}, error) {
+func (s *Server) page(from int64, max int) (logstore.Page, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	head := s.headLocked()
 	if from < s.oldest {
-		return platform.Page{}, nil, &platform.TruncatedError{From: from, Oldest: s.oldest}
+		return logstore.Page{}, nil, &logstore.TruncatedError{From: from, Oldest: s.oldest}
 	}
-	page := platform.Page{Next: from, Head: head, Oldest: s.oldest}
+	page := logstore.Page{Next: from, Head: head, Oldest: s.oldest}
 	bytes := 0
 	for page.Next < head && len(page.Entries) < max {
 		e := s.entries[page.Next-s.oldest].entry
 		bytes += len(e.Record.Body)
-		if len(page.Entries) > 0 && bytes > platform.MaxPageBytes/2 {
+		if len(page.Entries) > 0 && bytes > logstore.MaxPageBytes/2 {
 			break
 		}
 		page.Entries = append(page.Entries, e)
@@ -216,12 +216,12 @@
 
 func (s *Server) headLocked() int64 { return s.oldest + int64(len(s.entries)) }
 
-func (s *Server) appendLocked(records []platform.Record) int64 {
+func (s *Server) appendLocked(records []logstore.Record) int64 {
 	s.expireLocked()
 	first := s.headLocked()
 	now := s.now()
 	for i, r := range records {
-		e := platform.Entry{Offset: first + int64(i), Record: r}
+		e := logstore.Entry{Offset: first + int64(i), Record: r}
 		s.entries = append(s.entries, stored{entry: e, at: now})
 	}
 	s.appends++
@@ -287,6 +287,6 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return &platform.UnavailableError{Cause: ctx.Err()}
+		return &logstore.UnavailableError{Cause: ctx.Err()}
 	}
 }
