One node of a zone reads the store, the others read through it

Cause: every node read both topics by itself. Ruled out: an election or a lease in the store, which is one more promise and calls of its own; longer gathering, which makes records older; pushing news, since who is left out must ask anyway. Change: serving nodes of a zone form a tree of fan-out 16 by a hash of their names (fleet.Parent, pure); a node asks its parent for what came after the store's own offset (mesh.feed, mesh.relay). A parent that lost the store, is about to end or reads another store says so, and the store is read instead; a silent one shows by probes. State, galenactl and a log line say who is read through. mesh.Start copies its settings: a test changed those of a running node, and the race detector saw it now that they are read while it runs. Tests: a zone of 40 reads once and misses nothing; its reader goes silent; the store is lost; a feed lets go; trees without circles (property); ten publications to six nodes (60 calls before, 20 at most now); a zone that moves to another store.

--- a/cmd/galenactl/node.go
+++ b/cmd/galenactl/node.go
@@ -119,6 +119,9 @@
 	if b.Lost {
 		return "LOST"
 	}
+	if b.Through != "" {
+		return "through " + b.Through
+	}
 	return "reached"
 }
 
--- /dev/null
+++ b/internal/fleet/parent.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// relayFanOut is how many nodes of a zone read through one other: a zone of 412 nodes
+// is three deep, and each node answers 16 at most, however many there are.
+const relayFanOut = 16
+
+// Parent returns the node of the zone through which a node reads what the platform's
+// store has; known is false for the one that reads the store itself. others are the
+// other nodes of the zone.
+//
+// The load it answers: with 14,000 nodes each record would be read 14,000 times. Nodes
+// of a zone are ordered by a hash of their names and form a tree. All nodes agree on the
+// order, and whoever follows a node comes after it, so no circle of nodes waits for news
+// from itself while views of who is there differ. Nodes that are about to end, or have
+// no upstream, are followed by nobody.
+func Parent(node string, others []Member) (parent Member, known bool) {
+	own := nameHash(node)
+	var before []Member
+	for _, m := range others {
+		if m.State == Serving && compareNames(nameHash(m.Node), m.Node, own, node) < 0 {
+			before = append(before, m)
+		}
+	}
+	if len(before) == 0 {
+		return Member{}, false
+	}
+	slices.SortFunc(before, func(a, b Member) int {
+		return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
+	})
+	return before[(len(before)-1)/relayFanOut], true
+}
+
+func compareNames(hashA uint64, a string, hashB uint64, b string) int {
+	return cmp.Or(cmp.Compare(hashA, hashB), cmp.Compare(a, b))
+}
+
+func nameHash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return h.Sum64()
+}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -12,9 +12,9 @@
 
 // Item is the newest record of a key.
 type Item struct {
-	Key string
+	Key string `json:"key"`
 	// Value is empty when the key was deleted.
-	Value []byte
+	Value []byte `json:"value"`
 }
 
 // ErrExpired matches a read of records that the store keeps no more.
@@ -56,8 +56,15 @@
 	logger zerolog.Logger
 	// kick makes a pause end at once.
 	kick chan struct{}
-	// settle is how long to wait after news before the next read; nil: not at all.
+	// settle is how long to wait after news from the store before the next read; nil:
+	// not at all.
 	settle func() time.Duration
+	// relay reads through another node of the zone; nil: always the store itself.
+	relay *relay
+	// stopAsking ends the question to another node that waits, if one does.
+	stopAsking atomic.Pointer[context.CancelFunc]
+	// feed is what was read, for the nodes that read through this one.
+	feed feed
 
 	// confirmed is when the newest read that succeeded was sent, in Unix
 	// milliseconds; 0 means never. What is believed was true then.
@@ -96,21 +103,45 @@
 	if f.afresh.Swap(false) || next < 0 {
 		return f.snapshot(ctx)
 	}
+	if p, ok := f.ask(ctx, next); ok {
+		f.take(next, p, time.Now().Add(-time.Duration(p.AgeMillis)*time.Millisecond))
+		return p.Next, nil
+	}
+	if f.afresh.Load() {
+		return next, nil
+	}
 	sent := time.Now()
 	items, after, err := f.topic.Read(ctx, next, readWait)
 	if err != nil {
 		return next, err
 	}
-	f.confirm(sent, len(items) > 0)
-	if len(items) > 0 {
-		f.apply(items)
-		if f.settle != nil {
-			sleep(ctx, f.settle())
-		}
+	f.take(next, page{Items: items, Next: after}, asOf(sent, len(items) > 0))
+	if len(items) > 0 && f.settle != nil {
+		sleep(ctx, f.settle())
 	}
 	return after, nil
 }
 
+// ask reads through another node of the zone, unless there is none; restart ends it.
+func (f *follower) ask(ctx context.Context, next int64) (page, bool) {
+	if f.relay == nil {
+		return page{}, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.stopAsking.Store(&cancel)
+	return f.relay.read(ctx, f.topic.Name(), next)
+}
+
+// take puts a page in force that was read from an offset and was true then.
+func (f *follower) take(from int64, p page, then time.Time) {
+	f.confirmed.Store(then.UnixMilli())
+	f.feed.add(from, p)
+	if len(p.Items) > 0 {
+		f.apply(p.Items)
+	}
+}
+
 func (f *follower) snapshot(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
@@ -119,18 +150,18 @@
 	if err != nil {
 		return -1, err
 	}
-	f.confirm(sent, true)
+	f.take(next, page{Next: next}, asOf(sent, true))
 	f.apply(items)
 	return next, nil
 }
 
-// confirm notes a read. One that waited and brought nothing says that nothing
-// came until its answer.
-func (f *follower) confirm(sent time.Time, news bool) {
-	if !news {
-		sent = time.Now()
+// asOf is when what a read brought was true. One that waited and brought nothing says
+// that nothing came until its answer.
+func asOf(sent time.Time, news bool) time.Time {
+	if news {
+		return sent
 	}
-	f.confirmed.Store(sent.UnixMilli())
+	return time.Now()
 }
 
 // age returns how long ago what is believed was true; negative when nothing was
@@ -146,6 +177,9 @@
 // restart reads everything once more, at once.
 func (f *follower) restart() {
 	f.afresh.Store(true)
+	if cancel := f.stopAsking.Load(); cancel != nil {
+		(*cancel)()
+	}
 	select {
 	case f.kick <- struct{}{}:
 	default:
@@ -158,6 +192,7 @@
 	}
 	f.lostAt = time.Now()
 	f.lost.Store(true)
+	f.feed.lose()
 	f.logger.Warn().Str("topic", f.topic.Name()).Err(err).Msg("store lost")
 }
 
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -87,6 +87,7 @@
 	inner.Handle(routesPath, m.routes)
 	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
+	inner.HandleFunc("GET "+newsPath, m.serveNews)
 	s.callers = m.newServer(m.closing(callers))
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -79,8 +79,11 @@
 // Claim implements proxy.Claimer.
 func (noKeys) Claim(context.Context, *node.Call) *result.Refusal { return nil }
 
-// Start opens the listeners of a node and begins to serve.
-func Start(cfg *settings.Mesh, platform Platform, logger zerolog.Logger) (*Mesh, error) {
+// Start opens the listeners of a node and begins to serve. The settings are copied: the
+// caller may change its own for the next start.
+func Start(given *settings.Mesh, platform Platform, logger zerolog.Logger) (*Mesh, error) {
+	own := *given
+	cfg := &own
 	m := &Mesh{cfg: cfg, platform: platform, logger: logger.Sample(nil), bounded: logger, metrics: metrics.New(timerSample)}
 	m.good.Budget, m.bad.Budget = cfg.Logging.Burst, cfg.Logging.Burst
 	m.tunable.Store(cfg)
@@ -137,7 +140,7 @@
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
 	m.members = &members{logger: m.bounded, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
-	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: func() time.Duration { return settleFor(m.members.count()) }}
+	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: m.settle, relay: m.newRelay()}
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.tellZone)
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -38,6 +38,9 @@
 	AgeMillis int64 `json:"age_ms"`
 	// Lost is whether the last read failed.
 	Lost bool `json:"lost"`
+	// Through is the node of the zone that it comes through; empty when the node reads
+	// the store itself.
+	Through string `json:"through,omitempty"`
 }
 
 // Guard is what the guard of the local upstream has in force.
@@ -87,7 +90,7 @@
 }
 
 func beliefOf(f *follower, now time.Time) Belief {
-	return Belief{AgeMillis: f.age(now).Milliseconds(), Lost: f.lost.Load()}
+	return Belief{AgeMillis: f.age(now).Milliseconds(), Lost: f.lost.Load(), Through: f.relay.Through()}
 }
 
 func (m *Mesh) guardState() Guard {
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -63,6 +63,8 @@
 		}
 	})
 	m.members.learn(record)
+	m.following.feed.close()
+	m.routes.follower.feed.close()
 }
 
 // awaitQuiet returns once no caller has waited for a while, or at end.
