A question for news names the node that it is for

A VM of the zone had been replaced and its address given to another VM, whose node read through the one that was gone: it asked itself, and waited for news from itself; three others read through it. Ruled out: the store's outage before (it was back for 5 s), the cut of another zone (the four nodes are not in it), the order of the tree (no node follows a later one; it was the address that was another's). Change: the question names the node, and another one at its address says so. A node that failed a question is left out, for 1 s if it refused and 10 s if it was silent, and the next in the order is asked meanwhile; before, one dead first node would have had its whole zone read the store every two seconds.

--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -21,11 +22,13 @@
 	// newsWait is how long a question for news waits. It costs one answer of some 100
 	// bytes; a node that is silent shows by keep-alive probes, not by its end.
 	newsWait = 10 * time.Second
-	// relayPause is how long a node reads the store itself after the node that it reads
-	// through was silent. Chosen: a restart takes about as long.
-	relayPause = 2 * time.Second
-	// quickRefusal is how soon a node says that it has no news to pass on, or its VM that
-	// it isn't there: asking again after one read of the store costs next to nothing then.
+	// refusedPause and silentPause are how long a node that had no news to pass on, or did
+	// not answer, is left out: the next one in the zone's order is asked meanwhile. Chosen:
+	// a node that starts has news within the first, and to wait for a silent one costs a
+	// second or two.
+	refusedPause = time.Second
+	silentPause  = 10 * time.Second
+	// quickRefusal tells the two apart.
 	quickRefusal = peerConnect
 )
 
@@ -35,13 +38,15 @@
 // and learned of a change after 1.3 s; by one node in each zone it is 10 calls, and
 // 0.3 s. Used by one goroutine.
 type relay struct {
-	// parent names the node to read through; known is false for one that reads the
-	// store itself.
-	parent func() (m fleet.Member, known bool)
-	ask    func(ctx context.Context, address, topic string, from int64) (page, error)
+	// parent names the node to read through, of those that may be asked; known is false
+	// for one that reads the store itself.
+	parent func(mayAsk func(node string) bool) (m fleet.Member, known bool)
+	ask    func(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error)
 	logger zerolog.Logger
-	// pausedUntil is when the next question may go to a node.
-	pausedUntil time.Time
+	// reads is whether there was nobody to ask: the node reads for its zone.
+	reads bool
+	// leftOut are nodes that failed lately, and until when they are not asked.
+	leftOut map[string]time.Time
 	// through is the node that was read through last; empty: the store itself.
 	through atomic.Value
 }
@@ -63,18 +68,17 @@
 
 // read reports false when the store is to be read.
 func (r *relay) read(ctx context.Context, topic string, from int64) (page, bool) {
-	parent, known := r.parent()
-	if !known || time.Now().Before(r.pausedUntil) {
+	asked := time.Now()
+	parent, known := r.parent(func(node string) bool { return !asked.Before(r.leftOut[node]) })
+	r.reads = !known
+	if r.reads {
 		r.note(topic, "")
 		return page{}, false
 	}
-	asked := time.Now()
-	p, err := r.ask(ctx, parent.Address, topic, from)
+	p, err := r.ask(ctx, &parent, topic, from)
 	if err != nil {
 		r.logger.Debug().Str("topic", topic).Str("member", parent.Node).Err(err).Msg("no news from the node that is read through")
-		if now := time.Now(); now.Sub(asked) > quickRefusal {
-			r.pausedUntil = now.Add(relayPause)
-		}
+		r.leaveOut(parent.Node, asked)
 		r.note(topic, "")
 		return page{}, false
 	}
@@ -82,29 +86,49 @@
 	return p, true
 }
 
+// leaveOut leaves out a node that failed a question.
+func (r *relay) leaveOut(node string, asked time.Time) {
+	now := time.Now()
+	if r.leftOut == nil {
+		r.leftOut = map[string]time.Time{}
+	}
+	maps.DeleteFunc(r.leftOut, func(_ string, until time.Time) bool { return !now.Before(until) })
+	pause := refusedPause
+	if now.Sub(asked) > quickRefusal {
+		pause = silentPause
+	}
+	r.leftOut[node] = now.Add(pause)
+}
+
 func (m *Mesh) newRelay() *relay { return &relay{parent: m.parent, ask: m.askNews, logger: m.logger} }
 
 // settle is how long changes of members are gathered for one read of the store. A node
 // that reads for its zone gathers little, as the zones are few; one that reads because
-// its parent failed it is one of many.
+// its parent failed it is one of many. Called by the follower of members.
 func (m *Mesh) settle() time.Duration {
-	if _, reads := m.parent(); !reads {
+	if m.following.relay.reads {
 		return minSettle
 	}
 	return settleFor(m.members.count())
 }
 
 // parent is the node of the zone that this one reads through.
-func (m *Mesh) parent() (fleet.Member, bool) {
-	return fleet.Parent(m.cfg.NodeID, m.members.neighbours(m.cfg))
+func (m *Mesh) parent(mayAsk func(node string) bool) (fleet.Member, bool) {
+	var others []fleet.Member
+	for _, other := range m.members.neighbours(m.cfg) {
+		if mayAsk(other.Node) {
+			others = append(others, other)
+		}
+	}
+	return fleet.Parent(m.cfg.NodeID, others)
 }
 
 // askNews asks another node what came after an offset of a topic.
-func (m *Mesh) askNews(ctx context.Context, address, topic string, from int64) (page, error) {
+func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error) {
 	ctx, cancel := context.WithTimeout(ctx, newsWait+callTimeout)
 	defer cancel()
-	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "store": {m.Settings().Store.Address}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+newsPath+"?"+query.Encode(), nil)
+	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "of": {of.Node}, "store": {m.Settings().Store.Address}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+newsPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return page{}, err
 	}
@@ -119,7 +143,9 @@
 	return p, nil
 }
 
-// serveNews answers a node that reads through this one. While settings move the nodes to
+// serveNews answers a node that reads through this one. The address of a VM that is gone
+// is given to another one: a node that took this one for that one may be this node
+// itself, and it would wait for news from itself for good. While settings move the nodes to
 // another store one by one, an offset of one store must not be taken for one of another:
 // the asker would wait at it for records that have come long ago.
 func (m *Mesh) serveNews(w http.ResponseWriter, r *http.Request) {
@@ -129,6 +155,10 @@
 		http.Error(w, "from is no offset", http.StatusBadRequest)
 		return
 	}
+	if query.Get("of") != m.cfg.NodeID {
+		http.Error(w, "another node is here", http.StatusMisdirectedRequest)
+		return
+	}
 	if query.Get("store") != m.Settings().Store.Address {
 		http.Error(w, "another store is read here", http.StatusConflict)
 		return
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -66,9 +66,9 @@
 		readers[i] = &reader{seen: map[string]bool{}}
 		zone = append(zone, fleet.Member{Node: name, State: fleet.Serving, Address: fmt.Sprint(i)})
 	}
-	ask := func(ctx context.Context, address, _ string, from int64) (page, error) {
+	ask := func(ctx context.Context, of *fleet.Member, _ string, from int64) (page, error) {
 		var i int
-		_, _ = fmt.Sscan(address, &i)
+		_, _ = fmt.Sscan(of.Address, &i)
 		if readers[i].cut.Load() {
 			sleep(ctx, time.Second)
 			return page{}, errors.New("silent")
@@ -80,7 +80,7 @@
 		r.follower = &follower{
 			topic: topic, logger: zerolog.Nop(), kick: make(chan struct{}, 1),
 			settle: func() time.Duration { return minSettle },
-			relay:  &relay{parent: func() (fleet.Member, bool) { return fleet.Parent(zone[i].Node, others) }, ask: ask},
+			relay:  &relay{parent: parentAmong(zone[i].Node, others), ask: ask},
 			apply: func(items []Item) {
 				for _, item := range items {
 					r.seen[item.Key] = true
@@ -92,6 +92,20 @@
 	return readers
 }
 
+func parentAmong(node string, others []fleet.Member) func(func(string) bool) (fleet.Member, bool) {
+	return func(mayAsk func(string) bool) (fleet.Member, bool) {
+		var asked []fleet.Member
+		for _, other := range others {
+			if mayAsk(other.Node) {
+				asked = append(asked, other)
+			}
+		}
+		return fleet.Parent(node, asked)
+	}
+}
+
+func everyNode(string) bool { return true }
+
 func runReaders(t *testing.T, readers []*reader, d time.Duration) {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
@@ -139,7 +153,7 @@
 		topic := &growingTopic{begun: time.Now()}
 		readers := newReaders(topic, 20)
 		for _, r := range readers {
-			if _, known := r.follower.relay.parent(); !known {
+			if _, known := r.follower.relay.parent(everyNode); !known {
 				time.AfterFunc(5*time.Second, func() { r.cut.Store(true) })
 			}
 		}
