Connections to the upstream are used in turn

Cause: the connection used last was used first, so those that a lower load did not need were closed after 5 s and opened again with the next rise. Ruled out: the bound of 5 s itself. Change: the pool to the upstream uses the connection that was idle for longest; there are never more than the upstream has slots. Pools to other nodes stay as they are, where what isn't needed should go. Test: TestConnectionsInTurnOutlastALowLoad, with the order of before as its counterpart.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -20,6 +20,10 @@
 	Idle time.Duration
 	// Kept bounds the idle connections.
 	Kept int
+	// InTurn uses the connection next that was idle for longest, so that all stay in
+	// use. Otherwise the one used last goes first, and what a low load doesn't need is
+	// closed after Idle.
+	InTurn bool
 	// MaxBody bounds an answer's body in bytes where the request sets no bound.
 	MaxBody int64
 }
@@ -30,7 +34,7 @@
 	addr string
 
 	mu     sync.Mutex
-	idle   []*conn // the one used last is last
+	idle   []*conn // the one idle for longest is first
 	closed bool
 	// generation counts the calls of Reset: a connection made before the last
 	// one isn't kept.
@@ -104,6 +108,12 @@
 	if n == 0 {
 		return nil
 	}
+	if p.cfg.InTurn {
+		c := p.idle[0]
+		p.idle[0] = nil
+		p.idle = p.idle[1:]
+		return c
+	}
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -61,6 +61,36 @@
 	}
 }
 
+// A load rises, falls for longer than the idle time and rises again. Each rise opened
+// the connections anew that the fall had left unused, and a new connection may hold a
+// slot of the upstream. Cause: the connections used last were used first.
+func TestConnectionsInTurnOutlastALowLoad(t *testing.T) {
+	for _, inTurn := range []bool{true, false} {
+		addr, accepted := serve(t, echo)
+		const most, idle = 8, time.Second
+		p := NewPool(addr, Config{Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Idle: idle, Kept: most, MaxBody: 1 << 20, InTurn: inTurn})
+		t.Cleanup(p.Close)
+		peak := func() {
+			var conns []*conn
+			for range most {
+				c, err := p.take(t.Context())
+				must.NoError(t, err)
+				conns = append(conns, c)
+			}
+			for _, c := range conns {
+				p.put(c)
+			}
+		}
+		peak()
+		for begun := time.Now(); time.Since(begun) < 3*idle/2; time.Sleep(idle / (8 * most)) {
+			_, err := p.Do(t.Context(), request("a"))
+			must.NoError(t, err)
+		}
+		peak()
+		must.EqOp(t, inTurn, accepted.Load() == most, must.Sprintf("%d accepted", accepted.Load()))
+	}
+}
+
 // take reads one request and returns its ID; empty at the end.
 func take(r *bufio.Reader) string {
 	req, err := http.ReadRequest(r)
