admission: a trial of the headroom is decided on 200 answers

Cause: a trial ended after 2 s whatever had been answered. An upstream with few slots and slow calls answers 60 a second: 120 answers vary by a tenth by chance, and by estimate one trial in seven was decided wrongly. Ruled out: a longer trial for all; fast upstreams have 200 answers in 0.7 s. Change: a trial needs its 200 answers, and is given up without them after 8 s. Test: TestHeadroomWaitsForItsAnswers (120 before), TestHeadroomGivesUpOnFewAnswers.

--- a/internal/admission/headroom.go
+++ b/internal/admission/headroom.go
@@ -13,6 +13,9 @@
 	// them differ by some 4 % by chance.
 	headroomAnswers = 200
 	headroomMeasure = 500 * time.Millisecond
+	// headroomLongest ends a trial at an upstream that answers too little to tell: below
+	// 25 answers a second. Chosen: a trial costs a sixteenth of the slots meanwhile.
+	headroomLongest = 8 * time.Second
 	// headroomGain is what a step that leaves more slots empty must add to the answers.
 	// It lies between what the slots are worth where each helps (a sixteenth less) and
 	// what an upstream gains that is a quarter slower with its last slots in use.
@@ -103,8 +106,12 @@
 			h.restart(now)
 		}
 	case headroomMeasured:
-		if h.measured(length) || length >= maxEpoch {
+		switch {
+		case h.measured(length):
 			h.conclude(now, float64(h.answers)/length.Seconds())
+		case length >= headroomLongest:
+			h.turn(now)
+			h.abort(now)
 		}
 	}
 }
--- /dev/null
+++ b/internal/admission/headroom_test.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// An upstream with 32 slots and calls of half a second answers 60 calls a second. A
+// trial was decided after 2 s, with 120 answers, whose number varies by a tenth by
+// chance: one in seven was decided wrongly, and a sixteenth of the slots given up or
+// taken for some seconds. 200 answers must have come.
+func TestHeadroomWaitsForItsAnswers(t *testing.T) {
+	h := &headroom{}
+	begun := time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
+	h.restart(begun)
+	cfg := DefaultConfig(32)
+	decidedWith := 0
+	for i := range 200 {
+		now := begun.Add(time.Duration(i+1) * 100 * time.Millisecond)
+		h.answers += 6
+		answers, before := h.answers, h.phase
+		h.adjust(now, true, 300*time.Millisecond, cfg)
+		if before == headroomMeasured && h.phase == headroomWatched {
+			decidedWith = answers
+			break
+		}
+	}
+	must.GreaterEq(t, headroomAnswers, decidedWith)
+}
+
+// An upstream answers ten calls a second: nothing can be told from that, and a trial
+// must end without keeping its step.
+func TestHeadroomGivesUpOnFewAnswers(t *testing.T) {
+	h := &headroom{before: 1000, phase: headroomMeasured, tried: 2}
+	begun := time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
+	h.restart(begun)
+	for i := range 100 {
+		h.answers++
+		h.adjust(begun.Add(time.Duration(i+1)*100*time.Millisecond), true, 300*time.Millisecond, DefaultConfig(32))
+		if h.phase == headroomWatched {
+			break
+		}
+	}
+	must.EqOp(t, headroomWatched, h.phase)
+	must.EqOp(t, 0, h.inForce())
+}
