galenabench mesh-demo: three nodes through the crash of an upstream

Cause: the README's demos and its steps by hand show the product's own interface; the program that operators run could be seen only in tests. Ruled out: a script with processes and ports of its own, which a newcomer would have to clean up after; one process over loopback needs nothing. Mesh.Events gives the node's time line.

--- a/cmd/galenabench/main.go
+++ b/cmd/galenabench/main.go
@@ -16,6 +16,7 @@
 
 type cli struct {
 	Demo      demoCmd      `cmd:"" help:"Surge and recovery of a small deployment, with and without galenagrade."`
+	MeshDemo  meshDemoCmd  `cmd:"" help:"A mesh on the operators' platform over loopback: an upstream crashes and comes back."`
 	Run       runCmd       `cmd:"" help:"Run a scenario and print its figures."`
 	Check     checkCmd     `cmd:"" help:"Check a recorded history; the exit code is 1 if a promise is broken."`
 	Report    reportCmd    `cmd:"" help:"Run a scenario under both policies and draw their courses into an HTML file."`
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -8,6 +8,7 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 // StatePath is where a node says what it believes, on the address of its metrics.
@@ -89,6 +90,9 @@
 	return s
 }
 
+// Events returns those of the node's time line that pass the filter.
+func (m *Mesh) Events(f timeline.Filter) []timeline.Event { return m.node.Ring().Events(f) }
+
 func beliefOf(f *follower, now time.Time) Belief {
 	return Belief{AgeMillis: f.age(now).Milliseconds(), Lost: f.lost.Load(), Through: f.relay.Through()}
 }
