Result code 2009 goes: no node ever gave it

Cause: RESULT_CODES, the page on retries and the list of metrics told operators what to do about 2009 allowance_spent. A call whose allowance is used up ends with the code of its last attempt, and always did; the code was never used. Ruled out: giving it. Why the last attempt ended says more than that there was no further one, and 'attempts N' stands on its line.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -48,9 +48,6 @@
 	// NoAuthority means that at-most-once could not be assured: the owner of
 	// the key lacks a fresh proof, or the log did not take a claim.
 	NoAuthority Code = 2008
-	// AllowanceSpent means that the retry allowance of the request is used up
-	// and its last attempt did not run.
-	AllowanceSpent Code = 2009
 	// Unreachable means that no connection to a chosen upstream was made.
 	Unreachable Code = 2010
 	// Starting means that the node does not know its configuration yet.
@@ -123,7 +120,6 @@
 	Quarantined:      {"quarantined", RanNo, 503, "request is suspected of crashing upstreams"},
 	OwnedElsewhere:   {"owned_elsewhere", RanNo, 503, "another guard owns the key"},
 	NoAuthority:      {"no_authority", RanNo, 503, "at-most-once cannot be assured at present"},
-	AllowanceSpent:   {"allowance_spent", RanNo, 503, "retry allowance of the request is used up"},
 	Unreachable:      {"unreachable", RanNo, 503, "no connection to the chosen upstream"},
 	Starting:         {"starting", RanNo, 503, "node does not know its configuration yet"},
 	ParentGone:       {"parent_gone", RanNo, 503, "the call that made this one is no longer running"},
