The soak's findings: a crash that answered, a reload before the process ran

The stand-in's upstream cancels its work before it closes its connections when it crashes; its handler came back in between, and net/http answers 200 for it. Its planned stop had ended, the next process was started and got the signal to reload at once, before it had a handler for it, which ends a process. Ruled out: an answer of another request, a body cut on the way (the logs show the upstream's crash at the very millisecond, and the neighbours' calls reset); the relay of news (each node has a store's address of its own there, so none was used).

--- a/cmd/galenad/mesh.go
+++ b/cmd/galenad/mesh.go
@@ -33,6 +33,9 @@
 const lastLines = 200 * time.Millisecond
 
 func runMesh(args meshCommand) int {
+	// First of all: until then a signal to reload ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, exit := load(args.Config, args.Check, settings.LoadMesh)
 	if cfg == nil {
 		return exit
@@ -52,8 +55,6 @@
 	logger = logger.Sample(nil)
 	debug.SetGCPercent(gcPercent)
 	applyToProcess(cfg, logger)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, bounded), bounded)
 	if err != nil {
 		logger.Error().Err(err).Msg("not started")
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -127,7 +127,7 @@
 func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error) {
 	ctx, cancel := context.WithTimeout(ctx, newsWait+callTimeout)
 	defer cancel()
-	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "of": {of.Node}, "store": {m.Settings().Store.Address}}
+	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "of": {of.Node}, "store": {m.Settings().Store.Identity()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+newsPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return page{}, err
@@ -159,7 +159,7 @@
 		http.Error(w, "another node is here", http.StatusMisdirectedRequest)
 		return
 	}
-	if query.Get("store") != m.Settings().Store.Address {
+	if query.Get("store") != m.Settings().Store.Identity() {
 		http.Error(w, "another store is read here", http.StatusConflict)
 		return
 	}
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -7,7 +7,7 @@
 // returns the fields that differ and need a restart; those stay as they were.
 func (m *Mesh) Reload(next *settings.Mesh) []string {
 	before := m.tunable.Swap(next)
-	if before.Store.Address != next.Store.Address {
+	if before.Store.Address != next.Store.Address || before.Store.Name != next.Store.Name {
 		m.platform.SetStore(next.Store.Address)
 		m.routes.follower.restart()
 		m.following.restart()
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -46,10 +47,16 @@
 type MeshStore struct {
 	// Address is IP:port.
 	Address string `json:"address"`
+	// Name tells one store from another where nodes reach the same one by different
+	// addresses. Default: the address.
+	Name string `json:"name"`
 	// RecordBytes bounds one record. Default 262144.
 	RecordBytes int `json:"record_bytes"`
 }
 
+// Identity is the name, or else the address: nodes with the same one read the same store.
+func (s MeshStore) Identity() string { return cmp.Or(s.Name, s.Address) }
+
 // Resources are what the VM gives the node.
 type Resources struct {
 	// MemoryMB is where the process is ended. Default 256.
@@ -144,7 +151,10 @@
 			return err
 		}
 	}
-	return nil
+	if m.Store.Name == "" {
+		return nil
+	}
+	return checkName("store.name", m.Store.Name)
 }
 
 func (m *Mesh) validateAddresses() error {
--- a/internal/settings/mesh_test.go
+++ b/internal/settings/mesh_test.go
@@ -26,6 +26,7 @@
 		"zone":                  strings.Replace(meshMinimal, `"z"`, `"Z Z"`, 1),
 		"listen.inner":          strings.Replace(meshMinimal, `"10.0.0.1:2"`, `"host:2"`, 1),
 		"store.address":         strings.Replace(meshMinimal, `"10.0.0.2:9"`, `""`, 1),
+		"store.name":            strings.Replace(meshMinimal, `"address":"10.0.0.2:9"`, `"address":"10.0.0.2:9","name":"A store"`, 1),
 		"retries.ratio":         add(`"retries":{"ratio":-0.5}`),
 		"retries.window":        add(`"retries":{"window":"10ms"}`),
 		"stop.grace":            add(`"stop":{"grace":"1ms"}`),
