mesh: a test of the reader that the store turns away

A zone's reader is refused by the store while the other nodes are not. It says so, the others read on by themselves, and are never a second behind.

--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -54,8 +54,8 @@
 type reader struct {
 	follower *follower
 	seen     map[string]bool
-	newest   time.Time
-	cut      atomic.Bool // nobody reaches it
+	newest   atomic.Int64 // when it had news last, Unix nanoseconds
+	cut      atomic.Bool  // nobody reaches it
 }
 
 func newReaders(topic Topic, n int) []*reader {
@@ -85,7 +85,7 @@
 				for _, item := range items {
 					r.seen[item.Key] = true
 				}
-				r.newest = time.Now()
+				r.newest.Store(time.Now().UnixNano())
 			},
 		}
 	}
@@ -159,7 +159,7 @@
 		}
 		runReaders(t, readers, 20*time.Second)
 		for _, r := range readers {
-			must.Less(t, 2*time.Second, time.Since(r.newest))
+			must.Less(t, 2*time.Second, time.Since(time.Unix(0, r.newest.Load())))
 			must.LessEq(t, 1, gaps(r, 1, topic.end()-20))
 		}
 	})
@@ -187,6 +187,47 @@
 	})
 }
 
+// refusedTopic is the topic as a node sees it that the store turns away for a while.
+type refusedTopic struct {
+	*growingTopic
+	refused atomic.Bool
+}
+
+func (r *refusedTopic) Read(ctx context.Context, from int64, wait time.Duration) ([]Item, int64, error) {
+	if r.refused.Load() {
+		return nil, 0, errors.New("turned away")
+	}
+	return r.growingTopic.Read(ctx, from, wait)
+}
+
+// The store turns away one node, which happens to read for its zone. It says so to who
+// reads through it, and the zone must not be behind for longer than one read.
+func TestReaderThatTheStoreTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &growingTopic{begun: time.Now()}
+		readers := newReaders(topic, 20)
+		var reader *reader
+		for _, r := range readers {
+			if _, known := r.follower.relay.parent(everyNode); !known {
+				reader = r
+			}
+		}
+		turned := &refusedTopic{growingTopic: topic}
+		reader.follower.topic = turned
+		time.AfterFunc(5*time.Second, func() { turned.refused.Store(true) })
+		time.AfterFunc(12*time.Second, func() {
+			for _, r := range readers {
+				if r != reader {
+					must.False(t, r.follower.lost.Load())
+					must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
+				}
+			}
+		})
+		runReaders(t, readers, 15*time.Second)
+		must.True(t, reader.follower.lost.Load())
+	})
+}
+
 // A node that is about to end lets go of those who wait for news from it at once: its
 // stop would wait for them else, and they for it.
 func TestClosedFeedLetsGo(t *testing.T) {
