--- a/internal/logstore/appender_run.go
+++ b/internal/logstore/appender_run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Run sends groups until ctx ends, then settles what is left. It must be
@@ -17,7 +19,7 @@
 		if !a.waitForWork(ctx) {
 			return ctx.Err()
 		}
-		if !sleep(ctx, bucket.take(a.cfg.Now())) {
+		if !wait.For(ctx, bucket.take(a.cfg.Now())) {
 			return ctx.Err()
 		}
 		group := a.takeGroup()
@@ -30,7 +32,7 @@
 			continue
 		}
 		failures++
-		if !sleep(ctx, max(hint, backoff(a.cfg.Rand, a.cfg.MinBackoff, a.cfg.MaxBackoff, failures))) {
+		if !wait.For(ctx, max(hint, backoff(a.cfg.Rand, a.cfg.MinBackoff, a.cfg.MaxBackoff, failures))) {
 			return ctx.Err()
 		}
 	}
@@ -275,18 +277,3 @@
 	}
 	return time.Duration(-b.tokens / b.rate * float64(time.Second))
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/logstore/follow.go
+++ b/internal/logstore/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Sink is what a follower feeds. Its methods are called by one goroutine.
@@ -63,7 +65,7 @@
 			sink.Take(page, sent)
 			// A log that does not wait at its head must not make this spin.
 			if len(page.Entries) == 0 && cfg.Now().Sub(sent) < cfg.MinBackoff {
-				sleep(ctx, cfg.MinBackoff)
+				wait.For(ctx, cfg.MinBackoff)
 			}
 			continue
 		}
@@ -76,7 +78,7 @@
 		// The pause covers truncation too: with a log that expires faster
 		// than it can be read, the loop must not spin.
 		failures++
-		if !sleep(ctx, backoff(cfg.Rand, cfg.MinBackoff, cfg.MaxBackoff, failures)) {
+		if !wait.For(ctx, backoff(cfg.Rand, cfg.MinBackoff, cfg.MaxBackoff, failures)) {
 			break
 		}
 	}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Item is the newest record of a key.
@@ -117,7 +119,7 @@
 	}
 	f.take(next, page{Items: items, Next: after}, asOf(sent, len(items) > 0))
 	if len(items) > 0 && f.settle != nil {
-		sleep(ctx, f.settle())
+		wait.For(ctx, f.settle())
 	}
 	return after, nil
 }
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // growingTopic gets a record every 100 ms; a read brings what is there and waits for
@@ -38,7 +39,7 @@
 func (g *growingTopic) Read(ctx context.Context, from int64, _ time.Duration) ([]Item, int64, error) {
 	g.reads.Add(1)
 	for from >= g.end() && ctx.Err() == nil && !g.down.Load() {
-		sleep(ctx, time.Millisecond)
+		wait.For(ctx, time.Millisecond)
 	}
 	if g.down.Load() {
 		return nil, 0, errors.New("store is down")
@@ -70,7 +71,7 @@
 		var i int
 		_, _ = fmt.Sscan(of.Address, &i)
 		if readers[i].cut.Load() {
-			sleep(ctx, time.Second)
+			wait.For(ctx, time.Second)
 			return page{}, errors.New("silent")
 		}
 		return readers[i].follower.feed.after(ctx, from, newsWait)
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -73,7 +74,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, gatherFor)
+		wait.For(ctx, gatherFor)
 		s.mu.Lock()
 		batch := s.pending
 		s.pending = nil
@@ -98,7 +99,7 @@
 		if err = s.put(ctx, raw); err == nil {
 			return nil
 		}
-		sleep(ctx, minPause)
+		wait.For(ctx, minPause)
 	}
 	return err
 }
@@ -133,12 +134,3 @@
 		s.logger.Info().Str("from", item.Key).Int("records", len(news)).Msg("suspects learned")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,13 +10,13 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Proxy serves one node's calls. Safe for concurrent use.
@@ -197,7 +197,7 @@
 			p.node.Answered(call, order.Answer, d)
 			return order.Answer
 		case node.OrderPause:
-			pause(ctx, order.Pause)
+			wait.For(ctx, order.Pause)
 		case node.OrderSend:
 			// The time is taken after the answer. As an argument beside the call it is the
 			// time before: every latency is microseconds, a slow upstream looks like a quick
@@ -222,15 +222,6 @@
 	return answer
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func callerOf(raw callctx.Raw, r *http.Request) string {
 	if raw.Caller != "" {
 		return raw.Caller
--- a/internal/server/backend.go
+++ b/internal/server/backend.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb"
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/policy"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // backend answers the administration API for a running node. What it says of
@@ -214,8 +215,8 @@
 
 // awaitInForce asks the members until the share of them that has a version in
 // force is reached or the time is over, and returns the last count.
-func (b *backend) awaitInForce(ctx context.Context, version policy.Version, percent uint32, wait time.Duration) (inForce, known int) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+func (b *backend) awaitInForce(ctx context.Context, version policy.Version, percent uint32, within time.Duration) (inForce, known int) {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	for {
 		members := b.server.control.known()
@@ -228,7 +229,7 @@
 		if percent == 0 || inForce*100 >= known*int(percent) || ctx.Err() != nil {
 			return inForce, known
 		}
-		sleep(ctx, inForcePause)
+		wait.For(ctx, inForcePause)
 	}
 }
 
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -15,6 +15,7 @@
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -193,23 +194,23 @@
 			leads = p.Leads()
 		})
 		if !reads {
-			waitFor(ctx, woken, idleWait)
+			wait.OrWoken(ctx, woken, idleWait)
 			continue
 		}
-		wait := c.server.cfg.Log.ReadWait.Std()
+		most := c.server.cfg.Log.ReadWait.Std()
 		if leads {
-			wait = min(wait, leaderWait)
+			most = min(most, leaderWait)
 		}
-		c.readOnce(ctx, from, wait)
+		c.readOnce(ctx, from, most)
 	}
 }
 
-func (c *controlLoop) readOnce(ctx context.Context, from int64, wait time.Duration) {
+func (c *controlLoop) readOnce(ctx context.Context, from int64, most time.Duration) {
 	c.counters.reads.Add(1)
-	readCtx, cancel := context.WithTimeout(ctx, wait+c.server.cfg.Log.ReadTimeout.Std())
+	readCtx, cancel := context.WithTimeout(ctx, most+c.server.cfg.Log.ReadTimeout.Std())
 	defer cancel()
 	sent := c.server.node.Now()
-	page, err := c.server.log.Read(readCtx, from, readMax, wait)
+	page, err := c.server.log.Read(readCtx, from, readMax, most)
 	if ctx.Err() == nil {
 		c.noteRead(err)
 	}
@@ -219,10 +220,10 @@
 		c.with(func(now time.Time, p *control.Plane) { p.OnPage(now, sent, page) })
 	case errors.As(err, &truncated):
 		c.with(func(_ time.Time, p *control.Plane) { p.OnTruncated(truncated.Oldest) })
-		sleep(ctx, readRetry)
+		wait.For(ctx, readRetry)
 	case ctx.Err() == nil:
 		c.with(func(_ time.Time, p *control.Plane) { p.OnReadFailed() })
-		sleep(ctx, readRetry)
+		wait.For(ctx, readRetry)
 	}
 }
 
@@ -299,16 +300,3 @@
 	defer c.mu.Unlock()
 	return c.plane.Members().Live(id)
 }
-
-func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
-
-// waitFor returns when woken is closed, d has passed or ctx has ended.
-func waitFor(ctx context.Context, woken <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-woken:
-	case <-ctx.Done():
-	}
-}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/galenagrade/galenagrade/internal/control"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -31,13 +32,13 @@
 		var ok bool
 		c.with(func(now time.Time, p *control.Plane) { peer, ok = p.NextExchange(now) })
 		if !ok {
-			waitFor(ctx, woken, idleWait)
+			wait.OrWoken(ctx, woken, idleWait)
 			continue
 		}
 		began := time.Now()
 		news := c.ask(ctx, peer, c.hold())
 		if !news && time.Since(began) < askPause {
-			sleep(ctx, askPause)
+			wait.For(ctx, askPause)
 		}
 	}
 }
@@ -101,7 +102,7 @@
 
 // cancelForNews ends a held question once this node has news for its peer.
 func (c *controlLoop) cancelForNews(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
-	sleep(ctx, askPause)
+	wait.For(ctx, askPause)
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		due, woken := c.plane.AskDue(), c.wake
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -15,6 +15,7 @@
 	"github.com/galenagrade/galenagrade/internal/membership"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/timeline"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // handOverAll moves every owned slot to the guards that take over after a
@@ -70,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, takenTimeout)
 	defer cancel()
 	for o.state.Holds() > 0 && ctx.Err() == nil {
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 	}
 }
 
@@ -109,7 +110,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "calls still run")
 		}
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 	}
 	entries := guard.ExportKeys(o.server.node.Now(), match)
 	for part := uint32(0); ; part++ {
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -22,6 +21,7 @@
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/testlog"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -109,7 +109,7 @@
 
 func TestRefusalIsLogged(t *testing.T) {
 	w := newWorld(t)
-	lines := &lockedBuffer{}
+	lines := &testlog.Buffer{}
 	s, err := Start(testSettings("letters-1"), Options{Log: w.log, Logger: zerolog.New(lines)})
 	must.NoError(t, err)
 	t.Cleanup(s.Kill)
@@ -118,24 +118,6 @@
 	must.StrContains(t, lines.String(), `"why":"no configuration has reached this node yet"`)
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 func (w *world) metrics(s *Server) map[string]map[string]float64 {
 	_, _, _, addr := s.Addresses()
 	req, err := http.NewRequest(http.MethodGet, "http://"+addr+metrics.Path, nil)
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/timeline"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // idleCheck is how often a stopping node looks whether calls are in flight.
@@ -41,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(order.WaitMillis)*time.Millisecond)
 	defer cancel()
 	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 	}
 	state := drainState{State: "draining", InFlight: s.node.Guard().Busy()}
 	if state.InFlight == 0 {
@@ -57,7 +58,7 @@
 	s.BeginDrain()
 	s.awaitNotice(ctx)
 	for s.node.Guard().Busy() > 0 && ctx.Err() == nil {
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 	}
 	select {
 	case <-s.handedOver:
@@ -78,7 +79,7 @@
 // the node is leaving: a connection refused before that costs its caller a
 // retry.
 func (s *Server) awaitNotice(ctx context.Context) {
-	sleep(ctx, s.cfg.Timing.DrainNotice.Std())
+	wait.For(ctx, s.cfg.Timing.DrainNotice.Std())
 }
 
 // InFlight returns how many calls the node holds in any role: those that its
@@ -106,10 +107,10 @@
 		}
 	}
 	for s.proxy.Answering() > 0 && ctx.Err() == nil {
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 	}
 	cut = max(cut, s.node.Guard().Busy(), s.proxy.Answering())
-	sleep(ctx, flushTime)
+	wait.For(ctx, flushTime)
 	_ = s.innerServer.Close()
 	s.stop()
 	s.backend.peers.close()
--- a/internal/standin/logd/logd.go
+++ b/internal/standin/logd/logd.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/logstore"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Knobs are the limits and faults in force. The zero value is a log without
@@ -278,15 +279,8 @@
 func clamp(n, most int) int { return min(max(n, 1), most) }
 
 func delay(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if d > 0 && !wait.For(ctx, d) {
 		return &logstore.UnavailableError{Cause: ctx.Err()}
 	}
+	return nil
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 // Headers by which a test follows one logical operation along the chain.
@@ -284,7 +285,7 @@
 }
 
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, r *http.Request, op Operation, run *Run) {
-	if !sleep(ctx, s.serviceTime(op)) {
+	if !wait.For(ctx, s.serviceTime(op)) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -342,17 +343,6 @@
 	return context.WithCancel(r.Context())
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // limitListener bounds the open connections; those beyond it are closed.
 type limitListener struct {
 	net.Listener
