Routes are read from the store by each node, members through the zone's reader

Cause: a process that stands still acknowledges all probes, so those that read through it waited for 12 s (a question of 10 s and its slack) and knew nothing new meanwhile. Change: routes are read by each node itself, as before, in deployments of up to 1,000 nodes, and through the zone's reader in larger ones, where the store could not serve them all; questions for members wait 3 s and end after 3.5 s; a node answers 8 others at most, not 16.

--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -7,8 +7,9 @@
 )
 
 // relayFanOut is how many nodes of a zone read through one other: a zone of 412 nodes
-// is three deep, and each node answers 16 at most, however many there are.
-const relayFanOut = 16
+// is three deep, and each node answers 8 at most, however many there are. By their fields
+// eight questions that wait 3 s are some 1.4 KB/s.
+const relayFanOut = 8
 
 // Parent returns the node of the zone through which a node reads what the platform's
 // store has; known is false for the one that reads the store itself. others are the
--- a/internal/fleet/parent_test.go
+++ b/internal/fleet/parent_test.go
@@ -20,7 +20,7 @@
 	return append(append([]Member{}, all[:i]...), all[i+1:]...)
 }
 
-// A zone of 412 nodes: one reads the store, nobody answers more than 16, and news
+// A zone of 412 nodes: one reads the store, nobody answers more than 8, and news
 // passes three nodes at most.
 func TestParentsMakeATree(t *testing.T) {
 	for _, n := range []int{1, 2, 5, 25, 412} {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -140,7 +140,7 @@
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
 	m.members = &members{logger: m.bounded, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
-	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: m.settle, relay: m.newRelay()}
+	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: m.settle, relay: m.newRelay(m.parent)}
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.tellZone)
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -19,9 +19,15 @@
 const (
 	// newsPath is where a node gives what it reads of the store's topics.
 	newsPath = "/news"
-	// newsWait is how long a question for news waits. It costs one answer of some 100
-	// bytes; a node that is silent shows by keep-alive probes, not by its end.
-	newsWait = 10 * time.Second
+	// newsWait is how long a question for news waits, and newsSlack how much longer its
+	// answer may take: a process that stands still acknowledges all probes, and its zone
+	// must not know less than a few seconds ago because of it.
+	newsWait  = 3 * time.Second
+	newsSlack = 500 * time.Millisecond
+	// routesAlone is how many nodes each read published routes from the store: routes have
+	// to be in force within two seconds though a node in between stands still. So many
+	// reads at once are a sixth of what a store of 6,000 serves in a second.
+	routesAlone = 1000
 	// refusedPause and silentPause are how long a node that had no news to pass on, or did
 	// not answer, is left out: the next one in the zone's order is asked meanwhile. Chosen:
 	// a node that starts has news within the first, and to wait for a silent one costs a
@@ -74,7 +80,9 @@
 		r.note(topic, "")
 		return page{}, false
 	}
-	p, err := r.ask(ctx, &parent, topic, from)
+	askCtx, cancel := context.WithTimeout(ctx, newsWait+newsSlack)
+	defer cancel()
+	p, err := r.ask(askCtx, &parent, topic, from)
 	if err != nil {
 		r.logger.Debug().Str("topic", topic).Str("member", parent.Node).Err(err).Msg("no news from the node that is read through")
 		r.leaveOut(parent.Node, asked)
@@ -99,7 +107,9 @@
 	r.leftOut[node] = now.Add(pause)
 }
 
-func (m *Mesh) newRelay() *relay { return &relay{parent: m.parent, ask: m.askNews, logger: m.logger} }
+func (m *Mesh) newRelay(parent func(func(string) bool) (fleet.Member, bool)) *relay {
+	return &relay{parent: parent, ask: m.askNews, logger: m.logger}
+}
 
 // settle is how long changes of members are gathered for one read of the store. A node
 // that reads for its zone gathers little, as the zones are few; one that reads because
@@ -122,10 +132,16 @@
 	return fleet.Parent(m.cfg.NodeID, others)
 }
 
+// routesParent is the node that this one reads published routes through.
+func (m *Mesh) routesParent(mayAsk func(node string) bool) (fleet.Member, bool) {
+	if m.members.count() <= routesAlone {
+		return fleet.Member{}, false
+	}
+	return m.parent(mayAsk)
+}
+
 // askNews asks another node what came after an offset of a topic.
 func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error) {
-	ctx, cancel := context.WithTimeout(ctx, newsWait+callTimeout)
-	defer cancel()
 	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "of": {of.Node}, "store": {m.Settings().Store.Identity()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+newsPath+"?"+query.Encode(), nil)
 	if err != nil {
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/settings"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
@@ -57,6 +58,7 @@
 	seen     map[string]bool
 	newest   atomic.Int64 // when it had news last, Unix nanoseconds
 	cut      atomic.Bool  // nobody reaches it
+	still    atomic.Bool  // it answers nothing
 }
 
 func newReaders(topic Topic, n int) []*reader {
@@ -74,6 +76,10 @@
 			wait.For(ctx, time.Second)
 			return page{}, errors.New("silent")
 		}
+		if readers[i].still.Load() {
+			<-ctx.Done()
+			return page{}, ctx.Err()
+		}
 		return readers[i].follower.feed.after(ctx, from, newsWait)
 	}
 	for i, r := range readers {
@@ -166,6 +172,42 @@
 	})
 }
 
+// The process that reads for a zone stands still, while its VM's kernel acknowledges all
+// that comes. The others must not know less than the wait of one question ago.
+func TestZoneReadsOnWhileItsReaderStandsStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &growingTopic{begun: time.Now()}
+		readers := newReaders(topic, 20)
+		for _, r := range readers {
+			if _, known := r.follower.relay.parent(everyNode); !known {
+				time.AfterFunc(5*time.Second, func() { r.still.Store(true) })
+			}
+		}
+		time.AfterFunc(5*time.Second+newsWait+newsSlack+2*minSettle, func() {
+			for _, r := range readers {
+				must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
+			}
+		})
+		runReaders(t, readers, 20*time.Second)
+	})
+}
+
+// A deployment of a thousand nodes reads its routes from the store, a larger one through
+// its zones' readers.
+func TestRoutesAreReadThroughOthersInLargeDeploymentsOnly(t *testing.T) {
+	for _, n := range []int{routesAlone, routesAlone + 1} {
+		m := &Mesh{cfg: &settings.Mesh{NodeID: "vm-none", Region: "r", Zone: "z"}}
+		m.members = &members{logger: zerolog.Nop(), registry: fleet.NewRegistry()}
+		for i := range n {
+			m.members.registry.Apply(fleet.Member{Node: fmt.Sprintf("vm-%d", i), Incarnation: 1, Region: "r", Zone: "z", State: fleet.Serving})
+		}
+		_, known := m.routesParent(everyNode)
+		must.EqOp(t, n > routesAlone, known)
+		_, known = m.parent(everyNode)
+		must.True(t, known)
+	}
+}
+
 // The store goes down for five seconds. Who reads through another node must not take
 // what that one knew for the present: its belief would look fresh while it grows old.
 func TestReaderWithoutStorePassesNothingOn(t *testing.T) {
