mesh: what is held for others is bounded in bytes

Cause: the feed of a topic held up to 1,024 records, which is 0.3 MB of members but 100 MB of publications of 370 routes each (some 100 KB), after a thousand changes: more than a VM of the smaller kind has. Ruled out: not holding routes where nobody reads them through the node; the bound is needed in large deployments as well. Change: 256 KB for each topic, the oldest go first; a page above the bound is not held, and who asks for it is sent to the store. Tests: TestFeedOfLargeRecordsStaysSmall, TestFeedForgetsInOrder (bytes where it counted records).

--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -18,9 +18,11 @@
 	AgeMillis int64 `json:"age_ms"`
 }
 
-// feedItems bounds the records that a feed holds: two for each of 412 nodes of a zone
-// that are restarted within seconds.
-const feedItems = 1024
+// feedBytes bounds the records that a feed holds, keys and values: two of some 250 bytes
+// for each of 412 nodes of a zone that are restarted within seconds. Counted in bytes,
+// since one publication of many routes is some 100 KB: a thousand of them would fill the
+// memory of a VM within a day of changes.
+const feedBytes = 256 << 10
 
 var (
 	// errNotCurrent matches a question to a node that doesn't know what the store has
@@ -35,7 +37,7 @@
 type feed struct {
 	mu    sync.Mutex
 	pages []fedPage
-	held  int
+	held  int // bytes
 	// start and next bound the offsets that are held.
 	start, next int64
 	current     bool
@@ -50,6 +52,13 @@
 	page
 }
 
+func (p *page) bytes() (n int) {
+	for i := range p.Items {
+		n += len(p.Items[i].Key) + len(p.Items[i].Value)
+	}
+	return n
+}
+
 // add takes what was read from offset from on. Where that does not follow on what is
 // held, as after a reading of all keys, what is held goes.
 func (f *feed) add(from int64, p page) {
@@ -61,12 +70,13 @@
 	}
 	if len(p.Items) > 0 {
 		f.pages = append(f.pages, fedPage{from, p})
-		f.held += len(p.Items)
+		f.held += p.bytes()
 	}
-	for f.held > feedItems && len(f.pages) > 1 {
-		f.held -= len(f.pages[0].Items)
+	for f.held > feedBytes {
+		f.held -= f.pages[0].bytes()
+		f.start = f.pages[0].Next
+		f.pages[0] = fedPage{}
 		f.pages = f.pages[1:]
-		f.start = f.pages[0].from
 	}
 	news := !f.current || p.Next != f.next
 	f.next, f.current = p.Next, true
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -288,17 +288,36 @@
 	})
 }
 
-// A feed holds so many records and no more. Who comes for older ones must not be told
+// A feed holds so many bytes and no more. Who comes for older records must not be told
 // that nothing came.
 func TestFeedForgetsInOrder(t *testing.T) {
 	var f feed
-	for i := range int64(3 * feedItems) {
-		f.add(i, page{Items: []Item{{Key: fmt.Sprint(i)}}, Next: i + 1})
+	const size = 250
+	last := int64(3 * feedBytes / size)
+	for i := range last {
+		f.add(i, page{Items: []Item{{Key: fmt.Sprint(i), Value: make([]byte, size)}}, Next: i + 1})
 	}
 	_, err := f.after(t.Context(), 0, 0)
 	must.ErrorIs(t, err, errNotHeld)
-	p, err := f.after(t.Context(), 3*feedItems-2, 0)
+	p, err := f.after(t.Context(), last-2, 0)
 	must.NoError(t, err)
 	must.Len(t, 2, p.Items)
-	must.EqOp(t, int64(3*feedItems), p.Next)
+	must.EqOp(t, last, p.Next)
+}
+
+// Operators publish 1,000 routes at a time, again and again. What is held for others
+// must not grow with it, and one publication above the bound is not held at all.
+func TestFeedOfLargeRecordsStaysSmall(t *testing.T) {
+	var f feed
+	for i := range int64(200) {
+		f.add(i, page{Items: []Item{{Key: "config", Value: make([]byte, 100<<10)}}, Next: i + 1})
+		must.LessEq(t, feedBytes, f.held)
+	}
+	f.add(200, page{Items: []Item{{Key: "config", Value: make([]byte, 2*feedBytes)}}, Next: 201})
+	must.EqOp(t, 0, f.held)
+	_, err := f.after(t.Context(), 200, 0)
+	must.ErrorIs(t, err, errNotHeld)
+	p, err := f.after(t.Context(), 201, 0)
+	must.NoError(t, err)
+	must.EqOp(t, 201, p.Next)
 }
