result: a cause of another node is bounded before it goes into a log line

It came from the peer's header as it was; a broken or hostile peer could fill lines up to the header's bound. 256 bytes hold a code and two names; a longer one counts as unreadable (test case added).

--- a/internal/result/cause.go
+++ b/internal/result/cause.go
@@ -26,8 +26,15 @@
 	return strconv.Itoa(int(c.Code)) + " " + c.Service + " " + c.Node
 }
 
+// maxCauseBytes bounds a cause of another node, which goes into log lines: a code and
+// two names of 64 bytes, with room for longer names of other versions.
+const maxCauseBytes = 256
+
 // DecodeCause reads what Encode wrote; nil when it says nothing that can be read.
 func DecodeCause(text string) *Cause {
+	if len(text) > maxCauseBytes {
+		return nil
+	}
 	parts := strings.Split(text, " ")
 	if len(parts) != 3 || parts[1] == "" || parts[2] == "" {
 		return nil
--- a/internal/result/cause_test.go
+++ b/internal/result/cause_test.go
@@ -1,6 +1,7 @@
 package result
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -15,7 +16,7 @@
 // Another version of the product, or a broken peer, sends a cause that can't be read.
 // The answer that it comes with is still good, so it must only count as saying nothing.
 func TestUnreadableCauseSaysNothing(t *testing.T) {
-	for _, text := range []string{"", "2003", "2003 tracker", "x tracker vm-12", "-1 tracker vm-12", "2003  vm-12", "2003 tracker vm-12 more"} {
+	for _, text := range []string{"", "2003", "2003 tracker", "x tracker vm-12", "-1 tracker vm-12", "2003  vm-12", "2003 tracker vm-12 more", "2003 tracker " + strings.Repeat("v", maxCauseBytes)} {
 		must.Nil(t, DecodeCause(text), must.Sprintf("%q", text))
 	}
 }
