--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -36,6 +36,7 @@
 	Drain    drainCmd    `cmd:"" help:"Let a node finish its work and leave."`
 	Timeline timelineCmd `cmd:"" help:"Merged events of all nodes."`
 	Explain  explainCmd  `cmd:"" help:"Why a request ended as it did, from the nodes' logs."`
+	Store    storeCmd    `cmd:"" help:"Calls of the store by topic, purpose and outcome, from the nodes' logs."`
 	Events   eventsCmd   `cmd:"" help:"Events of one node as they happen."`
 }
 
--- a/cmd/galenactl/explain.go
+++ b/cmd/galenactl/explain.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -26,27 +23,9 @@
 	Near time.Duration `help:"Show what nodes of the request learned this long before it." default:"3s"`
 }
 
-// logLine is one line of a node's log.
-type logLine struct {
-	timeline.Event
-	Level   string `json:"level"`
-	Time    string `json:"time"`
-	Message string `json:"message"`
-	Result  string `json:"result,omitempty"`
-	Ran     string `json:"ran,omitempty"`
-	// RoutesVersion is that in force at the node when it wrote the line.
-	RoutesVersion int64 `json:"routes_version,omitempty"`
-	// Member is the node that a line about another node is about.
-	Member string `json:"member,omitempty"`
-	// at is Time parsed.
-	at time.Time
-	// raw is the line as it was read, for lines that are no events.
-	raw string
-}
-
 // Run implements the command.
 func (c *explainCmd) Run(a *app) error {
-	lines, unread, err := c.read(a.stdin)
+	lines, unread, err := readLogs(c.From, a.stdin)
 	if err != nil {
 		return usageError{err}
 	}
@@ -72,26 +51,6 @@
 	return c.tell(a.stdout, story)
 }
 
-func (c *explainCmd) read(stdin io.Reader) (lines []logLine, unread int, err error) {
-	if len(c.From) == 0 {
-		return readLog(stdin)
-	}
-	for _, path := range c.From {
-		f, err := os.Open(path)
-		if err != nil {
-			return nil, 0, err
-		}
-		got, bad, err := readLog(f)
-		f.Close()
-		if err != nil {
-			return nil, 0, errors.WithMessage(err, path)
-		}
-		lines = append(lines, got...)
-		unread += bad
-	}
-	return lines, unread, nil
-}
-
 // eventsOf returns the events among log lines.
 func eventsOf(lines []logLine) []timeline.Event {
 	var events []timeline.Event
@@ -103,44 +62,6 @@
 	return events
 }
 
-// readLog reads lines of JSON; whatever stands before the first brace, such as
-// the prefix of a log collector, is passed over.
-func readLog(r io.Reader) (lines []logLine, unread int, err error) {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(make([]byte, 0, 4096), timeline.MaxLineBytes)
-	for sc.Scan() {
-		brace := bytes.IndexByte(sc.Bytes(), '{')
-		if brace < 0 {
-			unread++
-			continue
-		}
-		l := logLine{raw: string(sc.Bytes()[brace:])}
-		if err := json.Unmarshal([]byte(l.raw), &l); err != nil {
-			unread++
-			continue
-		}
-		if !l.dated() {
-			unread++
-			continue
-		}
-		lines = append(lines, l)
-	}
-	return lines, unread, errors.Wrap(sc.Err(), "read log")
-}
-
-// dated sets when the line was written and reports whether that is known. Events
-// that were taken from a node and not from its log have only the clock that travels
-// with calls.
-func (l *logLine) dated() bool {
-	at, err := time.Parse(time.RFC3339Nano, l.Time)
-	if err == nil {
-		l.at = at
-		return true
-	}
-	l.at = l.HLC.Time()
-	return l.Time == "" && l.HLC != 0
-}
-
 // story picks the lines of the request and of the calls made for it, and what
 // the nodes concerned learned shortly before and meanwhile.
 func (c *explainCmd) story(lines []logLine) []logLine {
--- /dev/null
+++ b/cmd/galenactl/store_test.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const storeLog = `1.0 a {"level":"info","topic":"routes","purpose":"changes","outcome":"done","time":"2026-08-22T11:21:56.900Z","message":"store called"}
+1.0 b {"level":"info","topic":"routes","purpose":"changes","outcome":"done","time":"2026-08-22T11:21:56.901Z","message":"store called"}
+1.1 b {"level":"info","topic":"members","purpose":"own_record","outcome":"failed","time":"2026-08-22T11:21:56.950Z","message":"store called"}
+1.2 b {"level":"info","topic":"members","time":"2026-08-22T11:21:56.960Z","message":"store lost"}
+`
+
+// Guards against a store bill that nobody can attribute.
+func TestStoreCallsByPurpose(t *testing.T) {
+	var out, errs bytes.Buffer
+	code := run(t.Context(), []string{"store"}, strings.NewReader(storeLog), &out, &errs)
+	must.EqOp(t, exitOK, code, must.Sprint(errs.String()))
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	must.Eq(t, []string{"routes", "changes", "done", "2"}, strings.Fields(rows[1]))
+	must.Eq(t, []string{"members", "own_record", "failed", "1"}, strings.Fields(rows[2]))
+	must.StrContains(t, rows[3], "3 calls")
+}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -154,6 +154,17 @@
 	return out
 }
 
+// Elsewhere returns the newest records of the serving nodes of other zones, in no order.
+func (r *Registry) Elsewhere(region, zone string) []Member {
+	var out []Member
+	for _, m := range r.members {
+		if m.State == Serving && (m.Zone != zone || m.Region != region) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Endpoints returns where calls may go. Of two nodes that claim one address the
 // later one has it: the address of a VM that is gone is given to another.
 func (r *Registry) Endpoints() []routing.Endpoint {
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -11,16 +11,16 @@
 // eight questions that wait 3 s are some 1.4 KB/s.
 const relayFanOut = 8
 
-// Parent returns the node of the zone through which a node reads what the platform's
-// store has; known is false for the one that reads the store itself. others are the
-// other nodes of the zone.
+// Sources returns the nodes of a zone through which a node may read what the platform's
+// store has, the best one first; none for the node that reads the store itself. others
+// are the other nodes of the zone.
 //
 // The load it answers: with 14,000 nodes each record would be read 14,000 times. Nodes
 // of a zone are ordered by a hash of their names and form a tree. All nodes agree on the
 // order, and whoever follows a node comes after it, so no circle of nodes waits for news
 // from itself while views of who is there differ. Nodes that are about to end, or have
 // no upstream, are followed by nobody.
-func Parent(node string, others []Member) (parent Member, known bool) {
+func Sources(node string, others []Member) []Member {
 	own := nameHash(node)
 	var before []Member
 	for _, m := range others {
@@ -29,12 +29,17 @@
 		}
 	}
 	if len(before) == 0 {
-		return Member{}, false
+		return nil
 	}
 	slices.SortFunc(before, func(a, b Member) int {
 		return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
 	})
-	return before[(len(before)-1)/relayFanOut], true
+	return rotate(before, (len(before)-1)/relayFanOut)
+}
+
+// rotate moves the member at first to the front; those before it go to the end.
+func rotate(members []Member, first int) []Member {
+	return append(slices.Clone(members[first:]), members[:first]...)
 }
 
 func compareNames(hashA uint64, a string, hashB uint64, b string) int {
--- a/internal/fleet/parent_test.go
+++ b/internal/fleet/parent_test.go
@@ -27,13 +27,13 @@
 		all := zoneOf(n)
 		parents, children, readers := map[string]string{}, map[string]int{}, 0
 		for i := range all {
-			parent, known := Parent(all[i].Node, without(all, i))
-			if !known {
+			sources := Sources(all[i].Node, without(all, i))
+			if len(sources) == 0 {
 				readers++
 				continue
 			}
-			parents[all[i].Node] = parent.Node
-			children[parent.Node]++
+			parents[all[i].Node] = sources[0].Node
+			children[sources[0].Node]++
 		}
 		must.EqOp(t, 1, readers)
 		for _, count := range children {
@@ -65,8 +65,8 @@
 				m.State = rapid.SampledFrom([]State{Serving, Serving, Stopping, Leaving, Gone}).Draw(t, "state")
 				known = append(known, m)
 			}
-			if parent, ok := Parent(all[i].Node, known); ok {
-				parents[all[i].Node] = parent.Node
+			if sources := Sources(all[i].Node, known); len(sources) > 0 {
+				parents[all[i].Node] = rapid.SampledFrom(sources).Draw(t, "source").Node
 			}
 		}
 		for start := range parents {
--- /dev/null
+++ b/internal/mesh/compare.go
@@ -0,0 +1,91 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/wait"
+)
+
+const (
+	// offsetsPath is where a node says how far it has read the store's topics.
+	offsetsPath = "/offsets"
+	// compareSpacing is the mean time between two comparisons by the nodes of a zone
+	// together, and minComparePause the least of one node.
+	compareSpacing  = 150 * time.Millisecond
+	minComparePause = 500 * time.Millisecond
+	// compareTimeout bounds one question.
+	compareTimeout = 500 * time.Millisecond
+	// maxOffsetsBytes bounds its answer.
+	maxOffsetsBytes = 1 << 10
+)
+
+// offsets is how far a node has read the store's topics.
+type offsets struct {
+	Members int64 `json:"members"`
+	Routes  int64 `json:"routes"`
+	// RoutesVersion is the version of the routes in force.
+	RoutesVersion int64 `json:"routes_version"`
+}
+
+// compare asks nodes of other zones now and then how far they have read.
+//
+// The failure it guards against: the store answers the reader of a zone no more, but
+// its connection lives. A read that waits for news then looks like one for which there
+// are none, and the whole zone stays with what it has. Zones read for themselves, so
+// the nodes of another one know better, as long as one of the others is answered.
+func (m *Mesh) compare(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := max(time.Duration(len(m.members.neighbours(m.cfg)))*compareSpacing, minComparePause)
+		wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
+		of, known := m.members.elsewhere(m.cfg)
+		if !known || ctx.Err() != nil {
+			continue
+		}
+		if err := m.compareWith(ctx, &of); err != nil {
+			m.logger.Debug().Str("member", of.Node).Err(err).Msg("not compared with another zone")
+		}
+	}
+}
+
+func (m *Mesh) compareWith(ctx context.Context, of *fleet.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	query := url.Values{"of": {of.Node}, "store": {m.Settings().Store.Identity()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+offsetsPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	raw, err := m.askNode(req, maxOffsetsBytes)
+	if err != nil {
+		return err
+	}
+	var theirs offsets
+	if err := json.Unmarshal(raw, &theirs); err != nil {
+		return errors.Wrap(err, "offsets of another node")
+	}
+	m.routes.Heard(of.Address, theirs.RoutesVersion)
+	m.routes.follower.heard(theirs.Routes)
+	m.following.heard(theirs.Members)
+	return nil
+}
+
+// serveOffsets answers a node that compares itself with this one.
+func (m *Mesh) serveOffsets(w http.ResponseWriter, r *http.Request) {
+	if refusal := m.notMeant(r.URL.Query()); refusal != nil {
+		http.Error(w, refusal.Error(), refusal.status)
+		return
+	}
+	m.sendJSON(w, &offsets{
+		Members:       m.following.next.Load(),
+		Routes:        m.routes.follower.next.Load(),
+		RoutesVersion: m.routes.Version(),
+	})
+}
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -77,6 +77,10 @@
 	readsPerSecond = 60
 )
 
+// membersBehindGrace is the grace of a node that gathers changes: it is behind until its
+// next read.
+const membersBehindGrace = maxSettle + behindGrace
+
 // settleFor is how long one of that many nodes gathers changes.
 func settleFor(nodes int) time.Duration {
 	return min(max(minSettle, time.Duration(nodes)*time.Second/readsPerSecond), maxSettle)
--- a/internal/mesh/eventlog_test.go
+++ b/internal/mesh/eventlog_test.go
@@ -24,7 +24,7 @@
 	for range 100 {
 		records.note(&fleet.Member{Node: "vm-2"}, "store")
 	}
-	f := &follower{topic: &busyTopic{}, logger: m.logger}
+	f := newFollower(&busyTopic{}, nil, nil, m.logger)
 	f.noteLost(t.Context(), ErrExpired)
 	f.regained()
 	must.Less(t, 10, strings.Count(out.String(), "member changed"))
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -47,6 +48,12 @@
 	return fleet.DecodeMember(answer)
 }
 
+// statusError is an answer of another node that is not the one asked for.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string { return fmt.Sprintf("status %d", e.status) }
+
 // askNode sends a question to another node and returns the answer's body.
 func (m *Mesh) askNode(req *http.Request, most int64) ([]byte, error) {
 	resp, err := m.servers.control.RoundTrip(req)
@@ -55,7 +62,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("status %d", resp.StatusCode)
+		return nil, &statusError{resp.StatusCode}
 	}
 	return io.ReadAll(io.LimitReader(resp.Body, most))
 }
--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -16,6 +16,9 @@
 	// AgeMillis is how long ago the sender of a page last knew that nothing newer was
 	// in the store.
 	AgeMillis int64 `json:"age_ms"`
+	// Whole says that Items are the newest record of each key, and not what came after
+	// an offset.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // feedBytes bounds the records that a feed holds, keys and values: two of some 250 bytes
@@ -32,20 +35,34 @@
 	errNotHeld = errors.New("records from this offset on are not held here")
 )
 
-// feed holds what the node read of a topic last, for the nodes that read through it.
-// Safe for concurrent use; the zero value is not current.
+// feed holds what the node read of a topic, for the nodes that read through it: the
+// last records in their order, and the newest of each key for those that are behind or
+// know nothing yet. Safe for concurrent use; the zero value has begun nothing.
 type feed struct {
 	mu    sync.Mutex
 	pages []fedPage
 	held  int // bytes
 	// start and next bound the offsets that are held.
 	start, next int64
-	current     bool
-	closed      bool
+	// newest is the newest record of each key; nil where not all keys are known.
+	newest map[string][]byte
+	state  feedState
 	// changed is closed at the next change.
 	changed chan struct{}
 }
 
+// feedState is what a feed knows of the store.
+type feedState int
+
+const (
+	// feedBegins is that of a node whose first read is under way.
+	feedBegins feedState = iota
+	feedCurrent
+	feedLost
+	// feedClosed is that of a node that is about to end.
+	feedClosed
+)
+
 // fedPage is a page and the offset that it was read from.
 type fedPage struct {
 	from int64
@@ -59,46 +76,73 @@
 	return n
 }
 
-// add takes what was read from offset from on. Where that does not follow on what is
-// held, as after a reading of all keys, what is held goes.
+// add takes what was read from offset from on.
 func (f *feed) add(from int64, p page) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.current || from != f.next {
-		f.pages, f.held = nil, 0
-		f.start = from
+	if p.Whole || from != f.next {
+		f.resetLocked(p)
+	}
+	f.foldLocked(p.Items)
+	if len(p.Items) > 0 && !p.Whole {
+		f.holdLocked(fedPage{from, p})
+	}
+	news := f.state != feedCurrent || p.Next != f.next
+	f.next = p.Next
+	if f.state != feedClosed {
+		f.state = feedCurrent
+	}
+	if news {
+		f.wakeLocked()
+	}
+}
+
+// resetLocked begins anew, with all keys where the page has them.
+func (f *feed) resetLocked(p page) {
+	f.pages, f.held, f.newest = nil, 0, nil
+	f.start = p.Next
+	if p.Whole {
+		f.newest = make(map[string][]byte, len(p.Items))
 	}
-	if len(p.Items) > 0 {
-		f.pages = append(f.pages, fedPage{from, p})
-		f.held += p.bytes()
+}
+
+func (f *feed) foldLocked(items []Item) {
+	if f.newest == nil {
+		return
+	}
+	for _, item := range items {
+		if len(item.Value) == 0 {
+			delete(f.newest, item.Key)
+			continue
+		}
+		f.newest[item.Key] = item.Value
 	}
+}
+
+func (f *feed) holdLocked(p fedPage) {
+	f.pages = append(f.pages, p)
+	f.held += p.bytes()
 	for f.held > feedBytes {
 		f.held -= f.pages[0].bytes()
 		f.start = f.pages[0].Next
 		f.pages[0] = fedPage{}
 		f.pages = f.pages[1:]
 	}
-	news := !f.current || p.Next != f.next
-	f.next, f.current = p.Next, true
-	if news {
-		f.wakeLocked()
-	}
 }
 
 // lose says that the store is not known any more; who waits is told at once, so that it
 // asks elsewhere.
-func (f *feed) lose() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.current = false
-	f.wakeLocked()
-}
+func (f *feed) lose() { f.leaveCurrent(feedLost) }
 
 // close loses the store for good.
-func (f *feed) close() {
+func (f *feed) close() { f.leaveCurrent(feedClosed) }
+
+func (f *feed) leaveCurrent(state feedState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closed = true
+	if f.state != feedClosed {
+		f.state = state
+	}
 	f.wakeLocked()
 }
 
@@ -109,47 +153,76 @@
 	}
 }
 
-// after returns what came after offset from; with nothing there it waits up to wait.
-// Records before from may be among them. Who is ahead for all of the wait must ask the
-// store: it may have begun its offsets anew.
-func (f *feed) after(ctx context.Context, from int64, wait time.Duration) (page, error) {
+// after returns what came after offset from, or the newest record of each key where the
+// records from there on are not held. With nothing there it waits up to wait, as for a
+// first read that is under way; one that is patient waits for a lost store as well. Records
+// before from may be among them. Who is ahead for
+// all of the wait must ask the store: it may have begun its offsets anew.
+func (f *feed) after(ctx context.Context, from int64, wait time.Duration, patient bool) (page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		p, changed, err := f.look(from)
-		if err != nil || p.Next > from {
+		p, changed, err := f.look(from, patient)
+		if err != nil || changed == nil {
 			return p, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			if p.Next < from {
-				return page{}, errNotHeld
-			}
-			return page{Next: from}, nil
+			return f.nothingAfter(from)
 		case <-ctx.Done():
 			return page{}, ctx.Err()
 		}
 	}
 }
 
-func (f *feed) look(from int64) (p page, changed <-chan struct{}, err error) {
+// look returns what came after an offset, or what to wait for.
+func (f *feed) look(from int64, patient bool) (p page, changed <-chan struct{}, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case f.closed || !f.current:
+	case f.state == feedClosed || (f.state == feedLost && !patient):
 		return page{}, nil, errNotCurrent
-	case from < f.start:
+	case f.state != feedCurrent || (from >= f.start && from >= f.next):
+		if f.changed == nil {
+			f.changed = make(chan struct{})
+		}
+		return page{}, f.changed, nil
+	case from >= f.start:
+		return f.sinceLocked(from), nil, nil
+	case f.newest == nil:
 		return page{}, nil, errNotHeld
 	}
-	if f.changed == nil {
-		f.changed = make(chan struct{})
-	}
-	p.Next = f.next
+	return f.wholeLocked(), nil, nil
+}
+
+func (f *feed) sinceLocked(from int64) page {
+	p := page{Next: f.next}
 	for _, held := range f.pages {
 		if held.Next > from {
 			p.Items = append(p.Items, held.Items...)
 		}
 	}
-	return p, f.changed, nil
+	return p
+}
+
+func (f *feed) wholeLocked() page {
+	p := page{Next: f.next, Whole: true, Items: make([]Item, 0, len(f.newest))}
+	for key, value := range f.newest {
+		p.Items = append(p.Items, Item{Key: key, Value: value})
+	}
+	return p
+}
+
+// nothingAfter is the answer to a question that waited for nothing.
+func (f *feed) nothingAfter(from int64) (page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state != feedCurrent {
+		return page{}, errNotCurrent
+	}
+	if f.next < from {
+		return page{}, errNotHeld
+	}
+	return page{Next: from}, nil
 }
--- /dev/null
+++ b/internal/mesh/firststart.go
@@ -0,0 +1,48 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/wait"
+)
+
+const (
+	// gatherAtFirstStart is how long the nodes of a deployment that starts for the first
+	// time wait before they read who is there: upstreams report every 1.5 s, and until
+	// all have done so there is nobody to read through.
+	gatherAtFirstStart = 2500 * time.Millisecond
+	// firstStartSpread spreads those reads.
+	firstStartSpread = 300 * time.Millisecond
+	// awaitMembers bounds how long a node that starts waits to learn whom it can ask
+	// for routes, before it asks the store.
+	awaitMembers = 500 * time.Millisecond
+)
+
+// followMembers follows the records of nodes. Load pattern: all nodes of a deployment
+// start within a second. Each would read all records, and then each one that comes, from
+// the store, since nobody knows yet whom to read through.
+func (m *Mesh) followMembers(ctx context.Context) {
+	if m.cfg.FirstStart {
+		wait.For(ctx, gatherAtFirstStart+rand.N(firstStartSpread))
+	}
+	m.following.run(ctx)
+}
+
+// followRoutes follows the published routes, from a node of the zone if one is known.
+func (m *Mesh) followRoutes(ctx context.Context) {
+	patience := awaitMembers
+	if m.cfg.FirstStart {
+		patience += gatherAtFirstStart + firstStartSpread
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-m.following.tried:
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	m.routes.follower.run(ctx)
+}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,30 +13,6 @@
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
-// Item is the newest record of a key.
-type Item struct {
-	Key string `json:"key"`
-	// Value is empty when the key was deleted.
-	Value []byte `json:"value"`
-}
-
-// ErrExpired matches a read of records that the store keeps no more.
-var ErrExpired = errors.New("records have expired")
-
-// Topic is a keyed topic of the store: the newest record of each key lasts.
-type Topic interface {
-	// Name names the topic in logs.
-	Name() string
-	// Put appends a record. On an error it may have taken effect.
-	Put(ctx context.Context, key string, value []byte) error
-	// Newest returns the newest record of each key, and the offset from which
-	// Read returns what came later.
-	Newest(ctx context.Context) (items []Item, next int64, err error)
-	// Read returns the records from offset from on. With none there it waits up
-	// to wait for one. It fails with ErrExpired when from is kept no more.
-	Read(ctx context.Context, from int64, wait time.Duration) (items []Item, next int64, err error)
-}
-
 const (
 	// readWait is how long a read at the end of a topic waits for news. A read
 	// costs the same however long it waits; whether its connection lives is
@@ -48,14 +25,34 @@
 	// callTimeout bounds a call of the store that doesn't wait. Slow stores
 	// answer in some hundred milliseconds.
 	callTimeout = 2 * time.Second
+	// probeSpacing is the mean time between two reads with which the nodes of a zone
+	// look whether a lost store is back, and maxProbePause bounds what that makes for
+	// one node of a large zone.
+	probeSpacing  = 100 * time.Millisecond
+	maxProbePause = 10 * time.Second
+	// behindGrace is how long another node may be ahead of one that reads as it should.
+	behindGrace = 100 * time.Millisecond
+	// behindTimeout bounds a read of what is known to be there.
+	behindTimeout = 500 * time.Millisecond
 )
 
+// readAll is the offset of a follower that knows nothing yet: it needs all keys.
+const readAll int64 = -1
+
+// errTooSoon says that another node of the zone is to look for the lost store.
+var errTooSoon = errors.New("the store was asked a moment ago")
+
+// errReadEnded says that a read was ended to begin anew.
+var errReadEnded = errors.New("read ended")
+
 // follower applies the records of a topic from the first to the newest, for as
-// long as the node runs.
+// long as the node runs. It reads them through another node of its zone where it
+// can, and else from the store.
 type follower struct {
 	topic  Topic
 	apply  func([]Item)
 	logger zerolog.Logger
+	calls  callLog
 	// kick makes a pause end at once.
 	kick chan struct{}
 	// settle is how long to wait after news from the store before the next read; nil:
@@ -63,10 +60,18 @@
 	settle func() time.Duration
 	// relay reads through another node of the zone; nil: always the store itself.
 	relay *relay
-	// stopAsking ends the question to another node that waits, if one does.
-	stopAsking atomic.Pointer[context.CancelFunc]
+	// stopReading ends the read that waits, at another node or at the store.
+	stopReading atomic.Pointer[context.CancelFunc]
+	// next is the offset to go on from, and exists the greatest that other nodes have
+	// been at for a while.
+	next, exists atomic.Int64
+	// behindGrace is how long another node may be ahead before a read is ended that
+	// waits for news.
+	behindGrace time.Duration
 	// feed is what was read, for the nodes that read through this one.
 	feed feed
+	// purpose is why all keys are read next.
+	purpose Purpose
 
 	// confirmed is when the newest read that succeeded was sent, in Unix
 	// milliseconds; 0 means never. What is believed was true then.
@@ -76,85 +81,189 @@
 	lostAt time.Time
 	// lost is whether the last read failed.
 	lost atomic.Bool
+	// probeAt is when a lost store may be read again.
+	probeAt time.Time
+	// tried is closed when the first read has ended, well or not.
+	tried     chan struct{}
+	triedOnce sync.Once
+}
+
+func newFollower(topic Topic, apply func([]Item), r *relay, logger zerolog.Logger) *follower {
+	f := &follower{
+		topic:       topic,
+		apply:       apply,
+		logger:      logger,
+		calls:       callLog{logger: logger, topic: topic.Name()},
+		kick:        make(chan struct{}, 1),
+		relay:       r,
+		purpose:     PurposeStart,
+		behindGrace: behindGrace,
+		tried:       make(chan struct{}),
+	}
+	f.next.Store(readAll)
+	return f
 }
 
 func (f *follower) run(ctx context.Context) {
 	failures := 0
-	next := int64(-1)
 	for ctx.Err() == nil {
-		var err error
-		next, err = f.step(ctx, next)
+		err := f.step(ctx)
 		if err == nil {
 			f.regained()
 			failures = 0
 			continue
 		}
 		if errors.Is(err, ErrExpired) {
-			f.logger.Info().Str("topic", f.topic.Name()).Int64("offset", next).Msg("records expired before they were read; reading the newest of each key")
-			next = -1
+			f.logger.Info().Str("topic", f.topic.Name()).Int64("offset", f.next.Load()).Msg("records expired before they were read; reading the newest of each key")
+			f.readAfresh(PurposeExpired)
+			continue
+		}
+		if errors.Is(err, errReadEnded) {
+			continue
+		}
+		if errors.Is(err, errTooSoon) {
+			pauseAfter(ctx, 1, f.kick)
 			continue
 		}
 		f.noteLost(ctx, err)
 		failures++
-		f.pause(ctx, failures)
+		pauseAfter(ctx, failures, f.kick)
 	}
 }
 
-// step reads once and returns the offset to go on from; -1 reads everything.
-func (f *follower) step(ctx context.Context, next int64) (int64, error) {
-	if f.afresh.Swap(false) || next < 0 {
-		return f.snapshot(ctx)
+// readAfresh lets the next read be one of all keys.
+func (f *follower) readAfresh(why Purpose) {
+	f.purpose = why
+	f.next.Store(readAll)
+	f.exists.Store(0)
+}
+
+// step reads once.
+func (f *follower) step(ctx context.Context) error {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.stopReading.Store(&cancel)
+	if f.afresh.Swap(false) {
+		f.readAfresh(PurposeStart)
 	}
-	if p, ok := f.ask(ctx, next); ok {
+	next := f.next.Load()
+	if p, ok := f.ask(readCtx, next); ok {
 		f.take(next, p, time.Now().Add(-time.Duration(p.AgeMillis)*time.Millisecond))
-		return p.Next, nil
+		return nil
 	}
-	if f.afresh.Load() {
-		return next, nil
-	}
-	sent := time.Now()
-	items, after, err := f.topic.Read(ctx, next, readWait)
-	if err != nil {
-		return next, err
+	if f.lost.Load() && time.Now().Before(f.probeAt) {
+		return errTooSoon
 	}
-	f.take(next, page{Items: items, Next: after}, asOf(sent, len(items) > 0))
-	if len(items) > 0 && f.settle != nil {
-		wait.For(ctx, f.settle())
+	err := f.readStore(readCtx, next)
+	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
+		return errReadEnded
 	}
-	return after, nil
+	return err
 }
 
-// ask reads through another node of the zone, unless there is none; restart ends it.
+// ask reads through another node of the zone, unless there is none.
 func (f *follower) ask(ctx context.Context, next int64) (page, bool) {
 	if f.relay == nil {
 		return page{}, false
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	if f.lost.Load() {
+		return f.relay.awaitReturn(ctx, f.topic.Name(), next)
+	}
+	return f.relay.read(ctx, f.topic.Name(), next, f.exists.Load())
+}
+
+// readStore reads all keys from the store, or waits there for what comes after an offset.
+func (f *follower) readStore(ctx context.Context, next int64) error {
+	if next == readAll {
+		return f.snapshot(ctx)
+	}
+	switch {
+	case f.exists.Load() > next:
+		return f.readNow(ctx, next, behindTimeout)
+	case f.lost.Load():
+		return f.readNow(ctx, next, callTimeout)
+	}
+	return f.readChanges(ctx, next, readWait)
+}
+
+// readNow reads what is there without a wait for more, where an answer that does not come
+// soon is none: a lost store would seem lost until its next news, and one that is silent
+// to this node alone would seem to have none.
+func (f *follower) readNow(ctx context.Context, from int64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	f.stopAsking.Store(&cancel)
-	return f.relay.read(ctx, f.topic.Name(), next)
+	err := f.readChanges(ctx, from, 0)
+	if err == nil {
+		f.exists.Store(f.next.Load())
+	}
+	return err
+}
+
+// heard takes in how far another node has read. If this one stays behind, a read that
+// waits for news is ended: its answer may never come.
+func (f *follower) heard(offset int64) {
+	if next := f.next.Load(); next == readAll || offset <= next {
+		return
+	}
+	time.AfterFunc(f.behindGrace, func() {
+		next := f.next.Load()
+		if next == readAll || offset <= next {
+			return
+		}
+		before := f.exists.Load()
+		f.exists.Store(max(offset, before))
+		if before > next {
+			return // no read waits for news now
+		}
+		f.logger.Info().Str("topic", f.topic.Name()).Int64("offset", next).Int64("exists", offset).Msg("behind other nodes; reading anew")
+		f.endRead()
+	})
+}
+
+func (f *follower) endRead() {
+	if cancel := f.stopReading.Load(); cancel != nil {
+		(*cancel)()
+	}
 }
 
 // take puts a page in force that was read from an offset and was true then.
 func (f *follower) take(from int64, p page, then time.Time) {
 	f.confirmed.Store(then.UnixMilli())
 	f.feed.add(from, p)
+	f.next.Store(p.Next)
 	if len(p.Items) > 0 {
 		f.apply(p.Items)
 	}
+	f.noteTried()
 }
 
-func (f *follower) snapshot(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+// readChanges reads what comes after an offset and waits for it.
+func (f *follower) readChanges(ctx context.Context, from int64, most time.Duration) error {
+	sent := time.Now()
+	items, next, err := f.topic.Read(ctx, from, most)
+	f.calls.done(ctx, PurposeChanges, sent, err)
+	if err != nil {
+		return err
+	}
+	f.take(from, page{Items: items, Next: next}, asOf(sent, len(items) > 0))
+	if len(items) > 0 && f.settle != nil {
+		wait.For(ctx, f.settle())
+	}
+	return nil
+}
+
+// snapshot reads all keys.
+func (f *follower) snapshot(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	sent := time.Now()
-	items, next, err := f.topic.Newest(ctx)
+	items, next, err := f.topic.Newest(callCtx)
+	f.calls.done(ctx, f.purpose, sent, err)
 	if err != nil {
-		return -1, err
+		return err
 	}
-	f.take(next, page{Next: next}, asOf(sent, true))
-	f.apply(items)
-	return next, nil
+	f.take(readAll, page{Items: items, Next: next, Whole: true}, sent)
+	return nil
 }
 
 // asOf is when what a read brought was true. One that waited and brought nothing says
@@ -179,25 +288,41 @@
 // restart reads everything once more, at once.
 func (f *follower) restart() {
 	f.afresh.Store(true)
-	if cancel := f.stopAsking.Load(); cancel != nil {
-		(*cancel)()
-	}
+	f.endRead()
 	select {
 	case f.kick <- struct{}{}:
 	default:
 	}
 }
 
+// noteLost notes that the store did not answer a read.
+//
+// Load pattern: the store is away, and all nodes of a zone would look for it at the
+// pace of one. The zone's reader goes on at that pace; the others look so seldom that
+// together they are some ten a second, and hear from each other.
 func (f *follower) noteLost(ctx context.Context, err error) {
+	f.probeAt = time.Now().Add(f.probePause())
 	if !f.lostAt.IsZero() || ctx.Err() != nil {
 		return
 	}
 	f.lostAt = time.Now()
 	f.lost.Store(true)
 	f.feed.lose()
+	f.noteTried()
 	f.logger.Warn().Str("topic", f.topic.Name()).Err(err).Msg("store lost")
 }
 
+// probePause is how long this node leaves a lost store to the others of its zone.
+func (f *follower) probePause() time.Duration {
+	if f.relay == nil || f.relay.reads {
+		return 0
+	}
+	mean := min(time.Duration(f.relay.others())*probeSpacing, maxProbePause)
+	return time.Duration((0.5 + rand.Float64()) * float64(mean))
+}
+
+func (f *follower) noteTried() { f.triedOnce.Do(func() { close(f.tried) }) }
+
 func (f *follower) regained() {
 	if f.lostAt.IsZero() {
 		return
@@ -207,8 +332,6 @@
 	f.lost.Store(false)
 }
 
-func (f *follower) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, f.kick) }
-
 // pauseAfter waits longer with each failure, by a random part, so that the nodes
 // of a deployment don't all ask in the moment of the store's return.
 func pauseAfter(ctx context.Context, failures int, wake <-chan struct{}) {
--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -33,10 +33,8 @@
 		must.Between(t, minSettle, settle, maxSettle)
 		synctest.Test(t, func(t *testing.T) {
 			topic := &busyTopic{}
-			f := &follower{
-				topic: topic, apply: func([]Item) {}, logger: zerolog.Nop(), kick: make(chan struct{}, 1),
-				settle: func() time.Duration { return settle },
-			}
+			f := newFollower(topic, func([]Item) {}, nil, zerolog.Nop())
+			f.settle = func() time.Duration { return settle }
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			f.run(ctx)
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -88,6 +88,7 @@
 	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	inner.HandleFunc("GET "+newsPath, m.serveNews)
+	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
 	s.callers = m.newServer(m.closing(callers))
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -29,6 +30,9 @@
 	// asked for twice a second, and 14,000 nodes take milliseconds to look through.
 	near   []fleet.Member
 	nearAt int
+	// far are the serving nodes of other zones, as of that many changes.
+	far   []fleet.Member
+	farAt int
 }
 
 func (m *members) apply(items []Item) {
@@ -136,6 +140,21 @@
 	return m.registry.Members()
 }
 
+// elsewhere returns a serving node of another zone, any of them; known is false where
+// there is none.
+func (m *members) elsewhere(cfg *settings.Mesh) (of fleet.Member, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.farAt != m.registry.Changes() {
+		m.far = m.registry.Elsewhere(cfg.Region, cfg.Zone)
+		m.farAt = m.registry.Changes()
+	}
+	if len(m.far) == 0 {
+		return fleet.Member{}, false
+	}
+	return m.far[rand.IntN(len(m.far))], true
+}
+
 // neighbours returns the records of the other nodes of the zone; they must not be
 // changed.
 func (m *members) neighbours(cfg *settings.Mesh) []fleet.Member {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -111,7 +111,7 @@
 		Silence: peerSilence,
 		Rescue:  proxy.WaitBounds{Min: peerRescueMin, Max: peerRescueMax},
 	})
-	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.bounded)
+	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.bounded, m.logger)
 	m.upstream = proxy.NewUpstream(noKeys{})
 	m.upstream.Speak(m.platform)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
@@ -140,7 +140,9 @@
 	m.pace = newPace(m.node.Guard())
 	m.upstream.OnQueued(m.pace.kick)
 	m.members = &members{logger: m.bounded, registry: fleet.NewRegistry(), suspects: m.suspects, changed: m.setEndpoints}
-	m.following = &follower{topic: m.platform.Members(), apply: m.members.apply, logger: m.logger, kick: make(chan struct{}, 1), settle: m.settle, relay: m.newRelay(m.parent)}
+	m.following = newFollower(m.platform.Members(), m.members.apply, m.newRelay(membersWait), m.logger)
+	m.following.settle = m.settle
+	m.following.behindGrace = membersBehindGrace
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.tellZone)
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
@@ -198,12 +200,13 @@
 	m.cancel = cancel
 	m.serve()
 	m.loop(func() { m.pace.run(ctx) })
-	m.loop(func() { m.routes.follower.run(ctx) })
+	m.loop(func() { m.followRoutes(ctx) })
 	m.loop(func() { m.publisher.run(ctx) })
 	m.loop(func() { m.suspects.run(ctx) })
-	m.loop(func() { m.following.run(ctx) })
+	m.loop(func() { m.followMembers(ctx) })
 	m.loop(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.loop(func() { m.adoptUpstream(ctx) })
+	m.loop(func() { m.compare(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/publisher.go
+++ b/internal/mesh/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -14,6 +15,7 @@
 type publisher struct {
 	topic  Topic
 	logger zerolog.Logger
+	calls  callLog
 	wake   chan struct{}
 	// unwritten is called when the store did not take the record.
 	unwritten func(context.Context)
@@ -25,7 +27,14 @@
 }
 
 func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member, unwritten func(context.Context)) *publisher {
-	return &publisher{topic: topic, logger: logger, wake: make(chan struct{}, 1), record: record, unwritten: unwritten}
+	return &publisher{
+		topic:     topic,
+		logger:    logger,
+		calls:     callLog{logger: logger, topic: topic.Name()},
+		wake:      make(chan struct{}, 1),
+		record:    record,
+		unwritten: unwritten,
+	}
 }
 
 // update changes the record and has it written.
@@ -71,7 +80,7 @@
 			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own record not written yet")
 			failures++
 			p.unwritten(ctx)
-			p.pause(ctx, failures)
+			pauseAfter(ctx, failures, p.wake)
 			continue
 		}
 		failures = 0
@@ -85,7 +94,10 @@
 	if err != nil {
 		return err
 	}
-	if err := p.topic.Put(ctx, nodePrefix+record.Node, raw); err != nil {
+	sent := time.Now()
+	err = p.topic.Put(ctx, nodePrefix+record.Node, raw)
+	p.calls.done(ctx, PurposeOwnRecord, sent, err)
+	if err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -94,5 +106,3 @@
 	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own record written")
 	return nil
 }
-
-func (p *publisher) pause(ctx context.Context, failures int) { pauseAfter(ctx, failures, p.wake) }
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,36 +22,43 @@
 const (
 	// newsPath is where a node gives what it reads of the store's topics.
 	newsPath = "/news"
-	// newsWait is how long a question for news waits, and newsSlack how much longer its
-	// answer may take: a process that stands still acknowledges all probes, and its zone
-	// must not know less than a few seconds ago because of it.
-	newsWait  = 3 * time.Second
-	newsSlack = 500 * time.Millisecond
-	// routesAlone is how many nodes each read published routes from the store: routes have
-	// to be in force within two seconds though a node in between stands still. So many
-	// reads at once are a sixth of what a store of 6,000 serves in a second.
-	routesAlone = 1000
+	// membersWait and routesWait are how long a question waits, and newsSlack how much
+	// longer its answer may take: a process that stands still acknowledges all probes.
+	// Routes have to be in force within two seconds of their publication whatever the
+	// node in between does.
+	membersWait = 3 * time.Second
+	routesWait  = time.Second
+	newsSlack   = 300 * time.Millisecond
+	// maxNewsWait bounds what another node may ask for.
+	maxNewsWait = 5 * time.Second
 	// refusedPause and silentPause are how long a node that had no news to pass on, or did
-	// not answer, is left out: the next one in the zone's order is asked meanwhile. Chosen:
-	// a node that starts has news within the first, and to wait for a silent one costs a
-	// second or two.
+	// not answer, is left out: a node that starts has news within the first, and to wait
+	// for a silent one costs a second or two.
 	refusedPause = time.Second
 	silentPause  = 10 * time.Second
-	// quickRefusal tells the two apart.
+	// quickRefusal tells the two apart. Beyond it the store is asked: a second silent
+	// node would make the news late.
 	quickRefusal = peerConnect
+	// maxAsked is how many nodes are asked one after the other, as long as they refuse
+	// quickly. The last is any of those that may be asked: when the store serves a few
+	// nodes only, the first of the order may not be among them.
+	maxAsked = 3
 )
 
-// relay reads a topic through another node of the zone. Load pattern: nodes of a
-// deployment are restarted and crash, and each wants to know of each. Calls of the store
-// on two days with faults of 14 nodes, every node for itself and members through one for
-// each zone: 619 and 452, 1,091 and 693 (one play each). Used by one goroutine.
+// relay reads a topic through another node of the zone. Load pattern: nodes restart and
+// routes change all the time, and each node wants to know of each change. Used by one
+// goroutine.
 type relay struct {
-	// parent names the node to read through, of those that may be asked; known is false
-	// for one that reads the store itself.
-	parent func(mayAsk func(node string) bool) (m fleet.Member, known bool)
-	ask    func(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error)
+	// sources are the nodes that may be read through, the best one first; all of them
+	// come before this node in an order that the whole zone shares.
+	sources func() []fleet.Member
+	ask     func(ctx context.Context, of *fleet.Member, q question) (page, error)
+	// others is how many other nodes the zone has.
+	others func() int
+	// wait is how long a question waits for news.
+	wait   time.Duration
 	logger zerolog.Logger
-	// reads is whether there was nobody to ask: the node reads for its zone.
+	// reads is whether there is nobody to ask: the node reads for its zone.
 	reads bool
 	// leftOut are nodes that failed lately, and until when they are not asked.
 	leftOut map[string]time.Time
@@ -56,6 +66,17 @@
 	through atomic.Value
 }
 
+// question asks another node what came after an offset of a topic.
+type question struct {
+	topic string
+	// from is readAll for one that knows nothing yet.
+	from int64
+	wait time.Duration
+	// patient is set by one that has lost the store itself: it waits for a node that has
+	// lost it too.
+	patient bool
+}
+
 // Through returns the node that was read through last; empty for the store itself.
 func (r *relay) Through() string {
 	name, _ := r.through.Load().(string)
@@ -71,25 +92,76 @@
 	r.logger.Info().Str("topic", topic).Str("member", through).Msg("source of news changed")
 }
 
-// read reports false when the store is to be read.
-func (r *relay) read(ctx context.Context, topic string, from int64) (page, bool) {
-	asked := time.Now()
-	parent, known := r.parent(func(node string) bool { return !asked.Before(r.leftOut[node]) })
-	r.reads = !known
-	if r.reads {
-		r.note(topic, "")
+// mayAsk returns the sources that did not fail lately.
+func (r *relay) mayAsk() []fleet.Member {
+	now := time.Now()
+	sources := r.sources()
+	r.reads = len(sources) == 0
+	return slices.DeleteFunc(sources, func(m fleet.Member) bool { return now.Before(r.leftOut[m.Node]) })
+}
+
+// read reports false when the store is to be read. An answer that does not reach up to
+// least is of a node that is behind.
+func (r *relay) read(ctx context.Context, topic string, from, least int64) (page, bool) {
+	begun := time.Now()
+	sources := r.mayAsk()
+	for asked := 0; asked < maxAsked && len(sources) > 0 && time.Since(begun) < quickRefusal && ctx.Err() == nil; asked++ {
+		i := 0
+		if asked == maxAsked-1 {
+			i = rand.IntN(len(sources))
+		}
+		p, ok := r.askOne(ctx, &sources[i], r.questionFor(&sources[i], topic, from, least))
+		if ok && p.Next >= least {
+			return p, true
+		}
+		sources = slices.Delete(sources, i, i+1)
+	}
+	r.note(topic, "")
+	return page{}, false
+}
+
+// awaitReturn waits for another node to have the store back. Two in three of the
+// questions go up the tree, along which news of the return spreads at once; the others
+// find a node that the store serves while it refuses the first of the zone's order.
+func (r *relay) awaitReturn(ctx context.Context, topic string, from int64) (page, bool) {
+	sources := r.mayAsk()
+	if len(sources) == 0 {
 		return page{}, false
 	}
-	askCtx, cancel := context.WithTimeout(ctx, newsWait+newsSlack)
+	i := 0
+	if rand.IntN(3) == 0 {
+		i = rand.IntN(len(sources))
+	}
+	return r.askOne(ctx, &sources[i], question{topic: topic, from: from, wait: r.wait, patient: true})
+}
+
+// questionFor returns what a node is asked. One that was not read through until now is
+// not waited for: if it stands still, as it may have before, who reads through this node
+// would be without news for as long, and so on down the tree.
+func (r *relay) questionFor(of *fleet.Member, topic string, from, least int64) question {
+	q := question{topic: topic, from: from, wait: r.wait}
+	if from != readAll && (of.Node != r.Through() || from < least) {
+		q.wait = 0
+	}
+	return q
+}
+
+func (r *relay) askOne(ctx context.Context, of *fleet.Member, q question) (page, bool) {
+	asked := time.Now()
+	askCtx, cancel := context.WithTimeout(ctx, q.wait+newsSlack)
 	defer cancel()
-	p, err := r.ask(askCtx, &parent, topic, from)
+	p, err := r.ask(askCtx, of, q)
+	if err != nil && ctx.Err() != nil {
+		return page{}, false
+	}
 	if err != nil {
-		r.logger.Debug().Str("topic", topic).Str("member", parent.Node).Err(err).Msg("no news from the node that is read through")
-		r.leaveOut(parent.Node, asked)
-		r.note(topic, "")
+		r.logger.Debug().Str("topic", q.topic).Str("member", of.Node).Err(err).Msg("no news from the node that is read through")
+		if !q.patient || !errors.As(err, new(*statusError)) {
+			r.leaveOut(of.Node, asked)
+		}
 		return page{}, false
 	}
-	r.note(topic, parent.Node)
+	r.note(q.topic, of.Node)
 	return p, true
 }
 
@@ -107,13 +179,19 @@
 	r.leftOut[node] = now.Add(pause)
 }
 
-func (m *Mesh) newRelay(parent func(func(string) bool) (fleet.Member, bool)) *relay {
-	return &relay{parent: parent, ask: m.askNews, logger: m.logger}
+func (m *Mesh) newRelay(wait time.Duration) *relay {
+	return &relay{
+		sources: func() []fleet.Member { return fleet.Sources(m.cfg.NodeID, m.members.neighbours(m.cfg)) },
+		others:  func() int { return len(m.members.neighbours(m.cfg)) },
+		ask:     m.askNews,
+		wait:    wait,
+		logger:  m.logger,
+	}
 }
 
 // settle is how long changes of members are gathered for one read of the store. A node
 // that reads for its zone gathers little, as the zones are few; one that reads because
-// its parent failed it is one of many. Called by the follower of members.
+// no other node could be asked is one of many. Called by the follower of members.
 func (m *Mesh) settle() time.Duration {
 	if m.following.relay.reads {
 		return minSettle
@@ -121,28 +199,16 @@
 	return settleFor(m.members.count())
 }
 
-// parent is the node of the zone that this one reads through.
-func (m *Mesh) parent(mayAsk func(node string) bool) (fleet.Member, bool) {
-	var others []fleet.Member
-	for _, other := range m.members.neighbours(m.cfg) {
-		if mayAsk(other.Node) {
-			others = append(others, other)
-		}
-	}
-	return fleet.Parent(m.cfg.NodeID, others)
-}
-
-// routesParent is the node that this one reads published routes through.
-func (m *Mesh) routesParent(mayAsk func(node string) bool) (fleet.Member, bool) {
-	if m.members.count() <= routesAlone {
-		return fleet.Member{}, false
-	}
-	return m.parent(mayAsk)
-}
-
 // askNews asks another node what came after an offset of a topic.
-func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, topic string, from int64) (page, error) {
-	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}, "of": {of.Node}, "store": {m.Settings().Store.Identity()}}
+func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, q question) (page, error) {
+	query := url.Values{
+		"topic":   {q.topic},
+		"from":    {strconv.FormatInt(q.from, 10)},
+		"wait_ms": {strconv.FormatInt(q.wait.Milliseconds(), 10)},
+		"patient": {strconv.FormatBool(q.patient)},
+		"of":      {of.Node},
+		"store":   {m.Settings().Store.Identity()},
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+newsPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return page{}, err
@@ -158,11 +224,22 @@
 	return p, nil
 }
 
-// serveNews answers a node that reads through this one. The address of a VM that is gone
-// is given to another one: a node that took this one for that one may be this node
-// itself, and it would wait for news from itself for good. While settings move the nodes to
-// another store one by one, an offset of one store must not be taken for one of another:
-// the asker would wait at it for records that have come long ago.
+// notMeant reports why a question of another node is not for this one. The address of a
+// VM that is gone is given to another one: a node that took this one for that one may be
+// this node itself, and it would wait for news from itself for good. While settings move
+// the nodes to another store one by one, an offset of one store must not be taken for one
+// of another: the asker would wait at it for records that have come long ago.
+func (m *Mesh) notMeant(query url.Values) *statusError {
+	if query.Get("of") != m.cfg.NodeID {
+		return &statusError{http.StatusMisdirectedRequest}
+	}
+	if query.Get("store") != m.Settings().Store.Identity() {
+		return &statusError{http.StatusConflict}
+	}
+	return nil
+}
+
+// serveNews answers a node that reads through this one.
 func (m *Mesh) serveNews(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
@@ -170,19 +247,21 @@
 		http.Error(w, "from is no offset", http.StatusBadRequest)
 		return
 	}
-	if query.Get("of") != m.cfg.NodeID {
-		http.Error(w, "another node is here", http.StatusMisdirectedRequest)
+	waitMillis, err := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if err != nil || waitMillis < 0 || waitMillis > maxNewsWait.Milliseconds() {
+		http.Error(w, fmt.Sprintf("wait_ms must be 0 to %d", maxNewsWait.Milliseconds()), http.StatusBadRequest)
 		return
 	}
-	if query.Get("store") != m.Settings().Store.Identity() {
-		http.Error(w, "another store is read here", http.StatusConflict)
+	if refusal := m.notMeant(query); refusal != nil {
+		http.Error(w, refusal.Error(), refusal.status)
 		return
 	}
 	for _, f := range []*follower{m.following, m.routes.follower} {
 		if f.topic.Name() != query.Get("topic") {
 			continue
 		}
-		p, err := f.feed.after(r.Context(), from, newsWait)
+		f.heard(from)
+		p, err := f.feed.after(r.Context(), from, time.Duration(waitMillis)*time.Millisecond, query.Get("patient") == "true")
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,7 +16,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
-	"github.com/galenagrade/galenagrade/internal/settings"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
@@ -69,7 +71,7 @@
 		readers[i] = &reader{seen: map[string]bool{}}
 		zone = append(zone, fleet.Member{Node: name, State: fleet.Serving, Address: fmt.Sprint(i)})
 	}
-	ask := func(ctx context.Context, of *fleet.Member, _ string, from int64) (page, error) {
+	ask := func(ctx context.Context, of *fleet.Member, q question) (page, error) {
 		var i int
 		_, _ = fmt.Sscan(of.Address, &i)
 		if readers[i].cut.Load() {
@@ -80,38 +82,35 @@
 			<-ctx.Done()
 			return page{}, ctx.Err()
 		}
-		return readers[i].follower.feed.after(ctx, from, newsWait)
+		readers[i].follower.heard(q.from)
+		p, err := readers[i].follower.feed.after(ctx, q.from, q.wait, q.patient)
+		if err != nil && ctx.Err() == nil {
+			return page{}, &statusError{http.StatusServiceUnavailable}
+		}
+		return p, err
 	}
 	for i, r := range readers {
 		others := append(append([]fleet.Member{}, zone[:i]...), zone[i+1:]...)
-		r.follower = &follower{
-			topic: topic, logger: zerolog.Nop(), kick: make(chan struct{}, 1),
-			settle: func() time.Duration { return minSettle },
-			relay:  &relay{parent: parentAmong(zone[i].Node, others), ask: ask},
-			apply: func(items []Item) {
-				for _, item := range items {
-					r.seen[item.Key] = true
-				}
-				r.newest.Store(time.Now().UnixNano())
-			},
-		}
-	}
-	return readers
-}
-
-func parentAmong(node string, others []fleet.Member) func(func(string) bool) (fleet.Member, bool) {
-	return func(mayAsk func(string) bool) (fleet.Member, bool) {
-		var asked []fleet.Member
-		for _, other := range others {
-			if mayAsk(other.Node) {
-				asked = append(asked, other)
+		apply := func(items []Item) {
+			for _, item := range items {
+				r.seen[item.Key] = true
 			}
+			r.newest.Store(time.Now().UnixNano())
 		}
-		return fleet.Parent(node, asked)
+		rel := &relay{
+			sources: func() []fleet.Member { return fleet.Sources(zone[i].Node, others) },
+			others:  func() int { return len(others) },
+			ask:     ask,
+			wait:    membersWait,
+		}
+		r.follower = newFollower(topic, apply, rel, zerolog.Nop())
+		r.follower.settle = func() time.Duration { return minSettle }
 	}
+	return readers
 }
 
-func everyNode(string) bool { return true }
+// readsForZone reports whether a node reads the store for the others.
+func (r *reader) readsForZone() bool { return len(r.follower.relay.sources()) == 0 }
 
 func runReaders(t *testing.T, readers []*reader, d time.Duration) {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
@@ -160,7 +159,7 @@
 		topic := &growingTopic{begun: time.Now()}
 		readers := newReaders(topic, 20)
 		for _, r := range readers {
-			if _, known := r.follower.relay.parent(everyNode); !known {
+			if r.readsForZone() {
 				time.AfterFunc(5*time.Second, func() { r.cut.Store(true) })
 			}
 		}
@@ -179,11 +178,11 @@
 		topic := &growingTopic{begun: time.Now()}
 		readers := newReaders(topic, 20)
 		for _, r := range readers {
-			if _, known := r.follower.relay.parent(everyNode); !known {
+			if r.readsForZone() {
 				time.AfterFunc(5*time.Second, func() { r.still.Store(true) })
 			}
 		}
-		time.AfterFunc(5*time.Second+newsWait+newsSlack+2*minSettle, func() {
+		time.AfterFunc(5*time.Second+membersWait+newsSlack+2*minSettle, func() {
 			for _, r := range readers {
 				must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
 			}
@@ -192,20 +191,161 @@
 	})
 }
 
-// A deployment of a thousand nodes reads its routes from the store, a larger one through
-// its zones' readers.
-func TestRoutesAreReadThroughOthersInLargeDeploymentsOnly(t *testing.T) {
-	for _, n := range []int{routesAlone, routesAlone + 1} {
-		m := &Mesh{cfg: &settings.Mesh{NodeID: "vm-none", Region: "r", Zone: "z"}}
-		m.members = &members{logger: zerolog.Nop(), registry: fleet.NewRegistry()}
-		for i := range n {
-			m.members.registry.Apply(fleet.Member{Node: fmt.Sprintf("vm-%d", i), Incarnation: 1, Region: "r", Zone: "z", State: fleet.Serving})
+// routesInForce is how long a node may go without what was published.
+const routesInForce = 2 * time.Second
+
+// failRoutesReader runs a zone that reads routes through its reader, and lets the reader
+// fail in some way. No other node may be without news for longer than routes may take.
+func failRoutesReader(t *testing.T, fail func(*reader)) {
+	synctest.Test(t, func(t *testing.T) {
+		const end = 20 * time.Second
+		luck := rand.New(rand.NewPCG(1, 2))
+		topic := &growingTopic{begun: time.Now()}
+		readers := newReaders(topic, 20)
+		for _, r := range readers {
+			r.follower.relay.wait, r.follower.settle = routesWait, nil
+			if r.readsForZone() {
+				time.AfterFunc(5*time.Second, func() { fail(r) })
+				continue
+			}
+			for at := 3 * time.Second; at < end; at += 100 * time.Millisecond {
+				time.AfterFunc(at, func() {
+					must.Less(t, routesInForce, time.Since(time.Unix(0, r.newest.Load())))
+				})
+			}
+		}
+		for at := 3 * time.Second; at < end; at += compareSpacing {
+			time.AfterFunc(at, func() { readers[luck.IntN(len(readers))].follower.heard(topic.end()) })
+		}
+		runReaders(t, readers, end)
+	})
+}
+
+// Guards against routes that are late because the zone's reader was paused.
+func TestRoutesInForceWhileTheReaderStandsStill(t *testing.T) {
+	failRoutesReader(t, func(r *reader) { r.still.Store(true) })
+}
+
+// Guards against routes that are late because the zone's reader was cut off.
+func TestRoutesInForceWhileTheReaderIsCutOff(t *testing.T) {
+	failRoutesReader(t, func(r *reader) { r.cut.Store(true) })
+}
+
+// Guards against routes that are late because the zone's reader is behind: its path to
+// the store went silent, which it learns after a while only.
+func TestRoutesInForceWhileTheReaderIsBehind(t *testing.T) {
+	failRoutesReader(t, func(r *reader) {
+		slow := &silentTopic{Topic: r.follower.topic, noticedAfter: 1500 * time.Millisecond}
+		r.follower.topic = slow
+	})
+}
+
+// Guards against a zone that stays with old routes because the store answers its reader
+// no more, while the reader's connection lives. Nodes of other zones have read on, and
+// some node of this zone hears so several times a second.
+func TestRoutesInForceWhileTheStoreIsSilentToTheReader(t *testing.T) {
+	var silence *silentTopic
+	failRoutesReader(t, func(r *reader) {
+		silence = &silentTopic{Topic: r.follower.topic, noticedAfter: readWait + 3*time.Second}
+		r.follower.topic = silence
+		r.follower.endRead()
+	})
+	must.NotNil(t, silence)
+}
+
+// silentTopic is a topic over a path that went silent.
+type silentTopic struct {
+	Topic
+	noticedAfter time.Duration
+}
+
+func (s *silentTopic) Read(ctx context.Context, _ int64, _ time.Duration) ([]Item, int64, error) {
+	wait.For(ctx, s.noticedAfter)
+	return nil, 0, errors.New("silent")
+}
+
+// Guards against one call of the store for each node when history expires: the zone's
+// reader reads all keys once, and the others have them from it.
+func TestExpiredHistoryIsReadOnceForAZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &compactedTopic{growingTopic: &growingTopic{begun: time.Now()}}
+		readers := newReaders(topic, 40)
+		for at := 5 * time.Second; at < 20*time.Second; at += 2 * time.Second {
+			time.AfterFunc(at, func() { topic.expired.Store(topic.end()) })
 		}
-		_, known := m.routesParent(everyNode)
-		must.EqOp(t, n > routesAlone, known)
-		_, known = m.parent(everyNode)
-		must.True(t, known)
+		var before int64
+		time.AfterFunc(4*time.Second, func() { before = topic.snapshots.Load() })
+		runReaders(t, readers, 20*time.Second)
+		must.LessEq(t, 8, topic.snapshots.Load()-before)
+		for _, r := range readers {
+			must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
+		}
+	})
+}
+
+// compactedTopic forgets its history up to an offset.
+type compactedTopic struct {
+	*growingTopic
+	expired, snapshots atomic.Int64
+}
+
+func (c *compactedTopic) Newest(ctx context.Context) ([]Item, int64, error) {
+	c.snapshots.Add(1)
+	return c.growingTopic.Newest(ctx)
+}
+
+func (c *compactedTopic) Read(ctx context.Context, from int64, d time.Duration) ([]Item, int64, error) {
+	if from < c.expired.Load() {
+		return nil, 0, ErrExpired
 	}
+	return c.growingTopic.Read(ctx, from, d)
+}
+
+// Guards against a zone of which every node looks for a store that is away: together
+// they may ask some ten times a second, and all go on soon after its return.
+func TestLostStoreIsLookedForByTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &growingTopic{begun: time.Now()}
+		readers := newReaders(topic, 40)
+		const down, back = 5 * time.Second, 25 * time.Second
+		var before, asked int64
+		time.AfterFunc(down, func() { topic.down.Store(true) })
+		time.AfterFunc(down+2*time.Second, func() { before = topic.reads.Load() })
+		time.AfterFunc(back, func() { asked = topic.reads.Load() - before; topic.down.Store(false) })
+		time.AfterFunc(back+2*time.Second, func() {
+			for _, r := range readers {
+				must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
+			}
+		})
+		runReaders(t, readers, 30*time.Second)
+		must.LessEq(t, int64((back-down)/probeSpacing)*3/2, asked)
+	})
+}
+
+// Guards against a node that starts and calls the store for what its zone knows.
+func TestStartingNodeIsToldByItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &compactedTopic{growingTopic: &growingTopic{begun: time.Now()}}
+		readers := newReaders(topic, 10)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var running sync.WaitGroup
+		for i, r := range readers {
+			running.Go(func() {
+				if i == len(readers)-1 && !r.readsForZone() {
+					wait.For(ctx, 5*time.Second)
+				}
+				r.follower.run(ctx)
+			})
+		}
+		var before int64
+		time.AfterFunc(4*time.Second, func() { before = topic.snapshots.Load() })
+		running.Wait()
+		must.EqOp(t, before, topic.snapshots.Load())
+		for _, r := range readers {
+			must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
+		}
+	})
 }
 
 // The store goes down for five seconds. Who reads through another node must not take
@@ -251,7 +391,7 @@
 		readers := newReaders(topic, 20)
 		var reader *reader
 		for _, r := range readers {
-			if _, known := r.follower.relay.parent(everyNode); !known {
+			if r.readsForZone() {
 				reader = r
 			}
 		}
@@ -279,11 +419,11 @@
 		f.add(7, page{Next: 7})
 		time.AfterFunc(time.Second, f.close)
 		begun := time.Now()
-		_, err := f.after(t.Context(), 7, newsWait)
+		_, err := f.after(t.Context(), 7, membersWait, false)
 		must.ErrorIs(t, err, errNotCurrent)
 		must.EqOp(t, time.Second, time.Since(begun))
 		f.add(7, page{Next: 8})
-		_, err = f.after(t.Context(), 7, newsWait)
+		_, err = f.after(t.Context(), 7, membersWait, false)
 		must.ErrorIs(t, err, errNotCurrent)
 	})
 }
@@ -297,9 +437,9 @@
 	for i := range last {
 		f.add(i, page{Items: []Item{{Key: fmt.Sprint(i), Value: make([]byte, size)}}, Next: i + 1})
 	}
-	_, err := f.after(t.Context(), 0, 0)
+	_, err := f.after(t.Context(), 0, 0, false)
 	must.ErrorIs(t, err, errNotHeld)
-	p, err := f.after(t.Context(), last-2, 0)
+	p, err := f.after(t.Context(), last-2, 0, false)
 	must.NoError(t, err)
 	must.Len(t, 2, p.Items)
 	must.EqOp(t, last, p.Next)
@@ -315,9 +455,9 @@
 	}
 	f.add(200, page{Items: []Item{{Key: "config", Value: make([]byte, 2*feedBytes)}}, Next: 201})
 	must.EqOp(t, 0, f.held)
-	_, err := f.after(t.Context(), 200, 0)
+	_, err := f.after(t.Context(), 200, 0, false)
 	must.ErrorIs(t, err, errNotHeld)
-	p, err := f.after(t.Context(), 201, 0)
+	p, err := f.after(t.Context(), 201, 0, false)
 	must.NoError(t, err)
 	must.EqOp(t, 201, p.Next)
 }
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -36,7 +36,7 @@
 
 func newRouteKeeper(m *Mesh) *routeKeeper {
 	k := &routeKeeper{mesh: m}
-	k.follower = &follower{topic: m.platform.RoutesTopic(), apply: k.apply, logger: m.logger, kick: make(chan struct{}, 1), relay: m.newRelay(m.routesParent)}
+	k.follower = newFollower(m.platform.RoutesTopic(), k.apply, m.newRelay(routesWait), m.logger)
 	return k
 }
 
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -42,14 +42,15 @@
 	key    string
 	guard  *node.Guard
 	logger zerolog.Logger
+	calls  callLog
 	wake   chan struct{}
 
 	mu      sync.Mutex
 	pending []quarantine.Suspect
 }
 
-func newSuspects(topic Topic, nodeID string, logger zerolog.Logger) *suspects {
-	return &suspects{topic: topic, key: crashPrefix + nodeID, logger: logger, wake: make(chan struct{}, 1)}
+func newSuspects(topic Topic, nodeID string, logger, callLines zerolog.Logger) *suspects {
+	return &suspects{topic: topic, key: crashPrefix + nodeID, logger: logger, calls: callLog{logger: callLines, topic: topic.Name()}, wake: make(chan struct{}, 1)}
 }
 
 // spread takes records to be written; it doesn't block.
@@ -107,7 +108,10 @@
 func (s *suspects) put(ctx context.Context, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.topic.Put(ctx, s.key, raw)
+	sent := time.Now()
+	err := s.topic.Put(ctx, s.key, raw)
+	s.calls.done(ctx, PurposeCrash, sent, err)
+	return err
 }
 
 // apply takes in what another node wrote.
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -18,6 +18,10 @@
 	// otherwise.
 	UpstreamAddress string `json:"upstream_address"`
 
+	// FirstStart says that the whole deployment starts for the first time: nobody has a
+	// record yet. Default false.
+	FirstStart bool `json:"first_start"`
+
 	Listen    MeshListen `json:"listen"`
 	Store     MeshStore  `json:"store"`
 	Resources Resources  `json:"resources"`
