mesh: a record that the store does not take reaches its whole zone

Cause: a zone without the store learned of a leaving or restarted upstream from that node alone, which told four others at each try; 400 nodes would take minutes, and records of crashes were not spread at all. Ruled out: passing on without an order of the records of a key (two of them push each other out, node by node; test); gossip at all times (bytes for a case of seconds). Change: whoever learns of such a record passes it on to four others at once and, while the store is lost, to one more twice a second, for ten seconds.

--- a/internal/mesh/introduce.go
+++ b/internal/mesh/introduce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,10 +21,6 @@
 	// introduceAtOnce bounds the introductions that wait at a time: with a third of
 	// 412 nodes of a zone gone, a turn asks one or two.
 	introduceAtOnce = 8
-	// tellAtOnce is how many nodes of the zone are told of a record that the store
-	// did not take, at each try to write it: tries come once a second or so, and
-	// each is one introduction for a node told.
-	tellAtOnce = 4
 )
 
 // introducer looks for members of its zone that may have started without the
@@ -64,27 +59,7 @@
 	}
 	if i.mesh.storeLost() && len(neighbours) > 0 {
 		meet(&neighbours[rand.IntN(len(neighbours))])
-	}
-	_ = group.Wait()
-}
-
-// tellZone gives the node's record, which the store did not take, to some nodes
-// of its zone. Without it a node that stopped during an outage went on to be
-// called, and nobody looked for its successor.
-func (m *Mesh) tellZone(ctx context.Context) {
-	neighbours := slices.Clone(m.members.neighbours(m.cfg))
-	rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
-	var group errgroup.Group
-	for _, to := range neighbours[:min(tellAtOnce, len(neighbours))] {
-		group.Go(func() error {
-			record, err := m.exchangeRecords(ctx, to.Address)
-			if err != nil {
-				m.logger.Debug().Str("member", to.Node).Err(err).Msg("own record not given to another node")
-				return nil
-			}
-			m.members.learn(record)
-			return nil
-		})
+		i.mesh.spread.turn()
 	}
 	_ = group.Wait()
 }
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -86,6 +86,7 @@
 	inner.Handle(proxy.CallPath, m.proxy.CallHandler())
 	inner.Handle(routesPath, m.routes)
 	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
+	inner.HandleFunc("POST "+unstoredPath, m.serveUnstored)
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	inner.HandleFunc("GET "+newsPath, m.serveNews)
 	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -48,6 +48,7 @@
 	members   *members
 	following *follower
 	publisher *publisher
+	spread    *spreader
 	suspects  *suspects
 	routes    *routeKeeper
 	local     *localUpstream
@@ -56,8 +57,10 @@
 	listeners listeners
 	servers   servers
 	stopping  atomic.Bool
-	cancel    context.CancelFunc
-	loops     sync.WaitGroup
+	// down is done when the node ends.
+	down   context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
 }
 
 type systemClock struct{}
@@ -87,6 +90,7 @@
 	m := &Mesh{cfg: cfg, platform: platform, logger: logger.Sample(nil), bounded: logger, metrics: metrics.New(timerSample)}
 	m.good.Budget, m.bad.Budget = cfg.Logging.Burst, cfg.Logging.Burst
 	m.tunable.Store(cfg)
+	m.down, m.cancel = context.WithCancel(context.Background())
 	if err := m.listeners.open(cfg); err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -111,7 +115,8 @@
 		Silence: peerSilence,
 		Rescue:  proxy.WaitBounds{Min: peerRescueMin, Max: peerRescueMax},
 	})
-	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.bounded, m.logger)
+	m.spread = m.newSpreader()
+	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.bounded, m.logger, m.spread.tell)
 	m.upstream = proxy.NewUpstream(noKeys{})
 	m.upstream.Speak(m.platform)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
@@ -143,7 +148,7 @@
 	m.following = newFollower(m.platform.Members(), m.members.apply, m.newRelay(membersWait), m.logger)
 	m.following.settle = m.settle
 	m.following.behindGrace = membersBehindGrace
-	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.tellZone)
+	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.spread.tell)
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
@@ -196,8 +201,7 @@
 }
 
 func (m *Mesh) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
+	ctx := m.down
 	m.serve()
 	m.loop(func() { m.pace.run(ctx) })
 	m.loop(func() { m.followRoutes(ctx) })
--- a/internal/mesh/publisher.go
+++ b/internal/mesh/publisher.go
@@ -18,7 +18,7 @@
 	calls  callLog
 	wake   chan struct{}
 	// unwritten is called when the store did not take the record.
-	unwritten func(context.Context)
+	unwritten func(Item)
 
 	mu     sync.Mutex
 	record fleet.Member
@@ -26,7 +26,7 @@
 	written uint64
 }
 
-func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member, unwritten func(context.Context)) *publisher {
+func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member, unwritten func(Item)) *publisher {
 	return &publisher{
 		topic:     topic,
 		logger:    logger,
@@ -79,7 +79,6 @@
 		if err := p.write(ctx, record); err != nil {
 			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own record not written yet")
 			failures++
-			p.unwritten(ctx)
 			pauseAfter(ctx, failures, p.wake)
 			continue
 		}
@@ -98,6 +97,7 @@
 	err = p.topic.Put(ctx, nodePrefix+record.Node, raw)
 	p.calls.done(ctx, PurposeOwnRecord, sent, err)
 	if err != nil {
+		p.unwritten(Item{Key: nodePrefix + record.Node, Value: raw})
 		return err
 	}
 	p.mu.Lock()
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -44,13 +44,15 @@
 	logger zerolog.Logger
 	calls  callLog
 	wake   chan struct{}
+	// unwritten is called when the store did not take records.
+	unwritten func(Item)
 
 	mu      sync.Mutex
 	pending []quarantine.Suspect
 }
 
-func newSuspects(topic Topic, nodeID string, logger, callLines zerolog.Logger) *suspects {
-	return &suspects{topic: topic, key: crashPrefix + nodeID, logger: logger, calls: callLog{logger: callLines, topic: topic.Name()}, wake: make(chan struct{}, 1)}
+func newSuspects(topic Topic, nodeID string, logger, callLines zerolog.Logger, unwritten func(Item)) *suspects {
+	return &suspects{topic: topic, key: crashPrefix + nodeID, logger: logger, calls: callLog{logger: callLines, topic: topic.Name()}, wake: make(chan struct{}, 1), unwritten: unwritten}
 }
 
 // spread takes records to be written; it doesn't block.
@@ -100,6 +102,7 @@
 		if err = s.put(ctx, raw); err == nil {
 			return nil
 		}
+		s.unwritten(Item{Key: s.key, Value: raw})
 		wait.For(ctx, minPause)
 	}
 	return err
