mesh: a first start reads the store once for each node, and an ended read calls it no more

Cause: at a first start nodes read who is there within 0.6 s of each other; one that asked another one before that had read was refused and read the store again. Ruled out: the settings of the topic (reads are the same without settling); a node that is ahead of its source for a moment, taken for one whose offsets begin anew (it asked the store at once; only a question that waited in vain says so now). Change: nodes rest 0.7 s after the first read of a first start; a step whose read was ended begins anew; a question that does not wait may find its source behind.

--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -169,7 +169,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return f.nothingAfter(from)
+			return f.nothingAfter(from, wait)
 		case <-ctx.Done():
 			return page{}, ctx.Err()
 		}
@@ -214,14 +214,15 @@
 	return p
 }
 
-// nothingAfter is the answer to a question that waited for nothing.
-func (f *feed) nothingAfter(from int64) (page, error) {
+// nothingAfter is the answer to a question that waited so long for nothing. One that did
+// not wait may be ahead for a moment.
+func (f *feed) nothingAfter(from int64, waited time.Duration) (page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.state != feedCurrent {
 		return page{}, errNotCurrent
 	}
-	if f.next < from {
+	if f.next < from && waited > 0 {
 		return page{}, errNotHeld
 	}
 	return page{Next: from}, nil
--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -15,6 +15,9 @@
 	gatherAtFirstStart = 2500 * time.Millisecond
 	// firstStartSpread spreads those reads.
 	firstStartSpread = 300 * time.Millisecond
+	// restAtFirstStart is how long a node waits after it: nodes start within 0.3 s of each
+	// other, and one that has not read yet has nothing to pass on.
+	restAtFirstStart = 700 * time.Millisecond
 	// awaitMembers bounds how long a node that starts waits to learn whom it can ask
 	// for routes, before it asks the store.
 	awaitMembers = 500 * time.Millisecond
@@ -26,6 +29,7 @@
 func (m *Mesh) followMembers(ctx context.Context) {
 	if m.cfg.FirstStart {
 		wait.For(ctx, gatherAtFirstStart+rand.N(firstStartSpread))
+		m.following.restAfterStart = restAtFirstStart
 	}
 	m.following.run(ctx)
 }
--- /dev/null
+++ b/internal/mesh/firststart_test.go
@@ -0,0 +1,47 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/wait"
+)
+
+// Guards against a first start at which each node calls the store again and again, since
+// the others have nothing to pass on yet.
+func TestFirstStartReadsOnceForEachNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, startSpread = 35, 300 * time.Millisecond
+		topic := &compactedTopic{growingTopic: &growingTopic{begun: time.Now()}}
+		readers := newReaders(topic, nodes)
+		ctx, end := context.WithTimeout(t.Context(), gatherAtFirstStart+firstStartSpread+startSpread+restAtFirstStart+2*time.Second)
+		defer end()
+		var running sync.WaitGroup
+		for i, r := range readers {
+			m := &Mesh{cfg: &settings.Mesh{FirstStart: true}, following: r.follower, logger: zerolog.Nop()}
+			r.follower.behindGrace = membersBehindGrace
+			knows := r.follower.relay.sources
+			r.follower.relay.sources = func() []fleet.Member {
+				if r.follower.next.Load() == readAll {
+					return nil
+				}
+				return knows()
+			}
+			running.Go(func() {
+				wait.For(ctx, startSpread*time.Duration(i)/nodes)
+				m.followMembers(ctx)
+			})
+		}
+		running.Wait()
+		must.EqOp(t, nodes, topic.snapshots.Load())
+		must.LessEq(t, 2+int64(3*time.Second/minSettle), topic.reads.Load())
+	})
+}
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -58,6 +58,8 @@
 	// settle is how long to wait after news from the store before the next read; nil:
 	// not at all.
 	settle func() time.Duration
+	// restAfterStart is how long to wait after the first read of all keys.
+	restAfterStart time.Duration
 	// relay reads through another node of the zone; nil: always the store itself.
 	relay *relay
 	// stopReading ends the read that waits, at another node or at the store.
@@ -151,6 +153,9 @@
 		f.take(next, p, time.Now().Add(-time.Duration(p.AgeMillis)*time.Millisecond))
 		return nil
 	}
+	if readCtx.Err() != nil {
+		return errReadEnded
+	}
 	if f.lost.Load() && time.Now().Before(f.probeAt) {
 		return errTooSoon
 	}
@@ -263,6 +268,8 @@
 		return err
 	}
 	f.take(readAll, page{Items: items, Next: next, Whole: true}, sent)
+	wait.For(ctx, f.restAfterStart)
+	f.restAfterStart = 0
 	return nil
 }
 
