admission: an entry that hears few answers weighs each of them more

Cause: an entry refuses early what the services behind shed, by a mean of what answers say in which each counts for 0.15, forgotten after 1.5 s without news. With hundreds of entries each hears an answer a second: the mean never gets there, and what is known lapses between two answers. Change: an answer counts for more the longer the last one was ago (0.3 s), and is believed for 3 s.

--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -8,12 +9,16 @@
 )
 
 const (
-	// treeAge is how long what a route's answers said is believed without news: five
-	// of the longest periods in which a guard moves its threshold.
-	treeAge = 1500 * time.Millisecond
-	// treeGain smooths what answers say: each of them met one guard's threshold,
-	// and guards of one service differ. Seven answers move it by two thirds.
+	// treeAge is how long what a route's answers said is believed without news: ten
+	// of the longest periods in which a guard moves its threshold, since one entry of
+	// hundreds hears an answer a second.
+	treeAge = 3 * time.Second
+	// treeGain is the least weight of an answer: each of them met one guard's threshold,
+	// and guards of one service differ. Seven answers at once move what is believed by
+	// two thirds.
 	treeGain = 0.15
+	// treeMemory is how long an answer counts where few come.
+	treeMemory = 300 * time.Millisecond
 	// treeProbe is the share of requests let through against the threshold, so
 	// that it shows when there is room again though every other one is refused.
 	// Chosen, not measured.
@@ -34,7 +39,8 @@
 // calls from some rank on. All calls of a tree have the rank of its root, so a
 // root of that rank will fail: after three services have worked for it, and
 // beside other calls of its tree that took room and were in vain. Refused at its
-// entry it costs nothing. Only what a route's own answers met counts against it:
+// entry it costs nothing. The more entries there are, the fewer answers each one hears:
+// an answer after a silence counts for more than one of many. Only what a route's own answers met counts against it:
 // another route to the same service that calls nothing behind goes on.
 type TreeGate struct {
 	threshold float64
@@ -47,8 +53,9 @@
 	if g.at.IsZero() || now.Sub(g.at) > treeAge {
 		g.threshold = nothingShed
 	}
+	gain := max(treeGain, 1-math.Exp(-now.Sub(g.at).Seconds()/treeMemory.Seconds()))
 	g.at = now
-	g.threshold += treeGain * (float64(shedsFrom) - g.threshold)
+	g.threshold += gain * (float64(shedsFrom) - g.threshold)
 }
 
 // Threshold returns the rank from which on requests are refused at now.
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -42,6 +42,8 @@
 	guards  []*modelGuard
 	service func(g *modelGuard) time.Duration
 	last    int
+	// demand is by how much more than usual callers ask now; nil: as usual.
+	demand func() float64
 	// from is when counting begins.
 	from  time.Duration
 	tally []treeTally
@@ -117,7 +119,11 @@
 // arrive lets callers ask, some 2 a second each entry and more.
 func (f *treeModel) arrive(r int, route treeRoute) {
 	f.ask(&treeRequest{route: r, asked: f.model.now})
-	f.model.after(time.Duration(f.model.rng.ExpFloat64()/route.rate*float64(time.Second)), func() { f.arrive(r, route) })
+	rate := route.rate
+	if f.demand != nil {
+		rate *= f.demand()
+	}
+	f.model.after(time.Duration(f.model.rng.ExpFloat64()/rate*float64(time.Second)), func() { f.arrive(r, route) })
 }
 
 // ask is one attempt of a caller.
