--- a/internal/admission/headroom.go
+++ b/internal/admission/headroom.go
@@ -14,7 +14,7 @@
 	headroomAnswers = 200
 	headroomMeasure = 500 * time.Millisecond
 	// headroomLongest ends a trial at an upstream that answers too little to tell: below
-	// 25 answers a second. Chosen: a trial costs a sixteenth of the slots meanwhile.
+	// 25 answers a second. A trial costs a sixteenth of the slots meanwhile.
 	headroomLongest = 8 * time.Second
 	// headroomGain is what a step that leaves more slots empty must add to the answers.
 	// It lies between what the slots are worth where each helps (a sixteenth less) and
@@ -28,9 +28,7 @@
 // headroom is how many slots are left empty because the upstream answers more with
 // fewer calls at once. The load it answers: more demand than slots for seconds on end,
 // at an upstream that slows all its calls as its last slots fill. With all slots in
-// use such an upstream loses a fifth of its throughput just when it is short: with 16
-// slots, and a third slower beside the last one, 224 answers a second in place of 272
-// (TestLimitLeavesTheSlotsThatSlowTheOthers).
+// use such an upstream loses throughput just when it is short.
 //
 // It is found by trial: one step, the answers before and after, and the step is kept or
 // taken back. Steps go on in the direction that helped, and turn round when one did
--- a/internal/admission/shedcause.go
+++ b/internal/admission/shedcause.go
@@ -8,7 +8,7 @@
 	// 20 times, and then the next measurement follows.
 	shedSamples = 12
 	// shedMeasure is the least time of a measurement, so that it covers more than one
-	// burst of arrivals. Chosen.
+	// burst of arrivals.
 	shedMeasure = 100 * time.Millisecond
 	// lotOverlap lies between the overlap of upstreams that are short of room, which
 	// is 0, and that of upstreams that shed by lot, which is a half.
@@ -34,9 +34,7 @@
 // another one; one that sheds by lot does so at every load alike. So each call shed
 // is compared with the calls taken since the first one was shed, by how many ran
 // beside it when it began. Unlike a comparison of rates this needs neither full slots nor
-// steady demand, and a few dozen calls decide: with 16 slots, 55 ms a call and 55 %
-// refused the limit is back in 0.2 to 0.8 s (100 to 250 calls a second); by rates it
-// stays at 2 for as long as it lasts.
+// steady demand, and a few dozen calls decide.
 type shedCause struct {
 	// active is set from the first shed on, until there was none for shedMemory.
 	active bool
--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -21,12 +21,10 @@
 	treeMemory = 300 * time.Millisecond
 	// treeProbe is the share of requests let through against the threshold, so
 	// that it shows when there is room again though every other one is refused.
-	// Chosen, not measured.
 	treeProbe = 0.02
 	// treePause and treeSpread are when a refused caller may come back, in parts
 	// of the latency objective: soon enough that an answer is still in time, and
-	// spread so that the returns don't come as one wave. Chosen: the last one is
-	// back with two fifths of the objective left.
+	// spread so that the returns don't come as one wave.
 	treePause  = 0.1
 	treeSpread = 0.5
 )
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -27,10 +27,10 @@
 	inlineBody = 16 << 10
 	// bodyGrace is how long the rest of a long body may still be written after
 	// its answer came. A connection with a body written in part is closed: the
-	// next request's bytes would be taken for the rest of it. Chosen, not measured.
+	// next request's bytes would be taken for the rest of it.
 	bodyGrace = 50 * time.Millisecond
 	// maxSkipped bounds the late answers of earlier requests that are skipped.
-	// Chosen: a server that answers twice leaves one behind each request.
+	// A server that answers twice leaves one behind each request.
 	maxSkipped = 4
 	// statedShare of the idle time that a server states is used, so that no
 	// request crosses its close.
--- a/internal/mesh/callerconn.go
+++ b/internal/mesh/callerconn.go
@@ -12,8 +12,7 @@
 	// while the server runs.
 	idleSentinel   = 1000 * time.Hour
 	headerSentinel = 500 * time.Hour
-	// defaultIdle holds where the routes set no idle timeout. Chosen: as between
-	// nodes.
+	// defaultIdle holds where the routes set no idle timeout.
 	defaultIdle = 60 * time.Second
 )
 
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -30,9 +30,9 @@
 	// in a row are sent again within 0.7 s.
 	peerSilence = time.Second
 	// peerRescueMin and peerRescueMax bound the wait for an answer after which a
-	// fresh connection is tried though the path is not silent. A bound of 100 ms
-	// to 1 s replaced some 30 sound connections a second, since the time of calls
-	// with calls of their own varies by more than that.
+	// fresh connection is tried though the path is not silent. The time of calls with
+	// calls of their own varies by a second, so a shorter bound replaces sound
+	// connections.
 	peerRescueMin = 2 * time.Second
 	peerRescueMax = 4 * time.Second
 	// peerKept bounds the idle connections to one node: as many calls as one node
--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -22,11 +22,8 @@
 	return []Item{{Key: "node/x"}}, from + 1, nil
 }
 
-// All 76 nodes of a deployment are restarted over 20 s, and each reads what the
-// others wrote. With a pause of 0.3 s whatever their number they called the store
-// 6,053 times on a day of about a minute. The deployment as a whole must stay at a hundredth of
-// the store's rate, and a record must not grow older than two seconds on the way.
-// Beyond 120 nodes both can't hold without one reader for many.
+// Guards against calls of the store that grow with nodes times restarts where each node
+// reads for itself.
 func TestReadsOfMembersAreBoundedForTheDeployment(t *testing.T) {
 	for _, nodes := range []int{1, 17, 76, 14000} {
 		settle := settleFor(nodes)
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -16,11 +16,11 @@
 
 const (
 	// headerTimeout bounds the time in which a request's header must arrive where
-	// the routes set no bound. Chosen, not measured: three lost packets in a row
-	// delay a header by about a second.
+	// the routes set no bound. Three lost packets in a row delay a header by about
+	// a second.
 	headerTimeout = 10 * time.Second
-	// headerBytes bounds a request's header where the routes set no bound. Chosen:
-	// eight times the 8 KB that web servers commonly take.
+	// headerBytes bounds a request's header where the routes set no bound:
+	// eight times what web servers commonly take.
 	headerBytes = 64 << 10
 	// mostHeaderBytes bounds it whatever the routes say: a thousand callers may
 	// send headers at a time.
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -14,8 +14,7 @@
 	// asks once a second whether it is ready and believes the second no.
 	stopNotice = 2500 * time.Millisecond
 	// answerShare of the grace is kept for the last answers: nothing new is taken
-	// then, so that what was read can end. Chosen: 1.8 s of a grace of 6 s, above
-	// the time of nearly all calls.
+	// then, so that what was read can end.
 	answerShare = 0.3
 	// stopReserve of the grace is kept for the end of the process: twice what the
 	// last log lines may take.
@@ -32,8 +31,8 @@
 //
 // Until its last caller is answered the node can't end, and its upstream goes on
 // taking calls of other nodes that find no other one, as far as these end in time. With
-// a fixed bound they are refused for seconds beside an idle upstream: of several nodes of
-// a service stopped in turn, 192 calls in two seconds at 45 % of the grace.
+// a fixed bound they would be refused for seconds beside an idle upstream, where several
+// nodes of a service are stopped in turn.
 func (m *Mesh) Stop() int {
 	begun := time.Now()
 	m.stopping.Store(true)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -201,8 +201,7 @@
 		case node.OrderSend:
 			// The time is taken after the answer. As an argument beside the call it is the
 			// time before: every latency is microseconds, a slow upstream looks like a quick
-			// one, and reports of load are as old as the call. Worth of single days without
-			// and with: 0.698 and 0.704, 0.804 and 0.806, 0.517 and 0.525.
+			// one, and reports of load are as old as the call.
 			answer := p.send(ctx, order)
 			d.Observe(p.node.Now(), answer)
 		}
