--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -7,8 +7,7 @@
 )
 
 // relayFanOut is how many nodes of a zone read through one other: a zone of 412 nodes
-// is three deep, and each node answers 8 at most, however many there are. By their fields
-// eight questions that wait 3 s are some 1.4 KB/s.
+// is three deep, and each node answers 8 at most, however many there are.
 const relayFanOut = 8
 
 // Sources returns the nodes of a zone through which a node may read what the platform's
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -180,8 +180,8 @@
 
 // forAnother refuses a call that is meant for an earlier process at this address.
 // Where routes are served, the successor takes it if it serves the same service:
-// after a loss of power all nodes know each other's earlier processes only, and
-// 1,800 calls were refused until each had read the new records. A re-attachment asks
+// after a loss of power all nodes know each other's earlier processes only, and would
+// refuse all calls until each has read the new records. A re-attachment asks
 // for what the earlier process ran, which this one can't tell.
 func (p *Proxy) forAnother(h *innerpb.CallHeader, call *node.Call) *result.Refusal {
 	own := formatIncarnation(p.node.Incarnation())
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -17,10 +17,7 @@
 // treeGates are those of the routes that requests came by here, and what is known of
 // the services that shed behind them. All routes that meet a service learn of it
 // together: the requests of a route that is refused bring no news, and a gate for each
-// route opens after a second and a half without, to requests that fail. With 76 entries
-// and one upstream of the deepest service left, 7,524 of 17,063 requests of the less
-// important route fail with a gate for each route, 1,308 with one for the service (replay
-// of 30 s).
+// route would open after a while without, to requests that fail.
 type treeGates struct {
 	metrics   *metrics.Set
 	byRoute   sync.Map // routeName to *treeGate
