--- a/internal/mesh/spread_test.go
+++ b/internal/mesh/spread_test.go
@@ -52,7 +52,7 @@
 // Guards against a zone without the store in which each record is spread by its own node
 // alone, so that the last of hundreds learns of it after minutes.
 func TestRecordReachesAZoneWithoutTheStore(t *testing.T) {
-	const within, most = 9 * time.Second, 40
+	const within, most = 3 * time.Second, 40
 	for _, nodes := range []int{10, 50, 400} {
 		synctest.Test(t, func(t *testing.T) {
 			down, end := context.WithTimeout(t.Context(), spreadFor)
