Names of the field: reattach, fallback, reserve, at random, rejected

rescue reattach (the guard's word for it already) last resort fallback headroom reserve (admission; the chart's headroom and the square root of headroom of the gradient limit stay) by lot at random turned away rejected

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -230,6 +230,6 @@
 	if w.byDeadline {
 		return c.drop(w, reasonDeadline)
 	}
-	c.shedder.turnAway()
+	c.shedder.reject()
 	return c.drop(w, reasonExpired)
 }
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -133,12 +133,12 @@
 // queue is full, or turns it away.
 func (c *Controller) enqueue(now time.Time, r Request, probe bool, out []Decision) (Decision, []Decision) {
 	if c.cfg.QueueLimit == 0 {
-		c.shedder.turnAway()
+		c.shedder.reject()
 		return c.refuse(&r, reasonQueueFull), out
 	}
 	w := c.admit(r, probe)
 	if c.queue.len() >= c.cfg.QueueLimit {
-		c.shedder.turnAway()
+		c.shedder.reject()
 		worst := c.queue.worst()
 		if !c.queue.before(w, worst) {
 			c.forget(w)
--- a/internal/admission/fewslots_test.go
+++ b/internal/admission/fewslots_test.go
@@ -21,10 +21,10 @@
 }
 
 // The deepest service has upstreams of 16 slots, and one of them refuses a share of
-// its calls by lot for eight seconds. Callers see nearly every request fail, also those
+// its calls at random for eight seconds. Callers see nearly every request fail, also those
 // that need a single answer of it: the guard's limit fell to 2 slots and stayed there,
-// so besides the lot nearly all calls found no slot.
-func TestRefusalsByLotKeepLimitOfFewSlots(t *testing.T) {
+// so besides these nearly all other calls found no slot.
+func TestRefusalsAtRandomKeepLimitOfFewSlots(t *testing.T) {
 	for _, share := range []float64{0.3, 0.45, 0.55, 0.7} {
 		for _, demand := range []float64{100, 170, 250} {
 			m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
@@ -41,7 +41,7 @@
 
 // The same, right after an overload that kept all slots in use. The limit must be
 // back within a second of the last refusal, since callers come back by then.
-func TestLimitIsBackAfterRefusalsByLot(t *testing.T) {
+func TestLimitIsBackAfterRefusalsAtRandom(t *testing.T) {
 	m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
 	m.deepCalls(callctx.LevelNormal, 400, 700*time.Millisecond)
 	m.sheds = func(m *model) bool {
@@ -52,9 +52,9 @@
 }
 
 // An upstream whose calls take longer than a second, since they wait for deeper
-// services, refuses half of them by lot. What it takes is known only when it ends; the
+// services, refuses half of them at random. What it takes is known only when it ends; the
 // limit must be back by then all the same.
-func TestRefusalsByLotOfSlowCallsKeepLimit(t *testing.T) {
+func TestRefusalsAtRandomOfSlowCallsKeepLimit(t *testing.T) {
 	m := newModel(DefaultConfig(37), func(m *model, _ *modelCall) time.Duration { return m.jittered(1300 * time.Millisecond) })
 	m.deepCalls(callctx.LevelNormal, 40, 4*time.Second)
 	m.sheds = func(m *model) bool { return m.elapsed() >= 4*time.Second && m.rng.Float64() < 0.5 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -18,8 +18,8 @@
 )
 
 // limiter adapts the concurrency limit. Three things lower it: calls that the upstream
-// sheds, at once, unless they come by lot (shedCause); a rise of the median latency, by
-// a trial (cutTrial); and full slots, by a trial of a few less (headroom).
+// sheds, at once, unless they come at random (shedCause); a rise of the median latency, by
+// a trial (cutTrial); and full slots, by a trial of a few less (reserve).
 type limiter struct {
 	cfg   Config
 	limit int
@@ -29,7 +29,7 @@
 	// floor is the least limit that sheds may reach before their effect was measured.
 	floor     int
 	shedCause shedCause
-	headroom  headroom
+	reserve   reserve
 	cut       cutTrial
 }
 
@@ -41,7 +41,7 @@
 func (l *limiter) reconfigure(cfg Config) {
 	wasFull := l.limit >= l.top()
 	if cfg.Slots != l.cfg.Slots || !cfg.Adapt {
-		l.headroom = headroom{}
+		l.reserve = reserve{}
 	}
 	l.cfg = cfg
 	l.cut.abort()
@@ -52,7 +52,7 @@
 }
 
 // top is the greatest limit.
-func (l *limiter) top() int { return max(l.cfg.Slots-l.headroom.inForce(), l.cfg.MinLimit) }
+func (l *limiter) top() int { return max(l.cfg.Slots-l.reserve.inForce(), l.cfg.MinLimit) }
 
 // start takes a call that begins beside that many others.
 func (l *limiter) start(beside int) { l.shedCause.start(beside, l.cfg.Slots) }
@@ -60,7 +60,7 @@
 func (l *limiter) answered(latency time.Duration) {
 	l.cut.epoch.answers++
 	l.cut.epoch.latency.add(latency)
-	l.headroom.answers++
+	l.reserve.answers++
 }
 
 // upstreamShed lowers the limit towards inFlight, which is what the upstream
@@ -74,8 +74,8 @@
 	l.shedCause.begin(now, l.limit)
 	l.shedCause.shed.add(beside, l.cfg.Slots)
 	l.lastShed = now
-	l.headroom.abort(now)
-	if l.shedCause.byLot(now) {
+	l.reserve.abort(now)
+	if l.shedCause.atRandom(now) {
 		return
 	}
 	lower := l.limit - max(1, l.limit/shedShare)
@@ -94,14 +94,14 @@
 	l.adjustCut(now, saturated)
 	l.raise(now, saturated)
 	l.followSheds(now)
-	l.adjustHeadroom(now, use > fullSlots)
+	l.adjustReserve(now, use > fullSlots)
 }
 
 // adjustCut lets a trial of a cut go on.
 func (l *limiter) adjustCut(now time.Time, saturated bool) {
 	limit, kept := l.cut.adjust(now, saturated, l.limit, l.cfg)
 	if limit < l.limit {
-		l.headroom.abort(now)
+		l.reserve.abort(now)
 	}
 	l.limit = min(limit, l.top())
 	if kept {
@@ -109,14 +109,14 @@
 	}
 }
 
-// adjustHeadroom lets a trial of the headroom go on while nothing else holds the limit
+// adjustReserve lets a trial of the reserve go on while nothing else holds the limit
 // down.
-func (l *limiter) adjustHeadroom(now time.Time, full bool) {
+func (l *limiter) adjustReserve(now time.Time, full bool) {
 	if l.cut.state != trialIdle || l.limit < l.top() {
-		l.headroom.abort(now)
+		l.reserve.abort(now)
 		return
 	}
-	l.headroom.adjust(now, full, l.cut.reference, l.cfg)
+	l.reserve.adjust(now, full, l.cut.reference, l.cfg)
 	l.limit = l.top()
 }
 
@@ -131,7 +131,7 @@
 		l.floor = l.limit / 2
 		return
 	}
-	known := l.shedCause.byLot(now)
+	known := l.shedCause.atRandom(now)
 	verdict := l.shedCause.judge(now)
 	if verdict == undecided {
 		return
@@ -151,7 +151,7 @@
 	}
 	step := max(1, l.cfg.Slots/raiseShare)
 	recent := !l.lastShed.IsZero() && now.Sub(l.lastShed) < shedMemory
-	if recent && !l.shedCause.byLot(now) {
+	if recent && !l.shedCause.atRandom(now) {
 		step = 1
 	}
 	l.limit = min(l.limit+step, l.top())
--- a/internal/admission/headroom.go
+++ b/internal/admission/reserve.go
@@ -3,29 +3,29 @@
 import "time"
 
 const (
-	// headroomShare: a step of a trial is a sixteenth of the slots, rounded up: the least
+	// reserveShare: a step of a trial is a sixteenth of the slots, rounded up: the least
 	// that shows in the answers of one measurement.
-	headroomShare = 16
+	reserveShare = 16
 	// fullSlots of the slots in use means that throughput is bounded by them and by
 	// nothing else: with less, a change of demand would be taken for one of the upstream.
 	fullSlots = 0.97
-	// headroomAnswers and headroomMeasure are what a measurement needs at least: two of
+	// reserveAnswers and reserveMeasure are what a measurement needs at least: two of
 	// them differ by some 4 % by chance.
-	headroomAnswers = 200
-	headroomMeasure = 500 * time.Millisecond
-	// headroomLongest ends a trial at an upstream that answers too little to tell: below
+	reserveAnswers = 200
+	reserveMeasure = 500 * time.Millisecond
+	// reserveLongest ends a trial at an upstream that answers too little to tell: below
 	// 25 answers a second. A trial costs a sixteenth of the slots meanwhile.
-	headroomLongest = 8 * time.Second
-	// headroomGain is what a step that leaves more slots empty must add to the answers.
+	reserveLongest = 8 * time.Second
+	// reserveGain is what a step that leaves more slots empty must add to the answers.
 	// It lies between what the slots are worth where each helps (a sixteenth less) and
 	// what an upstream gains that is a quarter slower with its last slots in use.
-	headroomGain = 1.03
-	// headroomSame is the part of the answers that counts as no fewer, where slots stay
+	reserveGain = 1.03
+	// reserveSame is the part of the answers that counts as no fewer, where slots stay
 	// empty though there are less of them.
-	headroomSame = 0.97
+	reserveSame = 0.97
 )
 
-// headroom is how many slots are left empty because the upstream answers more with
+// reserve is how many slots are left empty because the upstream answers more with
 // fewer calls at once. The load it answers: more demand than slots for seconds on end,
 // at an upstream that slows all its calls as its last slots fill. With all slots in
 // use such an upstream loses throughput just when it is short.
@@ -33,14 +33,14 @@
 // It is found by trial: one step, the answers before and after, and the step is kept or
 // taken back. Steps go on in the direction that helped, and turn round when one did
 // not, after a pause that doubles.
-type headroom struct {
+type reserve struct {
 	slots int
 	// fewer is the direction of the next step: fewer empty slots.
 	fewer bool
 	next  time.Time
 	pause time.Duration
 
-	phase headroomPhase
+	phase reservePhase
 	// tried is in force in place of slots while a step is on trial.
 	tried int
 	// before is the rate of answers that the step has to beat.
@@ -52,45 +52,45 @@
 	full bool
 }
 
-// headroomPhase is where a trial stands.
-type headroomPhase int
+// reservePhase is where a trial stands.
+type reservePhase int
 
 const (
-	// headroomWatched: no trial; the rate of answers with full slots is measured.
-	headroomWatched headroomPhase = iota
-	// headroomSettling: calls from before the step are still running.
-	headroomSettling
-	// headroomMeasured: the rate after the step is measured.
-	headroomMeasured
+	// reserveWatched: no trial; the rate of answers with full slots is measured.
+	reserveWatched reservePhase = iota
+	// reserveSettling: calls from before the step are still running.
+	reserveSettling
+	// reserveMeasured: the rate after the step is measured.
+	reserveMeasured
 )
 
 // inForce returns how many slots are left empty now.
-func (h *headroom) inForce() int {
-	if h.phase == headroomWatched {
+func (h *reserve) inForce() int {
+	if h.phase == reserveWatched {
 		return h.slots
 	}
 	return h.tried
 }
 
-func (h *headroom) restart(now time.Time) {
+func (h *reserve) restart(now time.Time) {
 	h.since = now
 	h.answers = 0
 	h.full = true
 }
 
 // abort ends a trial that something else upset.
-func (h *headroom) abort(now time.Time) {
-	h.phase = headroomWatched
+func (h *reserve) abort(now time.Time) {
+	h.phase = reserveWatched
 	h.restart(now)
 }
 
 // adjust is called once per interval; full says that hardly a slot was empty in it,
 // median is how long a call takes.
-func (h *headroom) adjust(now time.Time, full bool, median time.Duration, cfg Config) {
+func (h *reserve) adjust(now time.Time, full bool, median time.Duration, cfg Config) {
 	h.full = h.full && full
 	length := now.Sub(h.since)
 	switch h.phase {
-	case headroomWatched:
+	case reserveWatched:
 		if !h.full {
 			h.restart(now)
 			return
@@ -98,29 +98,29 @@
 		if h.measured(length) && !now.Before(h.next) {
 			h.propose(now, float64(h.answers)/length.Seconds(), cfg)
 		}
-	case headroomSettling:
+	case reserveSettling:
 		if length >= max(cfg.SojournInterval, median) {
-			h.phase = headroomMeasured
+			h.phase = reserveMeasured
 			h.restart(now)
 		}
-	case headroomMeasured:
+	case reserveMeasured:
 		switch {
 		case h.measured(length):
 			h.conclude(now, float64(h.answers)/length.Seconds())
-		case length >= headroomLongest:
+		case length >= reserveLongest:
 			h.turn(now)
 			h.abort(now)
 		}
 	}
 }
 
-func (h *headroom) measured(length time.Duration) bool {
-	return h.answers >= headroomAnswers && length >= headroomMeasure
+func (h *reserve) measured(length time.Duration) bool {
+	return h.answers >= reserveAnswers && length >= reserveMeasure
 }
 
 // propose begins a trial, unless the next step would leave the bounds.
-func (h *headroom) propose(now time.Time, rate float64, cfg Config) {
-	step := (cfg.Slots + headroomShare - 1) / headroomShare
+func (h *reserve) propose(now time.Time, rate float64, cfg Config) {
+	step := (cfg.Slots + reserveShare - 1) / reserveShare
 	if h.slots == 0 {
 		h.fewer = false
 	}
@@ -133,36 +133,36 @@
 		return
 	}
 	h.before = rate
-	h.phase = headroomSettling
+	h.phase = reserveSettling
 	h.restart(now)
 }
 
-func (h *headroom) conclude(now time.Time, rate float64) {
+func (h *reserve) conclude(now time.Time, rate float64) {
 	if h.better(rate / h.before) {
 		h.slots = h.tried
 		h.pause = 0
 	} else {
 		h.turn(now)
 	}
-	h.phase = headroomWatched
+	h.phase = reserveWatched
 	h.restart(now)
 }
 
 // better reports whether the answers after the step speak for it; ratio is their rate
 // over the one before.
-func (h *headroom) better(ratio float64) bool {
+func (h *reserve) better(ratio float64) bool {
 	switch {
 	case h.fewer:
 		return h.full && ratio >= 1
 	case h.full:
-		return ratio >= headroomGain
+		return ratio >= reserveGain
 	}
 	// Slots stayed empty though there are less of them: what waited has been answered.
-	return ratio >= headroomSame
+	return ratio >= reserveSame
 }
 
 // turn goes on in the other direction, after a pause.
-func (h *headroom) turn(now time.Time) {
+func (h *reserve) turn(now time.Time) {
 	h.fewer = !h.fewer
 	h.pause = min(max(2*h.pause, minBackoff), maxBackoff)
 	h.next = now.Add(h.pause)
--- a/internal/admission/headroom_test.go
+++ b/internal/admission/reserve_test.go
@@ -11,8 +11,8 @@
 // trial was decided after 2 s, with 120 answers, whose number varies by a tenth by
 // chance: one in seven was decided wrongly, and a sixteenth of the slots given up or
 // taken for some seconds. 200 answers must have come.
-func TestHeadroomWaitsForItsAnswers(t *testing.T) {
-	h := &headroom{}
+func TestReserveWaitsForItsAnswers(t *testing.T) {
+	h := &reserve{}
 	begun := time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
 	h.restart(begun)
 	cfg := DefaultConfig(32)
@@ -22,27 +22,27 @@
 		h.answers += 6
 		answers, before := h.answers, h.phase
 		h.adjust(now, true, 300*time.Millisecond, cfg)
-		if before == headroomMeasured && h.phase == headroomWatched {
+		if before == reserveMeasured && h.phase == reserveWatched {
 			decidedWith = answers
 			break
 		}
 	}
-	must.GreaterEq(t, headroomAnswers, decidedWith)
+	must.GreaterEq(t, reserveAnswers, decidedWith)
 }
 
 // An upstream answers ten calls a second: nothing can be told from that, and a trial
 // must end without keeping its step.
-func TestHeadroomGivesUpOnFewAnswers(t *testing.T) {
-	h := &headroom{before: 1000, phase: headroomMeasured, tried: 2}
+func TestReserveGivesUpOnFewAnswers(t *testing.T) {
+	h := &reserve{before: 1000, phase: reserveMeasured, tried: 2}
 	begun := time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
 	h.restart(begun)
 	for i := range 100 {
 		h.answers++
 		h.adjust(begun.Add(time.Duration(i+1)*100*time.Millisecond), true, 300*time.Millisecond, DefaultConfig(32))
-		if h.phase == headroomWatched {
+		if h.phase == reserveWatched {
 			break
 		}
 	}
-	must.EqOp(t, headroomWatched, h.phase)
+	must.EqOp(t, reserveWatched, h.phase)
 	must.EqOp(t, 0, h.inForce())
 }
--- a/internal/admission/shedcause.go
+++ b/internal/admission/shedcause.go
@@ -4,22 +4,22 @@
 
 const (
 	// shedSamples is how many calls shed, and how many taken, tell the two causes
-	// apart: with 12 of each, calls shed by lot are taken for want of room once in
+	// apart: with 12 of each, calls shed at random are taken for want of room once in
 	// 20 times, and then the next measurement follows.
 	shedSamples = 12
 	// shedMeasure is the least time of a measurement, so that it covers more than one
 	// burst of arrivals.
 	shedMeasure = 100 * time.Millisecond
-	// lotOverlap lies between the overlap of upstreams that are short of room, which
-	// is 0, and that of upstreams that shed by lot, which is a half.
-	lotOverlap = 0.3
-	// roomOverlap is the overlap below which sheds that were by lot are for want of room
-	// now: three standard deviations below that of sheds by lot.
+	// randomOverlap lies between the overlap of upstreams that are short of room, which
+	// is 0, and that of upstreams that shed at random, which is a half.
+	randomOverlap = 0.3
+	// roomOverlap is the overlap below which sheds that were at random are for want of room
+	// now: three standard deviations below that of sheds at random.
 	roomOverlap = 0.15
-	// lotPause is how long sheds don't lower the limit once they were found to be by
-	// lot; each further measurement that finds the same extends it, and one that finds
+	// randomPause is how long sheds don't lower the limit once they were found to be
+	// at random; each further measurement that finds the same extends it, and one that finds
 	// a want of room ends it. Some ten measurements at usual rates.
-	lotPause = 2 * time.Second
+	randomPause = 2 * time.Second
 	// loadLevels is how finely the calls that run beside another one are told apart:
 	// each of 16 slots, every second one of 122.
 	loadLevels = 64
@@ -31,7 +31,7 @@
 // seven eighths of the slots stand idle while callers are refused for want of them.
 //
 // An upstream that is short of room never sheds a call at a load at which it takes
-// another one; one that sheds by lot does so at every load alike. So each call shed
+// another one; one that sheds at random does so at every load alike. So each call shed
 // is compared with the calls taken since the first one was shed, by how many ran
 // beside it when it began. Unlike a comparison of rates this needs neither full slots nor
 // steady demand, and a few dozen calls decide.
@@ -44,8 +44,8 @@
 	// began counts all calls, those that were shed too: a call that was taken is known
 	// as such only when it ends, and those that began last would be missing.
 	began, shed loadCounts
-	// byLotUntil is how long sheds are held to be by lot.
-	byLotUntil time.Time
+	// randomUntil is how long sheds are held to be at random.
+	randomUntil time.Time
 }
 
 // loadCounts counts calls by how many ran beside them when they began.
@@ -98,8 +98,8 @@
 	return sum / float64(s.shed.total*all)
 }
 
-// byLot reports whether sheds are held to be by lot at now.
-func (s *shedCause) byLot(now time.Time) bool { return now.Before(s.byLotUntil) }
+// atRandom reports whether sheds are held to be at random at now.
+func (s *shedCause) atRandom(now time.Time) bool { return now.Before(s.randomUntil) }
 
 // verdict is what a measurement says of the limit.
 type verdict int
@@ -109,7 +109,7 @@
 	undecided verdict = iota
 	// mayFall: the limit may fall to half of what it is.
 	mayFall
-	// wrongCut: the upstream sheds by lot.
+	// wrongCut: the upstream sheds at random.
 	wrongCut
 )
 
@@ -122,11 +122,11 @@
 	overlap := s.overlap()
 	s.restart(now)
 	switch {
-	case overlap >= lotOverlap:
-		s.byLotUntil = now.Add(lotPause)
+	case overlap >= randomOverlap:
+		s.randomUntil = now.Add(randomPause)
 		return wrongCut
 	case overlap < roomOverlap:
-		s.byLotUntil = time.Time{}
+		s.randomUntil = time.Time{}
 	}
 	return mayFall
 }
--- a/internal/admission/story_test.go
+++ b/internal/admission/story_test.go
@@ -95,7 +95,7 @@
 // seconds. The limit followed the refusals to an eighth of the slots: the rest stood
 // idle, and callers were refused for want of them. What it does not refuse must go on being
 // answered.
-func TestRefusalsByLotKeepLimit(t *testing.T) {
+func TestRefusalsAtRandomKeepLimit(t *testing.T) {
 	for _, share := range []float64{0.3, 0.4, 0.55, 0.7} {
 		for _, demand := range []float64{800, 1200, 2000} {
 			m := mixed(122, 2*time.Second, between(0, 0, 0, 70*time.Millisecond), steady(demand))
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -21,9 +21,9 @@
 	// fitMargin is the work admitted over what was started, so that the slots
 	// stay busy.
 	fitMargin = 1.25
-	// turnedShare is the part of offers turned away by a full queue that counts
+	// rejectedShare is the part of offers rejected by a full queue that counts
 	// as pressure even without a standing delay.
-	turnedShare = 0.05
+	rejectedShare = 0.05
 	// Below fullUse of the slots there is room for some more callers; below
 	// easyUse the threshold opens fast.
 	fullUse = 0.95
@@ -38,10 +38,10 @@
 	offers    [rankBuckets]float32
 	offered   float32
 	started   float32
-	// turned counts calls refused for a full queue or an ended wait, turnedNow
+	// rejected counts calls refused for a full queue or an ended wait, rejectedNow
 	// those of this interval alone.
-	turned    float32
-	turnedNow int
+	rejected    float32
+	rejectedNow int
 }
 
 func newShedder() *shedder {
@@ -55,14 +55,14 @@
 
 func (s *shedder) start() { s.started++ }
 
-func (s *shedder) turnAway() {
-	s.turned++
-	s.turnedNow++
+func (s *shedder) reject() {
+	s.rejected++
+	s.rejectedNow++
 }
 
 // pressed reports whether more is admitted than the slots can take.
 func (s *shedder) pressed(overloaded bool) bool {
-	return overloaded || (s.turnedNow > 0 && s.turned > turnedShare*s.offered)
+	return overloaded || (s.rejectedNow > 0 && s.rejected > rejectedShare*s.offered)
 }
 
 // relax is called once per interval with the part of the slots that calls below
@@ -73,7 +73,7 @@
 // turns.
 func (s *shedder) relax(below, use float64) {
 	switch {
-	case s.threshold == nothingShed || s.turnedNow > 0 || below > fullUse:
+	case s.threshold == nothingShed || s.rejectedNow > 0 || below > fullUse:
 		s.open = firstOpen
 	case below > easyUse:
 		s.open = firstOpen
@@ -131,6 +131,6 @@
 	}
 	s.offered *= decay
 	s.started *= decay
-	s.turned *= decay
-	s.turnedNow = 0
+	s.rejected *= decay
+	s.rejectedNow = 0
 }
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -195,22 +195,22 @@
 	f.met(t)
 	g := f.pick(t, nil)
 	if g == nil {
-		f.turnedAway(t)
+		f.rejected(t)
 		return
 	}
 	f.call(t, g, func(refusal *result.Refusal) {
 		other := f.pick(t, g)
 		if other == nil {
-			f.turnedAway(t)
+			f.rejected(t)
 			return
 		}
-		f.call(t, other, func(*result.Refusal) { f.turnedAway(t) })
+		f.call(t, other, func(*result.Refusal) { f.rejected(t) })
 	})
 }
 
-// turnedAway ends a tree whose call found no room. A request that needs the deepest
+// rejected ends a tree whose call found no room. A request that needs the deepest
 // service alone has not run and may come back.
-func (f *treeModel) turnedAway(t *treeRequest) {
+func (f *treeModel) rejected(t *treeRequest) {
 	if f.routes[t.route].calls == 0 {
 		f.refused(t, result.Refuse(result.Shed, "").After(300*time.Millisecond))
 		return
--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -44,7 +44,7 @@
 	Seconds   float64    `json:"seconds"`
 	Kinds     []Kind     `json:"kinds"`
 	Upstreams []Upstream `json:"upstreams"`
-	// Refused is the share of calls that the scarce service refuses by lot.
+	// Refused is the share of calls that the scarce service refuses at random.
 	Refused float64 `json:"refused"`
 	// Apart is the share of callers who are cut off from the scarce service.
 	Apart float64 `json:"apart"`
--- a/internal/ceiling/ceiling_test.go
+++ b/internal/ceiling/ceiling_test.go
@@ -27,8 +27,8 @@
 	must.InDelta(t, (60.0+35+10)/170, r.Fits, 1e-9)
 }
 
-// Calls refused by lot: a request of eight calls at 45 % has one chance in 600.
-func TestBoundOfRefusalsByLot(t *testing.T) {
+// Calls refused at random: a request of eight calls at 45 % has one chance in 600.
+func TestBoundOfRefusalsAtRandom(t *testing.T) {
 	w := Window{Seconds: 1, Refused: 0.55, Upstreams: []Upstream{{1000, 1}}, Kinds: []Kind{
 		{Name: "filing", Rate: 10, Worth: 3, Calls: 8}, {Name: "notice", Rate: 10, Worth: 1, Calls: 1, Tries: 2},
 	}}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -198,6 +198,6 @@
 		Slots:       m.Slots,
 		Joined:      time.UnixMilli(m.ServesSince),
 		Draining:    m.State == Leaving,
-		LastResort:  m.State == Stopping,
+		Fallback:    m.State == Stopping,
 	}
 }
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -29,12 +29,12 @@
 	// peerSilence is how long a path between nodes may be silent: two lost packets
 	// in a row are sent again within 0.7 s.
 	peerSilence = time.Second
-	// peerRescueMin and peerRescueMax bound the wait for an answer after which a
+	// peerReattachMin and peerReattachMax bound the wait for an answer after which a
 	// fresh connection is tried though the path is not silent. The time of calls with
 	// calls of their own varies by a second, so a shorter bound replaces sound
 	// connections.
-	peerRescueMin = 2 * time.Second
-	peerRescueMax = 4 * time.Second
+	peerReattachMin = 2 * time.Second
+	peerReattachMax = 4 * time.Second
 	// peerKept bounds the idle connections to one node: as many calls as one node
 	// has out to another at once, with some room.
 	peerKept = 64
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -109,11 +109,11 @@
 	}
 	m.peers = proxy.NewPeers(nil)
 	m.peers.SetConnections(proxy.Connections{
-		Connect: peerConnect,
-		Idle:    peerIdle,
-		Kept:    peerKept,
-		Silence: peerSilence,
-		Rescue:  proxy.WaitBounds{Min: peerRescueMin, Max: peerRescueMax},
+		Connect:  peerConnect,
+		Idle:     peerIdle,
+		Kept:     peerKept,
+		Silence:  peerSilence,
+		Reattach: proxy.WaitBounds{Min: peerReattachMin, Max: peerReattachMax},
 	})
 	m.spread = m.newSpreader()
 	m.suspects = newSuspects(m.platform.Members(), m.cfg.NodeID, m.bounded, m.logger, m.spread.tell)
--- a/internal/node/concurrent_test.go
+++ b/internal/node/concurrent_test.go
@@ -39,8 +39,8 @@
 
 const (
 	simAllowance = 2
-	// rescueAfter is when a silent sending is followed by a second one.
-	rescueAfter = 100 * time.Millisecond
+	// reattachAfter is when a silent sending is followed by a second one.
+	reattachAfter = 100 * time.Millisecond
 )
 
 // simGuard is a guard with an upstream that works, sheds, fails and dies. It
@@ -186,7 +186,7 @@
 		time.Sleep(late)
 		s.serve(context.Background(), g, call)
 	}()
-	time.Sleep(rescueAfter)
+	time.Sleep(reattachAfter)
 	if ctx.Err() != nil {
 		return refusedWith(call, result.LostAnswer)
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -16,9 +16,9 @@
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
-// maxRescues bounds the second connections that are out to one peer at a time,
+// maxReattaches bounds the second connections that are out to one peer at a time,
 // so that a slow peer isn't met with a burst of them.
-const maxRescues = 16
+const maxReattaches = 16
 
 // Connections says how connections to other nodes are made and kept.
 type Connections struct {
@@ -33,11 +33,11 @@
 	// peer.
 	Kept int
 	// Silence is how long the path of a connection may be silent before the
-	// connection fails; 0 leaves that to the rescue.
+	// connection fails; 0 leaves that to the re-attachment.
 	Silence time.Duration
-	// Rescue bounds the wait for an answer after which a second connection is
+	// Reattach bounds the wait for an answer after which a second connection is
 	// tried; 0 stands for the default bounds.
-	Rescue WaitBounds
+	Reattach WaitBounds
 }
 
 // DefaultConnections are those of the settings' defaults.
@@ -111,8 +111,8 @@
 		}
 		p.dial = p.counting(dialer.DialContext)
 	}
-	if p.connections.Rescue == (WaitBounds{}) {
-		p.connections.Rescue = WaitBounds{Min: minRescueWait, Max: maxRescueWait}
+	if p.connections.Reattach == (WaitBounds{}) {
+		p.connections.Reattach = WaitBounds{Min: minReattachWait, Max: maxReattachWait}
 	}
 }
 
@@ -162,10 +162,10 @@
 // peer is one guard's address: a pool of kept connections, and a way to make
 // fresh ones that never come from the pool.
 type peer struct {
-	pool    *h1.Pool
-	fresh   *h1.Pool
-	wait    waitEstimator
-	rescues chan struct{}
+	pool       *h1.Pool
+	fresh      *h1.Pool
+	wait       waitEstimator
+	reattaches chan struct{}
 }
 
 func (p *Peers) peer(addr string) *peer {
@@ -174,9 +174,9 @@
 	got, ok := p.peers[addr]
 	if !ok {
 		got = &peer{
-			pool:    p.newPool(addr, p.connections.Idle),
-			fresh:   p.newPool(addr, 0),
-			rescues: make(chan struct{}, maxRescues),
+			pool:       p.newPool(addr, p.connections.Idle),
+			fresh:      p.newPool(addr, 0),
+			reattaches: make(chan struct{}, maxReattaches),
 		}
 		p.peers[addr] = got
 	}
@@ -211,7 +211,7 @@
 	s := &sending{peers: p, peer: peer, to: to, attempt: attempt, fresh: make(chan *node.Answer, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
-	timer := time.AfterFunc(peer.wait.bound(p.connections.Rescue), s.rescue)
+	timer := time.AfterFunc(peer.wait.bound(p.connections.Reattach), s.reattachIfSilent)
 	answer := s.roundTrip(s.ctx, peer.pool, attempt)
 	timer.Stop()
 	answer = s.settle(answer)
@@ -231,15 +231,16 @@
 	cancel  context.CancelFunc
 	fresh   chan *node.Answer
 
-	mu      sync.Mutex
-	rescued bool // a rescue is out and will put an answer into fresh
-	ended   bool // the first sending came back
+	mu         sync.Mutex
+	reattached bool // a re-attachment is out and will put an answer into fresh
+	ended      bool // the first sending came back
 }
 
-func (s *sending) rescue() {
+// reattachIfSilent is called when the first connection was silent for long.
+func (s *sending) reattachIfSilent() {
 	select {
-	case s.peer.rescues <- struct{}{}:
-		defer func() { <-s.peer.rescues }()
+	case s.peer.reattaches <- struct{}{}:
+		defer func() { <-s.peer.reattaches }()
 	default:
 		return
 	}
@@ -248,7 +249,7 @@
 		s.mu.Unlock()
 		return
 	}
-	s.rescued = true
+	s.reattached = true
 	s.mu.Unlock()
 
 	answer := s.reattach()
@@ -270,13 +271,13 @@
 func (s *sending) settle(first *node.Answer) *node.Answer {
 	s.mu.Lock()
 	s.ended = true
-	rescued := s.rescued
+	reattached := s.reattached
 	s.mu.Unlock()
 	var second *node.Answer
 	switch {
-	case rescued && superseded(first):
+	case reattached && superseded(first):
 		second = <-s.fresh
-	case !rescued && broken(first) && s.ctx.Err() == nil:
+	case !reattached && broken(first) && s.ctx.Err() == nil:
 		second = s.reattach()
 	default:
 		return first
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -11,10 +11,10 @@
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
 const (
-	// minRescueWait keeps ordinary variation from costing connections.
-	minRescueWait = 100 * time.Millisecond
-	// maxRescueWait bounds what a caller loses to one silent connection.
-	maxRescueWait = 1 * time.Second
+	// minReattachWait keeps ordinary variation from costing connections.
+	minReattachWait = 100 * time.Millisecond
+	// maxReattachWait bounds what a caller loses to one silent connection.
+	maxReattachWait = 1 * time.Second
 	// gains of the smoothed wait and its deviation, as in RFC 6298.
 	waitGain      = 8
 	deviationGain = 4
@@ -23,7 +23,7 @@
 
 // waitEstimator keeps the usual wait for an answer and its deviation, like a
 // TCP retransmission timer. Concurrent observations may overwrite each other:
-// an estimate needs no exactness. The zero value waits maxRescueWait.
+// an estimate needs no exactness. The zero value waits maxReattachWait.
 type waitEstimator struct {
 	mean, deviation atomic.Int64 // nanoseconds
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -24,9 +24,9 @@
 	Draining bool
 	// Suspect means that membership doubts that the node is alive.
 	Suspect bool
-	// LastResort means that the endpoint takes calls that find no other one, as
+	// Fallback means that the endpoint takes calls that find no other one, as
 	// while its node is being stopped.
-	LastResort bool
+	Fallback bool
 }
 
 // Self says where the choosing node is.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -252,7 +252,7 @@
 	if g.isSuspect(c.at, c.cfg) {
 		return isOut
 	}
-	if g.lastResort.Load() {
+	if g.fallback.Load() {
 		return isSpare
 	}
 	fresh := g.report.fresh(c.at, c.cfg.LoadAge)
--- a/internal/routing/spare_test.go
+++ b/internal/routing/spare_test.go
@@ -11,9 +11,9 @@
 // The nodes of a service are restarted one after another while another of its
 // upstreams leaves. For seconds the only upstream that takes work is one whose
 // node is being stopped; callers were refused though it was idle.
-func TestPick_LastResort(t *testing.T) {
+func TestPick_Fallback(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	stopping := Endpoint{Node: "stopping", Incarnation: 1, Service: "s", Addr: "a:1", Slots: 4, LastResort: true}
+	stopping := Endpoint{Node: "stopping", Incarnation: 1, Service: "s", Addr: "a:1", Slots: 4, Fallback: true}
 	other := Endpoint{Node: "other", Incarnation: 1, Service: "s", Addr: "b:1", Slots: 4}
 	table := NewTable(nil, DefaultConfig(), Self{}, []Endpoint{stopping, other}, origin)
 	for range 50 {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -26,8 +26,8 @@
 	slots    atomic.Int64
 	draining atomic.Bool
 	suspect  atomic.Bool
-	// lastResort too.
-	lastResort atomic.Bool
+	// fallback too.
+	fallback atomic.Bool
 	// incarnation is the last one seen, in a report or from membership.
 	incarnation atomic.Uint64
 
@@ -71,7 +71,7 @@
 	g.slots.Store(int64(ep.Slots))
 	g.draining.Store(ep.Draining)
 	g.suspect.Store(ep.Suspect)
-	g.lastResort.Store(ep.LastResort)
+	g.fallback.Store(ep.Fallback)
 }
 
 // Endpoint returns what membership last said of the target.
