Names of the field: watch and updates in place of news

What a node asks another one for, through the relay of the zone, is a watch (/watch, was /news); what nodes tell each other in exchanges are updates; variables that counted or held "news" say changed, updated or fresh.

On the wire between nodes only the path changes. During a rolling update a node that asks the other version gets 404, leaves it out for a second and reads the store, as it does for any node that can't answer.

No behaviour changes.

--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// treeAge is how long what a route's answers said is believed without news: ten
+	// treeAge is how long what a route's answers said is believed without a new one: ten
 	// of the longest periods in which a guard moves its threshold, since one entry of
 	// hundreds hears an answer a second.
 	treeAge = 3 * time.Second
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -133,6 +133,6 @@
 
 func (p *Plane) leaderChanged() {
 	p.setPeers()
-	p.news++
-	p.upNews++
+	p.updates++
+	p.fromBelow++
 }
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -127,51 +127,51 @@
 }
 
 // Ask makes the question of an exchange. hold is how long it may be held for
-// news; a node that was told too little yet asks for an answer at once.
+// updates; a node that was told too little yet asks for an answer at once.
 func (p *Plane) Ask(now time.Time, hold time.Duration) *innerpb.ExchangeRequest {
 	if !p.caught && p.stale(now) {
 		hold = 0
 	}
-	p.sentUp = p.upNews
+	p.sentUp = p.fromBelow
 	p.ahead = Peer{}
 	return &innerpb.ExchangeRequest{
 		From:        Ref(p.self),
-		Suspects:    p.suspectNews(now),
-		Drains:      p.drainNews(now),
+		Suspects:    p.suspectUpdates(now),
+		Drains:      p.drainUpdates(now),
 		Liveness:    livenessOf(p.detector.Findings(now)),
-		SoftMembers: p.softNews(now),
+		SoftMembers: p.softUpdates(now),
 		Elected:     p.ownBeat(),
 		HoldUs:      hold.Microseconds(),
 		RecordsFrom: uint64(p.replica.Next()),
 	}
 }
 
-// AskDue reports whether there is news that the asked peer does not have yet:
+// AskDue reports whether there are updates that the asked peer does not have yet:
 // a question that is being held should be asked again.
-func (p *Plane) AskDue() bool { return p.upNews > p.sentUp || p.ahead.Addr != "" }
+func (p *Plane) AskDue() bool { return p.fromBelow > p.sentUp || p.ahead.Addr != "" }
 
-// OnAsked takes the news of a question. It is called once for each, before
+// OnAsked takes the updates of a question. It is called once for each, before
 // its answer is waited for.
 func (p *Plane) OnAsked(now time.Time, q *innerpb.ExchangeRequest) {
-	p.takeNews(now, q, true)
+	p.takeUpdates(now, q, true)
 	if int64(q.GetRecordsFrom()) <= p.replica.Next() || !p.stale(now) && p.reads(now) {
 		return
 	}
 	// The asker has records that did not come here; it is asked for them.
 	if peer := p.peer(IdentityOf(q.GetFrom())); peer.Addr != "" && peer.Addr != p.addr {
 		p.ahead = peer
-		p.news++
+		p.updates++
 	}
 }
 
 // told is what the last answer to a node held.
 type told struct {
-	news  uint64
-	proof time.Time
+	updates uint64
+	proof   time.Time
 }
 
 // MustAnswer reports whether a question should not be held any longer: there
-// is news, or a fresher proof came late in an exchange.
+// is an update, or a fresher proof came late in an exchange.
 //
 // A proof is passed on as it comes, or its age would grow by up to an exchange
 // at each level of the tree. The zone's reader has one several times in an
@@ -184,7 +184,7 @@
 		return true
 	case p.replica.Next() > int64(q.GetRecordsFrom()):
 		return true
-	case last.news < p.news:
+	case last.updates < p.updates:
 		return true
 	}
 	least := p.cfg.Exchange / 2
@@ -196,15 +196,15 @@
 
 // Answer makes the answer to a question that came at received.
 func (p *Plane) Answer(now, received time.Time, q *innerpb.ExchangeRequest) *innerpb.ExchangeResponse {
-	p.told[q.GetFrom().GetNodeId()] = told{news: p.news, proof: p.head.t0}
+	p.told[q.GetFrom().GetNodeId()] = told{updates: p.updates, proof: p.head.t0}
 	a := &innerpb.ExchangeResponse{
 		From:        Ref(p.self),
 		Head:        p.headOf(now),
 		HeldUs:      now.Sub(received).Microseconds(),
-		Suspects:    p.suspectNews(now),
-		Drains:      p.drainNews(now),
+		Suspects:    p.suspectUpdates(now),
+		Drains:      p.drainUpdates(now),
 		Liveness:    livenessOf(p.detector.Findings(now)),
-		SoftMembers: p.softNews(now),
+		SoftMembers: p.softUpdates(now),
 		Elected:     p.elected(),
 		RecordsNext: uint64(p.replica.Next()),
 	}
@@ -241,13 +241,13 @@
 func (p *Plane) OnAnswer(now, sent time.Time, peer Peer, a *innerpb.ExchangeResponse) (fetch bool) {
 	delete(p.failed, peer.Addr)
 	p.answered = now
-	p.takeNews(now, a, false)
+	p.takeUpdates(now, a, false)
 	next := int64(a.GetRecordsNext())
 	if len(a.GetRecords()) == 0 && next > p.replica.Next() {
 		fetch = true
 	}
 	if p.takeRecords(now, a) && !p.above(now, peer) {
-		p.upNews++
+		p.fromBelow++
 	}
 	if h := a.GetHead(); h.GetKnown() {
 		p.relayedProof(sent, a)
@@ -299,7 +299,7 @@
 func (p *Plane) OnAskFailed(now time.Time, peer Peer) { p.failed[peer.Addr] = now }
 
 // LeaderAsks returns whom a zone's reader asks besides, for answers at once:
-// with news one node of each other zone, and regularly one of its own zone.
+// with updates one node of each other zone, and regularly one of its own zone.
 // Two readers that came up at the same time would never hear of each other
 // otherwise, since a reader has no parent to ask.
 func (p *Plane) LeaderAsks(now time.Time) []Peer {
@@ -311,9 +311,9 @@
 		p.askedOwn = now
 		out = append(out, p.neighbour(now)...)
 	}
-	if p.upNews != p.crossed {
+	if p.fromBelow != p.crossed {
 		p.asked = now
-		p.crossed = p.upNews
+		p.crossed = p.fromBelow
 		out = append(out, p.others(now)...)
 	}
 	return slices.DeleteFunc(out, func(peer Peer) bool {
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -116,7 +116,7 @@
 // have reached other zones, so their readers are told how far this one is.
 func (p *Plane) OnReadFailed() {
 	if !p.failing {
-		p.upNews++
+		p.fromBelow++
 	}
 	p.failing = true
 }
@@ -137,7 +137,7 @@
 	seen := p.replica.Take(now, page)
 	if next := p.replica.Next(); next > before {
 		p.feed.add(page.Entries, before, next)
-		p.news++
+		p.updates++
 	}
 	if len(seen) > 0 && p.follower != nil {
 		p.follower.Applied(now, seen)
--- a/internal/control/plane.go
+++ b/internal/control/plane.go
@@ -20,7 +20,7 @@
 
 // PlaneConfig holds the times and bounds of a Plane.
 type PlaneConfig struct {
-	// Exchange is the time between two exchanges of a node without news.
+	// Exchange is the time between two exchanges of a node without updates.
 	Exchange time.Duration
 	// FallBack is how long a node waits without any answered exchange before
 	// it reads the log itself; a share of it by node comes on top, so that a
@@ -146,23 +146,23 @@
 
 	soft     map[string]softMember
 	drains   map[membership.Identity]drain
-	suspects map[suspectKey]suspectNews
+	suspects map[suspectKey]suspectUpdate
 	incoming []quarantine.Suspect
 
-	news     uint64 // grows with whatever is to be passed down at once
-	upNews   uint64 // grows with whatever did not come from above
-	sentUp   uint64
-	ahead    Peer            // asked from further on than this node has got
-	failing  bool            // the last read of the log failed
-	told     map[string]told // by node
-	failed   map[string]time.Time
-	answered time.Time // last exchange that was answered
-	crossed  uint64    // upNews of the last exchange with all zones
-	asked    time.Time // last time that all zones were told
-	askedOwn time.Time // last time that one of the own zone was asked
-	dead     map[membership.Identity]bool
-	dirty    bool
-	round    int64 // of the detector, the same at all nodes but for clock skew
+	updates   uint64 // grows with whatever is to be passed down at once
+	fromBelow uint64 // grows with whatever did not come from above
+	sentUp    uint64
+	ahead     Peer            // asked from further on than this node has got
+	failing   bool            // the last read of the log failed
+	told      map[string]told // by node
+	failed    map[string]time.Time
+	answered  time.Time // last exchange that was answered
+	crossed   uint64    // fromBelow of the last exchange with all zones
+	asked     time.Time // last time that all zones were told
+	askedOwn  time.Time // last time that one of the own zone was asked
+	dead      map[membership.Identity]bool
+	dirty     bool
+	round     int64 // of the detector, the same at all nodes but for clock skew
 }
 
 // NewPlane returns the share of a node that knows nobody; cfg must be valid.
@@ -179,7 +179,7 @@
 		dead:     map[membership.Identity]bool{},
 		soft:     map[string]softMember{},
 		drains:   map[membership.Identity]drain{},
-		suspects: map[suspectKey]suspectNews{},
+		suspects: map[suspectKey]suspectUpdate{},
 		told:     map[string]told{},
 		failed:   map[string]time.Time{},
 	}
@@ -231,17 +231,17 @@
 	return a == b
 }
 
-// changed notes news to pass on; up says that it is news above too.
+// changed notes updates to pass on; up says that they are updates above too.
 func (p *Plane) changed(up bool) {
-	p.news++
+	p.updates++
 	if up {
-		p.upNews++
+		p.fromBelow++
 	}
 	p.dirty = true
 }
 
-// News returns a number that grows with whatever is to be passed on at once.
-func (p *Plane) News() uint64 { return p.news }
+// Updates returns a number that grows with whatever is to be passed on at once.
+func (p *Plane) Updates() uint64 { return p.updates }
 
 // TakeDirty reports whether the endpoints changed since it was last called.
 func (p *Plane) TakeDirty() bool {
--- a/internal/control/plane_test.go
+++ b/internal/control/plane_test.go
@@ -267,7 +267,7 @@
 	records[0].Cleared = true
 	must.True(t, w.named("c-2").guard.Merge(w.now, records[0]))
 	t.Logf("cleared after %v", w.until(2*time.Second, "everyone knows it is cleared", knows(true)))
-	before := w.named("a-0").plane.News()
+	before := w.named("a-0").plane.Updates()
 	w.run(20 * time.Second)
-	must.Less(t, before+200, w.named("a-0").plane.News())
+	must.Less(t, before+200, w.named("a-0").plane.Updates())
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -15,8 +15,8 @@
 	out := &innerpb.FetchStateResponse{
 		From:        Ref(p.self),
 		Head:        p.headOf(now),
-		Drains:      p.drainNews(now),
-		SoftMembers: p.softNews(now),
+		Drains:      p.drainUpdates(now),
+		SoftMembers: p.softUpdates(now),
 		Ready:       p.replica.Next() > 0 && !p.replica.Behind(),
 	}
 	if !out.Ready {
@@ -71,8 +71,8 @@
 	}
 	if p.replica.Adopt(config, members, next) {
 		p.settled = true
-		p.upNews++
-		p.news++
+		p.fromBelow++
+		p.updates++
 		p.membersChanged(now)
 	}
 	return nil
--- a/internal/control/news.go
+++ b/internal/control/updates.go
@@ -14,17 +14,17 @@
 )
 
 const (
-	// newsFor is how long a suspect or drain is repeated in exchanges; it
+	// repeatFor is how long a suspect or drain is repeated in exchanges; it
 	// covers several exchanges at each of three levels.
-	newsFor = 6 * time.Second
+	repeatFor = 6 * time.Second
 	// drainFor is how long a drain keeps a node out of routing without a
 	// leave record.
 	drainFor = time.Minute
 	// softFor is the age at which a member drops out that the log does not
 	// know and that has said nothing.
 	softFor = 15 * time.Second
-	// maxNews bounds each list of one message.
-	maxNews = 64
+	// maxUpdates bounds each list of one message.
+	maxUpdates = 64
 )
 
 // softMember is a member whose join is not in the log yet.
@@ -47,13 +47,13 @@
 	incarnation uint64
 }
 
-type suspectNews struct {
+type suspectUpdate struct {
 	suspect quarantine.Suspect
 	heard   time.Time
 }
 
-// newsBearer is what questions and answers have in common.
-type newsBearer interface {
+// updateBearer is what questions and answers have in common.
+type updateBearer interface {
 	GetSuspects() []*innerpb.Suspect
 	GetDrains() []*innerpb.Drain
 	GetLiveness() []*innerpb.Liveness
@@ -61,8 +61,8 @@
 	GetElected() *innerpb.Relay
 }
 
-// takeNews takes over what a peer knows; up says that it came from below.
-func (p *Plane) takeNews(now time.Time, m newsBearer, up bool) {
+// takeUpdates takes over what a peer knows; up says that it came from below.
+func (p *Plane) takeUpdates(now time.Time, m updateBearer, up bool) {
 	p.takeElected(now, m.GetElected())
 	for _, s := range m.GetSuspects() {
 		p.incoming = append(p.incoming, inner.Suspect(now, s))
@@ -93,11 +93,11 @@
 	p.changed(up)
 }
 
-func (p *Plane) drainNews(now time.Time) []*innerpb.Drain {
+func (p *Plane) drainUpdates(now time.Time) []*innerpb.Drain {
 	var out []*innerpb.Drain
 	for _, id := range slices.SortedFunc(maps.Keys(p.drains), membership.Identity.Compare) {
 		d := p.drains[id]
-		if now.Sub(d.heard) >= newsFor && id != p.self || len(out) == maxNews {
+		if now.Sub(d.heard) >= repeatFor && id != p.self || len(out) == maxUpdates {
 			continue
 		}
 		ref := Ref(id)
@@ -129,7 +129,7 @@
 	}
 }
 
-func (p *Plane) softNews(now time.Time) []*innerpb.SoftMember {
+func (p *Plane) softUpdates(now time.Time) []*innerpb.SoftMember {
 	var out []*innerpb.SoftMember
 	if p.me != nil && !p.draining && !p.Members().Live(p.self) {
 		if raw, err := json.Marshal(p.me); err == nil {
@@ -138,7 +138,7 @@
 	}
 	for _, node := range slices.Sorted(maps.Keys(p.soft)) {
 		s := p.soft[node]
-		if len(out) < maxNews {
+		if len(out) < maxUpdates {
 			out = append(out, &innerpb.SoftMember{Json: s.json, AgeUs: now.Sub(s.said).Microseconds()})
 		}
 	}
@@ -156,10 +156,10 @@
 		if old, ok := p.suspects[k]; ok && old.suspect.Cleared == s.Cleared && old.suspect.Alone == s.Alone {
 			continue
 		}
-		p.suspects[k] = suspectNews{suspect: s, heard: now}
+		p.suspects[k] = suspectUpdate{suspect: s, heard: now}
 		fresh = append(fresh, s)
 	}
-	maps.DeleteFunc(p.suspects, func(k suspectKey, _ suspectNews) bool { return !seen[k] })
+	maps.DeleteFunc(p.suspects, func(k suspectKey, _ suspectUpdate) bool { return !seen[k] })
 	if len(fresh) > 0 {
 		p.changed(true)
 	}
@@ -174,10 +174,10 @@
 	return in
 }
 
-func (p *Plane) suspectNews(now time.Time) []*innerpb.Suspect {
+func (p *Plane) suspectUpdates(now time.Time) []*innerpb.Suspect {
 	var out []*innerpb.Suspect
 	for _, n := range p.suspects {
-		if now.Sub(n.heard) < newsFor && len(out) < maxNews {
+		if now.Sub(n.heard) < repeatFor && len(out) < maxUpdates {
 			out = append(out, inner.SuspectMessage(now, n.suspect))
 		}
 	}
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -16,7 +16,7 @@
 //
 // The load it answers: with 14,000 nodes each record would be read 14,000 times. Nodes
 // of a zone are ordered by a hash of their names and form a tree. All nodes agree on the
-// order, and whoever follows a node comes after it, so no circle of nodes waits for news
+// order, and whoever follows a node comes after it, so no circle of nodes waits for updates
 // from itself while views of who is there differ. Nodes that are about to end, or have
 // no upstream, are followed by nobody.
 func Sources(node string, others []Member) []Member {
--- a/internal/fleet/parent_test.go
+++ b/internal/fleet/parent_test.go
@@ -20,7 +20,7 @@
 	return append(append([]Member{}, all[:i]...), all[i+1:]...)
 }
 
-// A zone of 412 nodes: one reads the store, nobody answers more than 8, and news
+// A zone of 412 nodes: one reads the store, nobody answers more than 8, and updates
 // passes three nodes at most.
 func TestParentsMakeATree(t *testing.T) {
 	for _, n := range []int{1, 2, 5, 25, 412} {
@@ -50,7 +50,7 @@
 }
 
 // Nodes know different parts of the zone, some of them as stopping. Two nodes that
-// followed each other would both wait for news that neither reads.
+// followed each other would both wait for updates that neither reads.
 func TestNoCircleOfParents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := zoneOf(rapid.IntRange(2, 30).Draw(t, "nodes"))
--- a/internal/inner/check_control.go
+++ b/internal/inner/check_control.go
@@ -83,7 +83,7 @@
 }
 
 // checkSpan bounds durations, which end in _us. A negative age would make
-// old news look fresh, and the authority of an owner rests on ages.
+// old updates look fresh, and the authority of an owner rests on ages.
 func checkSpan(fd protoreflect.FieldDescriptor, us int64, path string) error {
 	if !strings.HasSuffix(string(fd.Name()), "_us") {
 		return nil
--- a/internal/logstore/appender_test.go
+++ b/internal/logstore/appender_test.go
@@ -260,7 +260,7 @@
 }
 
 // Two replicas read the same log, one from further back. A repeat within the
-// window is no news to either; past the window the memory is empty again.
+// window is not new to either; past the window the memory is empty again.
 func TestDedupWindow(t *testing.T) {
 	long, short := logstore.NewDedup(10), logstore.NewDedup(10)
 	entry := func(o int64, id string) logstore.Entry {
--- a/internal/mesh/compare.go
+++ b/internal/mesh/compare.go
@@ -38,7 +38,7 @@
 // compare asks nodes of other zones now and then how far they have read.
 //
 // The failure it guards against: the store answers the reader of a zone no more, but
-// its connection lives. A read that waits for news then looks like one for which there
+// its connection lives. A read that waits for changes then looks like one for which there
 // are none, and the whole zone stays with what it has. Zones read for themselves, so
 // the nodes of another one know better, as long as one of the others is answered.
 func (m *Mesh) compare(ctx context.Context) {
--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -87,12 +87,12 @@
 	if len(p.Items) > 0 && !p.Whole {
 		f.holdLocked(fedPage{from, p})
 	}
-	news := f.state != feedCurrent || p.Next != f.next
+	changed := f.state != feedCurrent || p.Next != f.next
 	f.next = p.Next
 	if f.state != feedClosed {
 		f.state = feedCurrent
 	}
-	if news {
+	if changed {
 		f.wakeLocked()
 	}
 }
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// readWait is how long a read at the end of a topic waits for news. A read
+	// readWait is how long a read at the end of a topic waits for changes. A read
 	// costs the same however long it waits; whether its connection lives is
 	// shown by keep-alive probes, not by its end.
 	readWait = 25 * time.Second
@@ -55,7 +55,7 @@
 	calls  callLog
 	// kick makes a pause end at once.
 	kick chan struct{}
-	// settle is how long to wait after news from the store before the next read; nil:
+	// settle is how long to wait after changes from the store before the next read; nil:
 	// not at all.
 	settle func() time.Duration
 	// restAfterStart is how long to wait after the first read of all keys.
@@ -68,7 +68,7 @@
 	// been at for a while.
 	next, exists atomic.Int64
 	// behindGrace is how long another node may be ahead before a read is ended that
-	// waits for news.
+	// waits for changes.
 	behindGrace time.Duration
 	// feed is what was read, for the nodes that read through this one.
 	feed feed
@@ -192,7 +192,7 @@
 }
 
 // readNow reads what is there without a wait for more, where an answer that does not come
-// soon is none: a lost store would seem lost until its next news, and one that is silent
+// soon is none: a lost store would seem lost until its next change, and one that is silent
 // to this node alone would seem to have none.
 func (f *follower) readNow(ctx context.Context, from int64, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -205,7 +205,7 @@
 }
 
 // heard takes in how far another node has read. If this one stays behind, a read that
-// waits for news is ended: its answer may never come.
+// waits for changes is ended: its answer may never come.
 func (f *follower) heard(offset int64) {
 	if next := f.next.Load(); next == readAll || offset <= next {
 		return
@@ -218,7 +218,7 @@
 		before := f.exists.Load()
 		f.exists.Store(max(offset, before))
 		if before > next {
-			return // no read waits for news now
+			return // no read waits for changes now
 		}
 		f.logger.Info().Str("topic", f.topic.Name()).Int64("offset", next).Int64("exists", offset).Msg("behind other nodes; reading anew")
 		f.endRead()
@@ -275,8 +275,8 @@
 
 // asOf is when what a read brought was true. One that waited and brought nothing says
 // that nothing came until its answer.
-func asOf(sent time.Time, news bool) time.Time {
-	if news {
+func asOf(sent time.Time, changed bool) time.Time {
+	if changed {
 		return sent
 	}
 	return time.Now()
--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// busyTopic has news at every read: all nodes of a deployment are restarted.
+// busyTopic has changes at every read: all nodes of a deployment are restarted.
 type busyTopic struct{ reads atomic.Int64 }
 
 func (*busyTopic) Name() string                                  { return "members" }
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -88,7 +88,7 @@
 	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
 	inner.HandleFunc("POST "+unstoredPath, m.serveUnstored)
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
-	inner.HandleFunc("GET "+newsPath, m.serveNews)
+	inner.HandleFunc("GET "+watchPath, m.serveWatch)
 	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
 	s.callers = m.newServer(m.closing(callers))
 	s.callers.IdleTimeout = idleSentinel
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -39,7 +39,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.told = true
-	news := false
+	updated := false
 	for _, item := range items {
 		if len(item.Value) == 0 {
 			continue
@@ -54,11 +54,11 @@
 			continue
 		}
 		if m.registry.Apply(record) {
-			news = true
+			updated = true
 			m.note(&record, "store")
 		}
 	}
-	if news {
+	if updated {
 		m.changed(m.registry)
 	}
 }
@@ -95,18 +95,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.told = true
-	news := 0
+	updated := 0
 	for i := range records {
 		if err := records[i].Validate(); err != nil {
 			m.logger.Warn().Str("from", from).Err(err).Msg("member record unreadable, ignored")
 			continue
 		}
 		if m.registry.Apply(records[i]) {
-			news++
+			updated++
 		}
 	}
-	m.logger.Info().Str("from", from).Int("members", len(records)).Int("changed", news).Msg("members taken over from another node")
-	if news > 0 {
+	m.logger.Info().Str("from", from).Int("members", len(records)).Int("changed", updated).Msg("members taken over from another node")
+	if updated > 0 {
 		m.changed(m.registry)
 	}
 }
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -20,24 +20,24 @@
 )
 
 const (
-	// newsPath is where a node gives what it reads of the store's topics.
-	newsPath = "/news"
-	// membersWait and routesWait are how long a question waits, and newsSlack how much
+	// watchPath is where a node gives what it reads of the store's topics.
+	watchPath = "/watch"
+	// membersWait and routesWait are how long a question waits, and watchSlack how much
 	// longer its answer may take: a process that stands still acknowledges all probes.
 	// Routes have to be in force within two seconds of their publication whatever the
 	// node in between does.
 	membersWait = 3 * time.Second
 	routesWait  = time.Second
-	newsSlack   = 300 * time.Millisecond
-	// maxNewsWait bounds what another node may ask for.
-	maxNewsWait = 5 * time.Second
-	// refusedPause and silentPause are how long a node that had no news to pass on, or did
-	// not answer, is left out: a node that starts has news within the first, and to wait
+	watchSlack  = 300 * time.Millisecond
+	// maxWatchWait bounds what another node may ask for.
+	maxWatchWait = 5 * time.Second
+	// refusedPause and silentPause are how long a node that had nothing to pass on, or did
+	// not answer, is left out: a node that starts can answer within the first, and to wait
 	// for a silent one costs a second or two.
 	refusedPause = time.Second
 	silentPause  = 10 * time.Second
 	// quickRefusal tells the two apart. Beyond it the store is asked: a second silent
-	// node would make the news late.
+	// node would make the answer late.
 	quickRefusal = peerConnect
 	// maxAsked is how many nodes are asked one after the other, as long as they refuse
 	// quickly. The last is any of those that may be asked: when the store serves a few
@@ -55,7 +55,7 @@
 	ask     func(ctx context.Context, of *fleet.Member, q question) (page, error)
 	// others is how many other nodes the zone has.
 	others func() int
-	// wait is how long a question waits for news.
+	// wait is how long a question waits for changes.
 	wait   time.Duration
 	logger zerolog.Logger
 	// reads is whether there is nobody to ask: the node reads for its zone.
@@ -83,13 +83,13 @@
 	return name
 }
 
-// note logs where news comes from when that changes.
+// note logs where records come from when that changes.
 func (r *relay) note(topic, through string) {
 	if r.Through() == through {
 		return
 	}
 	r.through.Store(through)
-	r.logger.Info().Str("topic", topic).Str("member", through).Msg("source of news changed")
+	r.logger.Info().Str("topic", topic).Str("member", through).Msg("source of records changed")
 }
 
 // mayAsk returns the sources that did not fail lately.
@@ -121,7 +121,7 @@
 }
 
 // awaitReturn waits for another node to have the store back. Two in three of the
-// questions go up the tree, along which news of the return spreads at once; the others
+// questions go up the tree, along which word of the return spreads at once; the others
 // find a node that the store serves while it refuses the first of the zone's order.
 func (r *relay) awaitReturn(ctx context.Context, topic string, from int64) (page, bool) {
 	sources := r.mayAsk()
@@ -137,7 +137,7 @@
 
 // questionFor returns what a node is asked. One that was not read through until now is
 // not waited for: if it stands still, as it may have before, who reads through this node
-// would be without news for as long, and so on down the tree.
+// would be without changes for as long, and so on down the tree.
 func (r *relay) questionFor(of *fleet.Member, topic string, from, least int64) question {
 	q := question{topic: topic, from: from, wait: r.wait}
 	if from != readAll && (of.Node != r.Through() || from < least) {
@@ -148,14 +148,14 @@
 
 func (r *relay) askOne(ctx context.Context, of *fleet.Member, q question) (page, bool) {
 	asked := time.Now()
-	askCtx, cancel := context.WithTimeout(ctx, q.wait+newsSlack)
+	askCtx, cancel := context.WithTimeout(ctx, q.wait+watchSlack)
 	defer cancel()
 	p, err := r.ask(askCtx, of, q)
 	if err != nil && ctx.Err() != nil {
 		return page{}, false
 	}
 	if err != nil {
-		r.logger.Debug().Str("topic", q.topic).Str("member", of.Node).Err(err).Msg("no news from the node that is read through")
+		r.logger.Debug().Str("topic", q.topic).Str("member", of.Node).Err(err).Msg("node that is read through gave no answer")
 		if !q.patient || !errors.As(err, new(*statusError)) {
 			r.leaveOut(of.Node, asked)
 		}
@@ -183,7 +183,7 @@
 	return &relay{
 		sources: func() []fleet.Member { return fleet.Sources(m.cfg.NodeID, m.members.neighbours(m.cfg)) },
 		others:  func() int { return len(m.members.neighbours(m.cfg)) },
-		ask:     m.askNews,
+		ask:     m.watch,
 		wait:    wait,
 		logger:  m.logger,
 	}
@@ -199,8 +199,8 @@
 	return settleFor(m.members.count())
 }
 
-// askNews asks another node what came after an offset of a topic.
-func (m *Mesh) askNews(ctx context.Context, of *fleet.Member, q question) (page, error) {
+// watch asks another node what came after an offset of a topic.
+func (m *Mesh) watch(ctx context.Context, of *fleet.Member, q question) (page, error) {
 	query := url.Values{
 		"topic":   {q.topic},
 		"from":    {strconv.FormatInt(q.from, 10)},
@@ -209,7 +209,7 @@
 		"of":      {of.Node},
 		"store":   {m.Settings().Store.Identity()},
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+newsPath+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+watchPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return page{}, err
 	}
@@ -219,14 +219,14 @@
 	}
 	var p page
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return page{}, errors.Wrap(err, "news of another node")
+		return page{}, errors.Wrap(err, "records of another node")
 	}
 	return p, nil
 }
 
 // notMeant reports why a question of another node is not for this one. The address of a
 // VM that is gone is given to another one: a node that took this one for that one may be
-// this node itself, and it would wait for news from itself for good. While settings move
+// this node itself, and it would wait for changes from itself for good. While settings move
 // the nodes to another store one by one, an offset of one store must not be taken for one
 // of another: the asker would wait at it for records that have come long ago.
 func (m *Mesh) notMeant(query url.Values) *statusError {
@@ -239,8 +239,8 @@
 	return nil
 }
 
-// serveNews answers a node that reads through this one.
-func (m *Mesh) serveNews(w http.ResponseWriter, r *http.Request) {
+// serveWatch answers a node that reads through this one.
+func (m *Mesh) serveWatch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
 	if err != nil {
@@ -248,8 +248,8 @@
 		return
 	}
 	waitMillis, err := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
-	if err != nil || waitMillis < 0 || waitMillis > maxNewsWait.Milliseconds() {
-		http.Error(w, fmt.Sprintf("wait_ms must be 0 to %d", maxNewsWait.Milliseconds()), http.StatusBadRequest)
+	if err != nil || waitMillis < 0 || waitMillis > maxWatchWait.Milliseconds() {
+		http.Error(w, fmt.Sprintf("wait_ms must be 0 to %d", maxWatchWait.Milliseconds()), http.StatusBadRequest)
 		return
 	}
 	if refusal := m.notMeant(query); refusal != nil {
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -58,7 +58,7 @@
 type reader struct {
 	follower *follower
 	seen     map[string]bool
-	newest   atomic.Int64 // when it had news last, Unix nanoseconds
+	newest   atomic.Int64 // when it was current last, Unix nanoseconds
 	cut      atomic.Bool  // nobody reaches it
 	still    atomic.Bool  // it answers nothing
 	silence  atomic.Int64 // how long it takes to notice that the store is silent to it
@@ -183,7 +183,7 @@
 				time.AfterFunc(5*time.Second, func() { r.still.Store(true) })
 			}
 		}
-		time.AfterFunc(5*time.Second+membersWait+newsSlack+2*minSettle, func() {
+		time.AfterFunc(5*time.Second+membersWait+watchSlack+2*minSettle, func() {
 			for _, r := range readers {
 				must.Less(t, time.Second, time.Since(time.Unix(0, r.newest.Load())))
 			}
@@ -196,7 +196,7 @@
 const routesInForce = 2 * time.Second
 
 // failRoutesReader runs a zone that reads routes through its reader, and lets the reader
-// fail in some way. No other node may be without news for longer than routes may take.
+// fail in some way. No other node may be without changes for longer than routes may take.
 func failRoutesReader(t *testing.T, fail func(*reader)) {
 	synctest.Test(t, func(t *testing.T) {
 		const end = 20 * time.Second
@@ -414,7 +414,7 @@
 	})
 }
 
-// A node that is about to end lets go of those who wait for news from it at once: its
+// A node that is about to end lets go of those who wait for changes from it at once: its
 // stop would wait for them else, and they for it.
 func TestClosedFeedLetsGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -87,11 +87,11 @@
 
 // told takes records from another node and passes on those that are new.
 func (s *spreader) told(items []unstoredItem) {
-	news := s.keep(items)
-	if len(news) == 0 {
+	fresh := s.keep(items)
+	if len(fresh) == 0 {
 		return
 	}
-	s.apply(news)
+	s.apply(fresh)
 	s.passSoon()
 }
 
@@ -116,7 +116,7 @@
 func (s *spreader) turn() { s.pass(spreadAtTurn) }
 
 // keep returns those of some records that were not known.
-func (s *spreader) keep(items []unstoredItem) (news []Item) {
+func (s *spreader) keep(items []unstoredItem) (fresh []Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -127,9 +127,9 @@
 			continue
 		}
 		s.known[item.Key] = spreading{item, now.Add(spreadFor)}
-		news = append(news, item.Item)
+		fresh = append(fresh, item.Item)
 	}
-	return news
+	return fresh
 }
 
 // pass sends what is known to some nodes of the zone, any of them.
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -137,7 +137,7 @@
 			Cleared: r.Cleared, Alone: r.Alone,
 		}
 	}
-	if news := s.guard.MergeSuspects(now, list); len(news) > 0 {
-		s.logger.Info().Str("from", item.Key).Int("records", len(news)).Msg("suspects learned")
+	if fresh := s.guard.MergeSuspects(now, list); len(fresh) > 0 {
+		s.logger.Info().Str("from", item.Key).Int("records", len(fresh)).Msg("suspects learned")
 	}
 }
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -298,7 +298,7 @@
 }
 
 // hold waits, once, until a request that was in flight at a crash may run
-// alone: the news of other crashes needs a moment to arrive.
+// alone: word of other crashes needs a moment to arrive.
 func (d *Dispatch) hold(now time.Time, a *Answer) bool {
 	wait := a.Refusal.RetryAfter
 	inFlight := d.unproven != nil && d.unproven.Crashed != 0
--- a/internal/node/guard_suspects.go
+++ b/internal/node/guard_suspects.go
@@ -7,18 +7,18 @@
 )
 
 // MergeSuspects takes over what peers know of crashing requests and returns
-// what was news, to be passed on.
+// what was new, to be passed on.
 func (g *Guard) MergeSuspects(now time.Time, suspects []quarantine.Suspect) []quarantine.Suspect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var news []quarantine.Suspect
+	var fresh []quarantine.Suspect
 	for _, s := range suspects {
 		if g.quarantine.Merge(now, s) {
 			g.suspicion.Store(true)
-			news = append(news, s)
+			fresh = append(fresh, s)
 		}
 	}
-	return news
+	return fresh
 }
 
 // Suspects returns what this node knows of crashing requests.
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -16,7 +16,7 @@
 
 // treeGates are those of the routes that requests came by here, and what is known of
 // the services that shed behind them. All routes that meet a service learn of it
-// together: the requests of a route that is refused bring no news, and a gate for each
+// together: the requests of a route that is refused bring nothing new, and a gate for each
 // route would open after a while without, to requests that fail.
 type treeGates struct {
 	metrics   *metrics.Set
--- a/internal/proxy/treegate_test.go
+++ b/internal/proxy/treegate_test.go
@@ -36,7 +36,7 @@
 }
 
 // Two routes need the same deep service, which sheds the less important one. All of its
-// requests are refused, so it brings no news; after a second and a half its gate opened,
+// requests are refused, so it brings nothing new; after a second and a half its gate opened,
 // and what it let in failed after three services had worked. What the other route's
 // answers say must keep it shut, and open it once there is room.
 func TestRoutesLearnOfASharedServiceTogether(t *testing.T) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -3,7 +3,7 @@
 // argument, records to spread to peers come out as values.
 //
 // When an upstream dies, all that it ran becomes suspected. A suspect is held
-// back until the news of other crashes had time to arrive, and then runs as the
+// back until word of other crashes had time to arrive, and then runs as the
 // only suspect of its guard, at the one guard that Home names. One success
 // clears it; a crash more puts it into quarantine. A retry by an entry node
 // carries Marks, so the next guard knows at once.
@@ -112,7 +112,7 @@
 
 // Marks returns the records against f, at most eight, that a retry has to
 // carry. The next guard merges them before Admit. Without them it would take
-// the request for a fresh one until the news of the crash has come around, and
+// the request for a fresh one until word of the crash has come around, and
 // a third upstream could die.
 func (t *Tracker) Marks(now time.Time, f Fingerprint) []Suspect {
 	e := t.current(now, f)
@@ -128,7 +128,7 @@
 	return marks
 }
 
-// Merge takes in a record of a peer and reports whether it was news, which is
+// Merge takes in a record of a peer and reports whether it was new, which is
 // then to be passed on.
 func (t *Tracker) Merge(now time.Time, s Suspect) bool {
 	if s.At.After(now) {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -110,7 +110,7 @@
 	must.Eq(t, 2500*time.Millisecond, a.Admit(now, 3).RetryAfter)
 }
 
-// A call runs as an ordinary one when news makes it a suspect, and its upstream
+// A call runs as an ordinary one when a record makes it a suspect, and its upstream
 // dies of a request beside it that nobody suspects yet; or a second suspect runs
 // there. Neither is evidence from running alone.
 func TestSuspicionDuringRunIsNotAlone(t *testing.T) {
@@ -184,7 +184,7 @@
 		spread(now, rapid.Permutation(records).Draw(t, "order"), b)
 		for _, s := range records {
 			if a.Merge(now, s) {
-				t.Fatalf("known record %+v is news", s)
+				t.Fatalf("known record %+v is new", s)
 			}
 		}
 		if ra, rb := a.Snapshot(now), b.Snapshot(now); !slices.Equal(ra, rb) {
@@ -195,14 +195,14 @@
 
 // cluster is a service of several guards in steps of 100 ms. The poison kills
 // the upstream that runs it within 400 ms; its caller sends it again and again
-// to any entry. News takes a second to come around.
+// to any entry. A record takes a second to come around.
 type cluster struct {
 	now     time.Time
 	names   []string
 	guards  []*Tracker
 	runs    []map[Fingerprint]time.Time // end of each run, by guard
 	lives   []uint64
-	news    []delayed
+	onWay   []delayed
 	crashes int
 	// ignorant counts copies of the poison that started unsuspected; marks are
 	// the records that the entry nodes of the caller have by then.
@@ -216,7 +216,7 @@
 }
 
 func (c *cluster) tell(records []Suspect) {
-	c.news = append(c.news, delayed{c.now.Add(time.Second), records})
+	c.onWay = append(c.onWay, delayed{c.now.Add(time.Second), records})
 }
 
 func (c *cluster) send(f Fingerprint, guard int, takes time.Duration) {
@@ -238,9 +238,9 @@
 
 func (c *cluster) step() {
 	c.now = c.now.Add(100 * time.Millisecond)
-	for len(c.news) > 0 && !c.news[0].at.After(c.now) {
-		spread(c.now, c.news[0].records, c.guards...)
-		c.news = c.news[1:]
+	for len(c.onWay) > 0 && !c.onWay[0].at.After(c.now) {
+		spread(c.now, c.onWay[0].records, c.guards...)
+		c.onWay = c.onWay[1:]
 	}
 	for i := range c.guards {
 		c.endRuns(i)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -55,14 +55,14 @@
 	// node go through, so that they come in order. It is taken before mu.
 	enforcing sync.Mutex
 
-	mu    sync.Mutex
-	plane *control.Plane
-	wake  chan struct{} // closed and replaced when there is something new
-	news  uint64
-	seq   uint64
-	gone  chan struct{}
-	once  sync.Once
-	ended sync.Once
+	mu      sync.Mutex
+	plane   *control.Plane
+	wake    chan struct{} // closed and replaced when there is something new
+	updates uint64
+	seq     uint64
+	gone    chan struct{}
+	once    sync.Once
+	ended   sync.Once
 }
 
 func newControl(s *Server, clients *controlClients) *controlLoop {
@@ -113,7 +113,7 @@
 }
 
 // with runs f on the plane, puts what came of it in force and wakes whoever
-// waits for news. What came of it is put in force without the plane's lock:
+// waits for updates. What came of it is put in force without the plane's lock:
 // the guard asks the plane for claims with its own lock held.
 func (c *controlLoop) with(f func(now time.Time, p *control.Plane)) {
 	c.enforcing.Lock()
@@ -142,8 +142,8 @@
 		out.endpoints = c.plane.Endpoints()
 	}
 	after, has := c.plane.HeadAge(now)
-	if c.plane.News() != c.news || before != after || had != has {
-		c.news = c.plane.News()
+	if c.plane.Updates() != c.updates || before != after || had != has {
+		c.updates = c.plane.Updates()
 		close(c.wake)
 		c.wake = make(chan struct{})
 	}
@@ -176,7 +176,7 @@
 	}
 }
 
-// woken returns a channel that is closed at the next news.
+// woken returns a channel that is closed at the next update.
 func (c *controlLoop) woken() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -19,12 +19,12 @@
 	// stateTimeout bounds the fetching of a whole state.
 	stateTimeout = 5 * time.Second
 	// askPause lies between two exchanges that brought nothing, and between a
-	// question and its repetition for news.
+	// question and its repetition for updates.
 	askPause = 50 * time.Millisecond
 )
 
 // exchange asks the peer that the plane names, again and again: each question
-// is held there until there is news or a fresh proof.
+// is held there until there are updates or a fresh proof.
 func (c *controlLoop) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		woken := c.woken()
@@ -36,8 +36,8 @@
 			continue
 		}
 		began := time.Now()
-		news := c.ask(ctx, peer, c.hold())
-		if !news && time.Since(began) < askPause {
+		updated := c.ask(ctx, peer, c.hold())
+		if !updated && time.Since(began) < askPause {
 			wait.For(ctx, askPause)
 		}
 	}
@@ -49,7 +49,7 @@
 func (c *controlLoop) hold() time.Duration { return c.server.cfg.Timing.Exchange.Std() * 3 / 2 }
 
 // ask makes one exchange and reports whether it brought records. A question
-// that is held is given up for another one when this node has news itself.
+// that is held is given up for another one when this node has updates itself.
 func (c *controlLoop) ask(ctx context.Context, peer control.Peer, hold time.Duration) bool {
 	resp, sent, err := c.question(ctx, peer, hold)
 	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil && hold > 0 {
@@ -77,7 +77,7 @@
 }
 
 // question sends one question and returns its answer and when it was sent. The
-// error is context.Canceled when the question was given up for news.
+// error is context.Canceled when the question was given up for updates.
 func (c *controlLoop) question(ctx context.Context, peer control.Peer, hold time.Duration) (*innerpb.ExchangeResponse, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+rpcTimeout)
 	defer cancel()
@@ -87,7 +87,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	if hold > 0 {
-		c.server.loop(func() { c.cancelForNews(ctx, cancel, done) })
+		c.server.loop(func() { c.cancelForUpdates(ctx, cancel, done) })
 	}
 	c.counters.exchanges.Add(1)
 	resp, err := c.clients.client(peer.Addr).Exchange(ctx, connect.NewRequest(q))
@@ -100,8 +100,8 @@
 	return resp.Msg, sent, nil
 }
 
-// cancelForNews ends a held question once this node has news for its peer.
-func (c *controlLoop) cancelForNews(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
+// cancelForUpdates ends a held question once this node has updates for its peer.
+func (c *controlLoop) cancelForUpdates(ctx context.Context, cancel context.CancelFunc, done <-chan struct{}) {
 	wait.For(ctx, askPause)
 	for ctx.Err() == nil {
 		c.mu.Lock()
--- a/internal/server/logstate.go
+++ b/internal/server/logstate.go
@@ -57,7 +57,7 @@
 }
 
 // headStale is when the log counts as unavailable to a node that does not read
-// it: its zone's reader reads twice a second, and news needs an exchange.
+// it: its zone's reader reads twice a second, and an update needs an exchange.
 const headStale = 5 * time.Second
 
 // logHealth returns the next offset to fold, the age of the newest known head
