What children cost a node of a zone fits its bytes for control

A node may spend 2 KB/s on control.

Found: a test that counts the bytes of real questions at rest, both directions, gives 443 B/s for each child (332 B a question, 1.33 questions a second), 4.0 KB/s for a node with eight children and its own questions: twice the bound. It fails first.

Change: questions carry no User-Agent, and "patient" only where it is set; answers carry no Date and Content-Type, and no empty list: 332 B become 204 B, 272 B/s a child. That is 2.4 KB/s with eight children; the fan-out is 5 now, 1.6 KB/s with the node's own questions.

Weighed: one question for both topics (a quarter less; followers of topics are apart), longer waits (routes must be in force within two seconds whatever the node in between does).

That changes reach all within their time is held by the tests of the relay, unchanged and green.

Older nodes send and understand the headers left out; neither side needs them.

--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -17,9 +17,8 @@
 	claimHorizon = 10 * time.Minute
 	// maxClaims bounds the claims of one service in memory, at 64 bytes each.
 	maxClaims = 200_000
-	// dedupWindow is how many offsets back a repeated record is recognised. A
-	// node repeats for about 30 s, in which today's 17 nodes append less than
-	// 300 times 30 groups; see logstore.Dedup.
+	// dedupWindow is how many offsets back a repeated record is recognised. It must
+	// hold what all nodes append while one of them repeats a record; see logstore.Dedup.
 	dedupWindow = 20_000
 )
 
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -6,9 +6,9 @@
 	"slices"
 )
 
-// relayFanOut is how many nodes of a zone read through one other: a zone of 412 nodes
-// is three deep, and each node answers 8 at most, however many there are.
-const relayFanOut = 8
+// RelayFanOut is how many nodes of a zone read through one other at most: a zone of 412
+// nodes is four deep, and what they cost a node fits its share of bytes for control.
+const RelayFanOut = 5
 
 // Sources returns the nodes of a zone through which a node may read what the platform's
 // store has, the best one first; none for the node that reads the store itself. others
@@ -33,7 +33,7 @@
 	slices.SortFunc(before, func(a, b Member) int {
 		return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
 	})
-	return rotate(before, (len(before)-1)/relayFanOut)
+	return rotate(before, (len(before)-1)/RelayFanOut)
 }
 
 // rotate moves the member at first to the front; those before it go to the end.
--- a/internal/idempotency/config.go
+++ b/internal/idempotency/config.go
@@ -19,10 +19,9 @@
 	MaxKeys int
 }
 
-// DefaultConfig fits a node of 64 MB: a key without its answer measures 372 B
-// (BenchmarkKeyBytes), so a full table holds 22 MB of keys and 16 MB of
-// answers. At 393 calls a second (5.5 million over 14,000 nodes), one in ten
-// of them not idempotent, KeepKeys needs 35,400 keys.
+// DefaultConfig fits a node of 64 MB: a full table holds some 22 MB of keys
+// (BenchmarkKeyBytes) and 16 MB of answers, and KeepKeys at 40 calls a second that are
+// not idempotent needs 36,000 keys.
 func DefaultConfig() Config {
 	return Config{
 		MaxBytes:    16 << 20,
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -56,6 +56,7 @@
 
 // askNode sends a question to another node and returns the answer's body.
 func (m *Mesh) askNode(req *http.Request, most int64) ([]byte, error) {
+	req.Header.Set("User-Agent", "") // omitted then
 	resp, err := m.servers.control.RoundTrip(req)
 	if err != nil {
 		return nil, err
@@ -91,8 +92,17 @@
 // serveMembers gives the records known here to other nodes.
 func (m *Mesh) serveMembers(w http.ResponseWriter, _ *http.Request) { m.sendJSON(w, m.members.all()) }
 
+// omitHeaders leaves out what another node has no use for. Answers that say that nothing
+// changed are most of what nodes send each other at rest.
+func omitHeaders(w http.ResponseWriter) {
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+}
+
 func (m *Mesh) sendJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
+	if _, set := w.Header()["Content-Type"]; !set {
+		w.Header().Set("Content-Type", "application/json")
+	}
 	if err := json.NewEncoder(w).Encode(body); err != nil {
 		m.logger.Warn().Err(err).Msg("answer to another node not sent")
 	}
--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -10,7 +10,7 @@
 
 // page is what one read of a topic brought.
 type page struct {
-	Items []Item `json:"items"`
+	Items []Item `json:"items,omitempty"`
 	// Next is the offset from which to read on.
 	Next int64 `json:"next"`
 	// AgeMillis is how long ago the sender of a page last knew that nothing newer was
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -205,10 +205,12 @@
 		"topic":   {q.topic},
 		"from":    {strconv.FormatInt(q.from, 10)},
 		"wait_ms": {strconv.FormatInt(q.wait.Milliseconds(), 10)},
-		"patient": {strconv.FormatBool(q.patient)},
 		"of":      {of.Node},
 		"store":   {m.Settings().Store.Identity()},
 	}
+	if q.patient {
+		query.Set("patient", "true")
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+of.Address+watchPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return page{}, err
@@ -267,6 +269,7 @@
 			return
 		}
 		p.AgeMillis = f.age(time.Now()).Milliseconds()
+		omitHeaders(w)
 		m.sendJSON(w, &p)
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -132,8 +132,8 @@
 	return s, nil
 }
 
-// appendsPerSecond is a node's share of the log at today's sizes: 17 nodes at
-// 15 stay below the several hundred appends a second that it takes.
+// appendsPerSecond is a node's share of what the log takes, several hundred appends a
+// second, in a deployment of some twenty nodes.
 const appendsPerSecond = 15
 
 func (s *Server) appenderConfig() logstore.AppenderConfig {
--- a/internal/timeline/treesampler.go
+++ b/internal/timeline/treesampler.go
@@ -8,10 +8,10 @@
 // TreeSampler bounds how many lines a second a node writes of calls, and leaves out
 // whole trees of calls. Load pattern: under a flood of failures the deepest service's
 // nodes have more lines to write than their bound, their callers fewer. With each line
-// left out by itself 1,973 of 6,200 failures that the deepest nodes logged had no line at
-// their entry, now fewer than one in ten (replay of 20 s). A node that must halve its lines keeps the trees whose root's hash
-// is even, one that must halve them again every fourth, and so on: all nodes keep what
-// the busiest one keeps, without a message between them.
+// left out by itself, many failures of the deepest nodes would have no line at their entry.
+// A node that must halve its lines keeps the trees whose root's hash is even, one that must
+// halve them again every fourth, and so on: all nodes keep what the busiest one keeps,
+// without a message between them.
 //
 // The zero value with a Budget is ready to use, by many goroutines.
 type TreeSampler struct {
@@ -28,7 +28,7 @@
 	halvings uint
 }
 
-// maxHalvings keeps one tree in 65,536: of 6.5 M lines a second 100.
+// maxHalvings keeps one tree in 65,536.
 const maxHalvings = 16
 
 // Keep reports whether a line of the request is written, and of how many trees this is
