--- a/cmd/galenabench/processes_test.go
+++ b/cmd/galenabench/processes_test.go
@@ -195,11 +195,7 @@
 	}, v.node)
 }
 
-// An operator sets a small deployment up as the README says, with separate
-// processes. Then a node gets SIGTERM while it runs a chain of calls: the
-// caller has its whole answer, and the node ends with exit code 0. Another is
-// told twice, with a call in flight: it ends at once, says what it cut, and
-// its exit code says so too.
+// Guards against planned stops of real processes that cut calls, or hide in their exit code that they did.
 func TestSeparateProcessesStopAsPlanned(t *testing.T) {
 	s := newSite(t)
 	deep := s.vm("archive-1", "archive", "--path", "/search", "--mean", "700ms")
--- a/cmd/galenactl/explain_test.go
+++ b/cmd/galenactl/explain_test.go
@@ -77,9 +77,7 @@
 	must.EqOp(t, 4, strings.Count(out.String(), "\n"))
 }
 
-// While a lookup fails a third of a large deployment is restarted, and the entry
-// learns of each of them. The engineer sees what the entry learned of the node that
-// it sent the lookup to, in plain words, and not the dozens of other lines.
+// Guards against an explanation buried under lines about nodes that the request never met.
 func TestExplainShowsBeliefsAboutNodesOfTheRequest(t *testing.T) {
 	log := lookupLog + `{"level":"info","node":"entry","member":"front","state":"leaving","time":"2026-08-22T11:21:57.100Z","message":"member changed"}
 {"level":"info","node":"entry","member":"other","state":"leaving","time":"2026-08-22T11:21:57.100Z","message":"member changed"}
--- a/cmd/galenactl/galenactl_test.go
+++ b/cmd/galenactl/galenactl_test.go
@@ -149,9 +149,7 @@
 	b.wants(exitUnavailable, "instance set c l a=1 --based-on 0")
 }
 
-// The node takes a change and dies before it answers. A script must not read
-// that as "failed": the change may be in force. With no connection at all,
-// nothing was sent, and the code says so.
+// Guards against a change that may be in force being reported as failed.
 func TestLostAnswerOfAChangeIsUndecided(t *testing.T) {
 	b := newBench(t)
 	dying := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/galenad/reload_test.go
+++ b/cmd/galenad/reload_test.go
@@ -22,9 +22,7 @@
   "store": {"address": "STORE"}, "retries": {"ratio": RATIO, "floor": 10, "window": "10s"}, "logging": {"level": "info"}
 }`
 
-// The settings file is replaced without a signal, then by one with a wrong field,
-// then by a sound one again. The sound ones are put in force, the wrong one is
-// named and changes nothing.
+// Guards against a wrong settings file that changes something, or a sound one that is not taken up.
 func TestSettingsFileThatChanges(t *testing.T) {
 	store := standin.Start()
 	t.Cleanup(store.Close)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -67,9 +67,7 @@
 	return resp.Msg.Publication, nil
 }
 
-// An operator of one bureau tries, by mistake or not, to change another
-// bureau's settings. The call is refused, nothing reaches the node, and the
-// attempt stands on the timeline with name and workspace.
+// Guards against operators who change the settings of a workspace that is not theirs.
 func TestForeignWorkspaceIsRefusedAndRecorded(t *testing.T) {
 	b := newBench(t)
 	_, err := set(b.as("chi-op"), "yardstick", "c1", 0)
--- a/internal/admission/above_test.go
+++ b/internal/admission/above_test.go
@@ -9,10 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/callctx"
 )
 
-// The deepest service slowed down until its critical calls alone filled it.
-// Half of them were refused while normal calls ran: the threshold had gone too
-// low, normal calls from above it took the idle slots, and full slots kept the
-// threshold where it was.
+// Guards against critical calls refused while calls above the threshold hold the slots.
 func TestIdleSlotsTakenFromAboveDoNotKeepImportantCallsOut(t *testing.T) {
 	cfg := DefaultConfig(25)
 	slow := func(*model, *modelCall) time.Duration { return 800 * time.Millisecond }
--- a/internal/admission/fewslots_test.go
+++ b/internal/admission/fewslots_test.go
@@ -20,10 +20,7 @@
 	})
 }
 
-// The deepest service has upstreams of 16 slots, and one of them refuses a share of
-// its calls at random for eight seconds. Callers see nearly every request fail, also those
-// that need a single answer of it: the guard's limit fell to 2 slots and stayed there,
-// so besides these nearly all other calls found no slot.
+// Guards against a limit of few slots that follows random refusals down to its least.
 func TestRefusalsAtRandomKeepLimitOfFewSlots(t *testing.T) {
 	for _, share := range []float64{0.3, 0.45, 0.55, 0.7} {
 		for _, demand := range []float64{100, 170, 250} {
@@ -51,9 +48,7 @@
 	must.GreaterEq(t, 15, m.ctl.Load().Limit) // one slot may be on trial
 }
 
-// An upstream whose calls take longer than a second, since they wait for deeper
-// services, refuses half of them at random. What it takes is known only when it ends; the
-// limit must be back by then all the same.
+// Guards against random refusals of slow calls, known late, that hold the limit down.
 func TestRefusalsAtRandomOfSlowCallsKeepLimit(t *testing.T) {
 	m := newModel(DefaultConfig(37), func(m *model, _ *modelCall) time.Duration { return m.jittered(1300 * time.Millisecond) })
 	m.deepCalls(callctx.LevelNormal, 40, 4*time.Second)
@@ -75,11 +70,7 @@
 	}
 }
 
-// For 20 seconds callers send a third more than the deepest service can take, and its
-// upstreams are slower the moment their last slot is in use. With all slots in use a
-// quarter of what they could answer is lost, just when room is short; with one slot
-// in 16 left empty it isn't. The guard must find that out within three seconds, and
-// hold it.
+// Guards against lost throughput at an upstream that slows as its last slots fill.
 func TestLimitLeavesTheSlotsThatSlowTheOthers(t *testing.T) {
 	for _, slots := range []int{16, 29, 122} {
 		rate := func(limit int) float64 { return float64(limit) / 0.055 }
--- a/internal/admission/reserve_test.go
+++ b/internal/admission/reserve_test.go
@@ -7,10 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// An upstream with 32 slots and calls of half a second answers 60 calls a second. A
-// trial was decided after 2 s, with 120 answers, whose number varies by a tenth by
-// chance: one in seven was decided wrongly, and a sixteenth of the slots given up or
-// taken for some seconds. 200 answers must have come.
+// Guards against a trial of the reserve that is decided by chance, on too few answers.
 func TestReserveWaitsForItsAnswers(t *testing.T) {
 	h := &reserve{}
 	begun := time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
--- a/internal/admission/story_test.go
+++ b/internal/admission/story_test.go
@@ -28,10 +28,7 @@
 	}
 }
 
-// At the start of a regatta demand triples for four seconds. A race officer's
-// critical calls must go through all the while, low ones are refused, the
-// answers per second stay at what the upstream can do, and a second after the
-// surge everyone is served again.
+// Guards against a surge that costs critical calls or throughput, or whose refusals outlast it.
 func TestSurgeShedsLowLevelsFirst(t *testing.T) {
 	const capacity = 2500 // 25 slots, 10 ms
 	m := mixed(25, time.Second, between(0, 0, 0, 10*time.Millisecond), func(e time.Duration) float64 {
@@ -51,9 +48,7 @@
 	must.Greater(t, 0.98*float64(demand), float64(after))
 }
 
-// A deeper service slows down tenfold for nine seconds. Callers see fewer
-// answers, but the slots all help: the limit must not follow the latency down.
-// Once the deep service is well again, the second second is a normal one.
+// Guards against a limit that follows the latency of a slow deeper service down.
 func TestUniformSlowdownKeepsLimit(t *testing.T) {
 	m := mixed(25, time.Second, between(3*time.Second, 12*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
 	least := 25
@@ -70,9 +65,7 @@
 	must.Greater(t, 0.97*float64(demand), float64(after))
 }
 
-// An upstream that announced 25 slots takes only 10 for a while and refuses the
-// rest itself. Refused calls come back as lost retries, so the guard must learn
-// the figure quickly, and forget it a second after it no longer holds.
+// Guards against calls sent to an upstream that takes fewer than it announced.
 func TestLimitFollowsUpstreamShedding(t *testing.T) {
 	m := mixed(25, time.Second, between(0, 0, 0, 10*time.Millisecond), steady(2000))
 	shed := 0
@@ -91,10 +84,7 @@
 	must.Eq(t, 25, m.ctl.Load().Limit)
 }
 
-// An ill upstream refuses a share of its calls at once, however few it has, for eight
-// seconds. The limit followed the refusals to an eighth of the slots: the rest stood
-// idle, and callers were refused for want of them. What it does not refuse must go on being
-// answered.
+// Guards against a limit that follows an ill upstream's random refusals while slots stand idle.
 func TestRefusalsAtRandomKeepLimit(t *testing.T) {
 	for _, share := range []float64{0.3, 0.4, 0.55, 0.7} {
 		for _, demand := range []float64{800, 1200, 2000} {
@@ -108,9 +98,7 @@
 	}
 }
 
-// An upstream of 122 slots loses all but 20, or all but 4, of them and refuses what is
-// beyond. It looks like illness, since most calls are refused at any limit; but fewer
-// calls at once are answered as often. The limit must come down and stay down.
+// Guards against an upstream that lost most of its slots being taken for an ill one.
 func TestLimitFollowsCollapsedUpstream(t *testing.T) {
 	for _, x := range []struct{ room, sheds int }{
 		{20, 2100}, // a quarter of the calls of 7 s
@@ -141,9 +129,7 @@
 	}
 }
 
-// An upstream announced 25 slots and has processors for 8. With 25 calls at once
-// each takes three times as long and none is answered sooner: the trial cut must
-// find that fewer slots answer as many.
+// Guards against an upstream that announces more slots than it has processors for.
 func TestLimitFindsOverstatedSlots(t *testing.T) {
 	m := mixed(25, 2*time.Second, nil, func(e time.Duration) float64 {
 		if e < 2*time.Second {
@@ -165,9 +151,7 @@
 	must.Greater(t, int(0.95*800*6), all)
 }
 
-// Under a long overload a caller that came first has given up by the time its
-// turn comes. Newest-first answers those that still wait; once the overload has
-// passed, the order of arrival returns.
+// Guards against answers that all come after their callers have given up.
 func TestNewestFirstUnderSustainedOverload(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	cfg := DefaultConfig(1)
@@ -201,10 +185,7 @@
 	must.False(t, c.Load().Overloaded)
 }
 
-// Sixteen employers search at once, each with many calls that hang together. If
-// a third of every employer's calls were refused, none would have a whole
-// check; so at one level the same employers are refused again and again and
-// the others served whole.
+// Guards against every caller losing some of its calls, so that none gets a whole result.
 func TestWholeCallersAreShedTogether(t *testing.T) {
 	m := newModel(DefaultConfig(25), between(0, 0, 0, 10*time.Millisecond))
 	offered := map[uint32]int{}
@@ -239,9 +220,7 @@
 	must.LessEq(t, 3, mixed, must.Sprintf("served %d dropped %d mixed %d", served, dropped, mixed))
 }
 
-// All callers give 100 ms. The service slows to 200 ms, every call is doomed and
-// refused, and nothing would measure the service any more. The service recovers;
-// probes must notice, and a second later callers are served.
+// Guards against a stale estimate of the service time that refuses all calls for good.
 func TestProbeLeadsOutOfStaleEstimate(t *testing.T) {
 	m := mixed(25, 100*time.Millisecond, between(3*time.Second, 8*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
 	started := 0
@@ -260,9 +239,7 @@
 	must.Greater(t, 0.97*float64(demand), float64(good))
 }
 
-// Quick calls come with short deadlines and slow calls with long ones. After a
-// slow spell the quick ones are all refused, while the slow ones keep the
-// estimate fresh and high. Probes must still win the quick ones back.
+// Guards against quick calls refused for good because only slow ones are measured.
 func TestProbeWinsBackQuickCalls(t *testing.T) {
 	m := newModel(DefaultConfig(25), nil)
 	quick := func() Request {
@@ -286,9 +263,7 @@
 	must.Greater(t, int(0.95*300*3), good[callctx.LevelHigh])
 }
 
-// All slots and places are taken by low calls when a race officer asks for a
-// rating. The least important one that waits makes room and is told so; the
-// officer's call is the next to run.
+// Guards against a critical call refused while low ones wait in the queue.
 func TestImportantCallDisplacesLeastImportant(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	cfg := DefaultConfig(1)
--- a/internal/admission/tree_test.go
+++ b/internal/admission/tree_test.go
@@ -13,10 +13,7 @@
 // mid is a rank in the middle of the normal level.
 var mid = Rank(callctx.LevelNormal, 1<<31)
 
-// The deepest service of a chain has room for half of the requests of one level
-// and sheds by rank; every request makes four calls there. Without the gate each
-// of them is run by the services before, and half of that is in vain. With it
-// those that would fail are refused at their entry, and the others come through.
+// Guards against requests that are run by three services and then fail at the deepest.
 func TestTreeGateRefusesWhatWouldFail(t *testing.T) {
 	var g TreeGate
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -307,11 +307,7 @@
 	return float64(r.calls)
 }
 
-// One or two of three upstreams of the deepest service are left for half a minute, so
-// that there is 0.9 to 2.2 times as much to do as it can, while each request makes
-// four or eight calls there in a row and callers come back once. However many entries
-// there are, what is served must be worth nine tenths of what fits, from four seconds
-// after the start on.
+// Guards against a short deepest service whose slots go to requests that fail.
 func TestShortDeepestServiceServesWhatFits(t *testing.T) {
 	for _, x := range []struct {
 		entries, guards, slots int
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -48,9 +48,7 @@
 	return bench.Scenario{}
 }
 
-// Whatever fails, and however slow this machine is: no keyed request runs
-// twice, no request told "not run" has run, every answer is its caller's own,
-// retries stay within the allowance, and a planned stop cuts nothing.
+// Guards against a promise to callers that breaks in one of the bench's scenarios.
 func TestPromisesHoldInScenarios(t *testing.T) {
 	const poison = 0.02 // several requests of a short run
 	for _, name := range []string{"surge", "silent-connections", "rolling-restart", "crash-request", "lost-acks", "vm-crash"} {
--- a/internal/bench/promises_test.go
+++ b/internal/bench/promises_test.go
@@ -34,10 +34,7 @@
 	}
 }
 
-// Callers send letters and look-ups while an upstream dies and comes back, and
-// then every connection between nodes goes silent. They see errors and send
-// again. Whatever the order in which it all meets, no letter goes out twice, no
-// refusal is false, no answer is another's and no configuration falls back.
+// Guards against a letter sent twice, a false refusal or a foreign answer when faults meet.
 func TestPromisesUnderFaults(t *testing.T) {
 	s := Scenario{
 		Name: "faults", Before: 100 * time.Millisecond, Pressure: 600 * time.Millisecond, After: 100 * time.Millisecond,
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -56,9 +56,7 @@
 	return f
 }
 
-// A certificate is renewed while its node runs. For a moment the new
-// certificate stands beside the old key; connections go on with the old pair,
-// then with the new one, without a restart.
+// Guards against a renewed certificate that needs a restart, or breaks connections beside its old key.
 func TestNewFilesAreTakenUp(t *testing.T) {
 	ca := certstest.New(t, t.TempDir(), "inner")
 	names := ca.Issue("node", 10)
@@ -90,9 +88,7 @@
 	must.Eq(t, 20, serial)
 }
 
-// Someone in the network dials a node with a certificate of another CA, or
-// stands in for a node with one. Neither is let in, and the dialler learns it
-// as a failed dial: its call provably did not run.
+// Guards against a stranger's certificate being let in on either side of a connection.
 func TestAnotherCAIsRefusedOnBothSides(t *testing.T) {
 	dir := t.TempDir()
 	ours, theirs := certstest.New(t, dir, "ours"), certstest.New(t, dir, "theirs")
--- a/internal/control/plane_test.go
+++ b/internal/control/plane_test.go
@@ -29,9 +29,7 @@
 	return int64(n.plane.Policy().Version()) >= version
 }
 
-// An operator publishes and is told that the change is accepted; right then
-// the log goes out. Callers in other zones must meet the new behaviour within
-// 9 s all the same. Cause: only one zone's reader had read the record.
+// Guards against a change known to one zone's reader alone that waits for the log's return.
 func TestConfigFollowsThroughPeersWithLogOut(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	w.settle()
@@ -45,9 +43,7 @@
 	t.Logf("last node after %v", took)
 }
 
-// With the log up a change is in force everywhere at once, though only two
-// nodes of a zone read it. Cause guarded against: readers that grow with the
-// number of nodes.
+// Guards against readers of the log that grow with the number of nodes.
 func TestFewReadTheLogAndAllFollow(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	w.settle()
@@ -66,10 +62,7 @@
 	}))
 }
 
-// A VM is replaced while the log is out. Its new node must serve within
-// seconds, with the configuration in force, and be a member for good once the
-// log is back. Cause: it can neither read state nor write its join. Until it
-// has seen every record it must decide no claim.
+// Guards against a replaced VM that can't serve until the log is back, or decides claims too early.
 func TestNodeStartsWithLogOutFromSeedPeer(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	version := w.publish("x")
@@ -93,9 +86,7 @@
 	must.True(t, n.plane.Whole())
 }
 
-// A node that took its state from a peer, with a claim in the part that it did
-// not see, would let a second call with the same key win, and a letter would
-// be sent twice. It has to read the claims before it decides.
+// Guards against a key that wins twice because a peer's state lacked the first claim.
 func TestStateOfPeerLeavesClaimsOpen(t *testing.T) {
 	w := newPlaneWorld(t, 2, "a")
 	raw, err := json.Marshal(idempotency.Claim{KeyHash: 7, Node: "a-0", Incarnation: 1})
@@ -118,9 +109,7 @@
 	must.Eq(t, "a-0", holder.Node)
 }
 
-// The VM that reads the log for its zone dies. Owners of keys in the zone must
-// not run out of proofs, so calls go on; another node takes the reading over.
-// Cause: all others hear of the log's head through that node alone.
+// Guards against owners of a zone losing their authority with the zone's reader.
 func TestReaderDiesAndAnotherTakesOver(t *testing.T) {
 	w := newPlaneWorld(t, 5, "a", "b")
 	w.settle()
@@ -163,10 +152,7 @@
 	must.Eq(t, 1, w.kinds(logstore.KindEvict))
 }
 
-// A zone is cut off from the log and the other zones for five minutes while an
-// operator publishes. It goes on with what it has; nobody is evicted on either
-// side; after the partition it follows, and no node ever goes back (the
-// harness checks each turn). Cause: silence is no proof of death.
+// Guards against a partitioned zone that evicts members, or goes back to an older configuration.
 func TestPartitionedZoneRejoinsWithoutRevert(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	old := w.publish("x")
@@ -189,10 +175,7 @@
 	t.Logf("after %v", took)
 }
 
-// A switch splits a zone in two halves that other zones still reach. Each half
-// takes the other for dead and routes around it, but nobody may be evicted:
-// evicted nodes would have to stop although they serve. Cause: liveness is
-// found inside the zone alone.
+// Guards against nodes evicted by their own half of a split zone although they serve.
 func TestSplitZoneEvictsNobody(t *testing.T) {
 	w := newPlaneWorld(t, 6, "a", "b")
 	w.settle()
@@ -208,9 +191,7 @@
 	})
 }
 
-// A node is stopped as planned while the log is out. No new work may reach it
-// after 2 s, from its own zone or another. Cause: its leave record can't be
-// written, and a caller that sends it nothing sees no answer of it.
+// Guards against new work sent to a stopping node whose leave record can't be written.
 func TestDrainReachesPeersWithLogOut(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	w.settle()
@@ -223,10 +204,7 @@
 	t.Logf("after %v", took)
 }
 
-// A platform keeps records for half an hour and nothing is published for
-// longer. A VM that starts then must still find the configuration and all
-// members, and not from each of them a copy. Cause: records expire, unless what
-// they say is written again in time.
+// Guards against configuration and members that are lost when the log drops old records.
 func TestNothingExpiresWithTheLog(t *testing.T) {
 	w := newPlaneWorld(t, 0)
 	w.retention = 30 * time.Minute
@@ -246,9 +224,7 @@
 	must.Between(t, 8, snapshots, 32)
 }
 
-// A request kills an upstream and its caller sends it again, to any node of any
-// zone. All must know of the suspicion within 2 s, and that it is cleared just
-// as soon. Cause: suspicion that stays where the crash was costs a second VM.
+// Guards against suspicion of a crashing request that stays in the zone of the crash.
 func TestSuspectsAndTheirClearingReachEveryone(t *testing.T) {
 	w := newPlaneWorld(t, 4, "a", "b", "c")
 	w.settle()
--- a/internal/control/twelve_test.go
+++ b/internal/control/twelve_test.go
@@ -297,9 +297,7 @@
 	return s.lines
 }
 
-// The decisions of twelve nodes read no clock, no network and no randomness of
-// their own: one goroutine drives them through a minute, twice to the same
-// list of events, and to another one with another seed.
+// Guards against decisions that depend on a clock or randomness of their own.
 func TestTwelveNodesInOneGoroutineTwiceAlike(t *testing.T) {
 	first := simulatedMinute(t, 7)
 	must.Greater(t, 5000, len(first))
--- a/internal/fleet/absent_test.go
+++ b/internal/fleet/absent_test.go
@@ -8,9 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A process is restarted while the store is out: its neighbours see a record that
-// says it stops, or calls that fail. They look for it for a minute, not for ever,
-// and again when a newer record turns up that doesn't serve yet.
+// Guards against restarted nodes that are looked for for ever, or not at all.
 func TestAbsentMembersAreLookedForAMinute(t *testing.T) {
 	start := time.Unix(1000, 0)
 	stopping := Member{Node: "b", Incarnation: 1, State: Stopping}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,9 +12,7 @@
 	return Member{Node: node, Incarnation: incarnation, Revision: revision, Address: node + ":1", Service: "s", Slots: 4, State: state}
 }
 
-// A node dies and starts again; the record of its first life is read after that
-// of its second. The second must stay, or calls would go to an incarnation that
-// refuses them.
+// Guards against calls to an incarnation that is gone, after its record came late.
 func TestLateRecordOfAnOldIncarnation(t *testing.T) {
 	r := NewRegistry()
 	must.True(t, r.Apply(member("n", 2, 1, Serving)))
@@ -95,9 +93,7 @@
 	return Report{ID: id, Service: "s", Address: "a:1", Slots: 4, Born: born, Sequence: sequence}
 }
 
-// An upstream dies behind a cut; another takes its place and reports. Then a
-// report of the dead one that was held up arrives. Calls must not be sent to the
-// dead one's name.
+// Guards against calls to an upstream that is gone, after its report came late.
 func TestLateReportOfADeadProcess(t *testing.T) {
 	var u LocalUpstream
 	must.EqOp(t, Started, u.Heard(report("old", 100, 5)))
--- a/internal/fleet/upstream_test.go
+++ b/internal/fleet/upstream_test.go
@@ -6,9 +6,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A node found its upstream at work and was not told when it started or how often it has
-// reported. Its next report must confirm it: taken for another process, what runs would
-// be suspected of having crashed the one before.
+// Guards against requests suspected of a crash that never happened, after a node's restart.
 func TestAdoptedProcessIsConfirmedByItsReport(t *testing.T) {
 	found := Report{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 8}
 	report := found
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -61,9 +61,7 @@
 	}
 }
 
-// A load rises, falls for longer than the idle time and rises again. Each rise opened
-// the connections anew that the fall had left unused, and a new connection may hold a
-// slot of the upstream. Cause: the connections used last were used first.
+// Guards against connections that expire in a low load and are all opened anew at the next rise.
 func TestConnectionsInTurnOutlastALowLoad(t *testing.T) {
 	for _, inTurn := range []bool{true, false} {
 		addr, accepted := serve(t, echo)
@@ -148,9 +146,7 @@
 	must.LessEq(t, 4, int(accepted.Load()))
 }
 
-// An upstream sends the answer of a request a second time. The copy arrives when
-// the next request is out on the same connection, in the place of its answer. A
-// caller would get the answer of another one.
+// Guards against a caller getting the repeated answer of another request.
 func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
 	addr, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
 		first := take(r)
@@ -244,9 +240,7 @@
 	stage(t, StageBody, err)
 }
 
-// An upstream answers before it has read a long body, keeps the connection and
-// reads on later. Were the next request sent on it at once, its bytes would be
-// taken for the rest of the body.
+// Guards against a request whose bytes are taken for the rest of an earlier body.
 func TestEarlyAnswerBeforeALongBody(t *testing.T) {
 	var second atomic.Bool
 	addr, accepted := serve(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/idempotency/claims_test.go
+++ b/internal/idempotency/claims_test.go
@@ -9,9 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// Two guards get resends of one certificate request and both claim it. The
-// log orders the claims, but one guard's fold ran out of room and forgot the
-// first: it must not take its own later claim for the winner.
+// Guards against a claim forgotten for want of room, so that a later one wins as well.
 func TestOneWinnerWhateverTheRoom(t *testing.T) {
 	const horizon = 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/idempotency/table_test.go
+++ b/internal/idempotency/table_test.go
@@ -146,9 +146,7 @@
 	must.GreaterEq(t, 0, m.table.Bytes())
 }
 
-// An employer's client resends a letter request again and again, through
-// lost answers, evictions and a hand-over between guards, and the former
-// employer is written to twice. Between two Starts there must be a NotRun.
+// Guards against a second start of a key that has not been reported as not run.
 func TestNeverTwoStarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTableMachine()
@@ -156,9 +154,7 @@
 	})
 }
 
-// The caller's answer was lost and its resend comes after the answer was
-// evicted for space. The cause of a second run would be to forget the key with
-// the answer; the code must stay.
+// Guards against a second run of a key whose answer was evicted for space.
 func TestEvictedAnswerLeavesCode(t *testing.T) {
 	tab := NewTable(Config{MaxBytes: 1000, KeepAnswers: time.Minute, KeepKeys: time.Minute, MaxKeys: 10})
 	for _, name := range []string{"a", "b"} {
--- a/internal/inner/codec_test.go
+++ b/internal/inner/codec_test.go
@@ -137,9 +137,7 @@
 	must.ErrorContains(t, err, "code is 200")
 }
 
-// A guard refuses a call and quotes the caller's odd key in the detail. Were
-// the entry to reject that header, it would have to report a call that did not
-// run as of unknown outcome, and a letter would be lost to caution.
+// Guards against a refusal turned into an unknown outcome by the text of its detail.
 func TestRefusalSurvivesAnyDetail(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		codes := result.Codes()
--- a/internal/lease/hold_test.go
+++ b/internal/lease/hold_test.go
@@ -7,9 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A planned stop handed its slots over within milliseconds, yet calls for them
-// were refused for three seconds: the receiver had promised the leaving owner
-// to take nothing, and kept that promise against the owner's own wish.
+// Guards against slots that stand without an owner for seconds after a planned hand-over.
 func TestHandOverEndsThePromiseGivenToItsSender(t *testing.T) {
 	now := time.Unix(1000, 0)
 	owner, taker := Identity{Node: "a", Incarnation: 1}, Identity{Node: "b", Incarnation: 1}
--- a/internal/lease/property_test.go
+++ b/internal/lease/property_test.go
@@ -20,12 +20,7 @@
 
 func (d drawn) intn(n int, what string) int { return rapid.IntRange(0, n-1).Draw(d.T, what) }
 
-// A hospital's client gets no answer and sends its certificate request again,
-// to another guard; two certificates go out. The cause would be two guards
-// that may start the same slot at once, or a new owner that runs a key which
-// an earlier one ran. Clocks drift, processes pause, crash, stop and start
-// again, messages and records come late or never, the log goes out for one or
-// for all, and what nodes believe about each other is wrong.
+// Guards against two guards that may start the same key at once, whatever fails.
 func TestNeverTwoOwners(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(drawn{t}, simConfig(), rapid.IntRange(2, 4).Draw(t, "vms"))
--- a/internal/lease/story_test.go
+++ b/internal/lease/story_test.go
@@ -68,9 +68,7 @@
 	return a.Refusal.Code
 }
 
-// The owner of a key checks its authority and is paused right before it sends
-// the call. Another guard takes the slot over and serves it. The owner wakes
-// up and would send its call; it must find it too late, and refuse the next.
+// Guards against a paused owner that starts a call after another guard took its slot over.
 func TestPausedHolderWakesTooLate(t *testing.T) {
 	w := calm()
 	a := w.starter()
@@ -87,9 +85,7 @@
 	must.Eq(t, result.NoAuthority, w.code(a, w.local(a)))
 }
 
-// Two guards see the same slot without an owner and both append a takeover.
-// Callers would get two owners in turn; the first record wins, the second is
-// void, and only the winner starts calls.
+// Guards against two owners of a slot after two takeovers at once.
 func TestTwoTakersFirstRecordWins(t *testing.T) {
 	w := newWorld(even{}, simConfig(), 2)
 	w.flush()
@@ -106,10 +102,7 @@
 	must.Eq(t, w.procs[0].addr, a.Refusal.Owner)
 }
 
-// A zone is cut off from the log and from the other zones, with the owner of a
-// slot in it. Its own callers are refused, truthfully, once its proof is old;
-// the other side takes over through the log. After the cut the old owner reads
-// that it was evicted and stays stopped.
+// Guards against an owner in a cut-off zone that goes on beside the one that took over.
 func TestTakeoverDuringZoneCut(t *testing.T) {
 	w := calm()
 	a := w.starter()
@@ -160,9 +153,7 @@
 	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
 }
 
-// The log is out and a guard dies; its VM comes back as a newer incarnation at
-// the same address. The dead one can take nothing, and the new one's promise
-// stands in for it, so the owner goes on.
+// Guards against an owner that stops because a dead incarnation can't promise any more.
 func TestNewerIncarnationPromises(t *testing.T) {
 	w := calm()
 	a := w.starter()
@@ -175,10 +166,7 @@
 	}
 }
 
-// The owner crashes right after it sent a call; the caller, without an answer,
-// sends its key again and meets the next owner. The letter may be out already:
-// the answer is unknown, until the resend horizon has passed. A key made after
-// the takeover runs.
+// Guards against a resend after the owner's crash being run, or told that nothing ran.
 func TestCrashThenResendIsUnknown(t *testing.T) {
 	w := calm()
 	a := w.starter()
@@ -212,9 +200,7 @@
 	must.True(t, b.memory[0])
 }
 
-// A guard takes a slot from an owner that is cut off, and is itself stopped
-// before the takeover is in effect. Its successor must wait for the rest of
-// that time, or the first owner and the third guard both start the slot.
+// Guards against a takeover whose wait is lost when its taker hands over.
 func TestHandOverKeepsTheWait(t *testing.T) {
 	w := calm()
 	a := w.starter()
--- a/internal/lease/unit_test.go
+++ b/internal/lease/unit_test.go
@@ -59,10 +59,7 @@
 	must.False(t, a.l.MayStart(end, 0, time.Time{}).OK)
 }
 
-// An owner that cannot read the log lives on promises and does not know a guard
-// that joined since; evicting the owner does not stop it. The newcomer must
-// not take its slots before the owner has shown that it knows it, or has
-// certainly stopped, or PromiseLimit has passed.
+// Guards against a newcomer that takes slots from an owner which does not know it yet.
 func TestNewcomerWaitsForOwnersThatMayNotKnowIt(t *testing.T) {
 	w := calm()
 	a := w.starter()
@@ -119,9 +116,7 @@
 	must.Eq(t, result.NoAuthority, w.code(a, time.Time{}))
 }
 
-// A record of an evicted guard, and one whose taker did not know the owner's
-// latest record, change nothing; a hand-over of an ownership that has been
-// renewed since is worth no more than a crash.
+// Guards against a takeover by an evicted guard, or by one that knew an outdated owner, taking effect.
 func TestRecordsThatDoNotCount(t *testing.T) {
 	w := calm()
 	a := w.starter()
--- a/internal/logstore/appender_test.go
+++ b/internal/logstore/appender_test.go
@@ -104,10 +104,7 @@
 	return logstore.Record{ID: id, Kind: logstore.KindClaim, At: time.Now(), Body: []byte(`{}`)}
 }
 
-// An operator's publication takes effect, its acknowledgement is lost, and the
-// writer sends the record again. The record must count once, and the operator
-// must learn the place of the first copy. Cause: the connection to the log is
-// cut after the write.
+// Guards against a publication that counts twice after its acknowledgement was lost.
 func TestLostAckIsSettledByRepeatAndRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, nil)
@@ -122,9 +119,7 @@
 	})
 }
 
-// All acknowledgements are lost for a while and no reader sees the records
-// meanwhile: the writer repeats. The log holds several copies; each record
-// folds once. Cause: lost acknowledgements and a slow reader at once.
+// Guards against repeats of a record being folded more than once.
 func TestRepeatsFoldOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, nil)
@@ -173,10 +168,7 @@
 	})
 }
 
-// The log hangs. A caller that gives up while its append is on the way must
-// not be told that nothing was recorded; one whose record was never sent may
-// be. Cause: a claim that was reported as absent and stands all the same would
-// make a later attempt of the same key lose for no reason.
+// Guards against a record that may be in the log being reported as absent.
 func TestGivingUpTellsSentFromUnsent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, nil)
@@ -203,9 +195,7 @@
 	return ok
 }
 
-// The log is out for longer than a record may be repeated. The writer gives
-// the record up, clearly not recorded; after the outage the next one goes
-// through and the old one never appears.
+// Guards against a record that appears long after its writer has given it up.
 func TestLongOutageGivesUpInBoundedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, nil)
--- a/internal/logstore/client_test.go
+++ b/internal/logstore/client_test.go
@@ -45,9 +45,7 @@
 	must.Eq(t, 2, head)
 }
 
-// An append fails and the node has to tell its caller whether anything was
-// recorded. Only the log's own refusal and a connection that was never made
-// are proof that nothing was; a cut connection and a 503 are not.
+// Guards against a failed append reported as not recorded without proof.
 func TestAppendErrorsPromiseNoMoreThanIsKnown(t *testing.T) {
 	log, c, _ := overHTTP(t)
 	ctx := t.Context()
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -104,9 +104,7 @@
 	})
 }
 
-// A VM ends without a word and calls to it wait for their timeouts. Every
-// node must know within seconds, whatever the size of the zone; and as long as
-// no message is lost nobody may be taken for dead.
+// Guards against a dead VM that goes unnoticed in a large zone, or a live one taken for dead.
 func TestDeathIsFoundInBoundedTime(t *testing.T) {
 	for _, n := range []int{2, 3, 5, 40, 400} {
 		var worst time.Duration
--- a/internal/membership/elector_test.go
+++ b/internal/membership/elector_test.go
@@ -155,9 +155,7 @@
 		c.cfg.Strategy, name, len(c.procs), restarts, c.changes, c.without, extra)
 }
 
-// The reader of a zone restarts like every process, and until the zone agrees
-// on another the owners' proofs grow old. How often that happens, and for how
-// long, depends on the order among leaders.
+// Guards against zones that are without a reader for long while processes restart.
 func TestElectorsUnderChurn(t *testing.T) {
 	changes := map[string]map[Strategy]int{"random": {}, "rolling": {}, "rolling again": {}, "rack": {}}
 	for _, s := range []Strategy{Incumbent, Oldest, LowestID} {
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -39,11 +39,7 @@
 	}}
 }
 
-// A process that died long ago reappears in the list, because its join came
-// late, and calls go to its address. Whatever the order of records, a node and
-// an address have one member, an incarnation that has gone stays gone, and a
-// newer one is never replaced by an older. Folding at once, one by one, twice,
-// or over a snapshot gives the same view.
+// Guards against members that come back from the dead when records arrive late or out of order.
 func TestViewFold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		records := rapid.SliceOfN(rapid.Custom(drawRecord), 0, 40).Draw(t, "records")
--- a/internal/mesh/callerconn_test.go
+++ b/internal/mesh/callerconn_test.go
@@ -30,9 +30,7 @@
 
 func sentinel(d time.Duration) time.Time { return time.Now().Add(d) }
 
-// A caller opens connections in advance and sends on them later than a header may
-// take. net/http counts the header's time from the opening, and cut what the
-// caller sent at that moment.
+// Guards against a connection opened in advance being cut as its first request arrives.
 func TestConnectionOpenedInAdvanceIsKept(t *testing.T) {
 	node, caller := connPair(t, fixedBounds{idle: 10 * time.Second, header: 50 * time.Millisecond})
 	must.NoError(t, node.SetReadDeadline(sentinel(headerSentinel)))
@@ -48,9 +46,7 @@
 	must.Less(t, 5*time.Second, time.Since(begun))
 }
 
-// Later headers have their time from net/http's deadline on, and the wait between
-// requests the idle timeout in force. Each is told from the other by a bound that a
-// busy machine doesn't reach.
+// Guards against an idle connection held to the time that a header may take, or the reverse.
 func TestDeadlinesOfAUsedConnection(t *testing.T) {
 	const short, long = 50 * time.Millisecond, 20 * time.Second
 	for _, x := range []struct {
--- a/internal/mesh/config_test.go
+++ b/internal/mesh/config_test.go
@@ -6,9 +6,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A VM allows 4,100 descriptors and its deployment grows from 17 nodes to 76: with
-// 64 connections kept to and from each node none are left for callers. What is kept
-// both ways stays below half of them, and a few nodes get what one can use.
+// Guards against connections between nodes that leave no descriptors for callers.
 func TestKeptConnectionsFitTheDescriptors(t *testing.T) {
 	for _, x := range []struct{ descriptors, nodes, kept int }{
 		{4100, 1, 64}, {4100, 16, 64}, {4100, 17, 60}, {4100, 76, 13}, {8192, 76, 26}, {256, 76, 2},
--- a/internal/mesh/eventlog_test.go
+++ b/internal/mesh/eventlog_test.go
@@ -12,9 +12,7 @@
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
-// All nodes are restarted at once, and each writes a line for each record of the
-// others. The bound of lines a second left out, among them, that the node stopped or
-// that it lost the store: on call it looked as if the process had vanished.
+// Guards against starts, stops and lost stores left out of the log under a flood of lines.
 func TestSeldomLinesAreNeverLeftOut(t *testing.T) {
 	var out bytes.Buffer
 	logger, err := metrics.NewLogger(&out, "vm-1", settings.Logging{Level: "info", Burst: 2, Sample: 1 << 20})
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -137,9 +137,7 @@
 	return missed
 }
 
-// A zone of 40 nodes while others are restarted one after the other for 20 s: each
-// node learned of each by reading the store, 40 times what one reads. One reads now,
-// and all have each record.
+// Guards against every node of a zone reading the store for itself, or a record that one misses.
 func TestZoneReadsOnceAndMissesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		topic := &growingTopic{begun: time.Now()}
@@ -239,9 +237,7 @@
 	failRoutesReader(t, func(r *reader) { r.silence.Store(int64(1500 * time.Millisecond)) })
 }
 
-// Guards against a zone that stays with old routes because the store answers its reader
-// no more, while the reader's connection lives. Nodes of other zones have read on, and
-// some node of this zone hears so several times a second.
+// Guards against a zone that stays with old routes because the store is silent to its reader alone.
 func TestRoutesInForceWhileTheStoreIsSilentToTheReader(t *testing.T) {
 	failRoutesReader(t, func(r *reader) {
 		r.silence.Store(int64(readWait + 3*time.Second))
--- a/internal/node/concurrent_test.go
+++ b/internal/node/concurrent_test.go
@@ -251,10 +251,7 @@
 	}
 }
 
-// Many callers send letters and look-ups at once to three guards whose
-// upstreams die, shed and lose authority, over connections that go silent, and
-// send again what they have no answer to. The history of what callers got and
-// upstreams ran must keep every promise, and no slot may stay taken.
+// Guards against a promise broken, or a slot lost, among concurrent calls under faults.
 func TestHistoriesOfConcurrentCalls(t *testing.T) {
 	for seed := range uint64(12) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/node/dispatch_property_test.go
+++ b/internal/node/dispatch_property_test.go
@@ -72,9 +72,7 @@
 	return a
 }
 
-// Whatever answers come back: the attempts are bounded by the allowance, what
-// is lent out and retried never exceeds it, and the caller is told `ran: no`
-// only if every attempt was answered so.
+// Guards against retries beyond the allowance, or a false `ran: no`, for any sequence of answers.
 func TestDispatchProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		router := newFakeRouter(rapid.IntRange(1, 5).Draw(t, "upstreams"), epoch)
@@ -134,9 +132,7 @@
 	}
 }
 
-// The first attempt's answer is lost after the upstream ran it; the second
-// upstream refuses, being full. A caller told "not run" would send a new
-// request for a letter that went out.
+// Guards against a refusal of the second attempt hiding that the first one ran.
 func TestRefusalAfterALostAnswerIsNotNo(t *testing.T) {
 	call := newCall("root", epoch.Add(time.Minute))
 	call.Ctx.Idempotent = true
--- a/internal/node/guard_model_test.go
+++ b/internal/node/guard_model_test.go
@@ -293,9 +293,7 @@
 	}
 }
 
-// In whatever order calls arrive, come again, leave, end, are claimed, lose
-// their upstream or meet a drain: each sending that waits is answered once,
-// nothing that may have run starts again, no slot and no allowance leaks.
+// Guards against a call answered twice or never, started twice, or a slot leaked, in any order of events.
 func TestGuardModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newGuardModel(t)
--- a/internal/node/guard_story_test.go
+++ b/internal/node/guard_story_test.go
@@ -16,9 +16,7 @@
 
 func (i *inbox) put(a *Answer) { i.got = append(i.got, a) }
 
-// A caller waits in a full guard's queue and its deadline passes. It was told
-// that the outcome is unknown, although nothing had run: the guard dropped the
-// attachment before it ended the call, so the refusal reached nobody.
+// Guards against a call that left the queue unrun being told that its outcome is unknown.
 func TestLeavingTheQueueIsToldNotRun(t *testing.T) {
 	runner := &fakeRunner{}
 	g := newGuard(1, runner, &fakeAuthority{})
@@ -85,9 +83,7 @@
 	must.SliceEmpty(t, waiter.got)
 }
 
-// A POST without a key is answered over a connection that has gone silent, and
-// larger answers follow. The same call ID, sent again over a fresh connection,
-// ran a second time: the bytes of the answers had pushed the ID out as well.
+// Guards against a second run of a call whose ID was evicted along with its answer.
 func TestBytesOfAnswersDoNotForgetCallIDs(t *testing.T) {
 	runner := &fakeRunner{}
 	g := newGuard(2, runner, &fakeAuthority{})
@@ -108,9 +104,7 @@
 	must.MapEmpty(t, g.calls)
 }
 
-// The upstream dies with one call running and two queued. Those queued are
-// told at once that they did not run; the one that ran is not, and its request
-// is under suspicion.
+// Guards against queued calls that are suspected, or left waiting, when the upstream dies.
 func TestUpstreamDiesWithCallsQueued(t *testing.T) {
 	runner := &fakeRunner{}
 	g := newGuard(1, runner, &fakeAuthority{})
@@ -146,9 +140,7 @@
 	must.Len(t, 1, runner.runs)
 }
 
-// Two sendings wait under one key. The second one's first connection went
-// silent and holds its request still; its re-attachment was answered `ran: no`
-// with the first. Then the silent connection delivers, and the call ran.
+// Guards against a call running after its joined re-attachment was told `ran: no`.
 func TestRefusalOfAJoinedReattachmentStays(t *testing.T) {
 	runner := &fakeRunner{}
 	g := newGuard(2, runner, &fakeAuthority{claims: true})
@@ -181,9 +173,7 @@
 	must.SliceEmpty(t, g.calls["large"].call.Body)
 }
 
-// A request lies in a connection that went silent. Its re-attachment finds the
-// guard without an upstream and is answered `ran: no`. The upstream comes, then
-// the silent connection delivers: the call must not run any more.
+// Guards against a call running after its re-attachment was told `ran: no`.
 func TestRefusalOfAReattachmentStays(t *testing.T) {
 	runner := &fakeRunner{}
 	g := NewGuard(DefaultGuardConfig(), 1, runner, &fakeAuthority{}, epoch)
@@ -199,9 +189,7 @@
 	must.SliceEmpty(t, runner.runs)
 }
 
-// A node that stops holds the last upstream of a service. Short calls must be served
-// until there is hardly time for them, and one that would be cut must be told that it
-// has not run.
+// Guards against short calls refused by a stopping node that holds the last upstream.
 func TestStoppingNodeTakesWhatEndsInTime(t *testing.T) {
 	g := newGuard(1, &fakeRunner{}, &fakeAuthority{})
 	now := epoch
--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -40,9 +40,7 @@
 	return s.Apply(logstore.Entry{Offset: int64(s.Version()), Record: rec})
 }
 
-// An operator gave callers an hour to send a letter again. One did after forty
-// minutes and the letter was issued a second time: the guard forgot keys after
-// its built-in quarter of an hour, whatever the template said.
+// Guards against keys forgotten before the horizon that the template promises.
 func TestKeysAreRememberedForTheHorizonOfTheTemplate(t *testing.T) {
 	runner, owners := &fakeRunner{}, &noOwners{}
 	n := New(Config{
--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -178,10 +178,7 @@
 	}
 }
 
-// Operators publish, appends repeat, slow processes write old snapshots,
-// records expire, processes restart with nothing and take a peer's state. At
-// each moment every replica must hold exactly what the whole log up to its
-// version says, however it came there, and no object's version may fall.
+// Guards against replicas that hold different configurations, however they came to them.
 func TestEveryReplicaDecidesTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := startedHistory()
--- a/internal/policy/linear_test.go
+++ b/internal/policy/linear_test.go
@@ -177,9 +177,7 @@
 	return out
 }
 
-// Four operators change one instance at once, through a log that is slow,
-// refuses some appends, loses three acknowledgements in ten and is out for a
-// while. What they were told must fit one order of conditional writes.
+// Guards against operators being told outcomes that fit no order of their writes.
 func TestConcurrentOperatorsAreLinearizable(t *testing.T) {
 	outcomes := map[Outcome]int{}
 	for seed := range uint64(20) {
--- a/internal/policy/stories_test.go
+++ b/internal/policy/stories_test.go
@@ -10,9 +10,7 @@
 	"github.com/galenagrade/galenagrade/internal/logstore"
 )
 
-// Two operators publish a change of one instance, both based on what they see.
-// The first in the log is in force; the second is told by whom, at which
-// version and in what it lost, and nothing of it is in force.
+// Guards against the loser of two racing changes having part of its change in force, or not being told.
 func TestRacingOperators(t *testing.T) {
 	h := newHistory()
 	h.append(record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)}))
@@ -29,9 +27,7 @@
 	must.ErrorContains(t, d.Err(), "lost to a by ito at version 3")
 }
 
-// A publication takes effect, its acknowledgement is lost, and it is sent
-// again, after another operator's change. The author must read "accepted", and
-// the repeat must not undo the other's change.
+// Guards against a repeated publication that undoes a later change of another operator.
 func TestRepeatAfterLostAck(t *testing.T) {
 	h := newHistory()
 	h.append(record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)}))
@@ -47,9 +43,7 @@
 	must.Eq(t, 3, e.Version)
 }
 
-// A process takes a snapshot, is paused, and appends it after a newer version
-// was accepted. Readers that follow keep the newer version; one that starts
-// from the old snapshot folds on and comes to the same. Cause: a slow writer.
+// Guards against a late snapshot that takes a newer configuration back.
 func TestStaleSnapshotAfterNewerVersion(t *testing.T) {
 	h := newHistory()
 	h.append(record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)}))
@@ -71,9 +65,7 @@
 	must.Eq(t, h.now(), Merge(stale, h.now()))
 }
 
-// A reader is cut off while the records it has not read expire. It must not
-// fold what is left over the gap: that would miss what was accepted there. It
-// keeps what it has, says that it is behind, and goes on from the snapshot.
+// Guards against a reader that folds across a gap of expired records.
 func TestExpiryWithReaderAway(t *testing.T) {
 	h := newHistory()
 	h.append(record(&Publication{ID: "t", Author: "ito", Template: testTemplate("strict", 1, 0)}))
@@ -126,10 +118,7 @@
 	must.Eq(t, mustMarshal(t, h.now()), mustMarshal(t, copied))
 }
 
-// Nodes are upgraded one by one, and an operator publishes what only the new
-// release understands. An old node must not pass it: refusing what the others
-// accept, it would hold another configuration for good. It stays where it is,
-// without reading the same records over and over, and follows a new one.
+// Guards against an old release that passes a record it can't understand.
 func TestOldReleaseStopsBeforeNewRules(t *testing.T) {
 	h := startedHistory()
 	r := h.replicas[0]
@@ -173,9 +162,7 @@
 	must.Eq(t, h.now().bytes, copied.bytes)
 }
 
-// An instance is withdrawn, and a late repeat of its creation arrives after
-// its decision was forgotten. It must stay withdrawn, in a snapshot too, and
-// can come back only on the version of its withdrawal.
+// Guards against a withdrawn instance that comes back by a late repeat of its creation.
 func TestWithdrawnInstanceStaysWithdrawn(t *testing.T) {
 	h := startedHistory()
 	first := record(&Publication{ID: "i", Author: "ito", Instance: testInstance("letters", "strict", 1, "1")})
@@ -203,9 +190,7 @@
 	must.Eq(t, 2, e.RetryAllowance)
 }
 
-// The log is out and a node restarts with nothing. It serves nothing until a
-// peer gives it the state; with the peer's it goes on where that stood. After
-// the outage it reads on and misses nothing. A log that came back empty shows.
+// Guards against a restarted node that serves without state, or takes an emptied log for its own.
 func TestRestartWhileLogIsOut(t *testing.T) {
 	h := startedHistory()
 	h.append(record(&Publication{ID: "i", Author: "ito", Instance: testInstance("letters", "strict", 1, "1")}))
@@ -224,9 +209,7 @@
 	must.True(t, started.HeadBelow())
 }
 
-// A node starts alone on a log that holds many records of other kinds. It must
-// find the newest snapshot without reading them all; and where the newest
-// records hold none, it must go back and find the older one.
+// Guards against a start that reads the whole log, or misses an older snapshot.
 func TestStartReadsTheNewestRecordsFirst(t *testing.T) {
 	for _, after := range []int{10, 400} {
 		h := startedHistory()
--- a/internal/policy/validate_test.go
+++ b/internal/policy/validate_test.go
@@ -168,9 +168,7 @@
 	must.Eq(t, 1, e.MaxDepth)
 }
 
-// Clocks are wrong: the last snapshot's writer was a day ahead, or the reader
-// restarts over and over. The snapshot must come due before it expires all the
-// same, by the reader's own wait or by its place in the log.
+// Guards against a snapshot that expires because clocks put off the next one.
 func TestSnapshotComesDueWithWrongClocks(t *testing.T) {
 	rule := DefaultSnapshotRule(time.Hour)
 	must.NoError(t, rule.Validate())
--- a/internal/proxy/latency_test.go
+++ b/internal/proxy/latency_test.go
@@ -8,9 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// An upstream turns slow, and senders go on choosing it: each measured microseconds for
-// every call, as the end of a call was taken before it was sent. So all upstreams looked
-// alike, and what a slow answer said of load was as old as the call was long.
+// Guards against a slow upstream that looks fast because its calls are timed wrongly.
 func TestLatencyOfATargetCoversTheCall(t *testing.T) {
 	const takes = 60 * time.Millisecond
 	w := newWorld(t)
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -17,9 +17,7 @@
 	"github.com/galenagrade/galenagrade/internal/retry"
 )
 
-// A guard refuses a letter for want of room, and its caller leaves in the pause
-// before the next attempt. The letter was sent to the next guard all the same,
-// and went out for a caller who had been told nothing.
+// Guards against an attempt sent for a caller who has left.
 func TestCallerLeavesBetweenAttempts(t *testing.T) {
 	ctx, leave := context.WithCancel(context.Background())
 	var attempts atomic.Int32
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -57,9 +57,7 @@
 	return &node.Answer{CallID: callID, Code: result.OK, Status: http.StatusOK}
 }
 
-// A caller is told "not run", and the upstream has run its request. The guard
-// gets the call over a kept connection, runs it and dies before it answers; the
-// transport repeats the request, and the dial for that is refused.
+// Guards against a failed dial of a repeat hiding that the request ran.
 func TestDialErrorAfterSendingIsNoRefusal(t *testing.T) {
 	send := guard(t, func(l net.Listener, h *innerpb.CallHeader, w http.ResponseWriter) {
 		if h.GetCallId() == "kept" {
@@ -76,9 +74,7 @@
 	must.Eq(t, result.Unreachable, send("never sent").Code)
 }
 
-// A caller is told "not run", and the upstream has run its request. The first
-// sending is held up, so the call is sent again over a fresh connection; the
-// guard refuses the first, which lacked authority, and runs the second.
+// Guards against a refusal of one sending reported for a call whose other sending runs.
 func TestRefusalOfOneSendingIsNotTheCalls(t *testing.T) {
 	second, refused := make(chan struct{}), make(chan struct{})
 	send := guard(t, func(_ net.Listener, h *innerpb.CallHeader, w http.ResponseWriter) {
--- a/internal/proxy/resend_test.go
+++ b/internal/proxy/resend_test.go
@@ -56,9 +56,7 @@
 	}
 }
 
-// A letter goes out over a connection that carried a call before. The upstream
-// reads it, signs, and the connection breaks. net/http takes the key for leave
-// to send the request again, and the letter would be signed twice.
+// Guards against the HTTP library sending a keyed request again on its own.
 func TestNoReplayToTheUpstream(t *testing.T) {
 	for _, body := range []string{"", "a"} {
 		w := newWorld(t)
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -79,9 +79,7 @@
 	return w, entry, guard
 }
 
-// A connection between nodes loses what is written to it and nobody is told.
-// The caller of a letter waits; the same call ID goes out over a fresh
-// connection and runs once.
+// Guards against a request lost for good on a silent connection.
 func TestSilentConnectionLosesTheRequest(t *testing.T) {
 	w, entry, guard := faultyPair(t, &fault{loseWrites: true}, nil)
 	var ran ledger
@@ -105,10 +103,7 @@
 	must.EqOp(t, 1, ran.count("a"))
 }
 
-// A guard without an upstream refuses a letter, and the refusal is late by a
-// lost packet. Meanwhile the upstream comes and the second sending of the call
-// starts there. Then the refusal arrives: the caller was told `ran: no`, sent a
-// new request, and the letter went out twice.
+// Guards against a late refusal reported as `ran: no` while the second sending runs.
 func TestLateRefusalOfACallThatRuns(t *testing.T) {
 	f := &fault{holdReads: make(chan struct{}), holdDials: make(chan struct{})}
 	refused := make(chan struct{})
--- a/internal/proxy/target_test.go
+++ b/internal/proxy/target_test.go
@@ -14,9 +14,7 @@
 	"github.com/galenagrade/galenagrade/internal/callctx"
 )
 
-// A hostile caller sends a request line whose target begins with "x:@" and a
-// host of its own. Put behind the upstream's address it made that address the
-// user name, and the node sent the request, headers and all, to that host.
+// Guards against a hostile request target that leads the node to another host.
 func TestTargetCannotNameAnotherHost(t *testing.T) {
 	var stolen atomic.Int32
 	thief := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { stolen.Add(1) }))
--- a/internal/proxy/treegate_test.go
+++ b/internal/proxy/treegate_test.go
@@ -35,10 +35,7 @@
 	return &node.Call{Ctx: callctx.Context{Level: level, CallerHash: 1 << 31}}
 }
 
-// Two routes need the same deep service, which sheds the less important one. All of its
-// requests are refused, so it brings nothing new; after a second and a half its gate opened,
-// and what it let in failed after three services had worked. What the other route's
-// answers say must keep it shut, and open it once there is room.
+// Guards against a gate that opens because its own refused route learns nothing.
 func TestRoutesLearnOfASharedServiceTogether(t *testing.T) {
 	g := treeGates{metrics: metrics.New(1)}
 	lookups, filings := g.of("h", "/lookups/"), g.of("h", "/filings/")
--- a/internal/quarantine/proven_test.go
+++ b/internal/quarantine/proven_test.go
@@ -7,9 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// An upstream that runs a query which many callers send alike, and one that
-// nobody sent before, dies; two more do within seconds. The common query must
-// go on, the new one must not: it is the only one that can have done it.
+// Guards against a common request refused because it ran beside crashing ones.
 func TestCommonRequestOutlivesARackOfCrashes(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.Proven = 64
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -28,9 +28,7 @@
 	}
 }
 
-// A letter request crashes the upstream that runs it, and its caller sends it
-// again and again. The first crash makes it a suspect, the second, at which it
-// is the only one, puts it away for the full time; two upstreams died.
+// Guards against a crashing request that goes on killing upstreams after its second crash.
 func TestSecondCrashAsOnlySuspectIsSureGuilt(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	a, b := New(DefaultConfig()), New(DefaultConfig())
@@ -53,9 +51,7 @@
 	}
 }
 
-// An upstream dies with 20 calls in flight. Nineteen of them are innocent: each
-// runs elsewhere after the settling time, one at a time, and one success makes
-// it an ordinary call again, on every node.
+// Guards against innocent requests that stay suspected after a crash.
 func TestInnocentsRunAloneAndAreCleared(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	a, b := New(DefaultConfig()), New(DefaultConfig())
@@ -77,9 +73,7 @@
 	}
 }
 
-// A consent record ran alongside two crashes by bad luck. While nobody knows
-// better it is refused for a minute only, and as soon as the request that ran
-// at the first crash is caught alone, that crash no longer counts.
+// Guards against an unlucky request refused for the time of a guilty one.
 func TestBadLuckIsShortAndExplainedByTheCulprit(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	const unlucky Fingerprint = 5
@@ -95,9 +89,7 @@
 	must.Eq(t, 2500*time.Millisecond, tr.Admit(now, unlucky).RetryAfter)
 }
 
-// Two copies of the request start at two guards before either knows of a crash.
-// Both upstreams die; what else ran at the one did not run at the other, so the
-// request is refused for the full time and a third upstream is spared.
+// Guards against a third upstream lost to a request whose two copies crashed two.
 func TestTwoCopiesAtOnceAreSureGuilt(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	a, b := New(DefaultConfig()), New(DefaultConfig())
@@ -110,9 +102,7 @@
 	must.Eq(t, 2500*time.Millisecond, a.Admit(now, 3).RetryAfter)
 }
 
-// A call runs as an ordinary one when a record makes it a suspect, and its upstream
-// dies of a request beside it that nobody suspects yet; or a second suspect runs
-// there. Neither is evidence from running alone.
+// Guards against a run beside others counted as a run alone.
 func TestSuspicionDuringRunIsNotAlone(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	tr := New(DefaultConfig())
@@ -266,10 +256,7 @@
 	}
 }
 
-// A caller sends the crashing request every 100 to 900 ms through any node, also
-// while a copy runs. Two copies at most start in ignorance, then the entry nodes
-// know of a crash from the answer and their retries carry the marks. At most two
-// upstreams die, and in the end every innocent runs again.
+// Guards against more than two upstreams lost to one crashing request.
 func TestTwoCrashesAtMost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &cluster{now: time.Unix(1_000_000, 0)}
--- a/internal/result/doc_test.go
+++ b/internal/result/doc_test.go
@@ -11,9 +11,7 @@
 
 var docRow = regexp.MustCompile("(?m)^\\| (\\d{4}) \\| `([a-z_]+)` \\| (no|unknown|yes) \\| (\\d{3}) \\| (.+) \\|$")
 
-// A caller reads in the table that a code means "not run" and sends the
-// request again. If the code says otherwise, the request may run twice; so the
-// table and the code must be the same, in both directions.
+// Guards against a table of result codes that promises what the code does not.
 func TestDocumentedTableIsTheCode(t *testing.T) {
 	doc, err := os.ReadFile("../../docs/RESULT_CODES.md")
 	must.NoError(t, err)
--- a/internal/retry/account_test.go
+++ b/internal/retry/account_test.go
@@ -93,9 +93,7 @@
 	}
 }
 
-// A registry slows down in a deep chain. Callers see the load on it multiply
-// and stay after the slowness ends: each level retried on its own, answers
-// were lost or came twice, and each gave back allowance that others spent too.
+// Guards against retries that multiply over the levels of a call tree.
 func TestAccount_TreeNeverExceedsAllowance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		allowance := rapid.IntRange(0, 40).Draw(t, "allowance")
@@ -104,9 +102,7 @@
 	})
 }
 
-// Two children of one call hold a share each. The answer of the first comes
-// twice, as after a re-attachment. Credited twice, it takes over what the
-// second still holds, and the tree makes more retries than its root allowed.
+// Guards against an answer that comes twice and gives its allowance back twice.
 func TestShare_RepeatedAnswerLeavesSiblingsShare(t *testing.T) {
 	a := NewAccount(4)
 	first, second := a.Lend(), a.Lend()
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -38,9 +38,7 @@
 	repeat bool
 }
 
-// Every node retries at once while guards come, go and restart. A service gets at
-// most ratio times its firsts and the floor of repeats in every sliding window,
-// counted over all guards, though no guard knows of another's count.
+// Guards against repeats beyond the budget while guards come, go and restart.
 func TestBudgetHoldsOverAllGuards(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * time.Second
--- a/internal/retry/decide_test.go
+++ b/internal/retry/decide_test.go
@@ -27,9 +27,7 @@
 	}
 }
 
-// An applicant's letter is asked for once and arrives twice, billed twice: an
-// attempt without an answer was sent again to another upstream, or a first
-// attempt that had run was hidden behind a later refusal that said "not run".
+// Guards against a call that may have run being sent to another upstream, or told that it has not.
 func TestDecide_Safety(t *testing.T) {
 	p := DefaultPolicy()
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/retry/split_model_test.go
+++ b/internal/retry/split_model_test.go
@@ -109,9 +109,7 @@
 	return 100 * float64(done) / roots, float64(m.attempts) / roots, ok
 }
 
-// A request makes several calls in turn. Callers see it fail at its last step
-// although few retries were made: an early call took the whole allowance along
-// and its answer was lost. The rule in use must fall short least at its worst.
+// Guards against an early call of a request that takes the whole allowance with it.
 func TestSplitRule_Model(t *testing.T) {
 	settings := []splitModel{
 		{fanout: 1, depth: 10, refused: 0.05, lost: 0.01},
--- a/internal/routing/spare_test.go
+++ b/internal/routing/spare_test.go
@@ -8,9 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// The nodes of a service are restarted one after another while another of its
-// upstreams leaves. For seconds the only upstream that takes work is one whose
-// node is being stopped; callers were refused though it was idle.
+// Guards against callers refused while the only upstream is one whose node is being stopped.
 func TestPick_Fallback(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	stopping := Endpoint{Node: "stopping", Incarnation: 1, Service: "s", Addr: "a:1", Slots: 4, Fallback: true}
--- a/internal/routing/story_test.go
+++ b/internal/routing/story_test.go
@@ -285,9 +285,7 @@
 	must.Less(t, 1000, lost)
 }
 
-// Load is high and all good upstreams queue a little. Callers see a tenth of
-// their calls take half a second: the slow upstream that all senders left
-// alone last said, a while ago, that it has room, and all turn to it at once.
+// Guards against all senders turning at once to a slow upstream with an old report of room.
 func TestStory_OldRoomAtSlowUpstreamDrawsNoCrowd(t *testing.T) {
 	n := newFakeNode(t, DefaultConfig(), upstreams("saga", 4, 20)...)
 	for i, g := range n.table.Targets("archive") {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -27,9 +27,7 @@
 	return eps
 }
 
-// Callers are refused although an upstream has room, or a call is sent to one
-// that is leaving or has failed it before: each rule of the choice is checked
-// here against random tables and reports, apart from the others.
+// Guards against a refusal beside an upstream with room, or a call to one that must not get it.
 func TestPick_RefusesOnlyWhenItMust(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
--- a/internal/server/admin_test.go
+++ b/internal/server/admin_test.go
@@ -26,10 +26,7 @@
 	return w, a, b
 }
 
-// Two operators change one instance at the same time on two nodes, both from
-// the version that they saw. One sees "accepted", the other is told whose
-// change won and what it changed; sending the winner's change again under its
-// ID is no second change.
+// Guards against racing operators who both win, or a repeat that counts as a second change.
 func TestOfRacingOperatorsOneWinsAndTheOtherIsTold(t *testing.T) {
 	w, a, b := pair(t)
 	base := w.publish(a, "letters")
@@ -74,9 +71,7 @@
 	must.Eq(t, connect.CodeInvalidArgument, connect.CodeOf(err))
 }
 
-// An operator publishes while the log is out. The change is either refused as
-// not made or said to be open; sent again under its ID once the log is back,
-// it is in force once.
+// Guards against a change called accepted that no log has taken.
 func TestChangeWithoutLogIsNeverCalledAccepted(t *testing.T) {
 	w, a, _ := pair(t)
 	base := w.publish(a, "letters")
@@ -134,9 +129,7 @@
 	must.Eq(t, changes, w.changes())
 }
 
-// One node of two stops answering while its record still stands in the log.
-// Status names it as unknown instead of counting it, and the timeline says
-// whose events are missing.
+// Guards against a silent node counted as if it had answered.
 func TestSilentNodeIsListedAsUnknown(t *testing.T) {
 	w, a, b := pair(t)
 	w.publish(a, "letters")
@@ -156,9 +149,7 @@
 	must.Eq(t, []string{"letters-2"}, tl.Msg.UnreachableNodes)
 }
 
-// One node reads the log more slowly than the other. Until it has folded a
-// change, status names it as lagging and publishing says 1 of 2. A change that
-// is based on what it lacks is not published through it.
+// Guards against a change counted as in force on a node that lags, or published over what it lacks.
 func TestNodeThatLagsIsNamed(t *testing.T) {
 	w := newWorld(t)
 	a := w.start("letters-1", nil)
@@ -196,11 +187,7 @@
 	w.until("the slow node to follow", func() bool { return len(lagging()) == 0 })
 }
 
-// A node has announced its upstream and serves, but its join has not reached
-// the log: the log lost it, or the reader has not come to it yet. The operator
-// publishes through that node and asks for the status. Both answers counted
-// the members of the log only, so the change was said to be in force nowhere,
-// though the node that answered had it.
+// Guards against a change said to be in force nowhere because no join was read yet.
 func TestNodeCountsItselfBeforeItsJoinIsRead(t *testing.T) {
 	w := newWorld(t)
 	a := w.startWith("letters-1", unjoinedLog{w.log}, nil)
--- a/internal/server/handover_test.go
+++ b/internal/server/handover_test.go
@@ -11,10 +11,7 @@
 	"github.com/galenagrade/galenagrade/internal/lease"
 )
 
-// A guard that had taken slots after a crash was stopped as planned. Its
-// hand-over named the moment before which keys are unknown; the receivers held
-// that moment for a span of fifty years and refused the whole, and the keys
-// became unknown for the second time.
+// Guards against a hand-over refused as a whole because of a moment taken for a span.
 func TestHandOverOfSlotsWithUnknownKeysPassesTheCheck(t *testing.T) {
 	slots := []lease.HandedSlot{{Slot: 3, Offset: 12, EffectiveIn: time.Second, UnknownBefore: time.Now().Round(time.Microsecond), CleanIn: time.Hour}}
 	req := &innerpb.HandOverRequest{Slots: encodeSlots(slots)}
--- a/internal/server/observe_test.go
+++ b/internal/server/observe_test.go
@@ -64,9 +64,7 @@
 	return events
 }
 
-// A request passes two nodes. Asked by its ID, either node's time line shows
-// every decision of both in the order of cause and effect; asked by the ID of
-// the deeper call, only that hop.
+// Guards against a time line that lacks a hop, or shows an effect before its cause.
 func TestTimelineShowsOneRequestOverTwoHops(t *testing.T) {
 	w, a, b := chain(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("hull")) }))
 	status, h, body := w.call(a, "letters", "")
@@ -92,9 +90,7 @@
 	must.Eq(t, "archive-1", hop[0].Upstream)
 }
 
-// A call fails for good two hops down. The caller's refusal carries a request
-// ID; under it the time line names who refused and by which figure, and the
-// log has one line that says the same.
+// Guards against a refusal that can't be traced to who refused, and why.
 func TestRefusalIsExplained(t *testing.T) {
 	w, a, _ := chain(t, http.NotFoundHandler())
 	status, h, _ := w.call(a, "nothing", "")
@@ -183,9 +179,7 @@
 	must.Eq(t, 2, w.metrics(a)["calls.in_flight.turned_away"]["count"])
 }
 
-// Seen from a time at which the last proof has long ceased to count, as after
-// an outage of the log and of the other guard, the guard's authority over keys has lapsed: that is on
-// the time line, as is its return, and both are counted.
+// Guards against authority over keys that lapses without a trace.
 func TestAuthorityThatLapsesIsOnTheTimeline(t *testing.T) {
 	w, s, other := pair(t)
 	w.until("ownership", func() bool { return s.OwnersSettled() && other.OwnersSettled() && s.own.state.Holds() > 0 })
@@ -200,9 +194,7 @@
 	must.Positive(t, w.metrics(s)["lease.authority_lapses"]["count"])
 }
 
-// A node is full, and one of its calls is sent again because its connection
-// went silent. Turning that sending away as "not run" would be false, and its
-// sender would run the call a second time elsewhere: it joins the call.
+// Guards against a re-attachment refused as not run by a full node, while its call runs.
 func TestFullNodeTakesReattachments(t *testing.T) {
 	hold := make(chan struct{})
 	w, _, b := chain(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
--- a/internal/server/plane_test.go
+++ b/internal/server/plane_test.go
@@ -112,9 +112,7 @@
 	must.Wait(p.t, wait.InitialSuccess(wait.BoolFunc(all), wait.Timeout(time.Minute), wait.Gap(5*time.Millisecond)), must.Sprint(what))
 }
 
-// A zone loses the platform but not the other zones, and an operator changes
-// the behaviour of a service. The zone must follow through its peers. Cause: a
-// failure on the way from one zone to the log.
+// Guards against a zone without the log that misses a change its peers have.
 func TestZoneCutFromLogFollowsPeers(t *testing.T) {
 	checkLeaks(t)
 	p := newPlaneCase(t, "a", "a", "b", "b")
@@ -124,9 +122,7 @@
 	p.await("configuration", func(s *server.Server) bool { return s.Node().Policy().Version() >= version })
 }
 
-// A VM is replaced while the log is out. The node takes the configuration from
-// a seed peer and is known to all, then joins when the log is back. Cause: it
-// can neither read the log nor write its join.
+// Guards against a replaced VM that can't join its peers while the log is out.
 func TestServerStartsFromSeedPeerWithLogOut(t *testing.T) {
 	checkLeaks(t)
 	p := newPlaneCase(t, "a", "a", "b")
@@ -142,9 +138,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return p.log.Appends() > before }), wait.Timeout(time.Minute)))
 }
 
-// A node is told to stop while the log is out. The others must stop sending it
-// work although no leave record can be written. Cause: a planned stop in an
-// outage.
+// Guards against work sent to a stopping node during an outage of the log.
 func TestDrainSpreadsWithLogOut(t *testing.T) {
 	checkLeaks(t)
 	p := newPlaneCase(t, "a", "a", "a")
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -11,9 +11,7 @@
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
-// An operator shortens timing.authority so that the slots of a crashed guard are
-// free sooner. A guard that went on for longer by an old proof could start a
-// call that the next owner starts as well.
+// Guards against a guard that starts calls beyond the authority that settings give it.
 func TestAuthorityLastsAsLongAsSettingsSay(t *testing.T) {
 	const authority = time.Second
 	w := newWorld(t)
--- a/internal/server/tls_test.go
+++ b/internal/server/tls_test.go
@@ -15,9 +15,7 @@
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
-// Two nodes speak mutual TLS with each other, and TLS with callers and
-// operators. A call that one guards and the other takes in is answered; who
-// shows no certificate reaches no guard.
+// Guards against a listener that takes calls without a certificate.
 func TestAllListenersOverTLS(t *testing.T) {
 	w := newWorld(t)
 	ca := certstest.New(t, t.TempDir(), "ca")
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -22,9 +22,7 @@
 
 var t0 = time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
 
-// Three processes with clocks up to 30 s apart send each other messages. A
-// merged timeline must show a message's sending before its receipt, else an
-// operator would see an answer before its call.
+// Guards against a merged time line that shows an answer before its call when clocks differ.
 func TestMergedOrderKeepsCauseBeforeEffect(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := []string{"a", "b", "c"}
--- a/internal/timeline/treesampler_test.go
+++ b/internal/timeline/treesampler_test.go
@@ -11,11 +11,7 @@
 
 var floodBegins = time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
 
-// The deepest service turns away most calls: its three nodes have 900 failures a
-// second to log, the 14 entries 200 each. An engineer takes one from the deepest
-// service's log and asks which request it failed. Each line was left out by itself:
-// every third of them had no line at its entry (4,227 of 6,200 had one). Cause: the
-// bound of lines a second knew no trees.
+// Guards against lines left out one by one, so that a failure has no line at its entry.
 func TestFloodLeavesWholeTrees(t *testing.T) {
 	const budget, entries, deep, seconds, perSecond = 100, 14, 3, 20, 2800
 	atEntries, atDeep := samplers(entries, budget), samplers(deep, budget)
@@ -52,9 +48,7 @@
 	return out
 }
 
-// Whatever comes, a second has no more lines than the budget, what a node with more
-// lines keeps of a root is kept by one with fewer (their trees are nested), and lines
-// that need half of the budget are all written.
+// Guards against more lines a second than the budget, or trees kept by some nodes alone.
 func TestTreeSamplerKeepsToItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		budget := rapid.IntRange(1, 200).Draw(t, "budget")
--- a/internal/upkeep/layers_test.go
+++ b/internal/upkeep/layers_test.go
@@ -37,9 +37,7 @@
 	return imports
 }
 
-// A newcomer asks which half of the product serves the target VMs. The request's path
-// and the control plane of the own interface shared a package, and nothing but reading
-// all of it told them apart.
+// Guards against the request's path depending on the control plane of the own interface.
 func TestMeshHasNothingOfTheOwnInterface(t *testing.T) {
 	imports := importsOf(t)
 	reached := map[string]string{"internal/mesh": "internal/mesh", "platform": "platform"}
--- a/internal/upkeep/loglines_test.go
+++ b/internal/upkeep/loglines_test.go
@@ -95,9 +95,7 @@
 
 var logRow = regexp.MustCompile("(?m)^\\| `([^`]+)` \\| (debug|info|warn|error) \\| ((?:`[a-z_]+`(?:, )?)*) \\| [^|]+ \\|$")
 
-// On-call engineers search logs by what the page of log lines says. A line that
-// was renamed, or lost a field, is searched for in vain. The page names every line
-// of a node with its level and fields, and nothing else.
+// Guards against a page of log lines that does not say what nodes write.
 func TestPageOfLogLinesIsTrue(t *testing.T) {
 	lines := map[string]logLine{}
 	for _, pattern := range []string{
--- a/internal/upkeep/wire_test.go
+++ b/internal/upkeep/wire_test.go
@@ -14,9 +14,7 @@
 var wireNames = regexp.MustCompile(`X-(Request-Id|Timeout-Ms|Server-Stamp|Not-Executed|Expected-Instance|Caller-Service|Instance-Id)|` +
 	`heartbeat_addr|traffic_split|route_type|path_prefix"|cold_remaining|log-(append|read|newest|join|commit)|keyed\.op`)
 
-// A field of the platform's wire gets another name. If code outside the adapter
-// knew the old one, the change would have to be made there too, and one place
-// would be forgotten.
+// Guards against the platform's wire names known outside of its adapter.
 func TestPlatformNamesStayInTheAdapter(t *testing.T) {
 	for _, s := range sources(t) {
 		if strings.HasPrefix(s.path, "platform/") || s.path == "internal/upkeep/wire_test.go" {
