Comments name the load pattern in the same words

Load pattern: says what a decision answers, without figures of a size, in admission, fleet and retry as it does in mesh and timeline; two lines that had grown long are wrapped. No code changes.

--- a/internal/admission/reserve.go
+++ b/internal/admission/reserve.go
@@ -26,7 +26,7 @@
 )
 
 // reserve is how many slots are left empty because the upstream answers more with
-// fewer calls at once. The load it answers: more demand than slots for seconds on end,
+// fewer calls at once. Load pattern: more demand than slots for seconds on end,
 // at an upstream that slows all its calls as its last slots fill. With all slots in
 // use such an upstream loses throughput just when it is short.
 //
--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -33,13 +33,14 @@
 // behind their upstream shed. The zero value is open. It is not safe for
 // concurrent use.
 //
-// The load it answers: the deepest service of a chain is short of room and sheds
+// Load pattern: the deepest service of a chain is short of room and sheds
 // calls from some rank on. All calls of a tree have the rank of its root, so a
 // root of that rank will fail: after three services have worked for it, and
 // beside other calls of its tree that took room and were in vain. Refused at its
 // entry it costs nothing. The more entries there are, the fewer answers each one hears:
-// an answer after a silence counts for more than one of many. Only what a route's own answers met counts against it:
-// another route to the same service that calls nothing behind goes on.
+// an answer after a silence counts for more than one of many. Only what a route's own
+// answers met counts against it: another route to the same service that calls nothing
+// behind goes on.
 type TreeGate struct {
 	threshold float64
 	at        time.Time
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -34,7 +34,8 @@
 }
 
 // treeModel is a deployment in virtual time: entries with a gate for the deepest service,
-// which all routes that call it share, and the guards of that service. What lies between takes its time and always succeeds.
+// which all routes that call it share, and the guards of that service. What lies between
+// takes its time and always succeeds.
 type treeModel struct {
 	model   *model
 	routes  []treeRoute
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -14,11 +14,11 @@
 // store has, the best one first; none for the node that reads the store itself. others
 // are the other nodes of the zone.
 //
-// The load it answers: with 14,000 nodes each record would be read 14,000 times. Nodes
-// of a zone are ordered by a hash of their names and form a tree. All nodes agree on the
-// order, and whoever follows a node comes after it, so no circle of nodes waits for updates
-// from itself while views of who is there differ. Nodes that are about to end, or have
-// no upstream, are followed by nobody.
+// Load pattern: nodes restart all the time, and each would read each record from the
+// store. Nodes of a zone are ordered by a hash of their names and form a tree. All nodes
+// agree on the order, and whoever follows a node comes after it, so no circle of nodes
+// waits for updates from itself while views of who is there differ. Nodes that are about
+// to end, or have no upstream, are followed by nobody.
 func Sources(node string, others []Member) []Member {
 	own := nameHash(node)
 	var before []Member
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -32,7 +32,7 @@
 // the bound of the whole service in every window, without a message between
 // them. It is not safe for concurrent use.
 //
-// The load it answers: an upstream fails a part of its calls, every sender tries
+// Load pattern: an upstream fails a part of its calls, every sender tries
 // again, and each repeated call makes its own calls again at the services behind.
 // Without the bound the deepest service gets a multiple of its load exactly when
 // it has least room.
