--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -20,10 +20,10 @@
 	Idle time.Duration
 	// Kept bounds the idle connections.
 	Kept int
-	// InTurn uses the connection next that was idle for longest, so that all stay in
+	// RoundRobin uses the connection next that was idle for longest, so that all stay in
 	// use. Otherwise the one used last goes first, and what a low load doesn't need is
 	// closed after Idle.
-	InTurn bool
+	RoundRobin bool
 	// MaxBody bounds an answer's body in bytes where the request sets no bound.
 	MaxBody int64
 }
@@ -108,7 +108,7 @@
 	if n == 0 {
 		return nil
 	}
-	if p.cfg.InTurn {
+	if p.cfg.RoundRobin {
 		c := p.idle[0]
 		p.idle[0] = nil
 		p.idle = p.idle[1:]
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -62,11 +62,11 @@
 }
 
 // Guards against connections that expire in a low load and are all opened anew at the next rise.
-func TestConnectionsInTurnOutlastALowLoad(t *testing.T) {
-	for _, inTurn := range []bool{true, false} {
+func TestConnectionsRoundRobinOutlastALowLoad(t *testing.T) {
+	for _, roundRobin := range []bool{true, false} {
 		addr, accepted := serve(t, echo)
 		const most, idle = 8, time.Second
-		p := NewPool(addr, Config{Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Idle: idle, Kept: most, MaxBody: 1 << 20, InTurn: inTurn})
+		p := NewPool(addr, Config{Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Idle: idle, Kept: most, MaxBody: 1 << 20, RoundRobin: roundRobin})
 		t.Cleanup(p.Close)
 		peak := func() {
 			var conns []*conn
@@ -85,7 +85,7 @@
 			must.NoError(t, err)
 		}
 		peak()
-		must.EqOp(t, inTurn, accepted.Load() == most, must.Sprintf("%d accepted", accepted.Load()))
+		must.EqOp(t, roundRobin, accepted.Load() == most, must.Sprintf("%d accepted", accepted.Load()))
 	}
 }
 
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -79,11 +79,11 @@
 // 1,672, 251 of 1,081; counted where idle connections are closed).
 func newUpstreamPool(addr string) *h1.Pool {
 	return h1.NewPool(addr, h1.Config{
-		Dial:    conns.DetectSilence(&net.Dialer{Timeout: upstreamConnect}, upstreamSilence).DialContext,
-		Idle:    upstreamIdle,
-		Kept:    upstreamKept,
-		MaxBody: maxAnswerBody,
-		InTurn:  true,
+		Dial:       conns.DetectSilence(&net.Dialer{Timeout: upstreamConnect}, upstreamSilence).DialContext,
+		Idle:       upstreamIdle,
+		Kept:       upstreamKept,
+		MaxBody:    maxAnswerBody,
+		RoundRobin: true,
 	})
 }
 
