--- a/internal/admission/above_test.go
+++ b/internal/admission/above_test.go
@@ -18,14 +18,14 @@
 	arrive := func(level callctx.Level, rate float64) {
 		var next func()
 		next = func() {
-			m.offer(Request{Level: level, CallerHash: m.rng.Uint32(), Depth: 1, Deadline: m.now.Add(2 * time.Second)})
-			m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
+			m.offer(Request{Level: level, CallerHash: m.rng.Uint32(), Depth: 1, Deadline: m.Now().Add(2 * time.Second)})
+			m.After(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
 		}
 		next()
 	}
 	arrive(callctx.LevelCritical, criticalRate)
 	arrive(callctx.LevelNormal, normalRate)
-	m.run(30 * time.Second)
+	m.Run(30 * time.Second)
 	critical, normal := 0, 0
 	for second := 10; second < 30; second++ {
 		critical += count(m.good, second)[callctx.LevelCritical]
--- a/internal/admission/fewslots_test.go
+++ b/internal/admission/fewslots_test.go
@@ -27,9 +27,9 @@
 			m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
 			m.deepCalls(callctx.LevelCritical, demand/2, 700*time.Millisecond)
 			m.deepCalls(callctx.LevelNormal, demand/2, 700*time.Millisecond)
-			ill := func() bool { return m.elapsed() >= 3*time.Second && m.elapsed() < 11*time.Second }
+			ill := func() bool { return m.Elapsed() >= 3*time.Second && m.Elapsed() < 11*time.Second }
 			m.sheds = func(m *model) bool { return ill() && m.rng.Float64() < share }
-			m.run(11 * time.Second)
+			m.Run(11 * time.Second)
 			answered, _ := m.sum(m.good, 5, 11)
 			must.Greater(t, 0.9*(1-share)*demand*6, float64(answered), must.Sprintf("share %.2f of %.0f calls/s", share, demand))
 		}
@@ -42,9 +42,9 @@
 	m := newModel(DefaultConfig(16), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
 	m.deepCalls(callctx.LevelNormal, 400, 700*time.Millisecond)
 	m.sheds = func(m *model) bool {
-		return m.elapsed() >= 6*time.Second && m.elapsed() < 14*time.Second && m.rng.Float64() < 0.55
+		return m.Elapsed() >= 6*time.Second && m.Elapsed() < 14*time.Second && m.rng.Float64() < 0.55
 	}
-	m.run(15 * time.Second)
+	m.Run(15 * time.Second)
 	must.GreaterEq(t, 15, m.ctl.Load().Limit) // one slot may be on trial
 }
 
@@ -52,8 +52,8 @@
 func TestRefusalsAtRandomOfSlowCallsKeepLimit(t *testing.T) {
 	m := newModel(DefaultConfig(37), func(m *model, _ *modelCall) time.Duration { return m.jittered(1300 * time.Millisecond) })
 	m.deepCalls(callctx.LevelNormal, 40, 4*time.Second)
-	m.sheds = func(m *model) bool { return m.elapsed() >= 4*time.Second && m.rng.Float64() < 0.5 }
-	m.run(16 * time.Second)
+	m.sheds = func(m *model) bool { return m.Elapsed() >= 4*time.Second && m.rng.Float64() < 0.5 }
+	m.Run(16 * time.Second)
 	answered, _ := m.sum(m.good, 9, 16)
 	must.Greater(t, 0.9*0.5*40*7, float64(answered))
 }
@@ -78,7 +78,7 @@
 		m := newModel(DefaultConfig(slots), slowWhenFull(slots, 55*time.Millisecond))
 		m.deepCalls(callctx.LevelCritical, 0.6*best, 700*time.Millisecond)
 		m.deepCalls(callctx.LevelNormal, 0.75*best, 700*time.Millisecond)
-		m.run(20 * time.Second)
+		m.Run(20 * time.Second)
 		answered, _ := m.sum(m.good, 3, 20)
 		must.Greater(t, 0.95*best*17, float64(answered), must.Sprintf("%d slots", slots))
 	}
@@ -92,7 +92,7 @@
 		m := newModel(DefaultConfig(slots), func(m *model, _ *modelCall) time.Duration { return m.jittered(55 * time.Millisecond) })
 		m.deepCalls(callctx.LevelCritical, 0.6*best, 700*time.Millisecond)
 		m.deepCalls(callctx.LevelNormal, 0.75*best, 700*time.Millisecond)
-		m.run(20 * time.Second)
+		m.Run(20 * time.Second)
 		answered, _ := m.sum(m.good, 3, 20)
 		must.Greater(t, 0.98*best*17, float64(answered), must.Sprintf("%d slots", slots))
 	}
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -1,22 +1,19 @@
 package admission
 
 import (
-	"cmp"
-	"container/heap"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/testclock"
 )
 
 // model is a deterministic upstream with its callers: events in virtual time.
 type model struct {
-	now     time.Time
-	start   time.Time
+	*testclock.Clock
 	ctl     *Controller
 	rng     *rand.Rand
-	events  eventHeap
 	calls   map[string]*modelCall
 	service func(m *model, c *modelCall) time.Duration
 	sheds   func(m *model) bool
@@ -32,62 +29,24 @@
 	started time.Time
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].seq, h[j].seq)) < 0
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 func newModel(cfg Config, service func(m *model, c *modelCall) time.Duration) *model {
 	start := time.Unix(1_000_000, 0)
 	m := &model{
-		now: start, start: start, ctl: New(cfg, start),
+		Clock: testclock.New(start), ctl: New(cfg, start),
 		rng: rand.New(rand.NewPCG(1, 2)), service: service,
 		calls: map[string]*modelCall{}, refused: map[uint32]int{},
 		good: map[int]*[callctx.Levels]int{}, offered: map[int]*[callctx.Levels]int{},
 	}
-	m.after(10*time.Millisecond, m.tick)
+	m.After(10*time.Millisecond, m.tick)
 	return m
 }
 
-func (m *model) elapsed() time.Duration { return m.now.Sub(m.start) }
-
-func (m *model) after(d time.Duration, do func()) {
-	m.last++
-	heap.Push(&m.events, event{m.now.Add(d), m.last, do})
-}
-
 func (m *model) tick() {
-	m.apply(m.ctl.Tick(m.now))
-	m.after(10*time.Millisecond, m.tick)
-}
-
-func (m *model) run(until time.Duration) {
-	end := m.start.Add(until)
-	for len(m.events) > 0 && m.events[0].at.Before(end) {
-		e := heap.Pop(&m.events).(event)
-		m.now = e.at
-		e.do()
-	}
-	m.now = end
+	m.apply(m.ctl.Tick(m.Now()))
+	m.After(10*time.Millisecond, m.tick)
 }
 
-func (m *model) second() int { return int(m.elapsed() / time.Second) }
+func (m *model) second() int { return int(m.Elapsed() / time.Second) }
 
 func count(in map[int]*[callctx.Levels]int, second int) *[callctx.Levels]int {
 	if in[second] == nil {
@@ -100,11 +59,11 @@
 	m.last++
 	r.ID = strconv.Itoa(m.last)
 	if r.RootAdmitted.IsZero() {
-		r.RootAdmitted = m.now
+		r.RootAdmitted = m.Now()
 	}
 	m.calls[r.ID] = &modelCall{req: r}
 	count(m.offered, m.second())[r.Level]++
-	d, others := m.ctl.Offer(m.now, r)
+	d, others := m.ctl.Offer(m.Now(), r)
 	m.apply([]Decision{d})
 	m.apply(others)
 }
@@ -123,17 +82,17 @@
 }
 
 func (m *model) begin(c *modelCall) {
-	c.started = m.now
+	c.started = m.Now()
 	if m.sheds != nil && m.sheds(m) {
-		m.after(time.Millisecond, func() { m.end(c, UpstreamShed) })
+		m.After(time.Millisecond, func() { m.end(c, UpstreamShed) })
 		return
 	}
 	took := m.service(m, c)
-	if left := c.req.Deadline.Sub(m.now); !c.req.Deadline.IsZero() && took > left {
-		m.after(left, func() { m.end(c, TimedOut) })
+	if left := c.req.Deadline.Sub(m.Now()); !c.req.Deadline.IsZero() && took > left {
+		m.After(left, func() { m.end(c, TimedOut) })
 		return
 	}
-	m.after(took, func() { m.end(c, Answered) })
+	m.After(took, func() { m.end(c, Answered) })
 }
 
 func (m *model) end(c *modelCall, o Outcome) {
@@ -141,27 +100,27 @@
 		count(m.good, m.second())[c.req.Level]++
 	}
 	delete(m.calls, c.req.ID)
-	m.apply(m.ctl.Finish(m.now, c.req.ID, o, m.now.Sub(c.started)))
+	m.apply(m.ctl.Finish(m.Now(), c.req.ID, o, m.Now().Sub(c.started)))
 }
 
 // stream offers calls at a rate that may change over time; perSecond 0 pauses.
 func (m *model) stream(perSecond func(t time.Duration) float64, make func() Request) {
 	var next func()
 	next = func() {
-		rate := perSecond(m.elapsed())
+		rate := perSecond(m.Elapsed())
 		if rate <= 0 {
-			m.after(10*time.Millisecond, next)
+			m.After(10*time.Millisecond, next)
 			return
 		}
 		m.offer(make())
-		m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
+		m.After(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
 	}
-	m.after(0, next)
+	m.After(0, next)
 }
 
 func (m *model) request(level callctx.Level, timeout time.Duration) func() Request {
 	return func() Request {
-		return Request{Level: level, CallerHash: m.rng.Uint32(), Deadline: m.now.Add(timeout)}
+		return Request{Level: level, CallerHash: m.rng.Uint32(), Deadline: m.Now().Add(timeout)}
 	}
 }
 
--- a/internal/admission/story_test.go
+++ b/internal/admission/story_test.go
@@ -21,7 +21,7 @@
 
 func between(from, to time.Duration, inside, outside time.Duration) func(*model, *modelCall) time.Duration {
 	return func(m *model, _ *modelCall) time.Duration {
-		if e := m.elapsed(); e >= from && e < to {
+		if e := m.Elapsed(); e >= from && e < to {
 			return m.jittered(inside)
 		}
 		return m.jittered(outside)
@@ -37,7 +37,7 @@
 		}
 		return 0.6 * capacity
 	})
-	m.run(10 * time.Second)
+	m.Run(10 * time.Second)
 	all, good := m.sum(m.good, 4, 7)
 	_, offered := m.sum(m.offered, 4, 7)
 	must.Greater(t, 0.95*3*capacity, float64(all))
@@ -53,7 +53,7 @@
 	m := mixed(25, time.Second, between(3*time.Second, 12*time.Second, 200*time.Millisecond, 20*time.Millisecond), steady(800))
 	least := 25
 	for s := range 15 {
-		m.run(time.Duration(s+1) * time.Second)
+		m.Run(time.Duration(s+1) * time.Second)
 		least = min(least, m.ctl.Load().Limit)
 	}
 	must.GreaterEq(t, 18, least)
@@ -70,17 +70,17 @@
 	m := mixed(25, time.Second, between(0, 0, 0, 10*time.Millisecond), steady(2000))
 	shed := 0
 	m.sheds = func(m *model) bool {
-		e := m.elapsed()
+		e := m.Elapsed()
 		full := e >= 3*time.Second && e < 8*time.Second && m.ctl.Load().InFlight > 10
 		if full {
 			shed++
 		}
 		return full
 	}
-	m.run(8 * time.Second)
+	m.Run(8 * time.Second)
 	must.Between(t, 6, m.ctl.Load().Limit, 12)
 	must.Less(t, 250, shed) // of 10,000 offered
-	m.run(9200 * time.Millisecond)
+	m.Run(9200 * time.Millisecond)
 	must.Eq(t, 25, m.ctl.Load().Limit)
 }
 
@@ -89,9 +89,9 @@
 	for _, share := range []float64{0.3, 0.4, 0.55, 0.7} {
 		for _, demand := range []float64{800, 1200, 2000} {
 			m := mixed(122, 2*time.Second, between(0, 0, 0, 70*time.Millisecond), steady(demand))
-			ill := func() bool { return m.elapsed() >= 3*time.Second && m.elapsed() < 11*time.Second }
+			ill := func() bool { return m.Elapsed() >= 3*time.Second && m.Elapsed() < 11*time.Second }
 			m.sheds = func(m *model) bool { return ill() && m.rng.Float64() < share }
-			m.run(11 * time.Second)
+			m.Run(11 * time.Second)
 			answered, _ := m.sum(m.good, 5, 11)
 			must.Greater(t, 0.9*(1-share)*demand*6, float64(answered), must.Sprintf("share %.2f of %.0f calls/s", share, demand))
 		}
@@ -111,19 +111,19 @@
 		m.service = func(m *model, c *modelCall) time.Duration {
 			took := service(m, c)
 			running++
-			m.after(took, func() { running-- })
+			m.After(took, func() { running-- })
 			return took
 		}
 		m.sheds = func(m *model) bool {
-			full := m.elapsed() >= 3*time.Second && running >= room
-			if full && m.elapsed() >= 5*time.Second {
+			full := m.Elapsed() >= 3*time.Second && running >= room
+			if full && m.Elapsed() >= 5*time.Second {
 				shed++
 			}
 			return full
 		}
 		for second := range 7 {
-			m.run(time.Duration(5+second) * time.Second)
-			must.Between(t, 15, m.ctl.Load().Limit, 25, must.Sprintf("room %d, %v", room, m.elapsed()))
+			m.Run(time.Duration(5+second) * time.Second)
+			must.Between(t, 15, m.ctl.Load().Limit, 25, must.Sprintf("room %d, %v", room, m.Elapsed()))
 		}
 		must.Less(t, x.sheds, shed)
 	}
@@ -143,7 +143,7 @@
 	}
 	least := 25
 	for s := range 10 {
-		m.run(time.Duration(s+1) * time.Second)
+		m.Run(time.Duration(s+1) * time.Second)
 		least = min(least, m.ctl.Load().Limit)
 	}
 	must.Less(t, 19, least)
@@ -198,12 +198,12 @@
 		hash := callers[next%len(callers)]
 		next++
 		offered[hash]++
-		return Request{Level: callctx.LevelNormal, CallerHash: hash, Deadline: m.now.Add(time.Second)}
+		return Request{Level: callctx.LevelNormal, CallerHash: hash, Deadline: m.Now().Add(time.Second)}
 	})
-	m.run(2 * time.Second)
+	m.Run(2 * time.Second)
 	clear(offered)
 	clear(m.refused)
-	m.run(6 * time.Second)
+	m.Run(6 * time.Second)
 	served, dropped, mixed := 0, 0, 0
 	for _, hash := range callers {
 		switch share := float64(m.refused[hash]) / float64(offered[hash]); {
@@ -229,11 +229,11 @@
 		started++
 		return recovers(m, c)
 	}
-	m.run(6 * time.Second) // two generations of samples and a half
+	m.Run(6 * time.Second) // two generations of samples and a half
 	started = 0
-	m.run(8 * time.Second)
+	m.Run(8 * time.Second)
 	must.Between(t, 3, started, 40) // probes only, of 1,600 offered
-	m.run(11 * time.Second)
+	m.Run(11 * time.Second)
 	good, _ := m.sum(m.good, 9, 11)
 	demand, _ := m.sum(m.offered, 9, 11)
 	must.Greater(t, 0.97*float64(demand), float64(good))
@@ -243,7 +243,7 @@
 func TestProbeWinsBackQuickCalls(t *testing.T) {
 	m := newModel(DefaultConfig(25), nil)
 	quick := func() Request {
-		return Request{Level: callctx.LevelHigh, CallerHash: m.rng.Uint32(), Deadline: m.now.Add(50 * time.Millisecond)}
+		return Request{Level: callctx.LevelHigh, CallerHash: m.rng.Uint32(), Deadline: m.Now().Add(50 * time.Millisecond)}
 	}
 	m.stream(steady(100), m.request(callctx.LevelHigh, 2*time.Second))
 	m.stream(func(e time.Duration) float64 {
@@ -253,12 +253,12 @@
 		return 200
 	}, quick)
 	m.service = func(m *model, c *modelCall) time.Duration {
-		if c.req.Deadline.Sub(m.now) <= 50*time.Millisecond {
+		if c.req.Deadline.Sub(m.Now()) <= 50*time.Millisecond {
 			return m.jittered(10 * time.Millisecond)
 		}
 		return m.jittered(100 * time.Millisecond)
 	}
-	m.run(8 * time.Second)
+	m.Run(8 * time.Second)
 	_, good := m.sum(m.good, 5, 8)
 	must.Greater(t, int(0.95*300*3), good[callctx.LevelHigh])
 }
--- a/internal/admission/surge_test.go
+++ b/internal/admission/surge_test.go
@@ -34,7 +34,7 @@
 		{level: callctx.LevelNormal, rate: usualUse * capacity, calls: calls, work: 250 * time.Millisecond, worth: 1, timeout: 2 * time.Second},
 	})
 	f.demand = func() float64 {
-		if f.model.elapsed() < step {
+		if f.model.Elapsed() < step {
 			return 1
 		}
 		return 1.8
@@ -74,7 +74,7 @@
 	m := newModel(DefaultConfig(slots), func(m *model, _ *modelCall) time.Duration { return m.jittered(usual) })
 	capacity := slots / usual.Seconds()
 	m.stream(steady(overload*capacity), m.request(callctx.LevelNormal, time.Second))
-	m.run(end * time.Second)
+	m.Run(end * time.Second)
 	answered, _ := m.sum(m.good, settled, end)
 	must.GreaterEq(t, 0.95*capacity*(end-settled), float64(answered))
 }
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/testclock"
 )
 
 const (
@@ -81,7 +82,7 @@
 func newTreeModel(entries, guards, slots int, routes []treeRoute) *treeModel {
 	f := &treeModel{routes: routes, tally: make([]treeTally, len(routes))}
 	start := time.Unix(1_000_000, 0)
-	f.model = &model{now: start, start: start, rng: rand.New(rand.NewPCG(3, 4))}
+	f.model = &model{Clock: testclock.New(start), rng: rand.New(rand.NewPCG(3, 4))}
 	for range entries {
 		gates := map[int]*TreeGate{}
 		behind := &TreeGate{}
@@ -97,9 +98,9 @@
 		f.guards = append(f.guards, &modelGuard{ctl: New(DefaultConfig(slots), start), calls: map[string]*guardCall{}})
 	}
 	f.service = func(*modelGuard) time.Duration { return f.jittered(usualCall) }
-	f.model.after(10*time.Millisecond, f.tick)
+	f.model.After(10*time.Millisecond, f.tick)
 	for r, route := range routes {
-		f.model.after(0, func() { f.arrive(r, route) })
+		f.model.After(0, func() { f.arrive(r, route) })
 	}
 	return f
 }
@@ -110,26 +111,26 @@
 
 func (f *treeModel) tick() {
 	for _, g := range f.guards {
-		f.apply(g, g.ctl.Tick(f.model.now))
+		f.apply(g, g.ctl.Tick(f.model.Now()))
 	}
-	f.model.after(10*time.Millisecond, f.tick)
+	f.model.After(10*time.Millisecond, f.tick)
 }
 
-func (f *treeModel) counted() bool { return f.model.elapsed() >= f.from }
+func (f *treeModel) counted() bool { return f.model.Elapsed() >= f.from }
 
 // arrive lets callers ask, some 2 a second each entry and more.
 func (f *treeModel) arrive(r int, route treeRoute) {
-	f.ask(&treeRequest{route: r, asked: f.model.now})
+	f.ask(&treeRequest{route: r, asked: f.model.Now()})
 	rate := route.rate
 	if f.demand != nil {
 		rate *= f.demand()
 	}
-	f.model.after(time.Duration(f.model.rng.ExpFloat64()/rate*float64(time.Second)), func() { f.arrive(r, route) })
+	f.model.After(time.Duration(f.model.rng.ExpFloat64()/rate*float64(time.Second)), func() { f.arrive(r, route) })
 }
 
 // ask is one attempt of a caller.
 func (f *treeModel) ask(t *treeRequest) {
-	now, route := f.model.now, &f.routes[t.route]
+	now, route := f.model.Now(), &f.routes[t.route]
 	t.entry = f.model.rng.IntN(len(f.entries))
 	t.level, t.hash = route.level, f.model.rng.Uint32()
 	t.began, t.deadline = now, now.Add(route.timeout)
@@ -146,7 +147,7 @@
 	if f.counted() {
 		f.tally[t.route].admitted++
 	}
-	f.model.after(f.jittered(route.work), func() { f.step(t) })
+	f.model.After(f.jittered(route.work), func() { f.step(t) })
 }
 
 // refused lets a caller come back once.
@@ -159,7 +160,7 @@
 	}
 	back := *t
 	back.again = true
-	f.model.after(max(refusal.RetryAfter, 50*time.Millisecond), func() { f.ask(&back) })
+	f.model.After(max(refusal.RetryAfter, 50*time.Millisecond), func() { f.ask(&back) })
 }
 
 // pick returns the guard with the least work for its slots that does not shed the rank.
@@ -225,22 +226,22 @@
 	depth, deadline := 3, t.deadline
 	if f.routes[t.route].calls == 0 {
 		depth = 0
-	} else if latest := f.model.now.Add(700 * time.Millisecond); latest.Before(deadline) {
+	} else if latest := f.model.Now().Add(700 * time.Millisecond); latest.Before(deadline) {
 		deadline = latest
 	}
 	g.calls[id] = &guardCall{refuse: refuse, run: func() {
-		began := f.model.now
+		began := f.model.Now()
 		took := f.service(g)
 		if depth == 0 {
 			took *= rootTimes
 		}
-		f.model.after(took, func() {
-			f.apply(g, g.ctl.Finish(f.model.now, id, Answered, f.model.now.Sub(began)))
+		f.model.After(took, func() {
+			f.apply(g, g.ctl.Finish(f.model.Now(), id, Answered, f.model.Now().Sub(began)))
 			t.left--
-			f.model.after(2*time.Millisecond, func() { f.step(t) })
+			f.model.After(2*time.Millisecond, func() { f.step(t) })
 		})
 	}}
-	d, others := g.ctl.Offer(f.model.now, Request{ID: id, Level: t.level, CallerHash: t.hash, Deadline: deadline, RootAdmitted: t.began, Depth: depth})
+	d, others := g.ctl.Offer(f.model.Now(), Request{ID: id, Level: t.level, CallerHash: t.hash, Deadline: deadline, RootAdmitted: t.began, Depth: depth})
 	f.apply(g, others)
 	f.apply(g, []Decision{d})
 }
@@ -261,10 +262,10 @@
 }
 
 func (f *treeModel) end(t *treeRequest, completed bool) {
-	if completed && f.model.now.After(t.deadline) {
+	if completed && f.model.Now().After(t.deadline) {
 		completed = false
 	}
-	f.entries[t.entry][t.route].Learn(f.model.now, t.sheds)
+	f.entries[t.entry][t.route].Learn(f.model.Now(), t.sheds)
 	if !f.counted() {
 		return
 	}
@@ -275,7 +276,7 @@
 	}
 }
 
-func (f *treeModel) run(until time.Duration) { f.model.run(until) }
+func (f *treeModel) run(until time.Duration) { f.model.Run(until) }
 
 // lakes are the routes of a deployment whose deepest service is short.
 func lakes(scale float64) []treeRoute {
--- a/internal/control/twelve_test.go
+++ b/internal/control/twelve_test.go
@@ -1,7 +1,6 @@
 package control_test
 
 import (
-	"container/heap"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,6 +21,7 @@
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
+	"github.com/galenagrade/galenagrade/internal/testclock"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -50,10 +50,8 @@
 
 // minute drives nodes, the log and the network in one goroutine of virtual time.
 type minute struct {
+	*testclock.Clock
 	t     *testing.T
-	now   time.Time
-	seq   int
-	queue minuteQueue
 	rng   *rand.Rand
 	log   *logd.Server
 	nodes []*minuteNode
@@ -68,48 +66,10 @@
 	life    int // counts the upstream's crashes
 }
 
-type minuteEvent struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type minuteQueue []minuteEvent
-
-func (q minuteQueue) Len() int { return len(q) }
-func (q minuteQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q minuteQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *minuteQueue) Push(x any)   { *q = append(*q, x.(minuteEvent)) }
-func (q *minuteQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-// Now implements Clock.
-func (s *minute) Now() time.Time { return s.now }
-
-func (s *minute) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, minuteEvent{s.now.Add(d), s.seq, do})
-}
-
-func (s *minute) run(until time.Duration) {
-	end := epoch.Add(until)
-	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
-		e := heap.Pop(&s.queue).(minuteEvent)
-		s.now = e.at
-		e.do()
-	}
-}
-
 // newMinute makes four nodes for each of three services; front calls middle, and
 // middle calls back.
 func newMinute(t *testing.T, seed uint64) *minute {
-	s := &minute{t: t, now: epoch, rng: rand.New(rand.NewPCG(seed, 1))}
+	s := &minute{Clock: testclock.New(epoch), t: t, rng: rand.New(rand.NewPCG(seed, 1))}
 	s.log = logd.New(logd.Options{Now: s.Now, Seed: seed})
 	s.publish()
 	for i := range 12 {
@@ -121,7 +81,7 @@
 func (s *minute) publish() {
 	var records []logstore.Record
 	add := func(p policy.Publication) {
-		rec, err := p.Record(s.now)
+		rec, err := p.Record(s.Now())
 		must.NoError(s.t, err)
 		records = append(records, rec)
 	}
@@ -148,7 +108,7 @@
 	s.nodes = append(s.nodes, n)
 	body, err := json.Marshal(membership.Join{Member: membership.Member{
 		Identity: membership.Identity{Node: id.Node, Incarnation: 1}, Region: id.Region, Zone: id.Zone,
-		Service: n.service, InnerAddr: id.InnerAddr, Slots: 6, JoinedAt: s.now,
+		Service: n.service, InnerAddr: id.InnerAddr, Slots: 6, JoinedAt: s.Now(),
 	}})
 	must.NoError(s.t, err)
 	_, err = s.log.Append(context.Background(), []logstore.Record{{ID: id.Node, Kind: logstore.KindJoin, Body: body}})
@@ -159,22 +119,22 @@
 }
 
 func (n *minuteNode) announce() {
-	n.UpstreamAnnounced(n.s.now, node.Announcement{Service: n.service, Address: "10.0.0.1:2", Slots: 6})
+	n.UpstreamAnnounced(n.s.Now(), node.Announcement{Service: n.service, Address: "10.0.0.1:2", Slots: 6})
 }
 
 func (n *minuteNode) tick() {
-	n.Guard().Tick(n.s.now)
-	n.s.after(minuteTick, n.tick)
+	n.Guard().Tick(n.s.Now())
+	n.s.After(minuteTick, n.tick)
 }
 
 // follow reads the log once a second.
 func (n *minuteNode) follow() {
 	page, err := n.s.log.Read(context.Background(), n.replica.Next(), 1000, 0)
 	must.NoError(n.s.t, err)
-	n.replica.Take(n.s.now, page)
-	n.SetPolicy(n.s.now, n.replica.Policy())
-	n.SetEndpoints(n.s.now, control.Endpoints(n.replica.Members(), func(membership.Identity) bool { return false }))
-	n.s.after(time.Second, n.follow)
+	n.replica.Take(n.s.Now(), page)
+	n.SetPolicy(n.s.Now(), n.replica.Policy())
+	n.SetEndpoints(n.s.Now(), control.Endpoints(n.replica.Members(), func(membership.Identity) bool { return false }))
+	n.s.After(time.Second, n.follow)
 }
 
 // Claim implements Runner.
@@ -188,12 +148,12 @@
 	end := func(a *node.Answer) {
 		if n.life != life {
 			a = node.Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "the upstream died"))
-			a.Crashed = n.UpstreamCrashed(n.s.now)
+			a.Crashed = n.UpstreamCrashed(n.s.Now())
 		}
-		n.Guard().Finish(n.s.now, call.Ctx.CallID, a)
+		n.Guard().Finish(n.s.Now(), call.Ctx.CallID, a)
 	}
 	deeper := map[string]string{"front": "middle", "middle": "back"}[n.service]
-	n.s.after(time.Duration((0.5+n.s.rng.Float64())*float64(20*time.Millisecond)), func() {
+	n.s.After(time.Duration((0.5+n.s.rng.Float64())*float64(20*time.Millisecond)), func() {
 		if deeper == "" || n.life != life {
 			end(doneAnswer(call))
 			return
@@ -203,7 +163,7 @@
 }
 
 func (n *minuteNode) callDeeper(call *node.Call, service string, end func(*node.Answer)) {
-	child, account, refusal := n.Child(n.s.now, callctx.Raw{Parent: call.Ctx.CallID, Service: service}, "GET")
+	child, account, refusal := n.Child(n.s.Now(), callctx.Raw{Parent: call.Ctx.CallID, Service: service}, "GET")
 	if refusal != nil {
 		end(node.Refused(call.Ctx.CallID, refusal))
 		return
@@ -223,18 +183,18 @@
 	d := node.NewDispatch(n.Node, n.s.rng, call, account)
 	var next func()
 	next = func() {
-		switch o := d.Next(n.s.now); o.Kind {
+		switch o := d.Next(n.s.Now()); o.Kind {
 		case node.OrderDone:
 			n.Answered(call, o.Answer, d)
 			done(o.Answer)
 		case node.OrderPause:
-			n.s.after(o.Pause, next)
+			n.s.After(o.Pause, next)
 		case node.OrderSend:
 			to := n.s.node(o.Target.Endpoint().Node)
-			n.s.after(minuteOneWay, func() {
+			n.s.After(minuteOneWay, func() {
 				to.arrive(o.Attempt, func(a *node.Answer) {
-					n.s.after(minuteOneWay, func() {
-						d.Observe(n.s.now, a)
+					n.s.After(minuteOneWay, func() {
+						d.Observe(n.s.Now(), a)
 						next()
 					})
 				})
@@ -245,7 +205,7 @@
 }
 
 func (n *minuteNode) arrive(call *node.Call, answer func(*node.Answer)) {
-	if _, a := n.Guard().Arrive(n.s.now, call, answer); a != nil {
+	if _, a := n.Guard().Arrive(n.s.Now(), call, answer); a != nil {
 		answer(a)
 	}
 }
@@ -263,20 +223,20 @@
 // offer makes root requests, four times as many from the 30th to the 40th second.
 func (s *minute) offer() {
 	rate := 100.0
-	if e := s.now.Sub(epoch); e >= 30*time.Second && e < 40*time.Second {
+	if e := s.Now().Sub(epoch); e >= 30*time.Second && e < 40*time.Second {
 		rate = 400
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.offer)
+	s.After(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.offer)
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	raw := callctx.Raw{Workspace: "w", Service: "front", HasLevel: true, Level: callctx.Level(s.rng.IntN(callctx.Levels)), Timeout: time.Second}
-	call, allowance, refusal := n.Root(s.now, raw, "GET", fmt.Sprint(s.rng.IntN(50)))
+	call, allowance, refusal := n.Root(s.Now(), raw, "GET", fmt.Sprint(s.rng.IntN(50)))
 	if refusal != nil {
 		s.lines = append(s.lines, refusal.Error())
 		return
 	}
 	call.Method, call.Target = "GET", "/"+call.Ctx.CallID
 	n.dispatch(call, retry.NewAccount(allowance), func(a *node.Answer) {
-		s.lines = append(s.lines, fmt.Sprintf("%s %s %s %d", s.now.Sub(epoch), n.ID(), call.Ctx.RequestID, a.Code))
+		s.lines = append(s.lines, fmt.Sprintf("%s %s %s %d", s.Now().Sub(epoch), n.ID(), call.Ctx.RequestID, a.Code))
 	})
 }
 
@@ -284,11 +244,11 @@
 // crash, a drain and a surge.
 func simulatedMinute(t *testing.T, seed uint64) []string {
 	s := newMinute(t, seed)
-	s.after(time.Second, s.offer)
-	s.after(10*time.Second, func() { s.nodes[2].life++; s.nodes[2].UpstreamCrashed(s.now) })
-	s.after(12*time.Second, s.nodes[2].announce)
-	s.after(20*time.Second, func() { s.nodes[4].Guard().Drain(s.now) })
-	s.run(time.Minute)
+	s.After(time.Second, s.offer)
+	s.After(10*time.Second, func() { s.nodes[2].life++; s.nodes[2].UpstreamCrashed(s.Now()) })
+	s.After(12*time.Second, s.nodes[2].announce)
+	s.After(20*time.Second, func() { s.nodes[4].Guard().Drain(s.Now()) })
+	s.Run(time.Minute)
 	for _, n := range s.nodes {
 		for _, e := range n.Ring().Events(timeline.Filter{}) {
 			s.lines = append(s.lines, fmt.Sprint(e.HLC, e.Node, e.Kind, e.CallID, e.Upstream, e.Code, e.Detail))
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -12,15 +11,15 @@
 
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/testclock"
 )
 
 // zoneModel is a few entries that send to a few guards in virtual time: the real choice of
 // upstreams before the real admission.
 type zoneModel struct {
-	now    time.Time
+	*testclock.Clock
 	rng    *rand.Rand
-	events zoneEvents
-	seq    int
+	sent   int
 	asked  int
 	tables []*Table
 	guards map[string]*zoneGuard
@@ -44,71 +43,37 @@
 	done   func(refused bool)
 }
 
-type zoneEvent struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type zoneEvents []zoneEvent
-
-func (h zoneEvents) Len() int { return len(h) }
-func (h zoneEvents) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
-}
-func (h zoneEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *zoneEvents) Push(x any)   { *h = append(*h, x.(zoneEvent)) }
-func (h *zoneEvents) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // hop is the time from an entry to a guard.
 const hop = 200 * time.Microsecond
 
 func newZoneModel(entries, guards, slots int, usual time.Duration) *zoneModel {
-	m := &zoneModel{now: origin, rng: rand.New(rand.NewPCG(5, 6)), guards: map[string]*zoneGuard{}, usual: usual}
+	m := &zoneModel{Clock: testclock.New(origin), rng: rand.New(rand.NewPCG(5, 6)), guards: map[string]*zoneGuard{}, usual: usual}
 	var eps []Endpoint
 	for i := range guards {
 		ep := upstream("saga", i, slots).ep
 		eps = append(eps, ep)
-		m.guards[ep.Node] = &zoneGuard{ctl: admission.New(admission.DefaultConfig(slots), m.now), calls: map[string]*zoneCall{}}
+		m.guards[ep.Node] = &zoneGuard{ctl: admission.New(admission.DefaultConfig(slots), m.Now()), calls: map[string]*zoneCall{}}
 	}
 	for i := range entries {
 		self := Self{Node: fmt.Sprintf("entry-%d", i), Region: "kyushu", Zone: "saga"}
-		m.tables = append(m.tables, NewTable(nil, DefaultConfig(), self, eps, m.now))
+		m.tables = append(m.tables, NewTable(nil, DefaultConfig(), self, eps, m.Now()))
 	}
-	m.after(10*time.Millisecond, m.tick)
+	m.After(10*time.Millisecond, m.tick)
 	return m
 }
 
-func (m *zoneModel) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.events, zoneEvent{m.now.Add(d), m.seq, do})
-}
-
-func (m *zoneModel) run(until time.Duration) {
-	for end := origin.Add(until); len(m.events) > 0 && m.events[0].at.Before(end); {
-		e := heap.Pop(&m.events).(zoneEvent)
-		m.now = e.at
-		e.do()
-	}
-}
-
 func (m *zoneModel) tick() {
 	for i := range len(m.guards) {
 		g := m.guards[fmt.Sprintf("saga-%d", i)]
-		m.apply(g, g.ctl.Tick(m.now))
+		m.apply(g, g.ctl.Tick(m.Now()))
 	}
-	m.after(10*time.Millisecond, m.tick)
+	m.After(10*time.Millisecond, m.tick)
 }
 
 // load lets requests come at a rate, each to any entry.
 func (m *zoneModel) load(perSecond float64) {
 	m.request()
-	m.after(time.Duration(m.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { m.load(perSecond) })
+	m.After(time.Duration(m.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { m.load(perSecond) })
 }
 
 func (m *zoneModel) request() {
@@ -121,16 +86,16 @@
 // attempt sends a request to a guard, and once more to another one after a refusal.
 func (m *zoneModel) attempt(table *Table, hash uint32, avoid []string) {
 	rank := admission.Rank(callctx.LevelNormal, hash)
-	target, refusal := table.Pick(m.now, m.rng, PickInfo{Service: "archive", Rank: rank, Avoid: avoid})
+	target, refusal := table.Pick(m.Now(), m.rng, PickInfo{Service: "archive", Rank: rank, Avoid: avoid})
 	if refusal != nil {
 		m.count(avoid == nil, true)
 		return
 	}
 	node := target.Endpoint().Node
-	target.Start(m.now)
-	m.seq++
-	id := strconv.Itoa(m.seq)
-	call := &zoneCall{guard: m.guards[node], target: target, sent: m.now}
+	target.Start(m.Now())
+	m.sent++
+	id := strconv.Itoa(m.sent)
+	call := &zoneCall{guard: m.guards[node], target: target, sent: m.Now()}
 	call.done = func(refused bool) {
 		if refused && avoid == nil {
 			m.attempt(table, hash, []string{node})
@@ -138,7 +103,7 @@
 		}
 		m.count(false, refused)
 	}
-	m.after(hop, func() { m.arrive(call, id, hash) })
+	m.After(hop, func() { m.arrive(call, id, hash) })
 }
 
 func (m *zoneModel) count(early, refused bool) {
@@ -155,8 +120,8 @@
 
 func (m *zoneModel) arrive(c *zoneCall, id string, hash uint32) {
 	c.guard.calls[id] = c
-	d, others := c.guard.ctl.Offer(m.now, admission.Request{
-		ID: id, Level: callctx.LevelNormal, CallerHash: hash, RootAdmitted: m.now, Deadline: m.now.Add(time.Second),
+	d, others := c.guard.ctl.Offer(m.Now(), admission.Request{
+		ID: id, Level: callctx.LevelNormal, CallerHash: hash, RootAdmitted: m.Now(), Deadline: m.Now().Add(time.Second),
 	})
 	m.apply(c.guard, others)
 	m.apply(c.guard, []admission.Decision{d})
@@ -178,9 +143,9 @@
 
 func (m *zoneModel) serve(c *zoneCall, id string) {
 	took := time.Duration((0.8 + 0.4*m.rng.Float64()) * float64(m.usual))
-	m.after(took, func() {
+	m.After(took, func() {
 		delete(c.guard.calls, id)
-		m.apply(c.guard, c.guard.ctl.Finish(m.now, id, admission.Answered, took))
+		m.apply(c.guard, c.guard.ctl.Finish(m.Now(), id, admission.Answered, took))
 		m.answer(c, Answered)
 	})
 }
@@ -189,8 +154,8 @@
 func (m *zoneModel) answer(c *zoneCall, o Outcome) {
 	l := c.guard.ctl.Load()
 	report := &LoadReport{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Threshold: l.Threshold, Overloaded: l.Overloaded, Incarnation: 1}
-	m.after(hop, func() {
-		c.target.Done(m.now, o, m.now.Sub(c.sent), report)
+	m.After(hop, func() {
+		c.target.Done(m.Now(), o, m.Now().Sub(c.sent), report)
 		c.done(o == Refused)
 	})
 }
@@ -204,9 +169,9 @@
 	m := newZoneModel(entries, guards, slots, usual)
 	capacity := guards * slots / usual.Seconds()
 	m.load(overload * capacity)
-	m.run(settled)
+	m.Run(settled)
 	m.counting = true
-	m.run(end)
+	m.Run(end)
 	room := capacity * (end - settled).Seconds()
 	t.Logf("answered %.3f of the room, refused %d at guards, %d at entries", float64(m.answered)/room, m.refused, m.early)
 	must.GreaterEq(t, 0.95*room, float64(m.answered))
