--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -65,7 +65,7 @@
 	return uint32(g.threshold)
 }
 
-// Admit returns a refusal when a request has to be turned away. u and v are
+// Admit returns a refusal when a request has to be rejected. u and v are
 // random numbers in [0, 1).
 func (g *TreeGate) Admit(now time.Time, level callctx.Level, hash uint32, objective time.Duration, u, v float64) *result.Refusal {
 	threshold := g.Threshold(now)
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -377,7 +377,7 @@
 
 func (r *refusedTopic) Read(ctx context.Context, from int64, wait time.Duration) ([]Item, int64, error) {
 	if r.refused.Load() {
-		return nil, 0, errors.New("turned away")
+		return nil, 0, errors.New("rejected")
 	}
 	return r.growingTopic.Read(ctx, from, wait)
 }
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -157,7 +157,7 @@
 			return
 		}
 		size := max(0, r.ContentLength)
-		// A re-attachment is never turned away: its call may be running here,
+		// A re-attachment is never rejected: its call may be running here,
 		// and "not run" would then be false.
 		if refusal := p.gate.enter(size, !call.Reattach); refusal != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
