Routes are in force in time though a waiting read hears nothing

All 73 nodes went on with version 9 for 17 seconds after version 11 had been taken by the store.

Cause, from replays with logs: two versions were published at once while the store was slow. All reads that waited got the first; each reader's next read, sent within 0.1 s of it at the offset behind it, was never answered, in any of the four zones. So the store leaves out reads that wait when a record comes. Zones compare how far they have read, which can't help where all of them wait alike.

Change: reads of routes at the store wait a second; the relay's questions already did. It costs one call a second for each zone. Members go on with 25 seconds: they change all the time, and a late one costs a call that goes on elsewhere.

--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -18,6 +18,9 @@
 	// costs the same however long it waits; whether its connection lives is
 	// shown by keep-alive probes, not by its end.
 	readWait = 25 * time.Second
+	// routesReadWait is the same for published routes: the store may leave out a read
+	// that waits when a record comes, and routes have to be in force within two seconds.
+	routesReadWait = time.Second
 	// minPause and maxPause bound the wait after a failed call of the store. An
 	// entry has to be back about two seconds after the store's return.
 	minPause = 150 * time.Millisecond
@@ -55,6 +58,8 @@
 	calls  callLog
 	// kick makes a pause end at once.
 	kick chan struct{}
+	// readWait is how long a read at the store waits for changes.
+	readWait time.Duration
 	// settle is how long to wait after changes from the store before the next read; nil:
 	// not at all.
 	settle func() time.Duration
@@ -100,6 +105,7 @@
 		relay:       r,
 		purpose:     PurposeStart,
 		behindGrace: behindGrace,
+		readWait:    readWait,
 		tried:       make(chan struct{}),
 	}
 	f.next.Store(readAll)
@@ -188,7 +194,7 @@
 	case f.lost.Load():
 		return f.readNow(ctx, next, callTimeout)
 	}
-	return f.readChanges(ctx, next, readWait)
+	return f.readChanges(ctx, next, f.readWait)
 }
 
 // readNow reads what is there without a wait for more, where an answer that does not come
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -37,6 +37,7 @@
 func newRouteKeeper(m *Mesh) *routeKeeper {
 	k := &routeKeeper{mesh: m}
 	k.follower = newFollower(m.platform.RoutesTopic(), k.apply, m.newRelay(routesWait), m.logger)
+	k.follower.readWait = routesReadWait
 	return k
 }
 
