Callers are known by the API keys of workspaces

Ruled out: keeping the published keys. A map of digests is looked up, so timing says nothing of a key. Ruled out as well: an empty workspace on the wire between nodes, which the decoder refuses for good reason; a reserved name stands for it.

Change: routes hold workspaces (digests, level, rate, burst) and which routes are public. A caller's request without a known key is refused with 4010 (401). Its workspace's importance goes before the route's and travels with its calls, which need no key; a call is one only if it shows no key and its parent runs here, so a forged ID gets nowhere. A diff of routes names keys by fingerprint.

Quotas are not counted yet.

--- /dev/null
+++ b/internal/bench/report/seconds.go
@@ -0,0 +1,52 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Outcome is what a caller got for one request.
+type Outcome struct {
+	Begun  time.Time
+	Took   time.Duration
+	Status int // 0: no answer
+}
+
+// Seconds prints a line for each of so many seconds from begun on. note is what the line
+// of a second ends with; the argument is the time since begun.
+func Seconds(out io.Writer, got []Outcome, begun time.Time, seconds int, note func(time.Duration) string) {
+	fmt.Fprintln(out, "second  sent  served  refused  failed   p50 ms   p99 ms")
+	for second := range seconds {
+		at := time.Duration(second) * time.Second
+		from := begun.Add(at)
+		var took []time.Duration
+		sent, refused, failed := 0, 0, 0
+		for _, o := range got {
+			if o.Begun.Before(from) || !o.Begun.Before(from.Add(time.Second)) {
+				continue
+			}
+			sent++
+			switch o.Status {
+			case http.StatusOK:
+				took = append(took, o.Took)
+			case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+				refused++
+			default:
+				failed++
+			}
+		}
+		slices.Sort(took)
+		fmt.Fprintf(out, "%6d %5d %7d %8d %7d %8.1f %8.1f  %s\n", second, sent, len(took), refused, failed,
+			milliseconds(took, 0.5), milliseconds(took, 0.99), note(at))
+	}
+}
+
+func milliseconds(sorted []time.Duration, quantile float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[int(quantile*float64(len(sorted)-1))]) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/bench/report/seconds_test.go
@@ -0,0 +1,30 @@
+package report
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestReportCountsWhatCallersGot(t *testing.T) {
+	begun := time.Now()
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	var out bytes.Buffer
+	Seconds(&out, []Outcome{
+		{Begun: at(0), Took: 20 * time.Millisecond, Status: http.StatusOK},
+		{Begun: at(999), Took: 40 * time.Millisecond, Status: http.StatusServiceUnavailable},
+		{Begun: at(1000), Status: 0},
+	}, begun, 2, func(since time.Duration) string {
+		if since < time.Second {
+			return ""
+		}
+		return "<- the upstream crashes"
+	})
+	lines := strings.Split(out.String(), "\n")
+	must.StrContains(t, lines[1], "     0     2       1        1       0     20.0     20.0")
+	must.StrContains(t, lines[2], "     1     1       0        0       1      0.0      0.0  <- the upstream")
+}
--- a/internal/callctx/callctx.go
+++ b/internal/callctx/callctx.go
@@ -78,6 +78,10 @@
 	TraceParent string
 }
 
+// NoWorkspace stands for the workspace of requests that come by routes without a known
+// one. No workspace may have this name.
+const NoWorkspace = "-"
+
 // Remaining is the time left at now; never negative.
 func (c *Context) Remaining(now time.Time) time.Duration {
 	return max(0, c.Deadline.Sub(now))
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -16,6 +16,8 @@
 	// is replaced.
 	RequestID string
 	Service   string
+	// Workspace is whose request it is; callctx.NoWorkspace when that is not known.
+	Workspace string
 	Level     callctx.Level
 	// Timeout is how long the caller may be kept waiting.
 	Timeout    time.Duration
@@ -26,9 +28,6 @@
 	Caller string
 }
 
-// routedWorkspace is the one workspace of requests that come by routes.
-const routedWorkspace = "default"
-
 // Accept makes the call of a request that a route matched, and the account that
 // pays its retries.
 func (n *Node) Accept(now time.Time, r Routed) (*Call, *retry.Account) {
@@ -36,12 +35,12 @@
 	call := &Call{Routed: true, Ctx: callctx.Context{
 		RequestID:    r.RequestID,
 		CallID:       id,
-		Workspace:    routedWorkspace,
+		Workspace:    r.Workspace,
 		Service:      r.Service,
 		Level:        r.Level,
 		Deadline:     now.Add(r.Timeout),
 		RootAdmitted: now,
-		CallerHash:   callctx.HashCaller(routedWorkspace, r.Caller),
+		CallerHash:   callctx.HashCaller(r.Workspace, r.Caller),
 		Idempotent:   r.Idempotent,
 	}}
 	if !callctx.ValidRequestID(r.RequestID) {
@@ -88,6 +87,7 @@
 	call, _ := n.Accept(now, r)
 	ctx := &call.Ctx
 	ctx.ParentID = running.Ctx.CallID
+	ctx.Workspace = running.Ctx.Workspace
 	ctx.Level = running.Ctx.Level
 	ctx.Depth = running.Ctx.Depth + 1
 	ctx.RootAdmitted = running.Ctx.RootAdmitted
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -19,6 +20,9 @@
 	// Parent is the name of the request for which this one was made, as far as
 	// that can be told; empty when it can't. It is a hint.
 	Parent string
+	// APIKey proves whose request it is; empty when the caller shows none. It must not
+	// be in Header.
+	APIKey string
 	// Timeout is how long the caller will wait; 0 when it doesn't say.
 	Timeout time.Duration
 	// Header holds what goes on to the upstream.
@@ -80,7 +84,11 @@
 		s.turn(w, in.RequestID, "", result.Refuse(result.UnknownRoute, "no route for host %.64q and path %.128q", r.Host, r.URL.Path))
 		return
 	}
-	call, account := s.accept(in, route, r)
+	call, account, refusal := s.accept(in, table, route)
+	if refusal != nil {
+		s.turn(w, in.RequestID, "", refusal)
+		return
+	}
 	call.Header = in.Header
 	gate := s.gates.of(route.Host, route.Prefix)
 	begun := s.p.node.Now()
@@ -117,10 +125,12 @@
 // of the store takes milliseconds, a restart of it a second.
 const startingPause = time.Second
 
-func (s *routed) accept(in Intake, route *routes.Entry, r *http.Request) (*node.Call, *retry.Account) {
+// accept makes the call of a request. One that shows an API key is a caller's, whatever
+// its ID looks like; a call that the local upstream makes shows none.
+func (s *routed) accept(in Intake, table *routes.Table, route *routes.Entry) (*node.Call, *retry.Account, *result.Refusal) {
 	want := node.Routed{
 		RequestID:  in.RequestID,
-		Service:    route.Service(),
+		Workspace:  callctx.NoWorkspace,
 		Level:      route.Level,
 		Timeout:    route.Timeout,
 		Idempotent: route.Idempotent,
@@ -130,13 +140,37 @@
 	if in.Timeout > 0 {
 		want.Timeout = min(want.Timeout, in.Timeout)
 	}
-	now := s.p.node.Now()
-	if parent := s.p.upstream.runningAs(in.Parent); parent != "" {
-		if call, account, ok := s.p.node.AcceptChild(now, want, parent); ok {
-			return call, account
+	parent := ""
+	if in.APIKey == "" || !table.NeedsKey(route) {
+		parent = s.p.upstream.runningAs(in.Parent)
+	}
+	if parent == "" && table.NeedsKey(route) {
+		holder := table.Holder(in.APIKey)
+		if holder == nil {
+			return nil, nil, unknownKey(in.APIKey, table.Config().Version)
+		}
+		want.Workspace = holder.Name
+		if holder.Level != nil {
+			want.Level = *holder.Level
 		}
 	}
-	return s.p.node.Accept(now, want)
+	want.Service = route.Service()
+	now := s.p.node.Now()
+	if parent == "" {
+		call, account := s.p.node.Accept(now, want)
+		return call, account, nil
+	}
+	if call, account, ok := s.p.node.AcceptChild(now, want, parent); ok {
+		return call, account, nil
+	}
+	return nil, nil, result.Refuse(result.ParentGone, "call %s is not running here any more", parent)
+}
+
+func unknownKey(apiKey string, version int64) *result.Refusal {
+	if apiKey == "" {
+		return result.Refuse(result.UnknownKey, "the request shows no API key; version %d of the routes asks for one", version)
+	}
+	return result.Refuse(result.UnknownKey, "version %d of the routes has no workspace with key %s", version, routes.KeyOf(apiKey))
 }
 
 func (s *routed) turn(w http.ResponseWriter, requestID, service string, refusal *result.Refusal) {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -93,6 +93,8 @@
 	UnknownRoute Code = 4008
 	// HeaderTooLarge means that a header exceeds what the routes allow.
 	HeaderTooLarge Code = 4009
+	// UnknownKey means that no workspace holds the caller's API key.
+	UnknownKey Code = 4010
 
 	// UpstreamFailed means that the upstream answered with a server error.
 	UpstreamFailed Code = 5001
@@ -141,6 +143,7 @@
 	Unauthorized:     {"unauthorized", RanNo, 403, "token does not cover the workspace"},
 	UnknownRoute:     {"unknown_route", RanNo, 404, "no route covers the host and path"},
 	HeaderTooLarge:   {"header_too_large", RanNo, 431, "header exceeds the bound in force"},
+	UnknownKey:       {"unknown_key", RanNo, 401, "no workspace holds the API key"},
 	UpstreamFailed:   {"upstream_failed", RanYes, 502, "upstream ran the call and failed"},
 	UpstreamShed:     {"upstream_shed", RanNo, 503, "upstream itself refused the call as overloaded"},
 }
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -21,6 +21,9 @@
 	Services []Service
 	Limits   Limits
 	Routes   []Route
+	// Workspaces are those whose callers are known by their API keys. With none,
+	// nobody needs a key.
+	Workspaces []Workspace
 }
 
 // Service is a service that routes may name.
@@ -58,6 +61,8 @@
 	Level       callctx.Level
 	// Idempotent says that running a request twice does no harm.
 	Idempotent bool
+	// Public says that callers need no API key.
+	Public bool
 }
 
 // WeightedService is one part of a route.
@@ -118,7 +123,7 @@
 		}
 		seen[key] = true
 	}
-	return nil
+	return c.validateWorkspaces()
 }
 
 type routeKey struct{ host, prefix string }
--- a/internal/routes/diff.go
+++ b/internal/routes/diff.go
@@ -36,23 +36,60 @@
 }
 
 // Diff returns what differs between two configurations: limits, then routes in
-// the order of host and prefix.
+// the order of host and prefix, then workspaces by name.
 func Diff(before, after *Config) []Difference {
 	out := fieldsOf("limits", limitFields(&before.Limits), limitFields(&after.Limits))
 	old, next := byPlace(before), byPlace(after)
-	places := slices.Sorted(maps.Keys(old))
-	for place := range next {
-		if _, ok := old[place]; !ok {
-			places = append(places, place)
+	for _, place := range keysOfBoth(old, next) {
+		out = append(out, diffRoute(place, old[place], next[place])...)
+	}
+	return append(out, diffWorkspaces(before, after)...)
+}
+
+func keysOfBoth[V any](a, b map[string]V) []string {
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	return slices.Sorted(maps.Keys(all))
+}
+
+func diffWorkspaces(before, after *Config) []Difference {
+	byName := func(c *Config) map[string]*Workspace {
+		m := make(map[string]*Workspace, len(c.Workspaces))
+		for i := range c.Workspaces {
+			m[c.Workspaces[i].Name] = &c.Workspaces[i]
 		}
+		return m
 	}
-	slices.Sort(places)
-	for _, place := range places {
-		out = append(out, diffRoute(place, old[place], next[place])...)
+	old, next := byName(before), byName(after)
+	var out []Difference
+	for _, name := range keysOfBoth(old, next) {
+		place := "workspace " + name
+		switch a, b := old[name], next[name]; {
+		case a == nil:
+			out = append(out, Difference{Route: place, New: "there"})
+		case b == nil:
+			out = append(out, Difference{Route: place, Old: "there"})
+		default:
+			out = append(out, fieldsOf(place, workspaceFields(a), workspaceFields(b))...)
+		}
 	}
 	return out
 }
 
+// workspaceFields name keys by their fingerprints.
+func workspaceFields(w *Workspace) []field {
+	level := "of its routes"
+	if w.Level != nil {
+		level = w.Level.String()
+	}
+	return []field{
+		{"keys", fmt.Sprint(w.Keys)},
+		{"level", level},
+		{"rate", fmt.Sprint(w.Rate)},
+		{"burst", fmt.Sprint(w.Burst)},
+	}
+}
+
 func byPlace(c *Config) map[string]*Route {
 	m := make(map[string]*Route, len(c.Routes))
 	for i := range c.Routes {
@@ -83,6 +120,7 @@
 		{"attempts", fmt.Sprint(r.MaxAttempts)},
 		{"level", r.Level.String()},
 		{"idempotent", fmt.Sprint(r.Idempotent)},
+		{"public", fmt.Sprint(r.Public)},
 	}
 }
 
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -10,6 +10,8 @@
 	config *Config
 	// hosts holds the routes of a host, the longest prefix first.
 	hosts map[string][]*Entry
+	// holders finds the workspace that holds a key.
+	holders map[Key]*Workspace
 }
 
 // Entry is a route with the state of its weights.
@@ -30,7 +32,7 @@
 // that did not change is taken over from prev, which may be nil: a split that
 // began anew with each publication would favour its first part.
 func NewTable(prev *Table, c *Config, seed uint64) *Table {
-	t := &Table{config: c, hosts: make(map[string][]*Entry)}
+	t := &Table{config: c, hosts: make(map[string][]*Entry), holders: holdersOf(c)}
 	for i := range c.Routes {
 		r := c.Routes[i]
 		e := &Entry{Route: r}
@@ -45,6 +47,23 @@
 	return t
 }
 
+func holdersOf(c *Config) map[Key]*Workspace {
+	holders := make(map[Key]*Workspace, len(c.Workspaces))
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		for _, k := range w.Keys {
+			holders[k] = w
+		}
+	}
+	return holders
+}
+
+// NeedsKey reports whether callers of a route have to show an API key.
+func (t *Table) NeedsKey(e *Entry) bool { return len(t.config.Workspaces) > 0 && !e.Public }
+
+// Holder returns the workspace that holds an API key; nil when there is none.
+func (t *Table) Holder(apiKey string) *Workspace { return t.holders[KeyOf(apiKey)] }
+
 func (t *Table) splitter(r *Route, seed uint64) *Splitter {
 	if t != nil {
 		for _, e := range t.hosts[r.Host] {
--- /dev/null
+++ b/internal/routes/workspace.go
@@ -0,0 +1,113 @@
+package routes
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/galenagrade/galenagrade/internal/callctx"
+)
+
+// Key is the digest of a workspace's API key. The API key itself is not kept: it
+// can't get into a log, a metric or an answer from here.
+type Key [sha256.Size]byte
+
+// KeyOf returns the digest of an API key.
+func KeyOf(apiKey string) Key { return sha256.Sum256([]byte(apiKey)) }
+
+// fingerprintBytes of a digest tell keys apart in logs.
+const fingerprintBytes = 4
+
+// String returns a fingerprint for logs and differences.
+func (k Key) String() string { return hex.EncodeToString(k[:fingerprintBytes]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, k[:]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil {
+		return fmt.Errorf("key digest: %w", err)
+	}
+	if len(raw) != len(k) {
+		return fmt.Errorf("key digest: %d bytes, must be %d", len(raw), len(k))
+	}
+	copy(k[:], raw)
+	return nil
+}
+
+// noKey is the digest of an empty API key, which nobody may hold.
+var noKey = KeyOf("")
+
+// Workspace is an organisation whose callers prove who they are with API keys.
+type Workspace struct {
+	Name string
+	Keys []Key
+	// Level is how important its requests are, whatever their routes say; nil leaves
+	// it to the routes.
+	Level *callctx.Level
+	// Rate is its quota over all nodes in requests a second; 0 is without bound.
+	Rate float64
+	// Burst is by how many requests it may exceed Rate at once.
+	Burst float64
+}
+
+// Limited reports whether the workspace has a quota.
+func (w *Workspace) Limited() bool { return w.Rate > 0 }
+
+// Bounds of the workspaces of a configuration.
+const (
+	// MaxWorkspaces bounds the workspaces of a configuration.
+	MaxWorkspaces = 16384
+	// MaxWorkspaceKeys bounds the keys of one workspace.
+	MaxWorkspaceKeys = 256
+	// MaxRate bounds a quota, in requests a second: the planned load of all nodes.
+	MaxRate = 10_000_000
+)
+
+func (c *Config) validateWorkspaces() error {
+	if len(c.Workspaces) > MaxWorkspaces {
+		return &FieldError{"workspaces", len(c.Workspaces), fmt.Sprintf("at most %d", MaxWorkspaces)}
+	}
+	names := make(map[string]bool, len(c.Workspaces))
+	holders := make(map[Key]string, len(c.Workspaces))
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		if err := w.validate(); err != nil {
+			return err
+		}
+		if names[w.Name] {
+			return &FieldError{w.field("name"), w.Name, "given once"}
+		}
+		names[w.Name] = true
+		for _, k := range w.Keys {
+			if holder, held := holders[k]; held {
+				return &FieldError{w.field("keys"), k, "held once, is one of " + holder}
+			}
+			holders[k] = w.Name
+		}
+	}
+	return nil
+}
+
+func (w *Workspace) field(name string) string { return "workspace " + w.Name + ": " + name }
+
+func (w *Workspace) validate() error {
+	switch {
+	case !callctx.ValidName(w.Name) || w.Name == callctx.NoWorkspace:
+		return &FieldError{"workspaces.name", w.Name, "a name of 1 to 64 letters, digits, '-', '_' or '.', other than '-'"}
+	case len(w.Keys) > MaxWorkspaceKeys:
+		return &FieldError{w.field("keys"), len(w.Keys), fmt.Sprintf("at most %d", MaxWorkspaceKeys)}
+	case !(w.Rate >= 0 && w.Rate <= MaxRate):
+		return &FieldError{w.field("rate"), w.Rate, fmt.Sprintf("0 to %d requests a second", MaxRate)}
+	case !(w.Burst >= 0 && w.Burst <= MaxRate):
+		return &FieldError{w.field("burst"), w.Burst, fmt.Sprintf("0 to %d requests", MaxRate)}
+	}
+	for _, k := range w.Keys {
+		if k == noKey {
+			return &FieldError{w.field("keys"), `""`, "not empty"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routes/workspace_test.go
@@ -0,0 +1,80 @@
+package routes
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func keyed(workspaces ...Workspace) *Config {
+	c := config(1, route("h", "/x/", WeightedService{"a", 1}))
+	c.Workspaces = workspaces
+	return c
+}
+
+func TestKeyFindsItsWorkspace(t *testing.T) {
+	c := keyed(Workspace{Name: "north", Keys: []Key{KeyOf("k1"), KeyOf("k2")}}, Workspace{Name: "south", Keys: []Key{KeyOf("k3")}})
+	must.NoError(t, c.Validate())
+	table := NewTable(nil, c, 0)
+	must.EqOp(t, "north", table.Holder("k2").Name)
+	must.EqOp(t, "south", table.Holder("k3").Name)
+	must.Nil(t, table.Holder("k4"))
+	must.Nil(t, table.Holder(""))
+}
+
+// Guards against routes that need no key asking for one, and the reverse.
+func TestKeysAreNeededWhereWorkspacesAre(t *testing.T) {
+	c := keyed(Workspace{Name: "north"})
+	c.Routes = append(c.Routes, Route{Host: "h", Prefix: "/open/", Public: true})
+	table := NewTable(nil, c, 0)
+	must.True(t, table.NeedsKey(table.Match("h", "/x/")))
+	must.False(t, table.NeedsKey(table.Match("h", "/open/")))
+	open := NewTable(nil, keyed(), 0)
+	must.False(t, open.NeedsKey(open.Match("h", "/x/")))
+}
+
+func TestWorkspaceErrorsNameTheField(t *testing.T) {
+	for field, c := range map[string]*Config{
+		"workspaces.name": keyed(Workspace{Name: "-"}),
+		"north: name":     keyed(Workspace{Name: "north"}, Workspace{Name: "north"}),
+		"south: keys":     keyed(Workspace{Name: "north", Keys: []Key{KeyOf("k")}}, Workspace{Name: "south", Keys: []Key{KeyOf("k")}}),
+		"north: keys":     keyed(Workspace{Name: "north", Keys: []Key{KeyOf("")}}),
+		"north: rate":     keyed(Workspace{Name: "north", Rate: math.NaN()}),
+		"north: burst":    keyed(Workspace{Name: "north", Burst: -1}),
+	} {
+		var got *FieldError
+		must.True(t, errors.As(c.Validate(), &got), must.Sprint(field))
+		must.StrContains(t, got.Field, field)
+	}
+}
+
+// Guards against API keys that another node, an operator's view or a log could read.
+func TestKeysCannotBeReadBack(t *testing.T) {
+	c := keyed(Workspace{Name: "north", Keys: []Key{KeyOf("secret-of-north")}})
+	raw, err := json.Marshal(c)
+	must.NoError(t, err)
+	must.False(t, strings.Contains(string(raw), "secret"))
+	var back Config
+	must.NoError(t, json.Unmarshal(raw, &back))
+	must.Eq(t, *c, back)
+	d := Diff(keyed(Workspace{Name: "north"}), c)
+	must.Eq(t, []Difference{{Route: "workspace north", Field: "keys", Old: "[]", New: "[" + KeyOf("secret-of-north").String() + "]"}}, d)
+}
+
+func FuzzKeyDigest(f *testing.F) {
+	f.Add([]byte("00ff"))
+	f.Add([]byte(strings.Repeat("ab", 32)))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var k Key
+		if k.UnmarshalText(text) != nil {
+			return
+		}
+		again, err := k.MarshalText()
+		must.NoError(t, err)
+		must.EqOp(t, strings.ToLower(string(text)), string(again))
+	})
+}
