A flood asks for tokens less often the longer it lasts

Change: the time for which nobody is asked doubles from 100 to 800 ms and begins anew once a token is granted.

Below the quota nothing changes.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -11,9 +11,10 @@
 	// nearAsks and farAsks are how many holders of the own zone and of each other zone may
 	// be asked for one request, maxAsks how many in all.
 	nearAsks, farAsks, maxAsks = 2, 1, 4
-	// exhaustedFor is how long a workspace is refused without asking again after all
-	// that were asked had no token.
-	exhaustedFor = 100 * time.Millisecond
+	// minExhausted and maxExhausted bound how long a workspace is refused without asking
+	// again after all that were asked had no token: twice as long each time, as a flood
+	// that lasts finds no tokens anywhere.
+	minExhausted, maxExhausted = 100 * time.Millisecond, 800 * time.Millisecond
 	// silentFor is how long a node is not asked that gave no answer.
 	silentFor = 2 * time.Second
 	// minReturn and maxReturn bound when a refused caller may come back.
@@ -43,8 +44,9 @@
 	bucket bucket
 	// empty are holders without a token, and until when.
 	empty map[string]time.Time
-	// exhausted is until when nobody is asked.
+	// exhausted is until when nobody is asked, backoff for how long that was.
 	exhausted time.Time
+	backoff   time.Duration
 	// returns is when the last refused caller was told to come back.
 	returns        time.Time
 	spent, refused int64
@@ -137,7 +139,10 @@
 
 // Granted notes that another node granted a token.
 func (l *Ledger) Granted(workspace string) {
-	l.with(workspace, func(a *account) { a.spent++ })
+	l.with(workspace, func(a *account) {
+		a.spent++
+		a.backoff = 0
+	})
 }
 
 // Return gives the token of a request back that has not run.
@@ -172,7 +177,8 @@
 	l.with(workspace, func(a *account) {
 		a.refused++
 		if !now.Before(a.exhausted) {
-			a.exhausted = now.Add(exhaustedFor)
+			a.backoff = min(max(2*a.backoff, minExhausted), maxExhausted)
+			a.exhausted = now.Add(a.backoff)
 		}
 		spacing := time.Duration(float64(l.ring.Load().nodes) / a.limit.Rate * float64(time.Second))
 		if a.returns.Before(now) {
