Calls of a tree that was served before are not shed

A letter makes eight calls of the tracker in a row; its rank is shed or not anew at each of them while the threshold moves, so slots went to trees of which a later call was refused.

Change: a node notes that a call made by a running one had a good answer; further calls of that run, and all they make, say that they continue a tree. Guards neither shed them by rank nor do senders pass guards by for it; they wait by level as before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -111,10 +111,11 @@
 	}
 	rank := Rank(r.Level, r.CallerHash)
 	c.shedder.offer(rank)
-	// A deep call above the threshold still takes a slot that would stay empty:
-	// work was spent on its root already.
+	// A deep call above the threshold still takes a slot that would stay empty: work was
+	// spent on its root already. Further calls of a tree may wait as well, or what deep
+	// services did for it is lost; its first call decides.
 	above := rank >= c.shedder.threshold
-	if above && !(slotFree && r.Depth > 0) {
+	if above && !r.Continues && !(slotFree && r.Depth > 0) {
 		return c.refuse(&r, reasonThreshold), out
 	}
 	if slotFree {
--- a/internal/admission/surge_test.go
+++ b/internal/admission/surge_test.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// Guards against slots that go to trees of which a later call is refused.
+func TestTreeThatWasServedIsServedToItsEnd(t *testing.T) {
+	for _, entries := range []int{4, 40, 400} {
+		s := surge(entries)
+		must.LessEq(t, 0.005*float64(s.admitted), float64(s.failedLate), must.Sprintf("%d entries: %+v", entries, s.treeTally))
+	}
+}
+
 // Guards against a guard of few slots that leaves some empty under lasting mild overload.
 func TestFewSlotsStayBusyUnderMildOverload(t *testing.T) {
 	const slots, overload, settled, end = 8, 1.2, 2, 22
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -52,7 +52,11 @@
 }
 
 // treeTally counts what became of the requests of a route.
-type treeTally struct{ asked, admitted, completed, refused, failed int }
+type treeTally struct {
+	asked, admitted, completed, refused, failed int
+	// failedLate are those of failed whose tree was served before at the deepest service.
+	failedLate int
+}
 
 type modelGuard struct {
 	ctl   *Controller
@@ -169,7 +173,8 @@
 	least := 0.0
 	for _, g := range f.guards {
 		load := g.ctl.Load()
-		if g == avoid || Rank(t.level, t.hash) >= load.Threshold && load.InFlight >= load.Limit {
+		sheds := !f.continues(t) && Rank(t.level, t.hash) >= load.Threshold
+		if g == avoid || sheds && load.InFlight >= load.Limit {
 			continue
 		}
 		score := float64(load.InFlight+load.Queued) / float64(load.Limit)
@@ -180,6 +185,9 @@
 	return best
 }
 
+// continues reports whether the deepest service has served calls of the request.
+func (f *treeModel) continues(t *treeRequest) bool { return t.left < f.routes[t.route].calls }
+
 // met notes what all guards shed from, as answers carry it.
 func (f *treeModel) met(t *treeRequest) {
 	most := uint32(0)
@@ -241,7 +249,7 @@
 			f.model.After(2*time.Millisecond, func() { f.step(t) })
 		})
 	}}
-	d, others := g.ctl.Offer(f.model.Now(), Request{ID: id, Level: t.level, CallerHash: t.hash, Deadline: deadline, RootAdmitted: t.began, Depth: depth})
+	d, others := g.ctl.Offer(f.model.Now(), Request{ID: id, Level: t.level, CallerHash: t.hash, Deadline: deadline, RootAdmitted: t.began, Depth: depth, Continues: f.continues(t)})
 	f.apply(g, others)
 	f.apply(g, []Decision{d})
 }
@@ -273,6 +281,9 @@
 		f.tally[t.route].completed++
 	} else {
 		f.tally[t.route].failed++
+		if f.continues(t) {
+			f.tally[t.route].failedLate++
+		}
 	}
 }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -29,6 +29,8 @@
 	RootAdmitted time.Time
 	// Depth is 0 for a root call.
 	Depth int
+	// Continues says that other calls of its tree were served already.
+	Continues bool
 }
 
 // Verdict is what becomes of a call.
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -61,9 +61,11 @@
 	}
 	n.guard.noteShedding(call.Ctx.ParentID, a.ShedsFrom, a.ShedsBy)
 	n.guard.noteShedding(call.Ctx.ParentID, n.table.Load().ShedsFrom(now, call.Ctx.Service), call.Ctx.Service)
-	if !a.Good() {
-		n.guard.noteCause(call.Ctx.ParentID, n.causeOf(call, a))
+	if a.Good() {
+		n.guard.noteServed(call.Ctx.ParentID)
+		return
 	}
+	n.guard.noteCause(call.Ctx.ParentID, n.causeOf(call, a))
 }
 
 // causeOf is what the failure of call comes down to: what its answer says of the calls
@@ -96,5 +98,6 @@
 		ctx.Deadline = running.Ctx.Deadline
 	}
 	call.Repeat = running.Repeat
+	call.Continues = n.guard.continues(parent)
 	return call, account, true
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -26,6 +26,9 @@
 	// Repeat says that an earlier attempt may have reached an upstream, or that
 	// the call was made by a run that was itself a repeat.
 	Repeat bool
+	// Continues says that calls were served already that the same root, or the run that
+	// makes this call, made before.
+	Continues bool
 	// Header holds only what goes on to the upstream.
 	Header   http.Header
 	Body     []byte
--- /dev/null
+++ b/internal/node/continues_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time { return epoch }
+
+// running makes a node whose upstream runs a call, and returns both.
+func running(t *testing.T, root *Call) *Node {
+	n := New(Config{
+		Identity: Identity{Node: "n", Incarnation: 1}, Clock: fixedClock{}, Runner: &fakeRunner{}, Authority: &fakeAuthority{},
+		Routing: routing.DefaultConfig(), Retry: retry.DefaultPolicy(), Throttle: retry.DefaultThrottleConfig(), Guard: DefaultGuardConfig(),
+	})
+	n.Guard().UpstreamUp(epoch, admission.DefaultConfig(4))
+	_, answer := n.Guard().Arrive(epoch, root, func(*Answer) {})
+	must.Nil(t, answer)
+	return n
+}
+
+func child(t *testing.T, n *Node, parent string) *Call {
+	call, _, ok := n.AcceptChild(epoch, Routed{RequestID: "q.1", Workspace: callctx.NoWorkspace, Service: "tracker", Timeout: time.Second}, parent)
+	must.True(t, ok)
+	return call
+}
+
+// Guards against calls of a tree that was served before being shed like first ones.
+func TestCallsAfterAServedOneContinueTheirTree(t *testing.T) {
+	root := &Call{Routed: true, Ctx: callctx.Context{RequestID: "q", CallID: "c", Workspace: "north", Service: "letters", Deadline: epoch.Add(time.Minute)}}
+	n := running(t, root)
+	first := child(t, n, "c")
+	must.False(t, first.Continues)
+	n.ChildEnded(epoch, first, &Answer{Code: result.Shed, Refusal: result.Refuse(result.Shed, "full"), ShedsFrom: routing.NoThreshold})
+	second := child(t, n, "c")
+	must.False(t, second.Continues)
+	n.ChildEnded(epoch, second, &Answer{Code: result.OK, ShedsFrom: routing.NoThreshold})
+	must.True(t, child(t, n, "c").Continues)
+	must.EqOp(t, "north", second.Ctx.Workspace)
+}
+
+// Guards against a tree that is taken for a new one on its way down.
+func TestCallsOfACallThatContinuesContinue(t *testing.T) {
+	n := running(t, &Call{Routed: true, Continues: true, Ctx: callctx.Context{RequestID: "q.1", CallID: "c", Workspace: "north", Service: "consent", Depth: 1, Deadline: epoch.Add(time.Minute)}})
+	must.True(t, child(t, n, "c").Continues)
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -142,10 +142,18 @@
 	}
 }
 
+// rank is what upstreams shed the call by. Further calls of a tree are not shed.
+func (d *Dispatch) rank() uint32 {
+	if d.call.Continues {
+		return 0
+	}
+	return admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash)
+}
+
 func (d *Dispatch) pick(now time.Time) (*routing.Target, *result.Refusal) {
 	info := routing.PickInfo{
 		Service: d.call.Ctx.Service,
-		Rank:    admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash),
+		Rank:    d.rank(),
 		Avoid:   d.tried,
 		Deep:    d.call.Ctx.Depth > 0,
 		Node:    d.next,
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -60,6 +60,8 @@
 	ended       time.Time
 	answer      *Answer
 	cancel      func()
+	// served says that a call made by this one had a good answer.
+	served bool
 	// shedsFrom is the least that calls made by this one were told.
 	shedsFrom uint32
 	// shedsBy is the service that said so.
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// noteServed records that a call made by the running call callID had a good answer.
+func (g *Guard) noteServed(callID string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
+		e.served = true
+	}
+}
+
+// continues reports whether calls were served already for the tree of the running call
+// callID.
+func (g *Guard) continues(callID string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.calls[callID]
+	return ok && (e.served || e.call.Continues)
+}
+
 func (g *Guard) parent(callID string) (*Call, *retry.Account, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -29,6 +29,8 @@
 	// headerRepeat marks a call of which an earlier attempt may have reached an
 	// upstream.
 	headerRepeat = "Galena-Inner-Repeat"
+	// headerContinues marks a call of a tree of which others were served already.
+	headerContinues = "Galena-Inner-Continues"
 	// headerSheds carries Answer.ShedsFrom and Answer.ShedsBy where something is shed.
 	headerSheds = "Galena-Inner-Sheds"
 	// headerCause carries Answer.Cause where a call made for the answer failed.
@@ -53,6 +55,9 @@
 	if attempt.Repeat {
 		header.Set(headerRepeat, "1")
 	}
+	if attempt.Continues {
+		header.Set(headerContinues, "1")
+	}
 	if version := s.peers.configVersion(); version > 0 {
 		header.Set(headerConfig, strconv.FormatInt(version, 10))
 	}
@@ -72,7 +77,7 @@
 }
 
 // innerHeaders is how many headers a hop adds.
-const innerHeaders = 6
+const innerHeaders = 7
 
 func (s *sending) encode(attempt *node.Call) *innerpb.CallHeader {
 	h := inner.FromContext(&attempt.Ctx, s.peers.node.Now(), uint32(attempt.Allowance))
@@ -203,6 +208,7 @@
 		Host:      r.Header.Get(headerHost),
 		Routed:    r.Header.Get(headerHost) != "",
 		Repeat:    r.Header.Get(headerRepeat) != "",
+		Continues: r.Header.Get(headerContinues) != "",
 		Header:    callctx.Forwardable(r.Header),
 		BodyHash:  h.GetBodyHash(),
 		Allowance: int(h.GetAllowance()),
