--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -55,12 +55,15 @@
 	table atomic.Pointer[routes.Table]
 	// gates turn requests away at their entry.
 	gates treeGates
+	// workspaces counts what became of their requests.
+	workspaces workspaceMetrics
 }
 
 // ServeRoutes makes the proxy serve requests by routes and returns their
 // handler. Call it once, before the first request.
 func (p *Proxy) ServeRoutes(edge Edge, quota Quota) http.Handler {
-	p.routed = &routed{p: p, edge: edge, quota: quota, gates: treeGates{metrics: p.node.Metrics()}}
+	set := p.node.Metrics()
+	p.routed = &routed{p: p, edge: edge, quota: quota, gates: treeGates{metrics: set}, workspaces: workspaceMetrics{metrics: set}}
 	return p.routed
 }
 
@@ -68,6 +71,7 @@
 func (p *Proxy) SetRoutes(t *routes.Table) {
 	p.routed.table.Store(t)
 	p.routed.gates.retain(t)
+	p.routed.workspaces.set(t)
 }
 
 // Routes returns the routes in force; nil when there are none yet.
@@ -102,14 +106,15 @@
 	call.Header = in.Header
 	gate := s.gates.of(route.Host, route.Prefix)
 	begun := s.p.node.Now()
-	gate.series.Offered()
+	out := gatedWriter{s, gate, begun}
+	out.offered(call)
 	ctx := r.Context()
 	refusal = gate.admit(begun, call, route.Objective)
 	if refusal == nil && counted(call) {
 		refusal = s.quota.Take(ctx, call.Ctx.Workspace)
 	}
 	if refusal != nil {
-		gate.series.Ended(refusal.Code, 0)
+		out.ended(call, refusal.Code, 0)
 		s.turnCall(w, call, refusal)
 		return
 	}
@@ -118,7 +123,7 @@
 		defer stop()
 		ctx = bounded
 	}
-	s.p.serve(ctx, exchange{w: w, r: r, out: gatedWriter{s, gate, begun}}, call, account)
+	s.p.serve(ctx, exchange{w: w, r: r, out: out}, call, account)
 }
 
 // headerSize returns the bytes of a request's line and header as callers send
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -120,9 +120,25 @@
 	begun time.Time
 }
 
+// offered counts a request that came.
+func (o gatedWriter) offered(call *node.Call) {
+	o.gate.series.Offered()
+	if counted(call) {
+		o.workspaces.of(call.Ctx.Workspace).Offered()
+	}
+}
+
+// ended counts how a request ended.
+func (o gatedWriter) ended(call *node.Call, code result.Code, took time.Duration) {
+	o.gate.series.Ended(code, took)
+	if counted(call) {
+		o.workspaces.of(call.Ctx.Workspace).Ended(code, took)
+	}
+}
+
 // refuse implements answerWriter.
 func (o gatedWriter) refuse(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
-	o.gate.series.Ended(refusal.Code, 0)
+	o.ended(call, refusal.Code, 0)
 	o.routed.refuse(w, call, refusal)
 }
 
@@ -131,6 +147,6 @@
 	now := o.p.node.Now()
 	o.gate.learn(now, call, a)
 	o.p.node.ChildEnded(now, call, a)
-	o.gate.series.Ended(a.Code, now.Sub(o.begun))
+	o.ended(call, a.Code, now.Sub(o.begun))
 	o.routed.answer(w, call, a)
 }
