--- a/internal/mesh/quotas.go
+++ b/internal/mesh/quotas.go
@@ -27,8 +27,6 @@
 	quotaTimeout = 150 * time.Millisecond
 	// quotaUnknownPause is when a caller may come back where no holder answered.
 	quotaUnknownPause = 500 * time.Millisecond
-	// maxGrantBytes bounds the answer.
-	maxGrantBytes = 128
 )
 
 // quotas spends the quotas of workspaces. It implements proxy.Quota.
@@ -133,16 +131,15 @@
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
 	query := url.Values{"of": {of.Name}, "workspace": {workspace}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+of.Address+quotaPath+"?"+query.Encode(), nil)
+	got, err := m.peers.Ask(ctx, of.Address, quotaPath+"?"+query.Encode())
 	if err != nil {
 		return grant{}, err
 	}
-	raw, err := m.askNode(req, maxGrantBytes)
-	if err != nil {
-		return grant{}, err
+	if got.Status != http.StatusOK {
+		return grant{}, &statusError{got.Status}
 	}
 	var g grant
-	if err := json.Unmarshal(raw, &g); err != nil {
+	if err := json.Unmarshal(got.Body, &g); err != nil {
 		return grant{}, errors.Wrap(err, "grant of another node")
 	}
 	return g, nil
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -250,6 +250,9 @@
 	if version := p.peers.configVersion(); version > 0 {
 		out.Set(headerConfig, strconv.FormatInt(version, 10))
 	}
+	if _, given := out["Date"]; !given {
+		out["Date"] = nil // nobody reads it between nodes
+	}
 	out.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(a.Body)
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -156,6 +156,12 @@
 // calls, so that an operator's questions never wait behind calls.
 func (p *Peers) ControlTransport() *http.Transport { return p.newTransport() }
 
+// Ask sends a short question to another node on the connections of data calls: it is
+// part of a request that waits for it.
+func (p *Peers) Ask(ctx context.Context, addr, target string) (*h1.Answer, error) {
+	return p.peer(addr).pool.Do(ctx, &h1.Request{Method: http.MethodPost, Target: target, Host: addr})
+}
+
 // Bind sets the node on whose behalf attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
