Quota: the property has nodes that leave while others know of it or not

Cause: the bound was shown for nodes that agree on who there is. Change: a node leaves for good and each other one learns of it within 2 s, at its own time.

--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -32,6 +32,8 @@
 	ledger *Ledger
 	// down and cut say that the node is not there, and that nobody reaches it.
 	down, cut bool
+	// left says that it is gone for good.
+	left bool
 }
 
 const workspaceName = "north"
@@ -59,7 +61,7 @@
 
 // begin starts a process of the node.
 func (m *model) begin(n *modelNode) {
-	n.down = false
+	n.down = n.left
 	n.ledger = NewLedger(n.Name, n.Zone)
 	n.ledger.SetLimits(m.Now(), map[string]Limit{workspaceName: m.limit}, m.tolerance)
 	n.ledger.SetRing(m.ring)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -17,7 +17,7 @@
 		m.load(7.5*rate, m.anywhere)
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			at := time.Duration(rapid.IntRange(0, 12_000).Draw(t, "at")) * time.Millisecond
-			m.fault(rapid.SampledFrom([]string{"cut zone", "cut node", "heal", "restart one"}).Draw(t, "fault"), at)
+			m.fault(rapid.SampledFrom([]string{"cut zone", "cut node", "heal", "restart one", "leave"}).Draw(t, "fault"), at)
 		}
 		if rapid.Bool().Draw(t, "restart all") {
 			m.After(6*time.Second, func() {
@@ -33,6 +33,29 @@
 	})
 }
 
+// leave ends a node for good; the others learn of it one by one.
+func (m *model) leave(gone *modelNode) {
+	if len(m.staying()) < 2 {
+		return
+	}
+	gone.down, gone.left = true, true
+	ring := NewRing(m.staying())
+	m.ring = ring
+	for _, n := range m.nodes {
+		m.After(time.Duration(m.rng.Int64N(int64(2*time.Second))), func() { n.ledger.SetRing(ring) })
+	}
+}
+
+func (m *model) staying() []Node {
+	var all []Node
+	for _, n := range m.nodes {
+		if !n.left {
+			all = append(all, n.Node)
+		}
+	}
+	return all
+}
+
 func (m *model) fault(kind string, at time.Duration) {
 	m.After(at, func() {
 		n := m.anywhere()
@@ -43,6 +66,8 @@
 			n.cut = true
 		case "restart one":
 			m.restart(n, 300*time.Millisecond)
+		case "leave":
+			m.leave(n)
 		case "heal":
 			m.cutZone, n.cut = "", false
 		}
