--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -8,8 +8,7 @@
 
 // Absent decides which members may have been started again without being able
 // to say so: a node that starts cut off from the store knows nobody and has no
-// routes, and nobody reads its new record. It answered every caller that it had
-// no routes until the store came back. Those who know where it was can tell it.
+// routes, and nobody reads its new record. Those who know where it was can tell it.
 // It is not safe for concurrent use.
 type Absent struct {
 	since map[string]absence
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -24,8 +24,7 @@
 	Serving State = "serving"
 	// Stopping means that the node is about to end while its upstream goes on. It
 	// still takes what finds no other one: several nodes of a service may be
-	// restarted while others of its upstreams leave, and until they were told
-	// apart every caller was refused though upstreams were idle.
+	// restarted while others of its upstreams leave.
 	Stopping State = "stopping"
 	// Leaving means that the upstream takes no new work.
 	Leaving State = "leaving"
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -14,8 +14,8 @@
 	timelineEvents = 1024
 	// timelineSample keeps the events of one good call in so many.
 	timelineSample = 256
-	// reroutes is how many upstreams that were not reached a call may pass by:
-	// with a third of a service gone three in a row are met by one call in 27.
+	// reroutes is how many upstreams that were not reached a call may pass by: with a
+	// third of a service gone, three in a row are rare.
 	reroutes = 3
 )
 
@@ -46,9 +46,8 @@
 	peerShare = 0.25
 )
 
-// keptFor is how many idle connections are kept to each of that many nodes. With
-// 64 to each of 75 nodes and as many from each, 9,600 would be kept where a VM
-// allows 4,100 descriptors, and callers could not connect any more.
+// keptFor is how many idle connections are kept to each of that many nodes, so that
+// descriptors are left for callers.
 func keptFor(descriptors, nodes int) int {
 	share := int(peerShare * float64(descriptors) / float64(max(nodes, 1)))
 	return min(max(share, leastKept), peerKept)
--- a/internal/mesh/introduce.go
+++ b/internal/mesh/introduce.go
@@ -15,8 +15,8 @@
 	// introduceEvery is how often absent members are looked for. A node that starts
 	// without the store serves after about this time.
 	introduceEvery = 500 * time.Millisecond
-	// introducers is how many nodes of a zone look for one at each turn, on average:
-	// 5 % of turns find none of three. An introduction is some 400 bytes, by its fields.
+	// introducers is how many nodes of a zone look for one at each turn, on average: with
+	// three a turn without any is rare.
 	introducers = 3
 	// introduceAtOnce bounds the introductions that wait at a time: with a third of
 	// 412 nodes of a zone gone, a turn asks one or two.
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -17,7 +17,7 @@
 )
 
 // pace ticks the guard often while calls wait there, and hardly at all while
-// none do: a hundred wake-ups a second cost an idle node 0.4 % of a core.
+// none do, so that an idle node is hardly woken.
 type pace struct {
 	guard *node.Guard
 	wake  chan struct{}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,10 +73,8 @@
 	}
 }
 
-// newUpstreamPool keeps all connections in use in turn: there are never more than the
-// upstream has slots, and one that is opened anew may hold a slot. A sixth and a quarter
-// of the new connections of two days with faults were opened after a lower load (269 of
-// 1,672, 251 of 1,081; counted where idle connections are closed).
+// newUpstreamPool keeps all connections in use, round robin: there are never more than the
+// upstream has slots, and one that is opened anew after a lower load may hold a slot.
 func newUpstreamPool(addr string) *h1.Pool {
 	return h1.NewPool(addr, h1.Config{
 		Dial:       conns.DetectSilence(&net.Dialer{Timeout: upstreamConnect}, upstreamSilence).DialContext,
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -33,25 +33,6 @@
 	silent map[string]time.Time
 }
 
-// account is one workspace's quota at this node.
-type account struct {
-	mu        sync.Mutex
-	limit     Limit
-	tolerance Tolerance
-	// parts is how ring divides the quota; ring is nil where that is to be worked out anew.
-	ring   *Ring
-	parts  []zoneParts
-	bucket bucket
-	// empty are holders without a token, and until when.
-	empty map[string]time.Time
-	// exhausted is until when nobody is asked, backoff for how long that was.
-	exhausted time.Time
-	backoff   time.Duration
-	// returns is when the last refused caller was told to come back.
-	returns        time.Time
-	spent, refused int64
-}
-
 // NewLedger makes the ledger of a node. Until it knows a ring, no quota has holders.
 func NewLedger(node, zone string) *Ledger {
 	l := &Ledger{node: node, zone: zone, silent: make(map[string]time.Time)}
@@ -79,19 +60,6 @@
 	l.accounts.Store(&next)
 }
 
-func (a *account) setLimit(now time.Time, limit Limit, t Tolerance) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.limit == limit && a.tolerance == t {
-		return
-	}
-	a.bucket.fill(now)
-	a.limit, a.tolerance = limit, t
-	a.ring = nil
-	clear(a.empty)
-	a.exhausted = time.Time{}
-}
-
 // Answer is what becomes of a request.
 type Answer struct {
 	// Granted says that the request has its token.
@@ -206,83 +174,3 @@
 	defer a.mu.Unlock()
 	f(a)
 }
-
-// refreshLocked works out this node's part where the ring or the limit changed.
-func (l *Ledger) refreshLocked(now time.Time, a *account, workspace string) {
-	ring := l.ring.Load()
-	if a.ring == ring {
-		return
-	}
-	a.ring = ring
-	a.parts = ring.split(workspace, a.limit, a.tolerance)
-	own := part{}
-	for i := range a.parts {
-		if a.parts[i].zone.name == l.zone && a.parts[i].holds(l.node) {
-			own = a.parts[i].each
-		}
-	}
-	a.bucket.set(now, own)
-}
-
-// askLocked chooses holders that may have a token, those of the own zone first.
-func (l *Ledger) askLocked(now time.Time, a *account, u float64, skip func(node string) bool) []Node {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	may := func(n Node) bool {
-		return n.Name != l.node && !now.Before(a.empty[n.Name]) && !now.Before(l.silent[n.Name]) && !skip(n.Name)
-	}
-	var ask []Node
-	offset := int(u * (1 << 20))
-	for i := range a.parts {
-		p := &a.parts[(i+offset)%len(a.parts)]
-		if p.zone.name == l.zone {
-			ask = append(p.choose(offset, nearAsks, may), ask...)
-			continue
-		}
-		ask = append(ask, p.choose(offset, farAsks, may)...)
-	}
-	return ask[:min(len(ask), maxAsks)]
-}
-
-// choose returns up to so many holders that may be asked, from an offset on.
-func (p *zoneParts) choose(offset, most int, may func(Node) bool) []Node {
-	var out []Node
-	for i := 0; i < p.count && len(out) < most; i++ {
-		if n := p.at(offset + i); may(n) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
-// State is a workspace's quota as one node sees it.
-type State struct {
-	Workspace string  `json:"workspace"`
-	Rate      float64 `json:"rate"`
-	Burst     float64 `json:"burst"`
-	// PartRate and PartDepth are of this node's bucket; 0 where it holds none.
-	PartRate  float64 `json:"part_rate"`
-	PartDepth float64 `json:"part_depth"`
-	Tokens    float64 `json:"tokens"`
-	// Spent and Refused count the requests that came here, since the start.
-	Spent   int64 `json:"spent"`
-	Refused int64 `json:"refused"`
-}
-
-// States returns all quotas, in no order.
-func (l *Ledger) States(now time.Time) []State {
-	accounts := *l.accounts.Load()
-	out := make([]State, 0, len(accounts))
-	for name, a := range accounts {
-		a.mu.Lock()
-		l.refreshLocked(now, a, name)
-		a.bucket.fill(now)
-		out = append(out, State{
-			Workspace: name, Rate: a.limit.Rate, Burst: a.limit.Burst,
-			PartRate: a.bucket.rate, PartDepth: a.bucket.depth, Tokens: a.bucket.tokens,
-			Spent: a.spent, Refused: a.refused,
-		})
-		a.mu.Unlock()
-	}
-	return out
-}
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -132,3 +132,14 @@
 func (p *zoneParts) at(i int) Node {
 	return p.zone.nodes[(p.first+i%p.count)%len(p.zone.nodes)]
 }
+
+// choose returns up to so many holders that may be asked, from an offset on.
+func (p *zoneParts) choose(offset, most int, may func(Node) bool) []Node {
+	var out []Node
+	for i := 0; i < p.count && len(out) < most; i++ {
+		if n := p.at(offset + i); may(n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
