--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -35,7 +35,7 @@
 	must.NoError(t, m.PutRoutes(&routes.Config{Version: version, Services: []routes.Service{{Name: service}}, Routes: []routes.Route{{
 		Name: "lookup", Host: "h", Prefix: "/a/", Timeout: time.Second, Objective: time.Second, MaxAttempts: 2,
 		Targets: []routes.WeightedService{{Service: service, Weight: 1}},
-	}}}))
+	}}, Workspaces: []routes.Workspace{{Name: "north", Rate: 12, Burst: 30, Keys: []routes.Key{routes.KeyOf("secret")}}, {Name: "south"}}}))
 	m.Learn(fleet.Member{Node: "other", Incarnation: 1, Revision: 1, Zone: "z", Address: "127.0.0.1:2", Service: "letters", Slots: 3, State: fleet.Serving})
 	return m.MetricsAddress().String()
 }
@@ -58,5 +58,10 @@
 	must.StrContains(t, runNode(t, a, "members --service letters", exitOK), "other")
 	must.StrNotContains(t, runNode(t, a, "members --service archive", exitOK), "other")
 	must.StrContains(t, runNode(t, a, "status", exitOK), "repeats left")
+	quotas := runNode(t, a, "quotas", exitOK)
+	must.StrContains(t, quotas, "north")
+	must.StrContains(t, quotas, "version 3")
+	must.StrNotContains(t, quotas, "south")
+	must.StrNotContains(t, runNode(t, a, "quotas --workspace south", exitOK), "north")
 	must.StrContains(t, runNode(t, "127.0.0.1:1", "status", exitUnreachable), "does not answer")
 }
