A node that reaches no holder of a quota says so; quotas are in force before their routes

Cause, found in reading the change: once all holders had given no answer, the next requests were refused with 2016 "quota spent" although nothing was known of it; and a new workspace was without its quota for the moment between its routes and its quota.

Change: the ledger says when nobody can be asked since holders gave no answer, and such a request gets 2017; the order is turned round. The header of a request to the upstream is copied without copying its values.

Measured: TestCutOffNodeDoesNotKnowTheQuota fails before. Both codes promise alike that nothing ran.

--- a/internal/mesh/quotas.go
+++ b/internal/mesh/quotas.go
@@ -96,8 +96,8 @@
 			answered++
 		}
 	}
-	if len(got.Ask) > 0 && answered == 0 {
-		return result.Refuse(result.QuotaUnknown, "none of %d nodes with a part of the quota of %s answered", len(got.Ask), workspace).After(quotaUnknownPause)
+	if got.Unknown || len(got.Ask) > 0 && answered == 0 {
+		return result.Refuse(result.QuotaUnknown, "no node with a part of the quota of %s answers", workspace).After(quotaUnknownPause)
 	}
 	pause := q.ledger.Refuse(time.Now(), workspace, rand.Float64())
 	return result.Refuse(result.QuotaSpent, "the quota of %s is spent here and at %d nodes asked now", workspace, answered).After(pause)
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -122,8 +122,8 @@
 		return nil
 	}
 	seed := k.mesh.node.Incarnation()
-	k.mesh.proxy.SetRoutes(routes.NewTable(k.mesh.proxy.Routes(), config, seed))
 	k.mesh.quotas.setRoutes(config)
+	k.mesh.proxy.SetRoutes(routes.NewTable(k.mesh.proxy.Routes(), config, seed))
 	old := k.version.Swap(config.Version)
 	k.mesh.logger.Info().Int64("version", config.Version).Int64("before", old).Str("source", source).Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("routes in force")
 	return nil
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -232,7 +233,7 @@
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.NoAuthority, "the authority ended before dispatch"))
 	}
 	pool := u.connections()
-	header := call.Header.Clone()
+	header := maps.Clone(call.Header)
 	if header == nil {
 		header = make(http.Header)
 	}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -54,14 +54,21 @@
 	a.bucket.set(now, own)
 }
 
-// askLocked chooses holders that may have a token, those of the own zone first.
-func (l *Ledger) askLocked(now time.Time, a *account, u float64, skip func(node string) bool) []Node {
+// askLocked chooses holders that may have a token, those of the own zone first. unreached
+// says that some were left out since they gave no answer lately.
+func (l *Ledger) askLocked(now time.Time, a *account, u float64, skip func(node string) bool) (ask []Node, unreached bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	may := func(n Node) bool {
-		return n.Name != l.node && !now.Before(a.empty[n.Name]) && !now.Before(l.silent[n.Name]) && !skip(n.Name)
+		if n.Name == l.node || now.Before(a.empty[n.Name]) {
+			return false
+		}
+		if now.Before(l.silent[n.Name]) || skip(n.Name) {
+			unreached = true
+			return false
+		}
+		return true
 	}
-	var ask []Node
 	offset := int(u * (1 << 20))
 	for i := range a.parts {
 		p := &a.parts[(i+offset)%len(a.parts)]
@@ -71,5 +78,5 @@
 		}
 		ask = append(ask, p.choose(offset, farAsks, may)...)
 	}
-	return ask[:min(len(ask), maxAsks)]
+	return ask[:min(len(ask), maxAsks)], unreached
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -66,6 +66,8 @@
 	Granted bool
 	// Ask are holders to be asked for a token, in this order.
 	Ask []Node
+	// Unknown says that nobody can be asked since holders gave no answer lately.
+	Unknown bool
 }
 
 // Take spends a token of a workspace's quota here, or says whom to ask; with nobody to
@@ -86,7 +88,8 @@
 	if now.Before(a.exhausted) {
 		return Answer{}
 	}
-	return Answer{Ask: l.askLocked(now, a, u, skip)}
+	ask, unreached := l.askLocked(now, a, u, skip)
+	return Answer{Ask: ask, Unknown: len(ask) == 0 && unreached}
 }
 
 // Grant spends a token here for a request of another node. With none left, next is how
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -160,6 +160,23 @@
 	must.Between(t, 1, spent, 10)
 }
 
+// Guards against a node that is cut off and says that a quota is spent.
+func TestCutOffNodeDoesNotKnowTheQuota(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLedger("n", "z")
+	l.SetLimits(now, map[string]Limit{"north": {Rate: 10, Burst: 10}}, Tolerance{})
+	l.SetRing(NewRing([]Node{{Name: "other", Zone: "z"}}))
+	none := func(string) bool { return false }
+	got := l.Take(now, "north", 0, none)
+	must.SliceLen(t, 1, got.Ask)
+	must.False(t, got.Unknown)
+	l.Silent(now, "other")
+	must.True(t, l.Take(now, "north", 0, none).Unknown)
+	later := now.Add(silentFor)
+	l.Empty(later, "north", "other", time.Second)
+	must.Eq(t, Answer{}, l.Take(later, "north", 0, none))
+}
+
 // Callers that are refused come back as fast as the quota has room for them.
 func TestRefusedCallersComeBackInTurn(t *testing.T) {
 	now := time.Unix(1000, 0)
