--- a/cmd/galenad/mesh.go
+++ b/cmd/galenad/mesh.go
@@ -25,9 +25,9 @@
 // harder: stacks, buffers of the kernel and fragmentation need the rest.
 const memoryShare = 0.6
 
-// gcPercent trades memory for processor time: live data are a few MB, and each collection
-// also walks the stacks of some hundred goroutines.
-const gcPercent = 300
+// gcPercent trades processor time for memory: a VM has a few hundred MB for the
+// node and spends a tenth of a core on it.
+const gcPercent = 100
 
 // lastLines bounds the wait for the reader of the log at the end of the process.
 const lastLines = 200 * time.Millisecond
