Trees are refused at their entries while few complete because a deep upstream sheds at random

Cause: an upstream that refuses a share of its calls at random leaves its slots idle, so neither threshold nor queue closes anything. A call directly from a caller passes with 0.45, a tree of four such calls with 0.04, of eight with 0.002; the budget of retries covers a few hundred calls in ten seconds. Change: a guard estimates the share of trees that complete from its accepted calls and the calls that a tree makes there (or, after a restart, from the trees that ended since); while its upstream sheds at random and that share is below 0.2 its load reports say so. Exits that hear it from most upstreams of a service report rank 0 for it, and entries refuse. Reports that a node gets on calls of any route reach the gate too, so it opens soon afterwards. The retry delay grows with the time for which trees have failed.

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -52,6 +52,8 @@
 	c.busySlotTime = 0
 	c.busySlotTimeAbove = 0
 	c.limiter.adjust(now, use)
+	c.treesFail = c.limiter.shedsAtRandom(now) && c.outlook.completion() < minTreeCompletion
+	c.outlook.age(c.limiter.shedding())
 	for range min(elapsed/c.cfg.SojournInterval, maxIdleIntervals) {
 		c.shedder.raiseWhenIdle(useBelow, use)
 	}
@@ -208,6 +210,7 @@
 		c.aboveInFlight++
 	}
 	c.starts++
+	c.outlook.started++
 	if !w.request.HasPriorWork {
 		c.shedder.start()
 	}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -30,6 +30,7 @@
 	limiter   *limiter
 	shedder   *shedder
 	estimate  *estimator
+	outlook   treeOutlook
 	refusals  refusalCache
 	counters  Counters
 
@@ -45,6 +46,8 @@
 	intervalStarted time.Time
 	leastQueued     int
 	overloaded      bool
+	// treesFail is set while the upstream sheds at random and few trees complete; see treeOutlook.
+	treesFail bool
 	// starts counts the calls started in the current interval. startRate is its average over about
 	// four intervals.
 	starts    int
@@ -116,6 +119,9 @@
 	if !r.HasPriorWork {
 		c.shedder.offer(rank, r.Depth == 0)
 	}
+	if r.Depth > 0 {
+		c.outlook.offered(r.HasPriorWork, c.limiter.shedding())
+	}
 	// A deep call (depth above 0) over the threshold may still take a slot that would otherwise
 	// stay idle, because work was already spent on its root. A call with HasPriorWork may also
 	// wait: if it were refused, the work of deep services for its tree would be lost. The threshold
@@ -216,6 +222,7 @@
 		c.adjustEstimateFactor(w, false)
 		c.estimate.timedOut(level, latency)
 	case UpstreamShed:
+		c.outlook.callShed(w.request.Depth > 0)
 		c.limiter.callShed(now, c.inFlight, w.concurrentAtStart)
 	case Failed, Cancelled:
 		// These outcomes contain no information about the service time.
@@ -293,5 +300,6 @@
 		Threshold:  c.shedder.threshold,
 		Overloaded: c.overloaded,
 		Draining:   c.draining,
+		TreesFail:  c.treesFail,
 	}
 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -92,6 +92,14 @@
 	l.cut.abort()
 }
 
+// shedding reports whether the upstream has shed a call lately.
+func (l *limiter) shedding() bool { return l.classifier.active }
+
+// shedsAtRandom reports whether the upstream sheds calls regardless of its load.
+func (l *limiter) shedsAtRandom(now time.Time) bool {
+	return l.classifier.active && l.classifier.atRandom(now)
+}
+
 // adjust is called once per interval with the share of slots in use.
 func (l *limiter) adjust(now time.Time, use float64) {
 	if !l.cfg.Adapt {
--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -32,6 +32,8 @@
 	// prevents all callers from retrying at once.
 	treeMinRetry    = 0.1
 	treeRetryJitter = 0.5
+	// maxTreesFailRetry bounds the retry delay while trees fail.
+	maxTreesFailRetry = 30 * time.Second
 )
 
 // TreeGate refuses requests of one route at their entry node, based on what the services called
@@ -53,6 +55,8 @@
 	updated   time.Time
 	// probed is when a request was last admitted because the threshold may be outdated.
 	probed time.Time
+	// failingSince is the time since which trees of all ranks fail; zero while some complete.
+	failingSince time.Time
 }
 
 // ObserveThreshold records the lowest rank that services behind the upstream shed, as reported
@@ -61,6 +65,12 @@
 	if g.updated.IsZero() || now.Sub(g.updated) > treeMaxAge {
 		g.threshold = openThreshold
 	}
+	switch {
+	case shedThreshold > 0:
+		g.failingSince = time.Time{}
+	case g.failingSince.IsZero():
+		g.failingSince = now
+	}
 	gain := max(treeMinGain, 1-math.Exp(-now.Sub(g.updated).Seconds()/treeTimeConstant.Seconds()))
 	g.updated = now
 	g.threshold += gain * (float64(shedThreshold) - g.threshold)
@@ -86,7 +96,18 @@
 		g.probed = now
 		return nil
 	}
-	retryAfter := time.Duration(float64(objective) * (treeMinRetry + treeRetryJitter*v))
 	return result.Refuse(result.ShedEarly, "deeper services shed calls from rank %#08x upwards, according to responses of this route, the latest received %v ago",
-		threshold, now.Sub(g.updated).Round(time.Millisecond)).WithRetryAfter(max(retryAfter, minRetryAfter))
+		threshold, now.Sub(g.updated).Round(time.Millisecond)).WithRetryAfter(g.retryAfter(now, objective, v))
+}
+
+// retryAfter returns the retry delay of a refused caller. v is a random number in [0, 1).
+//
+// While trees of all ranks fail, an earlier retry would fail too. Nothing says when that ends; what has
+// lasted for some time will on average last as long again.
+func (g *TreeGate) retryAfter(now time.Time, objective time.Duration, v float64) time.Duration {
+	delay := time.Duration(float64(objective) * (treeMinRetry + treeRetryJitter*v))
+	if !g.failingSince.IsZero() {
+		delay += min(now.Sub(g.failingSince), maxTreesFailRetry)
+	}
+	return max(delay, minRetryAfter)
 }
--- a/internal/admission/tree_test.go
+++ b/internal/admission/tree_test.go
@@ -87,3 +87,21 @@
 	must.EqOp(t, 100*time.Millisecond, first.RetryAfter)
 	must.Between(t, 500*time.Millisecond, last.RetryAfter, 600*time.Millisecond)
 }
+
+// Guards against callers who are told to come back at once, again and again, while no tree completes.
+func TestTreeGateRetryAfterGrowsWhileTreesFail(t *testing.T) {
+	var g TreeGate
+	start := time.Unix(1000, 0)
+	retryAfter := func(now time.Time) time.Duration {
+		return g.Admit(now, callctx.LevelNormal, 1<<31, time.Second, 0.5, 0).RetryAfter
+	}
+	for i := range 80 {
+		g.ObserveThreshold(start.Add(time.Duration(i)*100*time.Millisecond), 0)
+	}
+	now := start.Add(8 * time.Second)
+	must.Between(t, 8*time.Second, retryAfter(now), 9*time.Second)
+	for range 3 {
+		g.ObserveThreshold(now, midNormalRank)
+	}
+	must.Less(t, time.Second, retryAfter(now))
+}
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -46,7 +46,9 @@
 	entries []map[int]*TreeGate
 	guards  []*modelGuard
 	service func(g *modelGuard) time.Duration
-	lastID  int
+	// shedShare returns the share of all calls that the upstreams shed now; nil means none.
+	shedShare func() float64
+	lastID    int
 	// demandFactor returns the current demand as a multiple of the normal rate; nil means 1.
 	demandFactor func() float64
 	// countFrom is the time at which counting starts.
@@ -191,14 +193,22 @@
 // hasPriorWork reports whether the deepest service has already served calls of the request.
 func (f *treeModel) hasPriorWork(t *treeRequest) bool { return t.callsLeft < f.routes[t.route].calls }
 
-// observeThresholds records the mean threshold of all guards, which responses report, if it is
-// below the lowest one so far.
+// observeThresholds records the rank from which the reports of the guards have the request refused, if
+// it is below the lowest one so far.
 func (f *treeModel) observeThresholds(t *treeRequest) {
-	sum := uint64(0)
+	sum, failing := uint64(0), 0
 	for _, g := range f.guards {
-		sum += uint64(g.ctl.Load().Threshold)
+		load := g.ctl.Load()
+		sum += uint64(load.Threshold)
+		if load.TreesFail {
+			failing++
+		}
+	}
+	threshold := uint32(sum / uint64(len(f.guards)))
+	if isTree := f.routes[t.route].calls > 0; isTree && 2*failing > len(f.guards) {
+		threshold = 0
 	}
-	t.lowestThreshold = min(t.lowestThreshold, uint32(sum/uint64(len(f.guards))))
+	t.lowestThreshold = min(t.lowestThreshold, threshold)
 }
 
 func (f *treeModel) step(t *treeRequest) {
@@ -243,6 +253,14 @@
 	}
 	g.calls[id] = &guardCall{refuse: refuse, run: func() {
 		started := f.model.Now()
+		if f.shedShare != nil && f.model.rng.Float64() < f.shedShare() {
+			f.model.After(time.Millisecond, func() {
+				f.apply(g, g.ctl.Finish(f.model.Now(), id, UpstreamShed, time.Millisecond))
+				f.observeThresholds(t)
+				refuse(result.Refuse(result.UpstreamShed, ""))
+			})
+			return
+		}
 		duration := f.service(g)
 		if depth == 0 {
 			duration *= rootDurationFactor
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -88,6 +88,9 @@
 	// Threshold is the lowest rank that is shed; MaxUint32 if none is.
 	Threshold            uint32
 	Overloaded, Draining bool
+	// TreesFail means that the upstream sheds so many calls at random that few of the trees that call it
+	// complete, whatever their rank.
+	TreesFail bool
 }
 
 const (
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -60,7 +60,9 @@
 		return
 	}
 	n.guard.noteShedding(call.Ctx.ParentID, a.ShedThreshold, a.SheddingService)
-	n.guard.noteShedding(call.Ctx.ParentID, n.table.Load().ShedThreshold(now, call.Ctx.Service), call.Ctx.Service)
+	if threshold, known := n.table.Load().ShedThreshold(now, call.Ctx.Service); known {
+		n.guard.noteShedding(call.Ctx.ParentID, threshold, call.Ctx.Service)
+	}
 	if a.Succeeded() {
 		n.guard.noteServed(call.Ctx.ParentID)
 		return
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -169,6 +169,7 @@
 		Threshold:   l.Threshold,
 		Overloaded:  l.Overloaded,
 		Draining:    l.Draining || g.draining,
+		TreesFail:   l.TreesFail,
 		Incarnation: g.incarnation,
 	}
 }
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -33,6 +33,8 @@
 	// headerSheds carries Response.ShedThreshold and Response.SheddingService if a deeper service
 	// sheds calls.
 	headerSheds = "Galena-Inner-Sheds"
+	// headerTreesFail carries LoadReport.TreesFail if it is set.
+	headerTreesFail = "Galena-Inner-Trees-Fail"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
@@ -130,6 +132,9 @@
 		Crashed:         h.GetCrashedIncarnation(),
 		Upstream:        fromNode,
 	}
+	if resp.Load != nil {
+		resp.Load.TreesFail = httpResp.Header.Get(headerTreesFail) != ""
+	}
 	resp.ShedThreshold, resp.SheddingService = decodeSheds(httpResp.Header.Get(headerSheds))
 	resp.Cause = result.DecodeCause(httpResp.Header.Get(headerCause))
 	if !h.GetWhole() {
@@ -247,6 +252,9 @@
 	if resp.ShedThreshold != routing.NoThreshold {
 		out.Set(headerSheds, encodeSheds(resp))
 	}
+	if resp.Load != nil && resp.Load.TreesFail {
+		out.Set(headerTreesFail, "1")
+	}
 	if resp.Cause != nil {
 		out.Set(headerCause, resp.Cause.Encode())
 	}
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -12,6 +12,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // treeGates contains a gate for each route that received requests at this node, and the thresholds
@@ -113,6 +114,24 @@
 	shedding.state.ObserveThreshold(now, resp.ShedThreshold)
 }
 
+// observeReports applies the load reports that this node has of a service to its gate, if an earlier
+// response named the service as shedding. A call of any route that ends at the service brings a newer
+// report than the few requests that the gate admits.
+func (g *treeGates) observeReports(now time.Time, table *routing.Table, service string) {
+	got, ok := g.byService.Load(service)
+	if !ok {
+		return
+	}
+	threshold, known := table.ShedThreshold(now, service)
+	if !known {
+		return
+	}
+	gate := got.(*serviceGate)
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	gate.state.ObserveThreshold(now, threshold)
+}
+
 // gatedWriter passes the responses of a route to its gate and to the metrics.
 type gatedWriter struct {
 	*routeHandler
@@ -146,6 +165,7 @@
 func (g gatedWriter) writeResponse(w http.ResponseWriter, call *node.Call, resp *node.Response) {
 	now := g.p.node.Now()
 	g.gate.observe(now, call, resp)
+	g.treeGates.observeReports(now, g.p.node.Table(), call.Ctx.Service)
 	g.p.node.ChildEnded(now, call, resp)
 	g.countEnded(call, resp.Code, now.Sub(g.startedAt))
 	g.routeHandler.writeResponse(w, call, resp)
--- a/internal/proxy/treegate_test.go
+++ b/internal/proxy/treegate_test.go
@@ -88,3 +88,28 @@
 		must.EqOp(t, "", service)
 	}
 }
+
+// Guards against a gate that stays closed for seconds although calls of other routes show that the
+// service sheds nothing any more, and against one that opens without any recent report.
+func TestLoadReportsOpenGate(t *testing.T) {
+	g := treeGates{metrics: metrics.New(1)}
+	now := time.Unix(1000, 0)
+	table := routing.NewTable(nil, routing.DefaultConfig(), routing.Self{Node: "self"}, []routing.Endpoint{{Node: "a", Incarnation: 1, Addr: "a:1", Service: "registry", Slots: 8}}, now)
+	lookups := g.forRoute("h", "/lookups/")
+	for range 30 {
+		lookups.observe(now, rootCall(callctx.LevelNormal), &node.Response{Code: result.UpstreamFailed, ShedThreshold: 0, SheddingService: "registry"})
+	}
+	closed := func() bool {
+		g.observeReports(now, table, "registry")
+		return lookups.shedding.Load().state.Threshold(now) < admission.Rank(callctx.LevelLow, 1<<31)
+	}
+	must.True(t, closed())
+	target := table.ByNode("a")
+	for range 20 {
+		now = now.Add(20 * time.Millisecond)
+		target.Start(now)
+		target.Done(now, routing.Answered, time.Millisecond, &routing.LoadReport{Limit: 8, Threshold: routing.NoThreshold})
+		g.observeReports(now, table, "registry")
+	}
+	must.False(t, closed())
+}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -54,6 +54,9 @@
 	Overloaded bool
 	// Draining means that the upstream is draining.
 	Draining bool
+	// TreesFail means that few of the trees that call the upstream complete, because it refuses calls
+	// at random. Entry nodes refuse such trees.
+	TreesFail bool
 	// Incarnation identifies the process that made the report; 0 if unknown.
 	Incarnation uint64
 }
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -11,6 +11,7 @@
 	countMask      = 1<<countBits - 1
 	flagOverloaded = 1 << 60
 	flagDraining   = 1 << 61
+	flagTreesFail  = 1 << 62
 )
 
 // reportCell stores the last load report without a lock or an allocation. Each word is consistent
@@ -38,6 +39,9 @@
 	if r.Draining {
 		word |= flagDraining
 	}
+	if r.TreesFail {
+		word |= flagTreesFail
+	}
 	otherWork := clampCount(r.InFlight + r.Queued - int(ownInFlight))
 	c.counts.Store(word)
 	c.thresholdAndOtherWork.Store(uint64(r.Threshold)<<32 | otherWork)
@@ -55,6 +59,9 @@
 // threshold returns the rank from which the guard sheds calls, regardless of the report's age.
 func (c *reportCell) threshold() uint32 { return uint32(c.thresholdAndOtherWork.Load() >> 32) }
 
+// treesFail returns LoadReport.TreesFail, regardless of the report's age.
+func (c *reportCell) treesFail() bool { return c.counts.Load()&flagTreesFail != 0 }
+
 // sheds reports whether the guard would shed the rank, regardless of the report's age.
 func (c *reportCell) sheds(rank uint32) bool {
 	threshold := c.threshold()
@@ -93,5 +100,6 @@
 		Threshold:  uint32(c.thresholdAndOtherWork.Load() >> 32),
 		Overloaded: word&flagOverloaded != 0,
 		Draining:   word&flagDraining != 0,
+		TreesFail:  c.treesFail(),
 	}
 }
