A start costs the store one call: own zone first, the rest and the record through the zone

A node that knows nobody read all members (two pages of 500 keys at 983 nodes), then changes until it knew a node to read through, and wrote its own record by itself. The wait at a first start, 2.5 s, was fitted to upstreams that report every 1.5 s; here they report every 5 s, so nodes read before there was anyone to read through. Adoption of a running upstream (3 s) was bound to the same interval. Each starting node also logged a line for each member. Change: keys of member records carry region and zone, so a node reads those of its own zone in one call and all others through the zone's tree, where a source that is starting too is waited for (0.5 s). At the first start nodes read at random times within an interval of reports, which the settings state now, and the first ones introduce themselves to the others, who need not read. One log line for all members read at a start. The paging of all keys moved from the adapter into the product. Old keys are still read: a record names its node, and the newest counts.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -92,7 +92,7 @@
 	l.cut.abort()
 }
 
-// shedding reports whether the upstream has shed a call lately.
+// shedding reports whether the upstream has shed a call recently.
 func (l *limiter) shedding() bool { return l.classifier.active }
 
 // shedsAtRandom reports whether the upstream sheds calls regardless of its load.
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -22,20 +22,36 @@
 // in a cycle, in which none would receive an update, even while their lists of members differ.
 // Nodes that are about to stop, or have no upstream, are not sources.
 func Sources(node string, zoneMembers []Member) []Member {
+	candidates := preceding(node, zoneMembers)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return rotate(candidates, (len(candidates)-1)/RelayFanOut)
+}
+
+// ZoneReader returns the node that reads the platform's store for a zone; other is false if it is the
+// given node itself. zoneMembers are the other nodes of the zone.
+func ZoneReader(node string, zoneMembers []Member) (reader Member, other bool) {
+	candidates := preceding(node, zoneMembers)
+	if len(candidates) == 0 {
+		return Member{}, false
+	}
+	return candidates[0], true
+}
+
+// preceding returns the serving members before a node in the order of the zone, in that order.
+func preceding(node string, zoneMembers []Member) []Member {
 	own := nameHash(node)
-	var candidates []Member
+	var members []Member
 	for _, m := range zoneMembers {
 		if m.State == Serving && compareNames(nameHash(m.Node), m.Node, own, node) < 0 {
-			candidates = append(candidates, m)
+			members = append(members, m)
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	slices.SortFunc(candidates, func(a, b Member) int {
+	slices.SortFunc(members, func(a, b Member) int {
 		return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
 	})
-	return rotate(candidates, (len(candidates)-1)/RelayFanOut)
+	return members
 }
 
 // rotate returns a copy that starts with the member at index first and ends with the members
--- a/internal/mesh/adopt.go
+++ b/internal/mesh/adopt.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// adoptionWindow is how long after its start a node tries to adopt the upstream beside it: 2
-	// times the interval between two reports of an upstream, which is 1.5 s.
-	adoptionWindow = 3 * time.Second
+	// adoptionReports is how long after its start a node tries to adopt the upstream beside it, in
+	// intervals between two reports of an upstream. One report may be lost.
+	adoptionReports = 2
 	// adoptionPollInterval is the pause between two attempts. Routes and the record of the
 	// node's previous process arrive from the store some 20 ms after the start.
 	adoptionPollInterval = 50 * time.Millisecond
@@ -24,13 +24,13 @@
 //
 // It covers a node that is restarted while its upstream keeps running. Without adoption, every
 // call for that upstream is refused ("no upstream is announced to this node") until its next
-// report, up to 1.5 s later, although it is idle. If several nodes of a service are restarted in
+// report, seconds later, although it is idle. If several nodes of a service are restarted in
 // turn, the service can be without any upstream for that time. The node's previous process has
 // published a record of the upstream, and a health check shows whether the upstream is still that
 // process and accepts work. Both are needed: the record may describe a process that has ended, and
 // the health check does not report the number of slots.
 func (m *Mesh) adoptUpstream(ctx context.Context) {
-	deadline := time.Now().Add(adoptionWindow)
+	deadline := time.Now().Add(adoptionReports * m.cfg.Upstream.ReportInterval.Std())
 	poll := time.NewTicker(adoptionPollInterval)
 	defer poll.Stop()
 	for time.Now().Before(deadline) && !m.local.isKnown() && !m.stopping.Load() {
--- a/internal/mesh/crashrecords.go
+++ b/internal/mesh/crashrecords.go
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	sent := time.Now()
-	err := s.topic.Put(ctx, s.key, raw)
+	err := s.topic.Put(ctx, Item{Key: s.key, Value: raw})
 	s.calls.log(ctx, PurposeCrash, sent, err)
 	return err
 }
--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -5,42 +5,86 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/wait"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// firstStartDelay is how long the nodes of a deployment that starts for the first time wait
-	// before they read the members: upstreams report every 1.5 s, and until all have reported
-	// there is no node to read through.
-	firstStartDelay = 2500 * time.Millisecond
-	// firstStartJitter is the upper bound of a random time added to firstStartDelay, so that the
-	// nodes do not all read at once.
-	firstStartJitter = 300 * time.Millisecond
-	// firstSnapshotPause is how long a node waits after its first read: nodes start within 0.3 s
-	// of each other, and a node that has not read yet has nothing to serve to others.
-	firstSnapshotPause = 700 * time.Millisecond
+	// firstReportMargin is how much longer than the interval between reports it takes until all
+	// upstreams of a deployment that starts for the first time have reported and their nodes have
+	// written their records.
+	firstReportMargin = time.Second
 	// membersReadTimeout bounds how long a starting node waits for the member records before it
 	// reads the routes. With the records it can read the routes through another node; without them
 	// it reads the store.
 	membersReadTimeout = 500 * time.Millisecond
 )
 
-// followMembers follows the member records. Load pattern: all nodes of a deployment start within
-// 1 s. Without the delays each would read all records, and then each new one, from the store,
-// since no node knows yet which node to read through.
+// followMembers follows the member records.
+//
+// Load pattern: all nodes of a deployment start within a second, for the first time or after a power
+// loss. A node that knows no other one can read from the store alone, and all records are as many as
+// nodes. It therefore reads the records of its own zone in one call and all others through a node of
+// the zone.
 func (m *Mesh) followMembers(ctx context.Context) {
 	if m.cfg.FirstStart {
-		wait.For(ctx, firstStartDelay+rand.N(firstStartJitter))
-		m.membersFollower.pauseAfterSnapshot = firstSnapshotPause
+		m.awaitFirstReports(ctx)
+	}
+	if !m.members.isInitialized() {
+		m.readZone(ctx)
+	}
+	if m.cfg.FirstStart {
+		m.introduceToZone(ctx)
 	}
 	m.membersFollower.run(ctx)
 }
 
+// awaitFirstReports waits until the other nodes of a deployment that starts for the first time have
+// written their records. The nodes then read one after another, at random times, and each introduces
+// itself to some others, which need not read any more.
+func (m *Mesh) awaitFirstReports(ctx context.Context) {
+	interval := m.cfg.Upstream.ReportInterval.Std()
+	timer := time.NewTimer(interval + firstReportMargin + rand.N(interval))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.members.known:
+	case <-ctx.Done():
+	}
+}
+
+// readZone reads the records of the node's own zone. If that fails, all records are read instead.
+func (m *Mesh) readZone(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	sent := time.Now()
+	page, err := m.platform.Members().NewestPage(ctx, zonePrefix(m.cfg.Region, m.cfg.Zone))
+	m.membersFollower.calls.log(ctx, PurposeZone, sent, err)
+	if err == nil {
+		m.members.applyPart(page.Items)
+	}
+}
+
+// introduceToZone introduces the node to some nodes of its zone. Those that wait for the first reports
+// fetch the member records from it and introduce themselves in turn.
+func (m *Mesh) introduceToZone(ctx context.Context) {
+	neighbours := m.members.zoneNeighbours(m.cfg)
+	var group errgroup.Group
+	for _, i := range rand.Perm(len(neighbours))[:min(gossipFanOut, len(neighbours))] {
+		group.Go(func() error {
+			_, err := m.exchangeRecords(ctx, neighbours[i].Address)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		m.logger.Debug().Err(err).Msg("introduction to a node of the zone failed; other nodes introduce themselves to it")
+	}
+}
+
 // followRoutes follows the published routes, through a node of the zone if one is known.
 func (m *Mesh) followRoutes(ctx context.Context) {
 	timeout := membersReadTimeout
 	if m.cfg.FirstStart {
-		timeout += firstStartDelay + firstStartJitter
+		timeout += 2*m.cfg.Upstream.ReportInterval.Std() + firstReportMargin
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -64,8 +64,6 @@
 	// batchWindow returns how long to wait after changes from the store before the next read;
 	// nil means no wait.
 	batchWindow func() time.Duration
-	// pauseAfterSnapshot is how long to wait after the first read of all keys.
-	pauseAfterSnapshot time.Duration
 	// relay reads through another node of the zone; nil means that the follower always reads the
 	// store itself.
 	relay *relay
@@ -274,14 +272,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
 	sent := time.Now()
-	items, next, err := f.topic.Newest(callCtx)
+	items, next, err := readNewest(callCtx, f.topic)
 	f.calls.log(ctx, f.snapshotPurpose, sent, err)
 	if err != nil {
 		return err
 	}
 	f.applyBatch(snapshotOffset, batch{Items: items, Next: next, Snapshot: true}, sent)
-	wait.For(ctx, f.pauseAfterSnapshot)
-	f.pauseAfterSnapshot = 0
 	return nil
 }
 
--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,9 +16,9 @@
 // busyTopic has changes at every read, as when all nodes of a deployment restart.
 type busyTopic struct{ reads atomic.Int64 }
 
-func (*busyTopic) Name() string                                  { return "members" }
-func (*busyTopic) Put(context.Context, string, []byte) error     { return nil }
-func (*busyTopic) Newest(context.Context) ([]Item, int64, error) { return nil, 0, nil }
+func (*busyTopic) Name() string                                     { return "members" }
+func (*busyTopic) Put(context.Context, ...Item) error               { return nil }
+func (*busyTopic) NewestPage(context.Context, string) (Page, error) { return Page{}, nil }
 func (b *busyTopic) Read(_ context.Context, from int64, _ time.Duration) ([]Item, int64, error) {
 	b.reads.Add(1)
 	return []Item{{Key: "node/x"}}, from + 1, nil
@@ -41,3 +43,29 @@
 		})
 	}
 }
+
+// pagedTopic has one key on each page.
+type pagedTopic struct {
+	busyTopic
+	keys []string
+}
+
+func (p *pagedTopic) NewestPage(_ context.Context, after string) (Page, error) {
+	i, _ := slices.BinarySearch(p.keys, after+"\x00")
+	return Page{Items: []Item{{Key: p.keys[i]}}, More: i < len(p.keys)-1, Next: int64(10 + i)}, nil
+}
+
+// Guards against records that were appended between two pages and are never read, and against a read
+// of pages without end.
+func TestReadNewestContinuesFromTheFirstPage(t *testing.T) {
+	items, next, err := readNewest(t.Context(), &pagedTopic{keys: []string{"a", "b", "c"}})
+	must.NoError(t, err)
+	must.EqOp(t, 10, next)
+	must.Eq(t, []Item{{Key: "a"}, {Key: "b"}, {Key: "c"}}, items)
+	many := &pagedTopic{}
+	for i := range maxPages + 1 {
+		many.keys = append(many.keys, fmt.Sprintf("%03d", i))
+	}
+	_, _, err = readNewest(t.Context(), many)
+	must.Error(t, err)
+}
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -87,6 +87,7 @@
 	inner.Handle(routesPath, m.routes)
 	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
 	inner.HandleFunc("POST "+unstoredPath, m.serveGossip)
+	inner.HandleFunc("POST "+recordPath, m.serveRecord)
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	inner.HandleFunc("GET "+watchPath, m.serveWatch)
 	inner.HandleFunc("POST "+quotaPath, m.serveQuota)
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -11,9 +11,16 @@
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
-// nodePrefix is the prefix of the keys of member records; the node's name follows.
+// nodePrefix is the prefix of the keys of member records.
 const nodePrefix = "node/"
 
+// zonePrefix is the prefix of the keys of the member records of a zone.
+func zonePrefix(region, zone string) string { return nodePrefix + region + "/" + zone + "/" }
+
+// memberKey returns the key of a member's record. The records of a zone have neighbouring keys, so
+// that a starting node reads those of its own zone in one call.
+func memberKey(m *fleet.Member) string { return zonePrefix(m.Region, m.Zone) + m.Node }
+
 // members follows the records of all nodes and applies them to routing.
 type members struct {
 	logger zerolog.Logger
@@ -24,8 +31,9 @@
 	mu       sync.Mutex
 	registry *fleet.Registry
 	// initialized reports whether the records of the deployment were read once, from the store or
-	// from another node.
+	// from another node. known is closed when it is set.
 	initialized bool
+	known       chan struct{}
 	// sameZone caches the neighbours as of the registry's change count sameZoneRevision: they
 	// are needed twice a second, and scanning 14,000 nodes takes milliseconds.
 	sameZone         []fleet.Member
@@ -41,8 +49,28 @@
 func (m *members) apply(items []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.initialized = true
-	updated := false
+	m.applyLocked(items, !m.initialized)
+	m.setInitializedLocked()
+}
+
+func (m *members) setInitializedLocked() {
+	if !m.initialized {
+		m.initialized = true
+		close(m.known)
+	}
+}
+
+// applyPart applies the records of some members; those of the others are still to be read.
+func (m *members) applyPart(items []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applyLocked(items, true)
+}
+
+// applyLocked applies records. At a start it logs their number alone, since there are as many as
+// nodes.
+func (m *members) applyLocked(items []Item, atStart bool) {
+	updated := 0
 	for _, item := range items {
 		if len(item.Value) == 0 {
 			continue
@@ -56,14 +84,21 @@
 			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
-		if m.registry.Apply(record) {
-			updated = true
+		if !m.registry.Apply(record) {
+			continue
+		}
+		updated++
+		if !atStart {
 			m.logChange(&record, "store")
 		}
 	}
-	if updated {
-		m.onChange(m.registry)
+	if updated == 0 {
+		return
 	}
+	if atStart {
+		m.logger.Info().Int("members", len(items)).Int("changed", updated).Msg("member records read at the start")
+	}
+	m.onChange(m.registry)
 }
 
 // applyMember applies a record that did not come from the store.
@@ -97,7 +132,7 @@
 func (m *members) mergeRecords(records []fleet.Member, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.initialized = true
+	m.setInitializedLocked()
 	updated := 0
 	for i := range records {
 		if err := records[i].Validate(); err != nil {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -48,6 +48,7 @@
 	members         *members
 	membersFollower *follower
 	publisher       *publisher
+	groupWriter     *groupWriter
 	gossiper        *gossiper
 	crashReporter   *crashReporter
 	routes          *routeKeeper
@@ -147,11 +148,13 @@
 	m.quotas = newQuotas(m)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
-	m.members = &members{logger: m.rateLimited, registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
+	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
 	m.membersFollower = newFollower(m.platform.Members(), m.members.apply, m.newRelay(membersWatchWait), m.logger)
 	m.membersFollower.batchWindow = m.membersBatchWindow
 	m.membersFollower.lagGrace = membersLagGrace
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.gossiper.publish)
+	m.groupWriter = &groupWriter{ctx: m.ctx, put: m.publisher.put}
+	m.publisher.writeThroughZone = (&zoneWriter{mesh: m}).write
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
--- a/internal/mesh/publisher.go
+++ b/internal/mesh/publisher.go
@@ -17,6 +17,8 @@
 	logger zerolog.Logger
 	calls  storeCallLog
 	wake   chan struct{}
+	// writeThroughZone writes a record through another node; nil means that there is none.
+	writeThroughZone func(context.Context, Item) error
 	// onWriteFailed is called when the store did not accept the record.
 	onWriteFailed func(Item)
 
@@ -94,11 +96,9 @@
 	if err != nil {
 		return err
 	}
-	sent := time.Now()
-	err = p.topic.Put(ctx, nodePrefix+record.Node, raw)
-	p.calls.log(ctx, PurposeOwnRecord, sent, err)
-	if err != nil {
-		p.onWriteFailed(Item{Key: nodePrefix + record.Node, Value: raw})
+	item := Item{Key: memberKey(&record), Value: raw}
+	if err := p.writeItem(ctx, item); err != nil {
+		p.onWriteFailed(item)
 		return err
 	}
 	p.mu.Lock()
@@ -107,3 +107,23 @@
 	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own member record written to the store")
 	return nil
 }
+
+// writeItem writes a record through another node, or to the store if that fails.
+func (p *publisher) writeItem(ctx context.Context, item Item) error {
+	if p.writeThroughZone != nil {
+		err := p.writeThroughZone(ctx, item)
+		if err == nil {
+			return nil
+		}
+		p.logger.Debug().Err(err).Msg("own member record not written through another node; it is written to the store")
+	}
+	return p.put(ctx, []Item{item})
+}
+
+// put writes member records to the store in one call.
+func (p *publisher) put(ctx context.Context, items []Item) error {
+	sent := time.Now()
+	err := p.topic.Put(ctx, items...)
+	p.calls.log(ctx, PurposeOwnRecord, sent, err)
+	return err
+}
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -30,6 +30,9 @@
 	membersWatchWait = 3 * time.Second
 	routesWatchWait  = time.Second
 	watchMargin      = 300 * time.Millisecond
+	// startingSourceWait is how long a request for all keys waits for a source that is starting too.
+	// After a power loss all nodes of a zone start within some hundred milliseconds.
+	startingSourceWait = 500 * time.Millisecond
 	// maxWatchWait bounds the wait that another node may request.
 	maxWatchWait = 5 * time.Second
 	// refusedCooldown is how long a node that refused a request is not used, and
@@ -140,10 +143,14 @@
 
 // requestFor returns the request for a source. A request to a source other than the current one
 // does not wait for changes, since that node may be paused. While this node waits for a paused one,
-// it receives no changes, and neither do the nodes below it in the tree.
+// it receives no changes, and neither do the nodes below it in the tree. A request for all keys waits
+// for a source that is starting too.
 func (r *relay) requestFor(source *fleet.Member, topic string, from, minNext int64) watchRequest {
 	req := watchRequest{topic: topic, from: from, wait: r.wait}
-	if from != snapshotOffset && (source.Node != r.source() || from < minNext) {
+	switch {
+	case from == snapshotOffset:
+		req.wait = min(r.wait, startingSourceWait)
+	case source.Node != r.source() || from < minNext:
 		req.wait = 0
 	}
 	return req
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -27,16 +27,16 @@
 	down      atomic.Bool
 }
 
-func (*growingTopic) Name() string                              { return "members" }
-func (*growingTopic) Put(context.Context, string, []byte) error { return nil }
+func (*growingTopic) Name() string                       { return "members" }
+func (*growingTopic) Put(context.Context, ...Item) error { return nil }
 
 func (g *growingTopic) end() int64 { return int64(time.Since(g.startedAt) / (100 * time.Millisecond)) }
 
-func (g *growingTopic) Newest(context.Context) ([]Item, int64, error) {
+func (g *growingTopic) NewestPage(context.Context, string) (Page, error) {
 	if g.down.Load() {
-		return nil, 0, errors.New("store is down")
+		return Page{}, errors.New("store is down")
 	}
-	return nil, g.end(), nil
+	return Page{Next: g.end()}, nil
 }
 
 func (g *growingTopic) Read(ctx context.Context, from int64, _ time.Duration) ([]Item, int64, error) {
@@ -291,9 +291,9 @@
 	expired, snapshots atomic.Int64
 }
 
-func (c *compactedTopic) Newest(ctx context.Context) ([]Item, int64, error) {
+func (c *compactedTopic) NewestPage(ctx context.Context, after string) (Page, error) {
 	c.snapshots.Add(1)
-	return c.growingTopic.Newest(ctx)
+	return c.growingTopic.NewestPage(ctx, after)
 }
 
 func (c *compactedTopic) Read(ctx context.Context, from int64, d time.Duration) ([]Item, int64, error) {
--- a/internal/mesh/relaybytes_test.go
+++ b/internal/mesh/relaybytes_test.go
@@ -93,10 +93,10 @@
 func (q emptyTopic) Name() string { return string(q) }
 
 // Put implements Topic.
-func (emptyTopic) Put(context.Context, string, []byte) error { return nil }
+func (emptyTopic) Put(context.Context, ...Item) error { return nil }
 
 // Newest implements Topic.
-func (emptyTopic) Newest(context.Context) ([]Item, int64, error) { return nil, 0, nil }
+func (emptyTopic) NewestPage(context.Context, string) (Page, error) { return Page{}, nil }
 
 // Read implements Topic.
 func (emptyTopic) Read(context.Context, int64, time.Duration) ([]Item, int64, error) {
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -81,6 +81,10 @@
 		return err
 	}
 	raw, err := k.mesh.sendControl(req, maxRoutesBytes)
+	var status *statusError
+	if errors.As(err, &status) && status.status == http.StatusNotFound {
+		return nil // the other node has no routes yet either
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/storecalls.go
+++ b/internal/mesh/storecalls.go
@@ -14,6 +14,8 @@
 const (
 	// PurposeStart is a read of all keys by a node that has no records yet.
 	PurposeStart Purpose = "start"
+	// PurposeZone is a read of the records of the node's own zone by a node that starts.
+	PurposeZone Purpose = "zone"
 	// PurposeExpired is a read of all keys after records expired before they were read.
 	PurposeExpired Purpose = "expired"
 	// PurposeChanges is a read that waits for the next records.
--- a/internal/mesh/topic.go
+++ b/internal/mesh/topic.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Item is the newest record of a key.
@@ -20,12 +21,47 @@
 type Topic interface {
 	// Name returns the name of the topic in logs.
 	Name() string
-	// Put appends a record. If it returns an error, the record may still have been stored.
-	Put(ctx context.Context, key string, value []byte) error
-	// Newest returns the newest record of each key, and the offset from which Read returns the
-	// records that came later.
-	Newest(ctx context.Context) (items []Item, next int64, err error)
+	// Put appends records in one call, all or none. If it returns an error, they may still have been
+	// stored.
+	Put(ctx context.Context, items ...Item) error
+	// NewestPage returns the newest records of the first keys above a key, as many as one call of the
+	// store returns.
+	NewestPage(ctx context.Context, after string) (Page, error)
 	// Read returns the records from offset from on. If there are none, it waits up to wait for
 	// one. It fails with ErrExpired if the store no longer keeps the records at from.
 	Read(ctx context.Context, from int64, wait time.Duration) (items []Item, next int64, err error)
 }
+
+// Page is the newest records of some keys, in the order of the keys.
+type Page struct {
+	Items []Item
+	// More reports whether there are keys above those of Items.
+	More bool
+	// Next is the offset from which Read returns the records that came later.
+	Next int64
+}
+
+// maxPages bounds the pages of one read of all keys. The store's pages have 500 keys.
+const maxPages = 64
+
+// readNewest returns the newest record of each key, and the offset from which Read returns the records
+// that came later. That is the offset of the first page: records that are appended between two pages
+// may be missing from the result.
+func readNewest(ctx context.Context, t Topic) (items []Item, next int64, err error) {
+	after := ""
+	for i := range maxPages {
+		page, err := t.NewestPage(ctx, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if i == 0 {
+			next = page.Next
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, next, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	return nil, 0, errors.Errorf("newest records of topic %s exceed %d pages", t.Name(), maxPages)
+}
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -24,13 +24,14 @@
 	// record of any node. Default false.
 	FirstStart bool `json:"first_start"`
 
-	Listen    MeshListen `json:"listen"`
-	Store     MeshStore  `json:"store"`
-	Resources Resources  `json:"resources"`
-	Stop      MeshStop   `json:"stop"`
-	Retries   Retries    `json:"retries"`
-	Quotas    Quotas     `json:"quotas"`
-	Logging   Logging    `json:"logging"`
+	Listen    MeshListen   `json:"listen"`
+	Store     MeshStore    `json:"store"`
+	Upstream  MeshUpstream `json:"upstream"`
+	Resources Resources    `json:"resources"`
+	Stop      MeshStop     `json:"stop"`
+	Retries   Retries      `json:"retries"`
+	Quotas    Quotas       `json:"quotas"`
+	Logging   Logging      `json:"logging"`
 }
 
 // MeshListen contains the addresses that the node listens on, as IP:port.
@@ -65,6 +66,12 @@
 // read the same store.
 func (s MeshStore) Identity() string { return cmp.Or(s.Name, s.Address) }
 
+// MeshUpstream describes the upstream beside the node.
+type MeshUpstream struct {
+	// ReportInterval is the time between two reports of an upstream. Default 1.5s.
+	ReportInterval Duration `json:"report_interval"`
+}
+
 // Resources contains the limits that the VM sets for the node process.
 type Resources struct {
 	// MemoryMB is the memory size in MB at which the process is killed. Default 256.
@@ -122,6 +129,7 @@
 func MeshDefaults() *Mesh {
 	return &Mesh{
 		Store:     MeshStore{RecordBytes: 256 << 10},
+		Upstream:  MeshUpstream{ReportInterval: Duration(1500 * time.Millisecond)},
 		Resources: Resources{MemoryMB: 256, Descriptors: 4096},
 		Stop:      MeshStop{Grace: Duration(6 * time.Second)},
 		Retries:   Retries{Ratio: 0.2, Window: Duration(10 * time.Second)},
@@ -155,6 +163,7 @@
 		{"upstream_address", m.UpstreamAddress == next.UpstreamAddress},
 		{"listen", m.Listen == next.Listen},
 		{"store.record_bytes", m.Store.RecordBytes == next.Store.RecordBytes},
+		{"upstream.report_interval", m.Upstream.ReportInterval == next.Upstream.ReportInterval},
 		{"logging.burst", m.Logging.Burst == next.Logging.Burst},
 		{"logging.sample", m.Logging.Sample == next.Logging.Sample},
 	} {
@@ -222,6 +231,7 @@
 		{m.Quotas.Window.Std() >= 100*time.Millisecond && m.Quotas.Window.Std() <= time.Hour, "quotas.window", m.Quotas.Window, "100ms to 1h"},
 		{m.Quotas.Overage >= 0 && m.Quotas.Overage <= 10, "quotas.overage", m.Quotas.Overage, "0 to 10"},
 		{m.Quotas.Slack >= 0 && m.Quotas.Slack <= 1_000_000, "quotas.slack", m.Quotas.Slack, "0 to 1000000"},
+		{m.Upstream.ReportInterval.Std() >= 100*time.Millisecond && m.Upstream.ReportInterval.Std() <= time.Minute, "upstream.report_interval", m.Upstream.ReportInterval, "100ms to 1m"},
 		{m.Store.RecordBytes >= 1024, "store.record_bytes", m.Store.RecordBytes, "at least 1024"},
 	} {
 		if !x.ok {
