Idempotent requests are let in while trees fail; only the others are refused at their entries

A submission may run once at most; its caller gets a 500 and doesn't know whether it ran. Change: while trees of all ranks fail, the gate refuses requests that aren't idempotent.

--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -84,6 +84,9 @@
 	return uint32(g.threshold)
 }
 
+// TreesFail reports whether trees of all ranks fail.
+func (g *TreeGate) TreesFail() bool { return !g.failingSince.IsZero() }
+
 // Admit returns a refusal if the request must be rejected, and nil otherwise. u and v are random
 // numbers in [0, 1): u selects the requests that are admitted as probes, and v sets the jitter of
 // the retry delay.
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -92,6 +92,11 @@
 	}
 	shedding.mu.Lock()
 	defer shedding.mu.Unlock()
+	// An idempotent request may be repeated after a failure, so its caller gains from the trees that
+	// complete. The caller of any other request would not know whether it ran.
+	if c.Idempotent && shedding.state.TreesFail() {
+		return nil
+	}
 	return shedding.state.Admit(now, c.Level, c.CallerHash, objective, rand.Float64(), rand.Float64())
 }
 
--- a/internal/proxy/treegate_test.go
+++ b/internal/proxy/treegate_test.go
@@ -113,3 +113,27 @@
 	}
 	must.False(t, closed())
 }
+
+// Guards against refusing requests that may be repeated while few trees complete, and against letting
+// in those that may run once at most.
+func TestIdempotentRequestsAreAdmittedWhileTreesFail(t *testing.T) {
+	g := treeGates{metrics: metrics.New(1)}
+	now := time.Unix(1000, 0)
+	lookups := g.forRoute("h", "/lookups/")
+	for range 60 {
+		lookups.observe(now, rootCall(callctx.LevelNormal), &node.Response{Code: result.UpstreamFailed, ShedThreshold: 0, SheddingService: "registry"})
+	}
+	refused := func(idempotent bool) int {
+		n := 0
+		for range 100 {
+			call := rootCall(callctx.LevelNormal)
+			call.Ctx.Idempotent = idempotent
+			if lookups.admit(now, call, time.Second) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	must.EqOp(t, 0, refused(true))
+	must.Greater(t, 90, refused(false))
+}
