Gossip carries the records of a whole zone: the bound follows the zone's nodes

Cause: 64 records are passed on in a zone without the store, whatever its size. The fleet's zones have 160 to 190 nodes: after a power loss there most nodes stayed unknown until the store was back. Shown by the test: 64 of 200 records. Change: the bound is two records for each node of the zone, and 64 at least. A message stays within 64 KB; larger sets travel in parts drawn anew for each message. Measured: 200 nodes that publish at once each have all 200 records within 4 s (virtual time), 64 before. At 412 nodes, the planned zone, 824 records of some 300 B are 0.25 MB for 8 s. Ruled out as such a limit: the feed's 256 KB, through which the records of all zones go. A reader that falls behind it takes all newest records, which are as large at 983 nodes and smaller than what it missed.

--- a/internal/mesh/gossip.go
+++ b/internal/mesh/gossip.go
@@ -26,10 +26,12 @@
 	gossipRoundFanOut = 2
 	// gossipDuration is how long a record is passed on.
 	gossipDuration = 8 * time.Second
-	// maxGossipRecords bounds the records that are passed on, and maxGossipBytes the size of one
-	// message in bytes.
-	maxGossipRecords = 64
-	maxGossipBytes   = 64 << 10
+	// minGossipRecords and gossipRecordsPerNode bound the records that are passed on: after a power
+	// loss each node of the zone has one of its own, and some have a crash record as well.
+	minGossipRecords     = 64
+	gossipRecordsPerNode = 2
+	// maxGossipBytes bounds the size of one message in bytes.
+	maxGossipBytes = 64 << 10
 	// gossipTimeout bounds one message within the zone.
 	gossipTimeout = 300 * time.Millisecond
 )
@@ -121,13 +123,14 @@
 
 // merge adds the records that are new or later than the known ones, and returns them.
 func (g *gossiper) merge(items []unstoredItem) (fresh []Item) {
+	limit := max(minGossipRecords, gossipRecordsPerNode*(len(g.neighbours())+1))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(g.records, func(_ string, x gossipRecord) bool { return now.After(x.expires) })
 	for _, item := range items {
 		existing, known := g.records[item.Key]
-		if known && existing.AtMillis >= item.AtMillis || !known && len(g.records) >= maxGossipRecords {
+		if known && existing.AtMillis >= item.AtMillis || !known && len(g.records) >= limit {
 			continue
 		}
 		g.records[item.Key] = gossipRecord{item, now.Add(gossipDuration)}
