--- a/internal/mesh/groupwrite.go
+++ b/internal/mesh/groupwrite.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/galenagrade/galenagrade/internal/fleet"
 )
 
@@ -99,21 +97,29 @@
 	failedAt time.Time
 }
 
-// write writes a record through the zone's reader, or reports an error if that one does not write it.
+// write writes a record through the zone's reader, or to the store itself if this node is the reader or
+// the reader does not write it.
 func (z *zoneWriter) write(ctx context.Context, item Item) error {
 	m := z.mesh
 	reader, other := fleet.ZoneReader(m.cfg.NodeID, m.members.zoneNeighbours(m.cfg))
-	if !other {
-		return m.groupWriter.write(ctx, item)
+	if other && z.writeThrough(ctx, &reader, item) {
+		return nil
 	}
+	return m.groupWriter.write(ctx, item)
+}
+
+// writeThrough reports whether another node wrote a record.
+func (z *zoneWriter) writeThrough(ctx context.Context, reader *fleet.Member, item Item) bool {
 	if reader.Node == z.failed && time.Since(z.failedAt) < failedWriterPause {
-		return errors.Errorf("node %s failed to write a record recently", reader.Node)
+		return false
 	}
-	err := m.sendRecord(ctx, reader.Address, item)
-	if err != nil {
-		z.failed, z.failedAt = reader.Node, time.Now()
+	err := z.mesh.sendRecord(ctx, reader.Address, item)
+	if err == nil {
+		return true
 	}
-	return err
+	z.failed, z.failedAt = reader.Node, time.Now()
+	z.mesh.logger.Debug().Str("member", reader.Node).Err(err).Msg("own member record not written through another node; it is written to the store")
+	return false
 }
 
 // sendRecord has another node write a record.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -154,7 +154,7 @@
 	m.membersFollower.lagGrace = membersLagGrace
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.gossiper.publish)
 	m.groupWriter = &groupWriter{ctx: m.ctx, put: m.publisher.put}
-	m.publisher.writeThroughZone = (&zoneWriter{mesh: m}).write
+	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
 	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
--- a/internal/mesh/publisher.go
+++ b/internal/mesh/publisher.go
@@ -17,8 +17,8 @@
 	logger zerolog.Logger
 	calls  storeCallLog
 	wake   chan struct{}
-	// writeThroughZone writes a record through another node; nil means that there is none.
-	writeThroughZone func(context.Context, Item) error
+	// writeItem writes a record to the store, itself or through another node.
+	writeItem func(context.Context, Item) error
 	// onWriteFailed is called when the store did not accept the record.
 	onWriteFailed func(Item)
 
@@ -108,18 +108,6 @@
 	return nil
 }
 
-// writeItem writes a record through another node, or to the store if that fails.
-func (p *publisher) writeItem(ctx context.Context, item Item) error {
-	if p.writeThroughZone != nil {
-		err := p.writeThroughZone(ctx, item)
-		if err == nil {
-			return nil
-		}
-		p.logger.Debug().Err(err).Msg("own member record not written through another node; it is written to the store")
-	}
-	return p.put(ctx, []Item{item})
-}
-
 // put writes member records to the store in one call.
 func (p *publisher) put(ctx context.Context, items []Item) error {
 	sent := time.Now()
