The gate opens at once when trees complete again

Cause: rank 0, by which a response says that trees of all ranks fail, was averaged with the threshold. Change: the share of such responses is averaged by itself; the threshold keeps its value meanwhile. Measured: TestTreeGateOpensAtOnceWhenTreesComplete fails without it.

--- a/internal/admission/tree.go
+++ b/internal/admission/tree.go
@@ -55,30 +55,51 @@
 	updated   time.Time
 	// probed is when a request was last admitted because the threshold may be outdated.
 	probed time.Time
-	// failingSince is the time since which trees of all ranks fail; zero while some complete.
+	// failing is the average share of responses that report that trees of all ranks fail. It is apart
+	// from threshold, which is in force again when they complete.
+	failing float64
+	// failingSince is the time since which more than half of the responses report so; zero while fewer
+	// do.
 	failingSince time.Time
 }
 
 // ObserveThreshold records the lowest rank that services behind the upstream shed, as reported
-// in a response of this route. shedThreshold is MaxUint32 if they shed nothing.
+// in a response of this route. shedThreshold is MaxUint32 if they shed nothing, and 0 if trees of all
+// ranks fail.
 func (g *TreeGate) ObserveThreshold(now time.Time, shedThreshold uint32) {
 	if g.updated.IsZero() || now.Sub(g.updated) > treeMaxAge {
-		g.threshold = openThreshold
+		g.threshold, g.failing = openThreshold, 0
 	}
+	gain := max(treeMinGain, 1-math.Exp(-now.Sub(g.updated).Seconds()/treeTimeConstant.Seconds()))
+	g.updated = now
+	if shedThreshold > 0 {
+		g.threshold += gain * (float64(shedThreshold) - g.threshold)
+	}
+	g.observeFailing(now, gain, shedThreshold == 0)
+}
+
+func (g *TreeGate) observeFailing(now time.Time, gain float64, fail bool) {
+	share := 0.0
+	if fail {
+		share = 1
+	}
+	g.failing += gain * (share - g.failing)
 	switch {
-	case shedThreshold > 0:
+	case g.failing <= 0.5:
 		g.failingSince = time.Time{}
 	case g.failingSince.IsZero():
 		g.failingSince = now
 	}
-	gain := max(treeMinGain, 1-math.Exp(-now.Sub(g.updated).Seconds()/treeTimeConstant.Seconds()))
-	g.updated = now
-	g.threshold += gain * (float64(shedThreshold) - g.threshold)
 }
 
 // Threshold returns the lowest rank that is refused at now; MaxUint32 if none is.
 func (g *TreeGate) Threshold(now time.Time) uint32 {
-	if g.updated.IsZero() || now.Sub(g.updated) > treeMaxAge || g.threshold > openThreshold-1 {
+	switch {
+	case g.updated.IsZero() || now.Sub(g.updated) > treeMaxAge:
+		return openThreshold
+	case g.TreesFail():
+		return 0
+	case g.threshold > openThreshold-1:
 		return openThreshold
 	}
 	return uint32(g.threshold)
