A starting node waits for sources and for the zone's reader that are starting too

Cause: the race detector's run of TestMassRestartCallsTheStoreOncePerNode failed once, 47 calls for 30 nodes (42 allowed). Traced by the purposes in the log: 30 reads of the own zone, one append, one read of all members, and waiting reads of the processes that were being ended, which the test counted: it ended and started node after node. Besides, a node whose sources refuse the connection, since they start at the same time, read all members itself, and wrote its own record. Change: a read of all keys is tried again for 0.5 s and puts no source that refuses in cooldown; so is a record at a reader that can't be reached. The test ends all nodes before it counts, as a power loss does; its bound stays. A single node that restarts while all of its zone are down reads the store 0.5 s later.

--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -182,6 +182,9 @@
 	if f.lost.Load() {
 		return f.relay.awaitStore(ctx, f.topic.Name(), next)
 	}
+	if next == snapshotOffset {
+		return f.relay.readAll(ctx, f.topic.Name())
+	}
 	return f.relay.read(ctx, f.topic.Name(), next, f.peerOffset.Load())
 }
 
--- a/internal/mesh/groupwrite.go
+++ b/internal/mesh/groupwrite.go
@@ -8,7 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -113,7 +116,7 @@
 	if reader.Node == z.failed && time.Since(z.failedAt) < failedWriterPause {
 		return false
 	}
-	err := z.mesh.sendRecord(ctx, reader.Address, item)
+	err := z.send(ctx, reader.Address, item)
 	if err == nil {
 		return true
 	}
@@ -122,10 +125,22 @@
 	return false
 }
 
-// sendRecord has another node write a record.
-func (m *Mesh) sendRecord(ctx context.Context, address string, item Item) error {
+// send has another node write a record. A node that can't be reached may be starting as well, and is
+// tried again within throughZoneTimeout.
+func (z *zoneWriter) send(ctx context.Context, address string, item Item) error {
 	ctx, cancel := context.WithTimeout(ctx, throughZoneTimeout)
 	defer cancel()
+	for {
+		err := z.mesh.sendRecord(ctx, address, item)
+		if err == nil || ctx.Err() != nil || errors.As(err, new(*statusError)) {
+			return err
+		}
+		wait.For(ctx, startingSourcePause)
+	}
+}
+
+// sendRecord has another node write a record.
+func (m *Mesh) sendRecord(ctx context.Context, address string, item Item) error {
 	raw, err := json.Marshal(item)
 	if err != nil {
 		return err
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -30,9 +31,11 @@
 	membersWatchWait = 3 * time.Second
 	routesWatchWait  = time.Second
 	watchMargin      = 300 * time.Millisecond
-	// startingSourceWait is how long a request for all keys waits for a source that is starting too.
-	// After a power loss all nodes of a zone start within some hundred milliseconds.
-	startingSourceWait = 500 * time.Millisecond
+	// startingSourceWait is how long a request for all keys waits for a source that is starting too, and
+	// how long a node waits for its sources to start. After a power loss all nodes of a zone start within
+	// some hundred milliseconds. startingSourcePause is the pause between two attempts.
+	startingSourceWait  = 500 * time.Millisecond
+	startingSourcePause = 100 * time.Millisecond
 	// maxWatchWait bounds the wait that another node may request.
 	maxWatchWait = 5 * time.Second
 	// refusedCooldown is how long a node that refused a request is not used, and
@@ -125,6 +128,19 @@
 	return batch{}, false
 }
 
+// readAll reads all keys through another node. If none responds, it tries again for a while: all nodes
+// of a zone may be starting, and each that read the store instead would read all keys.
+func (r *relay) readAll(ctx context.Context, topic string) (batch, bool) {
+	deadline := time.Now().Add(startingSourceWait)
+	for {
+		b, ok := r.read(ctx, topic, snapshotOffset, 0)
+		if ok || len(r.candidates()) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return b, ok
+		}
+		wait.For(ctx, startingSourcePause)
+	}
+}
+
 // awaitStore waits for another node to regain the store. 2 in 3 requests go to the first source,
 // the parent in the tree: the first node that regains the store passes its records down the tree
 // at once. The others go to a random source, to find a node that the store serves while it refuses
@@ -157,7 +173,7 @@
 }
 
 // fetchFrom sends a watch request to a source. A source that fails is put in cooldown, unless it
-// refused a request with waitForStore.
+// refused a request with waitForStore or one for all keys.
 func (r *relay) fetchFrom(ctx context.Context, source *fleet.Member, req watchRequest) (batch, bool) {
 	sent := time.Now()
 	fetchCtx, cancel := context.WithTimeout(ctx, req.wait+watchMargin)
@@ -168,7 +184,9 @@
 	}
 	if err != nil {
 		r.logger.Debug().Str("topic", req.topic).Str("member", source.Node).Err(err).Msg("read through another node failed; another node or the store is read")
-		if !req.waitForStore || !errors.As(err, new(*statusError)) {
+		mayBeStarting := req.from == snapshotOffset && time.Since(sent) < maxRefusalTime
+		mayRegainStore := req.waitForStore && errors.As(err, new(*statusError))
+		if !mayBeStarting && !mayRegainStore {
 			r.startCooldown(source.Node, sent)
 		}
 		return batch{}, false
