A node that moves to another store serves nothing of the one it left

On a change of settings the new store's name was in force before what had been read of the old one was dropped. A node that had moved already asked for all keys in between, took the old store's offset for one of the new, and waited for records at greater offsets. Change: the feed is emptied before the name changes, answers after it has all keys of the new store, and batches that were on their way from the old one are dropped.

--- a/internal/mesh/feed.go
+++ b/internal/mesh/feed.go
@@ -49,6 +49,8 @@
 	// latest is the newest record of each key; nil unless all keys are known.
 	latest map[string][]byte
 	state  feedState
+	// discardUntilSnapshot is set until all keys of another store are read.
+	discardUntilSnapshot bool
 	// changed is closed at the next change; nil while no reader waits.
 	changed chan struct{}
 }
@@ -82,6 +84,10 @@
 func (f *feed) add(from int64, b batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.discardUntilSnapshot && !b.Snapshot {
+		return
+	}
+	f.discardUntilSnapshot = false
 	if b.Snapshot || from != f.next {
 		f.resetLocked(b)
 	}
@@ -132,6 +138,20 @@
 	}
 }
 
+// restart drops all records, since the node moves to another store, whose offsets are unrelated.
+// Readers wait until all keys of that store are read.
+func (f *feed) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resetLocked(batch{})
+	f.next = 0
+	f.discardUntilSnapshot = true
+	if f.state != feedClosed {
+		f.state = feedStarting
+	}
+	f.notifyLocked()
+}
+
 // markStoreLost marks the store as lost. Waiting readers fail at once, so that they read from
 // another node.
 func (f *feed) markStoreLost() { f.setUnavailable(feedStoreLost) }
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -246,6 +246,9 @@
 
 // applyBatch applies a batch that was read from an offset and was current at validAt.
 func (f *follower) applyBatch(from int64, b batch, validAt time.Time) {
+	if f.resync.Load() {
+		return // read before the node moved to another store
+	}
 	f.confirmedAt.Store(validAt.UnixMilli())
 	f.feed.add(from, b)
 	f.next.Store(b.Next)
@@ -303,6 +306,12 @@
 	return max(0, now.Sub(time.UnixMilli(at)))
 }
 
+// leaveStore drops what was read of a store that the node is about to leave. resyncNow must follow.
+func (f *follower) leaveStore() {
+	f.resync.Store(true)
+	f.feed.restart()
+}
+
 // resyncNow reads all keys again at once.
 func (f *follower) resyncNow() {
 	f.resync.Store(true)
--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -69,3 +69,20 @@
 	_, _, err = readNewest(t.Context(), many)
 	must.Error(t, err)
 }
+
+// Guards against records of a store that the node left: a node that moved before it would take their
+// offset for one of the new store and wait for records at greater offsets.
+func TestFeedServesNothingOfAStoreThatWasLeft(t *testing.T) {
+	f := newFollower(&busyTopic{}, func([]Item) {}, nil, zerolog.Nop())
+	f.applyBatch(snapshotOffset, batch{Items: []Item{{Key: "a", Value: []byte("v")}}, Next: 20, Snapshot: true}, time.Now())
+	f.leaveStore()
+	f.applyBatch(20, batch{Items: []Item{{Key: "b", Value: []byte("v")}}, Next: 21}, time.Now())
+	f.feed.add(21, batch{Items: []Item{{Key: "c", Value: []byte("v")}}, Next: 22})
+	_, err := f.feed.readFrom(t.Context(), snapshotOffset, time.Millisecond, false)
+	must.ErrorIs(t, err, errFeedNotCurrent)
+	f.resync.Store(false)
+	f.applyBatch(snapshotOffset, batch{Next: 3, Snapshot: true}, time.Now())
+	b, err := f.feed.readFrom(t.Context(), snapshotOffset, time.Millisecond, false)
+	must.NoError(t, err)
+	must.EqOp(t, 3, b.Next)
+}
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -6,8 +6,15 @@
 // stop, the store's address. next must be valid. It returns the names of the changed fields that
 // need a restart; those keep their old values.
 func (m *Mesh) Reload(next *settings.Mesh) []string {
-	previous := m.tunable.Swap(next)
-	if previous.Store.Address != next.Store.Address || previous.Store.Name != next.Store.Name {
+	previous := m.tunable.Load()
+	moves := previous.Store.Address != next.Store.Address || previous.Store.Name != next.Store.Name
+	if moves {
+		// Other nodes that moved already read through this one as soon as its settings name the new store.
+		m.routes.follower.leaveStore()
+		m.membersFollower.leaveStore()
+	}
+	m.tunable.Store(next)
+	if moves {
 		m.platform.SetStore(next.Store.Address)
 		m.routes.follower.resyncNow()
 		m.membersFollower.resyncNow()
