What an upstream says about itself in its responses is decoded, logged and shown

Upstreams had named a rate limit in their responses, but no log line, event, metric or state said so, so that 'nobody reads it' and 'some nodes learn of it too late' looked alike.

Change: the adapter decodes both headers once into routing.UpstreamNotice; the guard keeps the newest notice of the current process, records its changes as the event upstream_notice, and shows it in /state and as upstream.rate_limit_milli. An invalid limit changes nothing and is recorded. No decision uses it yet.

--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -49,11 +49,15 @@
 
 // Guard is the state of the guard of the local upstream.
 type Guard struct {
-	Serving         bool  `json:"serving"`
-	InFlight        int   `json:"in_flight"`
-	Queued          int   `json:"queued"`
-	Limit           int   `json:"limit"`
-	Overloaded      bool  `json:"overloaded"`
+	Serving    bool `json:"serving"`
+	InFlight   int  `json:"in_flight"`
+	Queued     int  `json:"queued"`
+	Limit      int  `json:"limit"`
+	Overloaded bool `json:"overloaded"`
+	// RateLimit is the rate limit that the upstream names, in calls per second; omitted if it names none.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// UpstreamLeaves reports whether the upstream said in a response that it is leaving.
+	UpstreamLeaves  bool  `json:"upstream_leaves,omitempty"`
 	RetryBudgetLeft int64 `json:"repeats_left"`
 }
 
@@ -104,7 +108,13 @@
 func (m *Mesh) guardState() Guard {
 	guard := m.node.Guard()
 	load := guard.Load()
+	notice := guard.Notice()
+	var rateLimit *float64
+	if notice.RateLimited {
+		rateLimit = &notice.RateLimit
+	}
 	return Guard{
+		RateLimit: rateLimit, UpstreamLeaves: notice.Leaving,
 		Serving: guard.Serving(), InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Overloaded: load.Overloaded,
 		RetryBudgetLeft: int64(min(guard.RetryBudgetLeft(m.node.Now()), math.MaxInt32)),
 	}
@@ -128,6 +138,7 @@
 		metrics.UpstreamsLive:      int64(live),
 		metrics.IsDraining:         boolGauge(s.Stopping || !s.Guard.Serving),
 		metrics.AdmissionLimit:     int64(s.Guard.Limit),
+		metrics.UpstreamRateLimit:  rateLimitGauge(s.Guard.RateLimit),
 		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
@@ -144,3 +155,12 @@
 	}
 	return 0
 }
+
+// rateLimitGauge returns the value of metrics.UpstreamRateLimit for a limit in calls per second.
+func rateLimitGauge(limit *float64) int64 {
+	if limit == nil {
+		return -1
+	}
+	const perKilosecond = 1000
+	return int64(*limit * perKilosecond)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -100,6 +100,9 @@
 	// IsRelay is 1 while this node is the leader of its zone, which reads the log for the zone.
 	IsRelay
 	IsDraining
+	// UpstreamRateLimit is the rate limit that the local upstream names, in calls per 1,000 seconds; -1
+	// if it names none.
+	UpstreamRateLimit
 	RetryBudgetLeft
 	RoutesAgeMillis
 	MembersAgeMillis
@@ -122,6 +125,7 @@
 	UpstreamsLive:      "members.upstreams_live",
 	IsRelay:            "members.is_relay",
 	IsDraining:         "node.is_draining",
+	UpstreamRateLimit:  "upstream.rate_limit_milli",
 	RetryBudgetLeft:    "retry.repeats_left",
 	RoutesAgeMillis:    "store.routes_age_ms",
 	MembersAgeMillis:   "store.members_age_ms",
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -94,6 +94,9 @@
 	UnusedAllowance int
 	// Load is the load report of the guard; nil when the response carried none.
 	Load *routing.LoadReport
+	// Notice is what the local upstream said about itself in its response to this call; nil when it
+	// did not respond or its notice is invalid. It is not sent to other nodes.
+	Notice *routing.UpstreamNotice
 	// Upstream is the node that produced the response; empty when none did.
 	Upstream string
 	// Crashed is the incarnation of the upstream that crashed while it ran the call; 0 when
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -56,9 +56,11 @@
 	nextWaiter  int
 	arrived     time.Time
 	started     time.Time
-	ended       time.Time
-	response    *Response
-	cancel      func()
+	// process is the upstreamIncarnation at the start of the run.
+	process  uint64
+	ended    time.Time
+	response *Response
+	cancel   func()
 	// served means that a call made by this one succeeded.
 	served bool
 	// shedThreshold is the lowest shedding threshold reported to the calls made by this one.
@@ -130,6 +132,8 @@
 	events     *eventRecorder
 	// upstreamIncarnation identifies the process of the local upstream.
 	upstreamIncarnation uint64
+	// notice is what the local upstream said about itself last.
+	notice routing.UpstreamNotice
 	// hasCrashRecords is false while no request is suspected of crashing upstreams. Calls read
 	// it without the lock, and look up no records while it is false.
 	hasCrashRecords atomic.Bool
--- /dev/null
+++ b/internal/node/guard_notice.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/timeline"
+)
+
+// noteLocked applies what the upstream said about itself in its response to a call. A response of an
+// earlier process of the upstream is ignored.
+func (g *Guard) noteLocked(now time.Time, e *execution, notice *routing.UpstreamNotice) {
+	if notice == nil || e.process != g.upstreamIncarnation || *notice == g.notice {
+		return
+	}
+	g.notice = *notice
+	g.events.noticed(now, g.notice)
+}
+
+// Notice returns what the local upstream said about itself last.
+func (g *Guard) Notice() routing.UpstreamNotice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.notice
+}
+
+// noticed records that the local upstream says something else about itself than before.
+func (o *eventRecorder) noticed(now time.Time, notice routing.UpstreamNotice) {
+	if o == nil {
+		return
+	}
+	detail := "no rate limit"
+	if notice.RateLimited {
+		detail = fmt.Sprintf("rate limit %g calls/s", notice.RateLimit)
+	}
+	if notice.Leaving {
+		detail += ", leaving"
+	}
+	o.node.Event(now, timeline.Event{Kind: timeline.UpstreamNotice, Upstream: o.node.ID(), Detail: detail})
+}
+
+// RecordInvalidNotice records a notice of the local upstream that can't be decoded and was ignored.
+func (n *Node) RecordInvalidNotice(err error) {
+	n.Event(n.Now(), timeline.Event{Kind: timeline.UpstreamNotice, Upstream: n.ID(), Detail: "ignored: " + err.Error()})
+}
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -40,6 +40,7 @@
 	}
 	e.phase = phaseRunning
 	e.started = now
+	e.process = g.upstreamIncarnation
 	g.quarantine.Started(now, e.fingerprint)
 	g.events.started(now, e)
 	*deferred = append(*deferred, func() { g.runner.Run(e.call, startBy) })
@@ -110,6 +111,7 @@
 			a.Cause = e.cause
 		}
 		g.events.finished(now, e, a)
+		g.noteLocked(now, e, a.Notice)
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
 	}
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // UpstreamUp puts the local upstream into service with these limits.
@@ -21,6 +22,7 @@
 	g.upstreamUp = true
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
+	g.notice = routing.UpstreamNotice{}
 	g.admission = admission.New(cfg, now)
 }
 
@@ -40,6 +42,7 @@
 	g.draining = false
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
+	g.notice = routing.UpstreamNotice{}
 	g.admission = admission.New(cfg, now)
 	g.mu.Unlock()
 	deferred.run()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // Dialect defines the headers exchanged with an upstream. Its methods are called concurrently.
@@ -22,6 +23,9 @@
 	// NotRun returns a refusal if the response promises that the upstream did not run the call;
 	// nil otherwise.
 	NotRun(status int, h http.Header) *result.Refusal
+	// Notice returns what the upstream says about itself in a response with these headers. It returns
+	// an error if a field can't be decoded.
+	Notice(h http.Header) (routing.UpstreamNotice, error)
 }
 
 // headerRan is a response header. The value "no" on a 429 or 503 promises that the request had no
@@ -55,3 +59,8 @@
 	}
 	return nil
 }
+
+// Notice implements Dialect. Upstreams of the product's own interface send no notices.
+func (defaultDialect) Notice(http.Header) (routing.UpstreamNotice, error) {
+	return routing.UpstreamNotice{}, nil
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -249,9 +249,31 @@
 	if err != nil {
 		return u.failureResponse(ctx, call, err)
 	}
-	return u.convertResponse(call, httpResp)
+	resp := u.convertResponse(call, httpResp)
+	resp.Notice = u.noticeOf(httpResp)
+	return resp
+}
+
+// noticeOf returns what the upstream says about itself in a response. It returns nil for an invalid
+// notice, which changes nothing, and for a response of another process at the upstream's address.
+func (u *Upstream) noticeOf(httpResp *h1.Response) *routing.UpstreamNotice {
+	if httpResp.Status == http.StatusMisdirectedRequest {
+		return nil
+	}
+	notice, err := u.dialect.Notice(httpResp.Header)
+	if err != nil {
+		u.node.RecordInvalidNotice(err)
+		return nil
+	}
+	if notice == silentNotice {
+		return &silentNotice
+	}
+	return &notice
 }
 
+// silentNotice is the notice of all responses that say nothing. It must not be modified.
+var silentNotice routing.UpstreamNotice
+
 // responseBodyLimit returns the maximum size of the response body, which the template sets. A call
 // that matched a route has no template.
 func (u *Upstream) responseBodyLimit(call *node.Call) int64 {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -28,8 +28,10 @@
 	UpstreamCrashed Kind = "upstream_crashed"
 	UpstreamEjected Kind = "upstream_ejected"
 	UpstreamBack    Kind = "upstream_back"
-	DrainStarted    Kind = "drain_started"
-	DrainFinished   Kind = "drain_finished"
+	// UpstreamNotice is a change of what the local upstream says about itself in its responses.
+	UpstreamNotice Kind = "upstream_notice"
+	DrainStarted   Kind = "drain_started"
+	DrainFinished  Kind = "drain_finished"
 
 	ConfigApplied      Kind = "config_applied"
 	PublicationDecided Kind = "publication_decided"
--- a/internal/timeline/palette.go
+++ b/internal/timeline/palette.go
@@ -34,7 +34,7 @@
 	CallRefused:  groupRefusal, AuthRefused: groupRefusal, CallCancelled: groupRefusal,
 	CallRetried: groupRetry, CallReattached: groupRetry,
 	UpstreamJoined: groupMember, UpstreamLeft: groupMember,
-	UpstreamEjected: groupMember, UpstreamBack: groupMember,
+	UpstreamEjected: groupMember, UpstreamBack: groupMember, UpstreamNotice: groupMember,
 	DrainStarted: groupDrain, DrainFinished: groupDrain,
 	ConfigApplied: groupConfig, PublicationDecided: groupConfig,
 	SnapshotWritten: groupConfig, RelayChanged: groupConfig,
