--- a/internal/sourcecheck/wire_test.go
+++ b/internal/sourcecheck/wire_test.go
@@ -11,7 +11,7 @@
 )
 
 // wireNames matches names of the operators' platform that only the adapter in platform may use.
-var wireNames = regexp.MustCompile(`X-(Request-Id|Timeout-Ms|Server-Stamp|Not-Executed|Expected-Instance|Caller-Service|Instance-Id)|` +
+var wireNames = regexp.MustCompile(`X-(Request-Id|Timeout-Ms|Server-Stamp|Not-Executed|Expected-Instance|Caller-Service|Instance-Id)|Server-(Limit|Leaving)|` +
 	`heartbeat_addr|traffic_split|route_type|path_prefix"|cold_remaining|log-(append|read|newest|join|commit)|keyed\.op`)
 
 // Guards against code outside the adapter that depends on the platform's wire names: a change of the
