An upstream's rate limit bounds the starts of its guard

Cause: no decision used the header. The guard's limit bounds concurrent calls, which says nothing about their rate: 25 short calls a second leave 166 of 168 slots free.

Waiting calls start in the order of importance; the standing delay, the expected wait and the shed threshold count the time between two starts, so that unimportant calls are shed first and the limit is used up.

Ruled out: lowering the concurrency limit (calls get shorter as load falls); parts of the limit at each entry (entries share an upstream unevenly, and would need to agree).

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -20,6 +20,7 @@
 // expired and starts waiting calls on free slots.
 func (c *Controller) advance(now time.Time) []Decision {
 	c.integrate(now)
+	c.rate.refill(now)
 	if now.Sub(c.intervalStarted) >= c.cfg.SojournInterval {
 		c.adjust(now)
 	}
@@ -40,8 +41,9 @@
 	c.intervalStarted = now
 	c.estimate.refresh(now)
 	c.startRate = c.startRate*decay + float64(c.starts)*(1-decay)
-	c.starts = 0
-	c.overloaded = c.standingDelay(elapsed) > max(c.cfg.SojournTarget, c.estimate.median/minDelayDivisor)
+	c.startRateAbove = c.startRateAbove*decay + float64(c.startsAbove)*(1-decay)
+	c.starts, c.startsAbove = 0, 0
+	c.overloaded = c.standingDelay(elapsed) > max(c.cfg.SojournTarget, c.estimate.median/minDelayDivisor, minDelayStarts*c.rate.interval())
 	c.queue.lifo = c.overloaded
 	capacity := float64(elapsed) * float64(c.limiter.limit)
 	use := min(1, c.busySlotTime/capacity)
@@ -52,6 +54,11 @@
 	c.busySlotTime = 0
 	c.busySlotTimeAbove = 0
 	c.limiter.adjust(now, use)
+	rateUse := c.rate.use(c.startRate, elapsed)
+	if rateUse > use {
+		use = rateUse
+		useBelow = max(useBelow, rateUse-c.rateUseAbove(elapsed))
+	}
 	c.treesFail = c.limiter.shedsAtRandom(now) && c.outlook.completion() < minTreeCompletion
 	c.outlook.age(c.limiter.shedding())
 	for range min(elapsed/c.cfg.SojournInterval, maxIdleIntervals) {
@@ -107,10 +114,27 @@
 	return time.Duration(float64(c.leastQueued) / max(c.startRate, 0.5) * float64(elapsed))
 }
 
+// rateUseAbove returns the share of the rate limit that starts above the threshold use up.
+func (c *Controller) rateUseAbove(interval time.Duration) float64 {
+	return c.startRateAbove / (c.rate.perSecond * interval.Seconds())
+}
+
+// mayStart reports whether a slot and, under a rate limit, a token is free.
+func (c *Controller) mayStart() bool {
+	if c.inFlight >= c.limiter.limit {
+		return false
+	}
+	if !c.rate.allows() {
+		c.rate.exhausted = true
+		return false
+	}
+	return true
+}
+
 // dispatch starts waiting calls while slots are free, and refuses those that can no longer meet
 // their deadline.
 func (c *Controller) dispatch(now time.Time, out []Decision) []Decision {
-	for c.inFlight < c.limiter.limit {
+	for c.queue.len() > 0 && c.mayStart() {
 		w := c.queue.next()
 		if w == nil {
 			break
@@ -174,7 +198,8 @@
 // expectedWait returns the expected waiting time of a new call.
 func (c *Controller) expectedWait(level callctx.Level, depth int) time.Duration {
 	ahead := c.queue.countAhead(level, depth)
-	return c.estimate.median * time.Duration(ahead+1) / time.Duration(c.limiter.limit)
+	forSlot := c.estimate.median * time.Duration(ahead+1) / time.Duration(c.limiter.limit)
+	return max(forSlot, c.rate.wait(ahead+1))
 }
 
 // newCall adds the record of a call that is about to run or wait. It reuses a released record if
@@ -206,8 +231,10 @@
 	w.running = true
 	w.concurrentAtStart = c.inFlight
 	c.inFlight++
+	c.rate.take()
 	if w.aboveThreshold {
 		c.aboveInFlight++
+		c.startsAbove++
 	}
 	c.starts++
 	c.outlook.started++
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -18,6 +18,13 @@
 	// minDelayDivisor divides the service time. A standing delay below a quarter of the service
 	// time never counts as overload: with few slots, a single waiting call causes that much delay.
 	minDelayDivisor = 4
+	// minDelayStarts times the time between two starts under a rate limit is the standing delay that
+	// never counts as overload: a single waiting call causes as much.
+	minDelayStarts = 2
+	// overloadWaitStarts is the minimum wait under overload, as a multiple of the time between two
+	// starts. With a shorter wait, starts would go to the calls that happen to arrive in time rather
+	// than to the most important ones.
+	overloadWaitStarts = 4
 )
 
 // Controller decides which calls of one upstream run, wait or are refused. It is not safe for
@@ -28,6 +35,7 @@
 	freeCalls []*call
 	queue     *queue
 	limiter   *limiter
+	rate      rateLimit
 	shedder   *shedder
 	estimate  *estimator
 	outlook   treeOutlook
@@ -52,6 +60,9 @@
 	// four intervals.
 	starts    int
 	startRate float64
+	// startsAbove and startRateAbove are the parts of them above the threshold.
+	startsAbove    int
+	startRateAbove float64
 	// busySlotTime is the integral of the slots in use over the current interval, in
 	// slot-nanoseconds, up to integratedUntil.
 	busySlotTime float64
@@ -110,7 +121,7 @@
 
 // decide is the part of Offer that follows its checks. It expects advance to have been called.
 func (c *Controller) decide(now time.Time, r Request, out []Decision) (Decision, []Decision) {
-	slotFree := c.inFlight < c.limiter.limit && c.queue.len() == 0
+	slotFree := c.queue.len() == 0 && c.mayStart()
 	late := c.wouldMissDeadline(now, &r, slotFree)
 	if late && !c.probeAllowed(now, &r) {
 		return c.refuse(&r, reasonDeadline), out
@@ -172,7 +183,7 @@
 func (c *Controller) setExpiry(now time.Time, w *call) {
 	bound := c.cfg.MaxWait
 	if c.overloaded && w.request.Depth == 0 {
-		bound = min(bound, max(overloadWaitTargets*c.cfg.SojournTarget, c.estimate.median))
+		bound = min(bound, max(overloadWaitTargets*c.cfg.SojournTarget, c.estimate.median, overloadWaitStarts*c.rate.interval()))
 	}
 	w.expiry = now.Add(bound)
 	if w.request.Deadline.IsZero() {
--- a/internal/admission/refusals.go
+++ b/internal/admission/refusals.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -54,29 +55,38 @@
 	retryAfter := shedRetryAfter + jitter*shedRetryJitterStep
 	switch why {
 	case reasonQueueFull:
-		return result.Refuse(result.Shed, "queue is full: %d of %d places taken, %d of %d slots in use",
-			c.queue.len(), c.cfg.QueueLimit, c.inFlight, c.limiter.limit).WithRetryAfter(retryAfter)
+		return result.Refuse(result.Shed, "queue is full: %d of %d places taken, %s",
+			c.queue.len(), c.cfg.QueueLimit, c.usage()).WithRetryAfter(retryAfter)
 	case reasonDisplaced:
-		return result.Refuse(result.Shed, "displaced from the full queue by a more important call, %d places in the queue, %d of %d slots in use",
-			c.cfg.QueueLimit, c.inFlight, c.limiter.limit).WithRetryAfter(retryAfter)
+		return result.Refuse(result.Shed, "displaced from the full queue by a more important call, %d places in the queue, %s",
+			c.cfg.QueueLimit, c.usage()).WithRetryAfter(retryAfter)
 	case reasonThreshold:
-		return result.Refuse(result.Shed, "rank of this %s caller is at or above the shed threshold %#08x, %d of %d slots in use",
-			level, c.shedder.threshold, c.inFlight, c.limiter.limit).WithRetryAfter(retryAfter)
+		return result.Refuse(result.Shed, "rank of this %s caller is at or above the shed threshold %#08x, %s",
+			level, c.shedder.threshold, c.usage()).WithRetryAfter(retryAfter)
 	case reasonNeverWaits:
-		return result.Refuse(result.Shed, "calls of level %s have worth 0 and do not wait, %d of %d slots in use",
-			level, c.inFlight, c.limiter.limit).WithRetryAfter(retryAfter)
+		return result.Refuse(result.Shed, "calls of level %s have worth 0 and do not wait, %s",
+			level, c.usage()).WithRetryAfter(retryAfter)
 	case reasonDeadline:
 		wait := c.expectedWait(level, 0)
 		return result.Refuse(result.DeadlineTooNear, "time until the deadline is shorter than service time %v (10%% quantile) plus expected wait %v",
 			c.serviceTime(level), wait).WithRetryAfter(max(minRetryAfter, wait))
 	case reasonExpired:
-		return result.Refuse(result.QueueExpired, "no slot became free within the maximum wait (at most %v), %d of %d slots in use",
-			c.cfg.MaxWait, c.inFlight, c.limiter.limit).WithRetryAfter(retryAfter)
+		return result.Refuse(result.QueueExpired, "could not start within the maximum wait (at most %v), %s",
+			c.cfg.MaxWait, c.usage()).WithRetryAfter(retryAfter)
 	}
 	return result.Refuse(result.Draining, "upstream is draining and accepts no new calls, %d calls are still running",
 		c.inFlight).WithRetryAfter(drainRetryAfter)
 }
 
+// usage describes the slots in use and the rate limit.
+func (c *Controller) usage() string {
+	slots := fmt.Sprintf("%d of %d slots in use", c.inFlight, c.limiter.limit)
+	if !c.rate.active() {
+		return slots
+	}
+	return fmt.Sprintf("%s, rate limit %g calls/s", slots, c.rate.perSecond)
+}
+
 // refuseDuplicate refuses a call whose ID is already running or waiting. It reports an unknown
 // outcome instead of "not run", because the first call with this ID may take effect.
 func refuseDuplicate(id string) Decision {
--- a/internal/node/guard_notice.go
+++ b/internal/node/guard_notice.go
@@ -10,12 +10,20 @@
 
 // noteLocked applies what the upstream said about itself in its response to a call. A response of an
 // earlier process of the upstream is ignored.
-func (g *Guard) noteLocked(now time.Time, e *execution, notice *routing.UpstreamNotice) {
-	if notice == nil || e.process != g.upstreamIncarnation || *notice == g.notice {
+func (g *Guard) noteLocked(now time.Time, e *execution, notice *routing.UpstreamNotice, deferred *callbacks) {
+	if notice == nil || e.process != g.upstreamIncarnation {
 		return
 	}
-	g.notice = *notice
-	g.events.noticed(now, g.notice)
+	switch {
+	case notice.RateLimited:
+		g.applyLocked(now, g.admission.SetRateLimit(now, notice.RateLimit), deferred)
+	case g.notice.RateLimited:
+		g.admission.LiftRateLimit(now)
+	}
+	if *notice != g.notice {
+		g.notice = *notice
+		g.events.noticed(now, g.notice)
+	}
 }
 
 // Notice returns what the local upstream said about itself last.
