The next process of a drained upstream gets calls at once

What callers saw: after an upstream on a VM had drained and its next process had started behind the same node, entries that had met the drain refused calls for it for up to 30 s.

Cause: a guard's report of a drain holds for DrainHold, and only another incarnation of the guard, or a newer report, ended it. The guard's process goes on when its upstream is replaced, and a target that gets no calls brings no report. Found by a test of the incident's class: an upstream that says in its responses that it leaves, followed by its next process.

Change: a record with another process of the upstream, or one that serves after a drain, discards the report.

Measured: TestPick_NextProcessOfADrainedUpstreamGetsCalls fails before (refused as draining) and passes.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -196,6 +196,7 @@
 		Region:      m.Region,
 		Zone:        m.Zone,
 		Service:     m.Service,
+		Upstream:    m.Upstream,
 		Addr:        m.Address,
 		Slots:       m.Slots,
 		Joined:      time.UnixMilli(m.ServesSince),
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -14,6 +14,8 @@
 	Region      string
 	Zone        string
 	Service     string
+	// Upstream is the ID of the upstream's process; empty if membership does not know it.
+	Upstream string
 	// Addr is the address of the node's inner protocol.
 	Addr string
 	// Slots is the number of concurrent calls that the upstream announced.
--- a/internal/routing/scenario_test.go
+++ b/internal/routing/scenario_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -319,3 +320,32 @@
 	n.run(5*time.Second, time.Millisecond)
 	must.Zero(t, n.run(time.Second, time.Millisecond)["saga-0"])
 }
+
+// Guards against the next process of an upstream that gets no calls for DrainHold, because a guard
+// that goes on running reported the drain of the process before.
+func TestPick_NextProcessOfADrainedUpstreamGetsCalls(t *testing.T) {
+	ep := Endpoint{Node: "saga-1", Service: "archive", Zone: "saga", Slots: 2, Incarnation: 1, Upstream: "i-1"}
+	draining := ep
+	draining.Draining = true
+	next := ep
+	next.Upstream = "i-2"
+	for name, seen := range map[string][]Endpoint{
+		"every record": {draining, next},
+		"newest only":  {next},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := origin
+			table := NewTable(nil, DefaultConfig(), Self{Node: "omuta-1", Zone: "omuta"}, []Endpoint{ep}, now)
+			g := table.ByNode("saga-1")
+			g.Start(now)
+			g.Done(now, Refused, time.Millisecond, &LoadReport{Draining: true, Threshold: NoThreshold, Incarnation: 1})
+			for _, e := range seen {
+				now = now.Add(100 * time.Millisecond)
+				table = NewTable(table, DefaultConfig(), Self{Node: "omuta-1", Zone: "omuta"}, []Endpoint{e}, now)
+			}
+			picked, refusal := table.Pick(now, rand.New(rand.NewPCG(1, 1)), PickInfo{Service: "archive"})
+			must.Nil(t, refusal)
+			must.EqOp(t, "saga-1", picked.Endpoint().Node)
+		})
+	}
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -66,6 +66,9 @@
 
 // update stores the endpoint received from membership.
 func (g *Target) update(ep *Endpoint) {
+	if known := g.endpoint.Load(); known != nil && startsServing(known, ep) {
+		g.report.clear()
+	}
 	g.endpoint.Store(ep)
 	g.slots.Store(int64(ep.Slots))
 	g.draining.Store(ep.Draining)
@@ -73,6 +76,12 @@
 	g.fallback.Store(ep.Fallback)
 }
 
+// startsServing reports whether a process of the upstream is in service that was not before. Reports of
+// its guard until then, for example of a drain, are about the process before.
+func startsServing(known, ep *Endpoint) bool {
+	return !ep.Draining && (known.Draining || known.Upstream != ep.Upstream)
+}
+
 // Endpoint returns the endpoint last received from membership.
 func (g *Target) Endpoint() Endpoint { return *g.endpoint.Load() }
 
