An upstream that says in its responses that it leaves gets no new calls

What callers would see: requests sent to an upstream for seconds after its responses said that it leaves; they are cut when it exits. The report of the drain may be late or lost, and an upstream that departs without a drain sends none.

Change: the guard refuses new and waiting calls from the first such response on, and the node publishes the record as after a reported drain. The drain ends only with another process; a late report that is still 'ready' changes nothing.

--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// saidLeaving publishes that the upstream leaves, after its guard learned it from a response. Such an
+// upstream may report its drain late or, if it departs without a drain, never.
+func (l *localUpstream) saidLeaving() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.mesh.node.Guard().Draining() {
+		return // another process is in service by now
+	}
+	r, _ := l.known.Current()
+	if l.known.Departed(r.ID, r.StartedAt) == fleet.Left {
+		l.onLeft(r, "response")
+	}
+}
+
 // onStarted takes a new process into service. If another process served until now and never
 // reported that it leaves, that process has crashed.
 func (l *localUpstream) onStarted(r fleet.Report, served bool) {
@@ -112,7 +126,7 @@
 }
 
 // onLeft refuses new calls to the upstream and publishes that it leaves. how is "reported" for a
-// report that says so, and "departed" for a departure message.
+// report that says so, "departed" for a departure message and "response" for a response.
 func (l *localUpstream) onLeft(r fleet.Report, how string) {
 	m := l.mesh
 	m.node.Guard().Drain(m.node.Now())
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -123,6 +123,7 @@
 	m.upstream = proxy.NewUpstream(noIdempotencyKeys{})
 	m.upstream.SetDialect(m.platform)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
+	m.local = &localUpstream{mesh: m}
 	m.node = node.New(node.Config{
 		Identity:       id,
 		Clock:          systemClock{},
@@ -139,6 +140,8 @@
 		Metrics:        m.metrics,
 		OnEvent:        m.logEvent,
 		OnCrashRecords: m.crashReporter.enqueue,
+
+		OnUpstreamLeaving: m.local.saidLeaving,
 	})
 	m.crashReporter.guard = m.node.Guard()
 	m.peers.Bind(m.node)
@@ -155,7 +158,6 @@
 	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.gossiper.publish)
 	m.groupWriter = &groupWriter{ctx: m.ctx, put: m.publisher.put}
 	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
-	m.local = &localUpstream{mesh: m}
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
 }
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -138,6 +138,8 @@
 	// it without the lock, and look up no records while it is false.
 	hasCrashRecords atomic.Bool
 	onCrashRecords  func([]quarantine.CrashRecord)
+	// onLeaving is called after the upstream said in a response that it leaves; may be nil.
+	onLeaving func()
 }
 
 // NewGuard returns the guard of a node incarnation. Its upstream is down until UpstreamUp.
--- a/internal/node/guard_notice.go
+++ b/internal/node/guard_notice.go
@@ -20,9 +20,25 @@
 	case g.notice.RateLimited:
 		g.admission.LiftRateLimit(now)
 	}
-	if *notice != g.notice {
-		g.notice = *notice
-		g.events.noticed(now, g.notice)
+	if *notice == g.notice {
+		return
+	}
+	g.notice = *notice
+	g.events.noticed(now, g.notice)
+	if notice.Leaving {
+		g.leaveLocked(now, deferred)
+	}
+}
+
+// leaveLocked refuses new and queued calls because the upstream said that it leaves.
+func (g *Guard) leaveLocked(now time.Time, deferred *callbacks) {
+	if g.draining {
+		return
+	}
+	g.draining = true
+	g.applyLocked(now, g.admission.Drain(now), deferred)
+	if g.onLeaving != nil {
+		*deferred = append(*deferred, g.onLeaving)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,9 @@
 	OnEvent func(*timeline.Event)
 	// OnCrash is called when the process of the local upstream crashed; may be nil.
 	OnCrash func()
+	// OnUpstreamLeaving is called after the local upstream said in a response that it leaves. The guard
+	// refuses new calls by then. It may be nil.
+	OnUpstreamLeaving func()
 	// OnCrashRecords is called with crash records to be gossiped to the peers; may be nil. It
 	// must not block.
 	OnCrashRecords func([]quarantine.CrashRecord)
@@ -135,6 +138,7 @@
 	n.guard = NewGuard(cfg.Guard, cfg.Identity.Incarnation, cfg.Runner, cfg.Authority, now)
 	n.guard.events = &eventRecorder{node: n}
 	n.guard.onCrashRecords = n.gossip
+	n.guard.onLeaving = cfg.OnUpstreamLeaving
 	n.policy.Store(policy.NewState())
 	n.table.Store(routing.NewTable(nil, cfg.Routing, n.self(), nil, now))
 	return n
