A rate limit outlives an upstream that was considered dead and is not

What callers would see: more than the named rate for some hundred milliseconds after a refused connection, each time. One refused connection marks the upstream as dead; its next report puts it into service again with a new admission controller, which knew no limit.

Change: Guard.UpstreamResumed keeps the notice; only another process starts without one. Responses of an earlier process change nothing.

--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -121,7 +121,7 @@
 	if _, serving := l.known.Current(); !serving || m.node.Guard().Serving() {
 		return
 	}
-	m.node.UpstreamReplaced(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	m.node.UpstreamResumed(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
 	m.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Msg("upstream still reports after it was considered dead; it takes calls again")
 }
 
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -30,6 +30,17 @@
 // old process are refused as not run; running calls continue until their connection ends. A
 // drain of the old process does not apply to the new one.
 func (g *Guard) UpstreamReplaced(now time.Time, cfg admission.Config) {
+	g.startServing(now, cfg, routing.UpstreamNotice{})
+}
+
+// UpstreamResumed puts a process of the upstream into service again that was considered dead and is
+// not. What it said about itself still holds.
+func (g *Guard) UpstreamResumed(now time.Time, cfg admission.Config) {
+	g.startServing(now, cfg, g.Notice())
+}
+
+// startServing puts a process of the upstream into service that last said notice about itself.
+func (g *Guard) startServing(now time.Time, cfg admission.Config, notice routing.UpstreamNotice) {
 	g.mu.Lock()
 	var deferred callbacks
 	for _, e := range g.calls {
@@ -42,8 +53,11 @@
 	g.draining = false
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
-	g.notice = routing.UpstreamNotice{}
 	g.admission = admission.New(cfg, now)
+	g.notice = notice
+	if notice.RateLimited {
+		g.admission.SetRateLimit(now, notice.RateLimit)
+	}
 	g.mu.Unlock()
 	deferred.run()
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -38,6 +38,13 @@
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
 }
 
+// UpstreamResumed puts the process of the local upstream into service again that was considered dead
+// and is not.
+func (n *Node) UpstreamResumed(now time.Time, a Announcement) {
+	n.guard.UpstreamResumed(now, n.admissionConfig(a.Service, a.Slots))
+	n.Event(now, timeline.Event{Kind: timeline.UpstreamBack, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
+}
+
 // UpstreamCrashed records a crash of the local upstream's process, once, and gossips crash
 // records of the requests that it ran. It returns the incarnation of the process that crashed
 // last.
