What an upstream says about itself outlives its guard's process

What callers would see: after a restart of the node beside an upstream that is in need or leaving, its first calls ran as if it had said nothing: 51 requests in 4 s where 35 are allowed, with a restart each second; and a request to an upstream that its sender knew to be leaving, when the store had not taken the record and a report from before the leave arrived late.

Change: a guard's responses carry the notice with the upstream's process, and each sender hands back with its calls what it was told. A restarted guard applies it before it admits the call: a rate limit until the upstream's own first response, a leave for good, both only for the same process. The health check before the adoption of a running upstream is read for it too. Senders keep a notice for a minute after the last response with it. Nothing goes through the store, nothing is sent while upstreams say nothing.

Ruled out: the node's record in the store (a limit may change with each response, and the store may be out); few calls until the first response (holds up every restart).

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -149,6 +149,10 @@
 	if u.left {
 		return Unchanged
 	}
+	if u.adopted && startedAt != 0 {
+		// A later report with another start time is then recognised as one of the next process.
+		u.latest.StartedAt, u.adopted = startedAt, false
+	}
 	u.left = true
 	return Left
 }
--- a/internal/mesh/adopt.go
+++ b/internal/mesh/adopt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 const (
@@ -34,7 +35,7 @@
 	poll := time.NewTicker(adoptionPollInterval)
 	defer poll.Stop()
 	for time.Now().Before(deadline) && !m.local.isKnown() && !m.stopping.Load() {
-		if record, ok := m.predecessorUpstream(); ok && m.upstreamID(ctx) == record.Upstream && m.local.adopt(&record, m.cfg.UpstreamAddress) {
+		if record, ok := m.predecessorUpstream(); ok && m.adoptHealthy(ctx, &record) {
 			return
 		}
 		select {
@@ -53,30 +54,51 @@
 	return record, known && active && record.Service == m.cfg.Service && record.Upstream != "" && record.Slots > 0
 }
 
-// upstreamID returns the ID that the upstream reports in a health check. It is empty when the
-// check can't be sent, gets no response, or the upstream accepts no work.
-func (m *Mesh) upstreamID(ctx context.Context) string {
+// adoptHealthy adopts the upstream of a record if its response to a health check shows that it is the
+// same process and accepts work. What the response says about the upstream is in force before the first
+// call.
+func (m *Mesh) adoptHealthy(ctx context.Context, record *fleet.Member) bool {
+	health := m.checkHealth(ctx)
+	if health == nil || health.id != record.Upstream || health.notice.Leaving {
+		return false
+	}
+	return m.local.adopt(record, m.cfg.UpstreamAddress, health.notice)
+}
+
+// upstreamHealth is the response of the upstream to a health check.
+type upstreamHealth struct {
+	// id is the ID of the process; empty if it accepts no work.
+	id     string
+	notice routing.UpstreamNotice
+}
+
+// checkHealth returns nil when the check can't be sent or gets no response.
+func (m *Mesh) checkHealth(ctx context.Context) *upstreamHealth {
 	table := m.proxy.Routes()
 	if table == nil {
-		return ""
+		return nil
 	}
 	path := table.Config().HealthPath(m.cfg.Service)
 	if path == "" {
-		return ""
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.cfg.UpstreamAddress+path, nil)
 	if err != nil {
 		m.logger.Error().Str("path", path).Err(err).Msg("health check path of the routes forms no valid URL; upstream not adopted")
-		return ""
+		return nil
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		m.rateLimited.Debug().Str("address", m.cfg.UpstreamAddress).Err(err).Msg("health check of the upstream failed; upstream not adopted yet")
-		return ""
+		return nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return m.platform.Identify(resp.StatusCode, resp.Header)
+	health := &upstreamHealth{id: m.platform.Identify(resp.StatusCode, resp.Header)}
+	if health.notice, err = m.platform.Notice(resp.Header); err != nil {
+		m.node.RecordInvalidNotice(err)
+	}
+	return health
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // localUpstream applies the reports of the upstream beside the node. It implements
@@ -26,8 +27,11 @@
 		l.mesh.logger.Warn().Str("upstream", r.ID).Str("service", r.Service).Msg("upstream report names another service; report ignored")
 		return
 	}
-	_, served := l.known.Current()
+	before, served := l.known.Current()
 	change := l.known.Apply(r)
+	if served && before.ID == r.ID && before.StartedAt == 0 && change != fleet.Started {
+		l.mesh.node.Guard().SetProcess(processOf(r))
+	}
 	switch change {
 	case fleet.Started:
 		l.onStarted(r, served)
@@ -46,9 +50,9 @@
 }
 
 // adopt takes an upstream into service that was already running when the node started: the guard
-// accepts calls for it, and the node publishes a record of it. It reports false if an upstream has
-// reported in the meantime.
-func (l *localUpstream) adopt(record *fleet.Member, address string) bool {
+// accepts calls for it, and the node publishes a record of it. notice is what it said about itself. It
+// reports false if an upstream has reported in the meantime.
+func (l *localUpstream) adopt(record *fleet.Member, address string, notice routing.UpstreamNotice) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := fleet.Report{ID: record.Upstream, Service: record.Service, Address: address, Slots: record.Slots}
@@ -58,7 +62,8 @@
 	m := l.mesh
 	m.platform.SetUpstream(r.ID)
 	m.upstream.SetAddr(r.Address)
-	m.node.UpstreamReplaced(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	m.node.UpstreamReplaced(m.node.Now(), announcementOf(r))
+	m.node.Guard().ApplyNotice(m.node.Now(), notice)
 	l.publishServingSince(r, fleet.Serving, record.ServesSince)
 	m.logger.Info().Str("upstream", r.ID).Str("address", r.Address).Int("slots", r.Slots).
 		Uint64("record_incarnation", record.Incarnation).Msg("running upstream adopted after the start of the node; it takes calls")
@@ -83,6 +88,14 @@
 	}
 }
 
+func announcementOf(r fleet.Report) node.Announcement {
+	return node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots, Process: processOf(r)}
+}
+
+func processOf(r fleet.Report) routing.Process {
+	return routing.Process{ID: r.ID, StartedAt: r.StartedAt}
+}
+
 // saidLeaving publishes that the upstream leaves, after its guard learned it from a response. Such an
 // upstream may report its drain late or, if it departs without a drain, never.
 func (l *localUpstream) saidLeaving() {
@@ -92,7 +105,7 @@
 		return // another process is in service by now
 	}
 	r, _ := l.known.Current()
-	if l.known.Departed(r.ID, r.StartedAt) == fleet.Left {
+	if l.known.Departed(r.ID, l.mesh.node.Guard().Process().StartedAt) == fleet.Left {
 		l.onLeft(r, "response")
 	}
 }
@@ -107,7 +120,7 @@
 	}
 	m.platform.SetUpstream(r.ID)
 	m.upstream.SetAddr(r.Address)
-	m.node.UpstreamReplaced(now, node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	m.node.UpstreamReplaced(now, announcementOf(r))
 	l.publish(r, fleet.Serving)
 	m.logger.Info().Str("upstream", r.ID).Str("address", r.Address).Int("slots", r.Slots).Int64("born", r.StartedAt).
 		Str("version", r.Version).Dur("cold_ms", r.ColdFor).Bool("predecessor_died", served).Msg("upstream started; it takes calls")
@@ -121,7 +134,7 @@
 	if _, serving := l.known.Current(); !serving || m.node.Guard().Serving() {
 		return
 	}
-	m.node.UpstreamResumed(m.node.Now(), node.Announcement{Service: r.Service, Address: r.Address, Slots: r.Slots})
+	m.node.UpstreamResumed(m.node.Now(), announcementOf(r))
 	m.logger.Info().Str("upstream", r.ID).Int64("sequence", r.Sequence).Msg("upstream still reports after it was considered dead; it takes calls again")
 }
 
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -34,6 +34,9 @@
 	BodyHash uint64
 	// Allowance is the share of the retry allowance that is sent with the call.
 	Allowance int
+	// KnownNotice is what the upstream at the guard said about itself to the sender of the call; nil if the
+	// sender knows nothing.
+	KnownNotice *routing.ProcessNotice
 	// CrashRecords are the records of upstreams that crashed while running this request.
 	CrashRecords []quarantine.CrashRecord
 	// Reattach means that an earlier transmission of the same call ID got no response.
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -203,6 +203,7 @@
 	d.ownerNode = ""
 	target.Start(now)
 	if d.node != nil {
+		attempt.KnownNotice = d.node.peerNotices.of(target.Endpoint().Node)
 		d.node.recordRouted(now, d, &attempt)
 	}
 	return Action{Kind: ActionSend, Target: target, Attempt: &attempt}
@@ -215,6 +216,7 @@
 	d.target.Done(now, routingOutcome(a), now.Sub(d.sentAt), a.Load)
 	d.attemptTime += now.Sub(d.sentAt)
 	if d.node != nil {
+		d.node.peerNotices.observe(now, d.target.Endpoint().Node, a)
 		d.node.recordEjection(now, d, wasEjected)
 	}
 	throttle := d.router.Throttle(d.call.Ctx.Service)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -132,8 +132,11 @@
 	events     *eventRecorder
 	// upstreamIncarnation identifies the process of the local upstream.
 	upstreamIncarnation uint64
-	// notice is what the local upstream said about itself last.
-	notice routing.UpstreamNotice
+	// process and notice are the process of the local upstream and what it said about itself last.
+	process routing.Process
+	notice  routing.UpstreamNotice
+	// noticeConfirmed is set once notice is from a response that this guard received.
+	noticeConfirmed bool
 	// hasCrashRecords is false while no request is suspected of crashing upstreams. Calls read
 	// it without the lock, and look up no records while it is false.
 	hasCrashRecords atomic.Bool
@@ -177,5 +180,6 @@
 		Draining:    l.Draining || g.draining,
 		TreesFail:   l.TreesFail,
 		Incarnation: g.incarnation,
+		Notice:      g.sharedNoticeLocked(),
 	}
 }
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -15,6 +15,7 @@
 func (g *Guard) Arrive(now time.Time, call *Call, w Waiter) (token int, response *Response) {
 	g.mu.Lock()
 	var deferred callbacks
+	g.mergeNoticeLocked(now, call.KnownNotice, &deferred)
 	token, response = g.arriveLocked(now, call, w, &deferred)
 	g.mu.Unlock()
 	deferred.run()
--- a/internal/node/guard_notice.go
+++ b/internal/node/guard_notice.go
@@ -14,17 +14,26 @@
 	if notice == nil || e.process != g.upstreamIncarnation {
 		return
 	}
+	g.noticeConfirmed = true
 	switch {
 	case notice.RateLimited:
 		g.applyLocked(now, g.admission.SetRateLimit(now, notice.RateLimit), deferred)
 	case g.notice.RateLimited:
 		g.admission.LiftRateLimit(now)
 	}
-	if *notice == g.notice {
+	// Nothing ends a leave: a response without it was overtaken.
+	next := *notice
+	next.Leaving = next.Leaving || g.notice.Leaving
+	g.setNoticeLocked(now, next, deferred)
+}
+
+// setNoticeLocked records what the upstream says about itself, and drains one that leaves.
+func (g *Guard) setNoticeLocked(now time.Time, notice routing.UpstreamNotice, deferred *callbacks) {
+	if notice == g.notice {
 		return
 	}
-	g.notice = *notice
-	g.events.noticed(now, g.notice)
+	g.notice = notice
+	g.events.noticed(now, notice)
 	if notice.Leaving {
 		g.leaveLocked(now, deferred)
 	}
@@ -42,6 +51,69 @@
 	}
 }
 
+// ApplyNotice applies what the current process of the upstream said about itself outside of a call, for
+// example in the response to a health check. A silent one proves nothing: such a response may lack what
+// the responses to calls say.
+func (g *Guard) ApplyNotice(now time.Time, notice routing.UpstreamNotice) {
+	if notice == (routing.UpstreamNotice{}) {
+		return
+	}
+	g.mu.Lock()
+	var deferred callbacks
+	g.noteLocked(now, &execution{process: g.upstreamIncarnation}, &notice, &deferred)
+	g.mu.Unlock()
+	deferred.run()
+}
+
+// mergeNoticeLocked applies what the sender of a call knows about the upstream. A node that was
+// restarted beside a running upstream knows nothing until its first response: it would start more calls
+// than the rate limit allows, or calls at an upstream that leaves.
+func (g *Guard) mergeNoticeLocked(now time.Time, known *routing.ProcessNotice, deferred *callbacks) {
+	if known == nil || !g.upstreamUp || !g.isCurrentLocked(known.Process) {
+		return
+	}
+	g.process = known.Process
+	merged := g.notice
+	if known.RateLimited && !g.noticeConfirmed && !merged.RateLimited {
+		merged.RateLimited, merged.RateLimit = true, known.RateLimit
+		g.applyLocked(now, g.admission.SetRateLimit(now, known.RateLimit), deferred)
+	}
+	merged.Leaving = merged.Leaving || known.Leaving
+	g.setNoticeLocked(now, merged, deferred)
+}
+
+// isCurrentLocked reports whether p is the process in service. The start time of an adopted process
+// may be unknown here.
+func (g *Guard) isCurrentLocked(p routing.Process) bool {
+	return p.ID != "" && p.ID == g.process.ID && (g.process.StartedAt == 0 || p.StartedAt == g.process.StartedAt)
+}
+
+// SetProcess sets the process in service if it is known better than before, without an effect on its
+// calls.
+func (g *Guard) SetProcess(p routing.Process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.process = p
+}
+
+// Process returns the process of the upstream in service.
+func (g *Guard) Process() routing.Process { return g.processNotice().Process }
+
+func (g *Guard) processNotice() routing.ProcessNotice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return routing.ProcessNotice{Process: g.process, UpstreamNotice: g.notice}
+}
+
+// sharedNoticeLocked returns the notice for other nodes; nil if the upstream says nothing or its
+// process is unknown.
+func (g *Guard) sharedNoticeLocked() *routing.ProcessNotice {
+	if g.process.ID == "" || g.notice == (routing.UpstreamNotice{}) {
+		return nil
+	}
+	return &routing.ProcessNotice{Process: g.process, UpstreamNotice: g.notice}
+}
+
 // Notice returns what the local upstream said about itself last.
 func (g *Guard) Notice() routing.UpstreamNotice {
 	g.mu.Lock()
--- a/internal/node/guard_notice_test.go
+++ b/internal/node/guard_notice_test.go
@@ -45,7 +45,7 @@
 	runner := &fakeRunner{}
 	g := newGuard(100, runner, &fakeAuthority{})
 	g.Arrive(epoch, newCall("old", epoch.Add(time.Minute)), func(*Response) {})
-	g.UpstreamReplaced(epoch.Add(time.Second), limits(100))
+	g.UpstreamReplaced(epoch.Add(time.Second), routing.Process{ID: "next"}, limits(100))
 	response := completeResponseOf(runner.runs[0], "")
 	response.Notice = &routing.UpstreamNotice{Leaving: true}
 	g.Finish(epoch.Add(2*time.Second), "old", response)
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -22,25 +22,25 @@
 	g.upstreamUp = true
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
-	g.notice = routing.UpstreamNotice{}
+	g.process, g.notice, g.noticeConfirmed = routing.Process{}, routing.UpstreamNotice{}, false
 	g.admission = admission.New(cfg, now)
 }
 
 // UpstreamReplaced puts another process of the upstream into service. Calls that wait for the
 // old process are refused as not run; running calls continue until their connection ends. A
 // drain of the old process does not apply to the new one.
-func (g *Guard) UpstreamReplaced(now time.Time, cfg admission.Config) {
-	g.startServing(now, cfg, routing.UpstreamNotice{})
+func (g *Guard) UpstreamReplaced(now time.Time, process routing.Process, cfg admission.Config) {
+	g.startServing(now, cfg, routing.ProcessNotice{Process: process})
 }
 
 // UpstreamResumed puts a process of the upstream into service again that was considered dead and is
 // not. What it said about itself still holds.
 func (g *Guard) UpstreamResumed(now time.Time, cfg admission.Config) {
-	g.startServing(now, cfg, g.Notice())
+	g.startServing(now, cfg, g.processNotice())
 }
 
-// startServing puts a process of the upstream into service that last said notice about itself.
-func (g *Guard) startServing(now time.Time, cfg admission.Config, notice routing.UpstreamNotice) {
+// startServing puts a process of the upstream into service, with what it last said about itself.
+func (g *Guard) startServing(now time.Time, cfg admission.Config, notice routing.ProcessNotice) {
 	g.mu.Lock()
 	var deferred callbacks
 	for _, e := range g.calls {
@@ -54,7 +54,8 @@
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
 	g.admission = admission.New(cfg, now)
-	g.notice = notice
+	g.process, g.notice = notice.Process, notice.UpstreamNotice
+	g.noticeConfirmed = false
 	if notice.RateLimited {
 		g.admission.SetRateLimit(now, notice.RateLimit)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,8 @@
 	policy  atomic.Pointer[policy.State]
 	service atomic.Pointer[string] // of the local upstream; nil when none
 
-	throttles sync.Map // service name to *throttle
+	throttles   sync.Map // service name to *throttle
+	peerNotices peerNotices
 
 	// endpoints are the endpoints of the current routing table. Only the control loop, which
 	// also sets the configuration, accesses endpoints and overrides.
@@ -208,6 +209,7 @@
 // that no two tables are built from the same predecessor.
 func (n *Node) SetEndpoints(now time.Time, endpoints []routing.Endpoint) {
 	n.endpoints = endpoints
+	n.peerNotices.expire(now)
 	n.buildTable(now)
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -7,6 +7,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -19,6 +20,8 @@
 	Slots int `json:"slots"`
 	// Connections is the number of connections that the upstream accepts.
 	Connections int `json:"connections"`
+	// Process identifies the process; its ID is empty if it is unknown.
+	Process routing.Process `json:"-"`
 }
 
 // UpstreamAnnounced puts the local upstream into service.
@@ -33,7 +36,7 @@
 // one.
 func (n *Node) UpstreamReplaced(now time.Time, a Announcement) {
 	n.service.Store(&a.Service)
-	n.guard.UpstreamReplaced(now, n.admissionConfig(a.Service, a.Slots))
+	n.guard.UpstreamReplaced(now, a.Process, n.admissionConfig(a.Service, a.Slots))
 	n.configureRetention()
 	n.Event(now, timeline.Event{Kind: timeline.UpstreamJoined, Service: a.Service, Upstream: n.ID(), Detail: a.Address})
 }
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -35,6 +35,8 @@
 	headerSheds = "Galena-Inner-Sheds"
 	// headerTreesFail carries LoadReport.TreesFail if it is set.
 	headerTreesFail = "Galena-Inner-Trees-Fail"
+	// headerNotice carries LoadReport.Notice in responses and Call.KnownNotice in requests.
+	headerNotice = "Galena-Inner-Notice"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
@@ -58,6 +60,9 @@
 	if call.HasPriorWork {
 		fields = append(fields, h1.Field{Name: headerContinues, Value: "1"})
 	}
+	if call.KnownNotice != nil {
+		fields = append(fields, h1.Field{Name: headerNotice, Value: encodeNotice(call.KnownNotice)})
+	}
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
@@ -78,7 +83,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 7
+const maxInnerFields = 8
 
 func (c *peerCall) callHeader(call *node.Call) *innerpb.CallHeader {
 	h := inner.FromContext(&call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
@@ -131,6 +136,7 @@
 	}
 	if resp.Load != nil {
 		resp.Load.TreesFail = httpResp.Header.Get(headerTreesFail) != ""
+		resp.Load.Notice = decodeNotice(httpResp.Header.Get(headerNotice))
 	}
 	resp.ShedThreshold, resp.SheddingService = decodeSheds(httpResp.Header.Get(headerSheds))
 	resp.Cause = result.DecodeCause(httpResp.Header.Get(headerCause))
@@ -215,6 +221,7 @@
 		IsRetry:      r.Header.Get(headerRepeat) != "",
 		HasPriorWork: r.Header.Get(headerContinues) != "",
 		Header:       callctx.Forwardable(r.Header),
+		KnownNotice:  decodeNotice(r.Header.Get(headerNotice)),
 		BodyHash:     h.GetBodyHash(),
 		Allowance:    int(h.GetAllowance()),
 		CrashRecords: inner.CrashRecords(p.node.Now(), h.GetMarks()),
@@ -252,6 +259,9 @@
 	if resp.Load != nil && resp.Load.TreesFail {
 		out.Set(headerTreesFail, "1")
 	}
+	if resp.Load != nil && resp.Load.Notice != nil {
+		out.Set(headerNotice, encodeNotice(resp.Load.Notice))
+	}
 	if resp.Cause != nil {
 		out.Set(headerCause, resp.Cause.Encode())
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -61,6 +61,8 @@
 	TreesFail bool
 	// Incarnation identifies the process that made the report; 0 if unknown.
 	Incarnation uint64
+	// Notice is what the upstream says about itself; nil if it says nothing.
+	Notice *ProcessNotice
 }
 
 // PickInfo holds the properties of a call that affect the choice of its target.
