Senders send an upstream with a rate limit about as much as it accepts

What callers would see: a second hop for most calls that are sent to an upstream in need. Its slots are idle under the limit, so by them it looked like the best choice: 66 of 200 calls a second went to an upstream that accepts 20.

Change: the capacity by which targets are compared is, under a rate limit, the number of calls that run at once at that rate (Little's law), and an upstream whose guard queues calls under a limit counts as busy.

--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -65,6 +65,18 @@
 	Notice *ProcessNotice
 }
 
+// rateLimit returns the rate limit that the upstream names, in calls per second; 0 if it names none.
+func (r *LoadReport) rateLimit() float64 {
+	if r.Notice == nil || !r.Notice.RateLimited {
+		return 0
+	}
+	return max(r.Notice.RateLimit, minRateLimit)
+}
+
+// minRateLimit is the lowest rate limit that is used, in calls per second, so that a limit of 0 differs
+// from none.
+const minRateLimit = 0.1
+
 // PickInfo holds the properties of a call that affect the choice of its target.
 type PickInfo struct {
 	Service string
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -260,7 +260,10 @@
 	if fresh && g.report.sheds(c.rank) && !(c.isChild && g.hasIdleSlot()) {
 		return wouldShed
 	}
-	if fresh && g.report.saturated() || g.inFlight.Load() > g.capacity(fresh) {
+	if fresh && g.report.saturated() || float64(g.inFlight.Load()) > g.concurrency(fresh) {
+		return isBusy
+	}
+	if fresh && g.rateLimit.load() > 0 && g.report.queued() > 0 {
 		return isBusy
 	}
 	if g.slowStart.warm.Load() {
--- a/internal/routing/scenario_test.go
+++ b/internal/routing/scenario_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -349,3 +350,30 @@
 		})
 	}
 }
+
+// Guards against senders that go on choosing an upstream with a rate limit as often as before: most of
+// these calls would be refused there and take a second hop.
+func TestPick_RateLimitedUpstreamGetsItsRate(t *testing.T) {
+	const perSecond, seconds = 20, 10
+	for _, senders := range []int{1, 8} {
+		t.Run(fmt.Sprintf("%d senders", senders), func(t *testing.T) {
+			ups := upstreams("saga", 3, 20)
+			for _, u := range ups {
+				u.serviceTime = 50 * time.Millisecond
+			}
+			n := newFakeNode(t, DefaultConfig(), ups...)
+			n.run(time.Second, 5*time.Millisecond)
+			ups[1].misreport = func(r *LoadReport) {
+				r.Notice = &ProcessNotice{UpstreamNotice: UpstreamNotice{RateLimited: true, RateLimit: float64(perSecond) / float64(senders)}}
+			}
+			n.run(time.Second, 5*time.Millisecond)
+			sent := n.run(seconds*time.Second, 5*time.Millisecond)["saga-1"]
+			must.LessEq(t, 2*perSecond*seconds, sent)
+			must.Greater(t, 0, sent)
+
+			ups[1].misreport = nil
+			n.run(time.Second, 5*time.Millisecond)
+			must.Greater(t, 4*perSecond*seconds, n.run(2*seconds*time.Second, 5*time.Millisecond)["saga-1"])
+		})
+	}
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 const (
 	// Bounds of the latency factor. A latency below the mean does not lower the score, so that one
 	// fast endpoint is not flooded.
@@ -13,6 +15,10 @@
 // high limit a target would look idle under any load.
 const maxLimitPerSlot = 2
 
+// minRatedConcurrency bounds the score of an upstream with a rate limit near 0, so that it is chosen
+// before one that fails.
+const minRatedConcurrency = 0.05
+
 // capacity returns the number of calls that the target runs at once: the reported limit if the
 // report is fresh, otherwise the announced slots. It is at least 1.
 func (g *Target) capacity(fresh bool) int64 {
@@ -30,13 +36,27 @@
 	return limit
 }
 
+// concurrency returns the capacity, lowered under a rate limit to the number of calls that run at once
+// at that rate, by Little's law. The slots of such an upstream are idle, and by them it would look like
+// the best choice. Without a fresh report the rate limit is unknown: only a call shows whether it still
+// holds.
+func (g *Target) concurrency(fresh bool) float64 {
+	capacity := float64(g.capacity(fresh))
+	rate := g.rateLimit.load()
+	if rate == 0 || !fresh {
+		return capacity
+	}
+	atRate := rate * g.svc.meanLatency.load() / float64(time.Second)
+	return min(capacity, max(atRate, minRatedConcurrency))
+}
+
 // score returns the cost of one more call; lower is better. It multiplies reported values (other
 // senders' work over capacity) by this node's own observations (calls in flight, latency,
 // refusals). So a report of zero load cannot outweigh slow or refused calls.
 func (g *Target) score(at int64, cfg *Config) float64 {
 	receivedAt := g.report.receivedAt.Load()
 	fresh := receivedAt != 0 && at-receivedAt <= int64(cfg.LoadAge)
-	capacity := float64(g.capacity(fresh))
+	capacity := g.concurrency(fresh)
 	otherWork := g.svc.meanLoad.load() * capacity
 	if fresh {
 		// The weight of a report decreases with its age in favour of the mean of the service, so
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -46,7 +46,10 @@
 	consecutiveFailures atomic.Int64
 	samples             atomic.Int64
 
-	report    reportCell
+	report reportCell
+	// rateLimit is the number of calls per second that the upstream accepts, by the last report; 0 if it
+	// names no limit.
+	rateLimit average
 	slowStart slowStart
 	ejection  ejection
 }
@@ -142,6 +145,7 @@
 		}
 	}
 	g.report.store(r, ownInFlight, at)
+	g.rateLimit.store(r.rateLimit())
 	g.svc.addReport(r, ownInFlight)
 }
 
