Upstreams of the product's own interface name rate limits and leaves too

Cause: the guard follows what upstreams say about themselves, but only those of the operators' platform could say it; galenabench could not show it.

Change: headers Galena-Rate-Limit and Galena-Leaving on upstreams' responses, in the dialect of the product's own interface, with one parser for both; a leave drains the node as an announced one does.

--- a/cmd/galenabench/upstream.go
+++ b/cmd/galenabench/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/standin/upstream"
+	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
@@ -35,6 +36,7 @@
 	Step        []string      `help:"Call to a deeper service, as SERVICE:METHOD:/PATH; may be repeated."`
 	Slots       int           `default:"32" help:"Calls that it runs at a time."`
 	Connections int           `default:"512" help:"Connections that it accepts."`
+	RateLimit   float64       `default:"0" help:"Rate limit in calls per second that it names in its responses; it reports at its end whether it was kept. 0 names none."`
 	StopTimeout time.Duration `default:"30s" help:"How long it waits for calls in flight when it stops."`
 	Seed        uint64        `default:"1" help:"Seed of the service times."`
 }
@@ -58,12 +60,43 @@
 		return err
 	}
 	defer srv.Crash()
+	srv.Say(upstream.Notice{RateLimit: c.RateLimit})
 	a.announcement = node.Announcement{Service: c.Service, Address: srv.Addr(), Slots: c.Slots, Connections: c.Connections}
 	printListener("upstream "+c.Service, srv.Addr())
 	ctx, cancel := onSignal()
 	defer cancel()
+	kept := make(chan error, 1)
+	go func() { kept <- watchRateLimit(ctx, srv.Arrivals, c.RateLimit) }()
 	a.run(ctx)
-	return a.leave(c.StopTimeout)
+	if err := a.leave(c.StopTimeout); err != nil {
+		return err
+	}
+	return <-kept
+}
+
+const (
+	// rateWindow is the time in which at most rateExcess times the rate limit and rateSlack requests may
+	// arrive.
+	rateWindow = 4 * time.Second
+	rateExcess = 1.5
+	rateSlack  = 5
+)
+
+// watchRateLimit counts the arrivals in successive windows until ctx ends. It returns an error if one of
+// them, except the first, in which nodes learn the limit, had more than the limit allows. A limit of 0
+// allows everything.
+func watchRateLimit(ctx context.Context, arrivals func() int64, perSecond float64) error {
+	allowed := int64(rateExcess*perSecond*rateWindow.Seconds()) + rateSlack
+	var exceeded error
+	for window := 0; ; window++ {
+		before := arrivals()
+		if !wait.For(ctx, rateWindow) {
+			return exceeded
+		}
+		if got := arrivals() - before; perSecond > 0 && window > 0 && got > allowed {
+			exceeded = errors.Errorf("%d requests arrived in %v at a rate limit of %g a second, at most %d are allowed", got, rateWindow, perSecond, allowed)
+		}
+	}
 }
 
 // parseSteps parses the values of --step.
--- a/internal/callctx/headers.go
+++ b/internal/callctx/headers.go
@@ -27,8 +27,13 @@
 	// HeaderRequestID carries the ID of the root request in responses.
 	HeaderRequestID = "Galena-Request-Id"
 	HeaderKey       = "Idempotency-Key"
-	HeaderTrace     = "Traceparent"
-	headerPrefix    = "Galena-"
+	// HeaderRateLimit on an upstream's response is the number of calls per second, a decimal number, that
+	// it accepts from all nodes together. It holds until a response lacks it.
+	HeaderRateLimit = "Galena-Rate-Limit"
+	// HeaderLeaving on an upstream's response is "true" if the upstream is leaving.
+	HeaderLeaving = "Galena-Leaving"
+	HeaderTrace   = "Traceparent"
+	headerPrefix  = "Galena-"
 )
 
 // Limits on what a caller may send. Lengths are in bytes.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// Notice implements Dialect. Upstreams of the product's own interface send no notices.
-func (defaultDialect) Notice(http.Header) (routing.UpstreamNotice, error) {
-	return routing.UpstreamNotice{}, nil
+// Notice implements Dialect.
+func (defaultDialect) Notice(h http.Header) (routing.UpstreamNotice, error) {
+	return routing.ParseNotice(h.Get(callctx.HeaderRateLimit), h.Get(callctx.HeaderLeaving) == "true")
 }
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -43,7 +43,7 @@
 		return &n
 	}
 	n.RateLimited = true
-	if n.RateLimit, err = strconv.ParseFloat(fields[2], 64); err != nil || !(n.RateLimit >= 0) {
+	if n.RateLimit, err = routing.ParseRateLimit(fields[2]); err != nil {
 		return nil
 	}
 	return &n
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -249,8 +249,10 @@
 	if err != nil {
 		return u.failureResponse(ctx, call, err)
 	}
+	// convertResponse removes the headers that are not for the caller.
+	notice := u.noticeOf(httpResp)
 	resp := u.convertResponse(call, httpResp)
-	resp.Notice = u.noticeOf(httpResp)
+	resp.Notice = notice
 	return resp
 }
 
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -1,5 +1,12 @@
 package routing
 
+import (
+	"math"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
 // UpstreamNotice is what an upstream says about itself in a response. The zero value says nothing.
 type UpstreamNotice struct {
 	// RateLimited means that the upstream names a rate limit.
@@ -10,6 +17,30 @@
 	Leaving bool
 }
 
+// ParseRateLimit parses a rate limit in calls per second. It must be a finite number of at least 0.
+func ParseRateLimit(text string) (float64, error) {
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
+		return 0, errors.Errorf("rate limit is %.32q, must be a number of at least 0", text)
+	}
+	return limit, nil
+}
+
+// ParseNotice returns the notice of a response with these values of its rate limit, empty if it names
+// none, and of its leave.
+func ParseNotice(rateLimit string, leaving bool) (UpstreamNotice, error) {
+	n := UpstreamNotice{Leaving: leaving}
+	if rateLimit == "" {
+		return n, nil
+	}
+	limit, err := ParseRateLimit(rateLimit)
+	if err != nil {
+		return n, err
+	}
+	n.RateLimited, n.RateLimit = true, limit
+	return n, nil
+}
+
 // Process identifies one process of an upstream.
 type Process struct {
 	// ID is the ID that the process gives itself; empty if it is unknown. A later process of the same
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
@@ -123,6 +124,10 @@
 	slowdownMilli atomic.Int64 // factor on service times, in thousandths
 	// waiting counts the requests that wait for a slot.
 	waiting atomic.Int64
+	// notice is what the upstream says about itself in its responses.
+	notice atomic.Pointer[Notice]
+	// arrivals counts the requests that reached the upstream.
+	arrivals atomic.Int64
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -234,10 +239,39 @@
 	return time.Duration(d * float64(s.slowdownMilli.Load()) / 1000)
 }
 
+// Notice is what an upstream says about itself in its responses. The zero value says nothing.
+type Notice struct {
+	// RateLimit is the number of requests per second that the upstream accepts; 0 names none.
+	RateLimit float64
+	// Leaving says that the upstream is leaving.
+	Leaving bool
+}
+
+// Say sets what the upstream says about itself in the responses to requests that arrive from now on.
+func (s *Server) Say(n Notice) { s.notice.Store(&n) }
+
+// Arrivals returns the number of requests that reached the upstream.
+func (s *Server) Arrivals() int64 { return s.arrivals.Load() }
+
+func (s *Server) addNotice(h http.Header) {
+	n := s.notice.Load()
+	if n == nil {
+		return
+	}
+	if n.RateLimit > 0 {
+		h.Set(callctx.HeaderRateLimit, strconv.FormatFloat(n.RateLimit, 'f', -1, 64))
+	}
+	if n.Leaving {
+		h.Set(callctx.HeaderLeaving, "true")
+	}
+}
+
 // ServeHTTP handles one request: it waits for a slot, sleeps for the service time
 // and calls the steps. The response is 504 if the deadline passes before the end of
 // the service time, and 502 if a step fails.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.arrivals.Add(1)
+	s.addNotice(w.Header())
 	op, ok := s.cfg.Operations[r.URL.Path]
 	if !ok {
 		http.NotFound(w, r)
