--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
@@ -72,49 +71,6 @@
 // returns the HTTP status and the body of the response.
 type CallFunc func(ctx context.Context, step Step, parent http.Header) (status int, body []byte, err error)
 
-// Run is one execution of a request.
-type Run struct {
-	// Upstream is the name of the upstream that ran the request.
-	Upstream string
-	// Op and Attempt are the values of HeaderOp and HeaderAttempt, Key that of
-	// Idempotency-Key.
-	Op, Attempt, Service, Path, Key string
-	// Poison reports that the request crashed the upstream.
-	Poison bool
-	// Completed reports that the execution and all its steps succeeded.
-	Completed bool
-}
-
-// Ledger records the executions of several upstreams. Safe for concurrent use.
-type Ledger struct {
-	mu   sync.Mutex
-	runs []*Run
-}
-
-func (l *Ledger) start(r Run) *Run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs = append(l.runs, &r)
-	return &r
-}
-
-func (l *Ledger) complete(r *Run) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r.Completed = true
-}
-
-// Runs returns a copy of the recorded executions, in order of their start.
-func (l *Ledger) Runs() []Run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make([]Run, len(l.runs))
-	for i, r := range l.runs {
-		out[i] = *r
-	}
-	return out
-}
-
 // Server is one upstream. Safe for concurrent use.
 type Server struct {
 	cfg           Config
@@ -239,33 +195,6 @@
 	return time.Duration(d * float64(s.slowdownMilli.Load()) / 1000)
 }
 
-// Notice is what an upstream says about itself in its responses. The zero value says nothing.
-type Notice struct {
-	// RateLimit is the number of requests per second that the upstream accepts; 0 names none.
-	RateLimit float64
-	// Leaving says that the upstream is leaving.
-	Leaving bool
-}
-
-// Say sets what the upstream says about itself in the responses to requests that arrive from now on.
-func (s *Server) Say(n Notice) { s.notice.Store(&n) }
-
-// Arrivals returns the number of requests that reached the upstream.
-func (s *Server) Arrivals() int64 { return s.arrivals.Load() }
-
-func (s *Server) addNotice(h http.Header) {
-	n := s.notice.Load()
-	if n == nil {
-		return
-	}
-	if n.RateLimit > 0 {
-		h.Set(callctx.HeaderRateLimit, strconv.FormatFloat(n.RateLimit, 'f', -1, 64))
-	}
-	if n.Leaving {
-		h.Set(callctx.HeaderLeaving, "true")
-	}
-}
-
 // ServeHTTP handles one request: it waits for a slot, sleeps for the service time
 // and calls the steps. The response is 504 if the deadline passes before the end of
 // the service time, and 502 if a step fails.
