--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -57,7 +57,7 @@
 	rateUse := c.rate.use(c.startRate, elapsed)
 	if rateUse > use {
 		use = rateUse
-		useBelow = max(useBelow, rateUse-c.rateUseAbove(elapsed))
+		useBelow = max(useBelow, rateUse-c.rate.share(c.startRateAbove, elapsed))
 	}
 	c.treesFail = c.limiter.shedsAtRandom(now) && c.outlook.completion() < minTreeCompletion
 	c.outlook.age(c.limiter.shedding())
@@ -114,11 +114,6 @@
 	return time.Duration(float64(c.leastQueued) / max(c.startRate, 0.5) * float64(elapsed))
 }
 
-// rateUseAbove returns the share of the rate limit that starts above the threshold use up.
-func (c *Controller) rateUseAbove(interval time.Duration) float64 {
-	return c.startRateAbove / (c.rate.perSecond * interval.Seconds())
-}
-
 // mayStart reports whether a slot and, under a rate limit, a token is free.
 func (c *Controller) mayStart() bool {
 	if c.inFlight >= c.limiter.limit {
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -105,7 +105,12 @@
 	if exhausted {
 		return 1
 	}
-	return min(1, starts/(r.perSecond*interval.Seconds()))
+	return min(1, r.share(starts, interval))
+}
+
+// share returns a number of starts in an interval as a share of those that the limit allows.
+func (r *rateLimit) share(starts float64, interval time.Duration) float64 {
+	return starts / (r.perSecond * interval.Seconds())
 }
 
 // SetRateLimit bounds the starts of calls per second; 0 lets only a few calls through. It returns
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -50,8 +50,8 @@
 }
 
 // adopt takes an upstream into service that was already running when the node started: the guard
-// accepts calls for it, and the node publishes a record of it. notice is what it said about itself. It
-// reports false if an upstream has reported in the meantime.
+// accepts calls for it, and the node publishes a record of it. notice is what it said about itself,
+// and not that it is leaving. It reports false if an upstream has reported in the meantime.
 func (l *localUpstream) adopt(record *fleet.Member, address string, notice routing.UpstreamNotice) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -138,7 +138,7 @@
 		metrics.UpstreamsLive:      int64(live),
 		metrics.IsDraining:         boolGauge(s.Stopping || !s.Guard.Serving),
 		metrics.AdmissionLimit:     int64(s.Guard.Limit),
-		metrics.UpstreamRateLimit:  rateLimitGauge(s.Guard.RateLimit),
+		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
 		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
@@ -155,12 +155,3 @@
 	}
 	return 0
 }
-
-// rateLimitGauge returns the value of metrics.UpstreamRateLimit for a limit in calls per second.
-func rateLimitGauge(limit *float64) int64 {
-	if limit == nil {
-		return -1
-	}
-	const perKilosecond = 1000
-	return int64(*limit * perKilosecond)
-}
--- a/internal/node/guard_notice.go
+++ b/internal/node/guard_notice.go
@@ -8,10 +8,10 @@
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
-// noteLocked applies what the upstream said about itself in its response to a call. A response of an
-// earlier process of the upstream is ignored.
-func (g *Guard) noteLocked(now time.Time, e *execution, notice *routing.UpstreamNotice, deferred *callbacks) {
-	if notice == nil || e.process != g.upstreamIncarnation {
+// noteLocked applies what the process with an upstreamIncarnation said about itself. An earlier process
+// of the upstream is ignored.
+func (g *Guard) noteLocked(now time.Time, process uint64, notice *routing.UpstreamNotice, deferred *callbacks) {
+	if notice == nil || process != g.upstreamIncarnation {
 		return
 	}
 	g.noticeConfirmed = true
@@ -60,7 +60,7 @@
 	}
 	g.mu.Lock()
 	var deferred callbacks
-	g.noteLocked(now, &execution{process: g.upstreamIncarnation}, &notice, &deferred)
+	g.noteLocked(now, g.upstreamIncarnation, &notice, &deferred)
 	g.mu.Unlock()
 	deferred.run()
 }
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -111,7 +111,7 @@
 			a.Cause = e.cause
 		}
 		g.events.finished(now, e, a)
-		g.noteLocked(now, e, a.Notice, &deferred)
+		g.noteLocked(now, e.process, a.Notice, &deferred)
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
 	}
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -17,6 +17,14 @@
 	Leaving bool
 }
 
+// RateLimitMilli returns the rate limit in calls per 1,000 seconds; -1 if there is none.
+func (n UpstreamNotice) RateLimitMilli() int64 {
+	if !n.RateLimited {
+		return -1
+	}
+	return int64(n.RateLimit * 1000)
+}
+
 // ParseRateLimit parses a rate limit in calls per second. It must be a finite number of at least 0.
 func ParseRateLimit(text string) (float64, error) {
 	limit, err := strconv.ParseFloat(text, 64)
--- a/internal/server/observe.go
+++ b/internal/server/observe.go
@@ -44,6 +44,7 @@
 func (s *Server) refresh(exported *exportedCounters) {
 	load := s.node.Guard().Load()
 	s.metrics.SetGauge(metrics.AdmissionLimit, int64(load.Limit))
+	s.metrics.SetGauge(metrics.UpstreamRateLimit, s.node.Guard().Notice().RateLimitMilli())
 	s.metrics.SetGauge(metrics.AdmissionThreshold, int64(load.Threshold))
 	s.metrics.SetGauge(metrics.IsDraining, boolToInt(load.Draining))
 	s.metrics.SetGauge(metrics.ConfigVersion, int64(s.node.Policy().NewestChange()))
