Notices allocate nothing while upstreams say nothing

A hop had gained two allocations: the notice of each response was moved to the heap, and an empty header was split.

--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -24,6 +24,9 @@
 
 // decodeNotice parses the text of encodeNotice. It returns nil if the text is empty or invalid.
 func decodeNotice(text string) *routing.ProcessNotice {
+	if text == "" {
+		return nil // most calls have none; strings.Split would allocate
+	}
 	fields := strings.Split(text, " ")
 	if len(fields) != 4 {
 		return nil
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -270,7 +270,8 @@
 	if notice == silentNotice {
 		return &silentNotice
 	}
-	return &notice
+	shared := notice // only a notice that says something is allocated
+	return &shared
 }
 
 // silentNotice is the notice of all responses that say nothing. It must not be modified.
