A retry floor may be a fraction: a node started by such settings

Cause: the settings took only whole numbers for retries.floor.

Change: the floor is a number from 0 to 1,000,000; it was divided among guards as one anyway.

Measured: TestRetryFloorMayBeAFraction did not compile against the whole number and passes now.

Conclusion: fixed; other figures of the template are sizes of a VM, which stay whole numbers.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -199,7 +199,7 @@
 		}
 	}
 	r := m.Settings().Retries
-	return retry.BudgetConfig{Ratio: r.Ratio, Floor: float64(r.Floor) / float64(max(guards, 1)), Window: r.Window.Std()}
+	return retry.BudgetConfig{Ratio: r.Ratio, Floor: r.Floor / float64(max(guards, 1)), Window: r.Window.Std()}
 }
 
 func newSeed() [32]byte {
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -22,7 +22,7 @@
 	m.members.refresh()
 	m.routes.refresh()
 	needRestart := m.cfg.NeedRestart(next)
-	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Int("retry_floor", next.Retries.Floor).
+	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Float64("retry_floor", next.Retries.Floor).
 		Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
 	return needRestart
 }
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -92,7 +92,7 @@
 	// Ratio is the maximum ratio of retries to first attempts. Default 0.2.
 	Ratio float64 `json:"ratio"`
 	// Floor is the number of retries allowed in each window in addition to Ratio. Default 0.
-	Floor int `json:"floor"`
+	Floor float64 `json:"floor"`
 	// Window is the period over which attempts are counted. Default 10s.
 	Window Duration `json:"window"`
 }
@@ -138,6 +138,9 @@
 	}
 }
 
+// maxRetryFloor bounds retries.floor.
+const maxRetryFloor = 1_000_000
+
 // Validate returns a *FieldError for the first invalid field, or nil.
 func (m *Mesh) Validate() error {
 	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateRanges, m.Logging.validate} {
@@ -226,7 +229,7 @@
 		{m.Resources.Descriptors >= 256, "resources.descriptors", m.Resources.Descriptors, "at least 256"},
 		{m.Stop.Grace.Std() >= time.Second, "stop.grace", m.Stop.Grace, "at least 1s"},
 		{m.Retries.Ratio >= 0 && m.Retries.Ratio <= 10, "retries.ratio", m.Retries.Ratio, "0 to 10"},
-		{m.Retries.Floor >= 0, "retries.floor", m.Retries.Floor, "at least 0"},
+		{m.Retries.Floor >= 0 && m.Retries.Floor <= maxRetryFloor, "retries.floor", m.Retries.Floor, "0 to 1000000"},
 		{m.Retries.Window.Std() >= time.Second, "retries.window", m.Retries.Window, "at least 1s"},
 		{m.Quotas.Window.Std() >= 100*time.Millisecond && m.Quotas.Window.Std() <= time.Hour, "quotas.window", m.Quotas.Window, "100ms to 1h"},
 		{m.Quotas.Overage >= 0 && m.Quotas.Overage <= 10, "quotas.overage", m.Quotas.Overage, "0 to 10"},
--- a/internal/settings/mesh_test.go
+++ b/internal/settings/mesh_test.go
@@ -20,6 +20,13 @@
 	must.EqOp(t, "6s", m.Stop.Grace.String())
 }
 
+// Guards against a node that does not start because the retry floor of its deployment is a fraction.
+func TestRetryFloorMayBeAFraction(t *testing.T) {
+	m, err := ParseMesh([]byte(strings.Replace(minimalMeshDoc, `"node_id"`, `"retries":{"floor":20.4},"node_id"`, 1)))
+	must.NoError(t, err)
+	must.EqOp(t, 20.4, m.Retries.Floor)
+}
+
 // Guards against a rejected settings file whose error does not name the invalid field.
 func TestMeshErrorsNameTheField(t *testing.T) {
 	withField := func(extra string) string { return strings.Replace(minimalMeshDoc, `"node_id"`, extra+`,"node_id"`, 1) }
