Exchange of the overview between nodes, by one collector in each zone

Cause: no node knows the demand and the room of the deployment as a whole. Shares between workspaces, the use of uneven upstreams and calls between zones need them.

Change: package overview gets the Collector (pure): it adds up the reports of its zone, holds the sums of the other zones, drops what is old, and ignores and counts invalid, outdated and duplicate messages. internal/mesh/overview.go reports to the first serving node of the zone (the order of Sources) and falls back to the next ones, then to itself; overviewzones.go exchanges sums between collectors. A node without the setting answers 503, an older version 404: the next one is asked.

For the parts that plug in: - an overviewSource (fillReport) goes into the list `sources` of newOverviewExchange, after ownLoad, which fills Calls and Upstream (nil while the upstream doesn't serve); - an overviewConsumer (viewChanged) goes into `consumers`, or reads mesh.overview.Current(now), which is nil when no recent view exists; - exchangeWanted gets one more condition per setting; - View.Workspaces is the demand over all zones of the workspaces in the node's own report, View.Total that of all; View.Demand and View.Service look one up. Zones in a view list only the services that the node calls or serves and no workspaces.

--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -48,12 +48,14 @@
 			members = append(members, m)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
-	})
+	slices.SortFunc(members, compareMembers)
 	return members
 }
 
+func compareMembers(a, b Member) int {
+	return compareNames(nameHash(a.Node), a.Node, nameHash(b.Node), b.Node)
+}
+
 // rotate returns a copy that starts with the member at index first and ends with the members
 // before it.
 func rotate(members []Member, first int) []Member {
@@ -70,3 +72,21 @@
 	_, _ = h.Write([]byte(name)) // never fails
 	return h.Sum64()
 }
+
+// Collectors returns the nodes of a zone that may add up the reports of a node, the preferred one
+// first; none if the node itself is preferred. A node that doesn't serve is no collector for others,
+// so it prefers any that does. zoneMembers are the other nodes of the zone.
+func Collectors(node string, serving bool, zoneMembers []Member) []Member {
+	if serving {
+		return preceding(node, zoneMembers)
+	}
+	return InOrder(zoneMembers)
+}
+
+// InOrder returns the serving members of a zone in the order of the zone, in which the first one
+// collects the reports of the others.
+func InOrder(zoneMembers []Member) []Member {
+	members := slices.DeleteFunc(slices.Clone(zoneMembers), func(m Member) bool { return m.State != Serving })
+	slices.SortFunc(members, compareMembers)
+	return members
+}
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -97,6 +97,8 @@
 	inner.HandleFunc("GET "+watchPath, m.serveWatch)
 	inner.HandleFunc("POST "+quotaPath, m.serveQuota)
 	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
+	inner.HandleFunc("POST "+overviewPath, m.overview.serveReport)
+	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
 	s.callers = m.newServer(m.withConnectionClose(callers))
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -42,6 +42,10 @@
 	// otherZonesRevision.
 	otherZones         []fleet.Member
 	otherZonesRevision int
+	// collectors caches the result of collectorsByZone as of the registry's change count
+	// collectorsRevision.
+	collectors         map[string][]fleet.Member
+	collectorsRevision int
 }
 
 // apply applies records from the store, those of members and those of crashes. Deleted keys and
@@ -193,6 +197,31 @@
 	return m.otherZones[rand.IntN(len(m.otherZones))], true
 }
 
+// collectorsByZone returns the serving nodes of each other zone, by the name of the zone, in the order
+// in which they are asked as collectors. They must not be changed.
+func (m *members) collectorsByZone(cfg *settings.Mesh) map[string][]fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.collectors != nil && m.collectorsRevision == m.registry.Changes() {
+		return m.collectors
+	}
+	byZone := map[string][]fleet.Member{}
+	for _, member := range m.registry.OtherZones(cfg.Region, cfg.Zone) {
+		name := zoneName(member.Region, member.Zone)
+		byZone[name] = append(byZone[name], member)
+	}
+	for name, zone := range byZone {
+		byZone[name] = fleet.InOrder(zone)
+	}
+	m.collectors, m.collectorsRevision = byZone, m.registry.Changes()
+	return byZone
+}
+
+// zones returns the number of availability zones with serving nodes, the own one included.
+func (m *members) zones(cfg *settings.Mesh) int {
+	return len(m.collectorsByZone(cfg)) + 1
+}
+
 // zoneNeighbours returns the records of the other nodes of the zone; they must not be changed.
 func (m *members) zoneNeighbours(cfg *settings.Mesh) []fleet.Member {
 	m.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -55,6 +55,7 @@
 	quotas          *quotas
 	local           *localUpstream
 	guardTicker     *guardTicker
+	overview        *overviewExchange
 
 	listeners listeners
 	servers   servers
@@ -160,6 +161,7 @@
 	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
+	m.overview = newOverviewExchange(m)
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
@@ -221,6 +223,8 @@
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.spawn(func() { m.adoptUpstream(ctx) })
 	m.spawn(func() { m.compareOffsets(ctx) })
+	m.spawn(func() { m.overview.runReports(ctx) })
+	m.spawn(func() { m.overview.runZones(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -31,7 +31,9 @@
 	Records []MemberState  `json:"records"`
 	// Quotas are the quotas of the workspaces that have one.
 	Quotas []quota.State `json:"quotas,omitempty"`
-	Store  StoreStats    `json:"store"`
+	// Overview is what the node knows of all zones; nil if there is no recent view.
+	Overview *OverviewState `json:"overview,omitempty"`
+	Store    StoreStats     `json:"store"`
 }
 
 // Freshness describes how current data from the store is.
@@ -87,6 +89,8 @@
 		Guard:   m.guardState(),
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
+
+		Overview: m.overview.state(now),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -44,6 +44,12 @@
 	// to other nodes.
 	QuotaAsked
 	QuotaGranted
+	// OverviewReports counts views received from the collector of the zone, OverviewReportFailures
+	// reports that a collector did not answer, and OverviewZoneFailures failed exchanges of sums with
+	// other zones.
+	OverviewReports
+	OverviewReportFailures
+	OverviewZoneFailures
 	numCounters
 )
 
@@ -78,6 +84,9 @@
 	CrashRecordsGossiped:    "quarantine.suspects_spread",
 	QuotaAsked:              "quota.asked",
 	QuotaGranted:            "quota.granted",
+	OverviewReports:         "overview.reports",
+	OverviewReportFailures:  "overview.report_failures",
+	OverviewZoneFailures:    "overview.zone_failures",
 }
 
 // String returns the name in the JSON document.
--- a/internal/overview/types.go
+++ b/internal/overview/types.go
@@ -86,15 +86,21 @@
 	Services   []Capacity        `json:"services,omitempty"`
 }
 
-// RestDemand is the demand of the workspaces that are not listed one by one.
+// RestDemand is the demand of several workspaces together.
 type RestDemand struct {
 	Workspaces int     `json:"workspaces"`
 	PerSecond  float64 `json:"per_s"`
 }
 
-// View is what a node knows of all zones.
+// View is what a node knows of all zones. It holds what concerns the node: the workspaces and services
+// that its report names.
 type View struct {
+	// Zones are sorted by name. Their Workspaces are empty.
 	Zones []Zone `json:"zones"`
+	// Workspaces is the demand of the workspaces in the node's report, over all zones.
+	Workspaces []WorkspaceDemand `json:"workspaces,omitempty"`
+	// Total is the demand of all workspaces over all zones, listed or not.
+	Total RestDemand `json:"total"`
 	// ReceivedAt is the time at which the node received the view.
 	ReceivedAt time.Time `json:"-"`
 }
@@ -105,4 +111,22 @@
 	MaxWorkspaces = 64
 	// MaxKinds bounds the kinds of calls of one service.
 	MaxKinds = 16
+	// MaxCalls bounds the services that a node reports calls to.
+	MaxCalls = 64
+	// MaxServices bounds the services of a zone.
+	MaxServices = 2048
+	// MaxZones bounds the zones of a view, and MaxNodes the nodes that report to one collector.
+	MaxZones = 128
+	MaxNodes = 2048
+)
+
+const (
+	// maxNameBytes bounds the name of a node, zone, workspace or service in bytes.
+	maxNameBytes = 256
+	// maxValue bounds rates, slots and other quantities.
+	maxValue = 1e9
+	// maxInterval bounds the time between two reports.
+	maxInterval = time.Minute
+	// maxClockLead is how far the start of a process may lie in the future by the collector's clock.
+	maxClockLead = time.Hour
 )
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -79,6 +79,9 @@
 	if info.Node != "" {
 		return c.pickNode(t, v, info.Node)
 	}
+	if len(c.avoid) == 0 {
+		v.svc.calls.Add(1)
+	}
 	probe := false
 	if !c.isChild && v.svc.shedMemoCovers(c.at, c.rank) {
 		probe = c.sampleProbe()
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -31,6 +31,9 @@
 	// report has expired.
 	meanLoad average
 
+	// calls counts the calls for which a target was to be chosen, without their retries.
+	calls atomic.Int64
+
 	// ejectionMu serialises ejections, so that concurrent ones cannot exceed the cap. Pick never
 	// locks it.
 	ejectionMu sync.Mutex
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -169,3 +169,15 @@
 // ByNode returns the target of a node, or nil. If the node has several services, it is the first
 // one announced.
 func (t *Table) ByNode(node string) *Target { return t.targetsByNode[node] }
+
+// CallCounts returns the number of calls for which a target was to be chosen so far, by service.
+// Retries, and calls that only one node may run, are not counted.
+func (t *Table) CallCounts() map[string]int64 {
+	counts := make(map[string]int64, len(t.views))
+	for name, v := range t.views {
+		if n := v.svc.calls.Load(); n > 0 {
+			counts[name] = n
+		}
+	}
+	return counts
+}
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,7 @@
 	Stop      MeshStop     `json:"stop"`
 	Retries   Retries      `json:"retries"`
 	Quotas    Quotas       `json:"quotas"`
+	Balance   Balance      `json:"balance"`
 	Logging   Logging      `json:"logging"`
 }
 
@@ -109,6 +110,13 @@
 	Slack float64 `json:"slack"`
 }
 
+// Balance selects how calls are spread over the upstreams of a service.
+type Balance struct {
+	// Zones sends a share of a zone's calls to other zones with more room, before its own queues
+	// build. Default false.
+	Zones bool `json:"zones"`
+}
+
 // LoadMesh reads the settings file at path, fills in defaults and validates it. Errors name the
 // path.
 func LoadMesh(path string) (*Mesh, error) { return load(path, ParseMesh) }
