A share of a zone's calls goes to zones with room before its queues build

Cause: a zone was left only when all of it was full, which each sender found out by itself.

Demand and room don't depend on where the calls went, so the decision has no loop to swing in. routing.Pick sends the share to a target of the other zone that has capacity, else the usual order holds; connections are opened ahead. Capacity carries the rate of ended calls, from which the service time follows. Metrics, log lines, galenactl node zones.

--- a/cmd/galenactl/node.go
+++ b/cmd/galenactl/node.go
@@ -19,6 +19,7 @@
 	Routes  nodeRoutesCmd  `cmd:"" help:"Routes in force, optionally compared with those of another node."`
 	Members nodeMembersCmd `cmd:"" help:"Members known to the node."`
 	Quotas  nodeQuotasCmd  `cmd:"" help:"Quotas of workspaces, the node's share of them, and the requests that it refused."`
+	Zones   nodeZonesCmd   `cmd:"" help:"Demand and room of each availability zone by service, and the shares of calls that go to other zones."`
 }
 
 type nodeStatusCmd struct{}
@@ -135,6 +136,41 @@
 	return a.print(selected, t)
 }
 
+type nodeZonesCmd struct {
+	Service string `help:"Only this service."`
+}
+
+// Run implements the command.
+func (c *nodeZonesCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	if s.Overview == nil {
+		return errors.Errorf("%s has no recent view of the zones; is balance.zones set, and are there several zones?", s.Node)
+	}
+	ages, nodes := map[string]time.Duration{}, map[string]int{}
+	for i := range s.Overview.View.Zones {
+		z := &s.Overview.View.Zones[i]
+		ages[z.Name] = time.Duration(z.AgeMillis+s.Overview.AgeMillis) * time.Millisecond
+		nodes[z.Name] = z.Nodes
+	}
+	selected := []mesh.ServiceZones{}
+	t := newTable("SERVICE", "ZONE", "NODES", "CALLS/S", "ROOM/S", "SHARE FROM HERE", "AGE")
+	for i := range s.Zones {
+		service := &s.Zones[i]
+		if c.Service != "" && service.Service != c.Service {
+			continue
+		}
+		selected = append(selected, *service)
+		for _, z := range service.Zones {
+			t.row(service.Service, z.Name, nodes[z.Name], rounded(z.Demand), rounded(z.Rate), rounded(service.Share(z.Name)), ages[z.Name])
+		}
+	}
+	t.note("as %s in zone %s knows them through %s; room is what the upstreams there can complete", s.Node, s.Zone, s.Overview.Collector)
+	return a.print(selected, t)
+}
+
 // rounded formats x with 2 decimal places.
 func rounded(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -92,6 +92,22 @@
 	return resp, nil
 }
 
+// Prepare opens a connection unless an idle one exists, so that the next request doesn't wait for it.
+func (p *Pool) Prepare(ctx context.Context) error {
+	p.mu.Lock()
+	hasIdle := len(p.idle) > 0
+	p.mu.Unlock()
+	if hasIdle {
+		return nil
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return &Error{Stage: StageConnect, Cause: err}
+	}
+	p.release(c)
+	return nil
+}
+
 // acquire returns an idle connection that is usable, or a new one.
 func (p *Pool) acquire(ctx context.Context) (*conn, error) {
 	for {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -56,6 +56,7 @@
 	local           *localUpstream
 	guardTicker     *guardTicker
 	overview        *overviewExchange
+	zoneBalance     *zoneBalance
 
 	listeners listeners
 	servers   servers
@@ -99,6 +100,8 @@
 		return nil, errors.Wrap(err, "start node")
 	}
 	m.build()
+	m.zoneBalance = newZoneBalance(m)
+	m.overview = newOverviewExchange(m)
 	m.run()
 	return m, nil
 }
@@ -161,7 +164,6 @@
 	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
-	m.overview = newOverviewExchange(m)
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -33,7 +33,9 @@
 	Quotas []quota.State `json:"quotas,omitempty"`
 	// Overview is what the node knows of all zones; nil if there is no recent view.
 	Overview *OverviewState `json:"overview,omitempty"`
-	Store    StoreStats     `json:"store"`
+	// Zones are the decisions on the services that the zone calls.
+	Zones []ServiceZones `json:"zones,omitempty"`
+	Store StoreStats     `json:"store"`
 }
 
 // Freshness describes how current data from the store is.
@@ -91,6 +93,7 @@
 		Quotas:  m.quotas.states(),
 
 		Overview: m.overview.state(now),
+		Zones:    m.zoneBalance.state(),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
@@ -144,6 +147,9 @@
 		metrics.AdmissionLimit:     int64(s.Guard.Limit),
 		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
 		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
+		metrics.OverviewAgeMillis:  m.overview.ageMillis(),
+		metrics.ZoneShareMilli:     int64(1000 * m.zoneBalance.highestShare()),
+		metrics.CallsOtherZones:    m.node.Table().CallsAway(),
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
 		metrics.StoreBytesSent:     s.Store.BytesSent,
--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -83,7 +83,7 @@
 	return &overviewExchange{
 		mesh: m, zone: zone, collector: overview.NewCollector(zone), cooldowns: cooldowns{},
 		sources:   []overviewSource{newOwnLoad(m)},
-		consumers: []overviewConsumer{},
+		consumers: []overviewConsumer{m.zoneBalance},
 	}
 }
 
@@ -129,6 +129,15 @@
 	View *overview.View `json:"view"`
 }
 
+// ageMillis returns the age of the last view in milliseconds; -1 if there is none.
+func (x *overviewExchange) ageMillis() int64 {
+	v := x.current.Load()
+	if v == nil {
+		return -1
+	}
+	return time.Since(v.ReceivedAt).Milliseconds()
+}
+
 // state returns the view that is in force, or nil.
 func (x *overviewExchange) state(now time.Time) *OverviewState {
 	v := x.Current(now)
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -119,6 +119,12 @@
 	StoreFailures
 	StoreBytesSent
 	StoreBytesReceived
+	// OverviewAgeMillis is the age of the view of all zones; -1 without one.
+	OverviewAgeMillis
+	// ZoneShareMilli is the highest share of the zone's calls to a service that goes to other zones, in
+	// thousandths, and CallsOtherZones the number of calls that this node sent there for it.
+	ZoneShareMilli
+	CallsOtherZones
 	numGauges
 )
 
@@ -142,6 +148,9 @@
 	StoreFailures:      "store.failures",
 	StoreBytesSent:     "store.bytes_sent",
 	StoreBytesReceived: "store.bytes_received",
+	OverviewAgeMillis:  "overview.view_age_ms",
+	ZoneShareMilli:     "zones.highest_share_milli",
+	CallsOtherZones:    "zones.calls_to_others",
 }
 
 // String returns the name in the JSON document.
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -130,6 +130,8 @@
 	upstreamUp bool
 	slots      int
 	events     *eventRecorder
+	// ended counts the runs that ended.
+	ended int64
 	// upstreamIncarnation identifies the process of the local upstream.
 	upstreamIncarnation uint64
 	// process and notice are the process of the local upstream and what it said about itself last.
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -98,6 +98,7 @@
 	g.mu.Lock()
 	var deferred callbacks
 	if e, ok := g.calls[callID]; ok && e.phase == phaseRunning {
+		g.ended++
 		decisions := g.admission.Finish(now, callID, outcomeOf(a), now.Sub(e.started))
 		cleared := g.quarantine.Finished(now, e.fingerprint, a.Complete())
 		if a.Crashed != 0 && g.quarantine.RecentlySucceeded(e.fingerprint) {
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -256,3 +256,10 @@
 	}
 	return e.call, e.account, true
 }
+
+// Ended returns the number of runs that ended so far.
+func (g *Guard) Ended() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ended
+}
--- a/internal/overview/check.go
+++ b/internal/overview/check.go
@@ -100,7 +100,7 @@
 	for _, x := range []struct {
 		field string
 		value float64
-	}{{"slots", c.Slots}, {"busy", c.Busy}, {"queued", c.Queued}} {
+	}{{"slots", c.Slots}, {"busy", c.Busy}, {"queued", c.Queued}, {"per_s", c.PerSecond}} {
 		if err := checkValue(x.field, x.value); err != nil {
 			return err
 		}
--- a/internal/overview/sum.go
+++ b/internal/overview/sum.go
@@ -64,6 +64,7 @@
 	sum.Slots += c.Slots
 	sum.Busy += c.Busy
 	sum.Queued += c.Queued
+	sum.PerSecond += c.PerSecond
 	for _, k := range c.Kinds {
 		total := sum.kinds[k.Kind]
 		total.Seconds += k.Seconds * k.PerSecond
@@ -144,3 +145,23 @@
 func (v *View) Age(now time.Time, z *Zone) time.Duration {
 	return time.Duration(z.AgeMillis)*time.Millisecond + max(now.Sub(v.ReceivedAt), 0)
 }
+
+// Capacity returns the capacity of a service in the zone; zero if it has none.
+func (z *Zone) Capacity(service string) Capacity {
+	for i := range z.Services {
+		if z.Services[i].Service == service {
+			return z.Services[i]
+		}
+	}
+	return Capacity{Service: service}
+}
+
+// CallRate returns the rate of the calls that the nodes of the zone send to a service.
+func (z *Zone) CallRate(service string) float64 {
+	for i := range z.Calls {
+		if z.Calls[i].Service == service {
+			return z.Calls[i].PerSecond
+		}
+	}
+	return 0
+}
--- a/internal/overview/types.go
+++ b/internal/overview/types.go
@@ -56,6 +56,8 @@
 	// Busy is the mean number of running calls, and Queued of those that wait.
 	Busy   float64 `json:"busy"`
 	Queued float64 `json:"queued"`
+	// PerSecond is the rate of the calls that ended.
+	PerSecond float64 `json:"per_s"`
 	// Kinds are the service times by kind of call.
 	Kinds []KindTime `json:"kinds,omitempty"`
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -161,6 +161,11 @@
 	return p.peer(addr).pool.Do(ctx, &h1.Request{Method: http.MethodPost, Target: target, Host: addr})
 }
 
+// Prepare opens a connection to another node unless an idle one exists.
+func (p *Peers) Prepare(ctx context.Context, addr string) error {
+	return p.peer(addr).pool.Prepare(ctx)
+}
+
 // Bind sets the node for which attempts are sent.
 func (p *Peers) Bind(n *node.Node) { p.node = n }
 
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -31,6 +31,9 @@
 	Fallback bool
 }
 
+// ZoneName returns the region and the availability zone.
+func (e *Endpoint) ZoneName() string { return e.Region + "/" + e.Zone }
+
 // Self is the name and location of the sending node.
 type Self struct {
 	Node   string
--- a/internal/routing/overload_test.go
+++ b/internal/routing/overload_test.go
@@ -23,7 +23,14 @@
 	requests    int
 	tables      []*Table
 	guards      map[string]*zoneGuard
+	guardNames  []string
 	serviceTime time.Duration
+	// entry chooses the entry node of a request.
+	entry func() *Table
+	// remote counts the attempts outside the zone of the entry node while counting is set.
+	remote int
+	// waits are the times that calls waited at guards while counting is set.
+	waits []time.Duration
 	// answered, refusedAtEntry and refusedAtGuard count requests while counting is set: those with
 	// a response, those that an entry node refused without contacting a guard, and those that
 	// guards refused.
@@ -49,23 +56,35 @@
 
 func newZoneModel(entries, guards, slots int, serviceTime time.Duration) *zoneModel {
 	m := &zoneModel{Clock: testclock.New(origin), rng: rand.New(rand.NewPCG(5, 6)), guards: map[string]*zoneGuard{}, serviceTime: serviceTime}
+	m.entry = func() *Table { return m.tables[m.rng.IntN(len(m.tables))] }
+	eps := m.addGuards("saga", guards, slots)
+	m.addEntries("saga", entries, eps)
+	m.After(10*time.Millisecond, m.tick)
+	return m
+}
+
+// addGuards adds guards of a zone and returns their endpoints.
+func (m *zoneModel) addGuards(zone string, guards, slots int) []Endpoint {
 	var eps []Endpoint
 	for i := range guards {
-		ep := upstream("saga", i, slots).ep
+		ep := upstream(zone, i, slots).ep
 		eps = append(eps, ep)
 		m.guards[ep.Node] = &zoneGuard{ctl: admission.New(admission.DefaultConfig(slots), m.Now()), calls: map[string]*zoneCall{}}
+		m.guardNames = append(m.guardNames, ep.Node)
 	}
+	return eps
+}
+
+func (m *zoneModel) addEntries(zone string, entries int, eps []Endpoint) {
 	for i := range entries {
-		self := Self{Node: fmt.Sprintf("entry-%d", i), Region: "kyushu", Zone: "saga"}
+		self := Self{Node: fmt.Sprintf("entry-%s-%d", zone, i), Region: "kyushu", Zone: zone}
 		m.tables = append(m.tables, NewTable(nil, DefaultConfig(), self, eps, m.Now()))
 	}
-	m.After(10*time.Millisecond, m.tick)
-	return m
 }
 
 func (m *zoneModel) tick() {
-	for i := range len(m.guards) {
-		g := m.guards[fmt.Sprintf("saga-%d", i)]
+	for _, name := range m.guardNames {
+		g := m.guards[name]
 		m.apply(g, g.ctl.Tick(m.Now()))
 	}
 	m.After(10*time.Millisecond, m.tick)
@@ -78,7 +97,7 @@
 }
 
 func (m *zoneModel) request() {
-	table := m.tables[m.rng.IntN(len(m.tables))]
+	table := m.entry()
 	m.requests++
 	hash := callctx.HashCaller("default", fmt.Sprintf("request%d", m.requests))
 	m.attempt(table, hash, nil)
@@ -95,6 +114,9 @@
 	node := target.Endpoint().Node
 	target.Start(m.Now())
 	m.attempts++
+	if m.counting && target.Endpoint().Zone != table.self.Zone {
+		m.remote++
+	}
 	id := strconv.Itoa(m.attempts)
 	call := &zoneCall{guard: m.guards[node], target: target, sentAt: m.Now()}
 	call.done = func(refused bool) {
@@ -143,6 +165,9 @@
 }
 
 func (m *zoneModel) serve(c *zoneCall, id string) {
+	if m.counting {
+		m.waits = append(m.waits, m.Now().Sub(c.sentAt)-networkDelay)
+	}
 	took := time.Duration((0.8 + 0.4*m.rng.Float64()) * float64(m.serviceTime))
 	m.After(took, func() {
 		delete(c.guard.calls, id)
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -120,6 +120,9 @@
 	if suspectedCrasher {
 		return c.fewestInFlight(v)
 	}
+	if g := c.pickByZoneShare(v); g != nil {
+		return g
+	}
 	if own := v.ownTarget; own != nil && c.cfg.OwnNodeLoad > 0 {
 		if c.evaluate(own) == hasCapacity && own.score(c.at, c.cfg) <= c.cfg.OwnNodeLoad {
 			return own
@@ -130,16 +133,21 @@
 		if tr.prefix == 0 {
 			continue
 		}
-		if g := c.pickOfTwo(tr); g != nil {
-			return g
-		}
-		if g := c.scan(tr); g != nil {
+		if g := c.pickInTier(tr); g != nil {
 			return g
 		}
 	}
 	return nil
 }
 
+// pickInTier returns a target of the tier with capacity.
+func (c *pickState) pickInTier(tr *tier) *Target {
+	if g := c.pickOfTwo(tr); g != nil {
+		return g
+	}
+	return c.scan(tr)
+}
+
 // pickOfTwo compares two random targets of the tier's prefix. It returns nil if neither has
 // capacity.
 func (c *pickState) pickOfTwo(tr *tier) *Target {
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -33,6 +33,10 @@
 
 	// calls counts the calls for which a target was to be chosen, without their retries.
 	calls atomic.Int64
+	// zoneShares are the shares of the calls that go to other zones; nil if all stay. callsAway counts
+	// the calls that were sent there for it.
+	zoneShares atomic.Pointer[[]ZoneShare]
+	callsAway  atomic.Int64
 
 	// ejectionMu serialises ejections, so that concurrent ones cannot exceed the cap. Pick never
 	// locks it.
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -82,6 +82,25 @@
 	return tiers
 }
 
+// zoneTiers groups the targets of the more distant tiers by zone. Half of size is used in each zone.
+func zoneTiers(tiers *[distanceCount]tier, size int) map[string]*tier {
+	zones := map[string]*tier{}
+	for d := ownRegion; d < distanceCount; d++ {
+		for _, g := range tiers[d].targets {
+			ep := g.endpoint.Load()
+			name := ep.ZoneName()
+			if zones[name] == nil {
+				zones[name] = &tier{}
+			}
+			zones[name].targets = append(zones[name].targets, g)
+		}
+	}
+	for _, t := range zones {
+		t.prefix = min(len(t.targets), max(minTierPrefix, size/2))
+	}
+	return zones
+}
+
 func compareHashedTargets(a, b hashedTarget) int {
 	switch {
 	case a.hash > b.hash:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,6 +33,8 @@
 	svc     *service
 	targets []*Target
 	tiers   [distanceCount]tier
+	// zones are the targets outside the own zone, by the name of their zone.
+	zones map[string]*tier
 	// ownTarget is the target of the sending node itself, or nil.
 	ownTarget *Target
 
@@ -153,6 +155,7 @@
 
 func (v *serviceView) finalize(self Self, cfg Config) {
 	v.tiers = buildTiers(self, v.targets, cfg.SubsetSize)
+	v.zones = zoneTiers(&v.tiers, cfg.SubsetSize)
 	v.svc.targets.Store(&v.targets)
 	v.svc.clearShedMemo()
 }
