--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -26,9 +25,8 @@
 	overviewPath = "/overview"
 	// overviewTimeout bounds one report or exchange of sums, which are answered from memory.
 	overviewTimeout = 250 * time.Millisecond
-	// maxReportBytes and maxViewBytes bound the messages in bytes.
-	maxReportBytes = 64 << 10
-	maxViewBytes   = 256 << 10
+	// maxOverviewBytes bounds a message in bytes.
+	maxOverviewBytes = 256 << 10
 	// maxReportAttempts is how many collectors a report is sent to in sequence. After that the node
 	// collects for itself.
 	maxReportAttempts = 3
@@ -260,16 +258,12 @@
 }
 
 func (x *overviewExchange) send(ctx context.Context, to *fleet.Member, r *overview.Report) (*overview.View, error) {
-	raw, err := json.Marshal(r)
+	raw, err := x.post(ctx, to, overviewPath, r.Encode())
 	if err != nil {
 		return nil, err
 	}
-	raw, err = x.post(ctx, to, overviewPath, raw)
+	v, err := overview.DecodeView(raw, r)
 	if err != nil {
-		return nil, err
-	}
-	v := &overview.View{}
-	if err := json.Unmarshal(raw, v); err != nil {
 		return nil, errors.Wrap(err, "decode view of the collector")
 	}
 	return v, v.Validate()
@@ -284,7 +278,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return x.mesh.sendControl(req, maxViewBytes)
+	return x.mesh.sendControl(req, maxOverviewBytes)
 }
 
 // serveReport receives the report of another node of the zone.
@@ -293,13 +287,20 @@
 	if !ok {
 		return
 	}
-	r := &overview.Report{}
-	if err := json.Unmarshal(body, r); err != nil {
+	r, err := overview.DecodeReport(body)
+	if err != nil {
 		http.Error(w, "report could not be decoded", http.StatusBadRequest)
 		return
 	}
 	omitUnusedHeaders(w)
-	x.mesh.sendJSON(w, x.collect(r))
+	x.respond(w, x.collect(r).EncodeFor(r))
+}
+
+// respond sends a message as the response to another node.
+func (x *overviewExchange) respond(w http.ResponseWriter, message []byte) {
+	if _, err := w.Write(message); err != nil {
+		x.mesh.rateLimited.Debug().Err(err).Msg("view or sum not sent; the other node asks again")
+	}
 }
 
 // receive reads a message that is meant for this node, or responds with an error.
@@ -312,7 +313,7 @@
 		http.Error(w, "this node collects no reports", http.StatusServiceUnavailable)
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxViewBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxOverviewBytes))
 	if err != nil {
 		http.Error(w, "message could not be read", http.StatusBadRequest)
 		return nil, false
--- a/internal/mesh/overviewzones.go
+++ b/internal/mesh/overviewzones.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -116,47 +115,40 @@
 	}
 }
 
-// zoneMessage carries the sum of a zone. Sum is nil while the sender doesn't know it yet.
-type zoneMessage struct {
-	Sum *overview.Zone `json:"sum,omitempty"`
-}
-
 func (z *zoneExchange) exchange(ctx context.Context, to *fleet.Member) error {
-	raw, err := json.Marshal(z.ownSum())
-	if err != nil {
-		return err
-	}
-	raw, err = z.post(ctx, to, overviewZonesPath, raw)
+	raw, err := z.post(ctx, to, overviewZonesPath, z.ownSum())
 	if err != nil {
 		return err
 	}
-	var response zoneMessage
-	if err := json.Unmarshal(raw, &response); err != nil {
-		return errors.Wrap(err, "decode sum of another zone")
-	}
-	z.addZone(response.Sum)
-	return nil
+	return z.addZone(raw)
 }
 
-func (x *overviewExchange) ownSum() zoneMessage {
+// ownSum returns the sum of the own zone as a message; empty while it is not known.
+func (x *overviewExchange) ownSum() []byte {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	sum, known := x.collector.Sum(time.Now())
 	if !known {
-		return zoneMessage{}
+		return nil
 	}
-	return zoneMessage{&sum}
+	return sum.Encode()
 }
 
-func (x *overviewExchange) addZone(sum *overview.Zone) {
-	if sum == nil {
-		return
+// addZone adds the sum of another zone; an empty message has none.
+func (x *overviewExchange) addZone(message []byte) error {
+	if len(message) == 0 {
+		return nil
+	}
+	sum, err := overview.DecodeZone(message)
+	if err != nil {
+		return err
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err := x.collector.AddZone(time.Now(), sum); err != nil {
 		x.mesh.rateLimited.Debug().Str("zone", sum.Name).Err(err).Msg("sum of another zone ignored")
 	}
+	return nil
 }
 
 // serveZone receives the sum of another zone and responds with that of the own zone.
@@ -165,16 +157,14 @@
 	if !ok {
 		return
 	}
-	var message zoneMessage
-	if err := json.Unmarshal(body, &message); err != nil {
-		http.Error(w, "sum could not be decoded", http.StatusBadRequest)
-		return
-	}
 	if !x.isCollecting() {
 		http.Error(w, "this node collects no reports", http.StatusServiceUnavailable)
 		return
 	}
-	x.addZone(message.Sum)
+	if err := x.addZone(body); err != nil {
+		http.Error(w, "sum could not be decoded", http.StatusBadRequest)
+		return
+	}
 	omitUnusedHeaders(w)
-	x.mesh.sendJSON(w, x.ownSum())
+	x.respond(w, x.ownSum())
 }
--- a/internal/overview/answer.go
+++ b/internal/overview/answer.go
@@ -41,6 +41,10 @@
 		// The same workspaces may be unlisted in several zones.
 		unlisted = max(unlisted, z.Rest.Workspaces)
 	}
+	s.total.PerSecond = bounded(s.total.PerSecond)
+	for name, rate := range s.workspaces {
+		s.workspaces[name] = bounded(rate)
+	}
 	s.total.Workspaces = len(s.workspaces) + unlisted
 	return s
 }
--- a/internal/overview/sum.go
+++ b/internal/overview/sum.go
@@ -34,11 +34,11 @@
 		}
 	}
 	for name, rate := range workspaces {
-		z.Workspaces = append(z.Workspaces, WorkspaceDemand{name, rate})
+		z.Workspaces = append(z.Workspaces, WorkspaceDemand{name, bounded(rate)})
 	}
 	z.Workspaces, z.Rest = topWorkspaces(z.Workspaces)
 	for name, rate := range calls {
-		z.Calls = append(z.Calls, ServiceDemand{name, rate})
+		z.Calls = append(z.Calls, ServiceDemand{name, bounded(rate)})
 	}
 	z.Calls = topCalls(z.Calls, MaxServices)
 	for _, name := range slices.Sorted(maps.Keys(services)) {
@@ -47,6 +47,9 @@
 	return z
 }
 
+// bounded keeps a sum within the bounds of a message.
+func bounded(sum float64) float64 { return min(sum, maxValue) }
+
 // capacitySum adds up the capacity of upstreams of one service. The seconds of its kinds are weighted
 // by their rates until the end.
 type capacitySum struct {
@@ -75,9 +78,12 @@
 
 func (s *capacitySum) capacity() Capacity {
 	c := s.Capacity
+	for _, v := range []*float64{&c.Slots, &c.Busy, &c.Queued, &c.PerSecond} {
+		*v = bounded(*v)
+	}
 	for kind, k := range s.kinds {
 		if k.PerSecond > 0 {
-			c.Kinds = append(c.Kinds, KindTime{kind, k.Seconds / k.PerSecond, k.PerSecond})
+			c.Kinds = append(c.Kinds, KindTime{kind, bounded(k.Seconds / k.PerSecond), bounded(k.PerSecond)})
 		}
 	}
 	c.Kinds = topKinds(c.Kinds)
@@ -97,6 +103,7 @@
 	for _, w := range list[MaxWorkspaces:] {
 		rest.PerSecond += w.PerSecond
 	}
+	rest.PerSecond = bounded(rest.PerSecond)
 	return list[:MaxWorkspaces], rest
 }
 
