--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/mesh"
@@ -29,6 +30,7 @@
 	const anyPort = "127.0.0.1:0"
 	cfg.Listen = settings.MeshListen{Callers: anyPort, Inner: anyPort, Ready: anyPort, Announce: anyPort, Metrics: anyPort}
 	cfg.Store.Address = store.Address()
+	cfg.Balance.Zones = true
 	must.NoError(t, cfg.Validate())
 	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, zerolog.Nop()), zerolog.Nop())
 	must.NoError(t, err)
@@ -38,6 +40,7 @@
 		Targets: []routes.WeightedService{{Service: service, Weight: 1}},
 	}}, Workspaces: []routes.Workspace{{Name: "north", Rate: 12, Burst: 30, Keys: []routes.Key{routes.KeyOf("secret")}}, {Name: "south"}}}))
 	m.ApplyMember(fleet.Member{Node: "other", Incarnation: 1, Revision: 1, Zone: "z", Address: "127.0.0.1:2", Service: "letters", Slots: 3, State: fleet.Serving})
+	m.ApplyMember(fleet.Member{Node: "far", Incarnation: 1, Revision: 1, Zone: "y", Address: "127.0.0.1:3", Service: "minutes", Slots: 3, State: fleet.Serving})
 	return m.MetricsAddress().String()
 }
 
@@ -48,6 +51,16 @@
 	return out.String() + errOut.String()
 }
 
+// Guards against a node whose view of the zones operators can't see.
+func TestNodeZonesShowsTheView(t *testing.T) {
+	address := startMeshNode(t, "a", 3, "archive")
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		var out, errOut bytes.Buffer
+		code := run(context.Background(), []string{"--address", address, "node", "zones"}, strings.NewReader(""), &out, &errOut)
+		return code == exitOK && strings.Contains(out.String(), "as a in zone z knows them through a")
+	}), wait.Timeout(15*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
 // Guards against node commands that show wrong or unfiltered routes, differences, members or quotas, or
 // do not report an unreachable node with its exit code.
 func TestNodeCommandsShowStateOfOneNode(t *testing.T) {
--- a/internal/fleet/parent.go
+++ b/internal/fleet/parent.go
@@ -80,13 +80,53 @@
 	if serving {
 		return preceding(node, zoneMembers)
 	}
-	return InOrder(zoneMembers)
-}
-
-// InOrder returns the serving members of a zone in the order of the zone, in which the first one
-// collects the reports of the others.
-func InOrder(zoneMembers []Member) []Member {
 	members := slices.DeleteFunc(slices.Clone(zoneMembers), func(m Member) bool { return m.State != Serving })
 	slices.SortFunc(members, compareMembers)
 	return members
 }
+
+// ZoneName identifies an availability zone.
+type ZoneName struct{ Region, Zone string }
+
+// CollectorsByZone returns, for each zone with serving nodes, at most limit of them in the order in
+// which they collect the reports of the zone. Its cost is linear in the number of all nodes.
+func (r *Registry) CollectorsByZone(limit int) map[ZoneName][]Member {
+	type ranked struct {
+		hash   uint64
+		member string
+	}
+	first := map[ZoneName][]ranked{}
+	for name, m := range r.members {
+		if m.State != Serving {
+			continue
+		}
+		zone := ZoneName{m.Region, m.Zone}
+		candidate, list := ranked{nameHash(name), name}, first[zone]
+		i, _ := slices.BinarySearchFunc(list, candidate, func(a, b ranked) int {
+			return compareNames(a.hash, a.member, b.hash, b.member)
+		})
+		if i < limit {
+			first[zone] = slices.Insert(list[:min(len(list), limit-1)], i, candidate)
+		}
+	}
+	out := make(map[ZoneName][]Member, len(first))
+	for zone, list := range first {
+		for _, x := range list {
+			out[zone] = append(out[zone], r.members[x.member])
+		}
+	}
+	return out
+}
+
+// OtherZoneCount returns the number of zones with serving nodes, without those of the given zone. Its cost is
+// linear in the number of all nodes.
+func (r *Registry) OtherZoneCount(region, zone string) int {
+	zones := map[ZoneName]struct{}{}
+	for _, m := range r.members {
+		if m.State == Serving {
+			zones[ZoneName{m.Region, m.Zone}] = struct{}{}
+		}
+	}
+	delete(zones, ZoneName{region, zone})
+	return len(zones)
+}
--- a/internal/fleet/parent_test.go
+++ b/internal/fleet/parent_test.go
@@ -87,3 +87,33 @@
 		}
 	})
 }
+
+// Guards against zones that ask another node for a zone's sums than the one that its nodes report to.
+func TestOtherZonesAskTheCollector(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := zoneOf(rapid.IntRange(1, 30).Draw(t, "nodes"))
+		r := NewRegistry()
+		serving := 0
+		for i := range all {
+			all[i].State = rapid.SampledFrom([]State{Serving, Serving, Stopping, Gone}).Draw(t, "state")
+			if all[i].State == Serving {
+				serving++
+			}
+			r.Apply(all[i])
+		}
+		const limit = 4
+		asked := r.CollectorsByZone(limit)[ZoneName{all[0].Region, all[0].Zone}]
+		must.Len(t, min(serving, limit), asked)
+		for i := range all {
+			others := append(append([]Member{}, all[:i]...), all[i+1:]...)
+			collectors := Collectors(all[i].Node, all[i].State == Serving, others)
+			switch {
+			case len(collectors) > 0:
+				must.Eq(t, asked[0].Node, collectors[0].Node)
+			case serving > 0:
+				must.Eq(t, asked[0].Node, all[i].Node)
+			}
+		}
+		must.Zero(t, r.OtherZoneCount(all[0].Region, all[0].Zone))
+	})
+}
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -46,6 +46,9 @@
 	// collectorsRevision.
 	collectors         map[string][]fleet.Member
 	collectorsRevision int
+	// zoneCount caches the result of zones as of the registry's change count zoneCountRevision; 0 if it
+	// is not known.
+	zoneCount, zoneCountRevision int
 }
 
 // apply applies records from the store, those of members and those of crashes. Deleted keys and
@@ -197,8 +200,8 @@
 	return m.otherZones[rand.IntN(len(m.otherZones))], true
 }
 
-// collectorsByZone returns the serving nodes of each other zone, by the name of the zone, in the order
-// in which they are asked as collectors. They must not be changed.
+// collectorsByZone returns the first nodes of each other zone, by the name of the zone, in the order in
+// which they are asked as collectors. They must not be changed.
 func (m *members) collectorsByZone(cfg *settings.Mesh) map[string][]fleet.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -206,12 +209,10 @@
 		return m.collectors
 	}
 	byZone := map[string][]fleet.Member{}
-	for _, member := range m.registry.OtherZones(cfg.Region, cfg.Zone) {
-		name := zoneName(member.Region, member.Zone)
-		byZone[name] = append(byZone[name], member)
-	}
-	for name, zone := range byZone {
-		byZone[name] = fleet.InOrder(zone)
+	for zone, list := range m.registry.CollectorsByZone(maxZoneCandidates) {
+		if zone.Region != cfg.Region || zone.Zone != cfg.Zone {
+			byZone[zoneName(zone.Region, zone.Zone)] = list
+		}
 	}
 	m.collectors, m.collectorsRevision = byZone, m.registry.Changes()
 	return byZone
@@ -219,7 +220,13 @@
 
 // zones returns the number of availability zones with serving nodes, the own one included.
 func (m *members) zones(cfg *settings.Mesh) int {
-	return len(m.collectorsByZone(cfg)) + 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.zoneCount == 0 || m.zoneCountRevision != m.registry.Changes() {
+		m.zoneCount = m.registry.OtherZoneCount(cfg.Region, cfg.Zone) + 1
+		m.zoneCountRevision = m.registry.Changes()
+	}
+	return m.zoneCount
 }
 
 // zoneNeighbours returns the records of the other nodes of the zone; they must not be changed.
--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -283,10 +283,13 @@
 
 // serveReport receives the report of another node of the zone.
 func (x *overviewExchange) serveReport(w http.ResponseWriter, req *http.Request) {
-	body, ok := x.receive(w, req)
-	if !ok {
-		return
+	if body, ok := x.receive(w, req); ok {
+		x.answer(w, body)
 	}
+}
+
+// answer responds to a report with the view for its sender.
+func (x *overviewExchange) answer(w http.ResponseWriter, body []byte) {
 	r, err := overview.DecodeReport(body)
 	if err != nil {
 		http.Error(w, "report could not be decoded", http.StatusBadRequest)
--- a/internal/mesh/overviewzones.go
+++ b/internal/mesh/overviewzones.go
@@ -22,6 +22,8 @@
 	overviewZonesPath = "/overview/zones"
 	// concurrentZones bounds the zones that a collector exchanges sums with at a time.
 	concurrentZones = 8
+	// maxZoneCandidates bounds the nodes of another zone that may be asked, in turn.
+	maxZoneCandidates = 8
 )
 
 // cooldowns maps nodes that failed to the time until which they are not asked.
@@ -59,8 +61,7 @@
 func (x *overviewExchange) runZones(ctx context.Context) {
 	z := &zoneExchange{overviewExchange: x, cooldowns: cooldowns{}}
 	for ctx.Err() == nil {
-		others := len(x.mesh.members.collectorsByZone(x.mesh.cfg))
-		interval := overview.ZoneInterval(others + 1)
+		interval := overview.ZoneInterval(x.mesh.members.zones(x.mesh.cfg))
 		wait.For(ctx, time.Duration((0.9+0.2*rand.Float64())*float64(interval)))
 		if ctx.Err() == nil && x.wanted() && x.isCollecting() {
 			z.round(ctx)
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -68,3 +68,13 @@
 		table = NewTable(table, DefaultConfig(), self, eps, origin)
 	}
 }
+
+// BenchmarkPickWithZoneShare chooses targets of which a third are in another zone.
+func BenchmarkPickWithZoneShare(b *testing.B) {
+	n := newFakeNode(b, DefaultConfig(), append(upstreams("saga", 50, 100), upstreams("omuta", 50, 100)...)...)
+	n.table.SetZoneShares("archive", []ZoneShare{{"kyushu/omuta", 0.3}})
+	b.ReportAllocs()
+	for b.Loop() {
+		n.table.Pick(n.now, n.rng, PickInfo{Service: "archive", Rank: lowRank})
+	}
+}
