A zone whose sum lacks most of its upstreams takes part in no decision on calls between zones

Cause: while nodes of an older version don't report, a zone's sum has its callers' demand but few of its upstreams. It would look full and send all its calls away.

Change: zoneshare leaves a zone out for a service if its sum has fewer than half of the upstreams that the node knows there. routing.Table.UpstreamsByZone counts them.

Measured: TestZoneWithFewReportsIsLeftOut; go test ./platform -run 'ZonesKnow|NodesWithout|CallsGoTo'.

--- a/internal/mesh/zonebalance.go
+++ b/internal/mesh/zonebalance.go
@@ -74,9 +74,10 @@
 		return
 	}
 	maxAge := maxZoneAge(v)
+	table := b.mesh.node.Table()
 	states := []ServiceZones{}
 	for _, service := range calledServices(v, b.zone) {
-		zones := zoneshare.Zones(v, service, now, maxAge)
+		zones := zoneshare.Zones(v, service, table.UpstreamsByZone(service), now, maxAge)
 		states = append(states, ServiceZones{service, zones, b.update(now, service, zoneshare.Shares(b.zone, zones))})
 	}
 	for service := range b.services {
--- a/internal/routing/zoneshare.go
+++ b/internal/routing/zoneshare.go
@@ -36,6 +36,17 @@
 	return addrs
 }
 
+// UpstreamsByZone returns the number of endpoints of a service that take new calls, by zone.
+func (t *Table) UpstreamsByZone(service string) map[string]int {
+	counts := map[string]int{}
+	for _, g := range t.Targets(service) {
+		if ep := g.endpoint.Load(); !ep.Draining && !ep.Fallback {
+			counts[ep.ZoneName()]++
+		}
+	}
+	return counts
+}
+
 // CallsAway returns the number of calls that were sent to other zones for their zone's share.
 func (t *Table) CallsAway() int64 {
 	total := int64(0)
--- a/internal/routing/zoneshare_test.go
+++ b/internal/routing/zoneshare_test.go
@@ -91,7 +91,7 @@
 			known.Zones = known.Zones[i : i+1]
 		}
 		slices.SortFunc(known.Zones, func(a, b overview.Zone) int { return strings.Compare(a.Name, b.Name) })
-		decided := zoneshare.Shares("kyushu/"+zone, zoneshare.Zones(&known, "archive", m.Now(), time.Second))
+		decided := zoneshare.Shares("kyushu/"+zone, zoneshare.Zones(&known, "archive", m.tables[0].UpstreamsByZone("archive"), m.Now(), time.Second))
 		var shares []ZoneShare
 		total := 0.0
 		for _, s := range m.shares[i].Update(m.Now(), decided) {
--- a/internal/zoneshare/zoneshare.go
+++ b/internal/zoneshare/zoneshare.go
@@ -33,6 +33,9 @@
 	// priorWeight is the weight of the service's mean service time in that of one zone, as a share of the
 	// calls of the service. Without it, a zone that ends few calls would have a service time of chance.
 	priorWeight = 0.1
+	// minCoverage is the share of a zone's known upstreams whose capacity must be in its sum. A sum with
+	// few of them, as while nodes of an older version don't report, would make the zone look full.
+	minCoverage = 0.5
 )
 
 // Zone is the demand and the capacity of one availability zone for one service.
@@ -66,8 +69,10 @@
 }
 
 // Zones returns the demand and the capacity of each zone for a service. Zones whose sums are older than
-// maxAge are left out, and so are those without demand and upstreams. It returns nil if the service time is unknown.
-func Zones(v *overview.View, service string, now time.Time, maxAge time.Duration) []Zone {
+// maxAge are left out, those without demand and upstreams, and those whose sums lack most of their
+// upstreams; upstreams is the number of serving upstreams that the node knows, by zone. It returns nil if
+// the service time is unknown.
+func Zones(v *overview.View, service string, upstreams map[string]int, now time.Time, maxAge time.Duration) []Zone {
 	var capacities []overview.Capacity
 	var zones []Zone
 	busy, rate := 0.0, 0.0
@@ -77,7 +82,7 @@
 			continue
 		}
 		c, demand := z.Capacity(service), z.CallRate(service)
-		if c.Slots == 0 && demand == 0 {
+		if c.Slots == 0 && demand == 0 || float64(c.Upstreams) < minCoverage*float64(upstreams[z.Name]) {
 			continue
 		}
 		zones = append(zones, Zone{Name: z.Name, Demand: demand})
--- a/internal/zoneshare/zoneshare_test.go
+++ b/internal/zoneshare/zoneshare_test.go
@@ -103,14 +103,25 @@
 // calls it would be 0, and each zone without upstreams would be taken for a full one.
 func TestZonesAreLeftOutWhenUnknown(t *testing.T) {
 	v := view(start)
-	zones := Zones(v, "s", start, time.Second)
+	zones := Zones(v, "s", nil, start, time.Second)
 	must.Len(t, 2, zones)
 	must.Eq(t, 100, math.Round(zones[0].Rate))
 	must.Eq(t, 1.4, math.Round(10*zones[0].Load())/10)
-	must.SliceEmpty(t, Zones(v, "unknown", start, time.Second))
-	must.SliceEmpty(t, Zones(v, "s", start.Add(2*time.Second), time.Second))
+	must.SliceEmpty(t, Zones(v, "unknown", nil, start, time.Second))
+	must.SliceEmpty(t, Zones(v, "s", nil, start.Add(2*time.Second), time.Second))
 	v.Zones[1].AgeMillis = 1500
-	must.SliceEmpty(t, Shares("r/a", Zones(v, "s", start, time.Second)))
+	must.SliceEmpty(t, Shares("r/a", Zones(v, "s", nil, start, time.Second)))
+}
+
+// Guards against a zone that sends all its calls away because most of its upstreams' nodes don't report,
+// as during an upgrade.
+func TestZoneWithFewReportsIsLeftOut(t *testing.T) {
+	v := view(start)
+	must.Len(t, 2, Zones(v, "s", map[string]int{"r/a": 2, "r/b": 2}, start, time.Second))
+	must.SliceEmpty(t, Shares("r/a", Zones(v, "s", map[string]int{"r/a": 3}, start, time.Second)))
+	v.Zones[0].Services = nil
+	must.Len(t, 1, Shares("r/a", Zones(v, "s", nil, start, time.Second)))
+	must.SliceEmpty(t, Shares("r/a", Zones(v, "s", map[string]int{"r/a": 1}, start, time.Second)))
 }
 
 // Guards against a share that jumps with each view, or that never ends.
