--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -42,6 +42,13 @@
 	// otherZonesRevision.
 	otherZones         []fleet.Member
 	otherZonesRevision int
+	// collectors caches the result of collectorsByZone as of the registry's change count
+	// collectorsRevision.
+	collectors         map[string][]fleet.Member
+	collectorsRevision int
+	// zoneCount caches the result of zones as of the registry's change count zoneCountRevision; 0 if it
+	// is not known.
+	zoneCount, zoneCountRevision int
 }
 
 // apply applies records from the store, those of members and those of crashes. Deleted keys and
@@ -193,6 +200,35 @@
 	return m.otherZones[rand.IntN(len(m.otherZones))], true
 }
 
+// collectorsByZone returns the first nodes of each other zone, by the name of the zone, in the order in
+// which they are asked as collectors. They must not be changed.
+func (m *members) collectorsByZone(cfg *settings.Mesh) map[string][]fleet.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.collectors != nil && m.collectorsRevision == m.registry.Changes() {
+		return m.collectors
+	}
+	byZone := map[string][]fleet.Member{}
+	for zone, list := range m.registry.CollectorsByZone(maxZoneCandidates) {
+		if zone.Region != cfg.Region || zone.Zone != cfg.Zone {
+			byZone[zoneName(zone.Region, zone.Zone)] = list
+		}
+	}
+	m.collectors, m.collectorsRevision = byZone, m.registry.Changes()
+	return byZone
+}
+
+// zones returns the number of availability zones with serving nodes, the own one included.
+func (m *members) zones(cfg *settings.Mesh) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.zoneCount == 0 || m.zoneCountRevision != m.registry.Changes() {
+		m.zoneCount = m.registry.OtherZoneCount(cfg.Region, cfg.Zone) + 1
+		m.zoneCountRevision = m.registry.Changes()
+	}
+	return m.zoneCount
+}
+
 // zoneNeighbours returns the records of the other nodes of the zone; they must not be changed.
 func (m *members) zoneNeighbours(cfg *settings.Mesh) []fleet.Member {
 	m.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -55,6 +55,8 @@
 	quotas          *quotas
 	local           *localUpstream
 	guardTicker     *guardTicker
+	overview        *overviewExchange
+	zoneBalance     *zoneBalance
 
 	listeners listeners
 	servers   servers
@@ -98,6 +100,8 @@
 		return nil, errors.Wrap(err, "start node")
 	}
 	m.build()
+	m.zoneBalance = newZoneBalance(m)
+	m.overview = newOverviewExchange(m)
 	m.run()
 	return m, nil
 }
@@ -221,6 +225,8 @@
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.spawn(func() { m.adoptUpstream(ctx) })
 	m.spawn(func() { m.compareOffsets(ctx) })
+	m.spawn(func() { m.overview.runReports(ctx) })
+	m.spawn(func() { m.overview.runZones(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -31,7 +31,11 @@
 	Records []MemberState  `json:"records"`
 	// Quotas are the quotas of the workspaces that have one.
 	Quotas []quota.State `json:"quotas,omitempty"`
-	Store  StoreStats    `json:"store"`
+	// Overview is what the node knows of all zones; nil if there is no recent view.
+	Overview *OverviewState `json:"overview,omitempty"`
+	// Zones are the decisions on the services that the zone calls.
+	Zones []ServiceZones `json:"zones,omitempty"`
+	Store StoreStats     `json:"store"`
 }
 
 // Freshness describes how current data from the store is.
@@ -87,6 +91,9 @@
 		Guard:   m.guardState(),
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
+
+		Overview: m.overview.state(now),
+		Zones:    m.zoneBalance.state(),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
@@ -140,6 +147,9 @@
 		metrics.AdmissionLimit:     int64(s.Guard.Limit),
 		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
 		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
+		metrics.OverviewAgeMillis:  m.overview.ageMillis(),
+		metrics.ZoneShareMilli:     int64(1000 * m.zoneBalance.highestShare()),
+		metrics.CallsOtherZones:    m.node.Table().CallsAway(),
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
 		metrics.StoreBytesSent:     s.Store.BytesSent,
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -44,6 +44,12 @@
 	// to other nodes.
 	QuotaAsked
 	QuotaGranted
+	// OverviewReports counts views received from the collector of the zone, OverviewReportFailures
+	// reports that a collector did not answer, and OverviewZoneFailures failed exchanges of sums with
+	// other zones.
+	OverviewReports
+	OverviewReportFailures
+	OverviewZoneFailures
 	numCounters
 )
 
@@ -78,6 +84,9 @@
 	CrashRecordsGossiped:    "quarantine.suspects_spread",
 	QuotaAsked:              "quota.asked",
 	QuotaGranted:            "quota.granted",
+	OverviewReports:         "overview.reports",
+	OverviewReportFailures:  "overview.report_failures",
+	OverviewZoneFailures:    "overview.zone_failures",
 }
 
 // String returns the name in the JSON document.
@@ -110,6 +119,12 @@
 	StoreFailures
 	StoreBytesSent
 	StoreBytesReceived
+	// OverviewAgeMillis is the age of the view of all zones; -1 without one.
+	OverviewAgeMillis
+	// ZoneShareMilli is the highest share of the zone's calls to a service that goes to other zones, in
+	// thousandths, and CallsOtherZones the number of calls that this node sent there for it.
+	ZoneShareMilli
+	CallsOtherZones
 	numGauges
 )
 
@@ -133,6 +148,9 @@
 	StoreFailures:      "store.failures",
 	StoreBytesSent:     "store.bytes_sent",
 	StoreBytesReceived: "store.bytes_received",
+	OverviewAgeMillis:  "overview.view_age_ms",
+	ZoneShareMilli:     "zones.highest_share_milli",
+	CallsOtherZones:    "zones.calls_to_others",
 }
 
 // String returns the name in the JSON document.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,6 +33,8 @@
 	svc     *service
 	targets []*Target
 	tiers   [distanceCount]tier
+	// zones are the targets outside the own zone, by the name of their zone.
+	zones map[string]*tier
 	// ownTarget is the target of the sending node itself, or nil.
 	ownTarget *Target
 
@@ -153,6 +155,7 @@
 
 func (v *serviceView) finalize(self Self, cfg Config) {
 	v.tiers = buildTiers(self, v.targets, cfg.SubsetSize)
+	v.zones = zoneTiers(&v.tiers, cfg.SubsetSize)
 	v.svc.targets.Store(&v.targets)
 	v.svc.clearShedMemo()
 }
@@ -169,3 +172,15 @@
 // ByNode returns the target of a node, or nil. If the node has several services, it is the first
 // one announced.
 func (t *Table) ByNode(node string) *Target { return t.targetsByNode[node] }
+
+// CallCounts returns the number of calls for which a target was to be chosen so far, by service.
+// Retries, and calls that only one node may run, are not counted.
+func (t *Table) CallCounts() map[string]int64 {
+	counts := make(map[string]int64, len(t.views))
+	for name, v := range t.views {
+		if n := v.svc.calls.Load(); n > 0 {
+			counts[name] = n
+		}
+	}
+	return counts
+}
