h1: the check of an idle connection allocates nothing

Change: a probe that lives as long as the connection; the method value is made once; the error is looked at only if there is one; the length of a body is formatted in the writer's own buffer.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -43,19 +42,29 @@
 type conn struct {
 	net.Conn
 	reader     *bufio.Reader
+	probe      *probe // nil if the connection has no socket
 	generation uint64
 	used       bool
 	// keepAlive is the idle time stated by the server, multiplied by keepAliveShare.
 	keepAlive time.Duration
 	// expires is the time from which an idle connection is no longer used.
 	expires time.Time
+	// closeAtEnd is the method value of close.
+	closeAtEnd func()
 }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
-func newConn(raw net.Conn, generation uint64) *conn {
-	return &conn{Conn: raw, generation: generation, keepAlive: noKeepAliveTimeout}
+func newConn(raw net.Conn, generation uint64) (*conn, error) {
+	probe, err := newProbe(raw)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	c := &conn{Conn: raw, probe: probe, generation: generation, keepAlive: noKeepAliveTimeout}
+	c.closeAtEnd = c.close
+	return c, nil
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
@@ -65,28 +74,7 @@
 // a request could be sent on a connection that the server has closed, and a call that is not
 // idempotent would be lost.
 func (c *conn) usable(now time.Time) bool {
-	if !now.Before(c.expires) {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if errors.Is(err, errors.ErrUnsupported) {
-		return true
-	}
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && noData
+	return now.Before(c.expires) && (c.probe == nil || c.probe.isQuiet())
 }
 
 // exchange sends r and reads its response. reusable reports whether the connection can carry
@@ -94,16 +82,19 @@
 func (c *conn) exchange(ctx context.Context, r *Request, maxBody int64) (resp *Response, reusable bool, err error) {
 	newConnection := !c.used
 	c.used = true
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.closeAtEnd)
 	resp, reusable, err = c.sendAndRead(r, maxBody)
 	if !stop() {
 		reusable = false
 	}
+	if err == nil {
+		return resp, reusable, nil
+	}
 	var exchangeErr *Error
 	if errors.As(err, &exchangeErr) {
 		exchangeErr.NewConnection = newConnection
 	}
-	return resp, reusable, err
+	return resp, false, err
 }
 
 func (c *conn) sendAndRead(r *Request, maxBody int64) (*Response, bool, error) {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, generation), nil
+	return newConn(raw, generation)
 }
 
 // SetMaxIdleConns changes the maximum number of idle connections. Excess connections are closed
--- a/internal/h1/write.go
+++ b/internal/h1/write.go
@@ -31,9 +31,8 @@
 		writeStrings(w, f.Name, ": ", lineBreakReplacer.Replace(f.Value), "\r\n")
 	}
 	if len(r.Body) > 0 || requiresContentLength(r.Method) {
-		var digits [20]byte
 		writeStrings(w, "Content-Length: ")
-		_, _ = w.Write(strconv.AppendInt(digits[:0], int64(len(r.Body)), 10))
+		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(len(r.Body)), 10))
 		writeStrings(w, "\r\n")
 	}
 	writeStrings(w, "\r\n")
