node: a call at its guard keeps one waiter and one callback without lists

Cause: the waiters of a call were a map although nearly every call has one, and each decision took a list for its one callback.

Change: waiters are a slice, callbacks have room for one before their list.

Waiters are now notified in the order in which they came.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -52,8 +52,8 @@
 	fingerprint quarantine.Fingerprint
 	account     *retry.Account
 	phase       phase
-	waiters     map[int]Waiter
-	nextWaiter  int
+	waiters     []attachedWaiter
+	lastToken   int
 	arrived     time.Time
 	started     time.Time
 	// process is the upstreamIncarnation at the start of the run.
@@ -73,6 +73,12 @@
 	joins []joinedCall
 }
 
+// attachedWaiter is a waiter for the response and the token by which it leaves.
+type attachedWaiter struct {
+	token  int
+	waiter Waiter
+}
+
 type joinedCall struct {
 	call   *Call
 	waiter Waiter
@@ -160,11 +166,26 @@
 	}
 }
 
-// callbacks are functions that must be called after the guard's lock is released.
-type callbacks []func()
+// callbacks are functions that must be called after the guard's lock is released. Most decisions have
+// one at most, which takes no list.
+type callbacks struct {
+	first func()
+	rest  []func()
+}
+
+func (c *callbacks) add(f func()) {
+	if c.first == nil {
+		c.first = f
+		return
+	}
+	c.rest = append(c.rest, f)
+}
 
-func (c callbacks) run() {
-	for _, f := range c {
+func (c *callbacks) run() {
+	if c.first != nil {
+		c.first()
+	}
+	for _, f := range c.rest {
 		f()
 	}
 }
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -42,9 +42,9 @@
 	if e.phase == phaseDone {
 		return 0, e.response
 	}
-	e.nextWaiter++
-	e.waiters[e.nextWaiter] = w
-	return e.nextWaiter, nil
+	e.lastToken++
+	e.waiters = append(e.waiters, attachedWaiter{e.lastToken, w})
+	return e.lastToken, nil
 }
 
 // decideLocked decides on a call whose ID this guard has not received before. A known key gets its
@@ -128,7 +128,6 @@
 		call:          call,
 		fingerprint:   call.Fingerprint(),
 		account:       retry.NewAccount(call.Allowance),
-		waiters:       make(map[int]Waiter, 1),
 		arrived:       now,
 		shedThreshold: routing.NoThreshold,
 	}
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
@@ -19,15 +20,15 @@
 	a.SheddingService = e.sheddingService
 	e.response = a
 	g.settleKeyLocked(now, e.call, a)
-	for _, w := range e.waiters {
-		*deferred = append(*deferred, func() { w(a) })
+	for _, x := range e.waiters {
+		deferred.add(func() { x.waiter(a) })
 	}
 	for _, j := range e.joins {
 		response := joinedResponse(j.call.Ctx.CallID, a)
 		if j.call.Reattach && !a.Complete() {
 			g.keepReattachmentLocked(now, j.call, response)
 		}
-		*deferred = append(*deferred, func() { j.waiter(response) })
+		deferred.add(func() { j.waiter(response) })
 	}
 	e.waiters = nil
 	e.joins = nil
@@ -123,8 +124,8 @@
 		return
 	}
 	var deferred callbacks
-	_, attached := e.waiters[token]
-	last := attached && len(e.waiters) == 1 && len(e.joins) == 0
+	attached := slices.IndexFunc(e.waiters, func(x attachedWaiter) bool { return x.token == token })
+	last := attached >= 0 && len(e.waiters) == 1 && len(e.joins) == 0
 	if e.phase == phaseQueued && last {
 		// The caller is still attached and receives this refusal, which says that nothing ran.
 		decisions := g.admission.Abandon(now, callID)
@@ -133,10 +134,12 @@
 		g.endLocked(now, e, Refused(callID, refusal), &deferred)
 		g.applyLocked(now, decisions, &deferred)
 	} else {
-		delete(e.waiters, token)
+		if attached >= 0 {
+			e.waiters = slices.Delete(e.waiters, attached, attached+1)
+		}
 		if e.cancellable() && e.cancel != nil {
 			g.events.cancelled(now, e.call, "the running call has no caller left")
-			deferred = append(deferred, e.cancel)
+			deferred.add(e.cancel)
 		}
 	}
 	g.mu.Unlock()
--- a/internal/node/guard_notice.go
+++ b/internal/node/guard_notice.go
@@ -47,7 +47,7 @@
 	g.draining = true
 	g.applyLocked(now, g.admission.Drain(now), deferred)
 	if g.onLeaving != nil {
-		*deferred = append(*deferred, g.onLeaving)
+		deferred.add(g.onLeaving)
 	}
 }
 
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -12,7 +12,7 @@
 func (g *Guard) claimOrStartLocked(now time.Time, e *execution, deferred *callbacks) {
 	if e.call.Keyed() && g.authority.NeedsClaim(e.call) {
 		e.phase = phaseClaiming
-		*deferred = append(*deferred, func() { g.runner.Claim(e.call) })
+		deferred.add(func() { g.runner.Claim(e.call) })
 		return
 	}
 	g.startLocked(now, e, deferred)
@@ -43,7 +43,7 @@
 	e.process = g.upstreamIncarnation
 	g.quarantine.Started(now, e.fingerprint)
 	g.events.started(now, e)
-	*deferred = append(*deferred, func() { g.runner.Run(e.call, startBy) })
+	deferred.add(func() { g.runner.Run(e.call, startBy) })
 }
 
 // refuseAdmittedLocked refuses a call that was admitted and provably did not run.
@@ -104,7 +104,7 @@
 			a.Crashed = 0
 		}
 		if len(cleared) > 0 {
-			deferred = append(deferred, func() { g.onCrashRecords(cleared) })
+			deferred.add(func() { g.onCrashRecords(cleared) })
 		}
 		g.events.cleared(now, cleared)
 		if !a.Succeeded() {
