proxy: less is copied where a call arrives from another node

Cause: the guard's node copied the header of each call into a second map, its context into a second struct, formatted its own incarnation twice, made a list for each field of its response and an error for a field that most responses lack.

Change: the header of an arriving call is filtered in place (net/http reads what it needs of it before the handler starts); contexts are returned by value; the node's incarnation is formatted once; values of response fields share a list; an empty field isn't parsed; a call without a body reads none.

--- a/internal/inner/codec_test.go
+++ b/internal/inner/codec_test.go
@@ -67,7 +67,7 @@
 		want.RootAdmitted = c.RootAdmitted.Add(skew)
 		must.True(t, want.KeyIssued.Equal(got.KeyIssued))
 		got.KeyIssued = want.KeyIssued
-		must.Eq(t, want, *got)
+		must.Eq(t, want, got)
 	})
 }
 
--- a/internal/inner/context.go
+++ b/internal/inner/context.go
@@ -33,8 +33,8 @@
 
 // ToContext returns the context of a header received at now. The transmission time is unknown and
 // not subtracted, so the deadline moves later by the one-way delay.
-func ToContext(h *CallHeader, now time.Time) *callctx.Context {
-	c := &callctx.Context{
+func ToContext(h *CallHeader, now time.Time) callctx.Context {
+	c := callctx.Context{
 		RequestID:    h.RequestId,
 		CallID:       h.CallId,
 		ParentID:     h.ParentId,
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -180,7 +180,7 @@
 			return
 		}
 		defer func() { p.gate.leave(size) }()
-		body, err := readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
+		body, err := readInnerBody(r)
 		if err != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.BadContext, "request body ended early: %v", err)))
 			return
@@ -194,13 +194,21 @@
 	})
 }
 
+// readInnerBody reads the body of a call.
+func readInnerBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	return readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
+}
+
 // checkIncarnation refuses a call that is addressed to an earlier process at this address. In a
 // deployment with routes, this process accepts the call if it serves the same service: after a power
 // failure all nodes know only the earlier incarnations of each other, and would refuse all calls
 // until they have read the new records. A re-attachment to an earlier process is always refused,
 // since it requests the result of a call in that process, which this process does not know.
 func (p *Proxy) checkIncarnation(h *innerpb.CallHeader, call *node.Call) *result.Refusal {
-	own := formatIncarnation(p.node.Incarnation())
+	own := p.incarnation
 	if h.GetTargetIncarnation() == own {
 		return nil
 	}
@@ -212,15 +220,14 @@
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	p.node.ObserveClock(h.GetHlc())
-	return &node.Call{
-		Ctx:          *inner.ToContext(h, p.node.Now()),
+	call := &node.Call{
+		Ctx:          inner.ToContext(h, p.node.Now()),
 		Method:       r.Header.Get(headerMethod),
 		Target:       r.Header.Get(headerTarget),
 		Host:         r.Header.Get(headerHost),
 		Routed:       r.Header.Get(headerHost) != "",
 		IsRetry:      r.Header.Get(headerRepeat) != "",
 		HasPriorWork: r.Header.Get(headerContinues) != "",
-		Header:       callctx.Forwardable(r.Header),
 		KnownNotice:  decodeNotice(r.Header.Get(headerNotice)),
 		BodyHash:     h.GetBodyHash(),
 		Allowance:    int(h.GetAllowance()),
@@ -228,6 +235,9 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
+	// The request belongs to this node's own handler, which reads no header after this.
+	call.Header = callctx.KeepForwardable(r.Header)
+	return call
 }
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
@@ -235,7 +245,7 @@
 		CallId:             resp.CallID,
 		Code:               uint32(resp.Code),
 		UnusedAllowance:    uint32(resp.UnusedAllowance),
-		Load:               encodeLoad(resp.Load),
+		Load:               p.encodeLoad(resp.Load),
 		CrashedIncarnation: resp.Crashed,
 		Whole:              resp.Complete(),
 		Hlc:                p.node.Stamp(call),
@@ -252,26 +262,31 @@
 	for name, values := range resp.Header {
 		out[name] = values
 	}
-	out.Set(inner.HeaderAnswer, inner.EncodeAnswer(h))
+	values := make([]string, 0, maxInnerFields) // one list for the values of all fields
+	set := func(name, value string) {
+		values = append(values, value)
+		out[name] = values[len(values)-1 : len(values) : len(values)]
+	}
+	set(inner.HeaderAnswer, inner.EncodeAnswer(h))
 	if resp.ShedThreshold != routing.NoThreshold {
-		out.Set(headerSheds, encodeSheds(resp))
+		set(headerSheds, encodeSheds(resp))
 	}
 	if resp.Load != nil && resp.Load.TreesFail {
-		out.Set(headerTreesFail, "1")
+		set(headerTreesFail, "1")
 	}
 	if resp.Load != nil && resp.Load.Notice != nil {
-		out.Set(headerNotice, encodeNotice(resp.Load.Notice))
+		set(headerNotice, encodeNotice(resp.Load.Notice))
 	}
 	if resp.Cause != nil {
-		out.Set(headerCause, resp.Cause.Encode())
+		set(headerCause, resp.Cause.Encode())
 	}
 	if version := p.peers.configVersion(); version > 0 {
-		out.Set(headerConfig, strconv.FormatInt(version, 10))
+		set(headerConfig, strconv.FormatInt(version, 10))
 	}
 	if _, ok := out["Date"]; !ok {
 		out["Date"] = nil // suppresses the header, which nodes do not read
 	}
-	out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	set("Content-Length", strconv.Itoa(len(resp.Body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(resp.Body)
 }
@@ -282,6 +297,9 @@
 
 // decodeSheds parses a value of encodeSheds. An invalid value means that no service sheds calls.
 func decodeSheds(text string) (threshold uint32, service string) {
+	if text == "" {
+		return routing.NoThreshold, "" // most responses have none; strconv's error would allocate
+	}
 	rankText, service, _ := strings.Cut(text, " ")
 	rank, err := strconv.ParseUint(rankText, 10, 32)
 	if err != nil || !callctx.ValidName(service) {
@@ -290,10 +308,14 @@
 	return uint32(rank), service
 }
 
-func encodeLoad(l *routing.LoadReport) *innerpb.Load {
+func (p *Proxy) encodeLoad(l *routing.LoadReport) *innerpb.Load {
 	if l == nil {
 		return nil
 	}
+	incarnation := p.incarnation
+	if l.Incarnation != p.node.Incarnation() {
+		incarnation = formatIncarnation(l.Incarnation)
+	}
 	return &innerpb.Load{
 		InFlight:    uint32(l.InFlight),
 		Queued:      uint32(l.Queued),
@@ -301,7 +323,7 @@
 		Threshold:   l.Threshold,
 		Overloaded:  l.Overloaded,
 		Draining:    l.Draining,
-		Incarnation: formatIncarnation(l.Incarnation),
+		Incarnation: incarnation,
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,8 @@
 	// predecessorService is the service for which calls to an earlier process at this address are
 	// accepted; empty accepts none.
 	predecessorService string
+	// incarnation is the node's incarnation as nodes send it.
+	incarnation string
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
 	// rootsPending counts the requests of callers whose responses are not yet written.
@@ -39,7 +41,7 @@
 
 // New returns a Proxy that executes the decisions of n with the given peers and upstream.
 func New(n *node.Node, peers *Peers, upstream *Upstream) *Proxy {
-	p := &Proxy{node: n, peers: peers, upstream: upstream}
+	p := &Proxy{node: n, peers: peers, upstream: upstream, incarnation: formatIncarnation(n.Incarnation())}
 	p.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return p
 }
