lifetime: a context of a call that keeps what ends with it

Cause: a forwarded request nested seven contexts (deadlines at the entry and twice at the guard, the cancellation of a transmission, a close of each connection at their end), and each link between two of them takes a map, a channel and two or three closures: a sixth of all allocations.

Change: package lifetime has one context for a call, its transmission and its run. Contexts and connections that end with it are attached without an allocation, and its channel is made only if someone waits on it. The guard's handler waits for the response with a timer instead of a context. The channel of a re-attachment is made when one starts.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 )
 
 const (
@@ -49,8 +51,6 @@
 	keepAlive time.Duration
 	// expires is the time from which an idle connection is no longer used.
 	expires time.Time
-	// closeAtEnd is the method value of close.
-	closeAtEnd func()
 }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
@@ -62,13 +62,14 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	c := &conn{Conn: raw, probe: probe, generation: generation, keepAlive: noKeepAliveTimeout}
-	c.closeAtEnd = c.close
-	return c, nil
+	return &conn{Conn: raw, probe: probe, generation: generation, keepAlive: noKeepAliveTimeout}, nil
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
 
+// ContextEnded implements lifetime.Hook. To close a TLS connection may block.
+func (c *conn) ContextEnded(error) { go c.close() }
+
 // usable reports whether an idle connection can carry a request: it has not expired, and its
 // socket shows neither a close by the server nor unexpected data. Without the check of the socket,
 // a request could be sent on a connection that the server has closed, and a call that is not
@@ -82,9 +83,13 @@
 func (c *conn) exchange(ctx context.Context, r *Request, maxBody int64) (resp *Response, reusable bool, err error) {
 	newConnection := !c.used
 	c.used = true
-	stop := context.AfterFunc(ctx, c.closeAtEnd)
+	life, isNew := lifetime.Of(ctx)
+	if isNew {
+		defer life.Cancel()
+	}
+	life.Attach(c)
 	resp, reusable, err = c.sendAndRead(r, maxBody)
-	if !stop() {
+	if !life.Detach(c) {
 		reusable = false
 	}
 	if err == nil {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -103,7 +103,7 @@
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.Unreachable, "connection to the guard failed: %v", exchangeErr.Cause))
 	}
 	if ctx.Err() != nil {
-		return node.Refused(call.Ctx.CallID, contextRefusal(ctx))
+		return node.Refused(call.Ctx.CallID, contextRefusal(ctx.Err()))
 	}
 	if exchangeErr != nil && exchangeErr.Stage >= h1.StageBody {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerCut, "response of the guard ended early: %v", err))
@@ -186,9 +186,7 @@
 			return
 		}
 		call.Body = body
-		ctx, cancel := context.WithDeadline(r.Context(), call.Ctx.Deadline)
-		defer cancel()
-		resp := p.upstream.Serve(ctx, call)
+		resp := p.upstream.Serve(r.Context(), call)
 		size += p.gate.addBytes(int64(len(resp.Body)))
 		p.writeInner(w, call, resp)
 	})
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -213,11 +214,11 @@
 func (p *Peers) Send(ctx context.Context, endpoint routing.Endpoint, call *node.Call) *node.Response {
 	peer := p.peer(endpoint.Addr)
 	started := p.node.Now()
-	c := &peerCall{peers: p, peer: peer, endpoint: endpoint, call: call, reattachResp: make(chan *node.Response, 1)}
-	c.ctx, c.cancel = context.WithCancel(ctx)
-	defer c.cancel()
+	c := &peerCall{peers: p, peer: peer, endpoint: endpoint, call: call}
+	c.ctx.Start(ctx, time.Time{})
+	defer c.ctx.Cancel()
 	timer := time.AfterFunc(peer.responseTime.reattachWait(p.connections.Reattach), c.reattachIfPending)
-	resp := c.roundTrip(c.ctx, peer.pool, call)
+	resp := c.roundTrip(&c.ctx, peer.pool, call)
 	timer.Stop()
 	resp = c.finalResponse(resp)
 	if resp.Complete() {
@@ -228,17 +229,16 @@
 
 // peerCall sends one attempt to a guard over one or two connections.
 type peerCall struct {
-	peers        *Peers
-	peer         *peer
-	endpoint     routing.Endpoint
-	call         *node.Call
-	ctx          context.Context
-	cancel       context.CancelFunc
+	peers    *Peers
+	peer     *peer
+	endpoint routing.Endpoint
+	call     *node.Call
+	ctx      lifetime.Context
+
+	mu sync.Mutex
+	// reattachResp receives the response of the re-attachment; nil until one is started.
 	reattachResp chan *node.Response
-
-	mu              sync.Mutex
-	reattachStarted bool // a re-attachment was started and will send to reattachResp
-	firstDone       bool // the first transmission returned
+	firstDone    bool // the first transmission returned
 }
 
 // reattachIfPending starts a re-attachment if the first transmission has not returned yet. If the
@@ -255,13 +255,14 @@
 		c.mu.Unlock()
 		return
 	}
-	c.reattachStarted = true
+	reattachResp := make(chan *node.Response, 1)
+	c.reattachResp = reattachResp
 	c.mu.Unlock()
 
 	resp := c.reattach()
-	c.reattachResp <- resp
+	reattachResp <- resp
 	if resp.Code != result.Unreachable {
-		c.cancel()
+		c.ctx.Cancel()
 		c.peer.pool.Reset()
 	}
 }
@@ -277,12 +278,13 @@
 func (c *peerCall) finalResponse(first *node.Response) *node.Response {
 	c.mu.Lock()
 	c.firstDone = true
-	reattachStarted := c.reattachStarted
+	reattachResp := c.reattachResp
 	c.mu.Unlock()
+	reattachStarted := reattachResp != nil
 	var second *node.Response
 	switch {
 	case reattachStarted && needsSecondResponse(first):
-		second = <-c.reattachResp
+		second = <-reattachResp
 	case !reattachStarted && connectionFailed(first) && c.ctx.Err() == nil:
 		second = c.reattach()
 	default:
@@ -317,7 +319,7 @@
 func (c *peerCall) reattach() *node.Response {
 	call := *c.call
 	call.Reattach = true
-	resp := c.roundTrip(c.ctx, c.peer.freshPool, &call)
+	resp := c.roundTrip(&c.ctx, c.peer.freshPool, &call)
 	if resp.Code != result.Unreachable {
 		c.peers.node.RecordReattach(c.call, c.endpoint.Node, resp)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -155,9 +156,9 @@
 	}
 	call.Body = body
 	call.BodyHash = node.HashBody(body)
-	ctx, cancel := context.WithDeadline(ctx, call.Ctx.Deadline)
-	defer cancel()
-	resp := p.run(ctx, call, account)
+	life := lifetime.WithDeadline(ctx, call.Ctx.Deadline)
+	defer life.Cancel()
+	resp := p.run(life, call, account)
 	size += p.gate.addBytes(int64(len(resp.Body)))
 	ex.writer.writeResponse(ex.w, call, resp)
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -13,6 +13,7 @@
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -56,7 +57,7 @@
 
 	mu      sync.Mutex
 	pool    *h1.Pool
-	running map[string]context.Context
+	running map[string]*lifetime.Context
 	// byRequest maps the request ID of a caller to the running call ID.
 	byRequest map[string]string
 }
@@ -67,7 +68,7 @@
 		claimer:   claimer,
 		dialect:   defaultDialect{},
 		pool:      newUpstreamPool(""),
-		running:   make(map[string]context.Context),
+		running:   make(map[string]*lifetime.Context),
 		byRequest: make(map[string]string),
 	}
 }
@@ -117,8 +118,9 @@
 // Addr returns the announced address; empty if there is none.
 func (u *Upstream) Addr() string { return u.currentPool().Addr() }
 
-// Serve runs a call at this node's guard and returns its response. If ctx ends first, it detaches
-// from the call and returns a refusal that says whether the call may have run.
+// Serve runs a call at this node's guard and returns its response. If ctx ends or the call's deadline
+// passes first, it detaches from the call and returns a refusal that says whether the call may have
+// run.
 func (u *Upstream) Serve(ctx context.Context, call *node.Call) *node.Response {
 	guard := u.node.Guard()
 	responses := make(chan *node.Response, 1)
@@ -129,28 +131,37 @@
 	if u.onQueued != nil {
 		u.onQueued()
 	}
+	var passed <-chan time.Time
+	if _, bounded := ctx.Deadline(); !bounded {
+		timer := time.NewTimer(time.Until(call.Ctx.Deadline))
+		defer timer.Stop()
+		passed = timer.C
+	}
 	select {
 	case resp = <-responses:
 		return resp
 	case <-ctx.Done():
-		return u.abandon(ctx, call, token, responses)
+		return u.abandon(call, token, responses, contextRefusal(ctx.Err()))
+	case <-passed:
+		return u.abandon(call, token, responses, contextRefusal(context.DeadlineExceeded))
 	}
 }
 
-// abandon detaches from the guard. If the call was still queued, its refusal is in responses when
-// Leave returns.
-func (u *Upstream) abandon(ctx context.Context, call *node.Call, token int, responses chan *node.Response) *node.Response {
+// abandon detaches from the guard and returns refusal. If the call was still queued, the guard's refusal
+// is in responses when Leave returns.
+func (u *Upstream) abandon(call *node.Call, token int, responses chan *node.Response, refusal *result.Refusal) *node.Response {
 	u.node.Guard().Leave(u.node.Now(), call.Ctx.CallID, token)
 	select {
 	case resp := <-responses:
 		return resp
 	default:
 	}
-	return node.Refused(call.Ctx.CallID, contextRefusal(ctx))
+	return node.Refused(call.Ctx.CallID, refusal)
 }
 
-func contextRefusal(ctx context.Context) *result.Refusal {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// contextRefusal returns the refusal of a call whose context ended with err.
+func contextRefusal(err error) *result.Refusal {
+	if errors.Is(err, context.DeadlineExceeded) {
 		return result.Refuse(result.DeadlinePassed, "deadline passed while the call was in flight")
 	}
 	return result.Refuse(result.CancelledRunning, "caller disconnected while the call was in flight")
@@ -170,17 +181,17 @@
 // idempotent continues if that connection fails.
 func (u *Upstream) Run(call *node.Call, startBy time.Time) {
 	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), call.Ctx.Deadline)
-		defer cancel()
+		ctx := lifetime.WithDeadline(context.Background(), call.Ctx.Deadline)
+		defer ctx.Cancel()
 		u.track(ctx, call)
 		defer u.untrack(call)
-		u.node.Guard().OnCancel(call.Ctx.CallID, cancel)
+		u.node.Guard().OnCancel(call.Ctx.CallID, ctx.Cancel)
 		resp := u.roundTrip(ctx, call, startBy)
 		u.node.Guard().Finish(u.node.Now(), call.Ctx.CallID, resp)
 	}()
 }
 
-func (u *Upstream) track(ctx context.Context, call *node.Call) {
+func (u *Upstream) track(ctx *lifetime.Context, call *node.Call) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running[call.Ctx.CallID] = ctx
@@ -216,9 +227,9 @@
 	if !ok {
 		return ctx, func() {}
 	}
-	child, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(parent, cancel)
-	return child, func() { stop(); cancel() }
+	child := lifetime.WithDeadline(ctx, time.Time{})
+	parent.Attach(child)
+	return child, func() { parent.Detach(child); child.Cancel() }
 }
 
 func (u *Upstream) roundTrip(ctx context.Context, call *node.Call, startBy time.Time) *node.Response {
@@ -311,7 +322,7 @@
 		return node.Refused(id, result.Refuse(result.NoUpstream, "connection to the upstream failed: %v", err))
 	}
 	if ctx.Err() != nil && exchangeErr.Stage != h1.StageMismatch {
-		return node.Refused(id, contextRefusal(ctx))
+		return node.Refused(id, contextRefusal(ctx.Err()))
 	}
 	resp := node.Refused(id, failureRefusal(exchangeErr))
 	if exchangeErr.Stage != h1.StageTooLarge && exchangeErr.Stage != h1.StageMismatch {
