proxy: messages of the inner protocol are reused

Cause: each hop allocated a call header and a response header twice, once to encode and once to decode, each with its load report, and dropped them in the same function.

Change: they come from pools. The function that takes one releases it before it returns; what it decoded from it is copied by then.

--- a/internal/inner/codec.go
+++ b/internal/inner/codec.go
@@ -66,27 +66,39 @@
 // and the limit.
 func DecodeCall(s string) (*CallHeader, error) {
 	h := &CallHeader{}
-	if err := decode(s, h); err != nil {
-		return nil, err
-	}
-	if err := checkCall(h); err != nil {
+	if err := DecodeCallInto(h, s); err != nil {
 		return nil, err
 	}
 	return h, nil
 }
 
+// DecodeCallInto is DecodeCall for a header that the caller provides. After an error its fields are
+// undefined.
+func DecodeCallInto(h *CallHeader, s string) error {
+	if err := decode(s, h); err != nil {
+		return err
+	}
+	return checkCall(h)
+}
+
 // DecodeAnswer decodes and checks the value of HeaderAnswer.
 func DecodeAnswer(s string) (*AnswerHeader, error) {
 	h := &AnswerHeader{}
-	if err := decode(s, h); err != nil {
-		return nil, err
-	}
-	if err := checkAnswer(h); err != nil {
+	if err := DecodeAnswerInto(h, s); err != nil {
 		return nil, err
 	}
 	return h, nil
 }
 
+// DecodeAnswerInto is DecodeAnswer for a header that the caller provides. After an error its fields are
+// undefined.
+func DecodeAnswerInto(h *AnswerHeader, s string) error {
+	if err := decode(s, h); err != nil {
+		return err
+	}
+	return checkAnswer(h)
+}
+
 func encode(m proto.Message) string {
 	bufs := bufferPool.Get().(*codecBuffers)
 	defer bufferPool.Put(bufs)
--- a/internal/inner/context.go
+++ b/internal/inner/context.go
@@ -9,26 +9,30 @@
 // FromContext returns the header of a call that is sent at now with a retry allowance. The sender
 // sets BodyHash, TargetIncarnation, Reattach, Marks, FromNode and Hlc.
 func FromContext(c *callctx.Context, now time.Time, allowance uint32) *CallHeader {
-	h := &CallHeader{
-		CallId:      c.CallID,
-		RequestId:   c.RequestID,
-		ParentId:    c.ParentID,
-		Workspace:   c.Workspace,
-		Service:     c.Service,
-		Level:       uint32(c.Level),
-		RemainingUs: clampMicros(c.Remaining(now)),
-		RootAgeUs:   clampMicros(now.Sub(c.RootAdmitted)),
-		Depth:       uint32(max(0, c.Depth)),
-		CallerHash:  c.CallerHash,
-		Idempotent:  c.Idempotent,
-		Key:         c.Key,
-		Allowance:   allowance,
-		TraceParent: c.TraceParent,
-	}
+	h := &CallHeader{}
+	SetContext(h, c, now, allowance)
+	return h
+}
+
+// SetContext is FromContext for a header that has no fields set.
+func SetContext(h *CallHeader, c *callctx.Context, now time.Time, allowance uint32) {
+	h.CallId = c.CallID
+	h.RequestId = c.RequestID
+	h.ParentId = c.ParentID
+	h.Workspace = c.Workspace
+	h.Service = c.Service
+	h.Level = uint32(c.Level)
+	h.RemainingUs = clampMicros(c.Remaining(now))
+	h.RootAgeUs = clampMicros(now.Sub(c.RootAdmitted))
+	h.Depth = uint32(max(0, c.Depth))
+	h.CallerHash = c.CallerHash
+	h.Idempotent = c.Idempotent
+	h.Key = c.Key
+	h.Allowance = allowance
+	h.TraceParent = c.TraceParent
 	if !c.KeyIssued.IsZero() {
 		h.KeyIssuedMs = c.KeyIssued.UnixMilli()
 	}
-	return h
 }
 
 // ToContext returns the context of a header received at now. The transmission time is unknown and
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -66,7 +66,7 @@
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
-	fields = append(fields, h1.Field{Name: inner.HeaderCall, Value: inner.EncodeCall(c.callHeader(call))})
+	fields = append(fields, h1.Field{Name: inner.HeaderCall, Value: c.encodeCall(call)})
 	resp, err := pool.Do(ctx, &h1.Request{
 		Method: http.MethodPost,
 		Target: CallPath,
@@ -85,15 +85,17 @@
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
 const maxInnerFields = 8
 
-func (c *peerCall) callHeader(call *node.Call) *innerpb.CallHeader {
-	h := inner.FromContext(&call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
+func (c *peerCall) encodeCall(call *node.Call) string {
+	h := newCallHeader()
+	defer releaseCallHeader(h)
+	inner.SetContext(h, &call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
 	h.BodyHash = call.BodyHash
 	h.TargetIncarnation = formatIncarnation(c.endpoint.Incarnation)
 	h.Reattach = call.Reattach
 	h.Marks = inner.CrashRecordMessages(c.peers.node.Now(), call.CrashRecords)
 	h.FromNode = c.peers.node.ID()
 	h.Hlc = c.peers.node.Stamp(call)
-	return h
+	return inner.EncodeCall(h)
 }
 
 // sendFailure returns the response for an exchange with a guard that failed with err.
@@ -114,8 +116,10 @@
 // decodeResponse checks that the response belongs to this call. A different call ID shows that the
 // connection delivered the response to another call.
 func (c *peerCall) decodeResponse(call *node.Call, resp *h1.Response) *node.Response {
-	h, err := inner.DecodeAnswer(resp.Header.Get(inner.HeaderAnswer))
-	if err != nil {
+	a := newAnswer()
+	defer a.release()
+	h := &a.header
+	if err := inner.DecodeAnswerInto(h, resp.Header.Get(inner.HeaderAnswer)); err != nil {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerMismatch, "response header of the guard is invalid: %v", err))
 	}
 	if h.GetCallId() != call.Ctx.CallID {
@@ -162,13 +166,12 @@
 		p.peerCallsPending.Add(1)
 		defer p.peerCallsPending.Add(-1)
 		p.peers.observeVersion("", r.Header.Get(headerConfig))
-		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
+		call, refusal, err := p.receiveCall(r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		call := p.decodeCall(h, r)
-		if refusal := p.checkIncarnation(h, call); refusal != nil {
+		if refusal != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
 			return
 		}
@@ -200,6 +203,18 @@
 	return readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
 }
 
+// receiveCall decodes a call and checks that it is for this process. It returns an error if there is no
+// valid call.
+func (p *Proxy) receiveCall(r *http.Request) (*node.Call, *result.Refusal, error) {
+	h := newCallHeader()
+	defer releaseCallHeader(h)
+	if err := inner.DecodeCallInto(h, r.Header.Get(inner.HeaderCall)); err != nil {
+		return nil, nil, err
+	}
+	call := p.decodeCall(h, r)
+	return call, p.checkIncarnation(h, call), nil
+}
+
 // checkIncarnation refuses a call that is addressed to an earlier process at this address. In a
 // deployment with routes, this process accepts the call if it serves the same service: after a power
 // failure all nodes know only the earlier incarnations of each other, and would refuse all calls
@@ -239,22 +254,9 @@
 }
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
-	h := &innerpb.AnswerHeader{
-		CallId:             resp.CallID,
-		Code:               uint32(resp.Code),
-		UnusedAllowance:    uint32(resp.UnusedAllowance),
-		Load:               p.encodeLoad(resp.Load),
-		CrashedIncarnation: resp.Crashed,
-		Whole:              resp.Complete(),
-		Hlc:                p.node.Stamp(call),
-	}
 	status := resp.Status
 	if !resp.Complete() {
 		status = http.StatusOK
-		h.Detail = resp.Refusal.Detail
-		h.RetryAfterUs = resp.Refusal.RetryAfter.Microseconds()
-		h.AllFull = resp.Refusal.AllFull
-		h.OwnerAddr = resp.Refusal.Owner
 	}
 	out := w.Header()
 	for name, values := range resp.Header {
@@ -265,7 +267,7 @@
 		values = append(values, value)
 		out[name] = values[len(values)-1 : len(values) : len(values)]
 	}
-	set(inner.HeaderAnswer, inner.EncodeAnswer(h))
+	set(inner.HeaderAnswer, p.encodeAnswer(call, resp))
 	if resp.ShedThreshold != routing.NoThreshold {
 		set(headerSheds, encodeSheds(resp))
 	}
@@ -289,6 +291,29 @@
 	_, _ = w.Write(resp.Body)
 }
 
+func (p *Proxy) encodeAnswer(call *node.Call, resp *node.Response) string {
+	a := newAnswer()
+	defer a.release()
+	h := &a.header
+	h.CallId = resp.CallID
+	h.Code = uint32(resp.Code)
+	h.UnusedAllowance = uint32(resp.UnusedAllowance)
+	if resp.Load != nil {
+		p.encodeLoad(&a.load, resp.Load)
+		h.Load = &a.load
+	}
+	h.CrashedIncarnation = resp.Crashed
+	h.Whole = resp.Complete()
+	h.Hlc = p.node.Stamp(call)
+	if refusal := resp.Refusal; refusal != nil {
+		h.Detail = refusal.Detail
+		h.RetryAfterUs = refusal.RetryAfter.Microseconds()
+		h.AllFull = refusal.AllFull
+		h.OwnerAddr = refusal.Owner
+	}
+	return inner.EncodeAnswer(h)
+}
+
 func encodeSheds(resp *node.Response) string {
 	return strconv.FormatUint(uint64(resp.ShedThreshold), 10) + " " + resp.SheddingService
 }
@@ -306,22 +331,16 @@
 	return uint32(rank), service
 }
 
-func (p *Proxy) encodeLoad(l *routing.LoadReport) *innerpb.Load {
-	if l == nil {
-		return nil
-	}
-	incarnation := p.incarnation
+func (p *Proxy) encodeLoad(into *innerpb.Load, l *routing.LoadReport) {
+	into.InFlight = uint32(l.InFlight)
+	into.Queued = uint32(l.Queued)
+	into.Limit = uint32(l.Limit)
+	into.Threshold = l.Threshold
+	into.Overloaded = l.Overloaded
+	into.Draining = l.Draining
+	into.Incarnation = p.incarnation
 	if l.Incarnation != p.node.Incarnation() {
-		incarnation = formatIncarnation(l.Incarnation)
-	}
-	return &innerpb.Load{
-		InFlight:    uint32(l.InFlight),
-		Queued:      uint32(l.Queued),
-		Limit:       uint32(l.Limit),
-		Threshold:   l.Threshold,
-		Overloaded:  l.Overloaded,
-		Draining:    l.Draining,
-		Incarnation: incarnation,
+		into.Incarnation = formatIncarnation(l.Incarnation)
 	}
 }
 
