proxy: a caller's header is filtered in place, and a call keeps no copy of its endpoint

Cause: the entry copied the header of each request into a second map, and each call to a guard held the whole endpoint for its address, name and incarnation.

Change: Edge.Decode may filter the request's header in place; the size of the header is measured before that. A call holds the three fields.

--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -70,7 +70,7 @@
 	resp, err := pool.Do(ctx, &h1.Request{
 		Method: http.MethodPost,
 		Target: CallPath,
-		Host:   c.endpoint.Addr,
+		Host:   c.addr,
 		Header: call.Header,
 		Fields: fields,
 		Body:   call.Body,
@@ -78,7 +78,7 @@
 	if err != nil {
 		return sendFailure(ctx, call, err)
 	}
-	c.peers.observeVersion(c.endpoint.Addr, resp.Header.Get(headerConfig))
+	c.peers.observeVersion(c.addr, resp.Header.Get(headerConfig))
 	return c.decodeResponse(call, resp)
 }
 
@@ -90,7 +90,7 @@
 	defer releaseCallHeader(h)
 	inner.SetContext(h, &call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
 	h.BodyHash = call.BodyHash
-	h.TargetIncarnation = formatIncarnation(c.endpoint.Incarnation)
+	h.TargetIncarnation = formatIncarnation(c.incarnation)
 	h.Reattach = call.Reattach
 	h.Marks = inner.CrashRecordMessages(c.peers.node.Now(), call.CrashRecords)
 	h.FromNode = c.peers.node.ID()
@@ -126,7 +126,7 @@
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerMismatch, "guard responded to call %.64q instead of this call", h.GetCallId()))
 	}
 	c.peers.node.ObserveClock(h.GetHlc())
-	return decodeAnswer(h, resp, c.endpoint.Node)
+	return decodeAnswer(h, resp, c.node)
 }
 
 func decodeAnswer(h *innerpb.AnswerHeader, httpResp *h1.Response, fromNode string) *node.Response {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -214,7 +214,7 @@
 func (p *Peers) Send(ctx context.Context, endpoint routing.Endpoint, call *node.Call) *node.Response {
 	peer := p.peer(endpoint.Addr)
 	started := p.node.Now()
-	c := &peerCall{peers: p, peer: peer, endpoint: endpoint, call: call}
+	c := &peerCall{peers: p, peer: peer, addr: endpoint.Addr, node: endpoint.Node, incarnation: endpoint.Incarnation, call: call}
 	c.ctx.Start(ctx, time.Time{})
 	defer c.ctx.Cancel()
 	timer := time.AfterFunc(peer.responseTime.reattachWait(p.connections.Reattach), c.reattachIfPending)
@@ -229,11 +229,13 @@
 
 // peerCall sends one attempt to a guard over one or two connections.
 type peerCall struct {
-	peers    *Peers
-	peer     *peer
-	endpoint routing.Endpoint
-	call     *node.Call
-	ctx      lifetime.Context
+	peers *Peers
+	peer  *peer
+	// addr, node and incarnation are those of the endpoint.
+	addr, node  string
+	incarnation uint64
+	call        *node.Call
+	ctx         lifetime.Context
 
 	mu sync.Mutex
 	// reattachResp receives the response of the re-attachment; nil until one is started.
@@ -321,7 +323,7 @@
 	call.Reattach = true
 	resp := c.roundTrip(&c.ctx, c.peer.freshPool, &call)
 	if resp.Code != result.Unreachable {
-		c.peers.node.RecordReattach(c.call, c.endpoint.Node, resp)
+		c.peers.node.RecordReattach(c.call, c.node, resp)
 	}
 	return resp
 }
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -33,7 +33,8 @@
 // Edge decodes the requests of a deployment and writes the responses that the node itself creates.
 // Its methods are called concurrently.
 type Edge interface {
-	// Decode decodes the headers of a request.
+	// Decode decodes the headers of a request. It may filter r.Header in place: nothing reads it after
+	// that.
 	Decode(r *http.Request) (RequestMetadata, *result.Refusal)
 	// Refuse writes a refusal as the complete response.
 	Refuse(w http.ResponseWriter, refusal *result.Refusal)
@@ -80,6 +81,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *routeHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	size := headerSize(r)
 	in, refusal := h.edge.Decode(r)
 	if refusal != nil {
 		h.reject(w, in.RequestID, refusal)
@@ -90,8 +92,8 @@
 		h.reject(w, in.RequestID, result.Refuse(result.Starting, "node has not received routes yet").WithRetryAfter(startingRetryAfter))
 		return
 	}
-	if bound := table.Config().Limits.HeaderBytes; bound > 0 && headerSize(r) > bound {
-		h.reject(w, in.RequestID, result.Refuse(result.HeaderTooLarge, "header has %d bytes, limit is %d", headerSize(r), bound))
+	if bound := table.Config().Limits.HeaderBytes; bound > 0 && size > bound {
+		h.reject(w, in.RequestID, result.Refuse(result.HeaderTooLarge, "header has %d bytes, limit is %d", size, bound))
 		return
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
