--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -49,8 +49,9 @@
 
 // roundTrip sends a call to the guard on a connection of pool and decodes the response.
 func (c *peerCall) roundTrip(ctx context.Context, pool *h1.Pool, call *node.Call) *node.Response {
-	fields := make([]h1.Field, 0, maxInnerFields)
-	fields = append(fields, h1.Field{Name: headerMethod, Value: call.Method}, h1.Field{Name: headerTarget, Value: call.Target})
+	out := outgoingRequests.Get().(*outgoingRequest)
+	defer out.release()
+	fields := append(out.fields[:0], h1.Field{Name: headerMethod, Value: call.Method}, h1.Field{Name: headerTarget, Value: call.Target})
 	if call.Routed {
 		fields = append(fields, h1.Field{Name: headerHost, Value: call.Host})
 	}
@@ -67,14 +68,15 @@
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
 	fields = append(fields, h1.Field{Name: inner.HeaderCall, Value: c.encodeCall(call)})
-	resp, err := pool.Do(ctx, &h1.Request{
+	out.request = h1.Request{
 		Method: http.MethodPost,
 		Target: CallPath,
 		Host:   c.addr,
 		Header: call.Header,
 		Fields: fields,
 		Body:   call.Body,
-	})
+	}
+	resp, err := pool.Do(ctx, &out.request)
 	if err != nil {
 		return sendFailure(ctx, call, err)
 	}
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -2,8 +2,11 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/node"
 )
 
 // A message of the inner protocol lives for one encoding or decoding, and what is decoded from it is
@@ -33,3 +36,33 @@
 	a.load.Reset()
 	answers.Put(a)
 }
+
+// outgoingRequest is a request to a guard with its own fields. h1.Pool.Do uses neither after it
+// returned.
+type outgoingRequest struct {
+	request h1.Request
+	fields  [maxInnerFields]h1.Field
+}
+
+var outgoingRequests = sync.Pool{New: func() any { return new(outgoingRequest) }}
+
+func (o *outgoingRequest) release() {
+	*o = outgoingRequest{}
+	outgoingRequests.Put(o)
+}
+
+// responseWaiter waits for the response of one call at the local guard. It returns to its pool only
+// after it received a response: the guard, which delivers one at most, has dropped it then.
+type responseWaiter struct {
+	responses chan *node.Response
+	deliver   node.Waiter
+	// timer fires at the call's deadline; stopped in the pool.
+	timer *time.Timer
+}
+
+var responseWaiters = sync.Pool{New: func() any {
+	responses := make(chan *node.Response, 1)
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &responseWaiter{responses: responses, deliver: func(resp *node.Response) { responses <- resp }, timer: timer}
+}}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -123,33 +123,33 @@
 // run.
 func (u *Upstream) Serve(ctx context.Context, call *node.Call) *node.Response {
 	guard := u.node.Guard()
-	responses := make(chan *node.Response, 1)
-	token, resp := guard.Arrive(u.node.Now(), call, func(resp *node.Response) { responses <- resp })
+	waiter := responseWaiters.Get().(*responseWaiter)
+	token, resp := guard.Arrive(u.node.Now(), call, waiter.deliver)
 	if resp != nil {
 		return resp
 	}
 	if u.onQueued != nil {
 		u.onQueued()
 	}
-	var passed <-chan time.Time
 	if _, bounded := ctx.Deadline(); !bounded {
-		timer := time.NewTimer(time.Until(call.Ctx.Deadline))
-		defer timer.Stop()
-		passed = timer.C
+		waiter.timer.Reset(time.Until(call.Ctx.Deadline))
 	}
 	select {
-	case resp = <-responses:
+	case resp = <-waiter.responses:
+		waiter.timer.Stop()
+		responseWaiters.Put(waiter)
 		return resp
 	case <-ctx.Done():
-		return u.abandon(call, token, responses, contextRefusal(ctx.Err()))
-	case <-passed:
-		return u.abandon(call, token, responses, contextRefusal(context.DeadlineExceeded))
+		waiter.timer.Stop()
+		return u.abandon(call, token, waiter.responses, contextRefusal(ctx.Err()))
+	case <-waiter.timer.C:
+		return u.abandon(call, token, waiter.responses, contextRefusal(context.DeadlineExceeded))
 	}
 }
 
 // abandon detaches from the guard and returns refusal. If the call was still queued, the guard's refusal
 // is in responses when Leave returns.
-func (u *Upstream) abandon(call *node.Call, token int, responses chan *node.Response, refusal *result.Refusal) *node.Response {
+func (u *Upstream) abandon(call *node.Call, token int, responses <-chan *node.Response, refusal *result.Refusal) *node.Response {
 	u.node.Guard().Leave(u.node.Now(), call.Ctx.CallID, token)
 	select {
 	case resp := <-responses:
