--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -10,8 +10,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 )
 
 const (
@@ -43,6 +44,7 @@
 type conn struct {
 	net.Conn
 	reader     *bufio.Reader
+	probe      *probe // nil if the connection has no socket
 	generation uint64
 	used       bool
 	// keepAlive is the idle time stated by the server, multiplied by keepAliveShare.
@@ -54,39 +56,26 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
-func newConn(raw net.Conn, generation uint64) *conn {
-	return &conn{Conn: raw, generation: generation, keepAlive: noKeepAliveTimeout}
+func newConn(raw net.Conn, generation uint64) (*conn, error) {
+	probe, err := newProbe(raw)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return &conn{Conn: raw, probe: probe, generation: generation, keepAlive: noKeepAliveTimeout}, nil
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
 
+// ContextEnded implements lifetime.Hook. To close a TLS connection may block.
+func (c *conn) ContextEnded(error) { go c.close() }
+
 // usable reports whether an idle connection can carry a request: it has not expired, and its
 // socket shows neither a close by the server nor unexpected data. Without the check of the socket,
 // a request could be sent on a connection that the server has closed, and a call that is not
 // idempotent would be lost.
 func (c *conn) usable(now time.Time) bool {
-	if !now.Before(c.expires) {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if errors.Is(err, errors.ErrUnsupported) {
-		return true
-	}
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && noData
+	return now.Before(c.expires) && (c.probe == nil || c.probe.isQuiet())
 }
 
 // exchange sends r and reads its response. reusable reports whether the connection can carry
@@ -94,16 +83,23 @@
 func (c *conn) exchange(ctx context.Context, r *Request, maxBody int64) (resp *Response, reusable bool, err error) {
 	newConnection := !c.used
 	c.used = true
-	stop := context.AfterFunc(ctx, c.close)
+	life, isNew := lifetime.Of(ctx)
+	if isNew {
+		defer life.Cancel()
+	}
+	life.Attach(c)
 	resp, reusable, err = c.sendAndRead(r, maxBody)
-	if !stop() {
+	if !life.Detach(c) {
 		reusable = false
 	}
+	if err == nil {
+		return resp, reusable, nil
+	}
 	var exchangeErr *Error
 	if errors.As(err, &exchangeErr) {
 		exchangeErr.NewConnection = newConnection
 	}
-	return resp, reusable, err
+	return resp, false, err
 }
 
 func (c *conn) sendAndRead(r *Request, maxBody int64) (*Response, bool, error) {
@@ -185,6 +181,26 @@
 }
 
 func (c *conn) readOne(r *Request, maxBody int64) (*Response, bool, error) {
+	if r.Method == http.MethodHead {
+		return c.readAny(r, maxBody)
+	}
+	head, plain, err := readPlainHead(c.reader)
+	if err != nil {
+		return nil, false, &Error{Stage: StageHead, Cause: err}
+	}
+	if !plain {
+		return c.readAny(r, maxBody)
+	}
+	body, err := readSized(c.reader, head.length, maxBody)
+	if err != nil {
+		return nil, false, err
+	}
+	c.updateKeepAlive(head.header)
+	return &Response{Status: head.status, Header: head.header, Body: body}, true, nil
+}
+
+// readAny reads a response of any form.
+func (c *conn) readAny(r *Request, maxBody int64) (*Response, bool, error) {
 	resp, err := c.readHead(r)
 	if err != nil {
 		return nil, false, &Error{Stage: StageHead, Cause: err}
@@ -218,15 +234,8 @@
 
 func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
 	defer resp.Body.Close()
-	if resp.ContentLength > maxBody {
-		return nil, &Error{Stage: StageTooLarge, Cause: errors.New("Content-Length is " + strconv.FormatInt(resp.ContentLength, 10))}
-	}
 	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
-			return nil, &Error{Stage: StageBody, Cause: err}
-		}
-		return body, nil
+		return readSized(resp.Body, resp.ContentLength, maxBody)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
@@ -238,6 +247,22 @@
 	return body, nil
 }
 
+// readSized reads a body of a known length.
+func readSized(r io.Reader, length, maxBody int64) ([]byte, error) {
+	if length > maxBody {
+		return nil, &Error{Stage: StageTooLarge, Cause: errors.New("Content-Length is " + strconv.FormatInt(length, 10))}
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, &Error{Stage: StageBody, Cause: err}
+	}
+	return body, nil
+}
+
 // updateKeepAlive stores the idle time that the server states in its Keep-Alive header.
 func (c *conn) updateKeepAlive(h http.Header) {
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -49,8 +49,9 @@
 
 // roundTrip sends a call to the guard on a connection of pool and decodes the response.
 func (c *peerCall) roundTrip(ctx context.Context, pool *h1.Pool, call *node.Call) *node.Response {
-	fields := make([]h1.Field, 0, maxInnerFields)
-	fields = append(fields, h1.Field{Name: headerMethod, Value: call.Method}, h1.Field{Name: headerTarget, Value: call.Target})
+	out := outgoingRequests.Get().(*outgoingRequest)
+	defer out.release()
+	fields := append(out.fields[:0], h1.Field{Name: headerMethod, Value: call.Method}, h1.Field{Name: headerTarget, Value: call.Target})
 	if call.Routed {
 		fields = append(fields, h1.Field{Name: headerHost, Value: call.Host})
 	}
@@ -66,34 +67,37 @@
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
-	fields = append(fields, h1.Field{Name: inner.HeaderCall, Value: inner.EncodeCall(c.callHeader(call))})
-	resp, err := pool.Do(ctx, &h1.Request{
+	fields = append(fields, h1.Field{Name: inner.HeaderCall, Value: c.encodeCall(call)})
+	out.request = h1.Request{
 		Method: http.MethodPost,
 		Target: CallPath,
-		Host:   c.endpoint.Addr,
+		Host:   c.addr,
 		Header: call.Header,
 		Fields: fields,
 		Body:   call.Body,
-	})
+	}
+	resp, err := pool.Do(ctx, &out.request)
 	if err != nil {
 		return sendFailure(ctx, call, err)
 	}
-	c.peers.observeVersion(c.endpoint.Addr, resp.Header.Get(headerConfig))
+	c.peers.observeVersion(c.addr, resp.Header.Get(headerConfig))
 	return c.decodeResponse(call, resp)
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
 const maxInnerFields = 8
 
-func (c *peerCall) callHeader(call *node.Call) *innerpb.CallHeader {
-	h := inner.FromContext(&call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
+func (c *peerCall) encodeCall(call *node.Call) string {
+	h := newCallHeader()
+	defer releaseCallHeader(h)
+	inner.SetContext(h, &call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
 	h.BodyHash = call.BodyHash
-	h.TargetIncarnation = formatIncarnation(c.endpoint.Incarnation)
+	h.TargetIncarnation = formatIncarnation(c.incarnation)
 	h.Reattach = call.Reattach
 	h.Marks = inner.CrashRecordMessages(c.peers.node.Now(), call.CrashRecords)
 	h.FromNode = c.peers.node.ID()
 	h.Hlc = c.peers.node.Stamp(call)
-	return h
+	return inner.EncodeCall(h)
 }
 
 // sendFailure returns the response for an exchange with a guard that failed with err.
@@ -103,7 +107,7 @@
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.Unreachable, "connection to the guard failed: %v", exchangeErr.Cause))
 	}
 	if ctx.Err() != nil {
-		return node.Refused(call.Ctx.CallID, contextRefusal(ctx))
+		return node.Refused(call.Ctx.CallID, contextRefusal(ctx.Err()))
 	}
 	if exchangeErr != nil && exchangeErr.Stage >= h1.StageBody {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerCut, "response of the guard ended early: %v", err))
@@ -114,15 +118,17 @@
 // decodeResponse checks that the response belongs to this call. A different call ID shows that the
 // connection delivered the response to another call.
 func (c *peerCall) decodeResponse(call *node.Call, resp *h1.Response) *node.Response {
-	h, err := inner.DecodeAnswer(resp.Header.Get(inner.HeaderAnswer))
-	if err != nil {
+	a := newAnswer()
+	defer a.release()
+	h := &a.header
+	if err := inner.DecodeAnswerInto(h, resp.Header.Get(inner.HeaderAnswer)); err != nil {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerMismatch, "response header of the guard is invalid: %v", err))
 	}
 	if h.GetCallId() != call.Ctx.CallID {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.AnswerMismatch, "guard responded to call %.64q instead of this call", h.GetCallId()))
 	}
 	c.peers.node.ObserveClock(h.GetHlc())
-	return decodeAnswer(h, resp, c.endpoint.Node)
+	return decodeAnswer(h, resp, c.node)
 }
 
 func decodeAnswer(h *innerpb.AnswerHeader, httpResp *h1.Response, fromNode string) *node.Response {
@@ -162,13 +168,12 @@
 		p.peerCallsPending.Add(1)
 		defer p.peerCallsPending.Add(-1)
 		p.peers.observeVersion("", r.Header.Get(headerConfig))
-		h, err := inner.DecodeCall(r.Header.Get(inner.HeaderCall))
+		call, refusal, err := p.receiveCall(r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		call := p.decodeCall(h, r)
-		if refusal := p.checkIncarnation(h, call); refusal != nil {
+		if refusal != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
 			return
 		}
@@ -180,27 +185,45 @@
 			return
 		}
 		defer func() { p.gate.leave(size) }()
-		body, err := readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
+		body, err := readInnerBody(r)
 		if err != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.BadContext, "request body ended early: %v", err)))
 			return
 		}
 		call.Body = body
-		ctx, cancel := context.WithDeadline(r.Context(), call.Ctx.Deadline)
-		defer cancel()
-		resp := p.upstream.Serve(ctx, call)
+		resp := p.upstream.Serve(r.Context(), call)
 		size += p.gate.addBytes(int64(len(resp.Body)))
 		p.writeInner(w, call, resp)
 	})
 }
 
+// readInnerBody reads the body of a call.
+func readInnerBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	return readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
+}
+
+// receiveCall decodes a call and checks that it is for this process. It returns an error if there is no
+// valid call.
+func (p *Proxy) receiveCall(r *http.Request) (*node.Call, *result.Refusal, error) {
+	h := newCallHeader()
+	defer releaseCallHeader(h)
+	if err := inner.DecodeCallInto(h, r.Header.Get(inner.HeaderCall)); err != nil {
+		return nil, nil, err
+	}
+	call := p.decodeCall(h, r)
+	return call, p.checkIncarnation(h, call), nil
+}
+
 // checkIncarnation refuses a call that is addressed to an earlier process at this address. In a
 // deployment with routes, this process accepts the call if it serves the same service: after a power
 // failure all nodes know only the earlier incarnations of each other, and would refuse all calls
 // until they have read the new records. A re-attachment to an earlier process is always refused,
 // since it requests the result of a call in that process, which this process does not know.
 func (p *Proxy) checkIncarnation(h *innerpb.CallHeader, call *node.Call) *result.Refusal {
-	own := formatIncarnation(p.node.Incarnation())
+	own := p.incarnation
 	if h.GetTargetIncarnation() == own {
 		return nil
 	}
@@ -212,15 +235,14 @@
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	p.node.ObserveClock(h.GetHlc())
-	return &node.Call{
-		Ctx:          *inner.ToContext(h, p.node.Now()),
+	call := &node.Call{
+		Ctx:          inner.ToContext(h, p.node.Now()),
 		Method:       r.Header.Get(headerMethod),
 		Target:       r.Header.Get(headerTarget),
 		Host:         r.Header.Get(headerHost),
 		Routed:       r.Header.Get(headerHost) != "",
 		IsRetry:      r.Header.Get(headerRepeat) != "",
 		HasPriorWork: r.Header.Get(headerContinues) != "",
-		Header:       callctx.Forwardable(r.Header),
 		KnownNotice:  decodeNotice(r.Header.Get(headerNotice)),
 		BodyHash:     h.GetBodyHash(),
 		Allowance:    int(h.GetAllowance()),
@@ -228,60 +250,81 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
+	// The request belongs to this node's own handler, which reads no header after this.
+	call.Header = callctx.KeepForwardable(r.Header)
+	return call
 }
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
-	h := &innerpb.AnswerHeader{
-		CallId:             resp.CallID,
-		Code:               uint32(resp.Code),
-		UnusedAllowance:    uint32(resp.UnusedAllowance),
-		Load:               encodeLoad(resp.Load),
-		CrashedIncarnation: resp.Crashed,
-		Whole:              resp.Complete(),
-		Hlc:                p.node.Stamp(call),
-	}
 	status := resp.Status
 	if !resp.Complete() {
 		status = http.StatusOK
-		h.Detail = resp.Refusal.Detail
-		h.RetryAfterUs = resp.Refusal.RetryAfter.Microseconds()
-		h.AllFull = resp.Refusal.AllFull
-		h.OwnerAddr = resp.Refusal.Owner
 	}
 	out := w.Header()
 	for name, values := range resp.Header {
 		out[name] = values
 	}
-	out.Set(inner.HeaderAnswer, inner.EncodeAnswer(h))
+	values := make([]string, 0, maxInnerFields) // one list for the values of all fields
+	set := func(name, value string) {
+		values = append(values, value)
+		out[name] = values[len(values)-1 : len(values) : len(values)]
+	}
+	set(inner.HeaderAnswer, p.encodeAnswer(call, resp))
 	if resp.ShedThreshold != routing.NoThreshold {
-		out.Set(headerSheds, encodeSheds(resp))
+		set(headerSheds, encodeSheds(resp))
 	}
 	if resp.Load != nil && resp.Load.TreesFail {
-		out.Set(headerTreesFail, "1")
+		set(headerTreesFail, "1")
 	}
 	if resp.Load != nil && resp.Load.Notice != nil {
-		out.Set(headerNotice, encodeNotice(resp.Load.Notice))
+		set(headerNotice, encodeNotice(resp.Load.Notice))
 	}
 	if resp.Cause != nil {
-		out.Set(headerCause, resp.Cause.Encode())
+		set(headerCause, resp.Cause.Encode())
 	}
 	if version := p.peers.configVersion(); version > 0 {
-		out.Set(headerConfig, strconv.FormatInt(version, 10))
+		set(headerConfig, strconv.FormatInt(version, 10))
 	}
 	if _, ok := out["Date"]; !ok {
 		out["Date"] = nil // suppresses the header, which nodes do not read
 	}
-	out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	set("Content-Length", strconv.Itoa(len(resp.Body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(resp.Body)
 }
 
+func (p *Proxy) encodeAnswer(call *node.Call, resp *node.Response) string {
+	a := newAnswer()
+	defer a.release()
+	h := &a.header
+	h.CallId = resp.CallID
+	h.Code = uint32(resp.Code)
+	h.UnusedAllowance = uint32(resp.UnusedAllowance)
+	if resp.Load != nil {
+		p.encodeLoad(&a.load, resp.Load)
+		h.Load = &a.load
+	}
+	h.CrashedIncarnation = resp.Crashed
+	h.Whole = resp.Complete()
+	h.Hlc = p.node.Stamp(call)
+	if refusal := resp.Refusal; refusal != nil {
+		h.Detail = refusal.Detail
+		h.RetryAfterUs = refusal.RetryAfter.Microseconds()
+		h.AllFull = refusal.AllFull
+		h.OwnerAddr = refusal.Owner
+	}
+	return inner.EncodeAnswer(h)
+}
+
 func encodeSheds(resp *node.Response) string {
 	return strconv.FormatUint(uint64(resp.ShedThreshold), 10) + " " + resp.SheddingService
 }
 
 // decodeSheds parses a value of encodeSheds. An invalid value means that no service sheds calls.
 func decodeSheds(text string) (threshold uint32, service string) {
+	if text == "" {
+		return routing.NoThreshold, "" // most responses have none; strconv's error would allocate
+	}
 	rankText, service, _ := strings.Cut(text, " ")
 	rank, err := strconv.ParseUint(rankText, 10, 32)
 	if err != nil || !callctx.ValidName(service) {
@@ -290,18 +333,16 @@
 	return uint32(rank), service
 }
 
-func encodeLoad(l *routing.LoadReport) *innerpb.Load {
-	if l == nil {
-		return nil
-	}
-	return &innerpb.Load{
-		InFlight:    uint32(l.InFlight),
-		Queued:      uint32(l.Queued),
-		Limit:       uint32(l.Limit),
-		Threshold:   l.Threshold,
-		Overloaded:  l.Overloaded,
-		Draining:    l.Draining,
-		Incarnation: formatIncarnation(l.Incarnation),
+func (p *Proxy) encodeLoad(into *innerpb.Load, l *routing.LoadReport) {
+	into.InFlight = uint32(l.InFlight)
+	into.Queued = uint32(l.Queued)
+	into.Limit = uint32(l.Limit)
+	into.Threshold = l.Threshold
+	into.Overloaded = l.Overloaded
+	into.Draining = l.Draining
+	into.Incarnation = p.incarnation
+	if l.Incarnation != p.node.Incarnation() {
+		into.Incarnation = formatIncarnation(l.Incarnation)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -31,6 +32,8 @@
 	// predecessorService is the service for which calls to an earlier process at this address are
 	// accepted; empty accepts none.
 	predecessorService string
+	// incarnation is the node's incarnation as nodes send it.
+	incarnation string
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
 	// rootsPending counts the requests of callers whose responses are not yet written.
@@ -39,7 +42,7 @@
 
 // New returns a Proxy that executes the decisions of n with the given peers and upstream.
 func New(n *node.Node, peers *Peers, upstream *Upstream) *Proxy {
-	p := &Proxy{node: n, peers: peers, upstream: upstream}
+	p := &Proxy{node: n, peers: peers, upstream: upstream, incarnation: formatIncarnation(n.Incarnation())}
 	p.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return p
 }
@@ -153,9 +156,9 @@
 	}
 	call.Body = body
 	call.BodyHash = node.HashBody(body)
-	ctx, cancel := context.WithDeadline(ctx, call.Ctx.Deadline)
-	defer cancel()
-	resp := p.run(ctx, call, account)
+	life := lifetime.WithDeadline(ctx, call.Ctx.Deadline)
+	defer life.Cancel()
+	resp := p.run(life, call, account)
 	size += p.gate.addBytes(int64(len(resp.Body)))
 	ex.writer.writeResponse(ex.w, call, resp)
 }
