Scarce room is divided by workspace: requests rank by their workspace's demand over weight

Cause: a request's rank was its level plus a random number, so who sends six times as much got six times the room, and the neighbours paid for it.

Change: package share draws the number within the demand of the workspace over its weight, so that one threshold admits the weighted max-min division at entries and guards alike. Settings shares.enabled and shares.overrides, metrics and log lines, galenactl node shares, detail of refusals. Without a view of the demand every request keeps its hash.

Measured: properties of package share against water-filling (go test ./internal/share).

--- a/cmd/galenactl/node.go
+++ b/cmd/galenactl/node.go
@@ -18,6 +18,7 @@
 	Status  nodeStatusCmd  `cmd:"" help:"State, limits, and the age of its routes and members."`
 	Routes  nodeRoutesCmd  `cmd:"" help:"Routes in force, optionally compared with those of another node."`
 	Members nodeMembersCmd `cmd:"" help:"Members known to the node."`
+	Shares  nodeSharesCmd  `cmd:"" help:"Who asks how much, weights, shares, what each workspace gets, and why it is cut."`
 	Quotas  nodeQuotasCmd  `cmd:"" help:"Quotas of workspaces, the node's share of them, and the requests that it refused."`
 }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -108,3 +108,16 @@
 	rank := uint32(level)<<levelShift | callerHash>>2
 	return min(rank, openThreshold-1)
 }
+
+// HashAt returns the caller hash from which on a threshold sheds callers of a level; MaxUint32 if it
+// sheds none of them.
+func HashAt(level callctx.Level, threshold uint32) uint32 {
+	lowest := uint32(min(level, callctx.LevelLow)) << levelShift
+	switch {
+	case threshold <= lowest:
+		return 0
+	case threshold-lowest >= 1<<levelShift:
+		return math.MaxUint32
+	}
+	return (threshold - lowest) << 2
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,6 +53,7 @@
 	crashReporter   *crashReporter
 	routes          *routeKeeper
 	quotas          *quotas
+	shares          *shares
 	local           *localUpstream
 	guardTicker     *guardTicker
 
@@ -149,6 +150,7 @@
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
 	m.quotas = newQuotas(m)
+	m.shares = newShares(m)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
@@ -214,6 +216,7 @@
 	ctx := m.ctx
 	m.serve()
 	m.spawn(func() { m.guardTicker.run(ctx) })
+	m.spawn(func() { m.shares.run(ctx) })
 	m.spawn(func() { m.followRoutes(ctx) })
 	m.spawn(func() { m.publisher.run(ctx) })
 	m.spawn(func() { m.crashReporter.run(ctx) })
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -31,7 +31,9 @@
 	Records []MemberState  `json:"records"`
 	// Quotas are the quotas of the workspaces that have one.
 	Quotas []quota.State `json:"quotas,omitempty"`
-	Store  StoreStats    `json:"store"`
+	// Shares is nil while shares are off.
+	Shares *SharesState `json:"shares,omitempty"`
+	Store  StoreStats   `json:"store"`
 }
 
 // Freshness describes how current data from the store is.
@@ -87,6 +89,7 @@
 		Guard:   m.guardState(),
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
+		Shares:  m.shares.state(now),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
@@ -140,6 +143,7 @@
 		metrics.AdmissionLimit:     int64(s.Guard.Limit),
 		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
 		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
+		metrics.SharesDividing:     boolGauge(s.Shares != nil && s.Shares.Dividing),
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
 		metrics.StoreBytesSent:     s.Store.BytesSent,
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -127,18 +127,20 @@
 	}
 	seed := k.mesh.node.Incarnation()
 	k.mesh.quotas.setRoutes(config)
+	k.mesh.shares.setRoutes(config)
 	k.mesh.proxy.SetRoutes(routes.NewTable(k.mesh.proxy.Routes(), config, seed))
 	previous := k.version.Swap(config.Version)
 	k.mesh.logger.Info().Int64("version", config.Version).Int64("before", previous).Str("source", source).Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("new version of the routes is in force")
 	return nil
 }
 
-// refresh puts the quotas in force again, after a change of settings.
+// refresh puts the quotas and shares in force again, after a change of settings.
 func (k *routeKeeper) refresh() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if table := k.mesh.proxy.Routes(); table != nil {
 		k.mesh.quotas.setRoutes(table.Config())
+		k.mesh.shares.setRoutes(table.Config())
 	}
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -110,29 +110,35 @@
 	StoreFailures
 	StoreBytesSent
 	StoreBytesReceived
+	// SharesDividing is 1 while requests are divided by the shares of their workspaces.
+	SharesDividing
+	// ShareOverridesIgnored is the number of overrides that name workspaces that the routes don't have.
+	ShareOverridesIgnored
 	numGauges
 )
 
 var gaugeNames = [numGauges]string{
-	AdmissionLimit:     "admission.limit",
-	AdmissionThreshold: "admission.threshold",
-	ConfigVersion:      "config.version",
-	LogHeadAgeMillis:   "log.head_age_ms",
-	LogOffset:          "log.offset",
-	SlotsOwned:         "lease.slots_owned",
-	AuthorityAgeMillis: "lease.authority_age_ms",
-	UpstreamsKnown:     "members.upstreams_known",
-	UpstreamsLive:      "members.upstreams_live",
-	IsRelay:            "members.is_relay",
-	IsDraining:         "node.is_draining",
-	UpstreamRateLimit:  "upstream.rate_limit_milli",
-	RetryBudgetLeft:    "retry.repeats_left",
-	RoutesAgeMillis:    "store.routes_age_ms",
-	MembersAgeMillis:   "store.members_age_ms",
-	StoreCalls:         "store.calls",
-	StoreFailures:      "store.failures",
-	StoreBytesSent:     "store.bytes_sent",
-	StoreBytesReceived: "store.bytes_received",
+	AdmissionLimit:        "admission.limit",
+	AdmissionThreshold:    "admission.threshold",
+	ConfigVersion:         "config.version",
+	LogHeadAgeMillis:      "log.head_age_ms",
+	LogOffset:             "log.offset",
+	SlotsOwned:            "lease.slots_owned",
+	AuthorityAgeMillis:    "lease.authority_age_ms",
+	UpstreamsKnown:        "members.upstreams_known",
+	UpstreamsLive:         "members.upstreams_live",
+	IsRelay:               "members.is_relay",
+	IsDraining:            "node.is_draining",
+	UpstreamRateLimit:     "upstream.rate_limit_milli",
+	SharesDividing:        "shares.dividing",
+	ShareOverridesIgnored: "shares.overrides_ignored",
+	RetryBudgetLeft:       "retry.repeats_left",
+	RoutesAgeMillis:       "store.routes_age_ms",
+	MembersAgeMillis:      "store.members_age_ms",
+	StoreCalls:            "store.calls",
+	StoreFailures:         "store.failures",
+	StoreBytesSent:        "store.bytes_sent",
+	StoreBytesReceived:    "store.bytes_received",
 }
 
 // String returns the name in the JSON document.
--- a/internal/metrics/series.go
+++ b/internal/metrics/series.go
@@ -21,7 +21,9 @@
 	label    string
 	offered  gometrics.Counter
 	answered gometrics.Counter
-	latency  gometrics.Histogram
+	// admitted and cut are registered when they first count.
+	admitted, cut lazyCounter
+	latency       gometrics.Histogram
 	// endedByCode maps a result.Code to the counter of requests that ended with it.
 	endedByCode sync.Map
 }
@@ -55,6 +57,26 @@
 // CountReceived counts a received request.
 func (s *Series) CountReceived() { s.offered.Inc(1) }
 
+// lazyCounter is a counter that is registered by its first use.
+type lazyCounter struct {
+	once    sync.Once
+	counter gometrics.Counter
+}
+
+func (c *lazyCounter) inc(s *Series, name string) {
+	c.once.Do(func() {
+		c.counter = gometrics.NewCounter()
+		s.registerMetric(name, c.counter)
+	})
+	c.counter.Inc(1)
+}
+
+// CountAdmitted counts a request that was not shed.
+func (s *Series) CountAdmitted() { s.admitted.inc(s, "admitted") }
+
+// CountCut counts a request that was shed because of the share of its workspace.
+func (s *Series) CountCut() { s.cut.inc(s, "cut_by_share") }
+
 // CountEnded counts a request that ended with code. For a successful response, it also records the
 // latency.
 func (s *Series) CountEnded(code result.Code, took time.Duration) {
@@ -81,7 +103,7 @@
 		return
 	}
 	series := got.(*Series)
-	for _, name := range []string{"offered", "answered", "latency_us"} {
+	for _, name := range []string{"offered", "answered", "latency_us", "admitted", "cut_by_share"} {
 		s.registry.Unregister(kind + "." + name + "{" + label + "}")
 	}
 	series.endedByCode.Range(func(code, _ any) bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/share"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
@@ -28,6 +29,8 @@
 	rngs     sync.Pool
 	// routeHandler is set in a deployment with routes; see ServeRoutes.
 	routeHandler *routeHandler
+	// shares ranks requests by the shares of their workspaces; nil if there are none.
+	shares *share.Divider
 	// predecessorService is the service for which calls to an earlier process at this address are
 	// accepted; empty accepts none.
 	predecessorService string
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -107,10 +107,13 @@
 	call.Header = in.Header
 	gate := h.treeGates.forRoute(route.Host, route.Prefix)
 	startedAt := h.p.node.Now()
-	writer := gatedWriter{h, gate, startedAt}
+	writer := gatedWriter{routeHandler: h, gate: gate, startedAt: startedAt, divided: h.divide(call)}
 	writer.countReceived(call)
 	ctx := r.Context()
 	refusal = gate.admit(startedAt, call, route.Objective)
+	if refusal != nil {
+		refusal = writer.withShare(startedAt, call, refusal)
+	}
 	if refusal == nil && countsAgainstQuota(call) {
 		refusal = h.quota.Take(ctx, call.Ctx.Workspace)
 	}
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -137,11 +137,22 @@
 	gate.state.ObserveThreshold(now, threshold)
 }
 
+// threshold returns the lowest rank that the gate refuses at now.
+func (g *treeGate) threshold(now time.Time) uint32 {
+	shedding := g.shedding.Load()
+	if shedding == nil {
+		return routing.NoThreshold
+	}
+	return shedding.threshold(now)
+}
+
 // gatedWriter passes the responses of a route to its gate and to the metrics.
 type gatedWriter struct {
 	*routeHandler
 	gate      *treeGate
 	startedAt time.Time
+	// divided reports whether the rank of the request follows from the share of its workspace.
+	divided bool
 }
 
 // countReceived counts a received request.
@@ -157,13 +168,14 @@
 	g.gate.series.CountEnded(code, took)
 	if countsAgainstQuota(call) {
 		g.workspaceMetrics.forWorkspace(call.Ctx.Workspace).CountEnded(code, took)
+		g.countShare(call, code)
 	}
 }
 
 // writeRefusal implements responseWriter.
 func (g gatedWriter) writeRefusal(w http.ResponseWriter, call *node.Call, refusal *result.Refusal) {
 	g.countEnded(call, refusal.Code, 0)
-	g.routeHandler.writeRefusal(w, call, refusal)
+	g.routeHandler.writeRefusal(w, call, g.withShare(g.p.node.Now(), call, refusal))
 }
 
 // writeResponse implements responseWriter.
@@ -173,5 +185,10 @@
 	g.treeGates.observeReports(now, g.p.node.Table(), call.Ctx.Service)
 	g.p.node.ChildEnded(now, call, resp)
 	g.countEnded(call, resp.Code, now.Sub(g.startedAt))
+	if !resp.Complete() {
+		explained := *resp
+		explained.Refusal = g.withShare(now, call, resp.Refusal)
+		resp = &explained
+	}
 	g.routeHandler.writeResponse(w, call, resp)
 }
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,7 @@
 	Stop      MeshStop     `json:"stop"`
 	Retries   Retries      `json:"retries"`
 	Quotas    Quotas       `json:"quotas"`
+	Shares    Shares       `json:"shares"`
 	Logging   Logging      `json:"logging"`
 }
 
@@ -140,7 +141,7 @@
 
 // Validate returns a *FieldError for the first invalid field, or nil.
 func (m *Mesh) Validate() error {
-	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateRanges, m.Logging.validate} {
+	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateRanges, m.Shares.validate, m.Logging.validate} {
 		if err := check(); err != nil {
 			return err
 		}
