The distribution of positions follows from what all nodes know alike

Cause: positions of different nodes are compared by one threshold, and a node that knows the demand of its own workspaces better would have another distribution.

Change: a demand has a list that all nodes have, the rest with its mean, and what this node alone knows; only the first two make the distribution.

Measured: go test ./internal/share passes.

Conclusion: exact demand of a node's own workspaces changes only their numbers.

--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -14,10 +14,13 @@
 
 // Demand is the rate of requests of all workspaces, in requests per second.
 type Demand struct {
-	byName map[string]float64
-	// restMean is the mean rate of workspaces that no zone lists, and rest their number.
+	// listed is the demand of the workspaces with the highest demand, as all nodes know it.
+	listed map[string]float64
+	// restMean is the mean rate of all others, and rest their number.
 	restMean float64
 	rest     int
+	// own is the demand of others of which this node knows more than the mean.
+	own map[string]float64
 }
 
 // DemandOf sums the demand over the zones of a view. It returns nil if the view, or each zone of it, is
@@ -26,7 +29,7 @@
 	if view == nil || view.ReceivedAt.IsZero() {
 		return nil
 	}
-	d := &Demand{byName: map[string]float64{}}
+	d := &Demand{listed: map[string]float64{}, own: map[string]float64{}}
 	fresh := 0
 	for i := range view.Zones {
 		if age := zoneAge(view, &view.Zones[i], now); age < 0 || age > MaxAge {
@@ -63,14 +66,14 @@
 			continue
 		}
 		listed[w.Workspace] = true
-		if _, known := d.byName[w.Workspace]; !known {
-			d.byName[w.Workspace] = d.restMean
+		if _, known := d.listed[w.Workspace]; !known {
+			d.listed[w.Workspace] = d.restMean
 		}
-		d.byName[w.Workspace] += w.PerSecond
+		d.listed[w.Workspace] += w.PerSecond
 	}
-	for name := range d.byName {
+	for name := range d.listed {
 		if !listed[name] {
-			d.byName[name] += mean
+			d.listed[name] += mean
 		}
 	}
 	d.restMean += mean
@@ -78,7 +81,7 @@
 }
 
 // countRest turns the greatest number of workspaces of a zone into that of workspaces that no zone lists.
-func (d *Demand) countRest() { d.rest = max(0, d.rest-len(d.byName)) }
+func (d *Demand) countRest() { d.rest = max(0, d.rest-len(d.listed)) }
 
 func validRate(perSecond float64) bool {
 	return perSecond >= 0 && !math.IsInf(perSecond, 0) && perSecond <= MaxRate*1000
@@ -86,18 +89,17 @@
 
 // AtLeast raises the demand of a workspace to a rate that the node itself sees.
 func (d *Demand) AtLeast(workspace string, perSecond float64) {
-	if !validRate(perSecond) || perSecond <= d.Of(workspace) {
-		return
+	if validRate(perSecond) && perSecond > d.Of(workspace) {
+		d.own[workspace] = perSecond
 	}
-	if _, listed := d.byName[workspace]; !listed {
-		d.rest = max(0, d.rest-1)
-	}
-	d.byName[workspace] = perSecond
 }
 
 // Of returns the demand of a workspace.
 func (d *Demand) Of(workspace string) float64 {
-	if rate, listed := d.byName[workspace]; listed {
+	if rate, known := d.own[workspace]; known {
+		return rate
+	}
+	if rate, known := d.listed[workspace]; known {
 		return rate
 	}
 	return d.restMean
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -17,33 +17,37 @@
 	levels [callctx.Levels]*curve
 }
 
-// NewTable returns the table of a demand. It needs time in proportion to the workspaces that the zones
-// list, not to all of the configuration.
+// NewTable returns the table of a demand. It needs time in proportion to the workspaces that are listed,
+// not to all of the configuration.
+//
+// The distribution is that of the demand that all nodes know alike. What this node alone knows of a
+// workspace changes the numbers of its requests only, since positions of different nodes are compared.
 func NewTable(d *Demand, b *Book, mix Mix) *Table {
 	t := &Table{demand: d, book: b, mix: mix}
 	var members [callctx.Levels][]member
-	listedLevelless := 0
-	var listedByLevel [callctx.Levels]int
-	for name, rate := range d.byName {
+	rest := b.groups
+	listed := 0
+	for name, rate := range d.listed {
 		terms, known := b.byName[name]
 		if !known {
 			continue
 		}
-		if terms.OwnLevel {
-			listedByLevel[terms.Level]++
-		} else {
-			listedLevelless++
+		listed++
+		g := &rest[terms.group()]
+		g.count--
+		g.weight -= terms.Weight
+		t.addMember(&members, rate, terms, 1)
+	}
+	active := min(1, float64(d.rest)/float64(max(b.Workspaces()-listed, 1)))
+	for i, g := range rest {
+		if g.count <= 0 || active <= 0 {
+			continue
 		}
-		for level := range callctx.Levels {
-			if m, ok := t.memberAt(rate, terms, callctx.Level(level)); ok {
-				members[level] = append(members[level], m)
-			}
+		terms := Terms{Weight: max(g.weight/float64(g.count), MinWeight), Most: defaultTerms.Most, OwnLevel: i < callctx.Levels}
+		if terms.OwnLevel {
+			terms.Level = callctx.Level(i)
 		}
-	}
-	t.addRest(&members, b.levelless-listedLevelless, Terms{Weight: 1, Most: defaultTerms.Most})
-	for level, n := range b.byLevel {
-		rest := Terms{Weight: 1, Most: defaultTerms.Most, OwnLevel: true, Level: callctx.Level(level)}
-		t.addRest(&members, n-listedByLevel[level], rest)
+		t.addMember(&members, d.restMean, terms, active*float64(g.count))
 	}
 	for level := range t.levels {
 		t.levels[level] = newCurve(members[level])
@@ -51,18 +55,15 @@
 	return t
 }
 
-// addRest adds n workspaces that no zone lists, as one member: they count as alike.
-func (t *Table) addRest(members *[callctx.Levels][]member, n int, terms Terms) {
-	unlisted := t.book.Workspaces() - len(t.demand.byName)
-	if n <= 0 || unlisted <= 0 {
-		return
-	}
-	active := float64(n) * min(1, float64(t.demand.rest)/float64(unlisted))
+// addMember adds a number of workspaces that are alike to the levels at which they send requests.
+func (t *Table) addMember(members *[callctx.Levels][]member, rate float64, terms Terms, number float64) {
 	for level := range members {
-		if m, ok := t.memberAt(t.demand.restMean, terms, callctx.Level(level)); ok && active > 0 {
-			m.demand, m.least, m.most, m.weight = m.demand*active, m.least*active, m.most*active, m.weight*active
-			members[level] = append(members[level], m)
+		m, ok := t.memberAt(rate, terms, callctx.Level(level))
+		if !ok {
+			continue
 		}
+		m.demand, m.least, m.most, m.weight = m.demand*number, m.least*number, m.most*number, m.weight*number
+		members[level] = append(members[level], m)
 	}
 }
 
--- a/internal/share/terms.go
+++ b/internal/share/terms.go
@@ -86,12 +86,27 @@
 
 // Book holds the terms of all workspaces of a configuration. It is immutable.
 type Book struct {
-	byName map[string]Terms
-	// levelless counts the workspaces whose routes set the level, and byLevel the others.
-	levelless int
-	byLevel   [callctx.Levels]int
-	expires   time.Time
-	ignored   []string
+	byName  map[string]Terms
+	groups  [groupCount]group
+	expires time.Time
+	ignored []string
+}
+
+// group sums the workspaces that have the same level of their own, or none.
+type group struct {
+	count  int
+	weight float64
+}
+
+// groupCount is the number of groups: one for each level, and one for workspaces without one.
+const groupCount = callctx.Levels + 1
+
+// group returns the index of the group of a workspace.
+func (t *Terms) group() int {
+	if t.OwnLevel {
+		return int(t.Level)
+	}
+	return callctx.Levels
 }
 
 // NewBook returns the terms in force at now. The weight of a workspace is that of its override, else its
@@ -106,6 +121,11 @@
 	for i := range overrides {
 		b.override(&overrides[i], now)
 	}
+	for _, t := range b.byName {
+		g := &b.groups[t.group()]
+		g.count++
+		g.weight += t.Weight
+	}
 	return b
 }
 
@@ -114,11 +134,8 @@
 	if w.Rate > 0 {
 		t.Weight = min(max(w.Rate/meanQuota, MinWeight), MaxWeight)
 	}
-	if w.Level == nil {
-		b.levelless++
-	} else {
+	if w.Level != nil {
 		t.OwnLevel, t.Level = true, min(*w.Level, callctx.LevelLow)
-		b.byLevel[t.Level]++
 	}
 	b.byName[w.Name] = t
 }
