--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -56,6 +56,7 @@
 	shares          *shares
 	local           *localUpstream
 	guardTicker     *guardTicker
+	overview        *overviewExchange
 
 	listeners listeners
 	servers   servers
@@ -149,8 +150,7 @@
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
-	m.quotas = newQuotas(m)
-	m.shares = newShares(m)
+	m.quotas, m.shares = newQuotas(m), newShares(m)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
@@ -162,6 +162,7 @@
 	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
+	m.overview = newOverviewExchange(m)
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
@@ -224,6 +225,8 @@
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.spawn(func() { m.adoptUpstream(ctx) })
 	m.spawn(func() { m.compareOffsets(ctx) })
+	m.spawn(func() { m.overview.runReports(ctx) })
+	m.spawn(func() { m.overview.runZones(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -33,7 +33,9 @@
 	Quotas []quota.State `json:"quotas,omitempty"`
 	// Shares is nil while shares are off.
 	Shares *SharesState `json:"shares,omitempty"`
-	Store  StoreStats   `json:"store"`
+	// Overview is what the node knows of all zones; nil if there is no recent view.
+	Overview *OverviewState `json:"overview,omitempty"`
+	Store    StoreStats     `json:"store"`
 }
 
 // Freshness describes how current data from the store is.
@@ -90,6 +92,8 @@
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
 		Shares:  m.shares.state(now),
+
+		Overview: m.overview.state(now),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
--- a/internal/mesh/shares.go
+++ b/internal/mesh/shares.go
@@ -24,8 +24,6 @@
 type shares struct {
 	mesh    *Mesh
 	divider *share.Divider
-	// view returns the latest view of the deployment, or nil.
-	view func() *overview.View
 
 	mu         sync.Mutex
 	workspaces []share.Workspace
@@ -35,7 +33,7 @@
 }
 
 func newShares(m *Mesh) *shares {
-	s := &shares{mesh: m, divider: &share.Divider{}, view: func() *overview.View { return nil }}
+	s := &shares{mesh: m, divider: &share.Divider{}}
 	m.proxy.Divide(s.divider)
 	return s
 }
@@ -106,8 +104,8 @@
 		elapsed = shareInterval
 	}
 	s.updatedAt = now
-	view := s.view()
-	s.noteDividingLocked(s.divider.Update(now, elapsed, view), view, now)
+	view := s.mesh.overview.Current(now)
+	s.noteDividingLocked(s.divider.Update(elapsed, view), view, now)
 	s.logCutsLocked()
 }
 
@@ -143,15 +141,16 @@
 	}
 }
 
-// demand returns the demand of workspaces at this node, for its report to the collector.
-func (s *shares) demand() []overview.WorkspaceDemand {
+// viewChanged implements overviewConsumer.
+func (s *shares) viewChanged(now time.Time, _ *overview.View) { s.update(now) }
+
+// fillReport implements overviewSource.
+func (s *shares) fillReport(_ time.Time, r *overview.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	meter := s.divider.Meter()
-	if meter == nil {
-		return nil
+	if meter := s.divider.Meter(); meter != nil {
+		r.Workspaces = meter.Demand()
 	}
-	return meter.Demand()
 }
 
 // SharesState is how a node divides requests among workspaces.
@@ -196,7 +195,7 @@
 		return nil
 	}
 	state := &SharesState{
-		Enabled: true, Dividing: s.dividing, ViewAgeMillis: viewAge(s.view(), now), Shedding: service,
+		Enabled: true, Dividing: s.dividing, ViewAgeMillis: viewAge(s.mesh.overview.Current(now), now), Shedding: service,
 		IgnoredOverrides: book.Ignored(),
 	}
 	var positions [callctx.Levels]float64
--- a/internal/overview/types.go
+++ b/internal/overview/types.go
@@ -86,15 +86,25 @@
 	Services   []Capacity        `json:"services,omitempty"`
 }
 
-// RestDemand is the demand of the workspaces that are not listed one by one.
+// RestDemand is the demand of several workspaces together.
 type RestDemand struct {
 	Workspaces int     `json:"workspaces"`
 	PerSecond  float64 `json:"per_s"`
 }
 
-// View is what a node knows of all zones.
+// View is what a node knows of all zones. It holds what concerns the node: the workspaces and services
+// that its report names.
 type View struct {
+	// Zones are sorted by name. Their Workspaces are empty.
 	Zones []Zone `json:"zones"`
+	// Workspaces is the demand of the workspaces in the node's report, over all zones.
+	Workspaces []WorkspaceDemand `json:"workspaces,omitempty"`
+	// Top is the demand of the workspaces with the highest demand over all zones, at most
+	// MaxTopWorkspaces and the highest first. It is the same for all nodes whose report names a
+	// workspace, and empty for others.
+	Top []WorkspaceDemand `json:"top,omitempty"`
+	// Total is the demand of all workspaces over all zones, listed or not.
+	Total RestDemand `json:"total"`
 	// ReceivedAt is the time at which the node received the view.
 	ReceivedAt time.Time `json:"-"`
 }
@@ -103,6 +113,26 @@
 const (
 	// MaxWorkspaces bounds the workspaces of a report and of a zone.
 	MaxWorkspaces = 64
+	// MaxTopWorkspaces bounds the workspaces that each view lists.
+	MaxTopWorkspaces = 16
 	// MaxKinds bounds the kinds of calls of one service.
 	MaxKinds = 16
+	// MaxCalls bounds the services that a node reports calls to.
+	MaxCalls = 64
+	// MaxServices bounds the services of a zone.
+	MaxServices = 2048
+	// MaxZones bounds the zones of a view, and MaxNodes the nodes that report to one collector.
+	MaxZones = 128
+	MaxNodes = 2048
+)
+
+const (
+	// maxNameBytes bounds the name of a node, zone, workspace or service in bytes.
+	maxNameBytes = 256
+	// maxValue bounds rates, slots and other quantities.
+	maxValue = 1e9
+	// maxInterval bounds the time between two reports.
+	maxInterval = time.Minute
+	// maxClockLead is how far the start of a process may lie in the future by the collector's clock.
+	maxClockLead = time.Hour
 )
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -2,15 +2,12 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/galenagrade/galenagrade/internal/overview"
 )
 
-// MaxAge is the age from which a view, or a zone of it, is no longer used. It is several times the
-// interval of reports, so that a few lost messages change nothing, and short against the time for which
-// a demand lasts.
-const MaxAge = 4 * time.Second
+// maxDemand bounds the demand of a workspace, in requests per second.
+const maxDemand = 1e9
 
 // Demand is the rate of requests of all workspaces, in requests per second.
 type Demand struct {
@@ -23,68 +20,37 @@
 	own map[string]float64
 }
 
-// DemandOf sums the demand over the zones of a view. It returns nil if the view, or each zone of it, is
-// too old or invalid. A workspace that a zone doesn't list has the mean of the rest of that zone.
-func DemandOf(view *overview.View, now time.Time) *Demand {
-	if view == nil || view.ReceivedAt.IsZero() {
+// DemandOf returns the demand that a view holds; nil if the view is nil or lists no workspace.
+func DemandOf(view *overview.View) *Demand {
+	if view == nil {
 		return nil
 	}
 	d := &Demand{listed: map[string]float64{}, own: map[string]float64{}}
-	fresh := 0
-	for i := range view.Zones {
-		if age := zoneAge(view, &view.Zones[i], now); age < 0 || age > MaxAge {
-			continue
+	sum := 0.0
+	for _, w := range view.Top[:min(len(view.Top), overview.MaxTopWorkspaces)] {
+		if _, twice := d.listed[w.Workspace]; validRate(w.PerSecond) && !twice {
+			d.listed[w.Workspace] = w.PerSecond
+			sum += w.PerSecond
 		}
-		fresh++
-		d.addZone(&view.Zones[i])
 	}
-	if fresh == 0 {
-		return nil
+	if rest := view.Total.Workspaces - len(d.listed); rest > 0 && validRate(view.Total.PerSecond-sum) {
+		d.rest = rest
+		d.restMean = (view.Total.PerSecond - sum) / float64(rest)
 	}
-	d.countRest()
-	return d
-}
-
-// zoneAge returns the age of the sum of a zone; negative if it is from the future.
-func zoneAge(view *overview.View, z *overview.Zone, now time.Time) time.Duration {
-	held := now.Sub(view.ReceivedAt)
-	if held < 0 || z.AgeMillis < 0 || z.AgeMillis > MaxAge.Milliseconds() {
-		return -1
-	}
-	return held + time.Duration(z.AgeMillis)*time.Millisecond
-}
-
-func (d *Demand) addZone(z *overview.Zone) {
-	mean, rest := 0.0, 0
-	if z.Rest.Workspaces > 0 && validRate(z.Rest.PerSecond) {
-		rest = z.Rest.Workspaces
-		mean = z.Rest.PerSecond / float64(rest)
-	}
-	listed := make(map[string]bool, len(z.Workspaces))
-	for _, w := range z.Workspaces[:min(len(z.Workspaces), overview.MaxWorkspaces)] {
-		if !validRate(w.PerSecond) || listed[w.Workspace] {
-			continue
-		}
-		listed[w.Workspace] = true
-		if _, known := d.listed[w.Workspace]; !known {
-			d.listed[w.Workspace] = d.restMean
-		}
-		d.listed[w.Workspace] += w.PerSecond
+	if sum <= 0 {
+		return nil
 	}
-	for name := range d.listed {
-		if !listed[name] {
-			d.listed[name] += mean
+	for _, w := range view.Workspaces[:min(len(view.Workspaces), overview.MaxWorkspaces)] {
+		if _, listed := d.listed[w.Workspace]; validRate(w.PerSecond) && !listed {
+			d.own[w.Workspace] = w.PerSecond
 		}
 	}
-	d.restMean += mean
-	d.rest = max(d.rest, rest+len(listed))
+	return d
 }
 
-// countRest turns the greatest number of workspaces of a zone into that of workspaces that no zone lists.
-func (d *Demand) countRest() { d.rest = max(0, d.rest-len(d.listed)) }
-
+// validRate is false for NaN.
 func validRate(perSecond float64) bool {
-	return perSecond >= 0 && !math.IsInf(perSecond, 0) && perSecond <= MaxRate*1000
+	return perSecond >= 0 && perSecond <= maxDemand && !math.IsInf(perSecond, 0)
 }
 
 // AtLeast raises the demand of a workspace to a rate that the node itself sees.
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -33,14 +33,14 @@
 }
 
 // Update measures the rates of this node and makes the table of the demand in view. It returns false if
-// requests are not divided, because shares are off, there is only one workspace, or no view is fresh.
-func (d *Divider) Update(now time.Time, elapsed time.Duration, view *overview.View) bool {
+// requests are not divided, because shares are off, there is only one workspace, or view is nil.
+func (d *Divider) Update(elapsed time.Duration, view *overview.View) bool {
 	meter, book := d.meter.Load(), d.book.Load()
 	if meter == nil || book == nil {
 		return false
 	}
 	meter.Tick(elapsed)
-	demand := DemandOf(view, now)
+	demand := DemandOf(view)
 	if demand == nil || book.Workspaces() < 2 {
 		d.table.Store(nil)
 		return false
@@ -63,7 +63,7 @@
 const hashRange = 1 << 32
 
 // Receive counts a root request and returns its caller hash, by which it is shed. hash is evenly
-// distributed over all requests; it is returned as it is if the request is not divided.
+// distributed over all requests, and is returned as it is if the request is not divided.
 func (d *Divider) Receive(workspace string, level callctx.Level, hash uint32) (callerHash uint32, divided bool) {
 	meter := d.meter.Load()
 	cell := meter.Cell(workspace)
@@ -78,7 +78,7 @@
 	if table == nil {
 		return hash, false
 	}
-	position, ok := table.Position(workspace, level, (float64(hash)+0.5)/hashRange)
+	position, ok := table.Position(workspace, level, (float64(cell.draw(hash))+0.5)/hashRange)
 	if !ok {
 		return hash, false
 	}
--- a/internal/share/meter.go
+++ b/internal/share/meter.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// rateTimeConstant is the time constant of the averages of rates.
-	rateTimeConstant = time.Second
+	// rateTimeConstant is the time constant of the averages of rates, which cover about a second.
+	rateTimeConstant = time.Second / 2
 	// mixTimeConstant is the time constant of the mix of levels, which changes seldom.
 	mixTimeConstant = 10 * time.Second
 	// minReportedRate is the rate in requests per second below which a workspace isn't reported: one
@@ -27,12 +27,27 @@
 // Cell counts the requests of one workspace at this node.
 type Cell struct {
 	asked, admitted, cut atomic.Int64
+	// offset and drawn are the start and the last number of the sequence that draw returns.
+	offset, drawn atomic.Uint32
 	// countedAsked, countedAdmitted and countedCut are the counters at the last Tick.
 	countedAsked, countedAdmitted, countedCut int64
 	askedRate, admittedRate, cutRate          float64
 	isCut                                     bool
 }
 
+// goldenRatio is the fractional part of the golden ratio, in parts of 1<<32. Its multiples, modulo 1, are
+// distributed more evenly than random numbers, over any number of them.
+const goldenRatio = 0x9E3779B9
+
+// draw returns the next number of an evenly distributed sequence. Each share is then admitted with less
+// chance than by random numbers. hash, of the first request, is its start.
+func (c *Cell) draw(hash uint32) uint32 {
+	if c.offset.Load() == 0 {
+		c.offset.CompareAndSwap(0, max(hash, 1))
+	}
+	return c.offset.Load() + c.drawn.Add(goldenRatio)
+}
+
 // Rates returns the rates of requests that were received, admitted and cut, per second. It must not be
 // called concurrently with Tick.
 func (c *Cell) Rates() (asked, admitted, cut float64) { return c.askedRate, c.admittedRate, c.cutRate }
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -1,6 +1,8 @@
 package share
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
@@ -27,7 +29,7 @@
 	var members [callctx.Levels][]member
 	rest := b.groups
 	listed := 0
-	for name, rate := range d.listed {
+	for _, name := range slices.Sorted(maps.Keys(d.listed)) {
 		terms, known := b.byName[name]
 		if !known {
 			continue
@@ -36,7 +38,7 @@
 		g := &rest[terms.group()]
 		g.count--
 		g.weight -= terms.Weight
-		t.addMember(&members, rate, terms, 1)
+		t.addMember(&members, d.listed[name], terms, 1)
 	}
 	active := min(1, float64(d.rest)/float64(max(b.Workspaces()-listed, 1)))
 	for i, g := range rest {
