--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -29,6 +29,7 @@
 	const anyPort = "127.0.0.1:0"
 	cfg.Listen = settings.MeshListen{Callers: anyPort, Inner: anyPort, Ready: anyPort, Announce: anyPort, Metrics: anyPort}
 	cfg.Store.Address = store.Address()
+	cfg.Shares.Enabled = name == "a"
 	must.NoError(t, cfg.Validate())
 	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, zerolog.Nop()), zerolog.Nop())
 	must.NoError(t, err)
@@ -48,7 +49,7 @@
 	return out.String() + errOut.String()
 }
 
-// Guards against node commands that show wrong or unfiltered routes, differences, members or quotas, or
+// Guards against node commands that show wrong or unfiltered routes, differences, members, quotas or shares, or
 // do not report an unreachable node with its exit code.
 func TestNodeCommandsShowStateOfOneNode(t *testing.T) {
 	a, b := startMeshNode(t, "a", 3, "archive"), startMeshNode(t, "b", 4, "letters")
@@ -64,5 +65,9 @@
 	must.StrContains(t, quotas, "version 3")
 	must.StrNotContains(t, quotas, "south")
 	must.StrNotContains(t, runNode(t, a, "quotas --workspace south", exitOK), "north")
+	shares := runNode(t, a, "shares --workspace south", exitOK)
+	must.StrContains(t, shares, "south")
+	must.StrNotContains(t, shares, "north")
+	must.StrContains(t, runNode(t, b, "shares", exitFailure), "shares are off at b")
 	must.StrContains(t, runNode(t, "127.0.0.1:1", "status", exitUnreachable), "does not answer")
 }
