Workspaces that are not listed count with a spread of demands

Cause: with all of them at their mean, the requests of those above it were close to one position, nearly all of which a threshold sheds or none.

Change: the rest counts as six groups from a quarter to twice the mean.

Measured: go test ./internal/share -run AreSpread: without the change one of 64 bins has 263 of 1,000 requests of a workspace, allowed are 99. The cases of go test ./internal/admission -run 'FloodIsCut|Neighbours' are as before, with 12 workspaces none is unlisted.

--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -220,6 +221,22 @@
 	must.Nil(t, DemandOf(&overview.View{}))
 }
 
+// Guards against many requests close to one position, nearly all of which a threshold sheds or none.
+func TestRequestsOfUnlistedWorkspacesAreSpread(t *testing.T) {
+	view := viewOf([]float64{30, 30})
+	view.Total = overview.RestDemand{Workspaces: 80, PerSecond: 840}
+	view.Workspaces = []overview.WorkspaceDemand{{Workspace: "w5", PerSecond: 14}}
+	table := NewTable(DemandOf(view), NewBook(workspaceNames(80), nil, start), onlyNormal)
+	const draws, bins = 1000, 64
+	var perBin [bins]int
+	for k := range draws {
+		position, ok := table.Position("w5", callctx.LevelNormal, float64(k)/draws)
+		must.True(t, ok)
+		perBin[min(int(position*bins), bins-1)]++
+	}
+	must.Less(t, draws/10, slices.Max(perBin[:]))
+}
+
 // Guards against workspaces with a level of their own that are divided among those of another level.
 func TestLevelsAreDividedApart(t *testing.T) {
 	critical := callctx.LevelCritical
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -49,7 +49,7 @@
 		if terms.OwnLevel {
 			terms.Level = callctx.Level(i)
 		}
-		t.addMember(&members, d.restMean, terms, active*float64(g.count))
+		t.addRest(&members, terms, active*float64(g.count))
 	}
 	for level := range t.levels {
 		t.levels[level] = newCurve(members[level])
@@ -57,6 +57,18 @@
 	return t
 }
 
+// restSpread are the demands of equal parts of the workspaces that are not listed, as multiples of their
+// mean. Demands differ, and if all were taken for the mean, the requests of those above it would have the
+// same position, at which a threshold sheds all of them or none.
+var restSpread = [...]float64{0.25, 0.5, 0.75, 1, 1.5, 2}
+
+// addRest adds a number of workspaces that are not listed.
+func (t *Table) addRest(members *[callctx.Levels][]member, terms Terms, number float64) {
+	for _, multiple := range restSpread {
+		t.addMember(members, t.demand.restMean*multiple, terms, number/float64(len(restSpread)))
+	}
+}
+
 // addMember adds a number of workspaces that are alike to the levels at which they send requests.
 func (t *Table) addMember(members *[callctx.Levels][]member, rate float64, terms Terms, number float64) {
 	for level := range members {
