--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -31,6 +31,7 @@
 	cfg.Listen = settings.MeshListen{Callers: anyPort, Inner: anyPort, Ready: anyPort, Announce: anyPort, Metrics: anyPort}
 	cfg.Store.Address = store.Address()
 	cfg.Balance.Zones = true
+	cfg.Shares.Enabled = name == "a"
 	must.NoError(t, cfg.Validate())
 	m, err := mesh.Start(cfg, platform.NewAdapter(cfg, zerolog.Nop()), zerolog.Nop())
 	must.NoError(t, err)
@@ -61,7 +62,7 @@
 	}), wait.Timeout(15*time.Second), wait.Gap(20*time.Millisecond)))
 }
 
-// Guards against node commands that show wrong or unfiltered routes, differences, members or quotas, or
+// Guards against node commands that show wrong or unfiltered routes, differences, members, quotas or shares, or
 // do not report an unreachable node with its exit code.
 func TestNodeCommandsShowStateOfOneNode(t *testing.T) {
 	a, b := startMeshNode(t, "a", 3, "archive"), startMeshNode(t, "b", 4, "letters")
@@ -77,5 +78,9 @@
 	must.StrContains(t, quotas, "version 3")
 	must.StrNotContains(t, quotas, "south")
 	must.StrNotContains(t, runNode(t, a, "quotas --workspace south", exitOK), "north")
+	shares := runNode(t, a, "shares --workspace south", exitOK)
+	must.StrContains(t, shares, "south")
+	must.StrNotContains(t, shares, "north")
+	must.StrContains(t, runNode(t, b, "shares", exitFailure), "shares are off at b")
 	must.StrContains(t, runNode(t, "127.0.0.1:1", "status", exitUnreachable), "does not answer")
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,6 +53,7 @@
 	crashReporter   *crashReporter
 	routes          *routeKeeper
 	quotas          *quotas
+	shares          *shares
 	local           *localUpstream
 	guardTicker     *guardTicker
 	overview        *overviewExchange
@@ -152,7 +153,7 @@
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
-	m.quotas = newQuotas(m)
+	m.quotas, m.shares = newQuotas(m), newShares(m)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
@@ -218,6 +219,7 @@
 	ctx := m.ctx
 	m.serve()
 	m.spawn(func() { m.guardTicker.run(ctx) })
+	m.spawn(func() { m.shares.run(ctx) })
 	m.spawn(func() { m.followRoutes(ctx) })
 	m.spawn(func() { m.publisher.run(ctx) })
 	m.spawn(func() { m.crashReporter.run(ctx) })
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -31,6 +31,8 @@
 	Records []MemberState  `json:"records"`
 	// Quotas are the quotas of the workspaces that have one.
 	Quotas []quota.State `json:"quotas,omitempty"`
+	// Shares is nil while shares are off.
+	Shares *SharesState `json:"shares,omitempty"`
 	// Overview is what the node knows of all zones; nil if there is no recent view.
 	Overview *OverviewState `json:"overview,omitempty"`
 	// Zones are the decisions on the services that the zone calls.
@@ -91,6 +93,7 @@
 		Guard:   m.guardState(),
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
+		Shares:  m.shares.state(now),
 
 		Overview: m.overview.state(now),
 		Zones:    m.zoneBalance.state(),
@@ -150,6 +153,7 @@
 		metrics.OverviewAgeMillis:  m.overview.ageMillis(),
 		metrics.ZoneShareMilli:     int64(1000 * m.zoneBalance.highestShare()),
 		metrics.CallsOtherZones:    m.node.Table().CallsAway(),
+		metrics.SharesDividing:     boolGauge(s.Shares != nil && s.Shares.Dividing),
 		metrics.StoreCalls:         s.Store.Calls,
 		metrics.StoreFailures:      s.Store.Failures,
 		metrics.StoreBytesSent:     s.Store.BytesSent,
--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -80,15 +80,15 @@
 	zone := zoneName(m.cfg.Region, m.cfg.Zone)
 	return &overviewExchange{
 		mesh: m, zone: zone, collector: overview.NewCollector(zone), cooldowns: cooldowns{},
-		sources:   []overviewSource{newOwnLoad(m)},
-		consumers: []overviewConsumer{m.zoneBalance},
+		sources:   []overviewSource{newOwnLoad(m), m.shares},
+		consumers: []overviewConsumer{m.shares, m.zoneBalance},
 	}
 }
 
 // exchangeWanted reports whether a setting in force needs the overview. workspaces is the number of
 // workspaces in the configuration, and zones that of the availability zones.
 func exchangeWanted(s *settings.Mesh, workspaces, zones int) bool {
-	return s.Balance.Zones && zones > 1
+	return s.Balance.Zones && zones > 1 || s.Shares.Enabled && workspaces > 1
 }
 
 func (x *overviewExchange) wanted() bool {
--- a/internal/overview/answer.go
+++ b/internal/overview/answer.go
@@ -14,6 +14,7 @@
 	services, calls []map[string]int
 	// workspaces is the demand over all zones.
 	workspaces map[string]float64
+	top        []WorkspaceDemand
 	total      RestDemand
 }
 
@@ -46,9 +47,20 @@
 		s.workspaces[name] = bounded(rate)
 	}
 	s.total.Workspaces = len(s.workspaces) + unlisted
+	s.top = s.sorted()[:min(len(s.workspaces), MaxTopWorkspaces)]
 	return s
 }
 
+// sorted returns the demand of all workspaces that a zone lists, the highest first.
+func (s *sums) sorted() []WorkspaceDemand {
+	list := make([]WorkspaceDemand, 0, len(s.workspaces))
+	for name, rate := range s.workspaces {
+		list = append(list, WorkspaceDemand{name, rate})
+	}
+	sortWorkspaces(list)
+	return list
+}
+
 // answer returns the part of the sums that concerns the workspaces and services of a report.
 func (s *sums) answer(now time.Time, r *Report) *View {
 	v := &View{Total: s.total}
@@ -57,6 +69,9 @@
 			v.Workspaces = append(v.Workspaces, WorkspaceDemand{w.Workspace, rate})
 		}
 	}
+	if len(r.Workspaces) > 0 {
+		v.Top = s.top
+	}
 	names := servicesOf(r)
 	for i := range s.zones {
 		z := s.summary(now, i)
@@ -94,11 +109,8 @@
 
 // all returns all sums.
 func (s *sums) all(now time.Time) *View {
-	v := &View{Total: s.total}
-	for name, rate := range s.workspaces {
-		v.Workspaces = append(v.Workspaces, WorkspaceDemand{name, rate})
-	}
-	v.Workspaces, _ = topWorkspaces(v.Workspaces)
+	v := &View{Total: s.total, Top: s.top}
+	v.Workspaces, _ = topWorkspaces(s.sorted())
 	for i := range s.zones {
 		z := s.summary(now, i)
 		z.Services, z.Calls = s.zones[i].Services, s.zones[i].Calls
--- a/internal/overview/check.go
+++ b/internal/overview/check.go
@@ -87,6 +87,12 @@
 	if v.Total.Workspaces < 0 || !inRange(v.Total.PerSecond) {
 		return &FieldError{"total", v.Total, "at least 0"}
 	}
+	if len(v.Top) > MaxTopWorkspaces {
+		return &FieldError{"top", len(v.Top), fmt.Sprintf("at most %d", MaxTopWorkspaces)}
+	}
+	if err := checkWorkspaces(v.Top); err != nil {
+		return err
+	}
 	return checkWorkspaces(v.Workspaces)
 }
 
--- a/internal/overview/sum.go
+++ b/internal/overview/sum.go
@@ -90,12 +90,17 @@
 	return c
 }
 
-// topWorkspaces sorts workspaces by demand, the highest first, and returns at most MaxWorkspaces of
-// them and the sum of the others.
-func topWorkspaces(list []WorkspaceDemand) ([]WorkspaceDemand, RestDemand) {
+// sortWorkspaces sorts workspaces by demand, the highest first.
+func sortWorkspaces(list []WorkspaceDemand) {
 	slices.SortFunc(list, func(a, b WorkspaceDemand) int {
 		return cmp.Or(cmp.Compare(b.PerSecond, a.PerSecond), cmp.Compare(a.Workspace, b.Workspace))
 	})
+}
+
+// topWorkspaces sorts workspaces by demand, the highest first, and returns at most MaxWorkspaces of
+// them and the sum of the others.
+func topWorkspaces(list []WorkspaceDemand) ([]WorkspaceDemand, RestDemand) {
+	sortWorkspaces(list)
 	if len(list) <= MaxWorkspaces {
 		return list, RestDemand{}
 	}
--- a/internal/overview/types.go
+++ b/internal/overview/types.go
@@ -101,6 +101,10 @@
 	Zones []Zone `json:"zones"`
 	// Workspaces is the demand of the workspaces in the node's report, over all zones.
 	Workspaces []WorkspaceDemand `json:"workspaces,omitempty"`
+	// Top is the demand of the workspaces with the highest demand over all zones, at most
+	// MaxTopWorkspaces and the highest first. It is the same for all nodes whose report names a
+	// workspace, and empty for others.
+	Top []WorkspaceDemand `json:"top,omitempty"`
 	// Total is the demand of all workspaces over all zones, listed or not.
 	Total RestDemand `json:"total"`
 	// ReceivedAt is the time at which the node received the view.
@@ -111,6 +115,8 @@
 const (
 	// MaxWorkspaces bounds the workspaces of a report and of a zone.
 	MaxWorkspaces = 64
+	// MaxTopWorkspaces bounds the workspaces that each view lists.
+	MaxTopWorkspaces = 16
 	// MaxKinds bounds the kinds of calls of one service.
 	MaxKinds = 16
 	// MaxCalls bounds the services that a node reports calls to.
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,7 @@
 	Stop      MeshStop     `json:"stop"`
 	Retries   Retries      `json:"retries"`
 	Quotas    Quotas       `json:"quotas"`
+	Shares    Shares       `json:"shares"`
 	Balance   Balance      `json:"balance"`
 	Logging   Logging      `json:"logging"`
 }
@@ -151,7 +152,7 @@
 
 // Validate returns a *FieldError for the first invalid field, or nil.
 func (m *Mesh) Validate() error {
-	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateRanges, m.Logging.validate} {
+	for _, check := range []func() error{m.validateNames, m.validateAddresses, m.validateRanges, m.Shares.validate, m.Logging.validate} {
 		if err := check(); err != nil {
 			return err
 		}
