Calls that wait at a guard are handed back while other upstreams have free slots

Cause: a call stays in the queue that it came to. Where upstreams differ in speed, or one becomes slow, calls wait there while slots of its neighbours are idle; the senders learn it from later responses.

Change: with balance.hand_back a guard returns calls that wait, with result 2018 (not run), and the sender places them at another upstream at no cost to the retry allowance. internal/handback decides how many, from the expected wait, the room that senders report with their calls, and the guard's part of all queues.

--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -103,6 +103,9 @@
 	}
 }
 
+// minStartRate is the lowest rate of starts, per adjustment interval, by which a delay is estimated.
+const minStartRate = 0.5
+
 // standingDelay returns the delay that the queue had throughout the interval: by Little's law,
 // its minimum length divided by the rate of starts. For a FIFO queue this equals the minimum
 // sojourn time that CoDel uses. The minimum sojourn time itself is not usable here: important
@@ -111,7 +114,7 @@
 	if c.leastQueued == 0 {
 		return 0
 	}
-	return time.Duration(float64(c.leastQueued) / max(c.startRate, 0.5) * float64(elapsed))
+	return time.Duration(float64(c.leastQueued) / max(c.startRate, minStartRate) * float64(elapsed))
 }
 
 // mayStart reports whether a slot and, under a rate limit, a token is free.
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -31,6 +31,8 @@
 	Depth int
 	// HasPriorWork is set if other calls of the same tree have already been served.
 	HasPriorWork bool
+	// MayBeHandedBack is set if the call's sender takes it back while it waits.
+	MayBeHandedBack bool
 }
 
 // Verdict is the result of a decision.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -143,6 +143,7 @@
 
 		OnUpstreamLeaving: m.local.saidLeaving,
 	})
+	m.applyBalance()
 	m.crashReporter.guard = m.node.Guard()
 	m.peers.Bind(m.node)
 	m.upstream.Bind(m.node)
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -2,8 +2,8 @@
 
 import "github.com/galenagrade/galenagrade/internal/settings"
 
-// Reload applies the settings that may change while the node runs: retry budgets, the grace of a
-// stop, the store's address. next must be valid. It returns the names of the changed fields that
+// Reload applies the settings that may change while the node runs: retry budgets, the balance of
+// upstreams, the grace of a stop, the store's address. next must be valid. It returns the names of the changed fields that
 // need a restart; those keep their old values.
 func (m *Mesh) Reload(next *settings.Mesh) []string {
 	previous := m.tunable.Load()
@@ -19,11 +19,12 @@
 		m.routes.follower.resyncNow()
 		m.membersFollower.resyncNow()
 	}
+	m.applyBalance()
 	m.members.refresh()
 	m.routes.refresh()
 	needRestart := m.cfg.NeedRestart(next)
 	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Int("retry_floor", next.Retries.Floor).
-		Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
+		Bool("hand_back", next.Balance.HandBack).Bool("speeds", next.Balance.Speeds).Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
 	return needRestart
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -44,6 +44,12 @@
 	// to other nodes.
 	QuotaAsked
 	QuotaGranted
+	// CallsHandedBack counts waiting calls that this node's guard handed back to their senders.
+	// CallsReplaced counts calls of this node that were handed back and sent to another upstream,
+	// and CallsReturned those sent to the same one again, because no other takes them.
+	CallsHandedBack
+	CallsReplaced
+	CallsReturned
 	numCounters
 )
 
@@ -78,6 +84,9 @@
 	CrashRecordsGossiped:    "quarantine.suspects_spread",
 	QuotaAsked:              "quota.asked",
 	QuotaGranted:            "quota.granted",
+	CallsHandedBack:         "handback.given",
+	CallsReplaced:           "handback.placed",
+	CallsReturned:           "handback.returned",
 }
 
 // String returns the name in the JSON document.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/handback"
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -39,6 +40,11 @@
 	KnownNotice *routing.ProcessNotice
 	// CrashRecords are the records of upstreams that crashed while running this request.
 	CrashRecords []quarantine.CrashRecord
+	// HandBacks is how many times the call may be handed back while it waits; 0 if its sender does
+	// not take it back.
+	HandBacks int
+	// Room is what the sender knows of the upstreams of the service; sent only with HandBacks.
+	Room handback.Room
 	// Reattach means that an earlier transmission of the same call ID got no response.
 	Reattach bool
 	// Sampled means that the call's events are recorded, because it was sampled, or was refused
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -72,7 +72,11 @@
 	retries          int
 	// reroutes counts the attempts that did not reach an upstream and were followed by an attempt
 	// at another node without spending the allowance.
-	reroutes         int
+	reroutes int
+	// handedBackBy are the nodes that handed the call back.
+	handedBackBy []string
+	// pinned means that only one node may run the call.
+	pinned           bool
 	crashRecords     []quarantine.CrashRecord
 	waitedForSuspect bool // waitForSuspect has paused the call
 	pause            time.Duration
@@ -168,6 +172,10 @@
 		info.SuspectedCrasher = true
 		info.Node = d.suspectNode()
 	}
+	d.pinned = info.Node != ""
+	if len(d.handedBackBy) > 0 && !d.pinned {
+		return d.pickAfterHandBack(now, info)
+	}
 	target, refusal := d.router.Table().Pick(now, d.rng, info)
 	if refusal != nil && info.Node != "" {
 		// The owner is unavailable. Any other guard can name the next owner.
@@ -203,6 +211,7 @@
 	d.ownerNode = ""
 	target.Start(now)
 	if d.node != nil {
+		d.node.offerHandBack(now, d, &attempt)
 		attempt.KnownNotice = d.node.peerNotices.of(target.Endpoint().Node)
 		d.node.recordRouted(now, d, &attempt)
 	}
@@ -259,6 +268,8 @@
 		d.redirects++
 		d.ownerNode = d.router.NodeAt(d.call.Ctx.Service, a.Refusal.Owner)
 		d.pause = wait
+	case action == retry.RetryOtherNode && d.takeBack(a):
+		d.pause = wait
 	case action == retry.RetryOtherNode && d.reroute(a):
 		d.tried = append(d.tried, d.target.Endpoint().Node)
 		d.pause = wait
@@ -290,7 +301,7 @@
 // didNotReachUpstream reports whether an attempt with this result did not reach an upstream.
 func didNotReachUpstream(c result.Code) bool {
 	switch c {
-	case result.Shed, result.QueueExpired, result.Draining, result.NoUpstream, result.Unreachable, result.Starting:
+	case result.HandedBack, result.Shed, result.QueueExpired, result.Draining, result.NoUpstream, result.Unreachable, result.Starting:
 		return true
 	}
 	return false
@@ -334,7 +345,7 @@
 // retry throttle. Results that are unrelated to the destination do not count.
 func countsAgainstThrottle(c result.Code) bool {
 	switch c {
-	case result.OwnedElsewhere, result.Cancelled, result.CancelledRunning, result.KeyReused, result.Quarantined:
+	case result.HandedBack, result.OwnedElsewhere, result.Cancelled, result.CancelledRunning, result.KeyReused, result.Quarantined:
 		return false
 	}
 	return true
@@ -351,6 +362,8 @@
 		return routing.Cancelled
 	case a.Code == result.DeadlinePassed:
 		return routing.Slow
+	case a.Code == result.HandedBack:
+		return routing.HandedBack
 	case a.Code.Ran() == result.RanNo:
 		return routing.Refused
 	default:
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/metrics"
@@ -45,7 +46,7 @@
 		n.cfg.OnRefused(call, a.Refusal)
 	}
 	attempts := d.attempts
-	if a.Complete() && a.Code != result.UpstreamFailed && attempts == 1 && !call.Sampled {
+	if a.Complete() && a.Code != result.UpstreamFailed && attempts == 1+len(d.handedBackBy) && !call.Sampled {
 		return
 	}
 	kind := timeline.CallAnswered
@@ -54,6 +55,9 @@
 		kind = timeline.CallRefused
 		detail = fmt.Sprintf("attempts %d: %s", attempts, a.Refusal.Detail)
 	}
+	if len(d.handedBackBy) > 0 {
+		detail += fmt.Sprintf("; handed back while waiting by %s", strings.Join(d.handedBackBy, ", "))
+	}
 	e := callEvent(kind, call)
 	e.Code = a.Code
 	e.Upstream = a.Upstream
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -141,6 +141,7 @@
 	// it without the lock, and look up no records while it is false.
 	hasCrashRecords atomic.Bool
 	onCrashRecords  func([]quarantine.CrashRecord)
+	moves           moves
 	// onLeaving is called after the upstream said in a response that it leaves; may be nil.
 	onLeaving func()
 }
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -16,7 +16,9 @@
 	g.mu.Lock()
 	var deferred callbacks
 	g.mergeNoticeLocked(now, call.KnownNotice, &deferred)
+	g.moves.note(now, call)
 	token, response = g.arriveLocked(now, call, w, &deferred)
+	g.handBackLocked(now, &deferred)
 	g.mu.Unlock()
 	deferred.run()
 	return token, response
@@ -165,5 +167,7 @@
 		RootAdmitted: call.Ctx.RootAdmitted,
 		Depth:        call.Ctx.Depth,
 		HasPriorWork: call.HasPriorWork,
+
+		MayBeHandedBack: call.HandBacks > 0,
 	}
 }
--- /dev/null
+++ b/internal/node/guard_handback.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/handback"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/result"
+)
+
+// moves is the state by which a guard hands back waiting calls.
+type moves struct {
+	enabled bool
+	decider handback.Decider
+	// told is the room that the sender of the last call knew, and overall that of the deployment's
+	// view. told is newer.
+	told, overall handback.Room
+}
+
+// note records what the sender of a call knows of the upstreams of the service.
+func (m *moves) note(now time.Time, call *Call) {
+	if m.enabled && call.HandBacks > 0 && call.Room.Usable(now) {
+		m.told = call.Room
+	}
+}
+
+func (m *moves) room(now time.Time) handback.Room {
+	if m.told.Usable(now) {
+		return m.told
+	}
+	return m.overall
+}
+
+// SetHandBack sets whether waiting calls are handed back to senders that take them.
+func (g *Guard) SetHandBack(enabled bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moves.enabled = enabled
+}
+
+// SetRoom sets what is known of the upstreams of the service from the view of the deployment.
+func (g *Guard) SetRoom(r handback.Room) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moves.overall = r
+}
+
+// handBackLocked returns calls to their senders that wait here while other upstreams have free slots.
+// Only a queued call is handed back: it has not started, and it never starts here afterwards.
+func (g *Guard) handBackLocked(now time.Time, deferred *callbacks) {
+	if !g.moves.enabled || g.draining || !g.upstreamUp {
+		return
+	}
+	backlog := g.admission.Backlog()
+	room := g.moves.room(now)
+	n := g.moves.decider.Allow(now, backlog, room)
+	if n == 0 {
+		return
+	}
+	ids := g.admission.HandBack(now, n, g.mayHandBackLocked)
+	g.moves.decider.Spend(len(ids))
+	for _, id := range ids {
+		e := g.calls[id]
+		refusal := result.Refuse(result.HandedBack, "expected wait %v with %d calls queued, %.0f slots free elsewhere",
+			backlog.Wait.Round(time.Millisecond), backlog.Queued, room.Free)
+		g.events.handedBack(now, e.call, refusal)
+		g.endLocked(now, e, Refused(id, refusal), deferred)
+	}
+}
+
+// mayHandBackLocked reports whether a call waits for one caller only and may run at any upstream. A
+// call with joins stays, since the senders of the joined calls may not know the result, and so does a
+// re-attached one, whose first transmission may still arrive.
+func (g *Guard) mayHandBackLocked(id string) bool {
+	e, ok := g.calls[id]
+	if !ok || e.phase != phaseQueued || e.call.Reattach {
+		return false
+	}
+	pinned := e.call.Keyed() && !g.authority.NeedsClaim(e.call)
+	return !pinned && len(e.waiters) == 1 && len(e.joins) == 0 && len(e.call.CrashRecords) == 0
+}
+
+// handedBack records that a waiting call was returned to its sender.
+func (o *eventRecorder) handedBack(now time.Time, call *Call, r *result.Refusal) {
+	o.inc(metrics.CallsHandedBack)
+	if o.sampled(call) {
+		o.refused(now, call, r)
+	}
+}
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -125,6 +125,7 @@
 	g.mu.Lock()
 	var deferred callbacks
 	g.applyLocked(now, g.admission.Tick(now), &deferred)
+	g.handBackLocked(now, &deferred)
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshHasCrashRecordsLocked(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 
 	throttles   sync.Map // service name to *throttle
 	peerNotices peerNotices
+	// takesBack is set while this node takes back its calls that wait at a guard.
+	takesBack atomic.Bool
 
 	// endpoints are the endpoints of the current routing table. Only the control loop, which
 	// also sets the configuration, accesses endpoints and overrides.
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -73,8 +73,12 @@
 		return
 	}
 	s := d.target.Stats()
-	n.recordCall(now, timeline.CallRouted, attempt, 0, d.target.Endpoint().Node, fmt.Sprintf("attempt %d of call %s; target: %d in flight from here, reported %d of %d in flight and %d queued",
-		d.attempts, d.call.Ctx.CallID, s.InFlight, s.Report.InFlight, s.Report.Limit, s.Report.Queued))
+	detail := fmt.Sprintf("attempt %d of call %s; target: %d in flight from here, reported %d of %d in flight and %d queued",
+		d.attempts, d.call.Ctx.CallID, s.InFlight, s.Report.InFlight, s.Report.Limit, s.Report.Queued)
+	if len(d.handedBackBy) > 0 {
+		detail += "; handed back by " + d.handedBackBy[len(d.handedBackBy)-1]
+	}
+	n.recordCall(now, timeline.CallRouted, attempt, 0, d.target.Endpoint().Node, detail)
 }
 
 // recordRetried records the failed attempt of a call that is retried. From here on the call's
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -39,6 +39,8 @@
 	headerNotice = "Galena-Inner-Notice"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
+	// headerHandBack carries Call.HandBacks and Call.Room.
+	headerHandBack = "Galena-Inner-Hand-Back"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
 	// that cannot reach the store detects from its peers that its routes are outdated.
 	headerConfig = "Galena-Inner-Config"
@@ -63,6 +65,9 @@
 	if call.KnownNotice != nil {
 		fields = append(fields, h1.Field{Name: headerNotice, Value: encodeNotice(call.KnownNotice)})
 	}
+	if call.HandBacks > 0 {
+		fields = append(fields, h1.Field{Name: headerHandBack, Value: encodeHandBack(call, c.peers.node.Now())})
+	}
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
@@ -83,7 +88,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 8
+const maxInnerFields = 9
 
 func (c *peerCall) callHeader(call *node.Call) *innerpb.CallHeader {
 	h := inner.FromContext(&call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
@@ -212,7 +217,7 @@
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	p.node.ObserveClock(h.GetHlc())
-	return &node.Call{
+	call := &node.Call{
 		Ctx:          *inner.ToContext(h, p.node.Now()),
 		Method:       r.Header.Get(headerMethod),
 		Target:       r.Header.Get(headerTarget),
@@ -228,6 +233,8 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
+	call.HandBacks, call.Room = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
+	return call
 }
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -67,6 +67,9 @@
 	// QuotaUnknown means that none of the nodes that hold a part of the workspace's quota
 	// responded.
 	QuotaUnknown Code = 2017
+	// HandedBack means that the guard returned a waiting call to its sender, because another
+	// upstream has a free slot.
+	HandedBack Code = 2018
 
 	// LostAnswer means that the call was sent and no complete response was received.
 	LostAnswer Code = 3001
@@ -137,6 +140,7 @@
 	RetryBudgetExhausted: {"repeats_spent", RanNo, 503, "guard has used up its retry budget for the service"},
 	QuotaExceeded:        {"quota_spent", RanNo, 429, "workspace exceeds its quota"},
 	QuotaUnknown:         {"quota_unknown", RanNo, 503, "no node with a part of the workspace's quota responded"},
+	HandedBack:           {"handed_back", RanNo, 503, "waited at a guard while another upstream had a free slot, and was given back"},
 	LostAnswer:           {"lost_answer", RanUnknown, 502, "call was sent and no complete response was received"},
 	DeadlinePassed:       {"deadline_passed", RanUnknown, 504, "deadline passed while the call ran"},
 	OutcomeUnknown:       {"outcome_unknown", RanUnknown, 503, "an earlier owner of the key may have run the call"},
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -14,7 +14,7 @@
 	// GiveUp returns the outcome to the caller unchanged.
 	GiveUp Action = iota
 	// RetryOtherNode sends the call to another node with a new call ID. It costs one retry of the
-	// allowance.
+	// allowance, unless the attempt did not reach an upstream.
 	RetryOtherNode
 	// AskOwner sends the call to Attempt.Owner. It costs no allowance.
 	AskOwner
@@ -82,6 +82,8 @@
 		return decideOwner(a, p)
 	case classOverloaded:
 		return decideRefused(a, p, p.retryBackoff(a))
+	case classHandedBack:
+		return decideRefused(a, p, 0)
 	case classUnavailable:
 		return decideRefused(a, p, p.unavailableBackoff(a))
 	case classOutcomeUnknown:
@@ -113,6 +115,8 @@
 	classOverloaded
 	// classUnavailable did not run, for a reason that does not indicate load on other nodes.
 	classUnavailable
+	// classHandedBack did not run because another node has capacity.
+	classHandedBack
 	// classOwnedElsewhere did not run because another guard owns the decision.
 	classOwnedElsewhere
 	// classOutcomeUnknown may have run.
@@ -129,6 +133,8 @@
 		return classOverloaded
 	case result.Draining, result.Unreachable, result.Starting, result.NoUpstream:
 		return classUnavailable
+	case result.HandedBack:
+		return classHandedBack
 	case result.OwnedElsewhere:
 		return classOwnedElsewhere
 	case result.LostAnswer, result.AnswerCut, result.AnswerMismatch:
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -113,6 +113,9 @@
 	// Cancelled means that the sender cancelled the call for reasons of its own. The only thing it
 	// shows about the target is that no response had arrived yet.
 	Cancelled
+	// HandedBack means that the guard returned the waiting call, because other upstreams have free
+	// slots. It shows no fault of the target.
+	HandedBack
 	// Slow means that the deadline passed, or the attempt was abandoned, without a response from
 	// the target.
 	Slow
@@ -131,6 +134,8 @@
 		return "unreachable"
 	case Cancelled:
 		return "cancelled"
+	case HandedBack:
+		return "handed back"
 	case Slow:
 		return "slow"
 	}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -31,6 +31,8 @@
 	// report has expired.
 	meanLoad average
 
+	room roomCell
+
 	// ejectionMu serialises ejections, so that concurrent ones cannot exceed the cap. Pick never
 	// locks it.
 	ejectionMu sync.Mutex
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -122,7 +122,7 @@
 // latency had passed.
 func (g *Target) updateUnansweredSince(at int64, o Outcome, latency time.Duration, ownInFlight int64) {
 	switch {
-	case o == Answered || o == Refused || o == Failed:
+	case o == Answered || o == Refused || o == HandedBack || o == Failed:
 		g.respondedAt.Store(at)
 		if ownInFlight == 0 {
 			at = 0
@@ -184,7 +184,7 @@
 
 func (g *Target) recordOutcome(o Outcome) {
 	switch {
-	case o == Cancelled:
+	case o == Cancelled || o == HandedBack:
 		return
 	case o == Answered:
 		g.slowStart.answers.Add(1)
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,7 @@
 	Stop      MeshStop     `json:"stop"`
 	Retries   Retries      `json:"retries"`
 	Quotas    Quotas       `json:"quotas"`
+	Balance   Balance      `json:"balance"`
 	Logging   Logging      `json:"logging"`
 }
 
@@ -109,6 +110,15 @@
 	Slack float64 `json:"slack"`
 }
 
+// Balance configures how calls are spread over the upstreams of a service. Default: all off.
+type Balance struct {
+	// HandBack returns calls that wait at a guard to their senders while other upstreams have free
+	// slots.
+	HandBack bool `json:"hand_back"`
+	// Speeds weighs the slots of an upstream by its speed as measured.
+	Speeds bool `json:"speeds"`
+}
+
 // LoadMesh reads the settings file at path, fills in defaults and validates it. Errors name the
 // path.
 func LoadMesh(path string) (*Mesh, error) { return load(path, ParseMesh) }
--- a/internal/settings/mesh_test.go
+++ b/internal/settings/mesh_test.go
@@ -18,6 +18,7 @@
 	must.NoError(t, err)
 	must.EqOp(t, 0.2, m.Retries.Ratio)
 	must.EqOp(t, "6s", m.Stop.Grace.String())
+	must.EqOp(t, Balance{}, m.Balance)
 }
 
 // Guards against a rejected settings file whose error does not name the invalid field.
@@ -33,6 +34,8 @@
 		"quotas.window":         withField(`"quotas":{"window":"1ms"}`),
 		"quotas.overage":        withField(`"quotas":{"overage":-1}`),
 		"quotas.slack":          withField(`"quotas":{"slack":-1}`),
+		"balance.hand_back":     withField(`"balance":{"hand_back":1}`),
+		"balance.speeds":        withField(`"balance":{"speeds":"yes"}`),
 		"stop.grace":            withField(`"stop":{"grace":"1ms"}`),
 		"resources.memory_mb":   withField(`"resources":{"memory_mb":1}`),
 		"resources.descriptors": withField(`"resources":{"descriptors":"many"}`),
