--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -55,6 +55,7 @@
 	quotas          *quotas
 	local           *localUpstream
 	guardTicker     *guardTicker
+	overview        *overviewExchange
 
 	listeners listeners
 	servers   servers
@@ -98,6 +99,7 @@
 		return nil, errors.Wrap(err, "start node")
 	}
 	m.build()
+	m.applyBalance()
 	m.run()
 	return m, nil
 }
@@ -143,7 +145,6 @@
 
 		OnUpstreamLeaving: m.local.saidLeaving,
 	})
-	m.applyBalance()
 	m.crashReporter.guard = m.node.Guard()
 	m.peers.Bind(m.node)
 	m.upstream.Bind(m.node)
@@ -161,6 +162,7 @@
 	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
+	m.overview = newOverviewExchange(m)
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
@@ -222,6 +224,8 @@
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.spawn(func() { m.adoptUpstream(ctx) })
 	m.spawn(func() { m.compareOffsets(ctx) })
+	m.spawn(func() { m.overview.runReports(ctx) })
+	m.spawn(func() { m.overview.runZones(ctx) })
 	m.node.Event(m.node.Now(), timeline.Event{Kind: timeline.NodeStarted})
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -50,6 +50,12 @@
 	CallsHandedBack
 	CallsReplaced
 	CallsReturned
+	// OverviewReports counts views received from the collector of the zone, OverviewReportFailures
+	// reports that a collector did not answer, and OverviewZoneFailures failed exchanges of sums with
+	// other zones.
+	OverviewReports
+	OverviewReportFailures
+	OverviewZoneFailures
 	numCounters
 )
 
@@ -87,6 +93,9 @@
 	CallsHandedBack:         "handback.given",
 	CallsReplaced:           "handback.placed",
 	CallsReturned:           "handback.returned",
+	OverviewReports:         "overview.reports",
+	OverviewReportFailures:  "overview.report_failures",
+	OverviewZoneFailures:    "overview.zone_failures",
 }
 
 // String returns the name in the JSON document.
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -142,6 +142,7 @@
 	hasCrashRecords atomic.Bool
 	onCrashRecords  func([]quarantine.CrashRecord)
 	moves           moves
+	pace            pace
 	// onLeaving is called after the upstream said in a response that it leaves; may be nil.
 	onLeaving func()
 }
@@ -181,6 +182,7 @@
 		Draining:    l.Draining || g.draining,
 		TreesFail:   l.TreesFail,
 		Incarnation: g.incarnation,
+		Speed:       g.pace.relative,
 		Notice:      g.sharedNoticeLocked(),
 	}
 }
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -24,6 +24,7 @@
 	g.upstreamIncarnation = uint64(now.UnixNano())
 	g.process, g.notice, g.noticeConfirmed = routing.Process{}, routing.UpstreamNotice{}, false
 	g.admission = admission.New(cfg, now)
+	g.pace.reset()
 }
 
 // UpstreamReplaced puts another process of the upstream into service. Calls that wait for the
@@ -54,6 +55,7 @@
 	g.slots = cfg.Slots
 	g.upstreamIncarnation = uint64(now.UnixNano())
 	g.admission = admission.New(cfg, now)
+	g.pace.reset()
 	g.process, g.notice = notice.Process, notice.UpstreamNotice
 	g.noticeConfirmed = false
 	if notice.RateLimited {
--- a/internal/proxy/handback_test.go
+++ b/internal/proxy/handback_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/handback"
 	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
 // Guards against a malformed header that lets a call be handed back without end, or a guard believe
@@ -33,3 +34,15 @@
 		}
 	})
 }
+
+// Guards against a speed of another node that makes a target look idle under any load.
+func FuzzDecodeSpeed(f *testing.F) {
+	for _, seed := range []string{"", "1", "1.37", "0", "-1", "NaN", "Inf", "1e400", "0x1p-2", "1,5", "4.0000000000000000000001"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s := decodeSpeed(text)
+		must.True(t, s == speed.Unknown || s >= speed.Min && s <= speed.Max, must.Sprint(s))
+		must.InDelta(t, s, decodeSpeed(encodeSpeed(s)), 0.005)
+	})
+}
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -16,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
 const (
@@ -37,6 +38,8 @@
 	headerTreesFail = "Galena-Inner-Trees-Fail"
 	// headerNotice carries LoadReport.Notice in responses and Call.KnownNotice in requests.
 	headerNotice = "Galena-Inner-Notice"
+	// headerSpeed carries LoadReport.Speed if it is known.
+	headerSpeed = "Galena-Inner-Speed"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
 	// headerHandBack carries Call.HandBacks and Call.Room.
@@ -141,6 +144,7 @@
 	}
 	if resp.Load != nil {
 		resp.Load.TreesFail = httpResp.Header.Get(headerTreesFail) != ""
+		resp.Load.Speed = decodeSpeed(httpResp.Header.Get(headerSpeed))
 		resp.Load.Notice = decodeNotice(httpResp.Header.Get(headerNotice))
 	}
 	resp.ShedThreshold, resp.SheddingService = decodeSheds(httpResp.Header.Get(headerSheds))
@@ -266,6 +270,9 @@
 	if resp.Load != nil && resp.Load.TreesFail {
 		out.Set(headerTreesFail, "1")
 	}
+	if resp.Load != nil && resp.Load.Speed != speed.Unknown {
+		out.Set(headerSpeed, encodeSpeed(resp.Load.Speed))
+	}
 	if resp.Load != nil && resp.Load.Notice != nil {
 		out.Set(headerNotice, encodeNotice(resp.Load.Notice))
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -61,6 +61,8 @@
 	TreesFail bool
 	// Incarnation identifies the process that made the report; 0 if unknown.
 	Incarnation uint64
+	// Speed is the speed of the upstream relative to its service; 0 if unknown.
+	Speed float64
 	// Notice is what the upstream says about itself; nil if it says nothing.
 	Notice *ProcessNotice
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/speed"
+)
 
 const (
 	// Bounds of the latency factor. A latency below the mean does not lower the score, so that one
@@ -65,12 +69,34 @@
 		otherWork = weight*g.report.otherWork() + (1-weight)*otherWork
 	}
 	work := float64(g.inFlight.Load()) + otherWork + 1
-	return work / capacity * g.latencyFactor(at, cfg) * g.failureFactor(at, cfg)
+	relative, known := g.relativeSpeed(at)
+	latency := g.latencyFactor(at, cfg, relative)
+	if known {
+		// The speed accounts for usual differences of latency by kind of call.
+		latency = max(latency/speedDeviation, minLatencyFactor)
+	}
+	return work / (capacity * relative) * latency * g.failureFactor(at, cfg)
+}
+
+// speedDeviation is the ratio of a target's latency to that expected by its speed up to which the
+// latency doesn't count: the target may receive longer calls than others. Beyond it the sender knows
+// better than the guard, which can't see the path, and measures over seconds.
+const speedDeviation = 2
+
+// relativeSpeed returns the speed of the target relative to its service; 1 if it is unknown or older
+// than speed.MaxAge.
+func (g *Target) relativeSpeed(at int64) (relative float64, known bool) {
+	reportedAt := g.speedAt.Load()
+	if reportedAt == 0 || at-reportedAt > int64(speed.MaxAge) {
+		return 1, false
+	}
+	return g.speed.load(), true
 }
 
-// latencyFactor compares the target's latency with the mean of its service.
-func (g *Target) latencyFactor(at int64, cfg *Config) float64 {
-	mean := g.svc.meanLatency.load()
+// latencyFactor compares the target's latency with that of an upstream of the given speed, by the mean
+// of its service.
+func (g *Target) latencyFactor(at int64, cfg *Config, relative float64) float64 {
+	mean := g.svc.meanLatency.load() / relative
 	if mean == 0 {
 		return 1
 	}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -32,6 +32,8 @@
 	meanLoad average
 
 	room roomCell
+	// calls counts the calls for which a target was to be chosen, without their retries.
+	calls atomic.Int64
 
 	// ejectionMu serialises ejections, so that concurrent ones cannot exceed the cap. Pick never
 	// locks it.
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -117,6 +117,9 @@
 	HandBack bool `json:"hand_back"`
 	// Speeds weighs the slots of an upstream by its speed as measured.
 	Speeds bool `json:"speeds"`
+	// Zones sends a share of a zone's calls to other zones with more room, before its own queues
+	// build.
+	Zones bool `json:"zones"`
 }
 
 // LoadMesh reads the settings file at path, fills in defaults and validates it. Errors name the
--- a/internal/speed/meter.go
+++ b/internal/speed/meter.go
@@ -47,7 +47,7 @@
 }
 
 // Meter holds the service times of an upstream by kind of call, for at most overview.MaxKinds kinds.
-// Older samples weigh less, and a kind without samples is forgotten. The zero value is ready. It is not
+// Older samples weigh less, and a kind without samples expires. The zero value is ready. It is not
 // safe for concurrent use.
 type Meter struct {
 	kinds [overview.MaxKinds]kindSum
