--- a/internal/handback/handback.go
+++ b/internal/handback/handback.go
@@ -25,7 +25,7 @@
 	// another upstream.
 	minWait = 5 * time.Millisecond
 	// waitDivisor divides the service time to give the shortest wait of slow services.
-	waitDivisor = 4
+	waitDivisor = 2
 	// minSettle is the shortest time after which calls that were handed back show in the load of
 	// the upstreams that took them.
 	minSettle = 20 * time.Millisecond
--- a/internal/speed/meter.go
+++ b/internal/speed/meter.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// timeConstant is the time in which the weight of a sample falls to 1/e.
+	// timeConstant is the time in which a rate or an unused mean falls to 1/e.
 	timeConstant = 2 * time.Second
+	// maxWeight is the number of samples that make up a mean. A frequent kind follows an upstream that
+	// becomes slow within a fraction of a second.
+	maxWeight = 64
 	// minWeight is the weight of samples from which a kind has a mean.
 	minWeight = 4
 	// maxServiceTime bounds a sample.
@@ -53,11 +56,24 @@
 	kinds [overview.MaxKinds]kindSum
 }
 
-// kindSum is the sum of the samples of a kind, each weighted by its age as of at.
+// kindSum is the sum of the samples of a kind, where newer ones weigh more.
 type kindSum struct {
 	kind            uint32
 	weight, seconds float64
-	at              time.Time
+	// calls is the number of calls of about the last timeConstant, as of at.
+	calls float64
+	at    time.Time
+}
+
+// add adds a sample to a sum that was faded to its time.
+func (k *kindSum) add(seconds float64) {
+	if k.weight >= maxWeight {
+		k.seconds *= (maxWeight - 1) / k.weight
+		k.weight = maxWeight - 1
+	}
+	k.weight++
+	k.seconds += seconds
+	k.calls++
 }
 
 // fade lowers the weights to those of now.
@@ -66,6 +82,7 @@
 		factor := math.Exp(-float64(elapsed) / float64(timeConstant))
 		k.weight *= factor
 		k.seconds *= factor
+		k.calls *= factor
 		k.at = now
 	}
 }
@@ -77,8 +94,7 @@
 		return
 	}
 	k.fade(now)
-	k.weight++
-	k.seconds += min(max(d, time.Microsecond), maxServiceTime).Seconds()
+	k.add(min(max(d, time.Microsecond), maxServiceTime).Seconds())
 }
 
 // find returns the sum of a kind, in place of the one with the least weight if there is none. It
@@ -90,12 +106,12 @@
 		if k.weight > 0 && k.kind == kind {
 			return k
 		}
-		if k.weight < least.weight {
+		if k.calls < least.calls {
 			least = k
 		}
 	}
 	least.fade(now)
-	if least.weight > 1 {
+	if least.calls > 1 {
 		return nil
 	}
 	*least = kindSum{kind: kind, at: now}
@@ -110,7 +126,7 @@
 		k := &m.kinds[i]
 		k.fade(now)
 		if k.weight >= minWeight {
-			times = append(times, overview.KindTime{Kind: k.kind, Seconds: k.seconds / k.weight, PerSecond: k.weight / timeConstant.Seconds()})
+			times = append(times, overview.KindTime{Kind: k.kind, Seconds: k.seconds / k.weight, PerSecond: k.calls / timeConstant.Seconds()})
 		}
 	}
 	slices.SortFunc(times, func(a, b overview.KindTime) int { return cmp.Compare(b.PerSecond, a.PerSecond) })
@@ -130,8 +146,8 @@
 		}
 		k.fade(now)
 		if k.weight >= minWeight {
-			there += k.weight * mean
-			here += k.seconds
+			there += k.calls * mean
+			here += k.calls * k.seconds / k.weight
 		}
 	}
 	if there == 0 || here == 0 {
