--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -103,6 +103,7 @@
 	m.build()
 	m.zoneBalance = newZoneBalance(m)
 	m.overview = newOverviewExchange(m)
+	m.applyBalance()
 	m.run()
 	return m, nil
 }
--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -78,16 +78,20 @@
 
 func newOverviewExchange(m *Mesh) *overviewExchange {
 	zone := zoneName(m.cfg.Region, m.cfg.Zone)
+	uneven := &unevenLoad{mesh: m, isNormal: true}
 	return &overviewExchange{
 		mesh: m, zone: zone, collector: overview.NewCollector(zone), cooldowns: cooldowns{},
-		sources:   []overviewSource{newOwnLoad(m), m.shares},
-		consumers: []overviewConsumer{m.shares, m.zoneBalance},
+		sources:   []overviewSource{newOwnLoad(m), uneven, m.shares},
+		consumers: []overviewConsumer{uneven, m.shares, m.zoneBalance},
 	}
 }
 
 // exchangeWanted reports whether a setting in force needs the overview. workspaces is the number of
 // workspaces in the configuration, and zones that of the availability zones.
 func exchangeWanted(s *settings.Mesh, workspaces, zones int) bool {
+	if s.Balance.HandBack || s.Balance.Speeds {
+		return true
+	}
 	return s.Balance.Zones && zones > 1 || s.Shares.Enabled && workspaces > 1
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -44,6 +44,12 @@
 	// to other nodes.
 	QuotaAsked
 	QuotaGranted
+	// CallsHandedBack counts waiting calls that this node's guard handed back to their senders.
+	// CallsReplaced counts calls of this node that were handed back and sent to another upstream,
+	// and CallsReturned those sent to the same one again, because no other takes them.
+	CallsHandedBack
+	CallsReplaced
+	CallsReturned
 	// OverviewReports counts views received from the collector of the zone, OverviewReportFailures
 	// reports that a collector did not answer, and OverviewZoneFailures failed exchanges of sums with
 	// other zones.
@@ -84,6 +90,9 @@
 	CrashRecordsGossiped:    "quarantine.suspects_spread",
 	QuotaAsked:              "quota.asked",
 	QuotaGranted:            "quota.granted",
+	CallsHandedBack:         "handback.given",
+	CallsReplaced:           "handback.placed",
+	CallsReturned:           "handback.returned",
 	OverviewReports:         "overview.reports",
 	OverviewReportFailures:  "overview.report_failures",
 	OverviewZoneFailures:    "overview.zone_failures",
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -149,6 +149,8 @@
 	// it without the lock, and look up no records while it is false.
 	hasCrashRecords atomic.Bool
 	onCrashRecords  func([]quarantine.CrashRecord)
+	moves           moves
+	pace            pace
 	// onLeaving is called after the upstream said in a response that it leaves; may be nil.
 	onLeaving func()
 }
@@ -203,6 +205,7 @@
 		Draining:    l.Draining || g.draining,
 		TreesFail:   l.TreesFail,
 		Incarnation: g.incarnation,
+		Speed:       g.pace.relative,
 		Notice:      g.sharedNoticeLocked(),
 	}
 }
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -112,6 +112,9 @@
 			a.Cause = e.cause
 		}
 		g.events.finished(now, e, a)
+		if e.process == g.upstreamIncarnation {
+			g.pace.observe(now, e.call, a, now.Sub(e.started))
+		}
 		g.noteLocked(now, e.process, a.Notice, &deferred)
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
@@ -126,6 +129,8 @@
 	g.mu.Lock()
 	var deferred callbacks
 	g.applyLocked(now, g.admission.Tick(now), &deferred)
+	g.handBackLocked(now, &deferred)
+	g.pace.update(now)
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshHasCrashRecordsLocked(now)
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -16,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
 const (
@@ -37,8 +38,12 @@
 	headerTreesFail = "Galena-Inner-Trees-Fail"
 	// headerNotice carries LoadReport.Notice in responses and Call.KnownNotice in requests.
 	headerNotice = "Galena-Inner-Notice"
+	// headerSpeed carries LoadReport.Speed if it is known.
+	headerSpeed = "Galena-Inner-Speed"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
+	// headerHandBack carries Call.HandBacks and Call.Room.
+	headerHandBack = "Galena-Inner-Hand-Back"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
 	// that cannot reach the store detects from its peers that its routes are outdated.
 	headerConfig = "Galena-Inner-Config"
@@ -64,6 +69,9 @@
 	if call.KnownNotice != nil {
 		fields = append(fields, h1.Field{Name: headerNotice, Value: encodeNotice(call.KnownNotice)})
 	}
+	if call.HandBacks > 0 {
+		fields = append(fields, h1.Field{Name: headerHandBack, Value: encodeHandBack(call, c.peers.node.Now())})
+	}
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
@@ -85,7 +93,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 8
+const maxInnerFields = 9
 
 func (c *peerCall) encodeCall(call *node.Call) string {
 	h := newCallHeader()
@@ -142,6 +150,7 @@
 	}
 	if resp.Load != nil {
 		resp.Load.TreesFail = httpResp.Header.Get(headerTreesFail) != ""
+		resp.Load.Speed = decodeSpeed(httpResp.Header.Get(headerSpeed))
 		resp.Load.Notice = decodeNotice(httpResp.Header.Get(headerNotice))
 	}
 	resp.ShedThreshold, resp.SheddingService = decodeSheds(httpResp.Header.Get(headerSheds))
@@ -250,6 +259,7 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
+	call.HandBacks, call.Room = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
 	// The request belongs to this node's own handler, which reads no header after this.
 	call.Header = callctx.KeepForwardable(r.Header)
 	return call
@@ -276,6 +286,9 @@
 	if resp.Load != nil && resp.Load.TreesFail {
 		set(headerTreesFail, "1")
 	}
+	if resp.Load != nil && resp.Load.Speed != speed.Unknown {
+		set(headerSpeed, encodeSpeed(resp.Load.Speed))
+	}
 	if resp.Load != nil && resp.Load.Notice != nil {
 		set(headerNotice, encodeNotice(resp.Load.Notice))
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -64,6 +64,8 @@
 	TreesFail bool
 	// Incarnation identifies the process that made the report; 0 if unknown.
 	Incarnation uint64
+	// Speed is the speed of the upstream relative to its service; 0 if unknown.
+	Speed float64
 	// Notice is what the upstream says about itself; nil if it says nothing.
 	Notice *ProcessNotice
 }
@@ -116,6 +118,9 @@
 	// Cancelled means that the sender cancelled the call for reasons of its own. The only thing it
 	// shows about the target is that no response had arrived yet.
 	Cancelled
+	// HandedBack means that the guard returned the waiting call, because other upstreams have free
+	// slots. It shows no fault of the target.
+	HandedBack
 	// Slow means that the deadline passed, or the attempt was abandoned, without a response from
 	// the target.
 	Slow
@@ -134,6 +139,8 @@
 		return "unreachable"
 	case Cancelled:
 		return "cancelled"
+	case HandedBack:
+		return "handed back"
 	case Slow:
 		return "slow"
 	}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
 // Gains of a target's averages. Latency rises faster than it falls: a target that slows down loses
@@ -50,6 +52,10 @@
 	// rateLimit is the number of calls per second that the upstream accepts, by the last report; 0 if it
 	// names no limit.
 	rateLimit average
+	// speed is the last known relative speed of the upstream, and speedAt when it was reported; 0 if
+	// never. It outlives the guard's process, which has to measure again.
+	speed     average
+	speedAt   atomic.Int64
 	slowStart slowStart
 	ejection  ejection
 }
@@ -122,7 +128,7 @@
 // latency had passed.
 func (g *Target) updateUnansweredSince(at int64, o Outcome, latency time.Duration, ownInFlight int64) {
 	switch {
-	case o == Answered || o == Refused || o == Failed:
+	case o == Answered || o == Refused || o == HandedBack || o == Failed:
 		g.respondedAt.Store(at)
 		if ownInFlight == 0 {
 			at = 0
@@ -146,6 +152,10 @@
 	}
 	g.report.store(r, ownInFlight, at)
 	g.rateLimit.store(r.rateLimit())
+	if s := speed.Clamp(r.Speed); s != speed.Unknown {
+		g.speed.store(s)
+		g.speedAt.Store(at)
+	}
 	g.svc.addReport(r, ownInFlight)
 }
 
@@ -184,7 +194,7 @@
 
 func (g *Target) recordOutcome(o Outcome) {
 	switch {
-	case o == Cancelled:
+	case o == Cancelled || o == HandedBack:
 		return
 	case o == Answered:
 		g.slowStart.answers.Add(1)
@@ -244,6 +254,8 @@
 	Draining bool
 	// Incarnation is the last one seen in a report, or the endpoint's if there was no report.
 	Incarnation uint64
+	// Speed is the relative speed by which the target is scored; 0 if unknown.
+	Speed float64
 	// Report is the last load report and ReportAt the time of its arrival. Both are zero if there
 	// was none.
 	Report   LoadReport
@@ -266,6 +278,7 @@
 		Draining:            g.draining.Load(),
 		Incarnation:         g.incarnation.Load(),
 	}
+	s.Speed = g.speed.load()
 	if at := g.report.receivedAt.Load(); at != 0 {
 		s.Report = g.report.unpack()
 		s.Report.Incarnation = s.Incarnation
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -111,10 +111,15 @@
 	Slack float64 `json:"slack"`
 }
 
-// Balance selects how calls are spread over the upstreams of a service.
+// Balance configures how calls are spread over the upstreams of a service. Default: all off.
 type Balance struct {
+	// HandBack returns calls that wait at a guard to their senders while other upstreams have free
+	// slots.
+	HandBack bool `json:"hand_back"`
+	// Speeds weighs the slots of an upstream by its speed as measured.
+	Speeds bool `json:"speeds"`
 	// Zones sends a share of a zone's calls to other zones with more room, before its own queues
-	// build. Default false.
+	// build.
 	Zones bool `json:"zones"`
 }
 
