Entry nodes ask a guard of a scarce service for room before they admit a tree

Cause: a tree's calls reach the scarce service some hundred milliseconds after its entry admitted it, and the entry knows that service by responses: half a second old, a second with 983 entries. A tree counts as one call, and a caller's single call fares worse than trees: it meets the threshold without the exception for free slots, waits less under overload and stands behind all deep calls. Change: package room. A guard's ledger sees the demand at entry time by rank, promises no more than its slots' rate times a ratio plus a burst, and learns by kind what granted trees use. Entries ask one guard while the service is scarce, by POST /room; without an answer the threshold decides as before. Calls of granted trees carry the grant and aren't shed by rank; single calls ask the guard they reach. While calls are refused at random, trees that would not complete aren't begun. Settings trees.reserve and trees.overcommit, metrics, events, galenactl node room. Off, everything decides as before.

--- a/cmd/galenactl/node.go
+++ b/cmd/galenactl/node.go
@@ -18,6 +18,7 @@
 	Status  nodeStatusCmd  `cmd:"" help:"State, limits, and the age of its routes and members."`
 	Routes  nodeRoutesCmd  `cmd:"" help:"Routes in force, optionally compared with those of another node."`
 	Members nodeMembersCmd `cmd:"" help:"Members known to the node."`
+	Room    nodeRoomCmd    `cmd:"" help:"Room that the node's guard promised to trees, and what trees of each kind cost."`
 	Quotas  nodeQuotasCmd  `cmd:"" help:"Quotas of workspaces, the node's share of them, and the requests that it refused."`
 }
 
@@ -135,6 +136,27 @@
 	return a.print(selected, t)
 }
 
+type nodeRoomCmd struct{}
+
+// Run implements the command.
+func (nodeRoomCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	if s.Room == nil {
+		return errors.Errorf("%s promises no room; trees.reserve is off", s.Node)
+	}
+	t := newTable("KIND", "COST, SLOT-MS", "CALLS", "LAG, MS", "GRANTED LATELY", "NOT USED YET")
+	for _, k := range s.Room.Kinds {
+		t.row(strconv.FormatUint(uint64(k.Kind), 16), rounded(k.Cost*1000), rounded(k.Calls), k.LagMillis, rounded(k.Granted), k.Pending)
+	}
+	t.note("%s, service %s, scarce %t, threshold %#08x, rate %s slots of %d, others use %s, use %s, ratio %s; asked %d, granted %d, refused %d, never used %d",
+		s.Node, s.Service, s.Room.Tight, s.Room.Threshold, rounded(s.Room.Rate), s.Guard.Limit, rounded(s.Room.Other), rounded(s.Room.Use), rounded(s.Room.Ratio),
+		s.Room.Asked, s.Room.Granted, s.Room.Refused, s.Room.Unused)
+	return a.print(s.Room, t)
+}
+
 // rounded formats x with 2 decimal places.
 func rounded(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
 
--- a/internal/admission/advance.go
+++ b/internal/admission/advance.go
@@ -166,7 +166,7 @@
 	}
 	requiredTime := c.serviceTime(r.Level)
 	if !slotFree {
-		requiredTime += c.expectedWait(r.Level, r.Depth)
+		requiredTime += c.expectedWait(r)
 	}
 	remaining := r.Deadline.Sub(now)
 	return remaining <= 0 || remaining < requiredTime
@@ -191,8 +191,8 @@
 }
 
 // expectedWait returns the expected waiting time of a new call.
-func (c *Controller) expectedWait(level callctx.Level, depth int) time.Duration {
-	ahead := c.queue.countAhead(level, depth)
+func (c *Controller) expectedWait(r *Request) time.Duration {
+	ahead := c.queue.countAhead(r)
 	forSlot := c.estimate.median * time.Duration(ahead+1) / time.Duration(c.limiter.limit)
 	return max(forSlot, c.rate.wait(ahead+1))
 }
@@ -233,7 +233,7 @@
 	}
 	c.starts++
 	c.outlook.started++
-	if !w.request.HasPriorWork {
+	if !w.request.notShed() {
 		c.shedder.start()
 	}
 	c.limiter.callStarted(w.concurrentAtStart)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -127,7 +127,7 @@
 		return c.refuse(&r, reasonDeadline), out
 	}
 	rank := Rank(r.Level, r.CallerHash)
-	if !r.HasPriorWork {
+	if !r.notShed() {
 		c.shedder.offer(rank, r.Depth == 0)
 	}
 	if r.Depth > 0 {
@@ -136,9 +136,9 @@
 	// A deep call (depth above 0) over the threshold may still take a slot that would otherwise
 	// stay idle, because work was already spent on its root. A call with HasPriorWork may also
 	// wait: if it were refused, the work of deep services for its tree would be lost. The threshold
-	// therefore applies only to the first call of a tree.
+	// therefore applies only to the first call of a tree, unless room for the tree was promised.
 	above := rank >= c.shedder.threshold
-	if above && !r.HasPriorWork && !(slotFree && r.Depth > 0) {
+	if above && !r.notShed() && !(slotFree && r.Depth > 0) {
 		return c.refuse(&r, reasonThreshold), out
 	}
 	if slotFree {
@@ -182,7 +182,7 @@
 // other trees, which therefore wait several times as long as the average call.
 func (c *Controller) setExpiry(now time.Time, w *call) {
 	bound := c.cfg.MaxWait
-	if c.overloaded && w.request.Depth == 0 {
+	if c.overloaded && w.request.isRoot() {
 		bound = min(bound, max(overloadWaitTargets*c.cfg.SojournTarget, c.estimate.median, overloadWaitStarts*c.rate.interval()))
 	}
 	w.expiry = now.Add(bound)
@@ -312,5 +312,7 @@
 		Overloaded: c.overloaded,
 		Draining:   c.draining,
 		TreesFail:  c.treesFail,
+
+		CallsPerSecond: c.rate.perSecond,
 	}
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -31,11 +31,11 @@
 // above 0), on which work was already spent, followed by one for root calls.
 const classes = 2 * callctx.Levels
 
-func classOf(level callctx.Level, depth int) int {
-	if depth > 0 {
-		return 2 * int(level)
+func classOf(r *Request) int {
+	if r.isRoot() {
+		return 2*int(r.Level) + 1
 	}
-	return 2*int(level) + 1
+	return 2 * int(r.Level)
 }
 
 // isRoot reports whether class holds root calls.
@@ -80,14 +80,14 @@
 func (q *queue) len() int { return q.expiry.len() }
 
 func (q *queue) push(c *call) {
-	class := classOf(c.request.Level, c.request.Depth)
+	class := classOf(&c.request)
 	q.byOldest[class].push(c)
 	q.byNewest[class].push(c)
 	q.expiry.push(c)
 }
 
 func (q *queue) remove(c *call) {
-	class := classOf(c.request.Level, c.request.Depth)
+	class := classOf(&c.request)
 	q.byOldest[class].remove(c)
 	q.byNewest[class].remove(c)
 	q.expiry.remove(c)
@@ -125,8 +125,8 @@
 
 // before reports whether a starts before b.
 func (q *queue) before(a, b *call) bool {
-	ca := classOf(a.request.Level, a.request.Depth)
-	cb := classOf(b.request.Level, b.request.Depth)
+	ca := classOf(&a.request)
+	cb := classOf(&b.request)
 	if ca != cb {
 		return ca < cb
 	}
@@ -138,8 +138,8 @@
 
 // countAhead returns the number of waiting calls that would start before a new one. With lifo
 // set, a new root call starts before all others of its class.
-func (q *queue) countAhead(level callctx.Level, depth int) int {
-	class := classOf(level, depth)
+func (q *queue) countAhead(r *Request) int {
+	class := classOf(r)
 	n := 0
 	for i := range class {
 		n += q.byOldest[i].len()
--- a/internal/admission/refusals.go
+++ b/internal/admission/refusals.go
@@ -67,7 +67,7 @@
 		return result.Refuse(result.Shed, "calls of level %s have worth 0 and do not wait, %s",
 			level, c.usage()).WithRetryAfter(retryAfter)
 	case reasonDeadline:
-		wait := c.expectedWait(level, 0)
+		wait := c.expectedWait(&Request{Level: level})
 		return result.Refuse(result.DeadlineTooNear, "time until the deadline is shorter than service time %v (10%% quantile) plus expected wait %v",
 			c.serviceTime(level), wait).WithRetryAfter(max(minRetryAfter, wait))
 	case reasonExpired:
--- a/internal/admission/treeoutlook.go
+++ b/internal/admission/treeoutlook.go
@@ -83,8 +83,7 @@
 	case o.started < minOutlookCalls:
 		return 1
 	case o.calm.first >= minOutlookCalls:
-		accepted := max(0, 1-o.shed/o.started)
-		return math.Pow(accepted, o.callsPerTree())
+		return math.Pow(o.accepted(), o.callsPerTree())
 	case o.shedding.first >= minOutlookCalls:
 		return max(0, 1-o.shedding.shed/o.shedding.first)
 	}
@@ -98,3 +97,11 @@
 	}
 	return 1 + o.calm.later/o.calm.first
 }
+
+// accepted returns the share of recent calls that the upstream accepted.
+func (o *treeOutlook) accepted() float64 {
+	if o.started < minOutlookCalls {
+		return 1
+	}
+	return max(0, 1-o.shed/o.started)
+}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -31,8 +31,17 @@
 	Depth int
 	// HasPriorWork is set if other calls of the same tree have already been served.
 	HasPriorWork bool
+	// Promised is set if the guard was asked for room for the tree and granted it. The call is neither
+	// shed for its rank nor put behind calls of trees in progress.
+	Promised bool
 }
 
+// notShed reports whether a call is exempt from the threshold.
+func (r *Request) notShed() bool { return r.HasPriorWork || r.Promised }
+
+// isRoot reports whether a call waits as a root call does.
+func (r *Request) isRoot() bool { return r.Depth == 0 && !r.Promised }
+
 // Verdict is the result of a decision.
 type Verdict int
 
@@ -91,6 +100,8 @@
 	// TreesFail means that the upstream sheds so many calls at random that few of the trees that call it
 	// complete, whatever their rank.
 	TreesFail bool
+	// CallsPerSecond is the rate limit that the upstream names; 0 if it names none.
+	CallsPerSecond float64
 }
 
 const (
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -96,6 +96,7 @@
 	inner.HandleFunc("GET "+membersPath, m.serveMembers)
 	inner.HandleFunc("GET "+watchPath, m.serveWatch)
 	inner.HandleFunc("POST "+quotaPath, m.serveQuota)
+	inner.HandleFunc("POST "+proxy.RoomPath, m.proxy.ServeRoom)
 	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
 	s.callers = m.newServer(m.withConnectionClose(callers))
 	s.callers.IdleTimeout = idleSentinel
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -148,6 +148,7 @@
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
+	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.quotas = newQuotas(m)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -8,6 +8,7 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/quota"
+	"github.com/galenagrade/galenagrade/internal/room"
 	"github.com/galenagrade/galenagrade/internal/routes"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -32,6 +33,8 @@
 	// Quotas are the quotas of the workspaces that have one.
 	Quotas []quota.State `json:"quotas,omitempty"`
 	Store  StoreStats    `json:"store"`
+	// Room is what the guard of the local upstream promised to trees; nil if it promises nothing.
+	Room *room.State `json:"room,omitempty"`
 }
 
 // Freshness describes how current data from the store is.
@@ -88,6 +91,9 @@
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
 	}
+	if promised, on := m.node.Guard().Room(now); on {
+		s.Room = &promised
+	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
 		s.Config = t.Config()
@@ -147,6 +153,23 @@
 	} {
 		m.metrics.SetGauge(gauge, value)
 	}
+	m.refreshRoomMetrics(s.Room)
+}
+
+func (m *Mesh) refreshRoomMetrics(s *room.State) {
+	if s == nil {
+		s = &room.State{}
+	}
+	for gauge, value := range map[metrics.Gauge]int64{
+		metrics.RoomPromised:     int64(s.Promised * 1000),
+		metrics.RoomRatio:        int64(s.Ratio * 1000),
+		metrics.RoomGrantedTotal: int64(s.Granted),
+		metrics.RoomRefusedTotal: int64(s.Refused),
+		metrics.RoomUnused:       int64(s.Unused),
+		metrics.RoomTight:        boolGauge(s.Tight),
+	} {
+		m.metrics.SetGauge(gauge, value)
+	}
 }
 
 func boolGauge(on bool) int64 {
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -19,10 +19,11 @@
 		m.routes.follower.resyncNow()
 		m.membersFollower.resyncNow()
 	}
+	m.proxy.SetReserve(next.Trees.Reserve, next.Trees.Overcommit)
 	m.members.refresh()
 	m.routes.refresh()
 	needRestart := m.cfg.NeedRestart(next)
-	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Int("retry_floor", next.Retries.Floor).
+	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Int("retry_floor", next.Retries.Floor).Bool("reserve", next.Trees.Reserve).
 		Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
 	return needRestart
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -44,6 +44,13 @@
 	// to other nodes.
 	QuotaAsked
 	QuotaGranted
+	// RoomAsked counts the requests for room for trees, RoomRefused the trees refused because there is
+	// none, and RoomUnanswered the trees for which no guard answered.
+	RoomAsked
+	RoomRefused
+	RoomUnanswered
+	// RoomInvalid counts the requests for room of other nodes that are invalid.
+	RoomInvalid
 	numCounters
 )
 
@@ -78,6 +85,10 @@
 	CrashRecordsGossiped:    "quarantine.suspects_spread",
 	QuotaAsked:              "quota.asked",
 	QuotaGranted:            "quota.granted",
+	RoomAsked:               "room.asked",
+	RoomRefused:             "room.refused",
+	RoomUnanswered:          "room.unanswered",
+	RoomInvalid:             "room.invalid",
 }
 
 // String returns the name in the JSON document.
@@ -110,6 +121,17 @@
 	StoreFailures
 	StoreBytesSent
 	StoreBytesReceived
+	// RoomPromised is the room promised to trees and not yet used, in slot-milliseconds.
+	RoomPromised
+	// RoomRatio is the ratio in force of the room promised to the room that there is, in thousandths.
+	RoomRatio
+	// RoomGrantedTotal and RoomRefusedTotal are the requests that the guard of the local upstream
+	// decided since it started, and RoomUnused the grants whose trees never came.
+	RoomGrantedTotal
+	RoomRefusedTotal
+	RoomUnused
+	// RoomTight is 1 while the local service is scarce.
+	RoomTight
 	numGauges
 )
 
@@ -133,6 +155,12 @@
 	StoreFailures:      "store.failures",
 	StoreBytesSent:     "store.bytes_sent",
 	StoreBytesReceived: "store.bytes_received",
+	RoomPromised:       "room.promised_slot_ms",
+	RoomRatio:          "room.ratio_milli",
+	RoomGrantedTotal:   "room.guard_granted",
+	RoomRefusedTotal:   "room.guard_refused",
+	RoomUnused:         "room.guard_unused",
+	RoomTight:          "room.tight",
 }
 
 // String returns the name in the JSON document.
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -101,5 +101,6 @@
 	}
 	call.IsRetry = running.IsRetry
 	call.HasPriorWork = n.guard.hasPriorWork(parent)
+	call.Room = running.Room
 	return call, account, true
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -28,6 +28,8 @@
 	// HasPriorWork means that earlier calls of the same root, or of the run that makes this
 	// call, were already served.
 	HasPriorWork bool
+	// Room marks a call of a tree for which a guard promised room.
+	Room RoomGrant
 	// Header holds only the headers that are sent on to the upstream.
 	Header   http.Header
 	Body     []byte
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -10,6 +10,7 @@
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
+	"github.com/galenagrade/galenagrade/internal/room"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
@@ -57,10 +58,14 @@
 	arrived     time.Time
 	started     time.Time
 	// process is the upstreamIncarnation at the start of the run.
-	process  uint64
-	ended    time.Time
-	response *Response
-	cancel   func()
+	process uint64
+	// kind is the kind of a call for which room was granted; 0 if none was. promised means that the
+	// call is not shed for its rank, and first that it is the first of its tree here.
+	kind            uint32
+	promised, first bool
+	ended           time.Time
+	response        *Response
+	cancel          func()
 	// served means that a call made by this one succeeded.
 	served bool
 	// shedThreshold is the lowest shedding threshold reported to the calls made by this one.
@@ -115,6 +120,8 @@
 	mu          sync.Mutex
 	incarnation uint64
 	admission   *admission.Controller
+	// ledger is what the guard promised to trees; nil if it promises nothing.
+	ledger      *room.Ledger
 	quarantine  *quarantine.Tracker
 	keys        *idempotency.Table
 	retryBudget *retry.Budget
@@ -175,7 +182,7 @@
 		InFlight:    l.InFlight,
 		Queued:      l.Queued,
 		Limit:       l.Limit,
-		Threshold:   l.Threshold,
+		Threshold:   g.reportedThresholdLocked(l.Threshold),
 		Overloaded:  l.Overloaded,
 		Draining:    l.Draining || g.draining,
 		TreesFail:   l.TreesFail,
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -132,8 +132,12 @@
 		arrived:       now,
 		shedThreshold: routing.NoThreshold,
 	}
+	if refusal := g.reserveLocked(now, e); refusal != nil {
+		g.releaseKeyLocked(now, call)
+		return 0, g.refusalResponseLocked(call, refusal)
+	}
 	g.calls[call.Ctx.CallID] = e
-	decision, queuedDecisions := g.admission.Offer(now, requestOf(call))
+	decision, queuedDecisions := g.admission.Offer(now, requestOf(e))
 	g.events.offered(now, call, decision.Verdict, g.admission.Load())
 	g.applyLocked(now, queuedDecisions, deferred)
 	switch decision.Verdict {
@@ -144,6 +148,7 @@
 	case admission.Run:
 		g.claimOrStartLocked(now, e, deferred)
 	}
+	g.updateLedgerLocked(now)
 	// The waiter is attached only now. A refusal at dispatch is returned as the response; an
 	// attached waiter would give it to the sender a second time.
 	return e.attach(w)
@@ -156,7 +161,8 @@
 	return a
 }
 
-func requestOf(call *Call) admission.Request {
+func requestOf(e *execution) admission.Request {
+	call := e.call
 	return admission.Request{
 		ID:           call.Ctx.CallID,
 		Level:        call.Ctx.Level,
@@ -165,5 +171,6 @@
 		RootAdmitted: call.Ctx.RootAdmitted,
 		Depth:        call.Ctx.Depth,
 		HasPriorWork: call.HasPriorWork,
+		Promised:     e.promised,
 	}
 }
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -114,6 +114,7 @@
 		g.noteLocked(now, e.process, a.Notice, &deferred)
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
+		g.roomEndedLocked(now, e, a)
 	}
 	g.mu.Unlock()
 	deferred.run()
@@ -125,6 +126,7 @@
 	g.mu.Lock()
 	var deferred callbacks
 	g.applyLocked(now, g.admission.Tick(now), &deferred)
+	g.updateLedgerLocked(now)
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshHasCrashRecordsLocked(now)
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -111,6 +111,8 @@
 	// lastLoad is the load that was last recorded.
 	lastLoad        admission.Load
 	limitRecordedAt time.Time
+	// wasTight is whether the service was scarce when that was last recorded.
+	wasTight bool
 }
 
 func (o *eventRecorder) sampled(call *Call) bool { return o != nil && call.Sampled }
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -60,6 +60,9 @@
 	if call.HasPriorWork {
 		fields = append(fields, h1.Field{Name: headerContinues, Value: "1"})
 	}
+	if call.Room.Kind != 0 {
+		fields = append(fields, h1.Field{Name: headerRoom, Value: encodeRoom(call.Room)})
+	}
 	if call.KnownNotice != nil {
 		fields = append(fields, h1.Field{Name: headerNotice, Value: encodeNotice(call.KnownNotice)})
 	}
@@ -83,7 +86,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 8
+const maxInnerFields = 9
 
 func (c *peerCall) callHeader(call *node.Call) *innerpb.CallHeader {
 	h := inner.FromContext(&call.Ctx, c.peers.node.Now(), uint32(call.Allowance))
@@ -221,6 +224,7 @@
 		IsRetry:      r.Header.Get(headerRepeat) != "",
 		HasPriorWork: r.Header.Get(headerContinues) != "",
 		Header:       callctx.Forwardable(r.Header),
+		Room:         decodeRoom(r.Header.Get(headerRoom)),
 		KnownNotice:  decodeNotice(r.Header.Get(headerNotice)),
 		BodyHash:     h.GetBodyHash(),
 		Allowance:    int(h.GetAllowance()),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,8 @@
 	// predecessorService is the service for which calls to an earlier process at this address are
 	// accepted; empty accepts none.
 	predecessorService string
+	// reserving is whether guards are asked for room; see SetReserve.
+	reserving atomic.Bool
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
 	// rootsPending counts the requests of callers whose responses are not yet written.
--- /dev/null
+++ b/internal/proxy/reserve.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenagrade/galenagrade/internal/admission"
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/metrics"
+	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/room"
+	"github.com/galenagrade/galenagrade/internal/routing"
+)
+
+const (
+	// RoomPath is the path at which a guard promises room to other nodes.
+	RoomPath = "/room"
+	// paramNode names the node that a request is meant for.
+	paramNode = "of"
+	// roomTimeout bounds a request for room, to which a guard responds from memory. A tree waits for it.
+	roomTimeout = 40 * time.Millisecond
+	// treeKind marks the kinds of trees, which differ from those of single calls.
+	treeKind = 1 << 31
+	// headerRoom carries Call.Room.
+	headerRoom = "Galena-Inner-Room"
+)
+
+// kindOf returns the kind of the trees of a route. All nodes compute the same value.
+func kindOf(k routeKey) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(k.label()))
+	return h.Sum32() | treeKind
+}
+
+// SetReserve sets whether the node asks guards for room before it admits trees, and promises room of
+// its own upstream at the given ratio.
+func (p *Proxy) SetReserve(on bool, overcommit float64) {
+	p.reserving.Store(on)
+	p.node.Guard().SetReserve(p.node.Now(), on, overcommit)
+}
+
+// reserve asks for room for a root request if its route calls a service that is scarce. It returns a
+// refusal if there is none, and reports in decided whether a guard answered. Otherwise the threshold
+// that responses bring has to decide.
+func (g *treeGate) reserve(ctx context.Context, p *Proxy, call *node.Call, objective time.Duration) (refusal *result.Refusal, decided bool) {
+	service := g.shedding.Load()
+	if call.Ctx.Depth > 0 || service == nil || !p.reserving.Load() {
+		return nil, false
+	}
+	now := p.node.Now()
+	if !service.asks(now) {
+		return nil, false
+	}
+	c := &call.Ctx
+	r := &room.Request{Kind: g.kind, Rank: admission.Rank(c.Level, c.CallerHash), Objective: min(objective, c.Remaining(now)), Repeatable: c.Idempotent}
+	answer, guard := p.askRoom(ctx, service, r)
+	if answer == nil {
+		p.node.Metrics().Inc(metrics.RoomUnanswered, 1)
+		return nil, false
+	}
+	if answer.Granted {
+		call.Room = node.RoomGrant{Service: service.name, Kind: g.kind}
+		p.node.RecordRoomGranted(p.node.Now(), call, guard, answer.Threshold)
+		return nil, true
+	}
+	p.node.Metrics().Inc(metrics.RoomRefused, 1)
+	return result.Refuse(result.ShedEarly, "service %s has no room for a tree of rank %#08x (%s), threshold %#08x, according to %s",
+		service.name, r.Rank, answer.Reason, answer.Threshold, guard).WithRetryAfter(answer.RetryAfter), true
+}
+
+// askRoom asks guards of a service in turn until one answers; nil if none does.
+func (p *Proxy) askRoom(ctx context.Context, service *serviceGate, r *room.Request) (answer *room.Answer, guard string) {
+	rng := p.rngs.Get().(*rand.Rand)
+	defer p.rngs.Put(rng)
+	for range room.MaxAsked {
+		now := p.node.Now()
+		target := p.node.Table().PickGuard(now, rng, service.name, func(name string) bool { return service.skips(now, name) })
+		if target == nil {
+			return nil, ""
+		}
+		endpoint := target.Endpoint()
+		p.node.Metrics().Inc(metrics.RoomAsked, 1)
+		answer, err := p.askGuard(ctx, &endpoint, r, rng.Float64())
+		if err == nil {
+			service.answered(p.node.Now(), answer)
+			return answer, endpoint.Node
+		}
+		if ctx.Err() != nil {
+			return nil, ""
+		}
+		service.unanswered(p.node.Now(), endpoint.Node)
+	}
+	return nil, ""
+}
+
+// askGuard asks one guard, which may be the own one.
+func (p *Proxy) askGuard(ctx context.Context, endpoint *routing.Endpoint, r *room.Request, v float64) (*room.Answer, error) {
+	if endpoint.Node == p.node.ID() {
+		answer, ok := p.node.Guard().AskRoom(p.node.Now(), r, v)
+		if !ok {
+			return nil, errors.New("the own guard promises no room")
+		}
+		return &answer, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
+	defer cancel()
+	target := RoomPath + "?" + paramNode + "=" + url.QueryEscape(endpoint.Node) + "&" + r.Encode()
+	resp, err := p.peers.Query(ctx, endpoint.Addr, target)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, errors.Errorf("guard %s responded with status %d", endpoint.Node, resp.Status)
+	}
+	return room.DecodeAnswer(resp.Body)
+}
+
+// ServeRoom responds to another node's request for room.
+func (p *Proxy) ServeRoom(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if query.Get(paramNode) != p.node.ID() {
+		http.Error(w, "request is meant for another node; its address belongs to this node", http.StatusMisdirectedRequest)
+		return
+	}
+	request, err := room.DecodeRequest(query.Get)
+	if err != nil {
+		p.node.Metrics().Inc(metrics.RoomInvalid, 1)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, ok := p.node.Guard().AskRoom(p.node.Now(), request, rand.Float64())
+	if !ok {
+		http.Error(w, "the guard promises no room", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := answer.MarshalJSON()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h["Date"] = nil
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+func (s *serviceGate) asks(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room.Asks(now)
+}
+
+func (s *serviceGate) skips(now time.Time, guard string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room.Skips(now, guard)
+}
+
+func (s *serviceGate) answered(now time.Time, a *room.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room.Answered(now, a)
+}
+
+func (s *serviceGate) unanswered(now time.Time, guard string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room.Unanswered(now, guard)
+}
+
+// decodeRoom parses a value of encodeRoom. An invalid value means that no room was granted.
+func decodeRoom(text string) node.RoomGrant {
+	kindText, service, _ := strings.Cut(text, " ")
+	kind, err := strconv.ParseUint(kindText, 10, 32)
+	if err != nil || kind == 0 || !callctx.ValidName(service) {
+		return node.RoomGrant{}
+	}
+	return node.RoomGrant{Service: service, Kind: uint32(kind)}
+}
+
+// encodeRoom returns the value of headerRoom.
+func encodeRoom(g node.RoomGrant) string {
+	return strconv.FormatUint(uint64(g.Kind), 10) + " " + g.Service
+}
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -110,11 +110,7 @@
 	writer := gatedWriter{h, gate, startedAt}
 	writer.countReceived(call)
 	ctx := r.Context()
-	refusal = gate.admit(startedAt, call, route.Objective)
-	if refusal == nil && countsAgainstQuota(call) {
-		refusal = h.quota.Take(ctx, call.Ctx.Workspace)
-	}
-	if refusal != nil {
+	if refusal = h.admit(ctx, gate, call, route.Objective); refusal != nil {
 		writer.countEnded(call, refusal.Code, 0)
 		h.rejectCall(w, call, refusal)
 		return
@@ -127,6 +123,33 @@
 	h.p.serve(ctx, exchange{w: w, r: r, writer: writer}, call, account)
 }
 
+// admit decides on a call before it is started: by the quota of its workspace, and by the room for the
+// calls that its route makes. Room is asked for last, since a promise for a request that the quota
+// refuses would be kept from others.
+func (h *routeHandler) admit(ctx context.Context, gate *treeGate, call *node.Call, objective time.Duration) *result.Refusal {
+	if !h.p.reserving.Load() {
+		if refusal := gate.admit(h.p.node.Now(), call, objective); refusal != nil {
+			return refusal
+		}
+	}
+	if countsAgainstQuota(call) {
+		if refusal := h.quota.Take(ctx, call.Ctx.Workspace); refusal != nil {
+			return refusal
+		}
+	}
+	if !h.p.reserving.Load() {
+		return nil
+	}
+	refusal, decided := gate.reserve(ctx, h.p, call, objective)
+	if !decided {
+		refusal = gate.admit(h.p.node.Now(), call, objective)
+	}
+	if refusal != nil {
+		h.returnQuota(call)
+	}
+	return refusal
+}
+
 // headerSize returns the size in bytes of the request line and the header as sent by the caller,
 // without optional spaces.
 func headerSize(r *http.Request) int {
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -11,6 +11,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/room"
 	"github.com/galenagrade/galenagrade/internal/routes"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
@@ -36,6 +37,8 @@
 type treeGate struct {
 	series *metrics.Series
 	gates  *treeGates
+	// kind identifies the trees of the route to guards that are asked for room.
+	kind uint32
 	// shedding is the gate of the service that responses last named as shedding; nil if no response
 	// named one.
 	shedding atomic.Pointer[serviceGate]
@@ -43,8 +46,12 @@
 
 // serviceGate is an admission.TreeGate that is safe for concurrent use.
 type serviceGate struct {
+	name string
+
 	mu    sync.Mutex
 	state admission.TreeGate
+	// room decides whether guards of the service are asked.
+	room room.Gate
 }
 
 func (g *treeGates) forRoute(host, prefix string) *treeGate {
@@ -52,7 +59,7 @@
 	if got, ok := g.byRoute.Load(key); ok {
 		return got.(*treeGate)
 	}
-	got, _ := g.byRoute.LoadOrStore(key, &treeGate{series: g.metrics.Series(routeSeries, key.label()), gates: g})
+	got, _ := g.byRoute.LoadOrStore(key, &treeGate{series: g.metrics.Series(routeSeries, key.label()), gates: g, kind: kindOf(key)})
 	return got.(*treeGate)
 }
 
@@ -60,7 +67,7 @@
 	if got, ok := g.byService.Load(name); ok {
 		return got.(*serviceGate)
 	}
-	got, _ := g.byService.LoadOrStore(name, &serviceGate{})
+	got, _ := g.byService.LoadOrStore(name, &serviceGate{name: name})
 	return got.(*serviceGate)
 }
 
@@ -114,9 +121,7 @@
 	if shedding == nil {
 		return
 	}
-	shedding.mu.Lock()
-	defer shedding.mu.Unlock()
-	shedding.state.ObserveThreshold(now, resp.ShedThreshold)
+	shedding.observe(now, resp.ShedThreshold)
 }
 
 // observeReports applies the load reports that this node has of a service to its gate, if an earlier
@@ -131,10 +136,17 @@
 	if !known {
 		return
 	}
-	gate := got.(*serviceGate)
-	gate.mu.Lock()
-	defer gate.mu.Unlock()
-	gate.state.ObserveThreshold(now, threshold)
+	got.(*serviceGate).observe(now, threshold)
+}
+
+// observe applies the threshold that a response or the reports of the service name.
+func (s *serviceGate) observe(now time.Time, threshold uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.ObserveThreshold(now, threshold)
+	if threshold < room.OpenThreshold {
+		s.room.Named(now)
+	}
 }
 
 // gatedWriter passes the responses of a route to its gate and to the metrics.
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -31,6 +31,7 @@
 	Stop      MeshStop     `json:"stop"`
 	Retries   Retries      `json:"retries"`
 	Quotas    Quotas       `json:"quotas"`
+	Trees     Trees        `json:"trees"`
 	Logging   Logging      `json:"logging"`
 }
 
@@ -109,6 +110,15 @@
 	Slack float64 `json:"slack"`
 }
 
+// Trees sets how call trees that call a scarce service are admitted.
+type Trees struct {
+	// Reserve makes entry nodes ask a guard of the scarce service for room before they admit a tree.
+	// Default false.
+	Reserve bool `json:"reserve"`
+	// Overcommit is the ratio of the room that a guard promises to the room that there is. Default 1.
+	Overcommit float64 `json:"overcommit"`
+}
+
 // LoadMesh reads the settings file at path, fills in defaults and validates it. Errors name the
 // path.
 func LoadMesh(path string) (*Mesh, error) { return load(path, ParseMesh) }
@@ -134,6 +144,7 @@
 		Stop:      MeshStop{Grace: Duration(6 * time.Second)},
 		Retries:   Retries{Ratio: 0.2, Window: Duration(10 * time.Second)},
 		Quotas:    Quotas{Window: Duration(5 * time.Second)},
+		Trees:     Trees{Overcommit: 1},
 		Logging:   Logging{Level: "info", Burst: 100, Sample: 100},
 	}
 }
@@ -231,6 +242,7 @@
 		{m.Quotas.Window.Std() >= 100*time.Millisecond && m.Quotas.Window.Std() <= time.Hour, "quotas.window", m.Quotas.Window, "100ms to 1h"},
 		{m.Quotas.Overage >= 0 && m.Quotas.Overage <= 10, "quotas.overage", m.Quotas.Overage, "0 to 10"},
 		{m.Quotas.Slack >= 0 && m.Quotas.Slack <= 1_000_000, "quotas.slack", m.Quotas.Slack, "0 to 1000000"},
+		{m.Trees.Overcommit >= 0.5 && m.Trees.Overcommit <= 2, "trees.overcommit", m.Trees.Overcommit, "0.5 to 2"},
 		{m.Upstream.ReportInterval.Std() >= 100*time.Millisecond && m.Upstream.ReportInterval.Std() <= time.Minute, "upstream.report_interval", m.Upstream.ReportInterval, "100ms to 1m"},
 		{m.Store.RecordBytes >= 1024, "store.record_bytes", m.Store.RecordBytes, "at least 1024"},
 	} {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -55,6 +55,9 @@
 	PartitionHealed  Kind = "partition_healed"
 	ConnReplaced     Kind = "connection_replaced"
 	OverloadStarted  Kind = "overload_started"
+	ScarcityStarted  Kind = "scarcity_started"
+	ScarcityFinished Kind = "scarcity_finished"
+	RoomGranted      Kind = "room_granted"
 	OverloadFinished Kind = "overload_finished"
 	LimitChanged     Kind = "limit_changed"
 
--- a/internal/timeline/palette.go
+++ b/internal/timeline/palette.go
@@ -29,7 +29,7 @@
 
 var groupByKind = map[Kind]kindGroup{
 	CallReceived: groupCall, CallRouted: groupCall, CallAdmitted: groupCall,
-	CallQueued: groupCall, CallStarted: groupCall, CallJoined: groupCall,
+	CallQueued: groupCall, CallStarted: groupCall, CallJoined: groupCall, RoomGranted: groupCall,
 	CallAnswered: groupAnswer,
 	CallRefused:  groupRefusal, AuthRefused: groupRefusal, CallCancelled: groupRefusal,
 	CallRetried: groupRetry, CallReattached: groupRetry,
@@ -45,7 +45,7 @@
 	LogUnavailable: groupPlatform, LogBack: groupPlatform,
 	PeerUnreachable: groupPlatform, PeerBack: groupPlatform,
 	PartitionSeen: groupPlatform, PartitionHealed: groupPlatform, ConnReplaced: groupPlatform,
-	OverloadStarted: groupLoad, OverloadFinished: groupLoad, LimitChanged: groupLoad,
+	OverloadStarted: groupLoad, OverloadFinished: groupLoad, ScarcityStarted: groupLoad, ScarcityFinished: groupLoad, LimitChanged: groupLoad,
 	NodeStarted: groupProcess, NodeStopped: groupProcess,
 }
 
