A route asks each service that was named for it; single calls with promised room start first

Cause: responses name the service with the lowest threshold, so that a route with two scarce services asked now one, now the other, and its calls to the other were shed. HasPriorWork is set by calls to any service, so that "first calls" undercount the trees of a service reached later in a tree, and the cost assumed for unknown kinds is too high there. Change: a route remembers up to three named services for 10 s each and asks those that are scarce; the grant lists them. Calls per tree come from grants; the assumed cost is bounded by 16 calls. Among waiting calls of a level single ones with promised room start first.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -42,8 +42,12 @@
 func isRoot(class int) bool { return class%2 == 1 }
 
 // older orders the calls of a class by the admission time of their root, then by deadline, then
-// by arrival.
+// by arrival. Single calls with promised room come first: their caller waits for nothing else, and the
+// room that they are promised bounds them.
 func older(a, b *call) bool {
+	if a.request.isPromisedSingle() != b.request.isPromisedSingle() {
+		return a.request.isPromisedSingle()
+	}
 	if c := a.request.RootAdmitted.Compare(b.request.RootAdmitted); c != 0 {
 		return c < 0
 	}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -39,6 +39,8 @@
 // notShed reports whether a call is exempt from the threshold.
 func (r *Request) notShed() bool { return r.HasPriorWork || r.Promised }
 
+func (r *Request) isPromisedSingle() bool { return r.Depth == 0 && r.Promised }
+
 // isRoot reports whether a call waits as a root call does.
 func (r *Request) isRoot() bool { return r.Depth == 0 && !r.Promised }
 
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -145,7 +145,7 @@
 // rank returns the rank by which upstreams shed the call. It is 0 for calls of a tree with
 // prior work or with room promised by the called service, which are not shed.
 func (d *Dispatch) rank() uint32 {
-	if d.call.HasPriorWork || d.call.Room.Service == d.call.Ctx.Service {
+	if d.call.HasPriorWork || d.call.Room.By(d.call.Ctx.Service) {
 		return 0
 	}
 	return admission.Rank(d.call.Ctx.Level, d.call.Ctx.CallerHash)
--- a/internal/node/guard_room.go
+++ b/internal/node/guard_room.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/admission"
@@ -11,12 +12,32 @@
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
-// RoomGrant marks the calls of a tree for which a guard promised room. The zero value marks none.
+// RoomGrant marks the calls of a tree for which guards promised room. The zero value marks none.
 type RoomGrant struct {
-	// Service is the service that granted room.
-	Service string
 	// Kind is the kind of the tree; see room.Request.
 	Kind uint32
+	// Services are the services that granted room, separated by a space.
+	Services string
+}
+
+// Add returns the grant with another service.
+func (r RoomGrant) Add(service string, kind uint32) RoomGrant {
+	if r.Services != "" {
+		service = r.Services + " " + service
+	}
+	return RoomGrant{Kind: kind, Services: service}
+}
+
+// By reports whether a service granted room.
+func (r RoomGrant) By(service string) bool {
+	for rest := r.Services; rest != ""; {
+		name, next, _ := strings.Cut(rest, " ")
+		if name == service {
+			return true
+		}
+		rest = next
+	}
+	return false
 }
 
 // singleKind and the level form the kind of calls that callers send to this service. Kinds of trees
@@ -69,7 +90,7 @@
 	call := e.call
 	e.first = !call.HasPriorWork
 	switch {
-	case call.Room.Kind != 0 && call.Room.Service == call.Ctx.Service:
+	case call.Room.By(call.Ctx.Service):
 		e.kind, e.promised = call.Room.Kind, true
 		return nil
 	case call.Ctx.Depth > 0:
@@ -167,6 +188,6 @@
 // RecordRoomGranted records that a guard promised room for a tree.
 func (n *Node) RecordRoomGranted(now time.Time, call *Call, guard string, threshold uint32) {
 	if call.Sampled {
-		n.recordCall(now, timeline.RoomGranted, call, 0, guard, fmt.Sprintf("service %s, rank %#08x, threshold %#08x", call.Room.Service, admission.Rank(call.Ctx.Level, call.Ctx.CallerHash), threshold))
+		n.recordCall(now, timeline.RoomGranted, call, 0, guard, fmt.Sprintf("by %s, rank %#08x, threshold %#08x", call.Room.Services, admission.Rank(call.Ctx.Level, call.Ctx.CallerHash), threshold))
 	}
 }
--- a/internal/node/guard_room_test.go
+++ b/internal/node/guard_room_test.go
@@ -60,7 +60,7 @@
 	must.EqOp(t, result.Shed, response.Code)
 	must.EqOp(t, result.RanNo, response.Code.Ran())
 	must.Positive(t, response.Refusal.RetryAfter)
-	_, response = g.Arrive(now, treeCall("deep", 1, RoomGrant{Service: "tracker", Kind: treeKindForTest}), func(*Response) {})
+	_, response = g.Arrive(now, treeCall("deep", 1, RoomGrant{Kind: treeKindForTest, Services: "consent tracker"}), func(*Response) {})
 	must.Nil(t, response)
 }
 
@@ -68,9 +68,9 @@
 // tree.
 func TestGrantOfAnotherServiceDoesNotCount(t *testing.T) {
 	g, now := scarceGuard(t)
-	g.Arrive(now, treeCall("other", 1, RoomGrant{Service: "letters", Kind: treeKindForTest}), func(*Response) {})
+	g.Arrive(now, treeCall("other", 1, RoomGrant{Kind: treeKindForTest, Services: "letters"}), func(*Response) {})
 	must.False(t, g.calls["other"].promised)
-	g.Arrive(now, treeCall("own", 1, RoomGrant{Service: "tracker", Kind: treeKindForTest}), func(*Response) {})
+	g.Arrive(now, treeCall("own", 1, RoomGrant{Kind: treeKindForTest, Services: "consent tracker"}), func(*Response) {})
 	must.True(t, g.calls["own"].promised)
 }
 
@@ -89,7 +89,7 @@
 // Guards against deep calls whose tree was granted room and that are shed nevertheless, because the
 // running call does not pass the grant on.
 func TestChildCarriesTheGrantOfItsTree(t *testing.T) {
-	grant := RoomGrant{Service: "tracker", Kind: treeKindForTest}
+	grant := RoomGrant{Kind: treeKindForTest, Services: "consent tracker"}
 	n := nodeRunning(t, &Call{Routed: true, Room: grant, Ctx: callctx.Context{RequestID: "q", CallID: "c", Workspace: "north", Service: "letters", Deadline: epoch.Add(time.Minute)}})
 	child := acceptChild(t, n, "c")
 	must.EqOp(t, grant, child.Room)
--- a/internal/proxy/reserve.go
+++ b/internal/proxy/reserve.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,8 @@
 	roomTimeout = 40 * time.Millisecond
 	// treeKind marks the kinds of trees, which differ from those of single calls.
 	treeKind = 1 << 31
+	// maxNamed bounds the services that a route asks for room.
+	maxNamed = 3
 	// headerRoom carries Call.Room.
 	headerRoom = "Galena-Inner-Room"
 )
@@ -48,27 +51,79 @@
 	p.node.Guard().SetReserve(p.node.Now(), on, overcommit)
 }
 
-// reserve asks for room for a root request if its route calls a service that is scarce. It returns a
-// refusal if there is none, and reports in decided whether a guard answered. Otherwise the threshold
-// that responses bring has to decide.
+// namedServices are the services that responses of a route recently named as scarce.
+type namedServices struct {
+	mu   sync.Mutex
+	list [maxNamed]namedService
+}
+
+type namedService struct {
+	gate *serviceGate
+	at   time.Time
+}
+
+// add records that a service was named. It replaces the one that was named the longest time ago.
+func (s *namedServices) add(now time.Time, gate *serviceGate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := 0
+	for i := range s.list {
+		if s.list[i].gate == gate {
+			s.list[i].at = now
+			return
+		}
+		if s.list[i].at.Before(s.list[oldest].at) {
+			oldest = i
+		}
+	}
+	s.list[oldest] = namedService{gate, now}
+}
+
+// asked returns the services that have to be asked now.
+func (s *namedServices) asked(now time.Time) []*serviceGate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var asked []*serviceGate
+	for i := range s.list {
+		if x := &s.list[i]; x.gate != nil && now.Sub(x.at) < room.NamedFor && x.gate.asks(now) {
+			asked = append(asked, x.gate)
+		}
+	}
+	return asked
+}
+
+// reserve asks for room for a root request at the scarce services that its route calls. It returns a
+// refusal if one has none, and reports in decided whether a guard answered. Otherwise the threshold that
+// responses bring has to decide.
 func (g *treeGate) reserve(ctx context.Context, p *Proxy, call *node.Call, objective time.Duration) (refusal *result.Refusal, decided bool) {
-	service := g.shedding.Load()
-	if call.Ctx.Depth > 0 || service == nil || !p.reserving.Load() {
+	if call.Ctx.Depth > 0 || !p.reserving.Load() {
 		return nil, false
 	}
-	now := p.node.Now()
-	if !service.asks(now) {
-		return nil, false
+	for _, service := range g.named.asked(p.node.Now()) {
+		refusal, answered := g.reserveAt(ctx, p, call, service, objective)
+		if refusal != nil {
+			call.Room = node.RoomGrant{}
+			return refusal, true
+		}
+		decided = decided || answered
 	}
-	c := &call.Ctx
+	return nil, decided
+}
+
+// reserveAt asks one service for room.
+func (g *treeGate) reserveAt(ctx context.Context, p *Proxy, call *node.Call, service *serviceGate, objective time.Duration) (refusal *result.Refusal, answered bool) {
+	now, c := p.node.Now(), &call.Ctx
 	r := &room.Request{Kind: g.kind, Rank: admission.Rank(c.Level, c.CallerHash), Objective: min(objective, c.Remaining(now)), Repeatable: c.Idempotent}
 	answer, guard := p.askRoom(ctx, service, r)
 	if answer == nil {
 		p.node.Metrics().Inc(metrics.RoomUnanswered, 1)
 		return nil, false
 	}
+	if answer.Tight {
+		g.named.add(now, service)
+	}
 	if answer.Granted {
-		call.Room = node.RoomGrant{Service: service.name, Kind: g.kind}
+		call.Room = call.Room.Add(service.name, g.kind)
 		p.node.RecordRoomGranted(p.node.Now(), call, guard, answer.Threshold)
 		return nil, true
 	}
@@ -180,15 +235,20 @@
 
 // decodeRoom parses a value of encodeRoom. An invalid value means that no room was granted.
 func decodeRoom(text string) node.RoomGrant {
-	kindText, service, _ := strings.Cut(text, " ")
+	kindText, services, _ := strings.Cut(text, " ")
 	kind, err := strconv.ParseUint(kindText, 10, 32)
-	if err != nil || kind == 0 || !callctx.ValidName(service) {
+	if err != nil || kind == 0 || strings.Count(services, " ") >= maxNamed {
 		return node.RoomGrant{}
 	}
-	return node.RoomGrant{Service: service, Kind: uint32(kind)}
+	for name := range strings.SplitSeq(services, " ") {
+		if !callctx.ValidName(name) {
+			return node.RoomGrant{}
+		}
+	}
+	return node.RoomGrant{Kind: uint32(kind), Services: services}
 }
 
 // encodeRoom returns the value of headerRoom.
 func encodeRoom(g node.RoomGrant) string {
-	return strconv.FormatUint(uint64(g.Kind), 10) + " " + g.Service
+	return strconv.FormatUint(uint64(g.Kind), 10) + " " + g.Services
 }
--- a/internal/proxy/reserve_test.go
+++ b/internal/proxy/reserve_test.go
@@ -67,7 +67,7 @@
 	refusal, decided := gate.reserve(context.Background(), p, call, time.Second)
 	must.True(t, decided)
 	must.Nil(t, refusal)
-	must.EqOp(t, node.RoomGrant{Service: "tracker", Kind: gate.kind}, call.Room)
+	must.EqOp(t, node.RoomGrant{Kind: gate.kind, Services: "tracker"}, call.Room)
 	must.EqOp(t, call.Room, decodeRoom(encodeRoom(call.Room)))
 }
 
@@ -115,11 +115,11 @@
 
 // Guards against a crash, or a grant without a kind, from the header of another node.
 func FuzzDecodeRoom(f *testing.F) {
-	for _, seed := range []string{"1 tracker", "0 tracker", "4294967296 tracker", "1", "", "1 \x00", "-1 tracker", "NaN tracker"} {
+	for _, seed := range []string{"1 tracker", "0 tracker", "1 a b c", "1 a b c d e", "1 a  b", "4294967296 tracker", "1", "", "1 \x00", "-1 tracker", "NaN tracker"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		grant := decodeRoom(text)
-		must.EqOp(t, grant.Kind == 0, grant.Service == "")
+		must.EqOp(t, grant.Kind == 0, grant.Services == "")
 	})
 }
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -42,6 +42,8 @@
 	// shedding is the gate of the service that responses last named as shedding; nil if no response
 	// named one.
 	shedding atomic.Pointer[serviceGate]
+	// named are the services that are asked for room.
+	named namedServices
 }
 
 // serviceGate is an admission.TreeGate that is safe for concurrent use.
@@ -115,7 +117,9 @@
 		return
 	}
 	if resp.SheddingService != "" {
-		g.shedding.Store(g.gates.forService(resp.SheddingService))
+		service := g.gates.forService(resp.SheddingService)
+		g.shedding.Store(service)
+		g.named.add(now, service)
 	}
 	shedding := g.shedding.Load()
 	if shedding == nil {
--- a/internal/room/gate.go
+++ b/internal/room/gate.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// namedFor is how long a service is asked after responses or answers last named it as scarce.
-	namedFor = 10 * time.Second
+	// NamedFor is how long a service is asked after responses or answers last named it as scarce.
+	NamedFor = 10 * time.Second
 	// unresponsiveFor is how long a guard that didn't answer is not asked again.
 	unresponsiveFor = time.Second
 	// maxUnresponsive bounds the guards that are remembered as unresponsive.
@@ -20,7 +20,7 @@
 }
 
 // Named records that a response named the service as scarce.
-func (g *Gate) Named(now time.Time) { g.askUntil = now.Add(namedFor) }
+func (g *Gate) Named(now time.Time) { g.askUntil = now.Add(NamedFor) }
 
 // Asks reports whether the service has to be asked.
 func (g *Gate) Asks(now time.Time) bool { return now.Before(g.askUntil) }
--- a/internal/room/kind.go
+++ b/internal/room/kind.go
@@ -34,10 +34,9 @@
 	pending [pendingIntervals]float64
 	// next is the first interval that pending holds.
 	next int64
-	// used is the slot time of calls, in seconds; calls and first count them and the first calls of
-	// trees among them.
-	used, calls, first float64
-	lag                time.Duration
+	// used is the slot time of calls, in seconds, and calls counts them.
+	used, calls float64
+	lag         time.Duration
 }
 
 func newKind(current int64) *kind { return &kind{next: current, lag: defaultLag} }
@@ -63,16 +62,12 @@
 	k.granted *= kindDecay
 	k.used *= kindDecay
 	k.calls *= kindDecay
-	k.first *= kindDecay
 }
 
 // ended counts the end of a call of a granted tree.
 func (k *kind) ended(c *Call) {
 	k.used += c.SlotTime.Seconds()
 	k.calls++
-	if c.First {
-		k.first++
-	}
 	k.lag += time.Duration(lagGain * float64(c.RootAge-k.lag))
 }
 
@@ -82,12 +77,12 @@
 	return max(learnt, minCostShare*assumed)
 }
 
-// callsPerTree returns the number of calls that a tree makes; 0 if it is unknown.
+// callsPerTree returns the number of calls for each grant; 0 if it is unknown.
 func (k *kind) callsPerTree() float64 {
-	if k.first < minKindTrees {
+	if k.granted < minKindTrees {
 		return 0
 	}
-	return k.calls / k.first
+	return k.calls / k.granted
 }
 
 // unused returns the number of grants whose use is not due yet.
--- a/internal/room/ledger.go
+++ b/internal/room/ledger.go
@@ -66,6 +66,8 @@
 	sound        = 0.95
 	// probeInterval is the time without calls after which a tree is begun although few complete.
 	probeInterval = 300 * time.Millisecond
+	// maxAssumedCalls bounds the calls that a tree of an unknown kind is assumed to make.
+	maxAssumedCalls = 16
 	// defaultCallTime is the slot time that a call is assumed to take, in seconds.
 	defaultCallTime = 0.05
 )
@@ -241,7 +243,7 @@
 		return used / granted
 	}
 	if l.seenTrees >= minKindTrees {
-		return l.seenTime / l.seenTrees
+		return min(l.seenTime/l.seenTrees, maxAssumedCalls*l.callTime())
 	}
 	return l.callTime()
 }
