--- a/internal/admission/sharemodel_test.go
+++ b/internal/admission/sharemodel_test.go
@@ -273,7 +273,9 @@
 // side divides by what it sees.
 func TestFloodIsCutWhileZonesAreApart(t *testing.T) {
 	m := newShareModel(40, 2, true)
-	m.cut = func(elapsed time.Duration) bool { return elapsed > floodAt+4*time.Second && elapsed < floodAt+9*time.Second }
+	m.cut = func(elapsed time.Duration) bool {
+		return elapsed > floodAt+4*time.Second && elapsed < floodAt+9*time.Second
+	}
 	got := m.measure(20 * time.Second)
 	t.Logf("%+.3v", got)
 	must.GreaterEq(t, 0.95, got.neighbour)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -155,6 +155,7 @@
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
 	m.quotas, m.shares = newQuotas(m), newShares(m)
+	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -19,12 +19,13 @@
 		m.routes.follower.resyncNow()
 		m.membersFollower.resyncNow()
 	}
+	m.proxy.SetReserve(next.Trees.Reserve, next.Trees.Overcommit)
 	m.applyBalance()
 	m.members.refresh()
 	m.routes.refresh()
 	needRestart := m.cfg.NeedRestart(next)
 	m.logger.Info().Strs("need_restart", needRestart).Float64("retry_ratio", next.Retries.Ratio).Float64("retry_floor", next.Retries.Floor).
-		Bool("hand_back", next.Balance.HandBack).Bool("speeds", next.Balance.Speeds).Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
+		Bool("reserve", next.Trees.Reserve).Bool("hand_back", next.Balance.HandBack).Bool("speeds", next.Balance.Speeds).Dur("grace_ms", next.Stop.Grace.Std()).Str("store", next.Store.Address).Msg("settings reloaded")
 	return needRestart
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -56,6 +56,13 @@
 	OverviewReports
 	OverviewReportFailures
 	OverviewZoneFailures
+	// RoomAsked counts the requests for room for trees, RoomRefused the trees refused because there is
+	// none, and RoomUnanswered the trees for which no guard answered.
+	RoomAsked
+	RoomRefused
+	RoomUnanswered
+	// RoomInvalid counts the requests for room of other nodes that are invalid.
+	RoomInvalid
 	numCounters
 )
 
@@ -96,6 +103,10 @@
 	OverviewReports:         "overview.reports",
 	OverviewReportFailures:  "overview.report_failures",
 	OverviewZoneFailures:    "overview.zone_failures",
+	RoomAsked:               "room.asked",
+	RoomRefused:             "room.refused",
+	RoomUnanswered:          "room.unanswered",
+	RoomInvalid:             "room.invalid",
 }
 
 // String returns the name in the JSON document.
@@ -138,6 +149,17 @@
 	SharesDividing
 	// ShareOverridesIgnored is the number of overrides that name workspaces that the routes don't have.
 	ShareOverridesIgnored
+	// RoomPromised is the room promised to trees and not yet used, in slot-milliseconds.
+	RoomPromised
+	// RoomRatio is the ratio in force of the room promised to the room that there is, in thousandths.
+	RoomRatio
+	// RoomGrantedTotal and RoomRefusedTotal are the requests that the guard of the local upstream
+	// decided since it started, and RoomUnused the grants whose trees never came.
+	RoomGrantedTotal
+	RoomRefusedTotal
+	RoomUnused
+	// RoomTight is 1 while the local service is scarce.
+	RoomTight
 	numGauges
 )
 
@@ -166,6 +188,12 @@
 	CallsOtherZones:       "zones.calls_to_others",
 	SharesDividing:        "shares.dividing",
 	ShareOverridesIgnored: "shares.overrides_ignored",
+	RoomPromised:          "room.promised_slot_ms",
+	RoomRatio:             "room.ratio_milli",
+	RoomGrantedTotal:      "room.guard_granted",
+	RoomRefusedTotal:      "room.guard_refused",
+	RoomUnused:            "room.guard_unused",
+	RoomTight:             "room.tight",
 }
 
 // String returns the name in the JSON document.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -29,6 +29,8 @@
 	// HasPriorWork means that earlier calls of the same root, or of the run that makes this
 	// call, were already served.
 	HasPriorWork bool
+	// Room marks a call of a tree for which a guard promised room.
+	Room RoomGrant
 	// Header holds only the headers that are sent on to the upstream.
 	Header   http.Header
 	Body     []byte
@@ -43,8 +45,8 @@
 	// HandBacks is how many times the call may be handed back while it waits; 0 if its sender does
 	// not take it back.
 	HandBacks int
-	// Room is what the sender knows of the upstreams of the service; sent only with HandBacks.
-	Room handback.Room
+	// Spare is what the sender knows of free slots at the upstreams of the service; sent only with HandBacks.
+	Spare handback.Room
 	// Reattach means that an earlier transmission of the same call ID got no response.
 	Reattach bool
 	// Sampled means that the call's events are recorded, because it was sampled, or was refused
--- a/internal/node/guard_handback.go
+++ b/internal/node/guard_handback.go
@@ -19,8 +19,8 @@
 
 // note records what the sender of a call knows of the upstreams of the service.
 func (m *moves) note(now time.Time, call *Call) {
-	if m.enabled && call.HandBacks > 0 && call.Room.Usable(now) {
-		m.told = call.Room
+	if m.enabled && call.HandBacks > 0 && call.Spare.Usable(now) {
+		m.told = call.Spare
 	}
 }
 
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -118,6 +118,7 @@
 		g.noteLocked(now, e.process, a.Notice, &deferred)
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
+		g.roomEndedLocked(now, e, a)
 	}
 	g.mu.Unlock()
 	deferred.run()
@@ -131,6 +132,7 @@
 	g.applyLocked(now, g.admission.Tick(now), &deferred)
 	g.handBackLocked(now, &deferred)
 	g.pace.update(now)
+	g.updateLedgerLocked(now)
 	g.trimLocked(now)
 	g.keys.Expire(now)
 	g.refreshHasCrashRecordsLocked(now)
--- a/internal/proxy/handback.go
+++ b/internal/proxy/handback.go
@@ -18,10 +18,10 @@
 func encodeHandBack(call *node.Call, now time.Time) string {
 	text := make([]byte, 0, 32)
 	text = strconv.AppendInt(text, int64(call.HandBacks), 10)
-	if !call.Room.Usable(now) {
+	if !call.Spare.Usable(now) {
 		return string(text)
 	}
-	for _, n := range []int64{int64(call.Room.Free), int64(call.Room.Queued), call.Room.ValidUntil.Sub(now).Milliseconds()} {
+	for _, n := range []int64{int64(call.Spare.Free), int64(call.Spare.Queued), call.Spare.ValidUntil.Sub(now).Milliseconds()} {
 		text = append(text, ' ')
 		text = strconv.AppendInt(text, n, 10)
 	}
--- a/internal/proxy/handback_test.go
+++ b/internal/proxy/handback_test.go
@@ -27,7 +27,7 @@
 		if handBacks == 0 {
 			return
 		}
-		again, roomAgain := decodeHandBack(encodeHandBack(&node.Call{HandBacks: handBacks, Room: room}, now), now)
+		again, roomAgain := decodeHandBack(encodeHandBack(&node.Call{HandBacks: handBacks, Spare: room}, now), now)
 		must.EqOp(t, handBacks, again)
 		if room.Usable(now) {
 			must.Eq(t, room, roomAgain)
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -42,7 +42,7 @@
 	headerSpeed = "Galena-Inner-Speed"
 	// headerCause carries Response.Cause if a call that was made for the response failed.
 	headerCause = "Galena-Inner-Cause"
-	// headerHandBack carries Call.HandBacks and Call.Room.
+	// headerHandBack carries Call.HandBacks and Call.Spare.
 	headerHandBack = "Galena-Inner-Hand-Back"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
 	// that cannot reach the store detects from its peers that its routes are outdated.
@@ -66,6 +66,9 @@
 	if call.HasPriorWork {
 		fields = append(fields, h1.Field{Name: headerContinues, Value: "1"})
 	}
+	if call.Room.Kind != 0 {
+		fields = append(fields, h1.Field{Name: headerRoom, Value: encodeRoom(call.Room)})
+	}
 	if call.KnownNotice != nil {
 		fields = append(fields, h1.Field{Name: headerNotice, Value: encodeNotice(call.KnownNotice)})
 	}
@@ -252,6 +255,7 @@
 		Routed:       r.Header.Get(headerHost) != "",
 		IsRetry:      r.Header.Get(headerRepeat) != "",
 		HasPriorWork: r.Header.Get(headerContinues) != "",
+		Room:         decodeRoom(r.Header.Get(headerRoom)),
 		KnownNotice:  decodeNotice(r.Header.Get(headerNotice)),
 		BodyHash:     h.GetBodyHash(),
 		Allowance:    int(h.GetAllowance()),
@@ -259,7 +263,7 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
-	call.HandBacks, call.Room = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
+	call.HandBacks, call.Spare = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
 	// The request belongs to this node's own handler, which reads no header after this.
 	call.Header = callctx.KeepForwardable(r.Header)
 	return call
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,8 @@
 	predecessorService string
 	// incarnation is the node's incarnation as nodes send it.
 	incarnation string
+	// reserving is whether guards are asked for room; see SetReserve.
+	reserving atomic.Bool
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
 	// rootsPending counts the requests of callers whose responses are not yet written.
