A view keeps the zones that a new collector doesn't know yet

Cause: when the collector of a zone changes, the next one has no sum of its own zone for 1.5 intervals and none of the others until the next exchange; a node that fails to reach it once sees the few reports of the next one for 2 s. Shares, and the demand of workspaces, would be withdrawn and decided again.

Change: View.KeepFrom (pure) keeps the zones of the previous view that the new one lacks, or has with fewer than half of the nodes, and the demand of workspaces with them, up to the age at which a collector drops a sum. A zone that is cut off still ages out at the same time.

--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -239,6 +239,7 @@
 // accept puts a view in force.
 func (x *overviewExchange) accept(collector string, v *overview.View) {
 	v.ReceivedAt = time.Now()
+	v.KeepFrom(x.Current(v.ReceivedAt), v.ReceivedAt)
 	x.current.Store(v)
 	x.mesh.metrics.Inc(metrics.OverviewReports, 1)
 	if previous, _ := x.asked.Swap(collector).(string); previous != collector {
--- a/internal/overview/collector_test.go
+++ b/internal/overview/collector_test.go
@@ -92,6 +92,36 @@
 	must.True(t, known)
 }
 
+// Guards against sums that are gone for a moment whenever the collector of the zone changes, and against a
+// zone that is cut off and kept by the nodes.
+func TestViewKeepsZonesWhileTheCollectorChanges(t *testing.T) {
+	previous := &View{
+		ReceivedAt: start, Zones: []Zone{{Name: "r/a", AgeMillis: 100}, {Name: "r/b", AgeMillis: 1400}},
+		Workspaces: []WorkspaceDemand{{"w", 7}}, Total: RestDemand{1, 7},
+	}
+	now := start.Add(500 * time.Millisecond)
+	v := &View{ReceivedAt: now}
+	v.KeepFrom(previous, now)
+	must.Eq(t, []Zone{{Name: "r/a", AgeMillis: 600}, {Name: "r/b", AgeMillis: 1900}}, v.Zones)
+	must.Eq(t, previous.Workspaces, v.Workspaces)
+
+	next := start.Add(time.Second)
+	v2 := &View{ReceivedAt: next, Zones: []Zone{{Name: "r/b"}}, Total: RestDemand{1, 3}}
+	v2.KeepFrom(v, next)
+	must.Eq(t, []Zone{{Name: "r/a", AgeMillis: 1100}, {Name: "r/b"}}, v2.Zones)
+
+	late := start.Add(3 * time.Second)
+	v3 := &View{ReceivedAt: late, Zones: []Zone{{Name: "r/b"}}, Total: RestDemand{1, 3}}
+	v3.KeepFrom(v2, late)
+	must.Len(t, 1, v3.Zones)
+	must.Eq(t, 3, v3.Total.PerSecond)
+	v3.KeepFrom(nil, late)
+
+	few := &View{ReceivedAt: now, Zones: []Zone{{Name: "r/a", Nodes: 1}}}
+	few.KeepFrom(&View{ReceivedAt: start, Zones: []Zone{{Name: "r/a", Nodes: 25}}}, now)
+	must.Eq(t, 25, few.Zones[0].Nodes)
+}
+
 // Guards against a message that is wrong or late and changes a sum.
 func TestInvalidMessagesAreIgnored(t *testing.T) {
 	change := func(f func(*Report)) Report {
