--- a/cmd/galenactl/node.go
+++ b/cmd/galenactl/node.go
@@ -11,6 +11,8 @@
 	"github.com/galenagrade/galenagrade/internal/mesh"
 	"github.com/galenagrade/galenagrade/internal/quota"
 	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
 // nodeCmd shows the state of one node that serves by routes. --address is the node's metrics address.
@@ -19,6 +21,8 @@
 	Routes  nodeRoutesCmd  `cmd:"" help:"Routes in force, optionally compared with those of another node."`
 	Members nodeMembersCmd `cmd:"" help:"Members known to the node."`
 	Quotas  nodeQuotasCmd  `cmd:"" help:"Quotas of workspaces, the node's share of them, and the requests that it refused."`
+
+	Placement nodePlacementCmd `cmd:"" help:"Where the node sends its calls: targets with slots, speed, score, reports and share of the calls."`
 }
 
 type nodeStatusCmd struct{}
@@ -37,6 +41,8 @@
 	t.row("upstream serving", s.Guard.Serving, "", "")
 	t.row("in flight, queued, limit", [3]int{s.Guard.InFlight, s.Guard.Queued, s.Guard.Limit}, "", "")
 	t.row("overloaded", s.Guard.Overloaded, "", "")
+	t.row("upstream speed", speedText(s.Guard.Speed), "", "")
+	t.row("handed back", s.Guard.HandedBack, "", "")
 	t.row("repeats left", s.Guard.RetryBudgetLeft, "", "")
 	t.row("store calls, failed", [2]int64{s.Store.Calls, s.Store.Failures}, "", "")
 	t.note("%s in zone %s, service %s, incarnation %d", s.Node, s.Zone, s.Service, s.Incarnation)
@@ -135,6 +141,39 @@
 	return a.print(selected, t)
 }
 
+type nodePlacementCmd struct {
+	Service string `help:"Only this service."`
+}
+
+// Run implements the command.
+func (c *nodePlacementCmd) Run(a *app) error {
+	s, err := a.nodeState(a.address)
+	if err != nil {
+		return err
+	}
+	selected := []routing.TargetPlacement{}
+	t := newTable("SERVICE", "NODE", "ZONE", "STATE", "SLOTS", "LIMIT", "SPEED", "SCORE", "IN FLIGHT", "RUNNING", "QUEUED", "REPORT", "SHARE")
+	for i := range s.Placement {
+		p := &s.Placement[i]
+		if c.Service != "" && p.Service != c.Service {
+			continue
+		}
+		selected = append(selected, *p)
+		t.row(p.Service, p.Node, p.Zone, p.State, p.Slots, p.Limit, speedText(p.Speed), rounded(p.Score), p.InFlight, p.Running, p.Queued,
+			freshnessAge(mesh.Freshness{AgeMillis: p.ReportAgeMillis}), rounded(p.Share))
+	}
+	t.note("calls that %s sends; of two targets the one with the lower score is chosen; running and queued are of all nodes by the last report, whose age is given", s.Node)
+	return a.print(selected, t)
+}
+
+// speedText formats a relative speed; an unknown one counts as 1.
+func speedText(s float64) string {
+	if s == speed.Unknown {
+		return "unknown"
+	}
+	return rounded(s)
+}
+
 // rounded formats x with 2 decimal places.
 func rounded(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
 
--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -59,6 +59,7 @@
 	must.StrContains(t, runNode(t, a, "members --service letters", exitOK), "other")
 	must.StrNotContains(t, runNode(t, a, "members --service archive", exitOK), "other")
 	must.StrContains(t, runNode(t, a, "status", exitOK), "repeats left")
+	must.StrContains(t, runNode(t, a, "placement", exitOK), "calls that a sends")
 	quotas := runNode(t, a, "quotas", exitOK)
 	must.StrContains(t, quotas, "north")
 	must.StrContains(t, quotas, "version 3")
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -9,6 +9,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/quota"
 	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -34,6 +35,8 @@
 	// Overview is what the node knows of all zones; nil if there is no recent view.
 	Overview *OverviewState `json:"overview,omitempty"`
 	Store    StoreStats     `json:"store"`
+	// Placement is how the node places its calls.
+	Placement []routing.TargetPlacement `json:"placement,omitempty"`
 }
 
 // Freshness describes how current data from the store is.
@@ -61,6 +64,10 @@
 	// UpstreamLeaves reports whether the upstream said in a response that it is leaving.
 	UpstreamLeaves  bool  `json:"upstream_leaves,omitempty"`
 	RetryBudgetLeft int64 `json:"repeats_left"`
+	// Speed is the speed of the upstream relative to its service; 0 if unknown.
+	Speed float64 `json:"speed,omitempty"`
+	// HandedBack is the number of waiting calls that were handed back to their senders.
+	HandedBack int64 `json:"handed_back,omitempty"`
 }
 
 // MemberState is a member as this node sees it.
@@ -90,7 +97,8 @@
 		Store:   m.platform.StoreStats(),
 		Quotas:  m.quotas.states(),
 
-		Overview: m.overview.state(now),
+		Overview:  m.overview.state(now),
+		Placement: m.node.Table().Placement(now),
 	}
 	s.Routes.Version = m.routes.Version()
 	if t := m.proxy.Routes(); t != nil {
@@ -119,6 +127,7 @@
 	}
 	return Guard{
 		RateLimit: rateLimit, UpstreamLeaves: notice.Leaving,
+		Speed: guard.Speed(), HandedBack: m.metrics.Count(metrics.CallsHandedBack),
 		Serving: guard.Serving(), InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Overloaded: load.Overloaded,
 		RetryBudgetLeft: int64(min(guard.RetryBudgetLeft(m.node.Now()), math.MaxInt32)),
 	}
@@ -135,19 +144,20 @@
 		}
 	}
 	for gauge, value := range map[metrics.Gauge]int64{
-		metrics.ConfigVersion:      s.Routes.Version,
-		metrics.RoutesAgeMillis:    s.Routes.AgeMillis,
-		metrics.MembersAgeMillis:   s.Members.AgeMillis,
-		metrics.UpstreamsKnown:     int64(known),
-		metrics.UpstreamsLive:      int64(live),
-		metrics.IsDraining:         boolGauge(s.Stopping || !s.Guard.Serving),
-		metrics.AdmissionLimit:     int64(s.Guard.Limit),
-		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
-		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
-		metrics.StoreCalls:         s.Store.Calls,
-		metrics.StoreFailures:      s.Store.Failures,
-		metrics.StoreBytesSent:     s.Store.BytesSent,
-		metrics.StoreBytesReceived: s.Store.BytesReceived,
+		metrics.ConfigVersion:        s.Routes.Version,
+		metrics.RoutesAgeMillis:      s.Routes.AgeMillis,
+		metrics.MembersAgeMillis:     s.Members.AgeMillis,
+		metrics.UpstreamsKnown:       int64(known),
+		metrics.UpstreamsLive:        int64(live),
+		metrics.IsDraining:           boolGauge(s.Stopping || !s.Guard.Serving),
+		metrics.AdmissionLimit:       int64(s.Guard.Limit),
+		metrics.UpstreamRateLimit:    m.node.Guard().Notice().RateLimitMilli(),
+		metrics.UpstreamSpeedPercent: int64(math.Round(100 * s.Guard.Speed)),
+		metrics.RetryBudgetLeft:      s.Guard.RetryBudgetLeft,
+		metrics.StoreCalls:           s.Store.Calls,
+		metrics.StoreFailures:        s.Store.Failures,
+		metrics.StoreBytesSent:       s.Store.BytesSent,
+		metrics.StoreBytesReceived:   s.Store.BytesReceived,
 	} {
 		m.metrics.SetGauge(gauge, value)
 	}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -121,6 +121,8 @@
 	// UpstreamRateLimit is the rate limit that the local upstream names, in calls per 1,000 seconds; -1
 	// if it names none.
 	UpstreamRateLimit
+	// UpstreamSpeedPercent is the speed of the local upstream in percent of its service; 0 if unknown.
+	UpstreamSpeedPercent
 	RetryBudgetLeft
 	RoutesAgeMillis
 	MembersAgeMillis
@@ -132,25 +134,26 @@
 )
 
 var gaugeNames = [numGauges]string{
-	AdmissionLimit:     "admission.limit",
-	AdmissionThreshold: "admission.threshold",
-	ConfigVersion:      "config.version",
-	LogHeadAgeMillis:   "log.head_age_ms",
-	LogOffset:          "log.offset",
-	SlotsOwned:         "lease.slots_owned",
-	AuthorityAgeMillis: "lease.authority_age_ms",
-	UpstreamsKnown:     "members.upstreams_known",
-	UpstreamsLive:      "members.upstreams_live",
-	IsRelay:            "members.is_relay",
-	IsDraining:         "node.is_draining",
-	UpstreamRateLimit:  "upstream.rate_limit_milli",
-	RetryBudgetLeft:    "retry.repeats_left",
-	RoutesAgeMillis:    "store.routes_age_ms",
-	MembersAgeMillis:   "store.members_age_ms",
-	StoreCalls:         "store.calls",
-	StoreFailures:      "store.failures",
-	StoreBytesSent:     "store.bytes_sent",
-	StoreBytesReceived: "store.bytes_received",
+	AdmissionLimit:       "admission.limit",
+	AdmissionThreshold:   "admission.threshold",
+	ConfigVersion:        "config.version",
+	LogHeadAgeMillis:     "log.head_age_ms",
+	LogOffset:            "log.offset",
+	SlotsOwned:           "lease.slots_owned",
+	AuthorityAgeMillis:   "lease.authority_age_ms",
+	UpstreamsKnown:       "members.upstreams_known",
+	UpstreamsLive:        "members.upstreams_live",
+	IsRelay:              "members.is_relay",
+	IsDraining:           "node.is_draining",
+	UpstreamRateLimit:    "upstream.rate_limit_milli",
+	UpstreamSpeedPercent: "upstream.speed_percent",
+	RetryBudgetLeft:      "retry.repeats_left",
+	RoutesAgeMillis:      "store.routes_age_ms",
+	MembersAgeMillis:     "store.members_age_ms",
+	StoreCalls:           "store.calls",
+	StoreFailures:        "store.failures",
+	StoreBytesSent:       "store.bytes_sent",
+	StoreBytesReceived:   "store.bytes_received",
 }
 
 // String returns the name in the JSON document.
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -11,6 +11,10 @@
 // targets that the node uses.
 const roomTTL = 5 * time.Millisecond
 
+// roomValidity is the time for which a guard uses the room that a sender knew. Slots become free
+// within it, of which the guard hears from the next call.
+const roomValidity = 100 * time.Millisecond
+
 // roomCell holds the room of a service as last computed, and when.
 type roomCell struct {
 	computedAt   atomic.Int64
@@ -35,7 +39,7 @@
 	if cell.reports.Load() < 2 {
 		return handback.Room{}
 	}
-	return handback.Room{Free: float64(cell.free.Load()), Queued: float64(cell.queued.Load()), ValidUntil: now.Add(cfg.LoadAge)}
+	return handback.Room{Free: float64(cell.free.Load()), Queued: float64(cell.queued.Load()), ValidUntil: now.Add(roomValidity)}
 }
 
 func (v *serviceView) computeRoom(at int64, cfg *Config) {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -33,6 +33,8 @@
 	incarnation atomic.Uint64
 
 	inFlight atomic.Int64
+	// sent counts the calls of this node since it knows the target.
+	sent atomic.Int64
 	// unansweredSince is the time of the target's last response or, if later, the time at which the
 	// first call without a response was sent; 0 if no response is outstanding.
 	unansweredSince atomic.Int64
@@ -98,6 +100,7 @@
 // Done.
 func (g *Target) Start(now time.Time) {
 	g.inFlight.Add(1)
+	g.sent.Add(1)
 	if g.unansweredSince.Load() == 0 {
 		g.unansweredSince.CompareAndSwap(0, g.svc.nanos(now))
 	}
@@ -254,8 +257,6 @@
 	Draining bool
 	// Incarnation is the last one seen in a report, or the endpoint's if there was no report.
 	Incarnation uint64
-	// Speed is the relative speed by which the target is scored; 0 if unknown.
-	Speed float64
 	// Report is the last load report and ReportAt the time of its arrival. Both are zero if there
 	// was none.
 	Report   LoadReport
@@ -278,7 +279,6 @@
 		Draining:            g.draining.Load(),
 		Incarnation:         g.incarnation.Load(),
 	}
-	s.Speed = g.speed.load()
 	if at := g.report.receivedAt.Load(); at != 0 {
 		s.Report = g.report.unpack()
 		s.Report.Incarnation = s.Incarnation
