--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -68,3 +68,18 @@
 		table = NewTable(table, DefaultConfig(), self, eps, origin)
 	}
 }
+
+// BenchmarkRoom measures a computation of the room, of which there is one in roomTTL for each service.
+func BenchmarkRoom(b *testing.B) {
+	for _, count := range []int{10, 1000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			table := benchTable(count, benchReports["room"])
+			now := origin
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(2 * roomTTL)
+				table.Room(now, "archive")
+			}
+		})
+	}
+}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -81,3 +81,14 @@
 	}
 	must.EqOp(t, Unknown, Clamp(math.NaN()))
 }
+
+// BenchmarkObserve measures what a call costs its guard, with all kinds in use.
+func BenchmarkObserve(b *testing.B) {
+	var m Meter
+	now := origin
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		m.Observe(now, Kind("GET", "/archive/x", i%2 == 0), 10*time.Millisecond)
+	}
+}
