--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -10,6 +10,7 @@
 	"github.com/galenagrade/galenagrade/internal/quota"
 	"github.com/galenagrade/galenagrade/internal/room"
 	"github.com/galenagrade/galenagrade/internal/routes"
+	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -41,6 +42,8 @@
 	Store StoreStats     `json:"store"`
 	// Room is what the guard of the local upstream promised to trees; nil if it promises nothing.
 	Room *room.State `json:"room,omitempty"`
+	// Placement is how the node places its calls.
+	Placement []routing.TargetPlacement `json:"placement,omitempty"`
 }
 
 // Freshness describes how current data from the store is.
@@ -68,6 +71,10 @@
 	// UpstreamLeaves reports whether the upstream said in a response that it is leaving.
 	UpstreamLeaves  bool  `json:"upstream_leaves,omitempty"`
 	RetryBudgetLeft int64 `json:"repeats_left"`
+	// Speed is the speed of the upstream relative to its service; 0 if unknown.
+	Speed float64 `json:"speed,omitempty"`
+	// HandedBack is the number of waiting calls that were handed back to their senders.
+	HandedBack int64 `json:"handed_back,omitempty"`
 }
 
 // MemberState is a member as this node sees it.
@@ -98,8 +105,9 @@
 		Quotas:  m.quotas.states(),
 		Shares:  m.shares.state(now),
 
-		Overview: m.overview.state(now),
-		Zones:    m.zoneBalance.state(),
+		Overview:  m.overview.state(now),
+		Zones:     m.zoneBalance.state(),
+		Placement: m.node.Table().Placement(now),
 	}
 	if promised, on := m.node.Guard().Room(now); on {
 		s.Room = &promised
@@ -131,6 +139,7 @@
 	}
 	return Guard{
 		RateLimit: rateLimit, UpstreamLeaves: notice.Leaving,
+		Speed: guard.Speed(), HandedBack: m.metrics.Count(metrics.CallsHandedBack),
 		Serving: guard.Serving(), InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Overloaded: load.Overloaded,
 		RetryBudgetLeft: int64(min(guard.RetryBudgetLeft(m.node.Now()), math.MaxInt32)),
 	}
@@ -147,23 +156,24 @@
 		}
 	}
 	for gauge, value := range map[metrics.Gauge]int64{
-		metrics.ConfigVersion:      s.Routes.Version,
-		metrics.RoutesAgeMillis:    s.Routes.AgeMillis,
-		metrics.MembersAgeMillis:   s.Members.AgeMillis,
-		metrics.UpstreamsKnown:     int64(known),
-		metrics.UpstreamsLive:      int64(live),
-		metrics.IsDraining:         boolGauge(s.Stopping || !s.Guard.Serving),
-		metrics.AdmissionLimit:     int64(s.Guard.Limit),
-		metrics.UpstreamRateLimit:  m.node.Guard().Notice().RateLimitMilli(),
-		metrics.RetryBudgetLeft:    s.Guard.RetryBudgetLeft,
-		metrics.OverviewAgeMillis:  m.overview.ageMillis(),
-		metrics.ZoneShareMilli:     int64(1000 * m.zoneBalance.highestShare()),
-		metrics.CallsOtherZones:    m.node.Table().CallsAway(),
-		metrics.SharesDividing:     boolGauge(s.Shares != nil && s.Shares.Dividing),
-		metrics.StoreCalls:         s.Store.Calls,
-		metrics.StoreFailures:      s.Store.Failures,
-		metrics.StoreBytesSent:     s.Store.BytesSent,
-		metrics.StoreBytesReceived: s.Store.BytesReceived,
+		metrics.ConfigVersion:        s.Routes.Version,
+		metrics.RoutesAgeMillis:      s.Routes.AgeMillis,
+		metrics.MembersAgeMillis:     s.Members.AgeMillis,
+		metrics.UpstreamsKnown:       int64(known),
+		metrics.UpstreamsLive:        int64(live),
+		metrics.IsDraining:           boolGauge(s.Stopping || !s.Guard.Serving),
+		metrics.AdmissionLimit:       int64(s.Guard.Limit),
+		metrics.UpstreamRateLimit:    m.node.Guard().Notice().RateLimitMilli(),
+		metrics.RetryBudgetLeft:      s.Guard.RetryBudgetLeft,
+		metrics.OverviewAgeMillis:    m.overview.ageMillis(),
+		metrics.ZoneShareMilli:       int64(1000 * m.zoneBalance.highestShare()),
+		metrics.CallsOtherZones:      m.node.Table().CallsAway(),
+		metrics.SharesDividing:       boolGauge(s.Shares != nil && s.Shares.Dividing),
+		metrics.StoreCalls:           s.Store.Calls,
+		metrics.StoreFailures:        s.Store.Failures,
+		metrics.StoreBytesSent:       s.Store.BytesSent,
+		metrics.StoreBytesReceived:   s.Store.BytesReceived,
+		metrics.UpstreamSpeedPercent: int64(math.Round(100 * s.Guard.Speed)),
 	} {
 		m.metrics.SetGauge(gauge, value)
 	}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -132,6 +132,8 @@
 	// UpstreamRateLimit is the rate limit that the local upstream names, in calls per 1,000 seconds; -1
 	// if it names none.
 	UpstreamRateLimit
+	// UpstreamSpeedPercent is the speed of the local upstream in percent of its service; 0 if unknown.
+	UpstreamSpeedPercent
 	RetryBudgetLeft
 	RoutesAgeMillis
 	MembersAgeMillis
@@ -194,6 +196,7 @@
 	RoomRefusedTotal:      "room.guard_refused",
 	RoomUnused:            "room.guard_unused",
 	RoomTight:             "room.tight",
+	UpstreamSpeedPercent:  "upstream.speed_percent",
 }
 
 // String returns the name in the JSON document.
