--- a/cmd/galenactl/store.go
+++ b/cmd/galenactl/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenagrade/galenagrade/internal/mesh"
+	"github.com/galenagrade/galenagrade/internal/records"
 )
 
 type storeCmd struct {
@@ -19,9 +19,9 @@
 
 // storeCall is the topic, purpose and outcome of a call to the store, as a node logs them.
 type storeCall struct {
-	Topic   string       `json:"topic"`
-	Purpose mesh.Purpose `json:"purpose"`
-	Outcome mesh.Outcome `json:"outcome"`
+	Topic   string          `json:"topic"`
+	Purpose records.Purpose `json:"purpose"`
+	Outcome records.Outcome `json:"outcome"`
 }
 
 // storeCount is the number of calls with the same topic, purpose and outcome.
@@ -51,7 +51,7 @@
 func countStoreCalls(lines []logLine) ([]storeCount, error) {
 	calls := map[storeCall]int{}
 	for i := range lines {
-		if lines[i].Message != mesh.StoreCallMessage {
+		if lines[i].Message != records.StoreCallMessage {
 			continue
 		}
 		var call storeCall
--- a/internal/mesh/compare.go
+++ b/internal/mesh/compare.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
@@ -18,10 +19,8 @@
 	// offsetsPath is the path at which a node serves the offsets up to which it has read the
 	// store's topics.
 	offsetsPath = "/offsets"
-	// zoneCompareInterval is the mean time between two comparisons by all nodes of a zone
-	// together. minCompareInterval bounds the interval of a single node from below.
-	zoneCompareInterval = 150 * time.Millisecond
-	minCompareInterval  = 500 * time.Millisecond
+	// minCompareInterval bounds the interval between two comparisons of a single node from below.
+	minCompareInterval = 500 * time.Millisecond
 	// compareTimeout bounds one request for offsets.
 	compareTimeout = 500 * time.Millisecond
 	// maxOffsetsBytes bounds the response in bytes.
@@ -45,7 +44,7 @@
 // ahead as long as the store responds to one of them.
 func (m *Mesh) compareOffsets(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := max(time.Duration(len(m.members.zoneNeighbours(m.cfg)))*zoneCompareInterval, minCompareInterval)
+		interval := max(time.Duration(len(m.members.zoneNeighbours(m.cfg)))*records.ZoneCompareInterval, minCompareInterval)
 		wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(interval)))
 		peer, known := m.members.randomOtherZone(m.cfg)
 		if !known || ctx.Err() != nil {
@@ -74,8 +73,8 @@
 		return errors.Wrap(err, "decode offsets of another node")
 	}
 	m.routes.ObserveVersion(peer.Address, remote.RoutesVersion)
-	m.routes.follower.observeOffset(remote.Routes)
-	m.membersFollower.observeOffset(remote.Members)
+	m.routes.follower.ObserveOffset(remote.Routes)
+	m.membersFollower.ObserveOffset(remote.Members)
 	return nil
 }
 
@@ -86,8 +85,8 @@
 		return
 	}
 	m.sendJSON(w, &offsets{
-		Members:       m.membersFollower.next.Load(),
-		Routes:        m.routes.follower.next.Load(),
+		Members:       m.membersFollower.Next(),
+		Routes:        m.routes.follower.Next(),
 		RoutesVersion: m.routes.Version(),
 	})
 }
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/node"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
@@ -20,9 +21,8 @@
 )
 
 const (
-	// peerConnectTimeout bounds opening a connection to another node: one way between zones
-	// takes 1 ms, and a lost SYN packet is retransmitted after 1 s.
-	peerConnectTimeout = 250 * time.Millisecond
+	// peerConnectTimeout bounds opening a connection to another node.
+	peerConnectTimeout = records.ConnectTimeout
 	// peerIdleTimeout is how long an unused connection to another node is kept open. The
 	// receiving node keeps it open for longer (innerIdleTimeout), so no call meets a connection
 	// that is being closed.
@@ -66,28 +66,6 @@
 	return cfg
 }
 
-const (
-	// minBatchWindow and maxBatchWindow bound the time over which member changes are batched
-	// into one read. When all nodes start at once, each would otherwise read once for every
-	// other node. A record is outdated for at most this long. A drain is enforced at the guard
-	// of the draining node before that, so an outdated record costs only a call that is
-	// rerouted.
-	minBatchWindow = 300 * time.Millisecond
-	maxBatchWindow = 2 * time.Second
-	// deploymentReadsPerSecond is how often all nodes together read while members change: one
-	// hundredth of the load of a store that serves 6,000 reads per second.
-	deploymentReadsPerSecond = 60
-)
-
-// membersLagGrace is the lag grace of the members follower: batching leaves it behind until
-// its next read.
-const membersLagGrace = maxBatchWindow + lagGrace
-
-// batchWindowFor returns how long one of the given number of nodes batches changes.
-func batchWindowFor(nodes int) time.Duration {
-	return min(max(minBatchWindow, time.Duration(nodes)*time.Second/deploymentReadsPerSecond), maxBatchWindow)
-}
-
 // maxRecentSuccesses is how many recently succeeded requests each guard remembers; each takes 8
 // bytes plus a map entry.
 const maxRecentSuccesses = 8192
--- a/internal/mesh/crashrecords.go
+++ b/internal/mesh/crashrecords.go
@@ -11,15 +11,13 @@
 
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
 const (
 	// crashPrefix is the prefix of the keys of crash records; the node's name follows.
 	crashPrefix = "crash/"
-	// batchDelay is how long the records of one crash are collected for one append: the crash of
-	// an upstream shows on each of its connections within milliseconds.
-	batchDelay = 50 * time.Millisecond
 	// maxPendingCrashRecords bounds the records of one append: a crash makes one record for each
 	// call that runs at the upstream, and a large upstream runs about as many.
 	maxPendingCrashRecords = 512
@@ -40,21 +38,21 @@
 // crashReporter writes the records of requests that ran when an upstream crashed to the store,
 // and applies those of other nodes, so that no third upstream runs a request that crashed 2.
 type crashReporter struct {
-	topic  Topic
+	topic  records.Topic
 	key    string
 	guard  *node.Guard
 	logger zerolog.Logger
-	calls  storeCallLog
+	calls  records.CallLog
 	wake   chan struct{}
 	// onWriteFailed is called when the store did not accept the records.
-	onWriteFailed func(Item)
+	onWriteFailed func(records.Item)
 
 	mu      sync.Mutex
 	pending []quarantine.CrashRecord
 }
 
-func newCrashReporter(topic Topic, nodeID string, logger, storeCallLogger zerolog.Logger, onWriteFailed func(Item)) *crashReporter {
-	return &crashReporter{topic: topic, key: crashPrefix + nodeID, logger: logger, calls: storeCallLog{logger: storeCallLogger, topic: topic.Name()}, wake: make(chan struct{}, 1), onWriteFailed: onWriteFailed}
+func newCrashReporter(topic records.Topic, nodeID string, logger, storeCallLogger zerolog.Logger, onWriteFailed func(records.Item)) *crashReporter {
+	return &crashReporter{topic: topic, key: crashPrefix + nodeID, logger: logger, calls: records.NewCallLog(storeCallLogger, topic), wake: make(chan struct{}, 1), onWriteFailed: onWriteFailed}
 }
 
 // enqueue adds records to the next write; it doesn't block.
@@ -79,13 +77,13 @@
 		case <-ctx.Done():
 			return
 		}
-		wait.For(ctx, batchDelay)
+		wait.For(ctx, records.BatchDelay)
 		s.mu.Lock()
-		records := s.pending
+		crashes := s.pending
 		s.pending = nil
 		s.mu.Unlock()
-		if err := s.write(ctx, records); err != nil && ctx.Err() == nil {
-			s.logger.Warn().Int("records", len(records)).Err(err).Msg("crash records not written to the store; nodes outside the zone may not receive them")
+		if err := s.write(ctx, crashes); err != nil && ctx.Err() == nil {
+			s.logger.Warn().Int("records", len(crashes)).Err(err).Msg("crash records not written to the store; nodes outside the zone may not receive them")
 		}
 	}
 }
@@ -93,11 +91,11 @@
 // write writes the records, with one retry after a failure: crash records are useful for seconds
 // only.
 func (s *crashReporter) write(ctx context.Context, crashes []quarantine.CrashRecord) error {
-	records := make([]storedCrashRecord, len(crashes))
+	stored := make([]storedCrashRecord, len(crashes))
 	for i, crash := range crashes {
-		records[i] = storedCrashRecord{uint64(crash.Fingerprint), crash.Upstream, crash.Incarnation, crash.At.UnixMilli(), crash.Cleared, crash.Alone}
+		stored[i] = storedCrashRecord{uint64(crash.Fingerprint), crash.Upstream, crash.Incarnation, crash.At.UnixMilli(), crash.Cleared, crash.Alone}
 	}
-	raw, err := json.Marshal(records)
+	raw, err := json.Marshal(stored)
 	if err != nil {
 		return errors.Wrap(err, "encode crash records")
 	}
@@ -105,23 +103,23 @@
 		if err = s.put(ctx, raw); err == nil {
 			return nil
 		}
-		s.onWriteFailed(Item{Key: s.key, Value: raw})
-		wait.For(ctx, minRetryDelay)
+		s.onWriteFailed(records.Item{Key: s.key, Value: raw})
+		wait.For(ctx, records.MinRetryDelay)
 	}
 	return err
 }
 
 func (s *crashReporter) put(ctx context.Context, raw []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, records.StoreCallTimeout)
 	defer cancel()
 	sent := time.Now()
-	err := s.topic.Put(ctx, Item{Key: s.key, Value: raw})
-	s.calls.log(ctx, PurposeCrash, sent, err)
+	err := s.topic.Put(ctx, records.Item{Key: s.key, Value: raw})
+	s.calls.Log(ctx, records.PurposeCrash, sent, err)
 	return err
 }
 
 // apply applies the crash records that another node wrote.
-func (s *crashReporter) apply(item Item) {
+func (s *crashReporter) apply(item records.Item) {
 	if item.Key == s.key {
 		return
 	}
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -31,7 +31,7 @@
 func (m *Mesh) exchangeRecords(ctx context.Context, address string) (fleet.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
 	defer cancel()
-	own := m.publisher.newest()
+	own := m.publisher.Newest()
 	raw, err := own.Encode()
 	if err != nil {
 		return fleet.Member{}, err
@@ -85,7 +85,7 @@
 	if m.routes.Version() == 0 || !m.members.isInitialized() {
 		m.routes.fetch(record.Address)
 	}
-	own := m.publisher.newest()
+	own := m.publisher.Newest()
 	m.sendJSON(w, &own)
 }
 
--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/galenagrade/galenagrade/internal/records"
 )
 
 const (
@@ -35,7 +37,7 @@
 	if m.cfg.FirstStart {
 		m.introduceToZone(ctx)
 	}
-	m.membersFollower.run(ctx)
+	m.membersFollower.Run(ctx)
 }
 
 // awaitFirstReports waits until the other nodes of a deployment that starts for the first time have
@@ -54,11 +56,12 @@
 
 // readZone reads the records of the node's own zone. If that fails, all records are read instead.
 func (m *Mesh) readZone(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, records.StoreCallTimeout)
 	defer cancel()
 	sent := time.Now()
-	page, err := m.platform.Members().NewestPage(ctx, zonePrefix(m.cfg.Region, m.cfg.Zone))
-	m.membersFollower.calls.log(ctx, PurposeZone, sent, err)
+	topic := m.platform.Members()
+	page, err := topic.NewestPage(ctx, zonePrefix(m.cfg.Region, m.cfg.Zone))
+	records.NewCallLog(m.logger, topic).Log(ctx, records.PurposeZone, sent, err)
 	if err == nil {
 		m.members.applyPart(page.Items)
 	}
@@ -69,7 +72,7 @@
 func (m *Mesh) introduceToZone(ctx context.Context) {
 	neighbours := m.members.zoneNeighbours(m.cfg)
 	var group errgroup.Group
-	for _, i := range rand.Perm(len(neighbours))[:min(gossipFanOut, len(neighbours))] {
+	for _, i := range rand.Perm(len(neighbours))[:min(records.GossipFanOut, len(neighbours))] {
 		group.Go(func() error {
 			_, err := m.exchangeRecords(ctx, neighbours[i].Address)
 			return err
@@ -89,10 +92,10 @@
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-m.membersFollower.firstReadDone:
+	case <-m.membersFollower.FirstReadDone():
 	case <-timer.C:
 	case <-ctx.Done():
 		return
 	}
-	m.routes.follower.run(ctx)
+	m.routes.follower.Run(ctx)
 }
--- a/internal/mesh/introduce.go
+++ b/internal/mesh/introduce.go
@@ -9,12 +9,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/records"
 )
 
 const (
 	// introductionInterval is how often absent members are contacted. A node that starts without
 	// the store serves calls after about this time.
-	introductionInterval = 500 * time.Millisecond
+	introductionInterval = records.RoundInterval
 	// introducersPerRound is how many nodes of a zone contact an absent member per round, on
 	// average: with 3, a round without any is rare.
 	introducersPerRound = 3
@@ -60,7 +61,7 @@
 	}
 	if i.mesh.storeLost() && len(neighbours) > 0 {
 		start(&neighbours[rand.IntN(len(neighbours))])
-		i.mesh.gossiper.round()
+		i.mesh.gossiper.Round()
 	}
 	_ = group.Wait()
 }
@@ -86,5 +87,5 @@
 }
 
 func (m *Mesh) storeLost() bool {
-	return m.membersFollower.lost.Load() || m.routes.follower.lost.Load()
+	return m.membersFollower.Lost() || m.routes.follower.Lost()
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -166,7 +166,7 @@
 	if l.mesh.stopping.Load() && state == fleet.Serving {
 		state = fleet.Stopping
 	}
-	record := l.mesh.publisher.update(func(own *fleet.Member) {
+	record := l.mesh.publisher.Update(func(own *fleet.Member) {
 		own.Upstream = r.ID
 		own.Slots = r.Slots
 		own.ServesSince = since
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
@@ -46,7 +47,7 @@
 
 // apply applies records from the store, those of members and those of crashes. Deleted keys and
 // invalid records are skipped.
-func (m *members) apply(items []Item) {
+func (m *members) apply(items []records.Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyLocked(items, !m.initialized)
@@ -61,7 +62,7 @@
 }
 
 // applyPart applies the records of some members; those of the others are still to be read.
-func (m *members) applyPart(items []Item) {
+func (m *members) applyPart(items []records.Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyLocked(items, true)
@@ -69,7 +70,7 @@
 
 // applyLocked applies records. At a start it logs their number alone, since there are as many as
 // nodes.
-func (m *members) applyLocked(items []Item, atStart bool) {
+func (m *members) applyLocked(items []records.Item, atStart bool) {
 	updated := 0
 	for _, item := range items {
 		if len(item.Value) == 0 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -46,10 +47,10 @@
 	upstream                   *proxy.Upstream
 
 	members         *members
-	membersFollower *follower
-	publisher       *publisher
-	groupWriter     *groupWriter
-	gossiper        *gossiper
+	membersFollower *records.Follower
+	publisher       *records.Publisher
+	groupWriter     *records.GroupWriter
+	gossiper        *records.Gossiper
 	crashReporter   *crashReporter
 	routes          *routeKeeper
 	quotas          *quotas
@@ -119,7 +120,7 @@
 		Reattach:     proxy.WaitBounds{Min: minPeerReattachWait, Max: maxPeerReattachWait},
 	})
 	m.gossiper = m.newGossiper()
-	m.crashReporter = newCrashReporter(m.platform.Members(), m.cfg.NodeID, m.rateLimited, m.logger, m.gossiper.publish)
+	m.crashReporter = newCrashReporter(m.platform.Members(), m.cfg.NodeID, m.rateLimited, m.logger, m.gossiper.Publish)
 	m.upstream = proxy.NewUpstream(noIdempotencyKeys{})
 	m.upstream.SetDialect(m.platform)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
@@ -152,12 +153,13 @@
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
-	m.membersFollower = newFollower(m.platform.Members(), m.members.apply, m.newRelay(membersWatchWait), m.logger)
-	m.membersFollower.batchWindow = m.membersBatchWindow
-	m.membersFollower.lagGrace = membersLagGrace
-	m.publisher = newPublisher(m.platform.Members(), m.logger, m.ownRecord(id), m.gossiper.publish)
-	m.groupWriter = &groupWriter{ctx: m.ctx, put: m.publisher.put}
-	m.publisher.writeItem = (&zoneWriter{mesh: m}).write
+	m.membersFollower = records.NewFollower(m.platform.Members(), m.members.apply, m.newRelay(records.MembersWatchWait), m.logger)
+	m.membersFollower.BatchWindow = m.membersBatchWindow
+	m.membersFollower.LagGrace = records.BatchedLagGrace
+	own := m.ownRecord(id)
+	m.publisher = records.NewPublisher(m.platform.Members(), m.logger, memberKey(&own), own, m.gossiper.Publish)
+	m.groupWriter = records.NewGroupWriter(m.ctx, m.publisher.Put)
+	m.publisher.WriteItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
 }
@@ -215,7 +217,7 @@
 	m.serve()
 	m.spawn(func() { m.guardTicker.run(ctx) })
 	m.spawn(func() { m.followRoutes(ctx) })
-	m.spawn(func() { m.publisher.run(ctx) })
+	m.spawn(func() { m.publisher.Run(ctx) })
 	m.spawn(func() { m.crashReporter.run(ctx) })
 	m.spawn(func() { m.followMembers(ctx) })
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
--- a/internal/mesh/observe.go
+++ b/internal/mesh/observe.go
@@ -8,6 +8,7 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/quota"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/routes"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
@@ -101,8 +102,8 @@
 // Events returns the events of the node's timeline that pass the filter.
 func (m *Mesh) Events(f timeline.Filter) []timeline.Event { return m.node.Ring().Events(f) }
 
-func freshnessOf(f *follower, now time.Time) Freshness {
-	return Freshness{AgeMillis: f.age(now).Milliseconds(), Lost: f.lost.Load(), Relay: f.relay.source()}
+func freshnessOf(f *records.Follower, now time.Time) Freshness {
+	return Freshness{AgeMillis: f.Age(now).Milliseconds(), Lost: f.Lost(), Relay: f.Source()}
 }
 
 func (m *Mesh) guardState() Guard {
--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/routes"
 )
 
@@ -14,11 +15,11 @@
 	proxy.Edge
 	proxy.Dialect
 	// Members returns the topic of the nodes' own records.
-	Members() Topic
+	Members() records.Topic
 	// RoutesTopic returns the topic to which operators publish routes.
-	RoutesTopic() Topic
+	RoutesTopic() records.Topic
 	// DecodeRoutes decodes an item of RoutesTopic; ok is false if the item is not about routes.
-	DecodeRoutes(item Item) (config *routes.Config, ok bool, err error)
+	DecodeRoutes(item records.Item) (config *routes.Config, ok bool, err error)
 	// AnnounceHandler returns the handler that receives the reports of the local upstream and
 	// passes them to sink.
 	AnnounceHandler(sink UpstreamReports) http.Handler
--- a/internal/mesh/relaybytes_test.go
+++ b/internal/mesh/relaybytes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/proxy"
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
@@ -55,10 +56,11 @@
 	cfg.Store.Address = "10.200.100.100:18223"
 	m = &Mesh{cfg: cfg, logger: zerolog.Nop()}
 	m.tunable.Store(cfg)
-	m.membersFollower = newFollower(emptyTopic("members"), func([]Item) {}, nil, zerolog.Nop())
-	m.routes = &routeKeeper{follower: newFollower(emptyTopic("routes"), func([]Item) {}, nil, zerolog.Nop())}
-	for _, f := range []*follower{m.membersFollower, m.routes.follower} {
-		f.applyBatch(snapshotOffset, batch{Next: 12_345_678, Snapshot: true}, time.Now())
+	m.membersFollower = records.NewFollower(emptyTopic("members"), func([]records.Item) {}, nil, zerolog.Nop())
+	m.routes = &routeKeeper{follower: records.NewFollower(emptyTopic("routes"), func([]records.Item) {}, nil, zerolog.Nop())}
+	for _, f := range []*records.Follower{m.membersFollower, m.routes.follower} {
+		go f.Run(t.Context())
+		<-f.FirstReadDone()
 	}
 	m.servers.control = proxy.NewPeers(nil).ControlTransport()
 	t.Cleanup(m.servers.control.CloseIdleConnections)
@@ -77,28 +79,34 @@
 	m, source, listener := watchedNode(t)
 	bytesOf := func(topic string) float64 {
 		before := listener.bytes.Load()
-		_, err := m.watch(t.Context(), &source, watchRequest{topic: topic, from: 12_345_678, wait: time.Millisecond})
+		_, err := m.watch(t.Context(), &source, records.WatchRequest{Topic: topic, From: idleOffset, Wait: time.Millisecond})
 		must.NoError(t, err)
 		return float64(listener.bytes.Load() - before)
 	}
-	bytesPerChild := bytesOf("routes")/routesWatchWait.Seconds() + bytesOf("members")/membersWatchWait.Seconds()
+	bytesPerChild := bytesOf("routes")/records.RoutesWatchWait.Seconds() + bytesOf("members")/records.MembersWatchWait.Seconds()
 	t.Logf("%.0f bytes per second per child", bytesPerChild)
 	must.LessEq(t, maxBytesPerSecond, bytesPerChild*(fleet.RelayFanOut+1), must.Sprint("a node also sends one watch request per topic itself"))
 }
 
-// emptyTopic has no records and is never read.
+// idleOffset is as long as an offset in a large deployment.
+const idleOffset = 12_345_678
+
+// emptyTopic has no records, and no changes until the node stops.
 type emptyTopic string
 
 // Name implements Topic.
 func (q emptyTopic) Name() string { return string(q) }
 
 // Put implements Topic.
-func (emptyTopic) Put(context.Context, ...Item) error { return nil }
+func (emptyTopic) Put(context.Context, ...records.Item) error { return nil }
 
-// Newest implements Topic.
-func (emptyTopic) NewestPage(context.Context, string) (Page, error) { return Page{}, nil }
+// NewestPage implements Topic.
+func (emptyTopic) NewestPage(context.Context, string) (records.Page, error) {
+	return records.Page{Next: idleOffset}, nil
+}
 
 // Read implements Topic.
-func (emptyTopic) Read(context.Context, int64, time.Duration) ([]Item, int64, error) {
-	return nil, 0, nil
+func (emptyTopic) Read(ctx context.Context, _ int64, _ time.Duration) ([]records.Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
 }
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -10,14 +10,14 @@
 	moves := previous.Store.Address != next.Store.Address || previous.Store.Name != next.Store.Name
 	if moves {
 		// Other nodes that moved already read through this one as soon as its settings name the new store.
-		m.routes.follower.leaveStore()
-		m.membersFollower.leaveStore()
+		m.routes.follower.LeaveStore()
+		m.membersFollower.LeaveStore()
 	}
 	m.tunable.Store(next)
 	if moves {
 		m.platform.SetStore(next.Store.Address)
-		m.routes.follower.resyncNow()
-		m.membersFollower.resyncNow()
+		m.routes.follower.ResyncNow()
+		m.membersFollower.ResyncNow()
 	}
 	m.members.refresh()
 	m.routes.refresh()
--- a/internal/mesh/routekeeper.go
+++ b/internal/mesh/routekeeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/routes"
 )
 
@@ -27,7 +28,7 @@
 // implements proxy.Versions.
 type routeKeeper struct {
 	mesh     *Mesh
-	follower *follower
+	follower *records.Follower
 	version  atomic.Int64
 	fetching atomic.Bool
 
@@ -36,8 +37,8 @@
 
 func newRouteKeeper(m *Mesh) *routeKeeper {
 	k := &routeKeeper{mesh: m}
-	k.follower = newFollower(m.platform.RoutesTopic(), k.apply, m.newRelay(routesWatchWait), m.logger)
-	k.follower.readWait = routesReadWait
+	k.follower = records.NewFollower(m.platform.RoutesTopic(), k.apply, m.newRelay(records.RoutesWatchWait), m.logger)
+	k.follower.ReadWait = records.RoutesReadWait
 	return k
 }
 
@@ -69,7 +70,7 @@
 }
 
 func (k *routeKeeper) fetchFrom(addr string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), records.StoreCallTimeout)
 	defer cancel()
 	if !k.mesh.members.isInitialized() {
 		if err := k.mesh.fetchMembers(ctx, addr); err != nil {
@@ -95,7 +96,7 @@
 	return k.install(&config, "node "+addr)
 }
 
-func (k *routeKeeper) apply(items []Item) {
+func (k *routeKeeper) apply(items []records.Item) {
 	for _, item := range items {
 		config, ok, err := k.mesh.platform.DecodeRoutes(item)
 		if err != nil {
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -57,14 +57,14 @@
 // announceStop publishes that the node is stopping, so that other nodes send their calls
 // elsewhere if they can.
 func (m *Mesh) announceStop() {
-	record := m.publisher.update(func(own *fleet.Member) {
+	record := m.publisher.Update(func(own *fleet.Member) {
 		if own.State == fleet.Serving {
 			own.State = fleet.Stopping
 		}
 	})
 	m.members.applyMember(record)
-	m.membersFollower.feed.close()
-	m.routes.follower.feed.close()
+	m.membersFollower.Close()
+	m.routes.follower.Close()
 }
 
 // awaitNoCallers returns once no caller has waited for a response for quietPeriod, or at end.
--- a/internal/mesh/feed.go
+++ b/internal/records/feed.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// batch is the result of one read of a topic.
-type batch struct {
+// Batch is the result of one read of a topic.
+type Batch struct {
 	Items []Item `json:"items,omitempty"`
 	// Next is the offset of the next read.
 	Next int64 `json:"next"`
@@ -70,10 +70,10 @@
 // feedBatch is a batch with the offset that it was read from.
 type feedBatch struct {
 	from int64
-	batch
+	Batch
 }
 
-func (b *batch) bytes() (n int) {
+func (b *Batch) bytes() (n int) {
 	for i := range b.Items {
 		n += len(b.Items[i].Key) + len(b.Items[i].Value)
 	}
@@ -81,7 +81,7 @@
 }
 
 // add appends a batch that was read from offset from.
-func (f *feed) add(from int64, b batch) {
+func (f *feed) add(from int64, b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.discardUntilSnapshot && !b.Snapshot {
@@ -106,7 +106,7 @@
 }
 
 // resetLocked drops the buffer and restarts it after b, with all keys if b is a snapshot.
-func (f *feed) resetLocked(b batch) {
+func (f *feed) resetLocked(b Batch) {
 	f.batches, f.bufferedBytes, f.latest = nil, 0, nil
 	f.start = b.Next
 	if b.Snapshot {
@@ -143,7 +143,7 @@
 func (f *feed) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.resetLocked(batch{})
+	f.resetLocked(Batch{})
 	f.next = 0
 	f.discardUntilSnapshot = true
 	if f.state != feedClosed {
@@ -180,7 +180,7 @@
 // record at or after from, readFrom waits up to wait, also for a first read that is under way; with
 // waitForStore it also waits for a lost store to return. A reader that is ahead of this feed for the
 // whole wait gets errNotBuffered and must read the store: the store may have restarted its offsets.
-func (f *feed) readFrom(ctx context.Context, from int64, wait time.Duration, waitForStore bool) (batch, error) {
+func (f *feed) readFrom(ctx context.Context, from int64, wait time.Duration, waitForStore bool) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -193,33 +193,33 @@
 		case <-timer.C:
 			return f.timeoutResult(from, wait)
 		case <-ctx.Done():
-			return batch{}, ctx.Err()
+			return Batch{}, ctx.Err()
 		}
 	}
 }
 
 // tryRead returns the records from an offset on, or a channel that is closed at the next change.
-func (f *feed) tryRead(from int64, waitForStore bool) (b batch, changed <-chan struct{}, err error) {
+func (f *feed) tryRead(from int64, waitForStore bool) (b Batch, changed <-chan struct{}, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case f.state == feedClosed || (f.state == feedStoreLost && !waitForStore):
-		return batch{}, nil, errFeedNotCurrent
+		return Batch{}, nil, errFeedNotCurrent
 	case f.state != feedCurrent || (from >= f.start && from >= f.next):
 		if f.changed == nil {
 			f.changed = make(chan struct{})
 		}
-		return batch{}, f.changed, nil
+		return Batch{}, f.changed, nil
 	case from >= f.start:
 		return f.recordsFromLocked(from), nil, nil
 	case f.latest == nil:
-		return batch{}, nil, errNotBuffered
+		return Batch{}, nil, errNotBuffered
 	}
 	return f.snapshotLocked(), nil, nil
 }
 
-func (f *feed) recordsFromLocked(from int64) batch {
-	b := batch{Next: f.next}
+func (f *feed) recordsFromLocked(from int64) Batch {
+	b := Batch{Next: f.next}
 	for _, buffered := range f.batches {
 		if buffered.Next > from {
 			b.Items = append(b.Items, buffered.Items...)
@@ -228,8 +228,8 @@
 	return b
 }
 
-func (f *feed) snapshotLocked() batch {
-	b := batch{Next: f.next, Snapshot: true, Items: make([]Item, 0, len(f.latest))}
+func (f *feed) snapshotLocked() Batch {
+	b := Batch{Next: f.next, Snapshot: true, Items: make([]Item, 0, len(f.latest))}
 	for key, value := range f.latest {
 		b.Items = append(b.Items, Item{Key: key, Value: value})
 	}
@@ -238,14 +238,14 @@
 
 // timeoutResult is the result of a read during whose wait nothing arrived. A reader that did not
 // wait may be ahead of the feed for a moment, so it gets no error.
-func (f *feed) timeoutResult(from int64, waited time.Duration) (batch, error) {
+func (f *feed) timeoutResult(from int64, waited time.Duration) (Batch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.state != feedCurrent {
-		return batch{}, errFeedNotCurrent
+		return Batch{}, errFeedNotCurrent
 	}
 	if f.next < from && waited > 0 {
-		return batch{}, errNotBuffered
+		return Batch{}, errNotBuffered
 	}
-	return batch{Next: from}, nil
+	return Batch{Next: from}, nil
 }
--- a/internal/mesh/follow.go
+++ b/internal/records/follow.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -18,16 +18,16 @@
 	// however long it waits; keep-alive probes rather than the end of the read detect a dead
 	// connection.
 	readWait = 25 * time.Second
-	// routesReadWait is the same for published routes: the store may leave a waiting read without
+	// RoutesReadWait is the same for published routes: the store may leave a waiting read without
 	// a response when a record arrives, and routes have to be in force within 2 s.
-	routesReadWait = time.Second
-	// minRetryDelay and maxRetryDelay bound the delay after a failed call of the store. The
+	RoutesReadWait = time.Second
+	// MinRetryDelay and maxRetryDelay bound the delay after a failed call of the store. The
 	// node's record has to be in the store again about 2 s after the store returns.
-	minRetryDelay = 150 * time.Millisecond
+	MinRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 1200 * time.Millisecond
-	// storeCallTimeout bounds a call of the store that doesn't wait. Slow stores respond within
+	// StoreCallTimeout bounds a call of the store that doesn't wait. Slow stores respond within
 	// some hundred milliseconds.
-	storeCallTimeout = 2 * time.Second
+	StoreCallTimeout = 2 * time.Second
 	// zoneProbeInterval is the mean time between two reads by which all nodes of a zone together
 	// probe a lost store. maxProbeInterval bounds the resulting interval of one node in a large
 	// zone.
@@ -35,6 +35,9 @@
 	maxProbeInterval  = 10 * time.Second
 	// lagGrace is how long another node may be ahead of a node that reads normally.
 	lagGrace = 100 * time.Millisecond
+	// ZoneCompareInterval is the mean time after which some node of a zone compares how far it has read
+	// with a node of another zone (see Follower.ObserveOffset).
+	ZoneCompareInterval = 150 * time.Millisecond
 	// catchUpTimeout bounds a read of records that are known to exist.
 	catchUpTimeout = 500 * time.Millisecond
 )
@@ -49,32 +52,32 @@
 // errReadCanceled is returned for a read that was canceled to start a new one.
 var errReadCanceled = errors.New("read canceled to start a new one")
 
-// follower applies the records of a topic from the first to the newest for as long as the node
+// Follower applies the records of a topic from the first to the newest for as long as the node
 // runs. It reads them through another node of its zone where possible, and otherwise from the
 // store.
-type follower struct {
+type Follower struct {
 	topic  Topic
 	apply  func([]Item)
 	logger zerolog.Logger
-	calls  storeCallLog
+	calls  CallLog
 	// wake ends a retry delay at once.
 	wake chan struct{}
-	// readWait is how long a read of the store waits for changes.
-	readWait time.Duration
-	// batchWindow returns how long to wait after changes from the store before the next read;
+	// ReadWait is how long a read of the store waits for changes.
+	ReadWait time.Duration
+	// BatchWindow returns how long to wait after changes from the store before the next read;
 	// nil means no wait.
-	batchWindow func() time.Duration
+	BatchWindow func() time.Duration
 	// relay reads through another node of the zone; nil means that the follower always reads the
 	// store itself.
-	relay *relay
+	relay *Relay
 	// readCancel cancels the read under way, from another node or from the store.
 	readCancel atomic.Pointer[context.CancelFunc]
 	// next is the offset of the next read. peerOffset is the greatest offset that another node
-	// has reported and this node has not reached within lagGrace.
+	// has reported and this node has not reached within LagGrace.
 	next, peerOffset atomic.Int64
-	// lagGrace is how long another node may be ahead before a read that waits for changes is
+	// LagGrace is how long another node may be ahead before a read that waits for changes is
 	// canceled.
-	lagGrace time.Duration
+	LagGrace time.Duration
 	// feed buffers the records for the nodes that read through this one.
 	feed feed
 	// snapshotPurpose is the purpose logged for the next read of all keys.
@@ -96,25 +99,27 @@
 	firstReadOnce sync.Once
 }
 
-func newFollower(topic Topic, apply func([]Item), r *relay, logger zerolog.Logger) *follower {
-	f := &follower{
+// NewFollower returns the follower of a topic. apply is called with the records of each read; with a nil
+// relay the follower always reads the store itself.
+func NewFollower(topic Topic, apply func([]Item), r *Relay, logger zerolog.Logger) *Follower {
+	f := &Follower{
 		topic:           topic,
 		apply:           apply,
 		logger:          logger,
-		calls:           storeCallLog{logger: logger, topic: topic.Name()},
+		calls:           CallLog{logger: logger, topic: topic.Name()},
 		wake:            make(chan struct{}, 1),
 		relay:           r,
 		snapshotPurpose: PurposeStart,
-		lagGrace:        lagGrace,
-		readWait:        readWait,
+		LagGrace:        lagGrace,
+		ReadWait:        readWait,
 		firstReadDone:   make(chan struct{}),
 	}
 	f.next.Store(snapshotOffset)
 	return f
 }
 
-// run reads the topic until ctx ends.
-func (f *follower) run(ctx context.Context) {
+// Run reads the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
@@ -132,24 +137,24 @@
 			continue
 		}
 		if errors.Is(err, errProbeNotDue) {
-			backoff(ctx, 1, f.wake)
+			Backoff(ctx, 1, f.wake)
 			continue
 		}
 		f.noteLost(ctx, err)
 		failures++
-		backoff(ctx, failures, f.wake)
+		Backoff(ctx, failures, f.wake)
 	}
 }
 
 // resetToSnapshot makes the next read one of all keys.
-func (f *follower) resetToSnapshot(purpose Purpose) {
+func (f *Follower) resetToSnapshot(purpose Purpose) {
 	f.snapshotPurpose = purpose
 	f.next.Store(snapshotOffset)
 	f.peerOffset.Store(0)
 }
 
 // readOnce does one read, through another node or from the store.
-func (f *follower) readOnce(ctx context.Context) error {
+func (f *Follower) readOnce(ctx context.Context) error {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.readCancel.Store(&cancel)
@@ -175,9 +180,9 @@
 }
 
 // readRelayed reads through another node of the zone; it reports false if that is not possible.
-func (f *follower) readRelayed(ctx context.Context, next int64) (batch, bool) {
+func (f *Follower) readRelayed(ctx context.Context, next int64) (Batch, bool) {
 	if f.relay == nil {
-		return batch{}, false
+		return Batch{}, false
 	}
 	if f.lost.Load() {
 		return f.relay.awaitStore(ctx, f.topic.Name(), next)
@@ -190,7 +195,7 @@
 
 // readStore reads from the store: all keys, the records that are known to exist, or the next
 // changes, for which it waits.
-func (f *follower) readStore(ctx context.Context, next int64) error {
+func (f *Follower) readStore(ctx context.Context, next int64) error {
 	if next == snapshotOffset {
 		return f.readSnapshot(ctx)
 	}
@@ -198,15 +203,15 @@
 	case f.peerOffset.Load() > next:
 		return f.readNow(ctx, next, catchUpTimeout)
 	case f.lost.Load():
-		return f.readNow(ctx, next, storeCallTimeout)
+		return f.readNow(ctx, next, StoreCallTimeout)
 	}
-	return f.readChanges(ctx, next, f.readWait)
+	return f.readChanges(ctx, next, f.ReadWait)
 }
 
 // readNow reads the existing records without waiting for new ones; a response later than timeout
 // counts as a failure. With a waiting read, a lost store would seem lost until its next change,
 // and a store that ignores this node alone would seem to have no changes.
-func (f *follower) readNow(ctx context.Context, from int64, timeout time.Duration) error {
+func (f *Follower) readNow(ctx context.Context, from int64, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := f.readChanges(ctx, from, 0)
@@ -216,13 +221,13 @@
 	return err
 }
 
-// observeOffset records how far another node has read. If this node stays behind, a read that
+// ObserveOffset records how far another node has read. If this node stays behind, a read that
 // waits for changes is canceled: its response may never arrive.
-func (f *follower) observeOffset(offset int64) {
+func (f *Follower) ObserveOffset(offset int64) {
 	if next := f.next.Load(); next == snapshotOffset || offset <= next {
 		return
 	}
-	time.AfterFunc(f.lagGrace, func() {
+	time.AfterFunc(f.LagGrace, func() {
 		next := f.next.Load()
 		if next == snapshotOffset || offset <= next {
 			return
@@ -238,14 +243,14 @@
 }
 
 // cancelRead cancels the read under way.
-func (f *follower) cancelRead() {
+func (f *Follower) cancelRead() {
 	if cancel := f.readCancel.Load(); cancel != nil {
 		(*cancel)()
 	}
 }
 
 // applyBatch applies a batch that was read from an offset and was current at validAt.
-func (f *follower) applyBatch(from int64, b batch, validAt time.Time) {
+func (f *Follower) applyBatch(from int64, b Batch, validAt time.Time) {
 	if f.resync.Load() {
 		return // read before the node moved to another store
 	}
@@ -259,31 +264,31 @@
 }
 
 // readChanges reads the records from an offset on and waits up to maxWait for one.
-func (f *follower) readChanges(ctx context.Context, from int64, maxWait time.Duration) error {
+func (f *Follower) readChanges(ctx context.Context, from int64, maxWait time.Duration) error {
 	sent := time.Now()
 	items, next, err := f.topic.Read(ctx, from, maxWait)
-	f.calls.log(ctx, PurposeChanges, sent, err)
+	f.calls.Log(ctx, PurposeChanges, sent, err)
 	if err != nil {
 		return err
 	}
-	f.applyBatch(from, batch{Items: items, Next: next}, asOf(sent, len(items) > 0))
-	if len(items) > 0 && f.batchWindow != nil {
-		wait.For(ctx, f.batchWindow())
+	f.applyBatch(from, Batch{Items: items, Next: next}, asOf(sent, len(items) > 0))
+	if len(items) > 0 && f.BatchWindow != nil {
+		wait.For(ctx, f.BatchWindow())
 	}
 	return nil
 }
 
 // readSnapshot reads all keys.
-func (f *follower) readSnapshot(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+func (f *Follower) readSnapshot(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, 2*StoreCallTimeout)
 	defer cancel()
 	sent := time.Now()
 	items, next, err := readNewest(callCtx, f.topic)
-	f.calls.log(ctx, f.snapshotPurpose, sent, err)
+	f.calls.Log(ctx, f.snapshotPurpose, sent, err)
 	if err != nil {
 		return err
 	}
-	f.applyBatch(snapshotOffset, batch{Items: items, Next: next, Snapshot: true}, sent)
+	f.applyBatch(snapshotOffset, Batch{Items: items, Next: next, Snapshot: true}, sent)
 	return nil
 }
 
@@ -296,9 +301,9 @@
 	return time.Now()
 }
 
-// age returns how long ago the applied records were known to be current; negative before the
+// Age returns how long ago the applied records were known to be current; negative before the
 // first read.
-func (f *follower) age(now time.Time) time.Duration {
+func (f *Follower) Age(now time.Time) time.Duration {
 	at := f.confirmedAt.Load()
 	if at == 0 {
 		return -time.Millisecond
@@ -306,14 +311,47 @@
 	return max(0, now.Sub(time.UnixMilli(at)))
 }
 
-// leaveStore drops what was read of a store that the node is about to leave. resyncNow must follow.
-func (f *follower) leaveStore() {
+// Topic returns the name of the topic.
+func (f *Follower) Topic() string { return f.topic.Name() }
+
+// Next returns the offset of the next read.
+func (f *Follower) Next() int64 { return f.next.Load() }
+
+// Lost reports whether the last read failed.
+func (f *Follower) Lost() bool { return f.lost.Load() }
+
+// FirstReadDone returns a channel that is closed when the first read has ended, successful or not.
+func (f *Follower) FirstReadDone() <-chan struct{} { return f.firstReadDone }
+
+// Source returns the node that was read through last; empty for the store itself.
+func (f *Follower) Source() string { return f.relay.source() }
+
+// ReadsStore reports whether the node reads the store for its zone. It must be called by apply or
+// BatchWindow.
+func (f *Follower) ReadsStore() bool { return f.relay.readsStore }
+
+// Serve returns the records from an offset on to a node that reads through this one (see WatchRequest).
+func (f *Follower) Serve(ctx context.Context, from int64, wait time.Duration, waitForStore bool) (Batch, error) {
+	f.ObserveOffset(from)
+	b, err := f.feed.readFrom(ctx, from, wait, waitForStore)
+	if err != nil {
+		return Batch{}, err
+	}
+	b.AgeMillis = f.Age(time.Now()).Milliseconds()
+	return b, nil
+}
+
+// Close makes all requests of other nodes fail from now on. It is final.
+func (f *Follower) Close() { f.feed.close() }
+
+// LeaveStore drops what was read of a store that the node is about to leave. ResyncNow must follow.
+func (f *Follower) LeaveStore() {
 	f.resync.Store(true)
 	f.feed.restart()
 }
 
-// resyncNow reads all keys again at once.
-func (f *follower) resyncNow() {
+// ResyncNow reads all keys again at once.
+func (f *Follower) ResyncNow() {
 	f.resync.Store(true)
 	f.cancelRead()
 	select {
@@ -328,7 +366,7 @@
 // of a single node. Only the zone's reader, the node that reads the store for its zone, does so. The
 // others probe so rarely that together they send some 10 requests per second. They receive the
 // records through the first node that regains the store (see relay.awaitStore).
-func (f *follower) noteLost(ctx context.Context, err error) {
+func (f *Follower) noteLost(ctx context.Context, err error) {
 	f.nextProbe = time.Now().Add(f.probeInterval())
 	if !f.lostAt.IsZero() || ctx.Err() != nil {
 		return
@@ -342,17 +380,17 @@
 
 // probeInterval returns the time for which this node leaves probing a lost store to the other
 // nodes of its zone.
-func (f *follower) probeInterval() time.Duration {
+func (f *Follower) probeInterval() time.Duration {
 	if f.relay == nil || f.relay.readsStore {
 		return 0
 	}
-	mean := min(time.Duration(f.relay.neighbourCount())*zoneProbeInterval, maxProbeInterval)
+	mean := min(time.Duration(f.relay.NeighbourCount())*zoneProbeInterval, maxProbeInterval)
 	return time.Duration((0.5 + rand.Float64()) * float64(mean))
 }
 
-func (f *follower) markFirstReadDone() { f.firstReadOnce.Do(func() { close(f.firstReadDone) }) }
+func (f *Follower) markFirstReadDone() { f.firstReadOnce.Do(func() { close(f.firstReadDone) }) }
 
-func (f *follower) noteRegained() {
+func (f *Follower) noteRegained() {
 	if f.lostAt.IsZero() {
 		return
 	}
@@ -361,10 +399,10 @@
 	f.lost.Store(false)
 }
 
-// backoff waits with a delay that grows with each failure and has a random part, so that the
+// Backoff waits with a delay that grows with each failure and has a random part, so that the
 // nodes of a deployment don't all call the store at the moment of its return.
-func backoff(ctx context.Context, failures int, wake <-chan struct{}) {
-	maxDelay := min(maxRetryDelay, minRetryDelay<<min(failures-1, 5))
+func Backoff(ctx context.Context, failures int, wake <-chan struct{}) {
+	maxDelay := min(maxRetryDelay, MinRetryDelay<<min(failures-1, 5))
 	t := time.NewTimer(maxDelay/2 + rand.N(maxDelay/2))
 	defer t.Stop()
 	select {
--- a/internal/mesh/follow_test.go
+++ b/internal/records/follow_test.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -28,15 +28,15 @@
 // restarts when each node reads the store itself.
 func TestMemberReadsOfAllNodesAreBounded(t *testing.T) {
 	for _, nodes := range []int{1, 17, 76, 14000} {
-		window := batchWindowFor(nodes)
-		must.Between(t, minBatchWindow, window, maxBatchWindow)
+		window := BatchWindowFor(nodes)
+		must.Between(t, MinBatchWindow, window, maxBatchWindow)
 		synctest.Test(t, func(t *testing.T) {
 			topic := &busyTopic{}
-			f := newFollower(topic, func([]Item) {}, nil, zerolog.Nop())
-			f.batchWindow = func() time.Duration { return window }
+			f := NewFollower(topic, func([]Item) {}, nil, zerolog.Nop())
+			f.BatchWindow = func() time.Duration { return window }
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			f.run(ctx)
+			f.Run(ctx)
 			const maxNodesWithinBound = 120
 			perSecond := float64(topic.reads.Load()) / 20 * float64(min(nodes, maxNodesWithinBound))
 			must.LessEq(t, deploymentReadsPerSecond*1.2, perSecond, must.Sprintf("%d nodes", nodes))
@@ -73,15 +73,15 @@
 // Guards against records of a store that the node left: a node that moved before it would take their
 // offset for one of the new store and wait for records at greater offsets.
 func TestFeedServesNothingOfAStoreThatWasLeft(t *testing.T) {
-	f := newFollower(&busyTopic{}, func([]Item) {}, nil, zerolog.Nop())
-	f.applyBatch(snapshotOffset, batch{Items: []Item{{Key: "a", Value: []byte("v")}}, Next: 20, Snapshot: true}, time.Now())
-	f.leaveStore()
-	f.applyBatch(20, batch{Items: []Item{{Key: "b", Value: []byte("v")}}, Next: 21}, time.Now())
-	f.feed.add(21, batch{Items: []Item{{Key: "c", Value: []byte("v")}}, Next: 22})
+	f := NewFollower(&busyTopic{}, func([]Item) {}, nil, zerolog.Nop())
+	f.applyBatch(snapshotOffset, Batch{Items: []Item{{Key: "a", Value: []byte("v")}}, Next: 20, Snapshot: true}, time.Now())
+	f.LeaveStore()
+	f.applyBatch(20, Batch{Items: []Item{{Key: "b", Value: []byte("v")}}, Next: 21}, time.Now())
+	f.feed.add(21, Batch{Items: []Item{{Key: "c", Value: []byte("v")}}, Next: 22})
 	_, err := f.feed.readFrom(t.Context(), snapshotOffset, time.Millisecond, false)
 	must.ErrorIs(t, err, errFeedNotCurrent)
 	f.resync.Store(false)
-	f.applyBatch(snapshotOffset, batch{Next: 3, Snapshot: true}, time.Now())
+	f.applyBatch(snapshotOffset, Batch{Next: 3, Snapshot: true}, time.Now())
 	b, err := f.feed.readFrom(t.Context(), snapshotOffset, time.Millisecond, false)
 	must.NoError(t, err)
 	must.EqOp(t, 3, b.Next)
--- a/internal/mesh/gossip_test.go
+++ b/internal/records/gossip_test.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 
 // gossipNode is a node of a zone without the store.
 type gossipNode struct {
-	*gossiper
+	*Gossiper
 	receivedAt atomic.Int64 // when it received the last record, in Unix nanoseconds
 	messages   atomic.Int64 // number of sent messages
 	bytes      atomic.Int64
@@ -32,8 +32,8 @@
 	}
 	for i := range zone {
 		n := &gossipNode{}
-		n.gossiper = newGossiper(ctx, func() []fleet.Member { return members }, func([]Item) { n.receivedAt.Store(time.Now().UnixNano()) })
-		n.send = func(ctx context.Context, to *fleet.Member, items []unstoredItem) error {
+		n.Gossiper = NewGossiper(ctx, func() []fleet.Member { return members }, func([]Item) { n.receivedAt.Store(time.Now().UnixNano()) })
+		n.Send = func(ctx context.Context, to *fleet.Member, items []UnstoredItem) error {
 			n.messages.Add(1)
 			for _, item := range items {
 				n.bytes.Add(int64(len(item.Key) + len(item.Value)))
@@ -41,7 +41,7 @@
 			wait.For(ctx, time.Millisecond)
 			var j int
 			_, _ = fmt.Sscan(to.Node, &j)
-			zone[j].receive(items)
+			zone[j].Receive(items)
 			return nil
 		}
 		zone[i] = n
@@ -62,14 +62,14 @@
 			for _, n := range zone {
 				rounds.Go(func() {
 					for ctx.Err() == nil {
-						wait.For(ctx, introductionInterval)
-						n.round()
+						wait.For(ctx, RoundInterval)
+						n.Round()
 					}
 				})
 			}
 			started := time.Now()
 			record := Item{Key: "node/x", Value: make([]byte, 250)}
-			zone[0].publish(record)
+			zone[0].Publish(record)
 			rounds.Wait()
 			last := time.Duration(0)
 			for _, n := range zone[1:] {
@@ -95,10 +95,10 @@
 		var running sync.WaitGroup
 		for i, n := range zone {
 			running.Go(func() {
-				n.publish(Item{Key: fmt.Sprint("node/", i), Value: make([]byte, 250)})
+				n.Publish(Item{Key: fmt.Sprint("node/", i), Value: make([]byte, 250)})
 				for ctx.Err() == nil {
-					wait.For(ctx, introductionInterval)
-					n.round()
+					wait.For(ctx, RoundInterval)
+					n.Round()
 				}
 			})
 		}
@@ -111,32 +111,32 @@
 
 // Guards against memory use that grows with the number of records during a long outage.
 func TestGossipRecordsAreBounded(t *testing.T) {
-	g := newGossiper(t.Context(), func() []fleet.Member { return nil }, func([]Item) {})
+	g := NewGossiper(t.Context(), func() []fleet.Member { return nil }, func([]Item) {})
 	for i := range 10 * minGossipRecords {
-		g.publish(Item{Key: fmt.Sprint(i), Value: make([]byte, 1<<10)})
+		g.Publish(Item{Key: fmt.Sprint(i), Value: make([]byte, 1<<10)})
 	}
 	must.LessEq(t, minGossipRecords, len(g.records))
 	size := 0
 	for _, item := range g.pendingItems() {
 		size += len(item.Value)
 	}
-	must.LessEq(t, maxGossipBytes, size)
+	must.LessEq(t, MaxGossipBytes, size)
 }
 
 // Guards against two records of a key that replace each other at node after node for as long as
 // both are passed on.
 func TestLaterRecordOfAKeyWins(t *testing.T) {
 	var applied []string
-	g := newGossiper(t.Context(), func() []fleet.Member { return nil }, func(items []Item) {
+	g := NewGossiper(t.Context(), func() []fleet.Member { return nil }, func(items []Item) {
 		for _, item := range items {
 			applied = append(applied, string(item.Value))
 		}
 	})
-	record := func(value string, at int64) unstoredItem {
-		return unstoredItem{Item{Key: "node/x", Value: []byte(value)}, at}
+	record := func(value string, at int64) UnstoredItem {
+		return UnstoredItem{Item{Key: "node/x", Value: []byte(value)}, at}
 	}
-	for _, item := range []unstoredItem{record("second", 2), record("first", 1), record("second", 2), record("third", 3)} {
-		g.receive([]unstoredItem{item})
+	for _, item := range []UnstoredItem{record("second", 2), record("first", 1), record("second", 2), record("third", 3)} {
+		g.Receive([]UnstoredItem{item})
 	}
 	must.Eq(t, []string{"second", "third"}, applied)
 }
--- a/internal/mesh/groupwrite_test.go
+++ b/internal/records/groupwrite_test.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 		const records = maxGroupItems + 40
 		var mu sync.Mutex
 		var sizes []int
-		w := &groupWriter{ctx: t.Context(), put: func(_ context.Context, items []Item) error {
+		w := &GroupWriter{ctx: t.Context(), put: func(_ context.Context, items []Item) error {
 			mu.Lock()
 			defer mu.Unlock()
 			sizes = append(sizes, len(items))
@@ -27,11 +27,11 @@
 		}}
 		var writes sync.WaitGroup
 		for i := range records {
-			writes.Go(func() { must.NoError(t, w.write(t.Context(), Item{Key: fmt.Sprint(i)})) })
+			writes.Go(func() { must.NoError(t, w.Write(t.Context(), Item{Key: fmt.Sprint(i)})) })
 		}
 		writes.Wait()
 		must.SliceContainsAll(t, []int{maxGroupItems, records - maxGroupItems}, sizes)
-		must.NoError(t, w.write(t.Context(), Item{Key: "later"}))
+		must.NoError(t, w.Write(t.Context(), Item{Key: "later"}))
 		must.Len(t, 3, sizes)
 	})
 }
@@ -39,11 +39,11 @@
 // Guards against a record that counts as written although the store refused it.
 func TestFailedGroupReportsTheError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &groupWriter{ctx: t.Context(), put: func(context.Context, []Item) error { return errors.New("refused") }}
-		must.Error(t, w.write(t.Context(), Item{Key: "a"}))
-		ctx, cancel := context.WithTimeout(t.Context(), groupDelay/2)
+		w := &GroupWriter{ctx: t.Context(), put: func(context.Context, []Item) error { return errors.New("refused") }}
+		must.Error(t, w.Write(t.Context(), Item{Key: "a"}))
+		ctx, cancel := context.WithTimeout(t.Context(), GroupDelay/2)
 		defer cancel()
-		must.ErrorIs(t, w.write(ctx, Item{Key: "b"}), context.DeadlineExceeded)
-		time.Sleep(groupDelay)
+		must.ErrorIs(t, w.Write(ctx, Item{Key: "b"}), context.DeadlineExceeded)
+		time.Sleep(GroupDelay)
 	})
 }
--- a/internal/mesh/publisher.go
+++ b/internal/records/publisher.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -10,15 +10,17 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 )
 
-// publisher writes the node's own record to the store. It writes the newest revision and retries
+// Publisher writes the node's own record to the store. It writes the newest revision and retries
 // until the store accepts it.
-type publisher struct {
+type Publisher struct {
 	topic  Topic
 	logger zerolog.Logger
-	calls  storeCallLog
+	calls  CallLog
 	wake   chan struct{}
-	// writeItem writes a record to the store, itself or through another node.
-	writeItem func(context.Context, Item) error
+	// key is the key of the record.
+	key string
+	// WriteItem writes a record to the store, itself or through another node.
+	WriteItem func(context.Context, Item) error
 	// onWriteFailed is called when the store did not accept the record.
 	onWriteFailed func(Item)
 
@@ -28,19 +30,22 @@
 	writtenRevision uint64
 }
 
-func newPublisher(topic Topic, logger zerolog.Logger, record fleet.Member, onWriteFailed func(Item)) *publisher {
-	return &publisher{
+// NewPublisher returns the publisher of a record with the given key. Its WriteItem must be set before
+// Run.
+func NewPublisher(topic Topic, logger zerolog.Logger, key string, record fleet.Member, onWriteFailed func(Item)) *Publisher {
+	return &Publisher{
 		topic:         topic,
 		logger:        logger,
-		calls:         storeCallLog{logger: logger, topic: topic.Name()},
+		calls:         CallLog{logger: logger, topic: topic.Name()},
 		wake:          make(chan struct{}, 1),
+		key:           key,
 		record:        record,
 		onWriteFailed: onWriteFailed,
 	}
 }
 
-// update changes the record and triggers a write.
-func (p *publisher) update(change func(*fleet.Member)) fleet.Member {
+// Update changes the record and triggers a write.
+func (p *Publisher) Update(change func(*fleet.Member)) fleet.Member {
 	p.mu.Lock()
 	change(&p.record)
 	p.record.Revision++
@@ -53,21 +58,22 @@
 	return record
 }
 
-// newest returns the current record, written or not.
-func (p *publisher) newest() fleet.Member {
+// Newest returns the current record, written or not.
+func (p *Publisher) Newest() fleet.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.record
 }
 
 // pending returns the record and whether its newest revision is still to be written.
-func (p *publisher) pending() (fleet.Member, bool) {
+func (p *Publisher) pending() (fleet.Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.record, p.record.Revision > p.writtenRevision
 }
 
-func (p *publisher) run(ctx context.Context) {
+// Run writes the record whenever it changed, until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
 		record, due := p.pending()
@@ -82,22 +88,22 @@
 		if err := p.write(ctx, record); err != nil {
 			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own member record not written to the store; write is retried")
 			failures++
-			backoff(ctx, failures, p.wake)
+			Backoff(ctx, failures, p.wake)
 			continue
 		}
 		failures = 0
 	}
 }
 
-func (p *publisher) write(ctx context.Context, record fleet.Member) error {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+func (p *Publisher) write(ctx context.Context, record fleet.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, StoreCallTimeout)
 	defer cancel()
 	raw, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	item := Item{Key: memberKey(&record), Value: raw}
-	if err := p.writeItem(ctx, item); err != nil {
+	item := Item{Key: p.key, Value: raw}
+	if err := p.WriteItem(ctx, item); err != nil {
 		p.onWriteFailed(item)
 		return err
 	}
@@ -108,10 +114,10 @@
 	return nil
 }
 
-// put writes member records to the store in one call.
-func (p *publisher) put(ctx context.Context, items []Item) error {
+// Put writes member records to the store in one call.
+func (p *Publisher) Put(ctx context.Context, items []Item) error {
 	sent := time.Now()
 	err := p.topic.Put(ctx, items...)
-	p.calls.log(ctx, PurposeOwnRecord, sent, err)
+	p.calls.Log(ctx, PurposeOwnRecord, sent, err)
 	return err
 }
--- a/internal/mesh/relay_test.go
+++ b/internal/records/relay_test.go
@@ -1,10 +1,9 @@
-package mesh
+package records
 
 import (
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +18,9 @@
 	"github.com/galenagrade/galenagrade/internal/wait"
 )
 
+// errRefused is the response of a node that refuses.
+var errRefused = errors.New("refused")
+
 // growingTopic gains a record every 100 ms; a read returns the existing records and waits for
 // one if there are none.
 type growingTopic struct {
@@ -56,7 +58,7 @@
 
 // reader is one node of a zone whose nodes follow a growing topic.
 type reader struct {
-	follower     *follower
+	follower     *Follower
 	seen         map[string]bool
 	lastUpdate   atomic.Int64 // when records were last applied, in Unix nanoseconds
 	unreachable  atomic.Bool  // other nodes' requests to it fail after 1 s
@@ -72,21 +74,21 @@
 		readers[i] = &reader{seen: map[string]bool{}}
 		zone = append(zone, fleet.Member{Node: name, State: fleet.Serving, Address: fmt.Sprint(i)})
 	}
-	fetch := func(ctx context.Context, source *fleet.Member, req watchRequest) (batch, error) {
+	fetch := func(ctx context.Context, source *fleet.Member, req WatchRequest) (Batch, error) {
 		var i int
 		_, _ = fmt.Sscan(source.Address, &i)
 		if readers[i].unreachable.Load() {
 			wait.For(ctx, time.Second)
-			return batch{}, errors.New("silent")
+			return Batch{}, errors.New("silent")
 		}
 		if readers[i].paused.Load() {
 			<-ctx.Done()
-			return batch{}, ctx.Err()
+			return Batch{}, ctx.Err()
 		}
-		readers[i].follower.observeOffset(req.from)
-		b, err := readers[i].follower.feed.readFrom(ctx, req.from, req.wait, req.waitForStore)
+		readers[i].follower.ObserveOffset(req.From)
+		b, err := readers[i].follower.feed.readFrom(ctx, req.From, req.Wait, req.WaitForStore)
 		if err != nil && ctx.Err() == nil {
-			return batch{}, &statusError{http.StatusServiceUnavailable}
+			return Batch{}, errRefused
 		}
 		return b, err
 	}
@@ -98,20 +100,21 @@
 			}
 			r.lastUpdate.Store(time.Now().UnixNano())
 		}
-		rel := &relay{
-			candidates:     func() []fleet.Member { return fleet.Sources(zone[i].Node, neighbours) },
-			neighbourCount: func() int { return len(neighbours) },
-			fetch:          fetch,
-			wait:           membersWatchWait,
+		rel := &Relay{
+			Candidates:     func() []fleet.Member { return fleet.Sources(zone[i].Node, neighbours) },
+			NeighbourCount: func() int { return len(neighbours) },
+			Fetch:          fetch,
+			Refused:        func(err error) bool { return errors.Is(err, errRefused) },
+			Wait:           MembersWatchWait,
 		}
-		r.follower = newFollower(&unresponsiveTopic{topic, &r.storeTimeout}, apply, rel, zerolog.Nop())
-		r.follower.batchWindow = func() time.Duration { return minBatchWindow }
+		r.follower = NewFollower(&unresponsiveTopic{topic, &r.storeTimeout}, apply, rel, zerolog.Nop())
+		r.follower.BatchWindow = func() time.Duration { return MinBatchWindow }
 	}
 	return readers
 }
 
 // readsForZone reports whether the node reads the store for the other nodes of its zone.
-func (r *reader) readsForZone() bool { return len(r.follower.relay.candidates()) == 0 }
+func (r *reader) readsForZone() bool { return len(r.follower.relay.Candidates()) == 0 }
 
 func runReaders(t *testing.T, readers []*reader, d time.Duration) {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
@@ -119,7 +122,7 @@
 	done := make(chan struct{})
 	for _, r := range readers {
 		go func() {
-			r.follower.run(ctx)
+			r.follower.Run(ctx)
 			done <- struct{}{}
 		}()
 	}
@@ -145,7 +148,7 @@
 		readers := newReaders(topic, 40)
 		runReaders(t, readers, 20*time.Second)
 		// The first reads happen before any node has records to serve: up to 2 of each of the 40 nodes.
-		must.LessEq(t, 2*40+int64(20*time.Second/minBatchWindow), topic.reads.Load())
+		must.LessEq(t, 2*40+int64(20*time.Second/MinBatchWindow), topic.reads.Load())
 		for _, r := range readers {
 			must.LessEq(t, 1, missedRecords(r, 1, topic.end()-10))
 		}
@@ -184,7 +187,7 @@
 				time.AfterFunc(5*time.Second, func() { r.paused.Store(true) })
 			}
 		}
-		time.AfterFunc(5*time.Second+membersWatchWait+watchMargin+2*minBatchWindow, func() {
+		time.AfterFunc(5*time.Second+MembersWatchWait+watchMargin+2*MinBatchWindow, func() {
 			for _, r := range readers {
 				must.Less(t, time.Second, time.Since(time.Unix(0, r.lastUpdate.Load())))
 			}
@@ -205,7 +208,7 @@
 		topic := &growingTopic{startedAt: time.Now()}
 		readers := newReaders(topic, 20)
 		for _, r := range readers {
-			r.follower.relay.wait, r.follower.batchWindow = routesWatchWait, nil
+			r.follower.relay.Wait, r.follower.BatchWindow = RoutesWatchWait, nil
 			if r.readsForZone() {
 				time.AfterFunc(5*time.Second, func() { fail(r) })
 				continue
@@ -216,9 +219,9 @@
 				})
 			}
 		}
-		for at := 3 * time.Second; at < end; at += zoneCompareInterval {
+		for at := 3 * time.Second; at < end; at += ZoneCompareInterval {
 			r := readers[rng.IntN(len(readers))]
-			time.AfterFunc(at, func() { r.follower.observeOffset(topic.end()) })
+			time.AfterFunc(at, func() { r.follower.ObserveOffset(topic.end()) })
 		}
 		runReaders(t, readers, end)
 	})
@@ -340,7 +343,7 @@
 				if i == len(readers)-1 && !r.readsForZone() {
 					wait.For(ctx, 5*time.Second)
 				}
-				r.follower.run(ctx)
+				r.follower.Run(ctx)
 			})
 		}
 		var previousSnapshots atomic.Int64
@@ -363,7 +366,7 @@
 		time.AfterFunc(9*time.Second, func() {
 			for _, r := range readers {
 				must.True(t, r.follower.lost.Load())
-				must.Greater(t, 2*time.Second, r.follower.age(time.Now()))
+				must.Greater(t, 2*time.Second, r.follower.Age(time.Now()))
 			}
 		})
 		time.AfterFunc(10*time.Second, func() { topic.down.Store(false) })
@@ -421,14 +424,14 @@
 func TestClosedFeedReleasesWaiters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var f feed
-		f.add(7, batch{Next: 7})
+		f.add(7, Batch{Next: 7})
 		time.AfterFunc(time.Second, f.close)
 		started := time.Now()
-		_, err := f.readFrom(t.Context(), 7, membersWatchWait, false)
+		_, err := f.readFrom(t.Context(), 7, MembersWatchWait, false)
 		must.ErrorIs(t, err, errFeedNotCurrent)
 		must.EqOp(t, time.Second, time.Since(started))
-		f.add(7, batch{Next: 8})
-		_, err = f.readFrom(t.Context(), 7, membersWatchWait, false)
+		f.add(7, Batch{Next: 8})
+		_, err = f.readFrom(t.Context(), 7, MembersWatchWait, false)
 		must.ErrorIs(t, err, errFeedNotCurrent)
 	})
 }
@@ -440,7 +443,7 @@
 	const size = 250
 	last := int64(3 * maxFeedBytes / size)
 	for i := range last {
-		f.add(i, batch{Items: []Item{{Key: fmt.Sprint(i), Value: make([]byte, size)}}, Next: i + 1})
+		f.add(i, Batch{Items: []Item{{Key: fmt.Sprint(i), Value: make([]byte, size)}}, Next: i + 1})
 	}
 	_, err := f.readFrom(t.Context(), 0, 0, false)
 	must.ErrorIs(t, err, errNotBuffered)
@@ -455,10 +458,10 @@
 func TestFeedOfLargeRecordsIsBounded(t *testing.T) {
 	var f feed
 	for i := range int64(200) {
-		f.add(i, batch{Items: []Item{{Key: "config", Value: make([]byte, 100<<10)}}, Next: i + 1})
+		f.add(i, Batch{Items: []Item{{Key: "config", Value: make([]byte, 100<<10)}}, Next: i + 1})
 		must.LessEq(t, maxFeedBytes, f.bufferedBytes)
 	}
-	f.add(200, batch{Items: []Item{{Key: "config", Value: make([]byte, 2*maxFeedBytes)}}, Next: 201})
+	f.add(200, Batch{Items: []Item{{Key: "config", Value: make([]byte, 2*maxFeedBytes)}}, Next: 201})
 	must.EqOp(t, 0, f.bufferedBytes)
 	_, err := f.readFrom(t.Context(), 200, 0, false)
 	must.ErrorIs(t, err, errNotBuffered)
--- a/internal/mesh/storecalls.go
+++ b/internal/records/storecalls.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
@@ -43,15 +43,20 @@
 // StoreCallMessage is the message of the log line of each call of the store.
 const StoreCallMessage = "store called"
 
-// storeCallLog logs each call of the store for one topic. The delays between calls bound the
+// CallLog logs each call of the store for one topic. The delays between calls bound the
 // number of lines, so none is dropped.
-type storeCallLog struct {
+type CallLog struct {
 	logger zerolog.Logger
 	topic  string
 }
 
-// log logs a call that was sent at sent and ended with err.
-func (l storeCallLog) log(ctx context.Context, purpose Purpose, sent time.Time, err error) {
+// NewCallLog returns the log of the calls for a topic.
+func NewCallLog(logger zerolog.Logger, topic Topic) CallLog {
+	return CallLog{logger: logger, topic: topic.Name()}
+}
+
+// Log logs a call that was sent at sent and ended with err.
+func (l CallLog) Log(ctx context.Context, purpose Purpose, sent time.Time, err error) {
 	l.logger.Info().Str("topic", l.topic).Str("purpose", string(purpose)).Str("outcome", string(outcomeOf(ctx, err))).
 		Dur("took_ms", time.Since(sent)).Msg("store called")
 }
--- a/internal/mesh/storecalls_test.go
+++ b/internal/records/storecalls_test.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"bytes"
@@ -27,7 +27,7 @@
 		{t.Context(), errors.New("refused"), OutcomeFailed},
 	} {
 		var out bytes.Buffer
-		storeCallLog{zerolog.New(&out), "routes"}.log(x.ctx, PurposeChanges, time.Now(), x.err)
+		CallLog{zerolog.New(&out), "routes"}.Log(x.ctx, PurposeChanges, time.Now(), x.err)
 		var line struct {
 			Message, Topic string
 			Purpose        Purpose
--- a/internal/mesh/topic.go
+++ b/internal/records/topic.go
@@ -1,4 +1,4 @@
-package mesh
+package records
 
 import (
 	"context"
--- a/internal/sourcecheck/layers_test.go
+++ b/internal/sourcecheck/layers_test.go
@@ -61,3 +61,17 @@
 		must.EqOp(t, "", importChain[pkg])
 	}
 }
+
+// recordsImports are the packages of this module that internal/records may import. What else it needs of
+// a node, the mesh gives it.
+var recordsImports = map[string]bool{"internal/fleet": true, "internal/wait": true}
+
+// Guards against the way of records and routes depending on the node, its calls or its settings, so that
+// it could no longer be tested alone.
+func TestRecordsImportNothingOfTheNode(t *testing.T) {
+	imports := importsOf(t)["internal/records"]
+	must.MapContainsKey(t, imports, "internal/fleet")
+	for imported := range imports {
+		must.True(t, recordsImports[imported], must.Sprint(imported))
+	}
+}
--- a/internal/sourcecheck/loglines_test.go
+++ b/internal/sourcecheck/loglines_test.go
@@ -105,7 +105,7 @@
 func TestPageOfLogLinesIsTrue(t *testing.T) {
 	lines := map[string]logLine{}
 	for _, pattern := range []string{
-		"../../internal/mesh/*.go", "../../platform/*.go", "../../cmd/galenad/mesh.go", "../../cmd/galenad/reload.go",
+		"../../internal/mesh/*.go", "../../internal/records/*.go", "../../platform/*.go", "../../cmd/galenad/mesh.go", "../../cmd/galenad/reload.go",
 	} {
 		logLines(t, pattern, lines)
 	}
