proxy: the header of a call is filtered where the call is received

Cause: decodeCall had to read each header field before its last statement removed them, which the next field that is added could miss.

Change: receiveCall filters the header after decodeCall.

--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -214,6 +214,8 @@
 		return nil, nil, err
 	}
 	call := p.decodeCall(h, r)
+	// The request is this node's own, and none of its other headers is read after this.
+	call.Header = callctx.KeepForwardable(r.Header)
 	return call, p.checkIncarnation(h, call), nil
 }
 
@@ -235,7 +237,7 @@
 
 func (p *Proxy) decodeCall(h *innerpb.CallHeader, r *http.Request) *node.Call {
 	p.node.ObserveClock(h.GetHlc())
-	call := &node.Call{
+	return &node.Call{
 		Ctx:          inner.ToContext(h, p.node.Now()),
 		Method:       r.Header.Get(headerMethod),
 		Target:       r.Header.Get(headerTarget),
@@ -250,9 +252,6 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
-	// The request belongs to this node's own handler, which reads no header after this.
-	call.Header = callctx.KeepForwardable(r.Header)
-	return call
 }
 
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
