--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/bounds"
 	"github.com/galenagrade/galenagrade/internal/callctx"
 )
 
@@ -70,41 +71,27 @@
 // Validate returns an error that names the first field out of bounds, its value
 // and the bound.
 func (c Config) Validate() error {
-	if err := checkInt("Slots", c.Slots, 1, MaxSlots); err != nil {
+	if err := bounds.Check("admission", "Slots", c.Slots, 1, MaxSlots); err != nil {
 		return err
 	}
-	if err := checkInt("MinLimit", c.MinLimit, 1, c.Slots); err != nil {
+	if err := bounds.Check("admission", "MinLimit", c.MinLimit, 1, c.Slots); err != nil {
 		return err
 	}
-	if err := checkInt("QueueLimit", c.QueueLimit, 0, MaxQueue); err != nil {
+	if err := bounds.Check("admission", "QueueLimit", c.QueueLimit, 0, MaxQueue); err != nil {
 		return err
 	}
-	if err := checkDuration("SojournTarget", c.SojournTarget, 10*time.Microsecond, 10*time.Second); err != nil {
+	if err := bounds.Check("admission", "SojournTarget", c.SojournTarget, 10*time.Microsecond, 10*time.Second); err != nil {
 		return err
 	}
-	if err := checkDuration("SojournInterval", c.SojournInterval, time.Millisecond, 10*time.Second); err != nil {
+	if err := bounds.Check("admission", "SojournInterval", c.SojournInterval, time.Millisecond, 10*time.Second); err != nil {
 		return err
 	}
-	if err := checkDuration("MaxWait", c.MaxWait, time.Millisecond, time.Minute); err != nil {
+	if err := bounds.Check("admission", "MaxWait", c.MaxWait, time.Millisecond, time.Minute); err != nil {
 		return err
 	}
 	return checkWorth(c.Worth)
 }
 
-func checkInt(field string, v, low, high int) error {
-	if v < low || v > high {
-		return fmt.Errorf("admission: %s is %d, want %d to %d", field, v, low, high)
-	}
-	return nil
-}
-
-func checkDuration(field string, v, low, high time.Duration) error {
-	if v < low || v > high {
-		return fmt.Errorf("admission: %s is %v, want %v to %v", field, v, low, high)
-	}
-	return nil
-}
-
 func checkWorth(worth [callctx.Levels]float64) error {
 	bound := math.MaxFloat32
 	for i, w := range worth {
--- a/internal/quarantine/config.go
+++ b/internal/quarantine/config.go
@@ -1,8 +1,9 @@
 package quarantine
 
 import (
-	"fmt"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/bounds"
 )
 
 const (
@@ -55,31 +56,17 @@
 // Validate returns an error that names the first field out of bounds, its value
 // and the bound.
 func (c Config) Validate() error {
-	if err := checkDuration("SuspectFor", c.SuspectFor, time.Second, 24*time.Hour); err != nil {
+	if err := bounds.Check("quarantine", "SuspectFor", c.SuspectFor, time.Second, 24*time.Hour); err != nil {
 		return err
 	}
-	if err := checkDuration("QuarantineFor", c.QuarantineFor, time.Second, 24*time.Hour); err != nil {
+	if err := bounds.Check("quarantine", "QuarantineFor", c.QuarantineFor, time.Second, 24*time.Hour); err != nil {
 		return err
 	}
-	if err := checkInt("MaxCrashes", c.MaxCrashes, 1, maxRecords); err != nil {
+	if err := bounds.Check("quarantine", "MaxCrashes", c.MaxCrashes, 1, maxRecords); err != nil {
 		return err
 	}
-	if err := checkInt("MaxEntries", c.MaxEntries, 1, 1<<20); err != nil {
+	if err := bounds.Check("quarantine", "MaxEntries", c.MaxEntries, 1, 1<<20); err != nil {
 		return err
 	}
-	return checkDuration("SettleFor", c.SettleFor, 0, c.SuspectFor)
-}
-
-func checkInt(field string, v, low, high int) error {
-	if v < low || v > high {
-		return fmt.Errorf("quarantine: %s is %d, want %d to %d", field, v, low, high)
-	}
-	return nil
-}
-
-func checkDuration(field string, v, low, high time.Duration) error {
-	if v < low || v > high {
-		return fmt.Errorf("quarantine: %s is %v, want %v to %v", field, v, low, high)
-	}
-	return nil
+	return bounds.Check("quarantine", "SettleFor", c.SettleFor, 0, c.SuspectFor)
 }
