proxy: requests to the upstream are reused as well; lists have their usual size

Change: requests to the upstream come from the pool of those to guards, and a dialect appends its fields to the request's list. Lists of a response's fields and of what ends with a context have the usual size.

--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -15,9 +15,8 @@
 	ContextEnded(err error)
 }
 
-// usualHooks is the number of hooks for which a context allocates no memory: a call and its second
-// transmission.
-const usualHooks = 2
+// usualHooks is the number of hooks for which a context allocates no memory.
+const usualHooks = 1
 
 // Context is a context.Context that ends with its parent, at its deadline or when it is cancelled,
 // whichever is first. Start must be called before use and Cancel after it. It must not be copied.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -14,10 +14,10 @@
 
 // Dialect defines the headers exchanged with an upstream. Its methods are called concurrently.
 type Dialect interface {
-	// Prepare returns the header fields that are sent with the call, in addition to those in its Header
+	// Prepare appends the header fields that are sent with the call, in addition to those in its Header
 	// and in place of those of the same names. It is called directly before the call is sent. remaining
 	// is the time until its deadline.
-	Prepare(call *node.Call, remaining time.Duration) []h1.Field
+	Prepare(fields []h1.Field, call *node.Call, remaining time.Duration) []h1.Field
 	// Matches reports whether a response with these headers belongs to the call.
 	Matches(h http.Header, call *node.Call) bool
 	// NotRun returns a refusal if the response promises that the upstream did not run the call;
@@ -36,13 +36,13 @@
 type defaultDialect struct{}
 
 // Prepare implements Dialect.
-func (defaultDialect) Prepare(call *node.Call, remaining time.Duration) []h1.Field {
-	return []h1.Field{
-		{Name: callctx.HeaderContext, Value: call.Ctx.CallID},
-		{Name: callctx.HeaderWorkspace, Value: call.Ctx.Workspace},
-		{Name: callctx.HeaderPriority, Value: call.Ctx.Level.String()},
-		{Name: callctx.HeaderTimeout, Value: remaining.String()},
-	}
+func (defaultDialect) Prepare(fields []h1.Field, call *node.Call, remaining time.Duration) []h1.Field {
+	return append(fields,
+		h1.Field{Name: callctx.HeaderContext, Value: call.Ctx.CallID},
+		h1.Field{Name: callctx.HeaderWorkspace, Value: call.Ctx.Workspace},
+		h1.Field{Name: callctx.HeaderPriority, Value: call.Ctx.Level.String()},
+		h1.Field{Name: callctx.HeaderTimeout, Value: remaining.String()},
+	)
 }
 
 // Matches implements Dialect.
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -254,6 +254,9 @@
 	}
 }
 
+// usualAnswerFields is the number of header fields that most responses to calls have for themselves.
+const usualAnswerFields = 4
+
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
 	status := resp.Status
 	if !resp.Complete() {
@@ -263,7 +266,7 @@
 	for name, values := range resp.Header {
 		out[name] = values
 	}
-	values := make([]string, 0, maxInnerFields) // one list for the values of all fields
+	values := make([]string, 0, usualAnswerFields) // one list for the values of all fields
 	set := func(name, value string) {
 		values = append(values, value)
 		out[name] = values[len(values)-1 : len(values) : len(values)]
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -37,8 +37,8 @@
 	answers.Put(a)
 }
 
-// outgoingRequest is a request to a guard with its own fields. h1.Pool.Do uses neither after it
-// returned.
+// outgoingRequest is a request to a guard or an upstream with its own fields. h1.Pool.Do uses neither
+// after it returned.
 type outgoingRequest struct {
 	request h1.Request
 	fields  [maxInnerFields]h1.Field
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -247,16 +247,19 @@
 	if host == "" {
 		host = pool.Addr()
 	}
-	httpResp, err := pool.Do(ctx, &h1.Request{
+	out := outgoingRequests.Get().(*outgoingRequest)
+	defer out.release()
+	out.request = h1.Request{
 		Method:  call.Method,
 		Target:  call.Target,
 		Host:    host,
 		Header:  call.Header,
-		Fields:  u.dialect.Prepare(call, call.Ctx.Remaining(u.node.Now())),
+		Fields:  u.dialect.Prepare(out.fields[:0], call, call.Ctx.Remaining(u.node.Now())),
 		Body:    call.Body,
 		MaxBody: u.responseBodyLimit(call),
 		Matches: func(h http.Header) bool { return u.dialect.Matches(h, call) },
-	})
+	}
+	httpResp, err := pool.Do(ctx, &out.request)
 	if err != nil {
 		return u.failureResponse(ctx, call, err)
 	}
