--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -50,7 +50,7 @@
 type execution struct {
 	call        *Call
 	fingerprint quarantine.Fingerprint
-	account     retry.Account
+	account     *retry.Account
 	phase       phase
 	waiters     []attachedWaiter
 	lastToken   int
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -6,6 +6,7 @@
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
@@ -126,10 +127,10 @@
 	e := &execution{
 		call:          call,
 		fingerprint:   call.Fingerprint(),
+		account:       retry.NewAccount(call.Allowance),
 		arrived:       now,
 		shedThreshold: routing.NoThreshold,
 	}
-	e.account.Fund(call.Allowance)
 	g.calls[call.Ctx.CallID] = e
 	decision, queuedDecisions := g.admission.Offer(now, requestOf(call))
 	g.events.offered(now, call, decision.Verdict, g.admission.Load())
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -254,5 +254,5 @@
 	if !ok || e.phase != phaseRunning {
 		return nil, nil, false
 	}
-	return e.call, &e.account, true
+	return e.call, e.account, true
 }
--- a/internal/retry/account.go
+++ b/internal/retry/account.go
@@ -30,13 +30,6 @@
 	return &Account{available: max(0, allowance)}
 }
 
-// Fund sets the allowance of a zero Account, as NewAccount does.
-func (a *Account) Fund(allowance int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.available = max(0, allowance)
-}
-
 // Split deducts the part for one child call, half of the available allowance rounded up, and
 // returns it. It returns 0 if nothing is available. Prefer Lend, which limits what a child can
 // return to what it received.
