--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -222,7 +222,7 @@
 // order of the zone, or that reaches none of them, adds the report to its own sums.
 func (x *overviewExchange) report(ctx context.Context, interval time.Duration) {
 	r := x.newReport(interval)
-	serving := x.mesh.publisher.newest().State == fleet.Serving
+	serving := x.mesh.publisher.Newest().State == fleet.Serving
 	candidates := fleet.Collectors(x.mesh.cfg.NodeID, serving, x.mesh.members.zoneNeighbours(x.mesh.cfg))
 	for _, c := range x.cooldowns.available(candidates, maxReportAttempts) {
 		v, err := x.send(ctx, &c, r)
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -226,6 +226,8 @@
 		return nil, nil, err
 	}
 	call := p.decodeCall(h, r)
+	// The request is this node's own, and none of its other headers is read after this.
+	call.Header = callctx.KeepForwardable(r.Header)
 	return call, p.checkIncarnation(h, call), nil
 }
 
@@ -264,11 +266,12 @@
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
 	call.HandBacks, call.Spare = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
-	// The request belongs to this node's own handler, which reads no header after this.
-	call.Header = callctx.KeepForwardable(r.Header)
 	return call
 }
 
+// usualAnswerFields is the number of header fields that most responses to calls have for themselves.
+const usualAnswerFields = 4
+
 func (p *Proxy) writeInner(w http.ResponseWriter, call *node.Call, resp *node.Response) {
 	status := resp.Status
 	if !resp.Complete() {
@@ -278,7 +281,7 @@
 	for name, values := range resp.Header {
 		out[name] = values
 	}
-	values := make([]string, 0, maxInnerFields) // one list for the values of all fields
+	values := make([]string, 0, usualAnswerFields) // one list for the values of all fields
 	set := func(name, value string) {
 		values = append(values, value)
 		out[name] = values[len(values)-1 : len(values) : len(values)]
