--- a/internal/mesh/balance.go
+++ b/internal/mesh/balance.go
@@ -44,7 +44,7 @@
 
 // logSpeed logs when the speed of the local upstream leaves the normal range, or is back in it.
 func (u *unevenLoad) logSpeed(s float64) {
-	if speed.IsNormal(s) == u.isNormal {
+	if speed.IsNormal(s, u.isNormal) == u.isNormal {
 		return
 	}
 	u.isNormal = !u.isNormal
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -17,9 +17,10 @@
 	// speed needs newer means, since both drift with the calls.
 	MaxAge = 10 * time.Second
 
-	// NormalMin and NormalMax bound the speeds that operators need not know of.
-	NormalMin = 0.7
-	NormalMax = 1.4
+	// normalMin and normalMax bound the speeds that operators need not know of, and backMin and
+	// backMax those at which a speed that was beyond them is normal again.
+	normalMin, normalMax = 0.7, 1.4
+	backMin, backMax     = 0.8, 1.25
 )
 
 // Clamp returns s between Min and Max, and Unknown for what is no speed: 0, negative or not a number.
@@ -30,8 +31,14 @@
 	return min(max(s, Min), Max)
 }
 
-// IsNormal reports whether operators need not know of a speed.
-func IsNormal(s float64) bool { return s == Unknown || s >= NormalMin && s <= NormalMax }
+// IsNormal reports whether operators need not know of a speed. wasNormal is what it reported last: a
+// speed near a bound doesn't change it again and again.
+func IsNormal(s float64, wasNormal bool) bool {
+	if wasNormal {
+		return s == Unknown || s >= normalMin && s <= normalMax
+	}
+	return s == Unknown || s >= backMin && s <= backMax
+}
 
 // ServiceTimes returns the mean service times of a service by kind of call, over all zones of a view.
 // Zones whose sums are older than MaxAge, and entries that are no service times, are left out.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -82,6 +82,18 @@
 	must.EqOp(t, Unknown, Clamp(math.NaN()))
 }
 
+// Guards against a line each second about an upstream whose speed is near the bound.
+func TestIsNormal(t *testing.T) {
+	normal, changes := true, 0
+	for _, s := range []float64{1, 0.71, 0.69, 0.71, 0.69, 0.79, 0.81, 0.71, Unknown, 1.39, 1.41, 1.3, 1.2} {
+		if IsNormal(s, normal) != normal {
+			normal = !normal
+			changes++
+		}
+	}
+	must.EqOp(t, 4, changes)
+}
+
 // BenchmarkObserve measures what a call costs its guard, with all kinds in use.
 func BenchmarkObserve(b *testing.B) {
 	var m Meter
