--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -123,6 +123,12 @@
 	SharesDividing
 	// ShareOverridesIgnored is the number of overrides that name workspaces that the routes don't have.
 	ShareOverridesIgnored
+	// OverviewAgeMillis is the age of the view of all zones; -1 without one.
+	OverviewAgeMillis
+	// ZoneShareMilli is the highest share of the zone's calls to a service that goes to other zones, in
+	// thousandths, and CallsOtherZones the number of calls that this node sent there for it.
+	ZoneShareMilli
+	CallsOtherZones
 	numGauges
 )
 
@@ -139,8 +145,6 @@
 	IsRelay:               "members.is_relay",
 	IsDraining:            "node.is_draining",
 	UpstreamRateLimit:     "upstream.rate_limit_milli",
-	SharesDividing:        "shares.dividing",
-	ShareOverridesIgnored: "shares.overrides_ignored",
 	RetryBudgetLeft:       "retry.repeats_left",
 	RoutesAgeMillis:       "store.routes_age_ms",
 	MembersAgeMillis:      "store.members_age_ms",
@@ -148,6 +152,11 @@
 	StoreFailures:         "store.failures",
 	StoreBytesSent:        "store.bytes_sent",
 	StoreBytesReceived:    "store.bytes_received",
+	OverviewAgeMillis:     "overview.view_age_ms",
+	ZoneShareMilli:        "zones.highest_share_milli",
+	CallsOtherZones:       "zones.calls_to_others",
+	SharesDividing:        "shares.dividing",
+	ShareOverridesIgnored: "shares.overrides_ignored",
 }
 
 // String returns the name in the JSON document.
--- a/internal/overview/sum.go
+++ b/internal/overview/sum.go
@@ -34,11 +34,11 @@
 		}
 	}
 	for name, rate := range workspaces {
-		z.Workspaces = append(z.Workspaces, WorkspaceDemand{name, rate})
+		z.Workspaces = append(z.Workspaces, WorkspaceDemand{name, bounded(rate)})
 	}
 	z.Workspaces, z.Rest = topWorkspaces(z.Workspaces)
 	for name, rate := range calls {
-		z.Calls = append(z.Calls, ServiceDemand{name, rate})
+		z.Calls = append(z.Calls, ServiceDemand{name, bounded(rate)})
 	}
 	z.Calls = topCalls(z.Calls, MaxServices)
 	for _, name := range slices.Sorted(maps.Keys(services)) {
@@ -47,6 +47,9 @@
 	return z
 }
 
+// bounded keeps a sum within the bounds of a message.
+func bounded(sum float64) float64 { return min(sum, maxValue) }
+
 // capacitySum adds up the capacity of upstreams of one service. The seconds of its kinds are weighted
 // by their rates until the end.
 type capacitySum struct {
@@ -64,6 +67,7 @@
 	sum.Slots += c.Slots
 	sum.Busy += c.Busy
 	sum.Queued += c.Queued
+	sum.PerSecond += c.PerSecond
 	for _, k := range c.Kinds {
 		total := sum.kinds[k.Kind]
 		total.Seconds += k.Seconds * k.PerSecond
@@ -74,9 +78,12 @@
 
 func (s *capacitySum) capacity() Capacity {
 	c := s.Capacity
+	for _, v := range []*float64{&c.Slots, &c.Busy, &c.Queued, &c.PerSecond} {
+		*v = bounded(*v)
+	}
 	for kind, k := range s.kinds {
 		if k.PerSecond > 0 {
-			c.Kinds = append(c.Kinds, KindTime{kind, k.Seconds / k.PerSecond, k.PerSecond})
+			c.Kinds = append(c.Kinds, KindTime{kind, bounded(k.Seconds / k.PerSecond), bounded(k.PerSecond)})
 		}
 	}
 	c.Kinds = topKinds(c.Kinds)
@@ -101,6 +108,7 @@
 	for _, w := range list[MaxWorkspaces:] {
 		rest.PerSecond += w.PerSecond
 	}
+	rest.PerSecond = bounded(rest.PerSecond)
 	return list[:MaxWorkspaces], rest
 }
 
@@ -149,3 +157,23 @@
 func (v *View) Age(now time.Time, z *Zone) time.Duration {
 	return time.Duration(z.AgeMillis)*time.Millisecond + max(now.Sub(v.ReceivedAt), 0)
 }
+
+// Capacity returns the capacity of a service in the zone; zero if it has none.
+func (z *Zone) Capacity(service string) Capacity {
+	for i := range z.Services {
+		if z.Services[i].Service == service {
+			return z.Services[i]
+		}
+	}
+	return Capacity{Service: service}
+}
+
+// CallRate returns the rate of the calls that the nodes of the zone send to a service.
+func (z *Zone) CallRate(service string) float64 {
+	for i := range z.Calls {
+		if z.Calls[i].Service == service {
+			return z.Calls[i].PerSecond
+		}
+	}
+	return 0
+}
