--- a/internal/overview/messages.go
+++ b/internal/overview/messages.go
@@ -77,6 +77,7 @@
 func (v *View) EncodeFor(r *Report) []byte {
 	w := newWriter(1 << 10)
 	w.rest(v.Total)
+	w.workspaces(v.Top)
 	demand := make(map[string]float64, len(v.Workspaces))
 	for _, x := range v.Workspaces {
 		demand[x.Workspace] = x.PerSecond
@@ -106,7 +107,7 @@
 // DecodeView decodes the answer to a report. The view is not validated.
 func DecodeView(raw []byte, r *Report) (*View, error) {
 	d := newReader(raw)
-	v := &View{Total: d.rest()}
+	v := &View{Total: d.rest(), Top: d.workspaces()}
 	for _, x := range r.Workspaces {
 		if rate := d.value(); rate > 0 {
 			v.Workspaces = append(v.Workspaces, WorkspaceDemand{x.Workspace, rate})
--- a/internal/overview/messages_test.go
+++ b/internal/overview/messages_test.go
@@ -93,6 +93,11 @@
 	view := c.Answer(now, r)
 	got, err := DecodeView(view.EncodeFor(r), r)
 	must.NoError(t, err)
+	must.Len(t, MaxTopWorkspaces, got.Top)
+	for i, w := range view.Top {
+		must.Eq(t, w.Workspace, got.Top[i].Workspace)
+		must.True(t, near(w.PerSecond, got.Top[i].PerSecond))
+	}
 	must.Eq(t, len(view.Zones), len(got.Zones))
 	for i := range view.Zones {
 		must.Eq(t, view.Zones[i].Name, got.Zones[i].Name)
