--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -56,8 +56,9 @@
 	countFrom time.Duration
 	tally     []treeTally
 	// reserving is set if entry nodes ask guards for room; see reserveRoom.
-	reserving bool
-	roomGates []*room.Gate
+	reserving  bool
+	roomGates  []*room.Gate
+	roomGrants [][]room.Grants
 }
 
 // treeTally counts the results of the requests of a route.
--- a/internal/admission/treeroom_test.go
+++ b/internal/admission/treeroom_test.go
@@ -20,6 +20,7 @@
 	}
 	for range f.entries {
 		f.roomGates = append(f.roomGates, &room.Gate{})
+		f.roomGrants = append(f.roomGrants, make([]room.Grants, len(f.routes)))
 	}
 }
 
@@ -32,9 +33,11 @@
 	return f.reserving && f.routes[t.route].calls == 0
 }
 
+func (f *treeModel) grants(t *treeRequest) *room.Grants { return &f.roomGrants[t.entry][t.route] }
+
 func (f *treeModel) roomRequest(t *treeRequest) *room.Request {
 	route := &f.routes[t.route]
-	return &room.Request{Kind: uint32(t.route) + 1, Rank: Rank(t.level, t.hash), Objective: 2 * time.Second, Single: route.calls == 0}
+	return &room.Request{Kind: uint32(t.route) + 1, Rank: Rank(t.level, t.hash), Objective: 2 * time.Second, GrantedShare: f.grants(t).Share(), Single: route.calls == 0}
 }
 
 // askForRoom asks a random guard. One that is dead doesn't answer, and another one is asked. If that one
@@ -59,6 +62,7 @@
 		answer := g.ledger.Ask(f.model.Now(), f.roomRequest(t), f.model.rng.Float64())
 		f.model.After(roomMessageTime, func() {
 			gate.Answered(f.model.Now(), &answer)
+			f.grants(t).Count(answer.Granted)
 			if !answer.Granted {
 				f.retryOrRefuse(t, result.Refuse(result.ShedEarly, "").WithRetryAfter(answer.RetryAfter))
 				return
