--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -64,8 +64,9 @@
 	// reaches reports whether a request can be sent to a guard; nil means always.
 	reaches func(t *treeRequest, g *modelGuard) bool
 	// reserving is set if entry nodes ask guards for room; see reserveRoom.
-	reserving bool
-	roomGates []*room.Gate
+	reserving  bool
+	roomGates  []*room.Gate
+	roomGrants [][]room.Grants
 }
 
 // treeTally counts the results of the requests of a route.
