--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -102,21 +102,22 @@
 		return nil, errors.Wrap(err, "start node")
 	}
 	m.build()
-	m.zoneBalance = newZoneBalance(m)
-	m.overview = newOverviewExchange(m)
-	m.applyBalance()
 	m.run()
 	return m, nil
 }
 
-func (m *Mesh) build() {
-	id := node.Identity{
+func (m *Mesh) identity() node.Identity {
+	return node.Identity{
 		Node:        m.cfg.NodeID,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Region:      m.cfg.Region,
 		Zone:        m.cfg.Zone,
 		InnerAddr:   cmp.Or(m.cfg.Listen.InnerAdvertised, m.listeners.inner.Addr().String()),
 	}
+}
+
+func (m *Mesh) build() {
+	id := m.identity()
 	m.peers = proxy.NewPeers(nil)
 	m.peers.SetConnections(proxy.ConnectionConfig{
 		Connect:      peerConnectTimeout,
@@ -155,7 +156,7 @@
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
-	m.quotas, m.shares = newQuotas(m), newShares(m)
+	m.quotas = newQuotas(m)
 	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
@@ -169,6 +170,15 @@
 	m.publisher.WriteItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
+	m.buildBalance()
+}
+
+// buildBalance creates what divides and places load by the overview of the deployment.
+func (m *Mesh) buildBalance() {
+	m.shares = newShares(m)
+	m.zoneBalance = newZoneBalance(m)
+	m.overview = newOverviewExchange(m)
+	m.applyBalance()
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
