--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -156,14 +156,18 @@
 	m.membersFollower = records.NewFollower(m.platform.Members(), m.members.apply, m.newRelay(records.MembersWatchWait), m.logger)
 	m.membersFollower.BatchWindow = m.membersBatchWindow
 	m.membersFollower.LagGrace = records.BatchedLagGrace
-	own := m.ownRecord(id)
-	m.publisher = records.NewPublisher(m.platform.Members(), m.logger, memberKey(&own), own, m.gossiper.Publish)
+	m.publisher = m.newPublisher(id)
 	m.groupWriter = records.NewGroupWriter(m.ctx, m.publisher.Put)
 	m.publisher.WriteItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
 	m.peers.SetVersions(m.routes)
 }
 
+func (m *Mesh) newPublisher(id node.Identity) *records.Publisher {
+	own := m.ownRecord(id)
+	return records.NewPublisher(m.platform.Members(), m.logger, memberKey(&own), own, m.gossiper.Publish)
+}
+
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
 	return fleet.Member{
 		Node:        id.Node,
