Guards learn what a tree costs from all grants of their service, and foresee what others will use

Cause: on the build farm guards of one service came to costs that differed by six times. A guard's cost was the use of a kind over its own grants, and calls spread over guards while grants don't: who granted twice found its trees half as dear and granted more. Entries asked in their own zone first, so that the one guard of a zone was asked by a third of all. At the start the slots of calls without a grant were counted for 0.7 s after these had ended, and slots lay idle. Single calls waited up to 500 ms. A guard that hadn't noticed random refusals granted the trees that the others refused. Change: entries choose guards by slots over all zones and tell the share of their questions that was granted; guards add these shares up. The use of others is foreseen from first calls of trees without a grant. Single calls wait as briefly as other roots. An entry doesn't begin a tree that one guard grants while most say that trees fail; of kinds nothing is learnt meanwhile.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -182,7 +182,7 @@
 // other trees, which therefore wait several times as long as the average call.
 func (c *Controller) setExpiry(now time.Time, w *call) {
 	bound := c.cfg.MaxWait
-	if c.overloaded && w.request.isRoot() {
+	if c.overloaded && w.request.Depth == 0 {
 		bound = min(bound, max(overloadWaitTargets*c.cfg.SojournTarget, c.estimate.median, overloadWaitStarts*c.rate.interval()))
 	}
 	w.expiry = now.Add(bound)
--- a/internal/admission/roomscenario_test.go
+++ b/internal/admission/roomscenario_test.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// Guards against room that is lost with the answers that granted it, and against entry nodes that wait
+// for them.
+func TestSurgeWithLostGrants(t *testing.T) {
+	for _, entries := range []int{4, 40, 400} {
+		s := surge{entries: entries, seed: treeModelSeed, reserving: true, lostAnswers: 0.1}.run()
+		used := float64(s.completed) / s.capacity
+		t.Logf("%d entries: completed %.3f, room used %.3f", entries, s.completedShare(), used)
+		must.GreaterEq(t, 0.95, s.completedShare(), must.Sprintf("%d entries: %+v", entries, s.treeTally))
+		must.GreaterEq(t, 0.95, used, must.Sprintf("%d entries: %+v", entries, s.treeTally))
+	}
+}
+
 // orderModel is a model of a scarce service with trees of four and eight calls and a route that calls
 // it directly, all of one level. demand is a multiple of what it can serve.
 func orderModel(entries int, demand float64) *treeModel {
--- a/internal/admission/surge_test.go
+++ b/internal/admission/surge_test.go
@@ -33,6 +33,8 @@
 	seed    uint64
 	// reserving is set if entry nodes ask guards for room.
 	reserving bool
+	// lostAnswers is the share of the answers of guards that are lost.
+	lostAnswers float64
 	// settling is the time after the step from which requests are counted; 0 means 2 s.
 	settling time.Duration
 }
@@ -52,6 +54,7 @@
 	f.model.rng = rand.New(rand.NewPCG(x.seed, treeModelStream))
 	if x.reserving {
 		f.reserveRoom()
+		f.lostAnswers = x.lostAnswers
 	}
 	f.demandFactor = func() float64 {
 		if f.model.Elapsed() < step {
--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -57,7 +57,10 @@
 	tally     []treeTally
 	// reserving is set if entry nodes ask guards for room; see reserveRoom.
 	reserving bool
-	roomGates []*room.Gate
+	// lostAnswers is the share of the answers of guards that are lost.
+	lostAnswers float64
+	roomGates   []*room.Gate
+	roomGrants  [][]room.Grants
 }
 
 // treeTally counts the results of the requests of a route.
--- a/internal/admission/treeroom_test.go
+++ b/internal/admission/treeroom_test.go
@@ -11,6 +11,12 @@
 // roomMessageTime is the time that a question to a guard, or its answer, is on the way.
 const roomMessageTime = 500 * time.Microsecond
 
+// roomTimeout is the time after which an entry node asks another guard.
+const roomTimeout = 40 * time.Millisecond
+
+// maxPicks is the number of random picks after which an entry node skips all guards.
+const maxPicks = 20
+
 // reserveRoom makes entry nodes ask guards for room before they admit trees, as nodes with the setting
 // trees.reserve do.
 func (f *treeModel) reserveRoom() {
@@ -20,6 +26,7 @@
 	}
 	for range f.entries {
 		f.roomGates = append(f.roomGates, &room.Gate{})
+		f.roomGrants = append(f.roomGrants, make([]room.Grants, len(f.routes)))
 	}
 }
 
@@ -32,9 +39,11 @@
 	return f.reserving && f.routes[t.route].calls == 0
 }
 
+func (f *treeModel) grants(t *treeRequest) *room.Grants { return &f.roomGrants[t.entry][t.route] }
+
 func (f *treeModel) roomRequest(t *treeRequest) *room.Request {
 	route := &f.routes[t.route]
-	return &room.Request{Kind: uint32(t.route) + 1, Rank: Rank(t.level, t.hash), Objective: 2 * time.Second, Single: route.calls == 0}
+	return &room.Request{Kind: uint32(t.route) + 1, Rank: Rank(t.level, t.hash), Objective: 2 * time.Second, GrantedShare: f.grants(t).Share(), Single: route.calls == 0}
 }
 
 // askForRoom asks a random guard. One that is dead doesn't answer, and another one is asked. If that one
@@ -46,7 +55,11 @@
 	}
 	gate := f.roomGates[t.entry]
 	i := f.model.rng.IntN(len(f.guards))
-	for gate.Skips(f.model.Now(), strconv.Itoa(i)) {
+	for tries := 0; gate.Skips(f.model.Now(), strconv.Itoa(i)); tries++ {
+		if tries == maxPicks {
+			f.admitByThreshold(t)
+			return
+		}
 		i = f.model.rng.IntN(len(f.guards))
 	}
 	g := f.guards[i]
@@ -57,8 +70,16 @@
 			return
 		}
 		answer := g.ledger.Ask(f.model.Now(), f.roomRequest(t), f.model.rng.Float64())
+		if f.model.rng.Float64() < f.lostAnswers {
+			f.model.After(roomTimeout, func() {
+				gate.Unanswered(f.model.Now(), strconv.Itoa(i))
+				f.askForRoom(t, guardsLeft-1)
+			})
+			return
+		}
 		f.model.After(roomMessageTime, func() {
 			gate.Answered(f.model.Now(), &answer)
+			f.grants(t).Count(answer.Granted)
 			if !answer.Granted {
 				f.retryOrRefuse(t, result.Refuse(result.ShedEarly, "").WithRetryAfter(answer.RetryAfter))
 				return
--- a/internal/proxy/reserve.go
+++ b/internal/proxy/reserve.go
@@ -58,8 +58,9 @@
 }
 
 type namedService struct {
-	gate *serviceGate
-	at   time.Time
+	gate   *serviceGate
+	at     time.Time
+	grants room.Grants
 }
 
 // add records that a service was named. It replaces the one that was named the longest time ago.
@@ -76,7 +77,18 @@
 			oldest = i
 		}
 	}
-	s.list[oldest] = namedService{gate, now}
+	s.list[oldest] = namedService{gate: gate, at: now}
+}
+
+// grants calls use with the grants of a service, if the route still names it.
+func (s *namedServices) grants(gate *serviceGate, use func(*room.Grants)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.list {
+		if s.list[i].gate == gate {
+			use(&s.list[i].grants)
+		}
+	}
 }
 
 // asked returns the services that have to be asked now.
@@ -113,7 +125,8 @@
 // reserveAt asks one service for room.
 func (g *treeGate) reserveAt(ctx context.Context, p *Proxy, call *node.Call, service *serviceGate, objective time.Duration) (refusal *result.Refusal, answered bool) {
 	now, c := p.node.Now(), &call.Ctx
-	r := &room.Request{Kind: g.kind, Rank: admission.Rank(c.Level, c.CallerHash), Objective: min(objective, c.Remaining(now)), Repeatable: c.Idempotent}
+	r := &room.Request{Kind: g.kind, Rank: admission.Rank(c.Level, c.CallerHash), Objective: min(objective, c.Remaining(now)), GrantedShare: -1, Repeatable: c.Idempotent}
+	g.named.grants(service, func(grants *room.Grants) { r.GrantedShare = grants.Share() })
 	answer, guard := p.askRoom(ctx, service, r)
 	if answer == nil {
 		p.node.Metrics().Inc(metrics.RoomUnanswered, 1)
@@ -122,6 +135,12 @@
 	if answer.Tight {
 		g.named.add(now, service)
 	}
+	g.named.grants(service, func(grants *room.Grants) { grants.Count(answer.Granted) })
+	if answer.Granted && !c.Idempotent {
+		if refusal := service.refuseFailing(p.node.Now(), call, answer, objective); refusal != nil {
+			return refusal, true
+		}
+	}
 	if answer.Granted {
 		call.Room = call.Room.Add(service.name, g.kind)
 		p.node.RecordRoomGranted(p.node.Now(), call, guard, answer.Threshold)
@@ -209,6 +228,18 @@
 	_, _ = w.Write(body)
 }
 
+// refuseFailing refuses a tree that a guard granted room if the other guards of its service, by their
+// answers and reports, refuse calls at random: most calls of the tree will reach those.
+func (s *serviceGate) refuseFailing(now time.Time, call *node.Call, a *room.Answer, objective time.Duration) *result.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.ObserveThreshold(now, max(a.Threshold, 1))
+	if !s.state.TreesFail() {
+		return nil
+	}
+	return s.state.Admit(now, call.Ctx.Level, call.Ctx.CallerHash, objective, rand.Float64(), rand.Float64())
+}
+
 func (s *serviceGate) asks(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,10 +252,14 @@
 	return s.room.Skips(now, guard)
 }
 
+// answered records the answer of a guard.
 func (s *serviceGate) answered(now time.Time, a *room.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.room.Answered(now, a)
+	if a.Reason == room.ReasonTreesFail {
+		s.state.ObserveThreshold(now, 0)
+	}
 }
 
 func (s *serviceGate) unanswered(now time.Time, guard string) {
--- a/internal/proxy/reserve_test.go
+++ b/internal/proxy/reserve_test.go
@@ -71,6 +71,26 @@
 	must.EqOp(t, call.Room, decodeRoom(encodeRoom(call.Room)))
 }
 
+// Guards against trees that are begun because one guard grants room while most of them say that trees
+// fail, and against refusing requests that their callers may repeat.
+func TestGrantOfOneGuardIsNotEnoughWhileTreesFail(t *testing.T) {
+	failing := respond(`{"reason":"trees_fail","retry_ms":250,"threshold":4294967295,"tight":true}`)
+	granting := respond(`{"granted":true,"threshold":4294967295,"tight":true}`)
+	p, gate := roomService(t, failing, failing, failing, failing, granting)
+	begun := 0
+	for range 200 {
+		if refusal, _ := gate.reserve(context.Background(), p, askedCall(), time.Second); refusal == nil {
+			begun++
+		}
+	}
+	must.Less(t, 20, begun)
+	p, gate = roomService(t, granting)
+	repeatable := askedCall()
+	repeatable.Ctx.Idempotent = true
+	refusal, _ := gate.reserve(context.Background(), p, repeatable, time.Second)
+	must.Nil(t, refusal)
+}
+
 // Guards against requests that stall, or are refused, because guards are dead, of an older version or
 // answer nonsense: the threshold that responses bring decides then.
 func TestThresholdDecidesIfNoGuardAnswers(t *testing.T) {
--- a/internal/room/advance.go
+++ b/internal/room/advance.go
@@ -42,6 +42,9 @@
 	use := min(1, l.busy/slotTime)
 	l.use += useGain * (use - l.use)
 	l.other += otherGain * (l.otherTime/interval.Seconds() - l.other)
+	l.newNow += newNowGain * (l.newTrees - l.newNow)
+	l.newBefore += newBeforeGain * (l.newTrees - l.newBefore)
+	l.newTrees = 0
 	l.correct(use, l.queued/slotTime)
 	l.updateTight(end)
 	l.assumed = l.meanCost()
@@ -56,7 +59,9 @@
 	l.current++
 	for id, k := range l.kinds {
 		l.counters.Due += k.mature(l.current)
-		k.age()
+		if l.failingSince.IsZero() {
+			k.age()
+		}
 		if k.idle() {
 			delete(l.kinds, id)
 		}
@@ -96,10 +101,19 @@
 // times the ratio in force.
 func (l *Ledger) setRate() {
 	slots := l.slots()
-	l.rate = max(slots-l.other-l.backlog()+l.idle(), minRoomShare*slots) * l.Ratio()
+	l.rate = max(slots-l.others()-l.backlog()+l.idle(), minRoomShare*slots) * l.Ratio()
 	l.tokens = min(l.tokens, l.burst())
 }
 
+// others returns the slots that calls without a grant will use when the trees that are granted room now
+// make their calls. When entry nodes begin to ask, trees without a grant end soon.
+func (l *Ledger) others() float64 {
+	if l.newBefore <= 0 {
+		return l.other
+	}
+	return l.other * min(1, l.newNow/l.newBefore)
+}
+
 // slots returns the number of calls that the upstream runs at once, bounded by its rate limit.
 func (l *Ledger) slots() float64 {
 	if l.load.CallsPerSecond <= 0 {
--- a/internal/room/ask.go
+++ b/internal/room/ask.go
@@ -24,12 +24,27 @@
 	Rank uint32
 	// Objective is the time within which the caller wants its response.
 	Objective time.Duration
+	// GrantedShare is the share of the trees of this kind that guards of the service granted to the
+	// sender; negative if it doesn't know yet. Guards are asked alike but may grant unlike, and each has
+	// to know the trees whose calls reach it.
+	GrantedShare float64
 	// Single means that the request is a single call, which needs no other one to succeed.
 	Single bool
 	// Repeatable means that the caller may repeat the request after a failure.
 	Repeatable bool
 }
 
+// trees returns the number of granted trees that the request stands for.
+func (r *Request) trees(granted bool) float64 {
+	switch {
+	case r.GrantedShare >= 0 && !r.Single:
+		return min(r.GrantedShare, 1)
+	case granted:
+		return 1
+	}
+	return 0
+}
+
 // Reason says why a request was refused.
 type Reason string
 
@@ -62,6 +77,7 @@
 	cost := k.cost(l.assumed)
 	l.offered[r.Rank>>bucketShift] += cost
 	reason := l.refusal(now, r, k)
+	k.grant(l.current, r.trees(reason == ""))
 	if reason != "" {
 		l.counters.Refused++
 		l.refused++
@@ -70,7 +86,6 @@
 	l.counters.Granted++
 	l.counters.Promised += cost
 	l.tokens = max(l.tokens-cost, -l.burst()-cost)
-	k.grant(l.current)
 	return Answer{Granted: true, Threshold: l.threshold, Tight: l.tight}
 }
 
--- a/internal/room/gate.go
+++ b/internal/room/gate.go
@@ -51,3 +51,34 @@
 func (g *Gate) Skips(now time.Time, guard string) bool {
 	return now.Before(g.unresponsive[guard])
 }
+
+// Grants is the share of requests for room of one kind that were granted.
+type Grants struct {
+	share   float64
+	answers int
+}
+
+const (
+	// grantsGain is the weight of one answer in the share.
+	grantsGain = 0.1
+	// minGrants is the number of answers from which the share is known.
+	minGrants = 5
+)
+
+// Count counts an answer.
+func (g *Grants) Count(granted bool) {
+	value := 0.0
+	if granted {
+		value = 1
+	}
+	g.answers = min(g.answers+1, minGrants)
+	g.share += max(grantsGain, 1/float64(g.answers+1)) * (value - g.share)
+}
+
+// Share returns the share; negative if it isn't known.
+func (g *Grants) Share() float64 {
+	if g.answers < minGrants {
+		return -1
+	}
+	return g.share
+}
--- a/internal/room/kind.go
+++ b/internal/room/kind.go
@@ -5,8 +5,8 @@
 const (
 	// interval is the period of all adjustments.
 	interval = 100 * time.Millisecond
-	// kindDecay is the factor applied to the sums of a kind once per interval. They cover about 8 s.
-	kindDecay = 0.9875
+	// kindDecay is the factor applied to the sums of a kind once per interval. They cover about 4 s.
+	kindDecay = 0.975
 	// pendingIntervals is the longest time for which a grant counts as unused.
 	pendingIntervals = 40
 	// defaultLag is the time from the admission of a tree until its calls have ended, if unknown.
@@ -26,10 +26,11 @@
 	forgetBelow = 0.01
 )
 
-// kind is the experience with trees of one route. Trees and their calls are spread over the guards of
-// a service alike, so a guard learns the cost of a tree from the calls that reach it.
+// kind is the experience with trees of one route. The calls of trees are spread over the guards of a
+// service alike, so a guard learns the cost of a tree from those that reach it.
 type kind struct {
-	// granted counts the trees whose use is due by now, and pending those of the latest intervals.
+	// granted is this guard's part of the trees that its service granted room and whose use is due by
+	// now, and pending that of the latest intervals.
 	granted float64
 	pending [pendingIntervals]float64
 	// next is the first interval that pending holds.
@@ -41,8 +42,8 @@
 
 func newKind(current int64) *kind { return &kind{next: current, lag: defaultLag} }
 
-// grant counts a granted tree in the given interval.
-func (k *kind) grant(current int64) { k.pending[current%pendingIntervals]++ }
+// grant counts trees that were granted room in the given interval.
+func (k *kind) grant(current int64, trees float64) { k.pending[current%pendingIntervals] += trees }
 
 // mature counts the grants that are older than the lag as due. It is called at the start of an
 // interval, so that the cell of the current interval is empty.
@@ -71,13 +72,13 @@
 	k.lag += time.Duration(lagGain * float64(c.RootAge-k.lag))
 }
 
-// cost returns the slot time that a tree takes at this upstream for each of its grants, in seconds.
+// cost returns the slot time that a tree takes at the service, in seconds.
 func (k *kind) cost(assumed float64) float64 {
 	learnt := (k.used + priorTrees*assumed) / (k.granted + priorTrees)
 	return max(learnt, minCostShare*assumed)
 }
 
-// callsPerTree returns the number of calls for each grant; 0 if it is unknown.
+// callsPerTree returns the number of calls that a tree makes; 0 if it is unknown.
 func (k *kind) callsPerTree() float64 {
 	if k.granted < minKindTrees {
 		return 0
--- a/internal/room/ledger.go
+++ b/internal/room/ledger.go
@@ -22,7 +22,10 @@
 	offeredDecay  = 0.85
 	offeredWindow = 0.1 / (1 - offeredDecay)
 	// useGain and otherGain are the weights of one interval in the averages of the slots in use.
-	useGain, otherGain = 0.3, 0.2
+	useGain, otherGain = 0.3, 0.3
+	// newNowGain and newBeforeGain are the weights of one interval in the averages of new trees without
+	// a grant.
+	newNowGain, newBeforeGain = 0.5, 0.1
 	// tightUse and looseUse are the shares of slots in use from which a service is scarce, and below
 	// which it no longer is.
 	tightUse, looseUse = 0.7, 0.5
@@ -66,8 +69,9 @@
 	sound        = 0.95
 	// probeInterval is the time without calls after which a tree is begun although few complete.
 	probeInterval = 300 * time.Millisecond
-	// maxAssumedCalls bounds the calls that a tree of an unknown kind is assumed to make.
-	maxAssumedCalls = 16
+	// maxAssumedCalls bounds the calls that a tree of an unknown kind is assumed to make. What it makes
+	// beyond them is seen in the queue.
+	maxAssumedCalls = 4
 	// defaultCallTime is the slot time that a call is assumed to take, in seconds.
 	defaultCallTime = 0.05
 )
@@ -133,6 +137,9 @@
 	otherTime, other float64
 	// seenTime, seenCalls and seenTrees are the experience with trees that were granted nothing.
 	seenTime, seenCalls, seenTrees float64
+	// newTrees counts the trees without a grant in this interval. newNow and newBefore are its averages
+	// over a short and a long time.
+	newTrees, newNow, newBefore float64
 	// assumed is the cost of a tree of an unknown kind, in slot-seconds.
 	assumed    float64
 	refused    int
@@ -196,8 +203,10 @@
 		l.otherTime += c.SlotTime.Seconds()
 		return
 	}
-	k := l.kind(c.Kind)
-	k.ended(c)
+	// Trees that end early say nothing of their kind.
+	if l.failingSince.IsZero() {
+		l.kind(c.Kind).ended(c)
+	}
 	if c.First {
 		l.counters.Used++
 	}
@@ -213,7 +222,10 @@
 }
 
 // TreeSeen records that a tree without a grant made its first call.
-func (l *Ledger) TreeSeen() { l.seenTrees++ }
+func (l *Ledger) TreeSeen() {
+	l.seenTrees++
+	l.newTrees++
+}
 
 // kind returns the experience with a kind. Kinds beyond maxKinds share one.
 func (l *Ledger) kind(id uint32) *kind {
@@ -234,13 +246,13 @@
 
 // meanCost returns the mean cost of trees, in slot-seconds.
 func (l *Ledger) meanCost() float64 {
-	used, granted := 0.0, 0.0
+	used, trees := 0.0, 0.0
 	for _, k := range l.kinds {
 		used += k.used
-		granted += k.granted
+		trees += k.granted
 	}
-	if granted >= minKindTrees && used > 0 {
-		return used / granted
+	if trees >= minKindTrees && used > 0 {
+		return used / trees
 	}
 	if l.seenTrees >= minKindTrees {
 		return min(l.seenTime/l.seenTrees, maxAssumedCalls*l.callTime())
--- a/internal/room/ledger_test.go
+++ b/internal/room/ledger_test.go
@@ -32,7 +32,7 @@
 			kind := rapid.Uint32Range(1, 200).Draw(t, "kind")
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0, 1:
-				a := l.Ask(now, &Request{Kind: kind, Rank: rapid.Uint32().Draw(t, "rank"), Objective: time.Second}, 0.5)
+				a := l.Ask(now, &Request{Kind: kind, Rank: rapid.Uint32().Draw(t, "rank"), GrantedShare: rapid.Float64Range(-1, 1).Draw(t, "share"), Objective: time.Second}, 0.5)
 				must.EqOp(t, a.Granted, a.Reason == "")
 				must.True(t, a.Granted || a.RetryAfter >= minRetryAfter)
 			case 2:
@@ -69,7 +69,7 @@
 	for range 2000 {
 		now = now.Add(5 * time.Millisecond)
 		l.Update(now, Load{Slots: 16, Busy: 16})
-		l.Ask(now, &Request{Kind: 1, Rank: 1, Objective: time.Second}, 0.5)
+		l.Ask(now, &Request{Kind: 1, Rank: 1, GrantedShare: -1, Objective: time.Second}, 0.5)
 	}
 	s := l.State(now)
 	must.Positive(t, s.Unused)
@@ -96,7 +96,7 @@
 		now = now.Add(500 * time.Microsecond)
 		l.Update(now, Load{Slots: 16, Busy: 16})
 		for _, rank := range []uint32{1 << 29, 3 << 30} {
-			if l.Ask(now, &Request{Kind: 1, Rank: rank, Objective: time.Second}, 0.5).Granted {
+			if l.Ask(now, &Request{Kind: 1, Rank: rank, GrantedShare: -1, Objective: time.Second}, 0.5).Granted {
 				granted[rank]++
 			}
 		}
@@ -113,7 +113,7 @@
 		l.Update(now, Load{Slots: 16, Busy: 2})
 	}
 	must.False(t, l.Tight())
-	a := l.Ask(now, &Request{Kind: 1, Rank: math.MaxUint32 - 1, Objective: time.Second}, 0.5)
+	a := l.Ask(now, &Request{Kind: 1, Rank: math.MaxUint32 - 1, GrantedShare: -1, Objective: time.Second}, 0.5)
 	var g Gate
 	g.Named(now)
 	g.Answered(now, &a)
--- a/internal/room/message.go
+++ b/internal/room/message.go
@@ -15,6 +15,8 @@
 	paramRank       = "rank"
 	paramObjective  = "objective_ms"
 	paramRepeatable = "repeatable"
+	// paramShare is GrantedShare in thousandths; it is missing if that isn't known.
+	paramShare = "share_milli"
 )
 
 const (
@@ -32,6 +34,9 @@
 	if r.Repeatable {
 		query += "&" + paramRepeatable + "=1"
 	}
+	if r.GrantedShare >= 0 {
+		query += fmt.Sprintf("&%s=%d", paramShare, int(min(r.GrantedShare, 1)*1000))
+	}
 	return query
 }
 
@@ -50,7 +55,15 @@
 	if err != nil || millis < 0 || millis > maxObjective.Milliseconds() {
 		return nil, errors.Errorf("room: %s is %.32q, want 0 to %d", paramObjective, get(paramObjective), maxObjective.Milliseconds())
 	}
-	return &Request{Kind: uint32(kind), Rank: uint32(rank), Objective: time.Duration(millis) * time.Millisecond, Repeatable: get(paramRepeatable) != ""}, nil
+	share := -1.0
+	if text := get(paramShare); text != "" {
+		milli, err := strconv.ParseUint(text, 10, 32)
+		if err != nil || milli > 1000 {
+			return nil, errors.Errorf("room: %s is %.32q, want 0 to 1000", paramShare, text)
+		}
+		share = float64(milli) / 1000
+	}
+	return &Request{Kind: uint32(kind), Rank: uint32(rank), Objective: time.Duration(millis) * time.Millisecond, GrantedShare: share, Repeatable: get(paramRepeatable) != ""}, nil
 }
 
 // answerMessage is the JSON form of an Answer.
--- a/internal/room/message_test.go
+++ b/internal/room/message_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a request that its guard reads differently than its sender meant it.
 func TestRequestSurvivesEncoding(t *testing.T) {
-	r := &Request{Kind: 7, Rank: 1 << 31, Objective: 1200 * time.Millisecond, Repeatable: true}
+	r := &Request{Kind: 7, Rank: 1 << 31, Objective: 1200 * time.Millisecond, GrantedShare: 0.25, Repeatable: true}
 	values, err := url.ParseQuery(r.Encode())
 	must.NoError(t, err)
 	got, err := DecodeRequest(values.Get)
@@ -35,7 +35,7 @@
 
 // Guards against a crash, or a request out of bounds, from what another node sends.
 func FuzzDecodeRequest(f *testing.F) {
-	for _, seed := range []string{"kind=1&rank=2&objective_ms=3&repeatable=1", "kind=0&rank=1&objective_ms=1", "kind=-1", "kind=1&rank=NaN&objective_ms=1", "kind=1&rank=1&objective_ms=-5", "kind=1&rank=99999999999&objective_ms=1", "%zz"} {
+	for _, seed := range []string{"kind=1&rank=2&objective_ms=3&repeatable=1", "kind=0&rank=1&objective_ms=1", "kind=-1", "kind=1&rank=1&objective_ms=1&share_milli=1001", "kind=1&rank=1&objective_ms=1&share_milli=NaN", "kind=1&rank=NaN&objective_ms=1", "kind=1&rank=1&objective_ms=-5", "kind=1&rank=99999999999&objective_ms=1", "%zz"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -49,6 +49,7 @@
 		}
 		must.Positive(t, r.Kind)
 		must.Between(t, 0, r.Objective, maxObjective)
+		must.Between(t, -1, r.GrantedShare, 1)
 	})
 }
 
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// PickGuard returns a guard of a service that may be asked for room; nil if there is none. It prefers
-// the own zone and chooses by slots, so that guards are asked as often as calls reach them. skip returns
-// the guards that are not to be asked.
+// PickGuard returns a guard of a service that may be asked for room; nil if there is none. It chooses by
+// slots over all zones: the calls of a scarce service spread over all of them, whatever zone they come
+// from. skip returns the guards that are not to be asked.
 func (t *Table) PickGuard(now time.Time, rng *rand.Rand, service string, skip func(node string) bool) *Target {
 	v := t.views[service]
 	if v == nil {
@@ -15,7 +15,7 @@
 	}
 	at := int64(now.Sub(t.epoch))
 	cfg := v.svc.cfg.Load()
-	var near, all guardChoice
+	var choice guardChoice
 	for _, g := range v.targets {
 		if g.isDraining(at, cfg) || g.isSuspect(at, cfg) || g.ejection.active() {
 			continue
@@ -24,16 +24,9 @@
 		if endpoint.Fallback || skip(endpoint.Node) {
 			continue
 		}
-		slots := float64(max(g.slots.Load(), 1))
-		all.add(rng, g, slots)
-		if endpoint.Region == t.self.Region && endpoint.Zone == t.self.Zone {
-			near.add(rng, g, slots)
-		}
-	}
-	if near.chosen != nil {
-		return near.chosen
+		choice.add(rng, g, float64(max(g.slots.Load(), 1)))
 	}
-	return all.chosen
+	return choice.chosen
 }
 
 // guardChoice chooses one of the targets added to it, by weight.
