--- a/internal/admission/treemodel_test.go
+++ b/internal/admission/treemodel_test.go
@@ -64,9 +64,11 @@
 	// reaches reports whether a request can be sent to a guard; nil means always.
 	reaches func(t *treeRequest, g *modelGuard) bool
 	// reserving is set if entry nodes ask guards for room; see reserveRoom.
-	reserving  bool
-	roomGates  []*room.Gate
-	roomGrants [][]room.Grants
+	reserving bool
+	// lostAnswers is the share of the answers of guards that are lost.
+	lostAnswers float64
+	roomGates   []*room.Gate
+	roomGrants  [][]room.Grants
 }
 
 // treeTally counts the results of the requests of a route.
--- a/internal/admission/treeroom_test.go
+++ b/internal/admission/treeroom_test.go
@@ -11,6 +11,12 @@
 // roomMessageTime is the time that a question to a guard, or its answer, is on the way.
 const roomMessageTime = 500 * time.Microsecond
 
+// roomTimeout is the time after which an entry node asks another guard.
+const roomTimeout = 40 * time.Millisecond
+
+// maxPicks is the number of random picks after which an entry node skips all guards.
+const maxPicks = 20
+
 // reserveRoom makes entry nodes ask guards for room before they admit trees, as nodes with the setting
 // trees.reserve do.
 func (f *treeModel) reserveRoom() {
@@ -49,7 +55,11 @@
 	}
 	gate := f.roomGates[t.entry]
 	i := f.model.rng.IntN(len(f.guards))
-	for gate.Skips(f.model.Now(), strconv.Itoa(i)) {
+	for tries := 0; gate.Skips(f.model.Now(), strconv.Itoa(i)); tries++ {
+		if tries == maxPicks {
+			f.admitByThreshold(t)
+			return
+		}
 		i = f.model.rng.IntN(len(f.guards))
 	}
 	g := f.guards[i]
@@ -60,6 +70,13 @@
 			return
 		}
 		answer := g.ledger.Ask(f.model.Now(), f.roomRequest(t), f.model.rng.Float64())
+		if f.model.rng.Float64() < f.lostAnswers {
+			f.model.After(roomTimeout, func() {
+				gate.Unanswered(f.model.Now(), strconv.Itoa(i))
+				f.askForRoom(t, guardsLeft-1)
+			})
+			return
+		}
 		f.model.After(roomMessageTime, func() {
 			gate.Answered(f.model.Now(), &answer)
 			f.grants(t).Count(answer.Granted)
--- a/internal/proxy/reserve.go
+++ b/internal/proxy/reserve.go
@@ -136,6 +136,11 @@
 		g.named.add(now, service)
 	}
 	g.named.grants(service, func(grants *room.Grants) { grants.Count(answer.Granted) })
+	if answer.Granted && !c.Idempotent {
+		if refusal := service.refuseFailing(p.node.Now(), call, answer, objective); refusal != nil {
+			return refusal, true
+		}
+	}
 	if answer.Granted {
 		call.Room = call.Room.Add(service.name, g.kind)
 		p.node.RecordRoomGranted(p.node.Now(), call, guard, answer.Threshold)
@@ -223,6 +228,18 @@
 	_, _ = w.Write(body)
 }
 
+// refuseFailing refuses a tree that a guard granted room if the other guards of its service, by their
+// answers and reports, refuse calls at random: most calls of the tree will reach those.
+func (s *serviceGate) refuseFailing(now time.Time, call *node.Call, a *room.Answer, objective time.Duration) *result.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.ObserveThreshold(now, max(a.Threshold, 1))
+	if !s.state.TreesFail() {
+		return nil
+	}
+	return s.state.Admit(now, call.Ctx.Level, call.Ctx.CallerHash, objective, rand.Float64(), rand.Float64())
+}
+
 func (s *serviceGate) asks(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,10 +252,14 @@
 	return s.room.Skips(now, guard)
 }
 
+// answered records the answer of a guard.
 func (s *serviceGate) answered(now time.Time, a *room.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.room.Answered(now, a)
+	if a.Reason == room.ReasonTreesFail {
+		s.state.ObserveThreshold(now, 0)
+	}
 }
 
 func (s *serviceGate) unanswered(now time.Time, guard string) {
