Spare slots of a service are no longer called its room

Cause: routing.Table.Room and handback.Room were the free slots that guards use to hand calls back, while package room is what guards promise to trees. Guard had SetRoom and Room for the two. Change: handback.SpareSlots, Table.SpareSlots, Guard.SetSpareSlots; internal/routing/room.go is spareslots.go. Wire format and behaviour are unchanged. Conclusion: room means what is promised to trees in these packages.

--- a/internal/handback/handback.go
+++ b/internal/handback/handback.go
@@ -31,18 +31,19 @@
 	minSettle = 20 * time.Millisecond
 )
 
-// Room is what is known of the upstreams of a service. The zero value is unknown.
-type Room struct {
+// SpareSlots are the free slots of a service, as far as a sender or a view knows them. The zero value is
+// unknown.
+type SpareSlots struct {
 	// Free is the number of slots at which a call would start at once.
 	Free float64
 	// Queued is the number of calls that wait, at all guards of the service.
 	Queued float64
-	// ValidUntil is the time until which the room is used.
+	// ValidUntil is the time until which the numbers are used.
 	ValidUntil time.Time
 }
 
 // Usable reports whether r is known and recent.
-func (r Room) Usable(now time.Time) bool { return now.Before(r.ValidUntil) }
+func (r SpareSlots) Usable(now time.Time) bool { return now.Before(r.ValidUntil) }
 
 // Backlog is the queue of a guard.
 type Backlog struct {
@@ -67,7 +68,7 @@
 // would wait longer than MinWait. The guard takes its share of the free slots: the part that its
 // queue is of all queues. It hands back that many calls at once, and then as many per settling time:
 // the guards of a service together never send more calls to the free slots than there are.
-func (d *Decider) Allow(now time.Time, b Backlog, r Room) int {
+func (d *Decider) Allow(now time.Time, b Backlog, r SpareSlots) int {
 	if b.Queued <= 0 || b.Wait <= b.MinWait() || !r.Usable(now) || !(r.Free >= 1) {
 		return 0
 	}
--- a/internal/handback/handback_test.go
+++ b/internal/handback/handback_test.go
@@ -17,19 +17,19 @@
 // nothing is known of the other upstreams.
 func TestAllow_KeepsCallsWithoutABetterPlace(t *testing.T) {
 	late := Backlog{Queued: 10, Wait: 100 * time.Millisecond, ServiceTime: 20 * time.Millisecond}
-	free := Room{Free: 50, ValidUntil: valid}
+	free := SpareSlots{Free: 50, ValidUntil: valid}
 	short := late
 	short.Wait = 5 * time.Millisecond
 	for name, x := range map[string]struct {
 		b Backlog
-		r Room
+		r SpareSlots
 	}{
 		"no queue":    {Backlog{Wait: time.Second}, free},
 		"short wait":  {short, free},
-		"no room":     {late, Room{Free: 0.5, ValidUntil: valid}},
-		"unknown":     {late, Room{}},
-		"outdated":    {late, Room{Free: 50, ValidUntil: origin}},
-		"not numbers": {late, Room{Free: math.NaN(), Queued: math.NaN(), ValidUntil: valid}},
+		"none free":   {late, SpareSlots{Free: 0.5, ValidUntil: valid}},
+		"unknown":     {late, SpareSlots{}},
+		"outdated":    {late, SpareSlots{Free: 50, ValidUntil: origin}},
+		"not numbers": {late, SpareSlots{Free: math.NaN(), Queued: math.NaN(), ValidUntil: valid}},
 	} {
 		must.EqOp(t, 0, new(Decider).Allow(origin, x.b, x.r), must.Sprint(name))
 	}
@@ -41,7 +41,7 @@
 func TestAllow_GuardsShareTheFreeSlots(t *testing.T) {
 	const guards, free = 4, 20
 	b := Backlog{Queued: 30, Wait: time.Second, ServiceTime: 50 * time.Millisecond}
-	r := Room{Free: free, Queued: guards * 30, ValidUntil: valid}
+	r := SpareSlots{Free: free, Queued: guards * 30, ValidUntil: valid}
 	deciders, moved := make([]Decider, guards), 0
 	for now := origin; now.Before(origin.Add(b.ServiceTime)); now = now.Add(time.Millisecond) {
 		for i := range deciders {
@@ -51,7 +51,7 @@
 		}
 	}
 	must.Between(t, free, moved, 2*free)
-	r = Room{Free: 2, Queued: 1000, ValidUntil: valid}
+	r = SpareSlots{Free: 2, Queued: 1000, ValidUntil: valid}
 	first := new(Decider)
 	must.EqOp(t, 0, first.Allow(origin, b, r))
 	for i := range 100 {
--- a/internal/mesh/balance.go
+++ b/internal/mesh/balance.go
@@ -38,7 +38,7 @@
 	}
 	guard := u.mesh.node.Guard()
 	guard.SetServiceTimes(now, speed.ServiceTimes(v, u.mesh.cfg.Service))
-	guard.SetRoom(roomOf(now, v, u.mesh.cfg.Region, u.mesh.cfg.Service))
+	guard.SetSpareSlots(spareSlotsOf(now, v, u.mesh.cfg.Region, u.mesh.cfg.Service))
 	u.logSpeed(guard.Speed())
 }
 
@@ -55,10 +55,10 @@
 	u.mesh.logger.Info().Float64("speed", s).Msg("speed of the upstream differs from that of its service")
 }
 
-// roomOf returns the room of a service in a region by a view. A call that waits isn't worth the way to
+// spareSlotsOf returns the spare slots of a service in a region by a view. A call that waits isn't worth the way to
 // another region.
-func roomOf(now time.Time, v *overview.View, region, service string) handback.Room {
-	r := handback.Room{ValidUntil: now.Add(minViewLifetime)}
+func spareSlotsOf(now time.Time, v *overview.View, region, service string) handback.SpareSlots {
+	r := handback.SpareSlots{ValidUntil: now.Add(minViewLifetime)}
 	for i := range v.Zones {
 		if !strings.HasPrefix(v.Zones[i].Name, zoneName(region, "")) {
 			continue
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -46,7 +46,7 @@
 	// not take it back.
 	HandBacks int
 	// Spare is what the sender knows of free slots at the upstreams of the service; sent only with HandBacks.
-	Spare handback.Room
+	Spare handback.SpareSlots
 	// Reattach means that an earlier transmission of the same call ID got no response.
 	Reattach bool
 	// Sampled means that the call's events are recorded, because it was sampled, or was refused
--- a/internal/node/dispatch_handback.go
+++ b/internal/node/dispatch_handback.go
@@ -26,7 +26,7 @@
 	}
 	attempt.HandBacks = handback.MaxPerCall - len(d.handedBackBy)
 	if attempt.HandBacks > 0 {
-		attempt.Spare = n.table.Load().Room(now, attempt.Ctx.Service)
+		attempt.Spare = n.table.Load().SpareSlots(now, attempt.Ctx.Service)
 	}
 }
 
--- a/internal/node/guard_handback.go
+++ b/internal/node/guard_handback.go
@@ -12,9 +12,9 @@
 type moves struct {
 	enabled bool
 	decider handback.Decider
-	// told is the room that the sender of the last call knew, and overall that of the deployment's
+	// told is what the sender of the last call knew, and overall is from the deployment's
 	// view. told is newer.
-	told, overall handback.Room
+	told, overall handback.SpareSlots
 }
 
 // note records what the sender of a call knows of the upstreams of the service.
@@ -24,7 +24,7 @@
 	}
 }
 
-func (m *moves) room(now time.Time) handback.Room {
+func (m *moves) spareSlots(now time.Time) handback.SpareSlots {
 	if m.told.Usable(now) {
 		return m.told
 	}
@@ -39,7 +39,7 @@
 }
 
 // SetRoom sets what is known of the upstreams of the service from the view of the deployment.
-func (g *Guard) SetRoom(r handback.Room) {
+func (g *Guard) SetSpareSlots(r handback.SpareSlots) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.moves.overall = r
@@ -52,8 +52,8 @@
 		return
 	}
 	backlog := g.admission.Backlog()
-	room := g.moves.room(now)
-	n := g.moves.decider.Allow(now, backlog, room)
+	spare := g.moves.spareSlots(now)
+	n := g.moves.decider.Allow(now, backlog, spare)
 	if n == 0 {
 		return
 	}
@@ -62,7 +62,7 @@
 	for _, id := range ids {
 		e := g.calls[id]
 		refusal := result.Refuse(result.HandedBack, "expected wait %v with %d calls queued, %.0f slots free elsewhere",
-			backlog.Wait.Round(time.Millisecond), backlog.Queued, room.Free)
+			backlog.Wait.Round(time.Millisecond), backlog.Queued, spare.Free)
 		g.events.handedBack(now, e.call, refusal)
 		g.endLocked(now, e, Refused(id, refusal), deferred)
 	}
--- a/internal/node/guard_model_test.go
+++ b/internal/node/guard_model_test.go
@@ -103,7 +103,7 @@
 		call.BodyHash = uint64(rapid.IntRange(0, 4).Draw(t, "body") / 4)
 	}
 	call.HandBacks = rapid.IntRange(0, 2).Draw(t, "hand backs")
-	call.Spare = handback.Room{Free: float64(rapid.IntRange(0, 9).Draw(t, "free")), ValidUntil: m.now.Add(time.Second)}
+	call.Spare = handback.SpareSlots{Free: float64(rapid.IntRange(0, 9).Draw(t, "free")), ValidUntil: m.now.Add(time.Second)}
 	m.calls = append(m.calls, call)
 	m.send(call)
 }
--- a/internal/node/handback_model_test.go
+++ b/internal/node/handback_model_test.go
@@ -88,8 +88,8 @@
 	case ActionSend:
 		var i int
 		_, _ = fmt.Sscanf(action.Target.Endpoint().Node, "n%d", &i)
-		// The room that guards are told here is always large, so that they hand back often.
-		action.Attempt.Spare = handback.Room{Free: 9, ValidUntil: m.now.Add(time.Second)}
+		// The spare slots that guards are told here are always many, so that they hand back often.
+		action.Attempt.Spare = handback.SpareSlots{Free: 9, ValidUntil: m.now.Add(time.Second)}
 		m.messages = append(m.messages, func() { m.arrive(c, m.guards[i], action.Attempt) })
 	}
 }
--- a/internal/proxy/handback_test.go
+++ b/internal/proxy/handback_test.go
@@ -19,18 +19,18 @@
 	}
 	now := time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
 	f.Fuzz(func(t *testing.T, text string) {
-		handBacks, room := decodeHandBack(text, now)
+		handBacks, spare := decodeHandBack(text, now)
 		must.Between(t, 0, handBacks, handback.MaxPerCall)
-		must.Between(t, 0, room.Free, handback.MaxSlots)
-		must.Between(t, 0, room.Queued, handback.MaxSlots)
-		must.False(t, room.Usable(now.Add(maxRoomAge)))
+		must.Between(t, 0, spare.Free, handback.MaxSlots)
+		must.Between(t, 0, spare.Queued, handback.MaxSlots)
+		must.False(t, spare.Usable(now.Add(maxSpareSlotsAge)))
 		if handBacks == 0 {
 			return
 		}
-		again, roomAgain := decodeHandBack(encodeHandBack(&node.Call{HandBacks: handBacks, Spare: room}, now), now)
+		again, spareAgain := decodeHandBack(encodeHandBack(&node.Call{HandBacks: handBacks, Spare: spare}, now), now)
 		must.EqOp(t, handBacks, again)
-		if room.Usable(now) {
-			must.Eq(t, room, roomAgain)
+		if spare.Usable(now) {
+			must.Eq(t, spare, spareAgain)
 		}
 	})
 }
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -79,16 +79,16 @@
 	}
 }
 
-// BenchmarkRoom measures a computation of the room, of which there is one in roomTTL for each service.
-func BenchmarkRoom(b *testing.B) {
+// BenchmarkSpareSlots measures a computation of the spare slots, of which there is one in spareSlotsTTL for each service.
+func BenchmarkSpareSlots(b *testing.B) {
 	for _, count := range []int{10, 1000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			table := benchTable(count, benchReports["room"])
 			now := origin
 			b.ReportAllocs()
 			for b.Loop() {
-				now = now.Add(2 * roomTTL)
-				table.Room(now, "archive")
+				now = now.Add(2 * spareSlotsTTL)
+				table.SpareSlots(now, "archive")
 			}
 		})
 	}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -31,7 +31,7 @@
 	// report has expired.
 	meanLoad average
 
-	room roomCell
+	spareSlots spareSlotsCell
 	// calls counts the calls for which a target was to be chosen, without their retries.
 	calls atomic.Int64
 	// zoneShares are the shares of the calls that go to other zones; nil if all stay. callsAway counts
--- a/internal/routing/room.go
+++ b/internal/routing/spareslots.go
@@ -7,42 +7,42 @@
 	"github.com/galenagrade/galenagrade/internal/handback"
 )
 
-// roomTTL is the time for which the room of a service is reused. Without it each call would read all
+// spareSlotsTTL is the time for which the spare slots of a service are reused. Without it each call would read all
 // targets that the node uses.
-const roomTTL = 5 * time.Millisecond
+const spareSlotsTTL = 5 * time.Millisecond
 
-// roomValidity is the time for which a guard uses the room that a sender knew. Slots become free
+// spareSlotsValidity is the time for which a guard uses the number that a sender knew. Slots become free
 // within it, of which the guard hears from the next call.
-const roomValidity = 100 * time.Millisecond
+const spareSlotsValidity = 100 * time.Millisecond
 
-// roomCell holds the room of a service as last computed, and when.
-type roomCell struct {
+// spareSlotsCell holds the spare slots of a service as last computed, and when.
+type spareSlotsCell struct {
 	computedAt   atomic.Int64
 	free, queued atomic.Int64
 	reports      atomic.Int64
 }
 
-// Room returns the free slots and the waiting calls at the targets of the own region that this node
+// SpareSlots returns the free slots and the waiting calls at the targets of the own region that this node
 // normally uses, by their fresh reports. It is unknown unless two of them have one.
-func (t *Table) Room(now time.Time, name string) handback.Room {
+func (t *Table) SpareSlots(now time.Time, name string) handback.SpareSlots {
 	v := t.views[name]
 	if v == nil {
-		return handback.Room{}
+		return handback.SpareSlots{}
 	}
 	at := int64(now.Sub(t.epoch))
 	cfg := v.svc.cfg.Load()
-	cell := &v.svc.room
-	if at-cell.computedAt.Load() > int64(roomTTL) {
+	cell := &v.svc.spareSlots
+	if at-cell.computedAt.Load() > int64(spareSlotsTTL) {
 		cell.computedAt.Store(at)
-		v.computeRoom(at, cfg)
+		v.computeSpareSlots(at, cfg)
 	}
 	if cell.reports.Load() < 2 {
-		return handback.Room{}
+		return handback.SpareSlots{}
 	}
-	return handback.Room{Free: float64(cell.free.Load()), Queued: float64(cell.queued.Load()), ValidUntil: now.Add(roomValidity)}
+	return handback.SpareSlots{Free: float64(cell.free.Load()), Queued: float64(cell.queued.Load()), ValidUntil: now.Add(spareSlotsValidity)}
 }
 
-func (v *serviceView) computeRoom(at int64, cfg *Config) {
+func (v *serviceView) computeSpareSlots(at int64, cfg *Config) {
 	var free, queued, reports int64
 	for d := ownZone; d <= ownRegion; d++ {
 		tr := &v.tiers[d]
@@ -57,7 +57,7 @@
 			}
 		}
 	}
-	cell := &v.svc.room
+	cell := &v.svc.spareSlots
 	cell.free.Store(free)
 	cell.queued.Store(queued)
 	cell.reports.Store(reports)
--- a/internal/routing/uneven_test.go
+++ b/internal/routing/uneven_test.go
@@ -48,7 +48,7 @@
 	running int
 	meter   speed.Meter
 	decider handback.Decider
-	room    handback.Room
+	spare   handback.SpareSlots
 	// means are the service times of the service in the last view.
 	means map[uint32]float64
 	calls int
@@ -215,7 +215,7 @@
 		}
 	}
 	m.onQueue = m.handBackFrom
-	m.onSend = func(t *Table, g *zoneGuard) { m.byGuard[g].room = t.Room(m.Now(), "archive") }
+	m.onSend = func(t *Table, g *zoneGuard) { m.byGuard[g].spare = t.SpareSlots(m.Now(), "archive") }
 	m.After(viewInterval, m.exchange)
 	return m
 }
@@ -235,7 +235,7 @@
 // handBackFrom hands back calls of a guard as node.Guard does.
 func (m *unevenModel) handBackFrom(g *zoneGuard) {
 	u := m.byGuard[g]
-	n := u.decider.Allow(m.Now(), g.ctl.Backlog(), u.room)
+	n := u.decider.Allow(m.Now(), g.ctl.Backlog(), u.spare)
 	if !m.handBack || n == 0 {
 		return
 	}
