Shares switched off while an override ends no longer end the process

Cause: when an override had ended, the update configured the shares anew from the settings in force and went on with the book from before. With shares switched off in between, the meter was nil and CutChanges panicked. The count of ignored overrides stayed at its last value after shares were switched off. Change: the update looks at the book after it configured; switched off, no override counts as ignored.

--- a/internal/mesh/shares.go
+++ b/internal/mesh/shares.go
@@ -56,6 +56,7 @@
 	settings := s.mesh.Settings().Shares
 	if !settings.Enabled {
 		s.divider.Configure(nil, nil)
+		s.noteIgnoredLocked(nil)
 		return
 	}
 	overrides := make([]share.Override, 0, len(settings.Overrides))
@@ -64,13 +65,19 @@
 	}
 	book := share.NewBook(s.workspaces, overrides, now)
 	s.divider.Configure(s.workspaces, book)
-	if ignored := book.Ignored(); !slices.Equal(ignored, s.ignored) {
-		s.ignored = ignored
-		if len(ignored) > 0 {
-			s.mesh.rateLimited.Warn().Strs("workspaces", ignored).Msg("overrides of shares ignored; the routes in force have no such workspaces")
-		}
+	s.noteIgnoredLocked(book.Ignored())
+}
+
+// noteIgnoredLocked records the workspaces whose overrides are ignored, and logs a change.
+func (s *shares) noteIgnoredLocked(workspaces []string) {
+	s.mesh.metrics.SetGauge(metrics.ShareOverridesIgnored, int64(len(workspaces)))
+	if slices.Equal(workspaces, s.ignored) {
+		return
+	}
+	s.ignored = workspaces
+	if len(workspaces) > 0 {
+		s.mesh.rateLimited.Warn().Strs("workspaces", workspaces).Msg("overrides of shares ignored; the routes in force have no such workspaces")
 	}
-	s.mesh.metrics.SetGauge(metrics.ShareOverridesIgnored, int64(len(book.Ignored())))
 }
 
 // run updates the demand until ctx is canceled.
@@ -90,15 +97,14 @@
 func (s *shares) update(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	book := s.divider.Book()
-	if book == nil {
-		s.noteDividingLocked(false, nil, now)
-		return
-	}
-	if book.Expired(now) {
+	if book := s.divider.Book(); book != nil && book.Expired(now) {
 		s.configureLocked(now)
 		s.mesh.logger.Info().Int("workspaces", book.Workspaces()).Msg("an override of shares has ended")
 	}
+	if s.divider.Book() == nil {
+		s.noteDividingLocked(false, nil, now)
+		return
+	}
 	elapsed := now.Sub(s.updatedAt)
 	if s.updatedAt.IsZero() {
 		elapsed = shareInterval
