A service is no longer recorded as scarce after trees.reserve is off

Cause: switching trees.reserve off removed the ledger without the event that ends the scarcity; it came, if ever, after the next start of the setting. Change: SetReserve records the end. Measured: TestScarcityEndsWithTheSetting failed before (no event), passes. Conclusion: events scarcity_started and scarcity_finished come in pairs.

--- a/internal/node/guard_room.go
+++ b/internal/node/guard_room.go
@@ -52,6 +52,7 @@
 	switch {
 	case !on:
 		g.ledger = nil
+		g.events.recordScarcity(now, false)
 	case g.ledger == nil:
 		g.ledger = room.NewLedger(now, overcommit)
 	default:
--- a/internal/node/guard_room_test.go
+++ b/internal/node/guard_room_test.go
@@ -10,6 +10,7 @@
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/room"
+	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
 // scarceGuard returns a guard whose slots have all been in use for a while.
@@ -95,3 +96,14 @@
 	must.EqOp(t, grant, child.Room)
 	must.EqOp(t, 0, (&Dispatch{call: child}).rank())
 }
+
+// Guards against a timeline in which a service remains scarce after its guard stopped to promise room.
+func TestScarcityEndsWithTheSetting(t *testing.T) {
+	g, now := scarceGuard(t)
+	ring := timeline.NewRing("a", 16, &timeline.Clock{})
+	g.events = &eventRecorder{node: &Node{cfg: Config{Ring: ring}}, wasTight: true}
+	g.SetReserve(now, false, 1)
+	events := ring.Events(timeline.Filter{})
+	must.Len(t, 1, events)
+	must.EqOp(t, timeline.ScarcityFinished, events[0].Kind)
+}
