A request is admitted by one value of trees.reserve

Cause: routeHandler.admit read the setting twice. Switched off between the two, a request passed neither the threshold nor a guard. Change: it reads the setting once. Measured: go test ./internal/proxy passes; no test of the race, which needs a reload between two lines. Conclusion: each request is decided by the old or by the new setting.

--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -130,7 +130,8 @@
 // calls that its route makes. Room is asked for last, since a promise for a request that the quota
 // refuses would be kept from others.
 func (h *routeHandler) admit(ctx context.Context, gate *treeGate, call *node.Call, objective time.Duration) *result.Refusal {
-	if !h.p.reserving.Load() {
+	reserving := h.p.reserving.Load()
+	if !reserving {
 		if refusal := gate.admit(h.p.node.Now(), call, objective); refusal != nil {
 			return refusal
 		}
@@ -140,7 +141,7 @@
 			return refusal
 		}
 	}
-	if !h.p.reserving.Load() {
+	if !reserving {
 		return nil
 	}
 	refusal, decided := gate.reserve(ctx, h.p, call, objective)
