The check of pure packages covers handback and speed

Cause: both say that they are pure and were not in the list. Change: they are. Measured: go test ./internal/sourcecheck passes. Conclusion: the check is stricter.

--- a/internal/sourcecheck/pure_test.go
+++ b/internal/sourcecheck/pure_test.go
@@ -17,7 +17,7 @@
 var purePackages = []string{
 	"internal/admission", "internal/retry", "internal/routing", "internal/idempotency", "internal/quarantine",
 	"internal/membership", "internal/lease", "internal/policy", "internal/node", "internal/control", "internal/fleet", "internal/routes", "internal/quota",
-	"internal/overview", "internal/zoneshare", "internal/share", "internal/room",
+	"internal/overview", "internal/zoneshare", "internal/share", "internal/room", "internal/handback", "internal/speed",
 }
 
 // forbiddenImports are packages that pure packages must not import. The same holds for the packages
