A node with balance.speeds off doesn't weigh upstreams by speeds of others

Cause: the speed in a guard's report was used by every sender, whatever its own setting; docs/operations/uneven.md says that a node which has it off heeds none. Change: Node.SetSpeeds; a dispatch drops the speed from a report while the setting is off. Measured: TestSpeedsAreUsedOnlyIfSet failed before with the setting off; go test ./internal/node, and TestSpeedsOfUpstreamsAreKnown, TestWaitingCallsMoveToFreeSlots and TestNodesDivideByTheDemandOfAllNodes of ./platform pass. Conclusion: off, a node places its calls as before.

--- a/internal/mesh/balance.go
+++ b/internal/mesh/balance.go
@@ -13,7 +13,7 @@
 func (m *Mesh) applyBalance() {
 	b := m.Settings().Balance
 	m.node.SetHandBack(b.HandBack)
-	m.node.Guard().SetSpeeds(b.Speeds)
+	m.node.SetSpeeds(b.Speeds)
 }
 
 // unevenLoad reports the service times of the local upstream, and passes what the view says of its
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -222,7 +222,7 @@
 func (d *Dispatch) Observe(now time.Time, a *Response) {
 	d.share.Return(a.UnusedAllowance)
 	wasEjected := d.target.Ejected()
-	d.target.Done(now, routingOutcome(a), now.Sub(d.sentAt), a.Load)
+	d.target.Done(now, routingOutcome(a), now.Sub(d.sentAt), d.usedReport(a.Load))
 	d.attemptTime += now.Sub(d.sentAt)
 	if d.node != nil {
 		d.node.peerNotices.observe(now, d.target.Endpoint().Node, a)
--- a/internal/node/dispatch_handback_test.go
+++ b/internal/node/dispatch_handback_test.go
@@ -74,3 +74,17 @@
 	nodes, _ := sendUntilPlaced(t, newSender(1), 0)
 	must.Eq(t, []string{"n0", "n0"}, nodes)
 }
+
+// Guards against a node that weighs upstreams by reported speeds although the setting is off.
+func TestSpeedsAreUsedOnlyIfSet(t *testing.T) {
+	for _, enabled := range []bool{false, true} {
+		n := newSender(1)
+		n.SetSpeeds(enabled)
+		call := newCall("root", epoch.Add(time.Minute))
+		d := NewDispatch(n, rand.New(rand.NewPCG(1, 1)), call, retry.NewAccount(0))
+		a := completeResponseOf(d.Next(epoch).Attempt, "x")
+		a.Load = &routing.LoadReport{Incarnation: 1, Limit: 4, Speed: 0.5}
+		d.Observe(epoch, a)
+		must.EqOp(t, enabled, n.Table().Placement(epoch)[0].Speed == 0.5)
+	}
+}
--- a/internal/node/guard_speed.go
+++ b/internal/node/guard_speed.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/overview"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/routing"
 	"github.com/galenagrade/galenagrade/internal/speed"
 )
 
@@ -46,6 +47,23 @@
 // reset removes the service times, which were those of another process.
 func (p *pace) reset() { p.meter, p.relative = speed.Meter{}, speed.Unknown }
 
+// SetSpeeds sets whether this node's guard measures the speed of its upstream and tells senders, and
+// whether this node weighs upstreams by the speeds that it is told.
+func (n *Node) SetSpeeds(enabled bool) {
+	n.usesSpeeds.Store(enabled)
+	n.guard.SetSpeeds(enabled)
+}
+
+// usedReport returns a report of a guard without its speed if this node doesn't use speeds.
+func (d *Dispatch) usedReport(r *routing.LoadReport) *routing.LoadReport {
+	if r == nil || r.Speed == speed.Unknown || d.node == nil || d.node.usesSpeeds.Load() {
+		return r
+	}
+	withoutSpeed := *r
+	withoutSpeed.Speed = speed.Unknown
+	return &withoutSpeed
+}
+
 // SetSpeeds sets whether the guard measures the speed of its upstream and tells senders.
 func (g *Guard) SetSpeeds(enabled bool) {
 	g.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,8 @@
 	peerNotices peerNotices
 	// takesBack is set while this node takes back its calls that wait at a guard.
 	takesBack atomic.Bool
+	// usesSpeeds is set while this node weighs upstreams by the speeds that their guards report.
+	usesSpeeds atomic.Bool
 
 	// endpoints are the endpoints of the current routing table. Only the control loop, which
 	// also sets the configuration, accesses endpoints and overrides.
