Plain terms in the notes of hand-backs, shares and zones

Change: words only, two unexported fields renamed; the comment of Reload lists what it applies. Measured: go test ./internal/node ./internal/zoneshare ./internal/share ./internal/sourcecheck pass. Conclusion: behaviour unchanged.

--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -2,9 +2,9 @@
 
 import "github.com/galenagrade/galenagrade/internal/settings"
 
-// Reload applies the settings that may change while the node runs: retry budgets, the balance of
-// upstreams, the grace of a stop, the store's address. next must be valid. It returns the names of the changed fields that
-// need a restart; those keep their old values.
+// Reload applies the settings that may change while the node runs: retry budgets, quotas, shares, room
+// for trees, the balance of upstreams, the grace of a stop, the store's address. next must be valid. It
+// returns the names of the changed fields that need a restart; those keep their old values.
 func (m *Mesh) Reload(next *settings.Mesh) []string {
 	previous := m.tunable.Load()
 	moves := previous.Store.Address != next.Store.Address || previous.Store.Name != next.Store.Name
--- a/internal/node/guard_handback.go
+++ b/internal/node/guard_handback.go
@@ -12,23 +12,23 @@
 type moves struct {
 	enabled bool
 	decider handback.Decider
-	// told is what the sender of the last call knew, and overall is from the deployment's
-	// view. told is newer.
-	told, overall handback.SpareSlots
+	// bySender is what the sender of a recent call knew, and byView what the view of the deployment
+	// holds. bySender is newer and comes first.
+	bySender, byView handback.SpareSlots
 }
 
 // note records what the sender of a call knows of the upstreams of the service.
 func (m *moves) note(now time.Time, call *Call) {
 	if m.enabled && call.HandBacks > 0 && call.Spare.Usable(now) {
-		m.told = call.Spare
+		m.bySender = call.Spare
 	}
 }
 
 func (m *moves) spareSlots(now time.Time) handback.SpareSlots {
-	if m.told.Usable(now) {
-		return m.told
+	if m.bySender.Usable(now) {
+		return m.bySender
 	}
-	return m.overall
+	return m.byView
 }
 
 // SetHandBack sets whether waiting calls are handed back to senders that take them.
@@ -42,7 +42,7 @@
 func (g *Guard) SetSpareSlots(r handback.SpareSlots) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.moves.overall = r
+	g.moves.byView = r
 }
 
 // handBackLocked returns calls to their senders that wait here while other upstreams have free slots.
--- a/internal/routing/spareslots.go
+++ b/internal/routing/spareslots.go
@@ -12,7 +12,7 @@
 const spareSlotsTTL = 5 * time.Millisecond
 
 // spareSlotsValidity is the time for which a guard uses the number that a sender knew. Slots become free
-// within it, of which the guard hears from the next call.
+// within it, which the next call tells the guard.
 const spareSlotsValidity = 100 * time.Millisecond
 
 // spareSlotsCell holds the spare slots of a service as last computed, and when.
--- a/internal/share/doc.go
+++ b/internal/share/doc.go
@@ -1,8 +1,7 @@
 // Package share divides scarce capacity among workspaces of the same importance.
 //
 // Load pattern: one workspace sends several times its usual rate to a service that has too little room.
-// If every request has the same chance, the workspace gets several times the room, and all others pay
-// for it.
+// If all requests are shed alike, the workspace gets several times the room, and the others get less.
 //
 // The division is weighted max-min: a workspace that asks for less than its share gets all of it, and
 // what it leaves goes to the others in proportion to their weights. No list of shares is handed out. A
--- a/internal/zoneshare/zoneshare.go
+++ b/internal/zoneshare/zoneshare.go
@@ -31,7 +31,8 @@
 	// service time to be known.
 	minRate = 1.0
 	// priorWeight is the weight of the service's mean service time in that of one zone, as a share of the
-	// calls of the service. Without it, a zone that ends few calls would have a service time of chance.
+	// calls of the service. Without it, few calls would decide the
+	// service time of a zone that ends few.
 	priorWeight = 0.1
 	// minCoverage is the share of a zone's known upstreams whose capacity must be in its sum. A sum with
 	// few of them, as while nodes of an older version don't report, would make the zone look full.
