--- a/internal/node/guard_handback.go
+++ b/internal/node/guard_handback.go
@@ -12,23 +12,23 @@
 type moves struct {
 	enabled bool
 	decider handback.Decider
-	// told is the room that the sender of the last call knew, and overall that of the deployment's
-	// view. told is newer.
-	told, overall handback.Room
+	// bySender is what the sender of a recent call knew, and byView what the view of the deployment
+	// holds. bySender is newer and comes first.
+	bySender, byView handback.SpareSlots
 }
 
 // note records what the sender of a call knows of the upstreams of the service.
 func (m *moves) note(now time.Time, call *Call) {
 	if m.enabled && call.HandBacks > 0 && call.Spare.Usable(now) {
-		m.told = call.Spare
+		m.bySender = call.Spare
 	}
 }
 
-func (m *moves) room(now time.Time) handback.Room {
-	if m.told.Usable(now) {
-		return m.told
+func (m *moves) spareSlots(now time.Time) handback.SpareSlots {
+	if m.bySender.Usable(now) {
+		return m.bySender
 	}
-	return m.overall
+	return m.byView
 }
 
 // SetHandBack sets whether waiting calls are handed back to senders that take them.
@@ -39,10 +39,10 @@
 }
 
 // SetRoom sets what is known of the upstreams of the service from the view of the deployment.
-func (g *Guard) SetRoom(r handback.Room) {
+func (g *Guard) SetSpareSlots(r handback.SpareSlots) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.moves.overall = r
+	g.moves.byView = r
 }
 
 // handBackLocked returns calls to their senders that wait here while other upstreams have free slots.
@@ -52,8 +52,8 @@
 		return
 	}
 	backlog := g.admission.Backlog()
-	room := g.moves.room(now)
-	n := g.moves.decider.Allow(now, backlog, room)
+	spare := g.moves.spareSlots(now)
+	n := g.moves.decider.Allow(now, backlog, spare)
 	if n == 0 {
 		return
 	}
@@ -62,7 +62,7 @@
 	for _, id := range ids {
 		e := g.calls[id]
 		refusal := result.Refuse(result.HandedBack, "expected wait %v with %d calls queued, %.0f slots free elsewhere",
-			backlog.Wait.Round(time.Millisecond), backlog.Queued, room.Free)
+			backlog.Wait.Round(time.Millisecond), backlog.Queued, spare.Free)
 		g.events.handedBack(now, e.call, refusal)
 		g.endLocked(now, e, Refused(id, refusal), deferred)
 	}
