--- a/internal/admission/surge_test.go
+++ b/internal/admission/surge_test.go
@@ -92,11 +92,20 @@
 }
 
 // Guards against the same with other arrivals, and with so many entry nodes that each of them receives
-// a response only every second. Entry nodes ask for room, since without it some seeds miss the bound.
+// a response only every second.
 func TestSurgeCompletesWhatIsLetInWithOtherSeeds(t *testing.T) {
+	testSurgeWithOtherSeeds(t, false)
+}
+
+// Guards against the same if entry nodes ask guards for room.
+func TestSurgeWithRoomCompletesWhatIsLetInWithOtherSeeds(t *testing.T) {
+	testSurgeWithOtherSeeds(t, true)
+}
+
+func testSurgeWithOtherSeeds(t *testing.T, reserving bool) {
 	for _, entries := range []int{4, 40, 400, 983} {
 		for _, seed := range []uint64{3, 13, 23, 33, 43, 53} {
-			s := surge{entries: entries, seed: seed, reserving: true}.run()
+			s := surge{entries: entries, seed: seed, reserving: reserving}.run()
 			must.GreaterEq(t, 0.95, s.completedShare(), must.Sprintf("%d entries, seed %d: %+v", entries, seed, s.treeTally))
 		}
 	}
