overview: a report and its answer fit the byte budget of a node

Cause: with 64 workspaces a report and its answer took 2,457 B with HTTP, 4.9 KB/s at 0.5 s; the budget is 2 KB/s. Names of workspaces and zones are most of it.

Change: messages hold 48-bit hashes of workspaces; a node names those of its configuration in the view. Zones are named only if they differ from the node's last view, by a hash of their names. The highest workspaces refer to the report where it has them. A node whose report and answer exceed 2,000 B/s waits up to 3/2 of the interval.

Conclusion: fits for the node; 1 KB with 64 workspaces at 0.5 s doesn't. The collector of a large zone is as before.

--- a/internal/mesh/overview.go
+++ b/internal/mesh/overview.go
@@ -25,6 +25,8 @@
 	overviewPath = "/overview"
 	// overviewTimeout bounds one report or exchange of sums, which are answered from memory.
 	overviewTimeout = 250 * time.Millisecond
+	// headerBytes is an estimate of the HTTP headers of a report and its answer in bytes.
+	headerBytes = 250
 	// maxOverviewBytes bounds a message in bytes.
 	maxOverviewBytes = 256 << 10
 	// maxReportAttempts is how many collectors a report is sent to in sequence. After that the node
@@ -71,6 +73,9 @@
 	sequence  uint64
 	cooldowns cooldowns
 	hasView   bool
+	names     workspaceNames
+	// lastBytes is the size of the last report with its answer.
+	lastBytes int
 
 	mu        sync.Mutex
 	collector *overview.Collector
@@ -108,6 +113,11 @@
 	return overview.ReportInterval(len(x.mesh.members.zoneNeighbours(x.mesh.cfg)) + 1)
 }
 
+// pacedInterval returns the time between two reports of this node, by the bytes that the last one took.
+func (x *overviewExchange) pacedInterval() time.Duration {
+	return overview.PacedInterval(len(x.mesh.members.zoneNeighbours(x.mesh.cfg))+1, x.lastBytes)
+}
+
 // Current returns the newest view; nil if there is none that is recent enough.
 func (x *overviewExchange) Current(now time.Time) *overview.View {
 	v := x.current.Load()
@@ -153,6 +163,8 @@
 	s.Collecting, s.Ignored = x.collector.Collecting(now), x.collector.Ignored()
 	if s.Collecting {
 		s.View = x.collector.View(now)
+		var names workspaceNames
+		s.View.NameWorkspaces(names.of(x.mesh.proxy.Routes()))
 	}
 	return s
 }
@@ -160,7 +172,7 @@
 // runReports sends a report in each interval.
 func (x *overviewExchange) runReports(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := x.interval()
+		interval := x.pacedInterval()
 		for range loadSamplesPerReport {
 			wait.For(ctx, time.Duration((0.9+0.2*rand.Float64())*float64(interval)/loadSamplesPerReport))
 			x.sample()
@@ -214,6 +226,7 @@
 	for _, s := range x.sources {
 		s.fillReport(now, r)
 	}
+	r.SetKnown(x.current.Load())
 	r.Trim()
 	return r
 }
@@ -237,12 +250,13 @@
 		x.cooldowns.start(c.Node, err)
 		x.mesh.rateLimited.Debug().Str("member", c.Node).Err(err).Msg("report to the zone's collector failed; the next node is asked")
 	}
-	x.accept(x.mesh.cfg.NodeID, x.collect(r))
+	x.accept(x.mesh.cfg.NodeID, x.collect(r.WithIDs()))
 }
 
 // accept puts a view in force.
 func (x *overviewExchange) accept(collector string, v *overview.View) {
 	v.ReceivedAt = time.Now()
+	v.NameWorkspaces(x.names.of(x.mesh.proxy.Routes()))
 	v.KeepFrom(x.Current(v.ReceivedAt), v.ReceivedAt)
 	x.current.Store(v)
 	x.mesh.metrics.Inc(metrics.OverviewReports, 1)
@@ -263,10 +277,12 @@
 }
 
 func (x *overviewExchange) send(ctx context.Context, to *fleet.Member, r *overview.Report) (*overview.View, error) {
-	raw, err := x.post(ctx, to, overviewPath, r.Encode())
+	message := r.Encode()
+	raw, err := x.post(ctx, to, overviewPath, message)
 	if err != nil {
 		return nil, err
 	}
+	x.lastBytes = len(message) + len(raw) + headerBytes
 	v, err := overview.DecodeView(raw, r)
 	if err != nil {
 		return nil, errors.Wrap(err, "decode view of the collector")
@@ -297,6 +313,7 @@
 func (x *overviewExchange) answer(w http.ResponseWriter, body []byte) {
 	r, err := overview.DecodeReport(body)
 	if err != nil {
+		x.refuse()
 		http.Error(w, "report could not be decoded", http.StatusBadRequest)
 		return
 	}
--- a/internal/mesh/overviewbytes_test.go
+++ b/internal/mesh/overviewbytes_test.go
@@ -31,7 +31,7 @@
 	t.Cleanup(m.servers.control.CloseIdleConnections)
 	x = &overviewExchange{mesh: m, zone: "kyushu/yanagawa", collector: overview.NewCollector("kyushu/yanagawa")}
 	for i := range nodesOfLargestZone {
-		must.NoError(t, x.collector.Add(time.Now().Add(-4*time.Second), largeReport(i)))
+		must.NoError(t, x.collector.Add(time.Now().Add(-4*time.Second), largeReport(i).WithIDs()))
 	}
 	for i := range 33 {
 		z := &overview.Zone{Name: fmt.Sprintf("region-%d/zone-%d", i/3, i), Nodes: nodesOfLargestZone}
@@ -82,11 +82,25 @@
 	v, err := x.send(t.Context(), &to, r)
 	must.NoError(t, err)
 	must.Len(t, overview.MaxWorkspaces, v.Workspaces)
-	perSecond := float64(listener.bytes.Load()) / overview.ReportInterval(nodesOfLargestZone).Seconds()
-	t.Logf("report and answer %d bytes, %.0f bytes per second", listener.bytes.Load(), perSecond)
+	must.Len(t, 34, v.Zones)
+	first := listener.bytes.Load()
+	r.Sequence = 3
+	r.SetKnown(v)
+	second, err := x.send(t.Context(), &to, r)
+	must.NoError(t, err)
+	must.Len(t, overview.MaxWorkspaces, second.Workspaces)
+	for i := range v.Zones {
+		must.Eq(t, v.Zones[i].Name, second.Zones[i].Name)
+	}
+	bytes := listener.bytes.Load() - first
+	interval := overview.PacedInterval(1, x.lastBytes)
+	t.Logf("first report and answer %d bytes, the next %d (%d worked out), %.0f bytes per second in a small zone, each %v", first, bytes, x.lastBytes, float64(bytes)/interval.Seconds(), interval)
+	must.LessEq(t, maxBytesPerSecond, float64(bytes)/interval.Seconds())
+	perSecond := float64(bytes) / overview.ReportInterval(nodesOfLargestZone).Seconds()
+	t.Logf("%.0f bytes per second in a zone of %d nodes", perSecond, nodesOfLargestZone)
 	must.LessEq(t, maxBytesPerSecond, perSecond)
 	before := listener.bytes.Load()
-	r.Sequence, r.Workspaces = 3, nil
+	r.Sequence, r.Workspaces = 4, nil
 	_, err = x.send(t.Context(), &to, r)
 	must.NoError(t, err)
 	t.Logf("without workspaces %d bytes", listener.bytes.Load()-before)
--- a/internal/mesh/overviewzones.go
+++ b/internal/mesh/overviewzones.go
@@ -142,6 +142,7 @@
 	}
 	sum, err := overview.DecodeZone(message)
 	if err != nil {
+		x.refuse()
 		return err
 	}
 	x.mu.Lock()
--- a/internal/overview/collector.go
+++ b/internal/overview/collector.go
@@ -41,6 +41,17 @@
 	return min(max(minReportInterval, time.Duration(nodes)*time.Second/reportsPerSecond), maxInterval/reportLifetime)
 }
 
+// maxReportBytes is the rate in bytes per second that a node may spend on reports and their answers.
+const maxReportBytes = 2000
+
+// PacedInterval returns the time until the next report of a node by the number of nodes in its zone and the
+// bytes of its last report with the answer. It is at most 3/2 of ReportInterval, the time that a new collector
+// waits for the reports of all nodes.
+func PacedInterval(nodes, bytes int) time.Duration {
+	interval := ReportInterval(nodes)
+	return max(interval, min(time.Duration(bytes)*time.Second/maxReportBytes, interval*3/2))
+}
+
 // ZoneInterval returns the time between two exchanges of the sums of two zones, by the number of zones.
 func ZoneInterval(zones int) time.Duration {
 	return min(max(minZoneInterval, time.Duration(zones)*time.Second/zonesPerSecond), maxInterval/zoneLifetime)
@@ -150,6 +161,9 @@
 	return nil
 }
 
+// Refuse counts a message that could not be decoded.
+func (c *Collector) Refuse() { c.ignored++ }
+
 // Ignored returns the number of messages that were ignored so far.
 func (c *Collector) Ignored() int64 { return c.ignored }
 
--- a/internal/overview/messages.go
+++ b/internal/overview/messages.go
@@ -1,6 +1,12 @@
 package overview
 
-import "slices"
+import (
+	"encoding/binary"
+	"slices"
+)
+
+// zonesHashBytes is the length of Report.ZonesHash in bytes.
+const zonesHashBytes = 4
 
 // Encode returns the report as a message.
 func (r *Report) Encode() []byte {
@@ -10,6 +16,7 @@
 	w.count(r.Incarnation)
 	w.count(r.Sequence)
 	w.count(uint64(max(r.IntervalMillis, 0)))
+	w.buf = binary.BigEndian.AppendUint32(w.buf, r.ZonesHash)
 	w.workspaces(r.Workspaces)
 	w.calls(r.Calls)
 	if r.Upstream == nil {
@@ -22,12 +29,12 @@
 	return w.buf
 }
 
-// DecodeReport decodes a message of Report.Encode. The report is not validated.
+// DecodeReport decodes a message of Report.Encode, with IDs in place of the names of workspaces. The report is not validated.
 func DecodeReport(raw []byte) (*Report, error) {
 	d := newReader(raw)
 	r := &Report{
 		Node: d.name(), Zone: d.name(), Incarnation: d.count(), Sequence: d.count(), IntervalMillis: int64(d.integer()),
-		Workspaces: d.workspaces(), Calls: d.calls(),
+		ZonesHash: binary.BigEndian.Uint32(d.take(zonesHashBytes)), Workspaces: d.workspaces(), Calls: d.calls(),
 	}
 	if d.count() == 1 {
 		upstream := d.capacity(d.name())
@@ -64,20 +71,36 @@
 
 func (w *writer) header(z *Zone) {
 	w.name(z.Name)
+	w.state(z)
+}
+
+func (w *writer) flag(set bool) {
+	if set {
+		w.count(1)
+	} else {
+		w.count(0)
+	}
+}
+
+// state writes what the header of a zone holds besides its name.
+func (w *writer) state(z *Zone) {
 	w.count(uint64(max(z.AgeMillis, 0)))
 	w.count(uint64(max(z.Nodes, 0)))
 }
 
 func (r *reader) header() Zone {
-	return Zone{Name: r.name(), AgeMillis: int64(r.integer()), Nodes: r.integer()}
+	z := Zone{Name: r.name()}
+	z.AgeMillis, z.Nodes = r.state()
+	return z
 }
 
+func (r *reader) state() (ageMillis int64, nodes int) { return int64(r.integer()), r.integer() }
+
 // EncodeFor returns the view as the answer to a report. Workspaces and services are named by their
-// place in the report.
+// place in the report, and the zones by their place in the node's last view if it had the same.
 func (v *View) EncodeFor(r *Report) []byte {
 	w := newWriter(1 << 10)
 	w.rest(v.Total)
-	w.workspaces(v.Top)
 	demand := make(map[string]float64, len(v.Workspaces))
 	for _, x := range v.Workspaces {
 		demand[x.Workspace] = x.PerSecond
@@ -85,11 +108,17 @@
 	for _, x := range r.Workspaces {
 		w.value(demand[x.Workspace])
 	}
+	w.top(v.Top, r)
 	names := servicesOf(r)
+	areKnown := len(v.Zones) > 0 && r.ZonesHash == hashZones(v)
+	w.flag(areKnown)
 	w.count(uint64(len(v.Zones)))
 	for i := range v.Zones {
 		z := &v.Zones[i]
-		w.header(z)
+		if !areKnown {
+			w.name(z.Name)
+		}
+		w.state(z)
 		w.count(uint64(len(z.Calls)))
 		for _, c := range z.Calls {
 			w.place(names, c.Service)
@@ -104,18 +133,34 @@
 	return w.buf
 }
 
-// DecodeView decodes the answer to a report. The view is not validated.
+// DecodeView decodes the answer to a report, with IDs in place of the names of workspaces that the report
+// doesn't name. The view is not validated.
 func DecodeView(raw []byte, r *Report) (*View, error) {
 	d := newReader(raw)
-	v := &View{Total: d.rest(), Top: d.workspaces()}
+	v := &View{Total: d.rest()}
+	rates := make([]float64, 0, len(r.Workspaces))
 	for _, x := range r.Workspaces {
-		if rate := d.value(); rate > 0 {
+		rate := d.value()
+		rates = append(rates, rate)
+		if rate > 0 {
 			v.Workspaces = append(v.Workspaces, WorkspaceDemand{x.Workspace, rate})
 		}
 	}
+	v.Top = d.top(r, rates)
 	names := servicesOf(r)
-	for range d.length() {
-		z := d.header()
+	areKnown := d.count() == 1
+	length := d.length()
+	if areKnown && length != len(r.zones) {
+		return nil, errMessage
+	}
+	for i := range length {
+		z := Zone{}
+		if areKnown {
+			z.Name = r.zones[i]
+		} else {
+			z.Name = d.name()
+		}
+		z.AgeMillis, z.Nodes = d.state()
 		for range d.length() {
 			z.Calls = append(z.Calls, ServiceDemand{d.place(names), d.value()})
 		}
@@ -127,6 +172,41 @@
 	return v, d.end()
 }
 
+// top writes the workspaces with the highest demand: those of the report by 1 and their place, the others by
+// 0, ID and rate.
+func (w *writer) top(list []WorkspaceDemand, r *Report) {
+	places := make(map[string]int, len(r.Workspaces))
+	for i, x := range r.Workspaces {
+		places[x.Workspace] = i + 1
+	}
+	w.count(uint64(len(list)))
+	for _, x := range list {
+		place := places[x.Workspace]
+		w.count(uint64(place))
+		if place == 0 {
+			w.workspace(x)
+		}
+	}
+}
+
+// top reads what writer.top wrote; rates are the rates of the workspaces of the report.
+func (r *reader) top(report *Report, rates []float64) []WorkspaceDemand {
+	var list []WorkspaceDemand
+	for range r.length() {
+		place := r.count()
+		if place > uint64(len(rates)) {
+			r.fail()
+			return nil
+		}
+		if place == 0 {
+			list = append(list, r.workspace())
+			continue
+		}
+		list = append(list, WorkspaceDemand{report.Workspaces[place-1].Workspace, rates[place-1]})
+	}
+	return list
+}
+
 func (w *writer) place(names []string, name string) {
 	i, _ := slices.BinarySearch(names, name)
 	w.count(uint64(i))
--- a/internal/overview/messages_test.go
+++ b/internal/overview/messages_test.go
@@ -77,7 +77,7 @@
 		must.Eq(t, []any{r.Node, r.Zone, r.Incarnation, r.Sequence, r.IntervalMillis}, []any{got.Node, got.Zone, got.Incarnation, got.Sequence, got.IntervalMillis})
 		must.Eq(t, len(r.Workspaces), len(got.Workspaces))
 		for i, w := range r.Workspaces {
-			must.Eq(t, w.Workspace, got.Workspaces[i].Workspace)
+			must.Eq(t, WorkspaceID(w.Workspace), got.Workspaces[i].Workspace)
 			must.True(t, near(w.PerSecond, got.Workspaces[i].PerSecond))
 		}
 		must.Eq(t, r.Upstream == nil, got.Upstream == nil)
@@ -93,7 +93,21 @@
 	view := c.Answer(now, r)
 	got, err := DecodeView(view.EncodeFor(r), r)
 	must.NoError(t, err)
+	r.SetKnown(got)
+	again, err := DecodeView(view.EncodeFor(r), r)
+	must.NoError(t, err)
+	must.Eq(t, got, again)
+	must.Less(t, len(view.EncodeFor(largeReport(7))), len(view.EncodeFor(r)))
+	old := r.Encode()
+	old[0] = wireVersion - 1
+	_, err = DecodeReport(old)
+	must.Error(t, err)
 	must.Len(t, MaxTopWorkspaces, got.Top)
+	names := map[string]string{}
+	for _, w := range r.Workspaces {
+		names[WorkspaceID(w.Workspace)] = w.Workspace
+	}
+	got.NameWorkspaces(names)
 	for i, w := range view.Top {
 		must.Eq(t, w.Workspace, got.Top[i].Workspace)
 		must.True(t, near(w.PerSecond, got.Top[i].PerSecond))
@@ -118,7 +132,9 @@
 	f.Add(r.Encode())
 	f.Add(z.Encode())
 	f.Add((&View{Zones: []Zone{z}}).EncodeFor(r))
-	for _, seed := range [][]byte{nil, {0}, {wireVersion}, {2, 1, 'n'}, {wireVersion, 1, 'n', 1, 'z', 255, 255, 255, 255, 255, 255, 255, 255, 255, 1}, r.Encode()[:40], append(r.Encode(), 0)} {
+	r.SetKnown(&View{Zones: []Zone{z}})
+	f.Add((&View{Zones: []Zone{z}}).EncodeFor(r))
+	for _, seed := range [][]byte{nil, {0}, {wireVersion}, {wireVersion - 1, 1, 'n'}, {wireVersion, 1, 'n', 1, 'z', 255, 255, 255, 255, 255, 255, 255, 255, 255, 1}, r.Encode()[:40], append(r.Encode(), 0)} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/overview/types.go
+++ b/internal/overview/types.go
@@ -23,6 +23,10 @@
 	Sequence    uint64 `json:"sequence"`
 	// IntervalMillis is the time until the node's next report, in milliseconds.
 	IntervalMillis int64 `json:"interval_ms"`
+	// ZonesHash is a hash of the names of the zones in the node's last view, in their order; 0 without one.
+	ZonesHash uint32 `json:"zones_hash,omitempty"`
+	// zones are these names, known to the node only.
+	zones []string
 	// Workspaces is the demand of workspaces at this node, the largest first.
 	Workspaces []WorkspaceDemand `json:"workspaces,omitempty"`
 	// Calls are the calls that this node sends, by service.
--- a/internal/overview/wire.go
+++ b/internal/overview/wire.go
@@ -8,7 +8,7 @@
 )
 
 // wireVersion is the first byte of each message.
-const wireVersion = 1
+const wireVersion = 2
 
 // errMessage is returned for a message that is cut, too long or of another version.
 var errMessage = errors.New("overview: message is invalid")
@@ -128,19 +128,28 @@
 func (w *writer) workspaces(list []WorkspaceDemand) {
 	w.count(uint64(len(list)))
 	for _, x := range list {
-		w.name(x.Workspace)
-		w.value(x.PerSecond)
+		w.workspace(x)
 	}
 }
 
+func (w *writer) workspace(x WorkspaceDemand) {
+	id := idOf(x.Workspace)
+	w.buf = append(w.buf, id[:]...)
+	w.value(x.PerSecond)
+}
+
 func (r *reader) workspaces() []WorkspaceDemand {
 	var list []WorkspaceDemand
 	for range r.length() {
-		list = append(list, WorkspaceDemand{r.name(), r.value()})
+		list = append(list, r.workspace())
 	}
 	return list
 }
 
+func (r *reader) workspace() WorkspaceDemand {
+	return WorkspaceDemand{idText([idBytes]byte(r.take(idBytes))), r.value()}
+}
+
 func (w *writer) rest(d RestDemand) {
 	w.count(uint64(max(d.Workspaces, 0)))
 	w.value(d.PerSecond)
