mesh: tests of the first report's bytes and of a report of an earlier format

Cause: TestReportsFitTheByteBudget took the report after the first one only, which is smaller, and no test sent a report of an earlier format to a node.

Change: the first report is held to the same bound in a zone of 412 nodes; TestReportOfAnEarlierFormatIsRefused (refused with 400 and counted).

--- a/internal/mesh/overviewbytes_test.go
+++ b/internal/mesh/overviewbytes_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
@@ -84,6 +85,7 @@
 	must.Len(t, overview.MaxWorkspaces, v.Workspaces)
 	must.Len(t, 34, v.Zones)
 	first := listener.bytes.Load()
+	must.LessEq(t, maxBytesPerSecond, float64(first)/overview.ReportInterval(nodesOfLargestZone).Seconds())
 	r.Sequence = 3
 	r.SetKnown(v)
 	second, err := x.send(t.Context(), &to, r)
@@ -106,6 +108,18 @@
 	t.Logf("without workspaces %d bytes", listener.bytes.Load()-before)
 }
 
+// Guards against a report of an earlier format that is added up as something else, or ignored uncounted.
+func TestReportOfAnEarlierFormatIsRefused(t *testing.T) {
+	x, to, _ := startCollector(t)
+	message := largeReport(7).Encode()
+	message[0]--
+	_, err := x.post(t.Context(), &to, overviewPath, message)
+	var status *statusError
+	must.True(t, errors.As(err, &status))
+	must.EqOp(t, http.StatusBadRequest, status.status)
+	must.EqOp(t, int64(1), x.collector.Ignored())
+}
+
 // BenchmarkReportRoundTrip measures a report over a connection, both ends together.
 func BenchmarkReportRoundTrip(b *testing.B) {
 	x, to, _ := startCollector(b)
