--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -29,6 +29,11 @@
 	// HasPriorWork means that earlier calls of the same root, or of the run that makes this
 	// call, were already served.
 	HasPriorWork bool
+	// Reattach means that an earlier transmission of the same call ID got no response.
+	Reattach bool
+	// Sampled means that the call's events are recorded, because it was sampled, or was refused
+	// or retried on the way.
+	Sampled bool
 	// Room marks a call of a tree for which a guard promised room.
 	Room RoomGrant
 	// Header holds only the headers that are sent on to the upstream.
@@ -47,11 +52,6 @@
 	HandBacks int
 	// Spare is what the sender knows of free slots at the upstreams of the service; sent only with HandBacks.
 	Spare handback.SpareSlots
-	// Reattach means that an earlier transmission of the same call ID got no response.
-	Reattach bool
-	// Sampled means that the call's events are recorded, because it was sampled, or was refused
-	// or retried on the way.
-	Sampled bool
 }
 
 // HashBody returns the hash by which two bodies sent with the same key are compared.
