review: case 2, stray bytes of a backend reach clients as a success

Cause: a response with neither X-Request-Id nor X-Server-Stamp counts as that of any request, whatever its status, and no later step asks a success for its signature.

--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -78,5 +78,6 @@
 
 // cases are the cases by name. Each returns one line for each time that the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"twice": playTwice,
+	"twice":    playTwice,
+	"unsigned": playUnsigned,
 }
