review: case 3, a departed backend gets work again from a late report

Cause: that a backend has left is known to the process of its node only. A new process takes a late report of it as that of a new upstream, although the record of its predecessor says that this upstream left. Change: the case.

--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -80,4 +80,5 @@
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"twice":    playTwice,
 	"unsigned": playUnsigned,
+	"departed": playDeparted,
 }
