A call that may have run is not run again, however late its second transmission comes

Cause: at most once rested on a time. A guard forgets the ID of a finished call after 3 s and ran a re-attachment with an unknown ID as a new call. The sender's timer for it (2 to 4 s) is overdue after a freeze and fires although the response waits in the socket. Without a freeze the wait for the first call to a peer (4 s) exceeds the retention too. Evidence: upload runs at 86.571 and, 4.055 s later, at the same upstream; its caller gets the first response 3 ms after that. A retry has a new call ID and goes elsewhere; the guard didn't stand still. In the new tests the same call ID runs twice as soon as the retention is over. Ruled out: a longer retention (a longer freeze brings it back), the age of the call from its sender (a suspended VM's steady clock stands still). Change: nodes number their attempts that may run once at most; a guard holds for each sending process the highest number that it forgot (new package dedup, no clocks). An unknown re-attachment up to that number gets lost_answer; above it the call was never there and runs. The ID of a finished re-attachment stays until its first transmission came, 1,024 of them, and above that as a number. A timer that fires 0.5 s late gives the response that waits the usual time to be read. Retention 3 s to 6 s, so that a re-attachment after the longest wait still finds its response; 400 calls a second a node at some 400 bytes keep 1 MB, whatever the size of the deployment. Same cause elsewhere: a first transmission that arrives after the guard forgot its re-attachment, also one that was refused as not run (a promise), would run; a keyed call answered from the key table again returned its allowance twice. Both are closed and tested. Tests failed before: with the check taken out TestGuardModel (which skipped transmissions after the retention), TestReattachmentOfAForgottenCallDoesNotRun, TestLateFirstTransmissionDoesNotRun, TestReattachAfterTheGuardForgotTheCall and, without the look at the timer's delay, TestOverdueTimerDoesNotReattach. Metric calls.duplicates_refused counts refused transmissions.

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -72,8 +72,8 @@
 
 const (
 	// completedRetention is how long the response of a completed call is kept for a sender whose
-	// connection failed before the response arrived. The sender re-attaches within 1 s.
-	completedRetention = 3 * time.Second
+	// connection failed before the response arrived. A re-attachment may take another 2 s to arrive.
+	completedRetention = maxPeerReattachWait + 2*time.Second
 	// maxCompletedBytes bounds the total size of those responses in bytes.
 	maxCompletedBytes = 2 << 20
 )
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -14,6 +14,9 @@
 	CallsGuarded
 	CallsRetried
 	CallsReattached
+	// CallsDuplicate counts transmissions that this node's guard refused because the call may have run
+	// there before.
+	CallsDuplicate
 	// CallsJoined counts calls that wait for a running call with the same idempotency key.
 	CallsJoined
 	CallsCancelled
@@ -74,6 +77,7 @@
 	CallsGuarded:            "calls.guarded",
 	CallsRetried:            "calls.retried",
 	CallsReattached:         "calls.reattached",
+	CallsDuplicate:          "calls.duplicates_refused",
 	CallsJoined:             "calls.joined",
 	CallsCancelled:          "calls.cancelled",
 	RetriesThrottled:        "retry.throttled",
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/dedup"
 	"github.com/galenagrade/galenagrade/internal/handback"
 	"github.com/galenagrade/galenagrade/internal/idempotency"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
@@ -31,6 +32,9 @@
 	HasPriorWork bool
 	// Reattach means that an earlier transmission of the same call ID got no response.
 	Reattach bool
+	// Origin is the sender of the call and its number there, by which a guard recognises a second
+	// transmission of a call that it has forgotten. Idempotent calls have none.
+	Origin dedup.Origin
 	// Sampled means that the call's events are recorded, because it was sampled, or was refused
 	// or retried on the way.
 	Sampled bool
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -211,6 +211,7 @@
 	d.ownerNode = ""
 	target.Start(now)
 	if d.node != nil {
+		d.node.number(&attempt)
 		d.node.offerHandBack(now, d, &attempt)
 		attempt.KnownNotice = d.node.peerNotices.of(target.Endpoint().Node)
 		d.node.recordRouted(now, d, &attempt)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -92,8 +92,9 @@
 // GuardConfig limits what a guard retains.
 type GuardConfig struct {
 	// KeepDone is how long the response of a finished call is kept for a re-attachment, which is a
-	// second transmission of the same call ID (see Call.Reattach). It must exceed the time by which
-	// one of the two transmissions can arrive after the other.
+	// second transmission of the same call ID (see Call.Reattach). One of the two transmissions that
+	// arrives later than that after the other gets an unknown outcome, unless the call is idempotent
+	// or was never here.
 	KeepDone time.Duration
 	// KeepDoneBytes bounds the size of those responses.
 	KeepDoneBytes int64
@@ -137,6 +138,7 @@
 	// strippedCount is the number of entries at the start of done whose response is no longer
 	// stored.
 	strippedCount int
+	recall        recall
 	draining      bool
 	// stopAt is the time at which the node's process stops; zero while no stop is planned.
 	stopAt     time.Time
@@ -174,6 +176,7 @@
 		keys:        idempotency.NewTable(cfg.Keys),
 		retryBudget: retry.NewBudget(cfg.RetryBudget),
 		calls:       make(map[string]*execution),
+		recall:      newRecall(),
 	}
 }
 
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/admission"
 	"github.com/galenagrade/galenagrade/internal/idempotency"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -53,11 +54,18 @@
 // response from the key table even while draining: an earlier call with the key may have run here,
 // and no other guard has a record of it.
 func (g *Guard) decideLocked(now time.Time, call *Call, w Waiter, deferred *callbacks) (int, *Response) {
+	duplicate := g.recall.check(call)
 	if call.Keyed() {
 		if response, settled := g.beginKeyLocked(now, call, w); settled {
+			if duplicate != nil && response != nil {
+				response.UnusedAllowance = 0 // the earlier run may have spent it
+			}
 			return 0, response
 		}
 	}
+	if duplicate != nil {
+		return 0, g.duplicateResponseLocked(now, call, duplicate)
+	}
 	if refusal := g.checkLocked(now, call); refusal != nil {
 		g.releaseKeyLocked(now, call)
 		return 0, g.refusalResponseLocked(call, refusal)
@@ -162,6 +170,18 @@
 	return a
 }
 
+// duplicateResponseLocked returns the response to a call that may have run here before, and may have
+// spent its allowance.
+func (g *Guard) duplicateResponseLocked(now time.Time, call *Call, r *result.Refusal) *Response {
+	if call.Keyed() {
+		g.keys.MarkOutcomeUnknown(now, call.IdempotencyKey(), call.Ctx.CallID)
+	}
+	g.events.inc(metrics.CallsDuplicate)
+	a := Refused(call.Ctx.CallID, r)
+	a.Load = g.loadLocked()
+	return a
+}
+
 func requestOf(e *execution) admission.Request {
 	call := e.call
 	return admission.Request{
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -66,7 +66,7 @@
 	if len(e.call.Body) > 0 {
 		// The limits cover responses only. The bodies of finished requests would be retained
 		// without a limit.
-		e.call = &Call{Ctx: e.call.Ctx}
+		e.call = &Call{Ctx: e.call.Ctx, Reattach: e.call.Reattach, Origin: e.call.Origin}
 	}
 	g.done = append(g.done, e)
 	g.doneBytes += int64(len(e.response.Body))
@@ -76,9 +76,7 @@
 func (g *Guard) trimLocked(now time.Time) {
 	n := 0
 	for n < len(g.done) && now.Sub(g.done[n].ended) >= g.cfg.KeepDone {
-		oldest := g.done[n]
-		g.doneBytes -= int64(len(oldest.response.Body))
-		delete(g.calls, oldest.call.Ctx.CallID)
+		g.expireLocked(g.done[n])
 		g.done[n] = nil
 		n++
 	}
@@ -90,6 +88,21 @@
 	}
 }
 
+// expireLocked ends the retention of a finished call.
+func (g *Guard) expireLocked(e *execution) {
+	forgotten := e
+	if g.recall.awaitsFirstTransmission(e.call) {
+		g.stripLocked(e)
+		forgotten = g.recall.keep(e)
+	}
+	if forgotten == nil {
+		return
+	}
+	g.doneBytes -= int64(len(forgotten.response.Body))
+	delete(g.calls, forgotten.call.Ctx.CallID)
+	g.recall.forget(forgotten.call)
+}
+
 // stripLocked drops the response of a finished call but keeps its call ID: without the ID, a
 // re-attachment would run the call a second time. A refusal has no body and is kept.
 func (g *Guard) stripLocked(e *execution) {
--- a/internal/node/guard_model_test.go
+++ b/internal/node/guard_model_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/galenagrade/galenagrade/internal/dedup"
 	"github.com/galenagrade/galenagrade/internal/handback"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
@@ -40,6 +41,8 @@
 	// refusedReattach holds the time at which a re-attachment was answered with `ran: no`, by
 	// call ID.
 	refusedReattach map[string]time.Time
+	// delayed are the calls whose first transmission has not arrived yet.
+	delayed []*Call
 	// claimingAtCrash holds the calls that waited for their claim when the upstream crashed.
 	claimingAtCrash map[string]bool
 	// handedBack holds the calls that were returned to their senders while they waited.
@@ -104,22 +107,47 @@
 	}
 	call.HandBacks = rapid.IntRange(0, 2).Draw(t, "hand backs")
 	call.Spare = handback.SpareSlots{Free: float64(rapid.IntRange(0, 9).Draw(t, "free")), ValidUntil: m.now.Add(time.Second)}
+	sender := dedup.Sender{Node: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "sender"), Incarnation: 1}
+	call.Origin = dedup.Origin{Sender: sender, Number: uint64(m.callCount)}
 	m.calls = append(m.calls, call)
+	if rapid.IntRange(0, 4).Draw(t, "delayed") == 0 {
+		m.delayed = append(m.delayed, call)
+		return
+	}
+	m.send(call)
+}
+
+// arriveLate delivers a first transmission that was delayed on its way.
+func (m *guardModel) arriveLate(t *rapid.T) {
+	if len(m.delayed) == 0 {
+		t.Skip("nothing is delayed")
+	}
+	call := m.delayed[0]
+	m.delayed = m.delayed[1:]
+	if call.Ctx.Idempotent && m.expired(call.Ctx.CallID) {
+		t.Skip("no longer retained, and safe to run again")
+	}
 	m.send(call)
 }
 
+// expired reports whether the guard may have forgotten a call.
+func (m *guardModel) expired(id string) bool {
+	ended, ran := m.started[id]
+	if ran && !ended.IsZero() && m.now.Sub(ended) >= m.g.cfg.KeepDone {
+		return true
+	}
+	at, refused := m.refusedReattach[id]
+	return refused && m.now.Sub(at) >= m.g.cfg.KeepDone
+}
+
 // attach sends a call ID again, as a sender does when its connection is unresponsive.
 func (m *guardModel) attach(t *rapid.T) {
 	if len(m.calls) == 0 {
 		t.Skip("no call yet")
 	}
 	reattachment := *rapid.SampledFrom(m.calls).Draw(t, "call")
-	ended, ran := m.started[reattachment.Ctx.CallID]
-	if ran && !ended.IsZero() && m.now.Sub(ended) >= m.g.cfg.KeepDone {
-		t.Skip("no longer retained")
-	}
-	if at, ok := m.refusedReattach[reattachment.Ctx.CallID]; ok && m.now.Sub(at) >= m.g.cfg.KeepDone {
-		t.Skip("no longer retained")
+	if reattachment.Ctx.Idempotent && m.expired(reattachment.Ctx.CallID) {
+		t.Skip("no longer retained, and safe to run again")
 	}
 	reattachment.Reattach = true
 	m.send(&reattachment)
@@ -305,7 +333,7 @@
 		}
 	}
 	load := m.g.admission.Load()
-	if m.g.Busy() != 0 || load.InFlight != 0 || load.Queued != 0 || len(m.g.calls) != 0 {
+	if m.g.Busy() != 0 || load.InFlight != 0 || load.Queued != 0 || len(m.g.calls) != len(m.g.recall.awaited) {
 		t.Fatalf("busy %d, in flight %d, queued %d, retained %d after the end", m.g.Busy(), load.InFlight, load.Queued, len(m.g.calls))
 	}
 }
@@ -316,7 +344,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newGuardModel(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"arrive": m.arrive, "arrive too": m.arrive, "attach": m.attach, "leave": m.leave,
+			"arrive": m.arrive, "arrive too": m.arrive, "arrive late": m.arriveLate, "attach": m.attach, "leave": m.leave,
 			"spend": m.spend, "finish": m.finish, "claimed": m.claimed,
 			"crash": m.crash, "tick": m.tick, "drain": m.drain, "": m.check,
 		})
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -199,7 +199,7 @@
 func (g *Guard) Busy() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.calls) - len(g.done)
+	return len(g.calls) - len(g.done) - len(g.recall.awaited)
 }
 
 // Parent returns the context and account of a call that runs here, for the calls that the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/dedup"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/policy"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
@@ -127,6 +128,8 @@
 
 	idMu  sync.Mutex
 	idSrc *rand.ChaCha8
+	// numbered counts the attempts that have an origin.
+	numbered atomic.Uint64
 }
 
 // New returns a node without a configuration, endpoints or a local upstream.
@@ -209,6 +212,17 @@
 	return string(text[:])
 }
 
+// number sets the origin of an attempt. An idempotent call may run again and needs none.
+func (n *Node) number(attempt *Call) {
+	if attempt.Ctx.Idempotent {
+		return
+	}
+	attempt.Origin = dedup.Origin{
+		Sender: dedup.Sender{Node: n.ID(), Incarnation: n.Incarnation()},
+		Number: n.numbered.Add(1),
+	}
+}
+
 // SetEndpoints builds and publishes a new routing table. Only the control loop calls it, so
 // that no two tables are built from the same predecessor.
 func (n *Node) SetEndpoints(now time.Time, endpoints []routing.Endpoint) {
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -44,6 +44,8 @@
 	headerCause = "Galena-Inner-Cause"
 	// headerHandBack carries Call.HandBacks and Call.Spare.
 	headerHandBack = "Galena-Inner-Hand-Back"
+	// headerOrigin carries Call.Origin but for the sender's node: incarnation in hex and number.
+	headerOrigin = "Galena-Inner-Origin"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
 	// that cannot reach the store detects from its peers that its routes are outdated.
 	headerConfig = "Galena-Inner-Config"
@@ -75,6 +77,9 @@
 	if call.HandBacks > 0 {
 		fields = append(fields, h1.Field{Name: headerHandBack, Value: encodeHandBack(call, c.peers.node.Now())})
 	}
+	if call.Origin.Number > 0 {
+		fields = append(fields, h1.Field{Name: headerOrigin, Value: encodeOrigin(call.Origin)})
+	}
 	if version := c.peers.configVersion(); version > 0 {
 		fields = append(fields, h1.Field{Name: headerConfig, Value: strconv.FormatInt(version, 10)})
 	}
@@ -96,7 +101,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 10
+const maxInnerFields = 11
 
 func (c *peerCall) encodeCall(call *node.Call) string {
 	h := newCallHeader()
@@ -265,6 +270,9 @@
 		Reattach:     h.GetReattach(),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
+	if !call.Ctx.Idempotent {
+		call.Origin = decodeOrigin(h.GetFromNode(), r.Header.Get(headerOrigin))
+	}
 	call.HandBacks, call.Spare = decodeHandBack(r.Header.Get(headerHandBack), p.node.Now())
 	return call
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -11,10 +11,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
-	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/node"
-	"github.com/galenagrade/galenagrade/internal/result"
-	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // maxReattaches is the maximum number of concurrent re-attachments (see Peers.Send) to one peer. It
@@ -209,130 +206,6 @@
 // Close closes all idle connections.
 func (p *Peers) Close() { p.Retain(nil) }
 
-// Send sends an attempt to its guard and returns the response.
-//
-// A connection can become unresponsive permanently while new connections work. The first
-// transmission would then wait until the deadline of the call. After a multiple of the usual response
-// time, the same call ID is therefore sent again over a new connection. This second transmission is
-// called a re-attachment. If the guard knows the call, the second transmission joins it; otherwise
-// the guard runs it now. The call cannot run twice, because a guard runs a call ID at most once.
-func (p *Peers) Send(ctx context.Context, endpoint routing.Endpoint, call *node.Call) *node.Response {
-	peer := p.peer(endpoint.Addr)
-	started := p.node.Now()
-	c := &peerCall{peers: p, peer: peer, addr: endpoint.Addr, node: endpoint.Node, incarnation: endpoint.Incarnation, call: call}
-	c.ctx.Start(ctx, time.Time{})
-	defer c.ctx.Cancel()
-	timer := time.AfterFunc(peer.responseTime.reattachWait(p.connections.Reattach), c.reattachIfPending)
-	resp := c.roundTrip(&c.ctx, peer.pool, call)
-	timer.Stop()
-	resp = c.finalResponse(resp)
-	if resp.Complete() {
-		peer.responseTime.observe(p.node.Now().Sub(started))
-	}
-	return resp
-}
-
-// peerCall sends one attempt to a guard over one or two connections.
-type peerCall struct {
-	peers *Peers
-	peer  *peer
-	// addr, node and incarnation are those of the endpoint.
-	addr, node  string
-	incarnation uint64
-	call        *node.Call
-	ctx         lifetime.Context
-
-	mu sync.Mutex
-	// reattachResp receives the response of the re-attachment; nil until one is started.
-	reattachResp chan *node.Response
-	firstDone    bool // the first transmission returned
-}
-
-// reattachIfPending starts a re-attachment if the first transmission has not returned yet. If the
-// re-attachment reaches the guard, it cancels the first transmission and resets the pool.
-func (c *peerCall) reattachIfPending() {
-	select {
-	case c.peer.reattachSlots <- struct{}{}:
-		defer func() { <-c.peer.reattachSlots }()
-	default:
-		return
-	}
-	c.mu.Lock()
-	if c.firstDone {
-		c.mu.Unlock()
-		return
-	}
-	reattachResp := make(chan *node.Response, 1)
-	c.reattachResp = reattachResp
-	c.mu.Unlock()
-
-	resp := c.reattach()
-	reattachResp <- resp
-	if resp.Code != result.Unreachable {
-		c.ctx.Cancel()
-		c.peer.pool.Reset()
-	}
-}
-
-// finalResponse selects the response of one of the two transmissions. A complete response of the
-// first one is returned immediately, otherwise that of the second one. If the connection of the
-// first one failed before a second one was started, the call is re-attached now.
-//
-// A refusal with "not run" in the first response applies to the first transmission only: the guard
-// may accept the second one if its upstream becomes available or a slot becomes free in between. This
-// occurs if the refusal arrives late, for example after a lost packet. The caller would receive "not
-// run" while the call runs. Therefore finalResponse waits for the second response.
-func (c *peerCall) finalResponse(first *node.Response) *node.Response {
-	c.mu.Lock()
-	c.firstDone = true
-	reattachResp := c.reattachResp
-	c.mu.Unlock()
-	reattachStarted := reattachResp != nil
-	var second *node.Response
-	switch {
-	case reattachStarted && needsSecondResponse(first):
-		second = <-reattachResp
-	case !reattachStarted && connectionFailed(first) && c.ctx.Err() == nil:
-		second = c.reattach()
-	default:
-		return first
-	}
-	if second.Code == result.Unreachable {
-		return first
-	}
-	return second
-}
-
-// connectionFailed reports whether the connection of a transmission failed. A response that names its
-// node arrived over a working connection: the failure is behind that node, and a second transmission
-// would get the same response.
-func connectionFailed(first *node.Response) bool {
-	if first.Upstream != "" {
-		return false
-	}
-	return first.Code == result.LostAnswer || first.Code == result.AnswerCut
-}
-
-// needsSecondResponse reports whether the first response is not final, so that the response of the
-// second transmission decides.
-func needsSecondResponse(first *node.Response) bool {
-	if first.Complete() {
-		return false
-	}
-	return connectionFailed(first) || first.Code == result.CancelledRunning || first.Code.Ran() == result.RanNo
-}
-
-// reattach sends the call ID again over a new connection.
-func (c *peerCall) reattach() *node.Response {
-	call := *c.call
-	call.Reattach = true
-	resp := c.roundTrip(&c.ctx, c.peer.freshPool, &call)
-	if resp.Code != result.Unreachable {
-		c.peers.node.RecordReattach(c.call, c.node, resp)
-	}
-	return resp
-}
-
 // newPool returns a connection pool for one address. With idle 0 each connection carries one call.
 func (p *Peers) newPool(addr string, idle time.Duration) *h1.Pool {
 	dial := p.dial
--- a/internal/proxy/reattach_test.go
+++ b/internal/proxy/reattach_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/galenagrade/galenagrade/internal/dedup"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 )
@@ -182,3 +183,60 @@
 	lost.Upstream = "guard"
 	must.False(t, connectionFailed(lost))
 }
+
+// Guards against a call that runs twice, because its sender re-attaches after the guard forgot the
+// call, while the response waits unread in the first connection.
+func TestReattachAfterTheGuardForgotTheCall(t *testing.T) {
+	f := &connFault{releaseReads: make(chan struct{})}
+	c, entry, guard := newFaultyCluster(t, f, nil)
+	entry.peers.peer(guard.innerAddr()).responseTime = responseTimeEstimator{} // waits for the maximum
+	var ran runCounter
+	c.startUpstream(guard, "letters", 4, ran.echo)
+	c.configure(map[*testNode]string{guard: "letters"})
+	replies := make(chan reply, 1)
+	go func() {
+		replies <- c.do(context.Background(), request{to: entry.callers.URL, method: "POST", service: "letters", body: "a"})
+	}()
+	eventually(t, func() bool { return ran.count("a") == 1 && guard.node.Guard().Busy() == 0 })
+	guard.node.Guard().Tick(time.Now().Add(time.Hour))
+	eventually(t, func() bool { return f.dials.Load() == 2 })
+	close(f.releaseReads)
+	got := <-replies
+	must.EqOp(t, "re:a", got.body)
+	must.EqOp(t, 1, ran.count("a"))
+}
+
+// jumpingClock is the real clock, moved by jump.
+type jumpingClock struct{ jump atomic.Int64 }
+
+func (c *jumpingClock) Now() time.Time { return time.Now().Add(time.Duration(c.jump.Load())) }
+
+// Guards against re-attachments of all calls under way, and new connections for them, when a process
+// goes on after it stood still.
+func TestOverdueTimerDoesNotReattach(t *testing.T) {
+	clock := &jumpingClock{}
+	n := node.New(node.Config{Identity: node.Identity{Node: "n", Incarnation: 1}, Clock: clock})
+	peers := NewPeers(nil)
+	peers.Bind(n)
+	c := &peerCall{peers: peers, peer: peers.peer("127.0.0.1:1"), call: &node.Call{}}
+	c.ctx.Start(context.Background(), time.Time{})
+	defer c.ctx.Cancel()
+	c.scheduleReattach()
+	clock.jump.Store(int64(4 * time.Second))
+	c.onReattachTimer()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	must.Nil(t, c.reattachResp)
+	must.True(t, c.reattachAt.After(clock.Now()))
+	must.True(t, c.reattachTimer.Stop())
+}
+
+// Guards against numbers of calls that are lost between nodes, and against headers of other senders
+// that are taken for one.
+func TestOriginOfACall(t *testing.T) {
+	origin := dedup.Origin{Sender: dedup.Sender{Node: "n", Incarnation: 1 << 60}, Number: 77}
+	must.Eq(t, origin, decodeOrigin("n", encodeOrigin(origin)))
+	for _, text := range []string{"", "x 1", "1", "1 0", "1 -2", "1 2 3"} {
+		must.Eq(t, dedup.Origin{Sender: dedup.Sender{Node: "n"}}, decodeOrigin("n", text))
+	}
+}
