A departure is in the store before it is acknowledged, and binds the node's next process

Cause: which processes of the upstream have left was kept in the memory of the node's process. Its record in the store said `leaving`, but nobody read it from there before a report was applied, and the acknowledgement didn't wait for it. Ruled out: adoption by record and health check (the record isn't `serving`), entry nodes that ignore the record (only the upstream's node lets calls through). Change: fleet.History (last process and its start time, whether it left, other processes that must not come back) is part of the node's record. A departure or drain takes effect at once and is acknowledged when the store has the record, else 503. At its start a node applies its predecessor's record before a report can put a process into service (reports wait for it, 3 s at most), and again if it comes later; it reads that record before it replaces it. Same cause elsewhere, closed and tested: a deregistration that is the first a restarted node hears of a process was acknowledged and dropped; a late report of a replaced process took the living one's place on deployments without start times; a stop after a restart wrote a record without the departure; a report with other slots published a process that left as serving.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -139,6 +139,9 @@
 	u.Apply(report("u", 100, 1))
 	must.EqOp(t, Left, u.Departed("u", 0))
 	must.EqOp(t, Unchanged, u.Apply(report("u", 100, 2)))
+	resized := report("u", 100, 3)
+	resized.Slots++
+	must.EqOp(t, Unchanged, u.Apply(resized))
 	_, serving := u.Current()
 	must.False(t, serving)
 }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -47,7 +47,13 @@
 	Service string `json:"service"`
 	// Upstream identifies the process of the upstream.
 	Upstream string `json:"upstream,omitempty"`
-	Slots    int    `json:"slots"`
+	// StartedAt is the start time of that process in Unix milliseconds; 0 if it reports none.
+	StartedAt int64 `json:"started_at,omitempty"`
+	// Left is true if that process accepts no new work, whatever State says of the node.
+	Left bool `json:"left,omitempty"`
+	// Predecessors are those of History.
+	Predecessors []processRecord `json:"predecessors,omitempty"`
+	Slots        int             `json:"slots"`
 	// ServesSince is the time at which the upstream began to accept work, in Unix milliseconds; 0
 	// means that its slow start is over. A new process is slow, so routing raises its share of the
 	// calls gradually after this time.
@@ -55,6 +61,12 @@
 	State       State `json:"state"`
 }
 
+// processRecord is the stored form of a routing.Process.
+type processRecord struct {
+	ID        string `json:"id"`
+	StartedAt int64  `json:"started_at,omitempty"`
+}
+
 // MaxMemberBytes bounds the encoded size of a Member.
 const MaxMemberBytes = 4 << 10
 
@@ -77,6 +89,25 @@
 	return nil
 }
 
+// SetHistory sets the fields that say what the node knows of the processes of its upstream.
+func (m *Member) SetHistory(h History) {
+	m.Upstream, m.StartedAt, m.Left = h.Process.ID, h.Process.StartedAt, h.Left
+	m.Predecessors = nil
+	for _, p := range h.Predecessors {
+		m.Predecessors = append(m.Predecessors, processRecord(p))
+	}
+}
+
+// History returns what the node knew of the processes of its upstream. Records of earlier versions
+// tell a departure by the state alone.
+func (m *Member) History() History {
+	h := History{Process: routing.Process{ID: m.Upstream, StartedAt: m.StartedAt}, Left: m.Left || m.State == Leaving}
+	for _, p := range m.Predecessors {
+		h.Predecessors = append(h.Predecessors, routing.Process(p))
+	}
+	return h
+}
+
 // Encode returns the record as JSON.
 func (m *Member) Encode() ([]byte, error) { return json.Marshal(m) }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
 // Report is a report of the upstream on the node's VM about itself.
@@ -27,6 +29,10 @@
 	ColdFor time.Duration
 }
 
+func (r *Report) process() routing.Process {
+	return routing.Process{ID: r.ID, StartedAt: r.StartedAt}
+}
+
 // Change is the effect of a report on the state of the local upstream.
 type Change int
 
@@ -41,11 +47,13 @@
 	Left
 	// Updated: the slots or the address of the process changed.
 	Updated
+	// Noted: a process that is not the current one will not be taken into service.
+	Noted
 )
 
 // LocalUpstream tracks the current process of the upstream on the node's VM. A delayed report may
-// arrive after its process has died and another one has replaced it; such a report must not make
-// the dead process current again. It is not safe for concurrent use.
+// arrive after its process has left or died, and after the node itself was restarted; such a report
+// must not make the process current again. It is not safe for concurrent use.
 type LocalUpstream struct {
 	latest Report
 	known  bool
@@ -53,15 +61,11 @@
 	// adopted is true for a process that was found running and has not reported yet, so that its
 	// start time and sequence are unknown.
 	adopted bool
-	// predecessors are the earlier processes, oldest first. If upstreams do not report their
-	// start time, this list is the only way to recognise reports of an old process.
-	predecessors []process
-}
-
-// process identifies one process of an upstream.
-type process struct {
-	id        string
-	startedAt int64 // Unix milliseconds
+	// restored is true for a process that is known from a History alone.
+	restored bool
+	// predecessors are processes that will not be current again, oldest first. If upstreams do not
+	// report their start time, this list is the only way to recognise reports of an old process.
+	predecessors []routing.Process
 }
 
 // maxPredecessors bounds the remembered processes. Reports are delayed by seconds, and an
@@ -70,52 +74,86 @@
 
 // Current returns the newest report and whether its process accepts work.
 func (u *LocalUpstream) Current() (r Report, serving bool) {
-	return u.latest, u.known && !u.left
+	return u.latest, u.known && !u.left && !u.restored
+}
+
+// Heard reports whether a process has reported, or was adopted, since the node's start.
+func (u *LocalUpstream) Heard() bool { return u.known && !u.restored }
+
+// Adoptable reports whether Adopt takes a process that was found running: none has reported or was
+// adopted before, and this one has not left.
+func (u *LocalUpstream) Adoptable(p routing.Process) bool {
+	if u.Heard() || u.isPredecessor(p) {
+		return false
+	}
+	return !u.known || (!u.left && p.ID == u.latest.ID)
 }
 
 // Adopt sets the current process to one that was found running before it reported. It returns
-// false if a process has reported or was adopted before.
+// false if the process is not adoptable.
 func (u *LocalUpstream) Adopt(r Report) bool {
-	if u.known {
+	if !u.Adoptable(r.process()) {
 		return false
 	}
+	r.StartedAt = u.latest.StartedAt
 	u.latest = r
 	u.known = true
+	u.restored = false
 	u.adopted = true
 	return true
 }
 
 // Apply applies a report and returns its effect.
 func (u *LocalUpstream) Apply(r Report) Change {
-	if u.adopted {
-		u.adopted = false
-		if r.ID == u.latest.ID {
-			u.latest.StartedAt, u.latest.Sequence = r.StartedAt, r.Sequence-1
-		}
-	}
-	if !u.known {
+	u.confirmAdopted(r)
+	switch {
+	case u.isPredecessor(r.process()):
+		return Outdated
+	case !u.known:
 		return u.start(r)
-	}
-	if u.sameProcess(r) {
+	case u.sameProcess(r) && u.restored && !u.left:
+		return u.start(r)
+	case u.sameProcess(r):
 		return u.update(r)
-	}
-	if r.StartedAt < u.latest.StartedAt || slices.Contains(u.predecessors, process{r.ID, r.StartedAt}) {
+	case r.StartedAt < u.latest.StartedAt:
 		return Outdated
 	}
-	u.predecessors = append(u.predecessors, process{u.latest.ID, u.latest.StartedAt})
-	u.predecessors = u.predecessors[max(0, len(u.predecessors)-maxPredecessors):]
+	u.addPredecessor(u.latest.process())
 	return u.start(r)
 }
 
+// confirmAdopted completes an adopted process by its first report.
+func (u *LocalUpstream) confirmAdopted(r Report) {
+	if !u.adopted {
+		return
+	}
+	u.adopted = false
+	startKnown := u.latest.StartedAt != 0
+	if r.ID == u.latest.ID && (!startKnown || r.StartedAt == u.latest.StartedAt) {
+		u.latest.StartedAt, u.latest.Sequence = r.StartedAt, r.Sequence-1
+	}
+}
+
 // sameProcess reports whether r comes from the current process. It compares the start time too,
 // since a new process may use the ID of the old one.
-func (u *LocalUpstream) sameProcess(r Report) bool {
-	return r.ID == u.latest.ID && r.StartedAt == u.latest.StartedAt
+func (u *LocalUpstream) sameProcess(r Report) bool { return r.process() == u.latest.process() }
+
+func (u *LocalUpstream) isPredecessor(p routing.Process) bool {
+	return slices.Contains(u.predecessors, p)
+}
+
+func (u *LocalUpstream) addPredecessor(p routing.Process) {
+	if u.isPredecessor(p) {
+		return
+	}
+	u.predecessors = append(u.predecessors, p)
+	u.predecessors = u.predecessors[max(0, len(u.predecessors)-maxPredecessors):]
 }
 
 func (u *LocalUpstream) start(r Report) Change {
 	u.latest = r
 	u.known = true
+	u.restored = false
 	u.left = r.Leaving
 	if r.Leaving {
 		return Left
@@ -129,11 +167,15 @@
 	}
 	before := u.latest
 	u.latest = r
-	if r.Leaving && !u.left {
+	if u.left {
+		// A process that left never accepts work again; only a new process does.
+		u.restored = false
+		return Unchanged
+	}
+	if r.Leaving {
 		u.left = true
 		return Left
 	}
-	// A process that left never accepts work again; only a new process does.
 	if r.Slots != before.Slots || r.Address != before.Address {
 		return Updated
 	}
@@ -143,16 +185,26 @@
 // Departed records that the process with this ID and start time has ended or is about to.
 // startedAt is in Unix milliseconds; 0 if the start time was not reported.
 func (u *LocalUpstream) Departed(id string, startedAt int64) Change {
-	if !u.known || u.latest.ID != id || (startedAt != 0 && startedAt < u.latest.StartedAt) {
+	switch {
+	case u.known && u.latest.ID == id && (startedAt == 0 || startedAt >= u.latest.StartedAt):
+		return u.leave(startedAt)
+	case startedAt != 0 && startedAt < u.latest.StartedAt, u.isPredecessor(routing.Process{ID: id, StartedAt: startedAt}):
 		return Outdated
 	}
-	if u.left {
-		return Unchanged
-	}
-	if u.adopted && startedAt != 0 {
+	// The process has not reported since the node's start, but a delayed report of it may arrive.
+	u.addPredecessor(routing.Process{ID: id, StartedAt: startedAt})
+	return Noted
+}
+
+// leave records that the current process accepts no new work.
+func (u *LocalUpstream) leave(startedAt int64) Change {
+	if startedAt != 0 {
 		// A later report with another start time is then recognised as one of the next process.
 		u.latest.StartedAt, u.adopted = startedAt, false
 	}
+	if u.left {
+		return Unchanged
+	}
 	u.left = true
 	return Left
 }
--- a/internal/mesh/adopt.go
+++ b/internal/mesh/adopt.go
@@ -34,7 +34,7 @@
 	deadline := time.Now().Add(adoptionReports * m.cfg.Upstream.ReportInterval.Std())
 	poll := time.NewTicker(adoptionPollInterval)
 	defer poll.Stop()
-	for time.Now().Before(deadline) && !m.local.isKnown() && !m.stopping.Load() {
+	for time.Now().Before(deadline) && !m.local.isHeard() && !m.stopping.Load() {
 		if record, ok := m.predecessorUpstream(); ok && m.adoptHealthy(ctx, &record) {
 			return
 		}
@@ -49,9 +49,10 @@
 // predecessorUpstream returns the record of the node's previous process if it describes an
 // upstream in service.
 func (m *Mesh) predecessorUpstream() (fleet.Member, bool) {
-	record, known := m.members.predecessor(m.cfg.NodeID, m.node.Incarnation())
+	record, known := m.members.predecessor()
 	active := record.State == fleet.Serving || record.State == fleet.Stopping
-	return record, known && active && record.Service == m.cfg.Service && record.Upstream != "" && record.Slots > 0
+	adoptable := m.local.adoptable(&record)
+	return record, known && active && adoptable && record.Service == m.cfg.Service && record.Upstream != "" && record.Slots > 0
 }
 
 // adoptHealthy adopts the upstream of a record if its response to a health check shows that it is the
--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -32,7 +32,7 @@
 		m.awaitFirstReports(ctx)
 	}
 	if !m.members.isInitialized() {
-		m.readZone(ctx)
+		_ = m.readZone(ctx) // logged; the follower reads all records
 	}
 	if m.cfg.FirstStart {
 		m.introduceToZone(ctx)
@@ -55,16 +55,18 @@
 }
 
 // readZone reads the records of the node's own zone. If that fails, all records are read instead.
-func (m *Mesh) readZone(ctx context.Context) {
+func (m *Mesh) readZone(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, records.StoreCallTimeout)
 	defer cancel()
 	sent := time.Now()
 	topic := m.platform.Members()
 	page, err := topic.NewestPage(ctx, zonePrefix(m.cfg.Region, m.cfg.Zone))
 	records.NewCallLog(m.logger, topic).Log(ctx, records.PurposeZone, sent, err)
-	if err == nil {
-		m.members.applyPart(page.Items)
+	if err != nil {
+		return err
 	}
+	m.members.applyPart(page.Items)
+	return nil
 }
 
 // introduceToZone introduces the node to some nodes of its zone. Those that wait for the first reports
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
@@ -29,8 +30,22 @@
 	onChange      func(*fleet.Registry)
 	crashReporter *crashReporter
 
+	// own identifies this process. onPredecessor is called with each newer record that a previous
+	// process of the node left, and onZoneRead when the records of its zone were read once, both
+	// without a lock.
+	own           node.Identity
+	onPredecessor func(fleet.Member)
+	onZoneRead    func()
+
 	mu       sync.Mutex
 	registry *fleet.Registry
+	// predecessors holds the newest record of a previous process of the node, which registry replaces
+	// by the own one.
+	predecessors *fleet.Registry
+	// ownZoneRead is closed when the records of the node's zone were read once, the one of its previous
+	// process among them.
+	ownZoneRead chan struct{}
+	zoneRead    sync.Once
 	// initialized reports whether the records of the deployment were read once, from the store or
 	// from another node. known is closed when it is set.
 	initialized bool
@@ -52,13 +67,52 @@
 	zoneCount, zoneCountRevision int
 }
 
+func newMembers(m *Mesh, own node.Identity) *members {
+	return &members{
+		logger:        m.rateLimited,
+		known:         make(chan struct{}),
+		registry:      fleet.NewRegistry(),
+		predecessors:  fleet.NewRegistry(),
+		ownZoneRead:   make(chan struct{}),
+		crashReporter: m.crashReporter,
+		own:           own,
+		onChange:      m.setEndpoints,
+		onPredecessor: m.local.onPredecessor,
+		onZoneRead:    m.local.applyPostponed,
+	}
+}
+
 // apply applies records from the store, those of members and those of crashes. Deleted keys and
 // invalid records are skipped.
 func (m *members) apply(items []records.Item) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.applyLocked(items, !m.initialized)
+	predecessor := m.applyLocked(items, !m.initialized)
 	m.setInitializedLocked()
+	m.mu.Unlock()
+	m.onOwnZoneRead(predecessor)
+}
+
+// onOwnZoneRead passes a new record of a previous process on, if there is one, before it reports that
+// the records of the own zone are known.
+func (m *members) onOwnZoneRead(predecessor *fleet.Member) {
+	if predecessor != nil {
+		m.onPredecessor(*predecessor)
+	}
+	m.zoneRead.Do(func() {
+		close(m.ownZoneRead)
+		m.onZoneRead()
+	})
+}
+
+// isOwnZoneRead reports whether the records of the node's zone were read, the one of its previous
+// process among them.
+func (m *members) isOwnZoneRead() bool {
+	select {
+	case <-m.ownZoneRead:
+		return true
+	default:
+		return false
+	}
 }
 
 func (m *members) setInitializedLocked() {
@@ -71,13 +125,14 @@
 // applyPart applies the records of some members; those of the others are still to be read.
 func (m *members) applyPart(items []records.Item) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.applyLocked(items, true)
+	predecessor := m.applyLocked(items, true)
+	m.mu.Unlock()
+	m.onOwnZoneRead(predecessor)
 }
 
-// applyLocked applies records. At a start it logs their number alone, since there are as many as
-// nodes.
-func (m *members) applyLocked(items []records.Item, atStart bool) {
+// applyLocked applies records and returns the newest one of a previous process of the node, if it is
+// new. At a start it logs their number alone, since there are as many as nodes.
+func (m *members) applyLocked(items []records.Item, atStart bool) (predecessor *fleet.Member) {
 	updated := 0
 	for _, item := range items {
 		if len(item.Value) == 0 {
@@ -92,6 +147,9 @@
 			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
+		if m.isPredecessorLocked(&record) {
+			predecessor = &record
+		}
 		if !m.registry.Apply(record) {
 			continue
 		}
@@ -101,22 +159,33 @@
 		}
 	}
 	if updated == 0 {
-		return
+		return predecessor
 	}
 	if atStart {
 		m.logger.Info().Int("members", len(items)).Int("changed", updated).Msg("member records read at the start")
 	}
 	m.onChange(m.registry)
+	return predecessor
+}
+
+// isPredecessorLocked reports whether a record is the newest one of a previous process of the node.
+func (m *members) isPredecessorLocked(record *fleet.Member) bool {
+	isOlder := record.Node == m.own.Node && record.Incarnation < m.own.Incarnation
+	return isOlder && m.predecessors.Apply(*record)
 }
 
 // applyMember applies a record that did not come from the store.
 func (m *members) applyMember(record fleet.Member) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	isPredecessor := m.isPredecessorLocked(&record)
 	if m.registry.Apply(record) {
 		m.logChange(&record, "node")
 		m.onChange(m.registry)
 	}
+	m.mu.Unlock()
+	if isPredecessor {
+		m.onPredecessor(record)
+	}
 }
 
 func (m *members) logChange(record *fleet.Member, source string) {
@@ -138,6 +207,11 @@
 
 // mergeRecords merges the records fetched from another node; invalid ones are skipped.
 func (m *members) mergeRecords(records []fleet.Member, from string) {
+	m.onOwnZoneRead(m.merge(records, from))
+}
+
+// merge merges records and returns the newest one of a previous process of the node, if it is new.
+func (m *members) merge(records []fleet.Member, from string) (predecessor *fleet.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.setInitializedLocked()
@@ -147,6 +221,9 @@
 			m.logger.Warn().Str("from", from).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
+		if m.isPredecessorLocked(&records[i]) {
+			predecessor = &records[i]
+		}
 		if m.registry.Apply(records[i]) {
 			updated++
 		}
@@ -155,6 +232,7 @@
 	if updated > 0 {
 		m.onChange(m.registry)
 	}
+	return predecessor
 }
 
 // isInitialized reports whether the records of the deployment were read once.
@@ -164,12 +242,11 @@
 	return m.initialized
 }
 
-// predecessor returns the record that a previous process of the node left.
-func (m *members) predecessor(node string, incarnation uint64) (record fleet.Member, known bool) {
+// predecessor returns the newest record that a previous process of the node left.
+func (m *members) predecessor() (record fleet.Member, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	record, known = m.registry.Member(node)
-	return record, known && record.Incarnation < incarnation
+	return m.predecessors.Member(m.own.Node)
 }
 
 // count returns the number of known nodes.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -160,7 +160,7 @@
 	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
-	m.members = &members{logger: m.rateLimited, known: make(chan struct{}), registry: fleet.NewRegistry(), crashReporter: m.crashReporter, onChange: m.setEndpoints}
+	m.members = newMembers(m, id)
 	m.membersFollower = records.NewFollower(m.platform.Members(), m.members.apply, m.newRelay(records.MembersWatchWait), m.logger)
 	m.membersFollower.BatchWindow = m.membersBatchWindow
 	m.membersFollower.LagGrace = records.BatchedLagGrace
@@ -244,6 +244,7 @@
 	m.spawn(func() { m.followMembers(ctx) })
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
 	m.spawn(func() { m.adoptUpstream(ctx) })
+	m.spawn(func() { m.local.awaitRecord(ctx) })
 	m.spawn(func() { m.compareOffsets(ctx) })
 	m.spawn(func() { m.overview.runReports(ctx) })
 	m.spawn(func() { m.overview.runZones(ctx) })
--- a/internal/mesh/platform.go
+++ b/internal/mesh/platform.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
@@ -36,13 +37,16 @@
 	Close()
 }
 
-// UpstreamReports receives the reports of the upstream beside the node.
+// UpstreamReports receives the reports of the upstream beside the node. A report that can't be
+// acknowledged returns an error and is to be repeated by the upstream.
 type UpstreamReports interface {
-	// Reported receives a report. When it returns, the report is in force.
-	Reported(fleet.Report)
+	// Reported receives a report. When it returns nil, the report is in force. That a process leaves is
+	// then in the store, and binds the next process of the node too.
+	Reported(context.Context, fleet.Report) error
 	// Departed receives the report that the process with that ID and start time has left.
-	// startedAt is in Unix milliseconds; 0 if the start time was not given.
-	Departed(id string, startedAt int64)
+	// startedAt is in Unix milliseconds; 0 if the start time was not given. When it returns nil, the
+	// departure is in the store, as with Reported.
+	Departed(ctx context.Context, id string, startedAt int64) error
 }
 
 // StoreStats counts calls of the store since the start.
--- a/internal/mesh/zonewrite.go
+++ b/internal/mesh/zonewrite.go
@@ -34,9 +34,14 @@
 }
 
 // write writes a record through the zone's reader, or to the store itself if this node is the reader or
-// the reader does not write it.
+// the reader does not write it. The record of the node's previous process is read before it is replaced.
 func (z *zoneWriter) write(ctx context.Context, item records.Item) error {
 	m := z.mesh
+	if !m.cfg.FirstStart && !m.members.isOwnZoneRead() {
+		if err := m.readZone(ctx); err != nil {
+			return err
+		}
+	}
 	reader, other := fleet.ZoneReader(m.cfg.NodeID, m.members.zoneNeighbours(m.cfg))
 	if other && z.writeThrough(ctx, &reader, item) {
 		return nil
--- a/internal/records/publisher.go
+++ b/internal/records/publisher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
@@ -26,8 +27,10 @@
 
 	mu     sync.Mutex
 	record fleet.Member
-	// writtenRevision is the newest revision that the store has confirmed.
+	// writtenRevision is the newest revision that the store has confirmed, and written is closed when
+	// it changes.
 	writtenRevision uint64
+	written         chan struct{}
 }
 
 // NewPublisher returns the publisher of a record with the given key. Its WriteItem must be set before
@@ -41,6 +44,32 @@
 		key:           key,
 		record:        record,
 		onWriteFailed: onWriteFailed,
+		written:       make(chan struct{}),
+	}
+}
+
+// Prepare changes the record without a write. The change is written with the next Update.
+func (p *Publisher) Prepare(change func(*fleet.Member)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.record)
+}
+
+// AwaitWritten returns when the store has confirmed a revision or a newer one, or with an error when
+// ctx ends.
+func (p *Publisher) AwaitWritten(ctx context.Context, revision uint64) error {
+	for {
+		p.mu.Lock()
+		done, written := p.writtenRevision >= revision, p.written
+		p.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "revision %d of the node's record is not in the store", revision)
+		}
 	}
 }
 
@@ -109,6 +138,8 @@
 	}
 	p.mu.Lock()
 	p.writtenRevision = max(p.writtenRevision, record.Revision)
+	close(p.written)
+	p.written = make(chan struct{})
 	p.mu.Unlock()
 	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own member record written to the store")
 	return nil
