A guard keeps the ID of a finished call, not its request

Change: a finished call keeps its ID, its origin and two flags; the request, its retry account and its cancel function are released when it ends. What runs after the guard's lock is released no longer reads the call from the execution. Test: TestFinishedCallsReleaseTheirBody asks that the request is gone, where it asked for its body.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -49,7 +49,9 @@
 
 // execution is one call at its guard, from its arrival until its response expires.
 type execution struct {
+	// call is nil once the call has ended, and finished is what is kept of it.
 	call        *Call
+	finished    finishedCall
 	fingerprint quarantine.Fingerprint
 	account     *retry.Account
 	phase       phase
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -61,13 +61,11 @@
 }
 
 // keepLocked retains a finished call for re-attachments, within the limits of the
-// configuration.
+// configuration. These cover responses only, so its request is not retained.
 func (g *Guard) keepLocked(now time.Time, e *execution) {
-	if len(e.call.Body) > 0 {
-		// The limits cover responses only. The bodies of finished requests would be retained
-		// without a limit.
-		e.call = &Call{Ctx: e.call.Ctx, Reattach: e.call.Reattach, Origin: e.call.Origin}
-	}
+	e.finished = finishedOf(e.call)
+	e.served = e.served || e.call.HasPriorWork
+	e.call, e.account, e.cancel = nil, nil, nil
 	g.done = append(g.done, e)
 	g.doneBytes += int64(len(e.response.Body))
 	g.trimLocked(now)
@@ -91,7 +89,7 @@
 // expireLocked ends the retention of a finished call.
 func (g *Guard) expireLocked(e *execution) {
 	forgotten := e
-	if g.recall.awaitsFirstTransmission(e.call) {
+	if e.finished.awaitsFirstTransmission() {
 		g.stripLocked(e)
 		forgotten = g.recall.keep(e)
 	}
@@ -99,8 +97,8 @@
 		return
 	}
 	g.doneBytes -= int64(len(forgotten.response.Body))
-	delete(g.calls, forgotten.call.Ctx.CallID)
-	g.recall.forget(forgotten.call)
+	delete(g.calls, forgotten.finished.id)
+	g.recall.forget(&forgotten.finished)
 }
 
 // stripLocked drops the response of a finished call but keeps its call ID: without the ID, a
@@ -110,7 +108,7 @@
 		return
 	}
 	g.doneBytes -= int64(len(e.response.Body))
-	e.response = Refused(e.call.Ctx.CallID, result.Refuse(result.LostAnswer, "the call ran, and its response is no longer stored"))
+	e.response = Refused(e.finished.id, result.Refuse(result.LostAnswer, "the call ran, and its response is no longer stored"))
 }
 
 // keepReattachmentLocked retains the response to a re-attachment whose call ID was never seen
--- a/internal/node/guard_room.go
+++ b/internal/node/guard_room.go
@@ -131,11 +131,11 @@
 }
 
 // roomEndedLocked records that a call ended at the upstream.
-func (g *Guard) roomEndedLocked(now time.Time, e *execution, a *Response) {
+func (g *Guard) roomEndedLocked(now time.Time, e *execution, call *Call, a *Response) {
 	if g.ledger == nil {
 		return
 	}
-	ctx := &e.call.Ctx
+	ctx := &call.Ctx
 	g.ledger.CallEnded(now, &room.Call{
 		Kind:     e.kind,
 		Deep:     ctx.Depth > 0,
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -12,7 +12,8 @@
 func (g *Guard) claimOrStartLocked(now time.Time, e *execution, deferred *callbacks) {
 	if e.call.Keyed() && g.authority.NeedsClaim(e.call) {
 		e.phase = phaseClaiming
-		deferred.add(func() { g.runner.Claim(e.call) })
+		call := e.call
+		deferred.add(func() { g.runner.Claim(call) })
 		return
 	}
 	g.startLocked(now, e, deferred)
@@ -43,7 +44,8 @@
 	e.process = g.upstreamIncarnation
 	g.quarantine.Started(now, e.fingerprint)
 	g.events.started(now, e)
-	deferred.add(func() { g.runner.Run(e.call, startBy) })
+	call := e.call
+	deferred.add(func() { g.runner.Run(call, startBy) })
 }
 
 // refuseAdmittedLocked refuses a call that was admitted and provably did not run.
@@ -116,9 +118,10 @@
 			g.pace.observe(now, e.call, a, now.Sub(e.started))
 		}
 		g.noteLocked(now, e.process, a.Notice, &deferred)
+		call := e.call
 		g.endLocked(now, e, a, &deferred)
 		g.applyLocked(now, decisions, &deferred)
-		g.roomEndedLocked(now, e, a)
+		g.roomEndedLocked(now, e, call, a)
 	}
 	g.mu.Unlock()
 	deferred.run()
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -176,7 +176,7 @@
 	call.Body = make([]byte, 1<<20)
 	g.Arrive(epoch, call, func(*Response) {})
 	g.Finish(epoch, "large", completeResponseOf(call, "x"))
-	must.SliceEmpty(t, g.calls["large"].call.Body)
+	must.Nil(t, g.calls["large"].call)
 }
 
 // Guards against a call running after its re-attachment was answered with `ran: no`. The first
--- a/internal/node/guard_upstream.go
+++ b/internal/node/guard_upstream.go
@@ -246,7 +246,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.calls[callID]
-	return ok && (e.served || e.call.HasPriorWork)
+	return ok && (e.served || (e.call != nil && e.call.HasPriorWork))
 }
 
 func (g *Guard) parent(callID string) (*Call, *retry.Account, bool) {
--- a/internal/node/recall.go
+++ b/internal/node/recall.go
@@ -48,12 +48,6 @@
 	return nil
 }
 
-// awaitsFirstTransmission reports whether the ID of a finished call must be kept, because its first
-// transmission may arrive after the second one.
-func (r *recall) awaitsFirstTransmission(call *Call) bool {
-	return call.Reattach && !call.Ctx.Idempotent
-}
-
 // keep retains a finished re-attachment. It returns the oldest one if there are too many.
 func (r *recall) keep(e *execution) (dropped *execution) {
 	r.awaited = append(r.awaited, e)
@@ -67,12 +61,27 @@
 }
 
 // forget records that the guard no longer knows the ID of a call.
-func (r *recall) forget(call *Call) {
-	if call.Ctx.Idempotent {
+func (r *recall) forget(call *finishedCall) {
+	if call.idempotent {
 		return
 	}
-	r.finished.Add(call.Origin)
-	if call.Reattach {
-		r.reattached.Add(call.Origin)
+	r.finished.Add(call.origin)
+	if call.reattach {
+		r.reattached.Add(call.origin)
 	}
 }
+
+// finishedCall is what a guard keeps of the request of a finished call.
+type finishedCall struct {
+	id                   string
+	origin               dedup.Origin
+	idempotent, reattach bool
+}
+
+func finishedOf(call *Call) finishedCall {
+	return finishedCall{id: call.Ctx.CallID, origin: call.Origin, idempotent: call.Ctx.Idempotent, reattach: call.Reattach}
+}
+
+// awaitsFirstTransmission reports whether the ID of the call must be kept, because its first
+// transmission may arrive after the second one.
+func (f *finishedCall) awaitsFirstTransmission() bool { return f.reattach && !f.idempotent }
