--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -170,8 +170,11 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if r.Matches == nil || r.Matches(resp.Header) {
+		switch r.classify(resp) {
+		case Accept:
 			return resp, reusable && c.reader.Buffered() == 0, nil
+		case Reject:
+			return nil, false, &Error{Stage: StageMismatch, Cause: errors.New("response with status " + strconv.Itoa(resp.Status) + " belongs to no request")}
 		}
 		if !reusable {
 			break
@@ -180,6 +183,13 @@
 	return nil, false, &Error{Stage: StageMismatch, Cause: errors.New("received only responses to other requests")}
 }
 
+func (r *Request) classify(resp *Response) Verdict {
+	if r.Classify == nil {
+		return Accept
+	}
+	return r.Classify(resp.Status, resp.Header)
+}
+
 func (c *conn) readOne(r *Request, maxBody int64) (*Response, bool, error) {
 	if r.Method == http.MethodHead {
 		return c.readAny(r, maxBody)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -67,11 +67,23 @@
 	Body   []byte
 	// MaxBody is the maximum size of the response body in bytes; 0 uses Config.MaxBody.
 	MaxBody int64
-	// Matches reports whether a response belongs to this request; nil accepts every response. At
-	// most maxSkippedResponses other responses are skipped.
-	Matches func(http.Header) bool
+	// Classify decides on a response to the request; nil accepts every response. At most
+	// maxSkippedResponses responses are skipped.
+	Classify func(status int, h http.Header) Verdict
 }
 
+// Verdict is the decision on a response that arrived for a request.
+type Verdict int
+
+const (
+	// Accept: the response belongs to the request.
+	Accept Verdict = iota
+	// Skip: the response belongs to no request, and the one to this request may follow.
+	Skip
+	// Reject: the response can't be used, and the connection is closed.
+	Reject
+)
+
 // Do sends a request and reads the complete response. If ctx ends first, the connection is closed,
 // which notifies the server. Every error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -58,7 +58,12 @@
 func newRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Classify: func(_ int, h http.Header) Verdict {
+			if h.Get("Id") == id {
+				return Accept
+			}
+			return Skip
+		},
 	}
 }
 
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -18,8 +18,8 @@
 	// and in place of those of the same names. It is called directly before the call is sent. remaining
 	// is the time until its deadline.
 	Prepare(fields []h1.Field, call *node.Call, remaining time.Duration) []h1.Field
-	// Matches reports whether a response with these headers belongs to the call.
-	Matches(h http.Header, call *node.Call) bool
+	// Classify decides whether a response with this status and these headers belongs to the call.
+	Classify(status int, h http.Header, call *node.Call) h1.Verdict
 	// NotRun returns a refusal if the response promises that the upstream did not run the call;
 	// nil otherwise.
 	NotRun(status int, h http.Header) *result.Refusal
@@ -45,10 +45,13 @@
 	)
 }
 
-// Matches implements Dialect.
-func (defaultDialect) Matches(h http.Header, call *node.Call) bool {
+// Classify implements Dialect.
+func (defaultDialect) Classify(_ int, h http.Header, call *node.Call) h1.Verdict {
 	got := h.Get(callctx.HeaderContext)
-	return got == "" || got == call.Ctx.CallID
+	if got == "" || got == call.Ctx.CallID {
+		return h1.Accept
+	}
+	return h1.Skip
 }
 
 // NotRun implements Dialect.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -257,7 +257,9 @@
 		Fields:  u.dialect.Prepare(out.fields[:0], call, call.Ctx.Remaining(u.node.Now())),
 		Body:    call.Body,
 		MaxBody: u.responseBodyLimit(call),
-		Matches: func(h http.Header) bool { return u.dialect.Matches(h, call) },
+		Classify: func(status int, h http.Header) h1.Verdict {
+			return u.dialect.Classify(status, h, call)
+		},
 	}
 	httpResp, err := pool.Do(ctx, &out.request)
 	if err != nil {
