Responses without end are cut at a bound, and bodies share a part of the memory

Cause: an upstream in trouble may send bytes without end, in a head or a body, until its caller closes. Header, trailer and framing of a response had no bound, a body 64 MB, and all bodies together none: callers wait until their deadline and three such bodies take a node of 184 MB. Change: a header with the informational responses before it, and a trailer, take 64 KB at most, framing 8 bytes for each byte of a body. Bodies above 64 KB grow with what arrives and take from a budget for all of them, a fifth of the node's memory (limits.held_bytes in the product's own server); one may hold as much as is left. Above that the call ends with an unknown outcome and the connection is closed. The health check reads 64 KB of a header at most. The bounds follow from a node's memory and don't depend on the number of nodes.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,6 +44,8 @@
 type conn struct {
 	net.Conn
 	reader     *bufio.Reader
+	limited    limitedReader // what reader reads from
+	budget     *Budget
 	probe      *probe // nil if the connection has no socket
 	generation uint64
 	used       bool
@@ -56,13 +58,13 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
-func newConn(raw net.Conn, generation uint64) (*conn, error) {
+func newConn(raw net.Conn, generation uint64, budget *Budget) (*conn, error) {
 	probe, err := newProbe(raw)
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, probe: probe, generation: generation, keepAlive: noKeepAliveTimeout}, nil
+	return &conn{Conn: raw, probe: probe, generation: generation, budget: budget, keepAlive: noKeepAliveTimeout}, nil
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
@@ -104,7 +106,8 @@
 
 func (c *conn) sendAndRead(r *Request, maxBody int64) (*Response, bool, error) {
 	c.reader = readers.Get().(*bufio.Reader)
-	c.reader.Reset(c.Conn)
+	c.limited = limitedReader{src: c.Conn}
+	c.reader.Reset(&c.limited)
 	defer func() {
 		c.reader.Reset(nil)
 		readers.Put(c.reader)
@@ -191,17 +194,19 @@
 }
 
 func (c *conn) readOne(r *Request, maxBody int64) (*Response, bool, error) {
+	c.limited.left = maxHeadBytes
 	if r.Method == http.MethodHead {
 		return c.readAny(r, maxBody)
 	}
 	head, plain, err := readPlainHead(c.reader)
 	if err != nil {
-		return nil, false, &Error{Stage: StageHead, Cause: err}
+		return nil, false, c.headError(err)
 	}
 	if !plain {
 		return c.readAny(r, maxBody)
 	}
-	body, err := readSized(c.reader, head.length, maxBody)
+	c.limited.left = math.MaxInt64 // readBody reads no more than the length
+	body, err := c.readBody(c.reader, head.length, maxBody)
 	if err != nil {
 		return nil, false, err
 	}
@@ -213,11 +218,13 @@
 func (c *conn) readAny(r *Request, maxBody int64) (*Response, bool, error) {
 	resp, err := c.readHead(r)
 	if err != nil {
-		return nil, false, &Error{Stage: StageHead, Cause: err}
+		return nil, false, c.headError(err)
 	}
 	var body []byte
 	if r.Method != http.MethodHead {
-		if body, err = readBody(resp, maxBody); err != nil {
+		defer resp.Body.Close()
+		c.limited.left = bodyAllowance(resp.ContentLength)
+		if body, err = c.readBody(resp.Body, resp.ContentLength, maxBody); err != nil {
 			return nil, false, err
 		}
 	}
@@ -242,37 +249,6 @@
 	}
 }
 
-func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength >= 0 {
-		return readSized(resp.Body, resp.ContentLength, maxBody)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
-		return nil, &Error{Stage: StageBody, Cause: err}
-	}
-	if int64(len(body)) > maxBody {
-		return nil, &Error{Stage: StageTooLarge, Cause: errors.New("body without Content-Length exceeds the limit")}
-	}
-	return body, nil
-}
-
-// readSized reads a body of a known length.
-func readSized(r io.Reader, length, maxBody int64) ([]byte, error) {
-	if length > maxBody {
-		return nil, &Error{Stage: StageTooLarge, Cause: errors.New("Content-Length is " + strconv.FormatInt(length, 10))}
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		return nil, &Error{Stage: StageBody, Cause: err}
-	}
-	return body, nil
-}
-
 // updateKeepAlive stores the idle time that the server states in its Keep-Alive header.
 func (c *conn) updateKeepAlive(h http.Header) {
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/h1/error.go
+++ b/internal/h1/error.go
@@ -14,13 +14,13 @@
 	StageHead
 	// StageBody: the response body ended early.
 	StageBody
-	// StageTooLarge: the response body exceeds its size limit.
+	// StageTooLarge: the header or the body of the response exceeds its size limit.
 	StageTooLarge
 	// StageMismatch: only responses to other requests were received.
 	StageMismatch
 )
 
-var stageNames = [...]string{"connect", "send", "read head", "read body", "body too large", "answer of another request"}
+var stageNames = [...]string{"connect", "send", "read head", "read body", "response too large", "answer of another request"}
 
 // String returns the name of the step that failed.
 func (s Stage) String() string {
--- /dev/null
+++ b/internal/h1/limit.go
@@ -0,0 +1,172 @@
+package h1
+
+import (
+	"errors"
+	"io"
+	"math"
+	"strconv"
+	"sync/atomic"
+)
+
+const (
+	// maxHeadBytes is the maximum size of the header of a response, with the informational responses
+	// before it, and of the trailer of a chunked body.
+	maxHeadBytes = 64 << 10
+	// framingPerByte is how many bytes of chunked framing one byte of a body may take: a chunk of one
+	// byte has five.
+	framingPerByte = 8
+	// maxFramingBytes bounds the unused allowance for framing, which a trailer could use.
+	maxFramingBytes = 8 * maxHeadBytes
+	// unchargedBody is the size in bytes up to which a body takes nothing of the Budget. The number of
+	// such bodies is bounded by that of the calls.
+	unchargedBody = 64 << 10
+	// firstCapacity is the initial capacity in bytes for a body of unknown length.
+	firstCapacity = 4 << 10
+)
+
+var errTooManyBytes = errors.New("more bytes than a response may have")
+
+// Budget bounds the memory for response bodies that are being read, over all connections of a pool. A
+// nil Budget has no bound.
+//
+// Load pattern: a server in trouble sends bytes without end on several connections, and good responses
+// are read at the same time. A body may hold as much as is left afterwards: one alone gets half of the
+// budget, two a third each, and there is always room for smaller ones.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// take adds n bytes for a body that holds some already. It returns false if there is no room for them.
+func (b *Budget) take(held, n int64) bool {
+	if b == nil {
+		return true
+	}
+	used := b.used.Add(n)
+	if held+n > b.limit-used {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *Budget) release(n int64) {
+	if b != nil {
+		b.used.Add(-n)
+	}
+}
+
+// limitedReader reads from a connection until its allowance is used up.
+type limitedReader struct {
+	src io.Reader
+	// left is the number of bytes that may still be read.
+	left     int64
+	exceeded bool
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		l.exceeded = true
+		return 0, errTooManyBytes
+	}
+	n, err := l.src.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// bodyAllowance returns how many bytes may be read for a body before more of it has arrived. A stated
+// length is a bound by itself.
+func bodyAllowance(length int64) int64 {
+	if length >= 0 {
+		return math.MaxInt64
+	}
+	return maxHeadBytes
+}
+
+// extend allows the framing and the successors of n bytes of a body.
+func (l *limitedReader) extend(n int) {
+	l.left = min(l.left+int64(n)*framingPerByte, maxFramingBytes)
+}
+
+// readBody reads a body of the given length, or to the end of src if length is negative.
+func (c *conn) readBody(src io.Reader, length, maxBody int64) ([]byte, error) {
+	if length > maxBody {
+		return nil, tooLarge("Content-Length is " + strconv.FormatInt(length, 10))
+	}
+	if length >= 0 && length <= unchargedBody {
+		body := make([]byte, length)
+		_, err := io.ReadFull(src, body)
+		return body, c.bodyError(err)
+	}
+	return c.readGrowing(src, length, maxBody)
+}
+
+// readGrowing reads a body into memory that grows with what has arrived, since a server may announce or
+// send more than it should.
+func (c *conn) readGrowing(src io.Reader, length, maxBody int64) ([]byte, error) {
+	var body []byte
+	var charged int64
+	defer func() { c.budget.release(charged) }()
+	for int64(len(body)) != length {
+		if len(body) == cap(body) {
+			next := nextCapacity(int64(cap(body)), length, maxBody)
+			if next > unchargedBody {
+				if !c.budget.take(charged, next-charged) {
+					return nil, tooLarge("no memory for more than " + strconv.Itoa(len(body)) + " bytes of the body")
+				}
+				charged = next
+			}
+			body = append(make([]byte, 0, next), body...)
+		}
+		n, err := src.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if length < 0 {
+			c.limited.extend(n)
+		}
+		switch {
+		case int64(len(body)) > maxBody:
+			return nil, tooLarge("body without Content-Length exceeds the limit")
+		case err == io.EOF && length < 0:
+			return body, nil
+		case err != nil && int64(len(body)) != length:
+			return nil, c.bodyError(err)
+		}
+	}
+	return body, nil
+}
+
+// nextCapacity doubles a capacity, within the length of the body or one byte above its limit.
+func nextCapacity(capacity, length, maxBody int64) int64 {
+	most := maxBody + 1
+	if length >= 0 {
+		most = length
+	}
+	return min(max(2*capacity, firstCapacity), most)
+}
+
+func tooLarge(cause string) *Error { return &Error{Stage: StageTooLarge, Cause: errors.New(cause)} }
+
+// headError returns the error for a header that could not be read.
+func (c *conn) headError(err error) *Error {
+	if c.limited.exceeded {
+		return &Error{Stage: StageTooLarge, Cause: err}
+	}
+	return &Error{Stage: StageHead, Cause: err}
+}
+
+// bodyError returns the error for a body that could not be read; nil if err is nil.
+func (c *conn) bodyError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case c.limited.exceeded:
+		return &Error{Stage: StageTooLarge, Cause: err}
+	case err == io.EOF:
+		err = io.ErrUnexpectedEOF
+	}
+	return &Error{Stage: StageBody, Cause: err}
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -26,6 +26,8 @@
 	RoundRobin bool
 	// MaxBody is the maximum size of a response body in bytes for requests that set none.
 	MaxBody int64
+	// Budget bounds the memory of the bodies that are being read; nil does not.
+	Budget *Budget
 }
 
 // Pool sends requests to one address over reused connections. It is safe for concurrent use.
@@ -161,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, generation)
+	return newConn(raw, generation, p.cfg.Budget)
 }
 
 // SetMaxIdleConns changes the maximum number of idle connections. Excess connections are closed
--- a/internal/mesh/adopt.go
+++ b/internal/mesh/adopt.go
@@ -19,6 +19,8 @@
 	// healthCheckTimeout bounds a health check of the upstream. The check is queued for a slot of
 	// the upstream like any request.
 	healthCheckTimeout = 500 * time.Millisecond
+	// maxHealthHeaderBytes is the maximum size of the header of its response.
+	maxHealthHeaderBytes = 64 << 10
 )
 
 // adoptUpstream takes the upstream beside the node into service before its first report.
@@ -90,7 +92,7 @@
 		m.logger.Error().Str("path", path).Err(err).Msg("health check path of the routes forms no valid URL; upstream not adopted")
 		return nil
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHealthHeaderBytes}}
 	resp, err := client.Do(req)
 	if err != nil {
 		m.rateLimited.Debug().Str("address", m.cfg.UpstreamAddress).Err(err).Msg("health check of the upstream failed; upstream not adopted yet")
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -20,6 +20,10 @@
 	maxReroutes = 3
 )
 
+// readMemoryShare is the share of the node's memory for responses of the upstream that are being read.
+// While one grows, its copy takes as much again.
+const readMemoryShare = 0.2
+
 const (
 	// peerConnectTimeout bounds opening a connection to another node.
 	peerConnectTimeout = records.ConnectTimeout
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -130,6 +130,7 @@
 	m.crashReporter = newCrashReporter(m.platform.Members(), m.cfg.NodeID, m.rateLimited, m.logger, m.gossiper.Publish)
 	m.upstream = proxy.NewUpstream(noIdempotencyKeys{})
 	m.upstream.SetDialect(m.platform)
+	m.upstream.SetReadBudget(int64(readMemoryShare * float64(m.cfg.Resources.MemoryMB) * (1 << 20)))
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
 	m.local = &localUpstream{mesh: m}
 	m.node = node.New(node.Config{
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -55,6 +55,9 @@
 	// onQueued is called when a call is queued; may be nil.
 	onQueued func()
 
+	// reading bounds the response bodies that are being read; nil does not.
+	reading *h1.Budget
+
 	mu      sync.Mutex
 	pool    *h1.Pool
 	running map[string]*lifetime.Context
@@ -67,7 +70,7 @@
 	return &Upstream{
 		claimer:   claimer,
 		dialect:   defaultDialect{},
-		pool:      newUpstreamPool(""),
+		pool:      newUpstreamPool("", nil),
 		running:   make(map[string]*lifetime.Context),
 		byRequest: make(map[string]string),
 	}
@@ -76,19 +79,24 @@
 // newUpstreamPool returns a pool that uses all its connections round robin. The upstream has at least
 // as many slots as there are connections, and a connection that is reopened after low load may use up
 // a slot.
-func newUpstreamPool(addr string) *h1.Pool {
+func newUpstreamPool(addr string, reading *h1.Budget) *h1.Pool {
 	return h1.NewPool(addr, h1.Config{
 		Dial:         conns.DetectDeadPath(&net.Dialer{Timeout: upstreamDialTimeout}, upstreamPathTimeout).DialContext,
 		Idle:         upstreamIdleTimeout,
 		MaxIdleConns: maxIdleUpstreamConns,
 		MaxBody:      maxResponseBody,
 		RoundRobin:   true,
+		Budget:       reading,
 	})
 }
 
 // SetDialect sets the dialect of the upstream. It must be called before the first call.
 func (u *Upstream) SetDialect(d Dialect) { u.dialect = d }
 
+// SetReadBudget bounds the memory in bytes for responses of the upstream that are being read. It must be
+// called before SetAddr.
+func (u *Upstream) SetReadBudget(bytes int64) { u.reading = h1.NewBudget(bytes) }
+
 // OnQueued sets the function that is called when a call is queued. It must be set before the first
 // call and must not block.
 func (u *Upstream) OnQueued(f func()) { u.onQueued = f }
@@ -110,7 +118,7 @@
 func (u *Upstream) SetAddr(addr string) {
 	u.mu.Lock()
 	old := u.pool
-	u.pool = newUpstreamPool(addr)
+	u.pool = newUpstreamPool(addr, u.reading)
 	u.mu.Unlock()
 	old.Close()
 }
@@ -341,7 +349,7 @@
 	case h1.StageBody:
 		return result.Refuse(result.AnswerCut, "response of the upstream ended early: %v", exchangeErr.Cause)
 	case h1.StageTooLarge:
-		return result.Refuse(result.AnswerCut, "response of the upstream exceeds %d bytes: %v", maxResponseBody, exchangeErr.Cause)
+		return result.Refuse(result.AnswerCut, "response of the upstream is too large: %v", exchangeErr.Cause)
 	case h1.StageMismatch:
 		return result.Refuse(result.AnswerMismatch, "upstream responded to another call: %v", exchangeErr.Cause)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -220,6 +220,9 @@
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
+	if held := s.cfg.Limits.HeldBytes; held > 0 {
+		s.upstream.SetReadBudget(int64(held))
+	}
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
 	s.announce = &announcementHandler{server: s}
 	s.control.createPlane()
