A departure without a start time stands for every process of its ID until then

Cause: a deregistration bears no start time, reports may. One that a restarted node hears before it has read its predecessor's record was noted as a process without a start time, and a late report of the same process, with one, passed. Change: a noted departure without a start time counts for all processes of that ID that started until it came; a later start under the same ID serves.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -100,7 +101,7 @@
 	must.EqOp(t, Started, u.Apply(report("old", 100, 5)))
 	must.EqOp(t, Started, u.Apply(report("new", 200, 1)))
 	must.EqOp(t, Outdated, u.Apply(report("old", 100, 6)))
-	must.EqOp(t, Outdated, u.Departed("old", 100))
+	must.EqOp(t, Outdated, u.Departed(time.UnixMilli(150), "old", 100))
 	got, serving := u.Current()
 	must.EqOp(t, "new", got.ID)
 	must.True(t, serving)
@@ -127,7 +128,7 @@
 	must.EqOp(t, Left, u.Apply(leaving))
 	must.EqOp(t, Outdated, u.Apply(report("u", 100, 49)))
 	must.EqOp(t, Started, u.Apply(report("u", 200, 1)))
-	must.EqOp(t, Outdated, u.Departed("u", 100))
+	must.EqOp(t, Outdated, u.Departed(time.UnixMilli(150), "u", 100))
 	_, serving := u.Current()
 	must.True(t, serving)
 }
@@ -137,7 +138,7 @@
 func TestLeavingIsFinal(t *testing.T) {
 	var u LocalUpstream
 	u.Apply(report("u", 100, 1))
-	must.EqOp(t, Left, u.Departed("u", 0))
+	must.EqOp(t, Left, u.Departed(time.UnixMilli(150), "u", 0))
 	must.EqOp(t, Unchanged, u.Apply(report("u", 100, 2)))
 	resized := report("u", 100, 3)
 	resized.Slots++
--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -31,7 +32,7 @@
 	for _, startedAt := range []int64{0, 100} {
 		u := &LocalUpstream{}
 		u.Apply(report("u", startedAt, 7))
-		must.EqOp(t, Left, u.Departed("u", startedAt))
+		must.EqOp(t, Left, u.Departed(time.UnixMilli(150), "u", startedAt))
 		for range 3 {
 			u = restart(t, u)
 			must.NotEqOp(t, Started, u.Apply(report("u", startedAt, 6)))
@@ -45,26 +46,36 @@
 }
 
 // Guards against new work for a process whose departure is the first that a restarted node hears of it.
+// Departures may lack the start time that reports have.
 func TestDepartureBeforeTheFirstReport(t *testing.T) {
-	for _, startedAt := range []int64{0, 100} {
+	for _, x := range []struct{ reported, departed int64 }{{0, 0}, {100, 100}, {100, 0}} {
 		u := &LocalUpstream{}
-		must.EqOp(t, Noted, u.Departed("u", startedAt))
-		must.EqOp(t, Outdated, u.Departed("u", startedAt))
-		must.EqOp(t, Outdated, u.Apply(report("u", startedAt, 6)))
-		must.False(t, u.Adopt(report("u", startedAt, 0)))
+		must.EqOp(t, Noted, u.Departed(time.UnixMilli(150), "u", x.departed))
+		must.EqOp(t, Outdated, u.Departed(time.UnixMilli(150), "u", x.departed))
+		must.EqOp(t, Outdated, u.Apply(report("u", x.reported, 6)))
+		must.False(t, u.Adopt(report("u", x.reported, 0)))
 		u = restart(t, u)
-		must.EqOp(t, Outdated, u.Apply(report("u", startedAt, 6)))
-		must.EqOp(t, Started, u.Apply(report("v", 2*startedAt, 1)))
-		must.EqOp(t, Outdated, u.Departed("u", startedAt))
+		must.EqOp(t, Outdated, u.Apply(report("u", x.reported, 6)))
+		must.EqOp(t, Started, u.Apply(report("v", 2*x.reported, 1)))
+		must.EqOp(t, Outdated, u.Departed(time.UnixMilli(150), "u", x.departed))
 		_, serving := u.Current()
 		must.True(t, serving)
 	}
 }
 
+// Guards against a process that stays out of service because an earlier one with its ID departed.
+func TestSameIDStartsAfterANotedDeparture(t *testing.T) {
+	u := &LocalUpstream{}
+	must.EqOp(t, Noted, u.Departed(time.UnixMilli(150), "u", 0))
+	u = restart(t, u)
+	must.EqOp(t, Outdated, u.Apply(report("u", 100, 6)))
+	must.EqOp(t, Started, u.Apply(report("u", 200, 1)))
+}
+
 // Guards against new work for a process that departed before the record that names it was read.
 func TestDepartureBeforeTheRecord(t *testing.T) {
 	u := &LocalUpstream{}
-	must.EqOp(t, Noted, u.Departed("u", 100))
+	must.EqOp(t, Noted, u.Departed(time.UnixMilli(150), "u", 0))
 	must.EqOp(t, Left, u.Restore(History{Process: routing.Process{ID: "u", StartedAt: 100}}))
 	must.NotEqOp(t, Started, u.Apply(report("u", 100, 6)))
 	must.False(t, u.Adopt(report("u", 0, 0)))
@@ -128,7 +139,10 @@
 			case 0:
 				u = restart(t, u)
 			case 1:
-				u.Departed(id, startedAt)
+				if n == current && rapid.Bool().Draw(t, "departs without its start time") {
+					startedAt = 0
+				}
+				u.Departed(time.UnixMilli(int64(100*(n+1)+50)), id, startedAt)
 				left[n] = true
 			case 2: // the next process starts and reports
 				current++
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -63,8 +63,9 @@
 	adopted bool
 	// restored is true for a process that is known from a History alone.
 	restored bool
-	// predecessors are processes that will not be current again, oldest first. If upstreams do not
-	// report their start time, this list is the only way to recognise reports of an old process.
+	// predecessors are processes that will not be current again, oldest first; each stands for all
+	// processes with its ID that started no later. If upstreams do not report their start time, this
+	// list is the only way to recognise reports of an old process.
 	predecessors []routing.Process
 }
 
@@ -139,11 +140,15 @@
 func (u *LocalUpstream) sameProcess(r Report) bool { return r.process() == u.latest.process() }
 
 func (u *LocalUpstream) isPredecessor(p routing.Process) bool {
-	return slices.Contains(u.predecessors, p)
+	return slices.ContainsFunc(u.predecessors, func(q routing.Process) bool {
+		return q.ID == p.ID && p.StartedAt <= q.StartedAt
+	})
 }
 
 func (u *LocalUpstream) addPredecessor(p routing.Process) {
-	if u.isPredecessor(p) {
+	sameID := slices.IndexFunc(u.predecessors, func(q routing.Process) bool { return q.ID == p.ID })
+	if sameID >= 0 {
+		u.predecessors[sameID].StartedAt = max(u.predecessors[sameID].StartedAt, p.StartedAt)
 		return
 	}
 	u.predecessors = append(u.predecessors, p)
@@ -182,17 +187,21 @@
 	return Unchanged
 }
 
-// Departed records that the process with this ID and start time has ended or is about to.
+// Departed records at a time that the process with this ID and start time has ended or is about to.
 // startedAt is in Unix milliseconds; 0 if the start time was not reported.
-func (u *LocalUpstream) Departed(id string, startedAt int64) Change {
-	switch {
-	case u.known && u.latest.ID == id && (startedAt == 0 || startedAt >= u.latest.StartedAt):
+func (u *LocalUpstream) Departed(at time.Time, id string, startedAt int64) Change {
+	if u.known && u.latest.ID == id && (startedAt == 0 || startedAt >= u.latest.StartedAt) {
 		return u.leave(startedAt)
-	case startedAt != 0 && startedAt < u.latest.StartedAt, u.isPredecessor(routing.Process{ID: id, StartedAt: startedAt}):
+	}
+	if startedAt == 0 {
+		startedAt = at.UnixMilli() // it started no later than that
+	}
+	process := routing.Process{ID: id, StartedAt: startedAt}
+	if startedAt < u.latest.StartedAt || u.isPredecessor(process) {
 		return Outdated
 	}
 	// The process has not reported since the node's start, but a delayed report of it may arrive.
-	u.addPredecessor(routing.Process{ID: id, StartedAt: startedAt})
+	u.addPredecessor(process)
 	return Noted
 }
 
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -193,7 +193,7 @@
 func (l *localUpstream) depart(id string, startedAt int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch l.known.Departed(id, startedAt) {
+	switch l.known.Departed(l.mesh.node.Now(), id, startedAt) {
 	case fleet.Left:
 		r, _ := l.known.Current()
 		l.onLeft(r, "departed")
@@ -219,7 +219,7 @@
 		return // another process is in service by now
 	}
 	r, _ := l.known.Current()
-	if l.known.Departed(r.ID, l.mesh.node.Guard().Process().StartedAt) == fleet.Left {
+	if l.known.Departed(l.mesh.node.Now(), r.ID, l.mesh.node.Guard().Process().StartedAt) == fleet.Left {
 		l.onLeft(r, "response")
 	}
 }
