Records of other nodes count as the node's own zone only without the store

Cause: found by reading. A restarted node takes its upstream's reports once its zone's records are known, from the store or from another node that introduces itself. That node may lag behind the store by its batch of records, so a departure that was acknowledged just before the restart could be missed, and the own record then written over the newer one. Change: a restarted node always reads its zone from the store first; records of other nodes count once that read has failed. A later record of the previous process still applies when it comes.

--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -31,8 +31,10 @@
 	if m.cfg.FirstStart {
 		m.awaitFirstReports(ctx)
 	}
-	if !m.members.isInitialized() {
-		_ = m.readZone(ctx) // logged; the follower reads all records
+	if !m.members.isInitialized() || !m.cfg.FirstStart {
+		if err := m.readZone(ctx); err != nil {
+			m.members.acceptPeers() // the follower reads all records, perhaps through one of them
+		}
 	}
 	if m.cfg.FirstStart {
 		m.introduceToZone(ctx)
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -42,6 +42,8 @@
 	// predecessors holds the newest record of a previous process of the node, which registry replaces
 	// by the own one.
 	predecessors *fleet.Registry
+	// peersSuffice is set once the store could not be read (see acceptPeers).
+	peersSuffice bool
 	// ownZoneRead is closed when the records of the node's zone were read once, the one of its previous
 	// process among them.
 	ownZoneRead chan struct{}
@@ -207,11 +209,29 @@
 
 // mergeRecords merges the records fetched from another node; invalid ones are skipped.
 func (m *members) mergeRecords(records []fleet.Member, from string) {
-	m.onOwnZoneRead(m.merge(records, from))
+	predecessor, suffices := m.merge(records, from)
+	if suffices {
+		m.onOwnZoneRead(predecessor)
+	} else if predecessor != nil {
+		m.onPredecessor(*predecessor)
+	}
+}
+
+// acceptPeers makes the records of other nodes count as those of the node's zone, because the store
+// could not be read. Other nodes may not have the newest ones yet.
+func (m *members) acceptPeers() {
+	m.mu.Lock()
+	m.peersSuffice = true
+	initialized := m.initialized
+	m.mu.Unlock()
+	if initialized {
+		m.onOwnZoneRead(nil)
+	}
 }
 
-// merge merges records and returns the newest one of a previous process of the node, if it is new.
-func (m *members) merge(records []fleet.Member, from string) (predecessor *fleet.Member) {
+// merge merges records and returns the newest one of a previous process of the node, if it is new, and
+// whether the records count as those of the node's zone.
+func (m *members) merge(records []fleet.Member, from string) (predecessor *fleet.Member, suffices bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.setInitializedLocked()
@@ -232,7 +252,7 @@
 	if updated > 0 {
 		m.onChange(m.registry)
 	}
-	return predecessor
+	return predecessor, m.peersSuffice
 }
 
 // isInitialized reports whether the records of the deployment were read once.
