Start times of a previous node's upstream are not compared across IDs

Cause: found by reading. What a restarted node restores from its predecessor's record may be of a VM that was replaced by another one, whose clock may be behind. Its upstream's reports were then older than the recorded process and ignored for the life of the node. A record read late could also drop the living process, or list it among the replaced ones, because a delayed report of its predecessor had come first. Tests failed before: TestStartTimesOfAnotherVMAreNotCompared, TestLivingProcessServesAfterALateRecord.

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -116,13 +116,21 @@
 		return u.start(r)
 	case u.sameProcess(r):
 		return u.update(r)
-	case r.StartedAt < u.latest.StartedAt:
+	case u.precedes(r.process()):
 		return Outdated
 	}
 	u.addPredecessor(u.latest.process())
 	return u.start(r)
 }
 
+// precedes reports whether a process started before the current one. Start times of different IDs are
+// not compared with one that is known from a History alone: the VM may have been replaced by one with
+// another clock.
+func (u *LocalUpstream) precedes(p routing.Process) bool {
+	comparable := !u.restored || p.ID == u.latest.ID
+	return comparable && p.StartedAt < u.latest.StartedAt
+}
+
 // confirmAdopted completes an adopted process by its first report.
 func (u *LocalUpstream) confirmAdopted(r Report) {
 	if !u.adopted {
@@ -197,7 +205,7 @@
 		startedAt = at.UnixMilli() // it started no later than that
 	}
 	process := routing.Process{ID: id, StartedAt: startedAt}
-	if startedAt < u.latest.StartedAt || u.isPredecessor(process) {
+	if u.precedes(process) || u.isPredecessor(process) {
 		return Outdated
 	}
 	// The process has not reported since the node's start, but a delayed report of it may arrive.
