A departure without a start time binds later starts that the record lacks

Callers saw: requests reach an upstream that departed (88 in a second). Cause: a node is killed before its record of the upstream's current start is in the store, reads the record of an earlier start under the same ID, and hears the departure, which bears no start time. It marked the recorded start as left, and a delayed report of the current one, with a later start time, passed. Change: a departure without a start time, of a process that this node knows from a record or by adoption alone, counts for all starts under that ID until it came. Test failed before: TestDepartureWithAnOlderRecord.

--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// Guards against new work for a process that departed without its start time, while the record that its
+// restarted node has read is of an earlier start under the same ID.
+func TestDepartureWithAnOlderRecord(t *testing.T) {
+	for _, adopted := range []bool{false, true} {
+		for _, recorded := range []int64{0, 100} {
+			u := &LocalUpstream{}
+			u.Restore(History{Process: routing.Process{ID: "u", StartedAt: recorded}})
+			if adopted {
+				must.True(t, u.Adopt(report("u", recorded, 0)))
+			}
+			must.EqOp(t, Left, u.Departed(time.UnixMilli(250), "u", 0))
+			must.NotEqOp(t, Started, u.Apply(report("u", 200, 6)))
+			must.NotEqOp(t, Started, u.Apply(report("u", recorded, 6)))
+			next := restart(t, u)
+			must.NotEqOp(t, Started, next.Apply(report("u", 200, 7)))
+			must.EqOp(t, Started, u.Apply(report("v", 0, 1)))
+			must.EqOp(t, Started, next.Apply(report("u", 300, 1)))
+		}
+	}
+}
+
 // Guards against a process that stays out of service because an earlier one with its ID departed.
 func TestSameIDStartsAfterANotedDeparture(t *testing.T) {
 	u := &LocalUpstream{}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -199,6 +199,10 @@
 // startedAt is in Unix milliseconds; 0 if the start time was not reported.
 func (u *LocalUpstream) Departed(at time.Time, id string, startedAt int64) Change {
 	if u.known && u.latest.ID == id && (startedAt == 0 || startedAt >= u.latest.StartedAt) {
+		if startedAt == 0 && (u.restored || u.adopted) {
+			// The record may be of an earlier start under the same ID: none until now may serve.
+			startedAt, u.restored = max(at.UnixMilli(), u.latest.StartedAt), true
+		}
 		return u.leave(startedAt)
 	}
 	if startedAt == 0 {
