Words of the review's fixes: paused, not standing still; a counter is no clock

Cause: read as a newcomer: "stood still" is nobody's term, dedup says that it reads no clock and has a field of that name, and a comment of retry.Decide says that a guard keeps a call as long as it lives, which is not so. Change: comments and an unexported field; no decision. Measured: tests of dedup, node, retry, proxy and sourcecheck green.

--- a/internal/dedup/dedup.go
+++ b/internal/dedup/dedup.go
@@ -2,7 +2,7 @@
 //
 // A guard keeps the ID of a finished call for a limited time only, so that an unknown ID does not show
 // that the call is new: a second transmission may arrive after any delay, for example after one of the
-// two nodes stood still. Senders therefore number their calls, and the guard keeps for each sender the
+// two processes was paused. Senders therefore number their calls, and the guard keeps for each sender the
 // highest number that it forgot. An unknown call with a higher number was never here. The decision
 // compares no clocks.
 //
@@ -27,8 +27,8 @@
 // forgotten is what was forgotten of one sender.
 type forgotten struct {
 	highest uint64
-	// at is the value of Forgotten.clock at the last Add.
-	at uint64
+	// addedAt is the value of Forgotten.adds after the last Add.
+	addedAt uint64
 }
 
 // Forgotten holds the highest forgotten number of each sender. The zero value is not usable; it is not
@@ -36,8 +36,8 @@
 type Forgotten struct {
 	maxSenders int
 	senders    map[Sender]forgotten
-	// clock counts the calls of Add, which orders senders by their last one.
-	clock uint64
+	// adds counts the calls of Add, which orders senders by their last one.
+	adds uint64
 	// evicted is set once a sender was dropped to stay within maxSenders; evictedHighest is the
 	// highest forgotten number of the dropped ones.
 	evicted        bool
@@ -51,12 +51,12 @@
 
 // Add records that the ID of a call is no longer kept.
 func (f *Forgotten) Add(o Origin) {
-	f.clock++
+	f.adds++
 	entry, known := f.senders[o.Sender]
 	if !known && len(f.senders) >= f.maxSenders {
 		f.evictOldest()
 	}
-	f.senders[o.Sender] = forgotten{highest: max(entry.highest, o.Number), at: f.clock}
+	f.senders[o.Sender] = forgotten{highest: max(entry.highest, o.Number), addedAt: f.adds}
 }
 
 // Covers reports whether a call may be among the forgotten ones of the senders that are still held.
@@ -73,10 +73,10 @@
 // evictOldest drops the sender whose last Add is longest ago, most likely an ended process.
 func (f *Forgotten) evictOldest() {
 	var oldest Sender
-	oldestAt := f.clock
+	oldestAt := f.adds
 	for sender, entry := range f.senders {
-		if entry.at < oldestAt {
-			oldest, oldestAt = sender, entry.at
+		if entry.addedAt < oldestAt {
+			oldest, oldestAt = sender, entry.addedAt
 		}
 	}
 	f.evicted = true
--- a/internal/node/recall.go
+++ b/internal/node/recall.go
@@ -16,7 +16,7 @@
 
 // recall prevents a call that is not idempotent from running a second time after the guard has
 // forgotten its ID. One of the two transmissions of a call can arrive at any time after the other: a
-// process may have stood still, or the bytes waited in a connection.
+// process may have been paused, or the bytes waited in a connection.
 type recall struct {
 	// finished are the forgotten calls. Only a re-attachment is compared with it: a first
 	// transmission may be overtaken by later calls of its sender.
--- a/internal/node/recall_test.go
+++ b/internal/node/recall_test.go
@@ -25,7 +25,7 @@
 }
 
 // Guards against a call that runs a second time by a re-attachment that arrives after the guard forgot
-// the call, for example because its sender stood still.
+// the call, for example because its sender was paused.
 func TestReattachmentOfAForgottenCallDoesNotRun(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Second, 9 * time.Second, 11 * time.Second, time.Minute} {
 		runner := &fakeRunner{}
--- a/internal/proxy/peercall.go
+++ b/internal/proxy/peercall.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxTimerDelay is the delay of a timer above which this process, or its VM, stood still.
+	// maxTimerDelay is the delay of a timer above which this process, or its VM, was paused.
 	maxTimerDelay = 500 * time.Millisecond
 	// firstResponseGrace is how long a response of the first transmission may still arrive after the
 	// guard could not repeat it. A lost packet is sent again within that time.
@@ -73,7 +73,7 @@
 	c.reattachTimer = time.AfterFunc(wait, c.onReattachTimer)
 }
 
-// onReattachTimer re-attaches the call. A timer that fires late shows that this process stood still:
+// onReattachTimer re-attaches the call. A timer that fires late shows that this process was paused:
 // the guard may have responded long ago, and the response gets the usual time to be read.
 func (c *peerCall) onReattachTimer() {
 	c.mu.Lock()
--- a/internal/proxy/reattach_test.go
+++ b/internal/proxy/reattach_test.go
@@ -212,7 +212,7 @@
 func (c *jumpingClock) Now() time.Time { return time.Now().Add(time.Duration(c.jump.Load())) }
 
 // Guards against re-attachments of all calls under way, and new connections for them, when a process
-// goes on after it stood still.
+// continues after a pause.
 func TestOverdueTimerDoesNotReattach(t *testing.T) {
 	clock := &jumpingClock{}
 	n := node.New(node.Config{Identity: node.Identity{Node: "n", Incarnation: 1}, Clock: clock})
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -173,9 +173,8 @@
 	return RetryOtherNode, wait
 }
 
-// decideOutcomeUnknown first re-attaches to the same guard with the same call ID. A guard keeps the
-// call for as long as its incarnation is the same, so this runs nothing twice, even if the call is
-// not idempotent.
+// decideOutcomeUnknown first re-attaches to the same guard with the same call ID. A guard that may have
+// forgotten the call runs it again only if it is idempotent.
 func decideOutcomeUnknown(a Attempt, p Policy) (Action, time.Duration) {
 	if a.SameIncarnation && !a.Reattached {
 		return Reattach, 0
