--- a/review/.standins-2/node.go
+++ b/review/.standins-2/node.go
@@ -46,6 +46,7 @@
 	control, metrics    string
 	store               string
 	dir                 string
+	memoryMB            int
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -58,7 +59,7 @@
 
 func newVM(rec *recorder, name, zone, service, store, dir string) *vm {
 	return &vm{
-		record: rec, name: name, zone: zone, service: service, store: store, dir: dir,
+		record: rec, name: name, zone: zone, service: service, store: store, dir: dir, memoryMB: 284,
 		app: freeAddr(), outbound: freeAddr(), inbound: freeAddr(), ready: freeAddr(), control: freeAddr(), metrics: freeAddr(),
 	}
 }
@@ -71,7 +72,7 @@
 		"listen":           map[string]any{"callers": v.outbound, "inner": v.inbound, "ready": v.ready, "announce": v.control, "metrics": v.metrics},
 		"store":            map[string]any{"address": v.store, "record_bytes": 262144},
 		"upstream":         map[string]any{"report_interval": "1500ms"},
-		"resources":        map[string]any{"memory_mb": 284, "descriptors": 4100},
+		"resources":        map[string]any{"memory_mb": v.memoryMB, "descriptors": 4100},
 		"stop":             map[string]any{"grace": "6s"},
 		"retries":          map[string]any{"ratio": 0.2, "floor": 48, "window": "10s"},
 		"balance":          map[string]any{"hand_back": true, "speeds": true, "zones": true},
