--- a/review/.standins-2/stop.go
+++ b/review/.standins-2/stop.go
@@ -17,8 +17,8 @@
 	stopGrace = 6 * time.Second
 	// letterLimit is the route's timeout of letters, clientLimit their time limit.
 	letterLimit, clientLimit = 2 * time.Second, 5 * time.Second
-	// lettersEvery is the pause between two letters at a machine: 471 a second at 76 machines.
-	lettersEvery = 161 * time.Millisecond
+	// lettersEvery is the pause between two letters at a machine: 150 a second at the 15 machines of the zone.
+	lettersEvery = 100 * time.Millisecond
 	stopRounds   = 9
 	roundLength  = 10400 * time.Millisecond
 	// batch and batchGap are x and gap_s of roll_term in the site file.
@@ -57,14 +57,14 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// stopCase stops the six nodes of a zone as planned work, four and then two, again and again, while clients send letters through them.
+// stopCase stops the seven nodes of a zone as planned work, four and then three, again and again, while clients send letters through them.
 func stopCase(rec *recorder, dir string, trouble bool) int {
 	s := startStore(rec)
 	var vms []*vm
 	for _, x := range []struct {
 		zone, service string
 		count         int
-	}{{"kurume", "archive", 6}, {"saga", "letters", 7}} {
+	}{{"yame", "archive", 7}, {"saga", "letters", 8}} {
 		for i := range x.count {
 			vms = append(vms, newVM(rec, fmt.Sprintf("sidecar-%s-%d", x.zone, i+1), x.zone, x.service, s.addr, dir))
 		}
@@ -80,7 +80,7 @@
 	}
 	time.Sleep(8 * time.Second)
 
-	stopping := vms[:6]
+	stopping := vms[:7]
 	load := startLetters(ctx, rec, stopping, vms)
 	var terms []term
 	for range stopRounds {
