Review stand-ins: nodes end with the driver that started them

Change: each node is started with a signal for the death of its parent, from a thread that lives as long as the node. Conclusion: no check or dose is changed.

--- a/review/.standins-2/node.go
+++ b/review/.standins-2/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -95,18 +96,27 @@
 	cmd := exec.Command("target/galenad", "mesh")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.dir, "GALENAGRADE_NODE_FILE=" + v.settings(first)}
 	cmd.Stdout, cmd.Stderr = log, log
-	check(cmd.Start())
-	exited := make(chan struct{})
-	v.mu.Lock()
-	v.process, v.exited, v.termAt = cmd, exited, time.Time{}
-	v.mu.Unlock()
-	v.record.log("%s: node starts", v.name)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started, exited := make(chan error), make(chan struct{})
 	go func() {
-		err := cmd.Wait()
+		// The kernel sends the signal when the thread that started the process ends.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := cmd.Start()
+		started <- err
+		if err != nil {
+			return
+		}
+		err = cmd.Wait()
 		_ = log.Close()
 		v.record.log("%s: node ended (%v)", v.name, err)
 		close(exited)
 	}()
+	check(<-started)
+	v.mu.Lock()
+	v.process, v.exited, v.termAt = cmd, exited, time.Time{}
+	v.mu.Unlock()
+	v.record.log("%s: node starts", v.name)
 }
 
 func (v *vm) signal(s syscall.Signal) {
