Take no request that may outlast a stop

While fewer than half of a zone's nodes are ready, callers go on sending to stopping ones. A node took their requests until 0.7 of its grace and closed all connections 0.4 s before its end, and nothing compared the 1.4 s between with what a request may take.

Change: node.StopWindow. Once callers had time to notice, a request is taken only if its time limit, or 1.25 times the longest recent time of its route, ends before the stop; the others get 503 with the time until the successor serves. What is taken carries the end to the guard's queue and to the upstream, so that one that takes unusually long ends it and its answer still arrives. What waits 0.1 s before the connections close is answered by the node.

A plain rule by the time limit alone was ruled out by TestStopUnderLoadLosesNoCalls: short work with long limits would be refused for half of the grace.

--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -101,6 +101,7 @@
 	inner.HandleFunc("POST "+overviewPath, m.overview.serveReport)
 	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
 	s.callers = m.newServer(m.withConnectionClose(callers))
+	s.callers.BaseContext = func(net.Listener) context.Context { return m.callersCtx }
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
 	s.callers.MaxHeaderBytes = maxHeaderBytes
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -64,9 +64,12 @@
 	servers   servers
 	stopping  atomic.Bool
 	// ctx is canceled when the node stops.
-	ctx        context.Context
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	// callersCtx is the context of all requests of callers. giveUpCallers ends it.
+	callersCtx    context.Context
+	giveUpCallers context.CancelFunc
+	goroutines    sync.WaitGroup
 }
 
 type systemClock struct{}
@@ -98,6 +101,7 @@
 	m.successTrees.Budget, m.failureTrees.Budget = cfg.Logging.Burst, cfg.Logging.Burst
 	m.tunable.Store(cfg)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.callersCtx, m.giveUpCallers = context.WithCancel(context.Background())
 	if err := m.listeners.open(cfg); err != nil {
 		return nil, errors.Wrap(err, "start node")
 	}
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/timeline"
 )
 
@@ -19,6 +20,8 @@
 	// stopReserve is the part of the grace that is reserved for the end of the process: 2 times
 	// the time that the last log lines may take.
 	stopReserve = 400 * time.Millisecond
+	// answerReserve is the time for writing the last responses before the connections are closed.
+	answerReserve = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping node checks whether callers wait for a response.
 	stopPollInterval = 20 * time.Millisecond
 	// quietPeriod is the time without a waiting caller after which the node stops.
@@ -41,6 +44,10 @@
 	grace := m.Settings().Stop.Grace.Std()
 	end := started.Add(grace - stopReserve)
 	m.node.Guard().SetStopTime(end)
+	window := stopWindow(started, grace, end)
+	m.proxy.BeginStop(window)
+	giveUp := time.AfterFunc(time.Until(window.AnswerBy), m.answerCallers)
+	defer giveUp.Stop()
 	m.awaitNoCallers(started, started.Add(time.Duration((1-responseShare)*float64(grace))))
 	m.node.Guard().Drain(m.node.Now())
 	cut := m.shutdownServers(end)
@@ -48,6 +55,21 @@
 	return cut
 }
 
+// stopWindow returns what a node accepts from callers until its process ends. With a short grace callers
+// have half of it to notice.
+func stopWindow(started time.Time, grace time.Duration, end time.Time) node.StopWindow {
+	return node.StopWindow{NoticedAt: started.Add(min(stopNotice, grace/2)), AnswerBy: end.Add(-answerReserve)}
+}
+
+// answerCallers gives up the requests that still wait, since an answer that says so is better than a
+// closed connection.
+func (m *Mesh) answerCallers() {
+	if pending := m.proxy.PendingRoots(); pending > 0 {
+		m.logger.Warn().Int("requests", pending).Msg("stop grace is nearly over; requests without a response are answered now")
+	}
+	m.giveUpCallers()
+}
+
 // Kill stops the node at once, as if its process ended.
 func (m *Mesh) Kill() {
 	m.stopping.Store(true)
@@ -102,6 +124,7 @@
 		}
 	}
 	m.cancel()
+	m.giveUpCallers()
 	m.peers.Close()
 	m.upstream.Close()
 	m.servers.control.CloseIdleConnections()
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,10 +55,24 @@
 	// HandBacks is how many times the call may be handed back while it waits; 0 if its sender does
 	// not take it back.
 	HandBacks int
+	// FinishBy is when the upstream has to respond because the node that took the request stops; zero if
+	// that is not before the deadline.
+	FinishBy time.Time
 	// Spare is what the sender knows of free slots at the upstreams of the service; sent only with HandBacks.
 	Spare handback.SpareSlots
 }
 
+// EndsBy returns the time after which the response of the upstream is of no use.
+func (c *Call) EndsBy() time.Time {
+	if !c.FinishBy.IsZero() && c.FinishBy.Before(c.Ctx.Deadline) {
+		return c.FinishBy
+	}
+	return c.Ctx.Deadline
+}
+
+// Remaining returns the time until EndsBy; 0 after it.
+func (c *Call) Remaining(now time.Time) time.Duration { return max(0, c.EndsBy().Sub(now)) }
+
 // HashBody returns the hash by which two bodies sent with the same key are compared.
 func HashBody(body []byte) uint64 { return xxhash.Sum64(body) }
 
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -115,7 +115,7 @@
 		d.pause = 0
 		return Action{Kind: ActionPause, Pause: pause}
 	}
-	if d.call.Ctx.Remaining(now) <= 0 {
+	if d.call.Remaining(now) <= 0 {
 		d.settle(Refused(d.call.Ctx.CallID, result.Refuse(result.DeadlineTooNear, "the deadline passed before an upstream was chosen")))
 		return Action{Kind: ActionDone, Response: d.finalResponse}
 	}
@@ -257,7 +257,7 @@
 		Code:       a.Code,
 		AllFull:    a.Refusal.AllFull,
 		Idempotent: d.call.Ctx.Idempotent,
-		Remaining:  d.call.Ctx.Remaining(now),
+		Remaining:  d.call.Remaining(now),
 		Owner:      a.Refusal.Owner,
 		MayHaveRun: d.maybeRanResponse != nil && d.maybeRanResponse != a,
 		Number:     d.retries,
@@ -330,7 +330,7 @@
 	if a.Code != result.Quarantined || !inFlight || d.waitedForSuspect || wait <= 0 {
 		return false
 	}
-	if d.call.Ctx.Remaining(now) < 2*wait || !d.account.Spend() {
+	if d.call.Remaining(now) < 2*wait || !d.account.Spend() {
 		return false
 	}
 	d.waitedForSuspect = true
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -188,7 +188,7 @@
 		ID:              call.Ctx.CallID,
 		Level:           call.Ctx.Level,
 		CallerHash:      call.Ctx.CallerHash,
-		Deadline:        call.Ctx.Deadline,
+		Deadline:        call.EndsBy(),
 		RootAdmitted:    call.Ctx.RootAdmitted,
 		Depth:           call.Ctx.Depth,
 		HasPriorWork:    call.HasPriorWork,
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -159,7 +159,7 @@
 
 // leaveRefusal returns the refusal of a call that left the queue before it ran.
 func leaveRefusal(now time.Time, call *Call) *result.Refusal {
-	if call.Ctx.Remaining(now) <= 0 {
+	if call.Remaining(now) <= 0 {
 		return result.Refuse(result.DeadlineTooNear, "the deadline passed while the call waited")
 	}
 	return result.Refuse(result.Cancelled, "the caller left")
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -16,7 +16,7 @@
 type Dialect interface {
 	// Prepare appends the header fields that are sent with the call, in addition to those in its Header
 	// and in place of those of the same names. It is called directly before the call is sent. remaining
-	// is the time until its deadline.
+	// is the time until the upstream has to respond.
 	Prepare(fields []h1.Field, call *node.Call, remaining time.Duration) []h1.Field
 	// Classify decides whether a response with this status and these headers belongs to the call.
 	Classify(status int, h http.Header, call *node.Call) h1.Verdict
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -44,6 +44,8 @@
 	headerCause = "Galena-Inner-Cause"
 	// headerHandBack carries Call.HandBacks and Call.Spare.
 	headerHandBack = "Galena-Inner-Hand-Back"
+	// headerFinishBy carries the time in milliseconds until Call.FinishBy if that is set.
+	headerFinishBy = "Galena-Inner-Finish-Ms"
 	// headerOrigin carries Call.Origin but for the sender's node: incarnation in hex and number.
 	headerOrigin = "Galena-Inner-Origin"
 	// headerConfig carries the version of the sender's routes in requests and responses. A node
@@ -77,6 +79,9 @@
 	if call.HandBacks > 0 {
 		fields = append(fields, h1.Field{Name: headerHandBack, Value: encodeHandBack(call, c.peers.node.Now())})
 	}
+	if !call.FinishBy.IsZero() {
+		fields = append(fields, h1.Field{Name: headerFinishBy, Value: encodeFinishBy(call, c.peers.node.Now())})
+	}
 	if call.Origin.Number > 0 {
 		fields = append(fields, h1.Field{Name: headerOrigin, Value: encodeOrigin(call.Origin)})
 	}
@@ -101,7 +106,7 @@
 }
 
 // maxInnerFields is the maximum number of header fields that roundTrip adds.
-const maxInnerFields = 11
+const maxInnerFields = 12
 
 func (c *peerCall) encodeCall(call *node.Call) string {
 	h := newCallHeader()
@@ -268,6 +273,7 @@
 		Allowance:    int(h.GetAllowance()),
 		CrashRecords: inner.CrashRecords(p.node.Now(), h.GetMarks()),
 		Reattach:     h.GetReattach(),
+		FinishBy:     decodeFinishBy(r.Header.Get(headerFinishBy), p.node.Now()),
 		Sampled:      h.GetHlc() != 0 || p.node.Sampled(h.GetRequestId()),
 	}
 	if !call.Ctx.Idempotent {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/lifetime"
@@ -41,6 +42,8 @@
 	reserving atomic.Bool
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
+	// stopWindow is set while the node stops.
+	stopWindow atomic.Pointer[node.StopWindow]
 	// rootsPending counts the requests of callers whose responses are not yet written.
 	rootsPending atomic.Int64
 }
@@ -120,6 +123,8 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	writer responseWriter
+	// usual is the longest time that such requests took recently; 0 if it is not known.
+	usual time.Duration
 }
 
 // responseWriter writes responses in the format of the requester.
@@ -131,6 +136,10 @@
 }
 
 func (p *Proxy) serve(ctx context.Context, ex exchange, call *node.Call, account *retry.Account) {
+	if refusal := p.admitWhileStopping(ex, call); refusal != nil {
+		ex.writer.writeRefusal(ex.w, call, refusal)
+		return
+	}
 	size := max(0, ex.r.ContentLength)
 	if refusal := p.gate.enter(size, call.Ctx.Depth == 0); refusal != nil {
 		ex.writer.writeRefusal(ex.w, call, refusal)
@@ -151,6 +160,10 @@
 		return
 	}
 	size += p.gate.addBytes(int64(len(body)) - size)
+	if refusal := p.admitWhileStopping(ex, call); refusal != nil { // the body may have taken long
+		ex.writer.writeRefusal(ex.w, call, refusal)
+		return
+	}
 	call.Method = ex.r.Method
 	call.Target = ex.r.RequestURI
 	if call.Routed {
--- a/internal/proxy/treegate.go
+++ b/internal/proxy/treegate.go
@@ -42,6 +42,8 @@
 	// shedding is the gate of the service that responses last named as shedding; nil if no response
 	// named one.
 	shedding atomic.Pointer[serviceGate]
+	// longest is the longest recent time from a request's header to its response.
+	longest recentMax
 	// named are the services that are asked for room.
 	named namedServices
 }
@@ -201,6 +203,9 @@
 	g.treeGates.observeReports(now, g.p.node.Table(), call.Ctx.Service)
 	g.p.node.ChildEnded(now, call, resp)
 	g.countEnded(call, resp.Code, now.Sub(g.startedAt))
+	if resp.Code.Ran() != result.RanNo {
+		g.gate.longest.observe(now, now.Sub(g.startedAt))
+	}
 	if !resp.Complete() {
 		explained := *resp
 		explained.Refusal = g.withShare(now, call, resp.Refusal)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -262,7 +262,7 @@
 		Target:  call.Target,
 		Host:    host,
 		Header:  call.Header,
-		Fields:  u.dialect.Prepare(out.fields[:0], call, call.Ctx.Remaining(u.node.Now())),
+		Fields:  u.dialect.Prepare(out.fields[:0], call, call.Remaining(u.node.Now())),
 		Body:    call.Body,
 		MaxBody: u.responseBodyLimit(call),
 		Classify: func(status int, h http.Header) h1.Verdict {
