Bound the memory of all bodies at a node together

Cause: callers got closed connections because the processes of two nodes exceeded their memory and were killed.

Change: membudget.Budget. What a large body takes comes back when the collector has freed it. A body without room has garbage collected, waits for a share of its request's time and is then refused as not run, before more of it is read; the rest is discarded so that the caller reads the refusal. A body that stalls is given up at its request's deadline. The server with its own interface uses the same.

A form with chunked bodies that grow in steps served none of 8 side by side once: each held what the others waited for; bodies above 1 MiB now take their limit at once and four at most wait while they hold some.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/lifetime"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 )
 
 const (
@@ -45,7 +46,7 @@
 	net.Conn
 	reader     *bufio.Reader
 	limited    limitedReader // what reader reads from
-	budget     *Budget
+	budget     *membudget.Budget
 	probe      *probe // nil if the connection has no socket
 	generation uint64
 	used       bool
@@ -58,7 +59,7 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
-func newConn(raw net.Conn, generation uint64, budget *Budget) (*conn, error) {
+func newConn(raw net.Conn, generation uint64, budget *membudget.Budget) (*conn, error) {
 	probe, err := newProbe(raw)
 	if err != nil {
 		_ = raw.Close()
--- a/internal/h1/limit.go
+++ b/internal/h1/limit.go
@@ -1,11 +1,14 @@
 package h1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
 	"strconv"
-	"sync/atomic"
+	"time"
+
+	"github.com/galenagrade/galenagrade/internal/membudget"
 )
 
 const (
@@ -17,48 +20,17 @@
 	framingPerByte = 8
 	// maxFramingBytes bounds the unused allowance for framing, which a trailer could use.
 	maxFramingBytes = 8 * maxHeadBytes
-	// unchargedBody is the size in bytes up to which a body takes nothing of the Budget. The number of
+	// unchargedBody is the size in bytes up to which a body takes nothing of the budget. The number of
 	// such bodies is bounded by that of the calls.
-	unchargedBody = 64 << 10
+	unchargedBody = membudget.SmallBody
+	// memoryPatience is how long a body waits for memory: garbage is collected within that time.
+	memoryPatience = 200 * time.Millisecond
 	// firstCapacity is the initial capacity in bytes for a body of unknown length.
 	firstCapacity = 4 << 10
 )
 
 var errTooManyBytes = errors.New("more bytes than a response may have")
 
-// Budget bounds the memory for response bodies that are being read, over all connections of a pool. A
-// nil Budget has no bound.
-//
-// Load pattern: a server in trouble sends bytes without end on several connections, and good responses
-// are read at the same time. A body may hold as much as is left afterwards: one alone gets half of the
-// budget, two a third each, and there is always room for smaller ones.
-type Budget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewBudget returns a budget of limit bytes.
-func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
-
-// take adds n bytes for a body that holds some already. It returns false if there is no room for them.
-func (b *Budget) take(held, n int64) bool {
-	if b == nil {
-		return true
-	}
-	used := b.used.Add(n)
-	if held+n > b.limit-used {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *Budget) release(n int64) {
-	if b != nil {
-		b.used.Add(-n)
-	}
-}
-
 // limitedReader reads from a connection until its allowance is used up.
 type limitedReader struct {
 	src io.Reader
@@ -110,12 +82,19 @@
 func (c *conn) readGrowing(src io.Reader, length, maxBody int64) ([]byte, error) {
 	var body []byte
 	var charged int64
-	defer func() { c.budget.release(charged) }()
+	complete := false
+	defer func() {
+		if complete && charged > 0 {
+			c.budget.ReleaseWhenFreed(body, charged)
+		} else {
+			c.budget.Release(charged)
+		}
+	}()
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			next := nextCapacity(int64(cap(body)), length, maxBody)
 			if next > unchargedBody {
-				if !c.budget.take(charged, next-charged) {
+				if !c.budget.TakeForResponse(context.Background(), charged, next-charged, memoryPatience) {
 					return nil, tooLarge("no memory for more than " + strconv.Itoa(len(body)) + " bytes of the body")
 				}
 				charged = next
@@ -131,11 +110,13 @@
 		case int64(len(body)) > maxBody:
 			return nil, tooLarge("body without Content-Length exceeds the limit")
 		case err == io.EOF && length < 0:
+			complete = true
 			return body, nil
 		case err != nil && int64(len(body)) != length:
 			return nil, c.bodyError(err)
 		}
 	}
+	complete = true
 	return body, nil
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/membudget"
 )
 
 // DialFunc establishes a connection.
@@ -26,8 +28,8 @@
 	RoundRobin bool
 	// MaxBody is the maximum size of a response body in bytes for requests that set none.
 	MaxBody int64
-	// Budget bounds the memory of the bodies that are being read; nil does not.
-	Budget *Budget
+	// Budget bounds the memory of bodies; nil does not.
+	Budget *membudget.Budget
 }
 
 // Pool sends requests to one address over reused connections. It is safe for concurrent use.
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/records"
 	"github.com/galenagrade/galenagrade/internal/routing"
+	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
 const (
@@ -20,9 +22,24 @@
 	maxReroutes = 3
 )
 
-// readMemoryShare is the share of the node's memory for responses of the upstream that are being read.
-// While one grows, its copy takes as much again.
-const readMemoryShare = 0.2
+const (
+	// bodyMemoryShare is the share of the node's memory for bodies of requests and responses, and
+	// requestMemoryShare the part of it that requests may use. The rest is for the process itself, for
+	// the copy of a response that grows while it is read, and for what sockets have received.
+	bodyMemoryShare    = 0.5
+	requestMemoryShare = 0.4
+)
+
+// newBodyBudget returns the budget of a node's bodies.
+func newBodyBudget(r settings.Resources) *membudget.Budget {
+	return membudget.New(bodyLimits(r))
+}
+
+// bodyLimits returns the limits in bytes of all bodies and of those of requests.
+func bodyLimits(r settings.Resources) (total, requests int64) {
+	memory := float64(r.MemoryMB) * (1 << 20)
+	return int64(bodyMemoryShare * memory), int64(requestMemoryShare * memory)
+}
 
 const (
 	// peerConnectTimeout bounds opening a connection to another node.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/proxy"
@@ -45,6 +46,7 @@
 	proxy                      *proxy.Proxy
 	peers                      *proxy.Peers
 	upstream                   *proxy.Upstream
+	bodies                     *membudget.Budget
 
 	members         *members
 	membersFollower *records.Follower
@@ -122,19 +124,21 @@
 
 func (m *Mesh) build() {
 	id := m.identity()
+	m.bodies = newBodyBudget(m.cfg.Resources)
 	m.peers = proxy.NewPeers(nil)
 	m.peers.SetConnections(proxy.ConnectionConfig{
 		Connect:      peerConnectTimeout,
 		Idle:         peerIdleTimeout,
 		MaxIdleConns: maxIdlePerPeer,
 		PathTimeout:  peerSilenceTimeout,
+		Bodies:       m.bodies,
 		Reattach:     proxy.WaitBounds{Min: minPeerReattachWait, Max: maxPeerReattachWait},
 	})
 	m.gossiper = m.newGossiper()
 	m.crashReporter = newCrashReporter(m.platform.Members(), m.cfg.NodeID, m.rateLimited, m.logger, m.gossiper.Publish)
 	m.upstream = proxy.NewUpstream(noIdempotencyKeys{})
 	m.upstream.SetDialect(m.platform)
-	m.upstream.SetReadBudget(int64(readMemoryShare * float64(m.cfg.Resources.MemoryMB) * (1 << 20)))
+	m.upstream.SetBodyBudget(m.bodies)
 	m.upstream.SetAddr(m.cfg.UpstreamAddress)
 	m.local = &localUpstream{mesh: m}
 	m.node = node.New(node.Config{
@@ -161,6 +165,7 @@
 	m.upstream.Bind(m.node)
 	m.proxy = proxy.New(m.node, m.peers, m.upstream)
 	m.proxy.AcceptPredecessorCalls(m.cfg.Service)
+	m.proxy.SetBodyBudget(m.bodies)
 	m.quotas = newQuotas(m)
 	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.guardTicker = newGuardTicker(m.node.Guard())
--- a/internal/mesh/reload.go
+++ b/internal/mesh/reload.go
@@ -20,6 +20,7 @@
 		m.membersFollower.ResyncNow()
 	}
 	m.proxy.SetReserve(next.Trees.Reserve, next.Trees.Overcommit)
+	m.bodies.SetLimits(bodyLimits(next.Resources))
 	m.applyBalance()
 	m.members.refresh()
 	m.routes.refresh()
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -207,9 +206,10 @@
 			return
 		}
 		defer func() { p.gate.leave(size) }()
-		body, err := readInnerBody(r)
-		if err != nil {
-			p.writeInner(w, call, p.node.RefuseCall(call, result.Refuse(result.BadContext, "request body ended early: %v", err)))
+		body, memory, refusal := p.readGuardBody(r, call)
+		defer memory.release()
+		if refusal != nil {
+			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
 			return
 		}
 		call.Body = body
@@ -219,14 +219,6 @@
 	})
 }
 
-// readInnerBody reads the body of a call.
-func readInnerBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	return readSized(io.LimitReader(r.Body, maxResponseBody), r.ContentLength)
-}
-
 // receiveCall decodes a call and checks that it is for this process. It returns an error if there is no
 // valid call.
 func (p *Proxy) receiveCall(r *http.Request) (*node.Call, *result.Refusal, error) {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 )
 
@@ -32,6 +33,8 @@
 	// PathTimeout is the time without acknowledgements after which a connection fails; 0 disables this
 	// check, so that only the re-attachment detects a broken path.
 	PathTimeout time.Duration
+	// Bodies bounds the memory of response bodies; nil does not.
+	Bodies *membudget.Budget
 	// Reattach bounds the time to wait for a response before a re-attachment (see Peers.Send); 0 for
 	// both uses the default bounds.
 	Reattach WaitBounds
@@ -212,7 +215,7 @@
 	if p.dialTLS != nil {
 		dial = p.dialTLS
 	}
-	return h1.NewPool(addr, h1.Config{Dial: h1.DialFunc(dial), Idle: idle, MaxIdleConns: p.connections.MaxIdleConns, MaxBody: maxResponseBody})
+	return h1.NewPool(addr, h1.Config{Dial: h1.DialFunc(dial), Idle: idle, MaxIdleConns: p.connections.MaxIdleConns, MaxBody: maxResponseBody, Budget: p.connections.Bodies})
 }
 
 func (p *Peers) newTransport() *http.Transport {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/lifetime"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -42,6 +42,8 @@
 	reserving atomic.Bool
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
 	peerCallsPending atomic.Int64
+	// bodies bounds the memory of request bodies; nil does not.
+	bodies *membudget.Budget
 	// stopWindow is set while the node stops.
 	stopWindow atomic.Pointer[node.StopWindow]
 	// rootsPending counts the requests of callers whose responses are not yet written.
@@ -137,12 +139,12 @@
 
 func (p *Proxy) serve(ctx context.Context, ex exchange, call *node.Call, account *retry.Account) {
 	if refusal := p.admitWhileStopping(ex, call); refusal != nil {
-		ex.writer.writeRefusal(ex.w, call, refusal)
+		p.refuseUnread(ex, call, refusal)
 		return
 	}
 	size := max(0, ex.r.ContentLength)
 	if refusal := p.gate.enter(size, call.Ctx.Depth == 0); refusal != nil {
-		ex.writer.writeRefusal(ex.w, call, refusal)
+		p.refuseUnread(ex, call, refusal)
 		return
 	}
 	defer func() { p.gate.leave(size) }()
@@ -154,9 +156,10 @@
 		ex.writer.writeRefusal(ex.w, call, badTargetRefusal())
 		return
 	}
-	body, refusal := readBody(ex.w, ex.r, p.maxBody(call))
+	body, memory, refusal := p.readCallerBody(ex, call)
+	defer memory.release()
 	if refusal != nil {
-		ex.writer.writeRefusal(ex.w, call, refusal)
+		p.refuseUnread(ex, call, refusal)
 		return
 	}
 	size += p.gate.addBytes(int64(len(body)) - size)
@@ -254,35 +257,6 @@
 	return host
 }
 
-// readBody reads a complete body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Refusal) {
-	if r.ContentLength > limit {
-		return nil, result.Refuse(result.BodyTooLarge, "body has %d bytes, limit is %d", r.ContentLength, limit)
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := readSized(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, result.Refuse(result.BodyTooLarge, "body exceeds the limit of %d bytes", limit)
-	}
-	if err != nil {
-		return nil, result.Refuse(result.BadContext, "request body ended early: %v", err)
-	}
-	return body, nil
-}
-
-// readSized reads a complete body. size is its Content-Length; negative if unknown.
-func readSized(r io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(r)
-	}
-	buf := make([]byte, size)
-	_, err := io.ReadFull(r, buf)
-	return buf, err
-}
-
 // writeResponse writes the response of a call to a caller, with its result code in the header.
 func writeResponse(w http.ResponseWriter, call *node.Call, resp *node.Response) {
 	h := w.Header()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/lifetime"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/routing"
@@ -55,8 +56,8 @@
 	// onQueued is called when a call is queued; may be nil.
 	onQueued func()
 
-	// reading bounds the response bodies that are being read; nil does not.
-	reading *h1.Budget
+	// bodies bounds the memory of response bodies; nil does not.
+	bodies *membudget.Budget
 
 	mu      sync.Mutex
 	pool    *h1.Pool
@@ -79,23 +80,22 @@
 // newUpstreamPool returns a pool that uses all its connections round robin. The upstream has at least
 // as many slots as there are connections, and a connection that is reopened after low load may use up
 // a slot.
-func newUpstreamPool(addr string, reading *h1.Budget) *h1.Pool {
+func newUpstreamPool(addr string, bodies *membudget.Budget) *h1.Pool {
 	return h1.NewPool(addr, h1.Config{
 		Dial:         conns.DetectDeadPath(&net.Dialer{Timeout: upstreamDialTimeout}, upstreamPathTimeout).DialContext,
 		Idle:         upstreamIdleTimeout,
 		MaxIdleConns: maxIdleUpstreamConns,
 		MaxBody:      maxResponseBody,
 		RoundRobin:   true,
-		Budget:       reading,
+		Budget:       bodies,
 	})
 }
 
 // SetDialect sets the dialect of the upstream. It must be called before the first call.
 func (u *Upstream) SetDialect(d Dialect) { u.dialect = d }
 
-// SetReadBudget bounds the memory in bytes for responses of the upstream that are being read. It must be
-// called before SetAddr.
-func (u *Upstream) SetReadBudget(bytes int64) { u.reading = h1.NewBudget(bytes) }
+// SetBodyBudget bounds the memory of the upstream's response bodies. It must be called before SetAddr.
+func (u *Upstream) SetBodyBudget(b *membudget.Budget) { u.bodies = b }
 
 // OnQueued sets the function that is called when a call is queued. It must be set before the first
 // call and must not block.
@@ -118,7 +118,7 @@
 func (u *Upstream) SetAddr(addr string) {
 	u.mu.Lock()
 	old := u.pool
-	u.pool = newUpstreamPool(addr, u.reading)
+	u.pool = newUpstreamPool(addr, u.bodies)
 	u.mu.Unlock()
 	old.Close()
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/proxy"
@@ -220,10 +221,12 @@
 	})
 	s.peers.Bind(s.node)
 	s.upstream.Bind(s.node)
-	if held := s.cfg.Limits.HeldBytes; held > 0 {
-		s.upstream.SetReadBudget(int64(held))
-	}
 	s.proxy = proxy.New(s.node, s.peers, s.upstream)
+	if held := int64(s.cfg.Limits.HeldBytes); held > 0 {
+		bodies := membudget.New(held, held)
+		s.upstream.SetBodyBudget(bodies)
+		s.proxy.SetBodyBudget(bodies)
+	}
 	s.announce = &announcementHandler{server: s}
 	s.control.createPlane()
 	s.backend = newBackend(s)
