Give each revision of a node's record a key of its own

Cause: requests reached an upstream whose departure was acknowledged. The store may do a write that it did not answer seconds later, after the one that recorded the departure.

Change: a revision has its own key, and its write deletes the keys of older records in the same append. Readers compare incarnation and revision as before, so the order of writes no longer matters, nor which process sent them. Only records whose content is part of the new one are deleted. A zone is read whole at a start, however many keys it has.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -124,8 +124,8 @@
 	return m, m.Validate()
 }
 
-// newer reports whether m replaces old.
-func (m *Member) newer(old *Member) bool {
+// Newer reports whether m replaces old.
+func (m *Member) Newer(old *Member) bool {
 	return cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.Revision, old.Revision)) > 0
 }
 
@@ -143,7 +143,7 @@
 // Apply stores a record if it is newer than the stored one, and reports whether it is.
 func (r *Registry) Apply(m Member) bool {
 	old, known := r.members[m.Node]
-	if known && !m.newer(&old) {
+	if known && !m.Newer(&old) {
 		return false
 	}
 	r.members[m.Node] = m
--- a/internal/mesh/firststart.go
+++ b/internal/mesh/firststart.go
@@ -62,12 +62,12 @@
 	defer cancel()
 	sent := time.Now()
 	topic := m.platform.Members()
-	page, err := topic.NewestPage(ctx, zonePrefix(m.cfg.Region, m.cfg.Zone))
+	items, err := records.ReadPrefix(ctx, topic, zonePrefix(m.cfg.Region, m.cfg.Zone))
 	records.NewCallLog(m.logger, topic).Log(ctx, records.PurposeZone, sent, err)
 	if err != nil {
 		return err
 	}
-	m.members.applyPart(page.Items)
+	m.members.applyPart(items)
 	return nil
 }
 
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -19,9 +20,20 @@
 // zonePrefix is the prefix of the keys of the member records of a zone.
 func zonePrefix(region, zone string) string { return nodePrefix + region + "/" + zone + "/" }
 
-// memberKey returns the key of a member's record. The records of a zone have neighbouring keys, so
-// that a starting node reads those of its own zone in one call.
-func memberKey(m *fleet.Member) string { return zonePrefix(m.Region, m.Zone) + m.Node }
+// memberKey returns the key of a member's record. Each revision has a key of its own: the store may do a
+// write without a response after later ones, and the newest record of a shared key would then be an
+// older revision. The records of a zone have neighbouring keys, so that a starting node reads those of its
+// own zone in one call, and the keys of a node grow with its revisions, so that a read in pages can't miss
+// the newest while it replaces the one before.
+func memberKey(m *fleet.Member) string {
+	return fmt.Sprintf("%s%016x.%08x/%s", zonePrefix(m.Region, m.Zone), m.Incarnation, m.Revision, m.Node)
+}
+
+// isMemberKeyOf reports whether a key is one of a member's records, also of an earlier version of galenad.
+func isMemberKeyOf(key string, m *fleet.Member) bool {
+	prefix := zonePrefix(m.Region, m.Zone)
+	return key == prefix+m.Node || strings.HasPrefix(key, prefix) && strings.HasSuffix(key, "/"+m.Node)
+}
 
 // members follows the records of all nodes and applies them to routing.
 type members struct {
@@ -30,6 +42,10 @@
 	onChange      func(*fleet.Registry)
 	crashReporter *crashReporter
 
+	// onOwnKey is called with the key of each record of this node in the store, and the record, after
+	// onPredecessor and without a lock.
+	onOwnKey func(key string, record *fleet.Member)
+
 	// own identifies this process. onPredecessor is called with each newer record that a previous
 	// process of the node left, and onZoneRead when the records of its zone were read once, both
 	// without a lock.
@@ -79,6 +95,7 @@
 		crashReporter: m.crashReporter,
 		own:           own,
 		onChange:      m.setEndpoints,
+		onOwnKey:      m.publisher.ObserveKey,
 		onPredecessor: m.local.onPredecessor,
 		onZoneRead:    m.local.applyPostponed,
 	}
@@ -88,17 +105,34 @@
 // invalid records are skipped.
 func (m *members) apply(items []records.Item) {
 	m.mu.Lock()
-	predecessor := m.applyLocked(items, !m.initialized)
+	news := m.applyLocked(items, !m.initialized)
 	m.setInitializedLocked()
 	m.mu.Unlock()
-	m.onOwnZoneRead(predecessor)
+	m.onOwnZoneRead(news)
 }
 
-// onOwnZoneRead passes a new record of a previous process on, if there is one, before it reports that
-// the records of the own zone are known.
-func (m *members) onOwnZoneRead(predecessor *fleet.Member) {
-	if predecessor != nil {
-		m.onPredecessor(*predecessor)
+// ownNews is what a read says of the node itself.
+type ownNews struct {
+	// predecessor is the newest record of a previous process of the node; nil if it is not new.
+	predecessor *fleet.Member
+	// own are the records of the node in the store.
+	own []ownRecord
+}
+
+// ownRecord is a record of the node in the store.
+type ownRecord struct {
+	key    string
+	record fleet.Member
+}
+
+// onOwnZoneRead passes on what a read says of the node, before it reports that the records of the own
+// zone are known.
+func (m *members) onOwnZoneRead(news ownNews) {
+	if news.predecessor != nil {
+		m.onPredecessor(*news.predecessor)
+	}
+	for i := range news.own {
+		m.onOwnKey(news.own[i].key, &news.own[i].record)
 	}
 	m.zoneRead.Do(func() {
 		close(m.ownZoneRead)
@@ -127,14 +161,14 @@
 // applyPart applies the records of some members; those of the others are still to be read.
 func (m *members) applyPart(items []records.Item) {
 	m.mu.Lock()
-	predecessor := m.applyLocked(items, true)
+	news := m.applyLocked(items, true)
 	m.mu.Unlock()
-	m.onOwnZoneRead(predecessor)
+	m.onOwnZoneRead(news)
 }
 
-// applyLocked applies records and returns the newest one of a previous process of the node, if it is
-// new. At a start it logs their number alone, since there are as many as nodes.
-func (m *members) applyLocked(items []records.Item, atStart bool) (predecessor *fleet.Member) {
+// applyLocked applies records and returns what they say of the node itself. At a start it logs their
+// number alone, since there are as many as nodes.
+func (m *members) applyLocked(items []records.Item, atStart bool) (news ownNews) {
 	updated := 0
 	for _, item := range items {
 		if len(item.Value) == 0 {
@@ -149,8 +183,11 @@
 			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
+		if record.Node == m.own.Node {
+			news.own = append(news.own, ownRecord{item.Key, record})
+		}
 		if m.isPredecessorLocked(&record) {
-			predecessor = &record
+			news.predecessor = &record
 		}
 		if !m.registry.Apply(record) {
 			continue
@@ -161,13 +198,13 @@
 		}
 	}
 	if updated == 0 {
-		return predecessor
+		return news
 	}
 	if atStart {
 		m.logger.Info().Int("members", len(items)).Int("changed", updated).Msg("member records read at the start")
 	}
 	m.onChange(m.registry)
-	return predecessor
+	return news
 }
 
 // isPredecessorLocked reports whether a record is the newest one of a previous process of the node.
@@ -211,7 +248,7 @@
 func (m *members) mergeRecords(records []fleet.Member, from string) {
 	predecessor, suffices := m.merge(records, from)
 	if suffices {
-		m.onOwnZoneRead(predecessor)
+		m.onOwnZoneRead(ownNews{predecessor: predecessor})
 	} else if predecessor != nil {
 		m.onPredecessor(*predecessor)
 	}
@@ -225,7 +262,7 @@
 	initialized := m.initialized
 	m.mu.Unlock()
 	if initialized {
-		m.onOwnZoneRead(nil)
+		m.onOwnZoneRead(ownNews{})
 	}
 }
 
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -27,6 +27,7 @@
 			known: make(chan struct{}), ownZoneRead: make(chan struct{}), own: node.Identity{Node: "n", Incarnation: 2},
 			onChange:      func(*fleet.Registry) {},
 			onPredecessor: func(m fleet.Member) { seen = append(seen, m.State) },
+			onOwnKey:      func(string, *fleet.Member) {},
 			onZoneRead:    func() {},
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -170,11 +170,11 @@
 	m.proxy.SetReserve(m.cfg.Trees.Reserve, m.cfg.Trees.Overcommit)
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
+	m.publisher = m.newPublisher(id)
 	m.members = newMembers(m, id)
 	m.membersFollower = records.NewFollower(m.platform.Members(), m.members.apply, m.newRelay(records.MembersWatchWait), m.logger)
 	m.membersFollower.BatchWindow = m.membersBatchWindow
 	m.membersFollower.LagGrace = records.BatchedLagGrace
-	m.publisher = m.newPublisher(id)
 	m.groupWriter = records.NewGroupWriter(m.ctx, m.publisher.Put)
 	m.publisher.WriteItem = (&zoneWriter{mesh: m}).write
 	m.routes = newRouteKeeper(m)
@@ -192,7 +192,7 @@
 
 func (m *Mesh) newPublisher(id node.Identity) *records.Publisher {
 	own := m.ownRecord(id)
-	return records.NewPublisher(m.platform.Members(), m.logger, memberKey(&own), own, m.gossiper.Publish)
+	return records.NewPublisher(m.platform.Members(), m.logger, memberKey, own, m.gossiper.Publish)
 }
 
 func (m *Mesh) ownRecord(id node.Identity) fleet.Member {
--- a/internal/mesh/zonewrite.go
+++ b/internal/mesh/zonewrite.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,7 +36,7 @@
 
 // write writes a record through the zone's reader, or to the store itself if this node is the reader or
 // the reader does not write it. The record of the node's previous process is read before it is replaced.
-func (z *zoneWriter) write(ctx context.Context, item records.Item) error {
+func (z *zoneWriter) write(ctx context.Context, write records.Write) error {
 	m := z.mesh
 	if !m.cfg.FirstStart && !m.members.isOwnZoneRead() {
 		if err := m.readZone(ctx); err != nil {
@@ -43,18 +44,18 @@
 		}
 	}
 	reader, other := fleet.ZoneReader(m.cfg.NodeID, m.members.zoneNeighbours(m.cfg))
-	if other && z.writeThrough(ctx, &reader, item) {
+	if other && z.writeThrough(ctx, &reader, write) {
 		return nil
 	}
-	return m.groupWriter.Write(ctx, item)
+	return m.groupWriter.Write(ctx, write)
 }
 
 // writeThrough reports whether another node wrote a record.
-func (z *zoneWriter) writeThrough(ctx context.Context, reader *fleet.Member, item records.Item) bool {
+func (z *zoneWriter) writeThrough(ctx context.Context, reader *fleet.Member, write records.Write) bool {
 	if reader.Node == z.failed && time.Since(z.failedAt) < failedWriterPause {
 		return false
 	}
-	err := z.send(ctx, reader.Address, item)
+	err := z.send(ctx, reader.Address, write)
 	if err == nil {
 		return true
 	}
@@ -65,11 +66,11 @@
 
 // send has another node write a record. A node that can't be reached may be starting as well, and is
 // tried again within throughZoneTimeout.
-func (z *zoneWriter) send(ctx context.Context, address string, item records.Item) error {
+func (z *zoneWriter) send(ctx context.Context, address string, write records.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, throughZoneTimeout)
 	defer cancel()
 	for {
-		err := z.mesh.sendRecord(ctx, address, item)
+		err := z.mesh.sendRecord(ctx, address, write)
 		if err == nil || ctx.Err() != nil || errors.As(err, new(*statusError)) {
 			return err
 		}
@@ -78,8 +79,8 @@
 }
 
 // sendRecord has another node write a record.
-func (m *Mesh) sendRecord(ctx context.Context, address string, item records.Item) error {
-	raw, err := json.Marshal(item)
+func (m *Mesh) sendRecord(ctx context.Context, address string, write records.Write) error {
+	raw, err := json.Marshal(write)
 	if err != nil {
 		return err
 	}
@@ -93,22 +94,23 @@
 
 // serveRecord writes the record of another node of the zone and responds when the store has it.
 func (m *Mesh) serveRecord(w http.ResponseWriter, r *http.Request) {
-	var item records.Item
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*fleet.MaxMemberBytes)).Decode(&item); err != nil {
+	var write records.Write
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*fleet.MaxMemberBytes)).Decode(&write); err != nil {
 		http.Error(w, "record could not be decoded", http.StatusBadRequest)
 		return
 	}
-	record, err := fleet.DecodeMember(item.Value)
+	record, err := fleet.DecodeMember(write.Value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if item.Key != memberKey(&record) || record.Region != m.cfg.Region || record.Zone != m.cfg.Zone {
+	foreign := func(key string) bool { return !isMemberKeyOf(key, &record) || key == write.Key }
+	if write.Key != memberKey(&record) || record.Region != m.cfg.Region || record.Zone != m.cfg.Zone || slices.ContainsFunc(write.Replaces, foreign) {
 		http.Error(w, "record is not that of a node of this zone", http.StatusBadRequest)
 		return
 	}
 	m.members.applyMember(record)
-	if err := m.groupWriter.Write(r.Context(), item); err != nil {
+	if err := m.groupWriter.Write(r.Context(), write); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/records/groupwrite.go
+++ b/internal/records/groupwrite.go
@@ -41,8 +41,8 @@
 }
 
 // Write writes a record and returns when the store has it.
-func (w *GroupWriter) Write(ctx context.Context, item Item) error {
-	group := w.join(item)
+func (w *GroupWriter) Write(ctx context.Context, write Write) error {
+	group := w.join(write.items())
 	select {
 	case <-group.written:
 		return group.err
@@ -51,8 +51,8 @@
 	}
 }
 
-// join adds a record to the open group, or opens one.
-func (w *GroupWriter) join(item Item) *writeGroup {
+// join adds the records of a write to the open group, or opens one.
+func (w *GroupWriter) join(items []Item) *writeGroup {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	group := w.open
@@ -61,7 +61,7 @@
 		w.open = group
 		time.AfterFunc(GroupDelay, func() { w.append(group) })
 	}
-	group.items = append(group.items, item)
+	group.items = append(group.items, items...)
 	if len(group.items) >= maxGroupItems {
 		w.open = nil
 	}
--- a/internal/records/groupwrite_test.go
+++ b/internal/records/groupwrite_test.go
@@ -27,11 +27,11 @@
 		}}
 		var writes sync.WaitGroup
 		for i := range records {
-			writes.Go(func() { must.NoError(t, w.Write(t.Context(), Item{Key: fmt.Sprint(i)})) })
+			writes.Go(func() { must.NoError(t, w.Write(t.Context(), Write{Item: Item{Key: fmt.Sprint(i)}})) })
 		}
 		writes.Wait()
 		must.SliceContainsAll(t, []int{maxGroupItems, records - maxGroupItems}, sizes)
-		must.NoError(t, w.Write(t.Context(), Item{Key: "later"}))
+		must.NoError(t, w.Write(t.Context(), Write{Item: Item{Key: "later"}}))
 		must.Len(t, 3, sizes)
 	})
 }
@@ -40,10 +40,10 @@
 func TestFailedGroupReportsTheError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &GroupWriter{ctx: t.Context(), put: func(context.Context, []Item) error { return errors.New("refused") }}
-		must.Error(t, w.Write(t.Context(), Item{Key: "a"}))
+		must.Error(t, w.Write(t.Context(), Write{Item: Item{Key: "a"}}))
 		ctx, cancel := context.WithTimeout(t.Context(), GroupDelay/2)
 		defer cancel()
-		must.ErrorIs(t, w.Write(ctx, Item{Key: "b"}), context.DeadlineExceeded)
+		must.ErrorIs(t, w.Write(ctx, Write{Item: Item{Key: "b"}}), context.DeadlineExceeded)
 		time.Sleep(GroupDelay)
 	})
 }
--- a/internal/records/publisher.go
+++ b/internal/records/publisher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,9 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 )
 
+// maxReplaced bounds the keys that one write deletes.
+const maxReplaced = 16
+
 // Publisher writes the node's own record to the store. It writes the newest revision and retries
 // until the store accepts it.
 type Publisher struct {
@@ -18,10 +23,10 @@
 	logger zerolog.Logger
 	calls  CallLog
 	wake   chan struct{}
-	// key is the key of the record.
-	key string
+	// key returns the key of a record. No two revisions share one.
+	key func(*fleet.Member) string
 	// WriteItem writes a record to the store, itself or through another node.
-	WriteItem func(context.Context, Item) error
+	WriteItem func(context.Context, Write) error
 	// onWriteFailed is called when the store did not accept the record.
 	onWriteFailed func(Item)
 
@@ -31,11 +36,13 @@
 	// it changes.
 	writtenRevision uint64
 	written         chan struct{}
+	// replaced are the keys of older records that may be in the store.
+	replaced map[string]bool
 }
 
-// NewPublisher returns the publisher of a record with the given key. Its WriteItem must be set before
-// Run.
-func NewPublisher(topic Topic, logger zerolog.Logger, key string, record fleet.Member, onWriteFailed func(Item)) *Publisher {
+// NewPublisher returns the publisher of a record. key returns the key of a record; no two revisions share
+// one. Its WriteItem must be set before Run.
+func NewPublisher(topic Topic, logger zerolog.Logger, key func(*fleet.Member) string, record fleet.Member, onWriteFailed func(Item)) *Publisher {
 	return &Publisher{
 		topic:         topic,
 		logger:        logger,
@@ -45,6 +52,17 @@
 		record:        record,
 		onWriteFailed: onWriteFailed,
 		written:       make(chan struct{}),
+		replaced:      map[string]bool{},
+	}
+}
+
+// ObserveKey notes the key of a record of the node in the store. The next write deletes it if the record
+// is older, so what that record says must be part of the published one already.
+func (p *Publisher) ObserveKey(key string, record *fleet.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.replaced) < maxReplaced && p.record.Newer(record) {
+		p.replaced[key] = true
 	}
 }
 
@@ -94,18 +112,24 @@
 	return p.record
 }
 
-// pending returns the record and whether its newest revision is still to be written.
-func (p *Publisher) pending() (fleet.Member, bool) {
+// pending returns the record, whether its newest revision is still to be written, and the keys that its
+// write deletes.
+func (p *Publisher) pending() (record fleet.Member, due bool, replaced []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.record, p.record.Revision > p.writtenRevision
+	if p.record.Revision <= p.writtenRevision {
+		return p.record, false, nil
+	}
+	own := p.key(&p.record)
+	replaced = slices.DeleteFunc(slices.Sorted(maps.Keys(p.replaced)), func(key string) bool { return key == own })
+	return p.record, true, replaced
 }
 
 // Run writes the record whenever it changed, until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		record, due := p.pending()
+		record, due, replaced := p.pending()
 		if !due {
 			failures = 0
 			select {
@@ -114,7 +138,7 @@
 			}
 			continue
 		}
-		if err := p.write(ctx, record); err != nil {
+		if err := p.write(ctx, record, replaced); err != nil {
 			p.logger.Warn().Uint64("revision", record.Revision).Err(err).Msg("own member record not written to the store; write is retried")
 			failures++
 			Backoff(ctx, failures, p.wake)
@@ -124,25 +148,39 @@
 	}
 }
 
-func (p *Publisher) write(ctx context.Context, record fleet.Member) error {
+func (p *Publisher) write(ctx context.Context, record fleet.Member, replaced []string) error {
 	ctx, cancel := context.WithTimeout(ctx, StoreCallTimeout)
 	defer cancel()
 	raw, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	item := Item{Key: p.key, Value: raw}
-	if err := p.WriteItem(ctx, item); err != nil {
-		p.onWriteFailed(item)
+	item := Item{Key: p.key(&record), Value: raw}
+	err = p.WriteItem(ctx, Write{Item: item, Replaces: replaced})
+	p.noteWrite(item.Key, replaced, &record, err)
+	if err != nil {
+		p.onWriteFailed(Item{Key: record.Node, Value: raw})
 		return err
 	}
+	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own member record written to the store")
+	return nil
+}
+
+// noteWrite notes the result of a write. A write that failed may still be done at any time, so that its
+// record is one to be deleted in either case.
+func (p *Publisher) noteWrite(key string, replaced []string, record *fleet.Member, err error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replaced[key] = true
+	if err != nil {
+		return
+	}
+	for _, old := range replaced {
+		delete(p.replaced, old)
+	}
 	p.writtenRevision = max(p.writtenRevision, record.Revision)
 	close(p.written)
 	p.written = make(chan struct{})
-	p.mu.Unlock()
-	p.logger.Info().Uint64("revision", record.Revision).Str("state", string(record.State)).Str("upstream", record.Upstream).Msg("own member record written to the store")
-	return nil
 }
 
 // Put writes member records to the store in one call.
--- a/internal/records/topic.go
+++ b/internal/records/topic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,21 @@
 	Value []byte `json:"value"`
 }
 
+// Write is a record to be written, and the keys that are deleted with it because it replaces theirs.
+type Write struct {
+	Item
+	Replaces []string `json:"replaces,omitempty"`
+}
+
+// items returns the write as records of one append.
+func (w *Write) items() []Item {
+	items := []Item{w.Item}
+	for _, key := range w.Replaces {
+		items = append(items, Item{Key: key})
+	}
+	return items
+}
+
 // ErrExpired is returned, possibly wrapped, by a read of records that the store no longer keeps.
 var ErrExpired = errors.New("records have expired in the store")
 
@@ -41,6 +57,24 @@
 	Next int64
 }
 
+// ReadPrefix returns the newest record of each key with a prefix, and perhaps some of the keys that
+// follow.
+func ReadPrefix(ctx context.Context, t Topic, prefix string) (items []Item, err error) {
+	after := prefix
+	for range maxPages {
+		page, err := t.NewestPage(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 || !strings.HasPrefix(items[len(items)-1].Key, prefix) {
+			return items, nil
+		}
+		after = items[len(items)-1].Key
+	}
+	return nil, errors.Errorf("newest records of topic %s with prefix %s exceed %d pages", t.Name(), prefix, maxPages)
+}
+
 // maxPages bounds the pages of one read of all keys. The store's pages have 500 keys.
 const maxPages = 64
 
