Take no stray refusal for that of a request that runs

Cause: an unsafe request ran at two upstreams, or its caller got "not run" for a request that ran.

Change: a failure without an ID is unidentified. It counts as the first response on a connection, and from then on everywhere, since the upstream refuses so; otherwise a call that may run once at most waits for the response with its ID.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -49,7 +49,8 @@
 	budget     *membudget.Budget
 	probe      *probe // nil if the connection has no socket
 	generation uint64
-	used       bool
+	// used is whether the connection carried a request, and reused whether it did before the current one.
+	used, reused bool
 	// keepAlive is the idle time stated by the server, multiplied by keepAliveShare.
 	keepAlive time.Duration
 	// expires is the time from which an idle connection is no longer used.
@@ -84,7 +85,7 @@
 // exchange sends r and reads its response. reusable reports whether the connection can carry
 // another request. If ctx ends first, the connection is closed.
 func (c *conn) exchange(ctx context.Context, r *Request, maxBody int64) (resp *Response, reusable bool, err error) {
-	newConnection := !c.used
+	c.reused = c.used
 	c.used = true
 	life, isNew := lifetime.Of(ctx)
 	if isNew {
@@ -100,7 +101,7 @@
 	}
 	var exchangeErr *Error
 	if errors.As(err, &exchangeErr) {
-		exchangeErr.NewConnection = newConnection
+		exchangeErr.NewConnection = !c.reused
 	}
 	return resp, false, err
 }
@@ -174,7 +175,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		switch r.classify(resp) {
+		switch r.classify(resp, c.reused || skipped > 0) {
 		case Accept:
 			return resp, reusable && c.reader.Buffered() == 0, nil
 		case Reject:
@@ -187,11 +188,11 @@
 	return nil, false, &Error{Stage: StageMismatch, Cause: errors.New("received only responses to other requests")}
 }
 
-func (r *Request) classify(resp *Response) Verdict {
+func (r *Request) classify(resp *Response, reused bool) Verdict {
 	if r.Classify == nil {
 		return Accept
 	}
-	return r.Classify(resp.Status, resp.Header)
+	return r.Classify(resp.Status, resp.Header, reused)
 }
 
 func (c *conn) readOne(r *Request, maxBody int64) (*Response, bool, error) {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -72,8 +72,9 @@
 	// MaxBody is the maximum size of the response body in bytes; 0 uses Config.MaxBody.
 	MaxBody int64
 	// Classify decides on a response to the request; nil accepts every response. At most
-	// maxSkippedResponses responses are skipped.
-	Classify func(status int, h http.Header) Verdict
+	// maxSkippedResponses responses are skipped. reused is whether the connection carried a request or a
+	// response before.
+	Classify func(status int, h http.Header, reused bool) Verdict
 }
 
 // Verdict is the decision on a response that arrived for a request.
@@ -86,6 +87,8 @@
 	Skip
 	// Reject: the response can't be used, and the connection is closed.
 	Reject
+	// Unidentified: the response alone doesn't tell. Classify of a Request must not return it.
+	Unidentified
 )
 
 // Do sends a request and reads the complete response. If ctx ends first, the connection is closed,
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -58,7 +58,7 @@
 func newRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Classify: func(_ int, h http.Header) Verdict {
+		Classify: func(_ int, h http.Header, _ bool) Verdict {
 			if h.Get("Id") == id {
 				return Accept
 			}
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -18,7 +18,8 @@
 	// and in place of those of the same names. It is called directly before the call is sent. remaining
 	// is the time until the upstream has to respond.
 	Prepare(fields []h1.Field, call *node.Call, remaining time.Duration) []h1.Field
-	// Classify decides whether a response with this status and these headers belongs to the call.
+	// Classify decides whether a response with this status and these headers belongs to the call;
+	// h1.Unidentified if they don't tell.
 	Classify(status int, h http.Header, call *node.Call) h1.Verdict
 	// NotRun returns a refusal if the response promises that the upstream did not run the call;
 	// nil otherwise.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,8 @@
 	// onQueued is called when a call is queued; may be nil.
 	onQueued func()
 
+	// refusesWithoutID is set once a failure without an ID was the first response on a connection.
+	refusesWithoutID atomic.Bool
 	// bodies bounds the memory of response bodies; nil does not.
 	bodies *membudget.Budget
 
@@ -265,8 +268,8 @@
 		Fields:  u.dialect.Prepare(out.fields[:0], call, call.Remaining(u.node.Now())),
 		Body:    call.Body,
 		MaxBody: u.responseBodyLimit(call),
-		Classify: func(status int, h http.Header) h1.Verdict {
-			return u.dialect.Classify(status, h, call)
+		Classify: func(status int, h http.Header, reused bool) h1.Verdict {
+			return u.classify(status, h, call, reused)
 		},
 	}
 	httpResp, err := pool.Do(ctx, &out.request)
@@ -280,6 +283,23 @@
 	return resp
 }
 
+// classify decides whether a response belongs to a call. A failure without an ID may be bytes that follow
+// the response to an earlier request on the connection, and the upstream then runs the call. It counts
+// for a call that may run once at most only if the upstream is known to refuse without an ID; otherwise
+// the response is still to come.
+func (u *Upstream) classify(status int, h http.Header, call *node.Call, reused bool) h1.Verdict {
+	verdict := u.dialect.Classify(status, h, call)
+	switch {
+	case verdict != h1.Unidentified:
+		return verdict
+	case !reused:
+		u.refusesWithoutID.Store(true)
+	case !call.Ctx.Idempotent && !u.refusesWithoutID.Load():
+		return h1.Skip
+	}
+	return h1.Accept
+}
+
 // noticeOf returns what the upstream says about itself in a response. It returns nil for an invalid
 // notice, which changes nothing, and for a response of another process at the upstream's address.
 func (u *Upstream) noticeOf(httpResp *h1.Response) *routing.UpstreamNotice {
