Bound what a node deletes and how long a guard reads a body

A store that is out for long would let the keys to delete grow with each revision; a record that a neighbour passed on under the node's name would be deleted under that name; a body from another node that stops arriving held its memory until the connection failed.

Change: 16 keys at most, the rest when they are read; only keys of member records; the read deadline of callers' bodies holds for calls of other nodes too.

--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -183,7 +183,7 @@
 			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
-		if record.Node == m.own.Node {
+		if record.Node == m.own.Node && isMemberKeyOf(item.Key, &record) {
 			news.own = append(news.own, ownRecord{item.Key, record})
 		}
 		if m.isPredecessorLocked(&record) {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -161,16 +161,23 @@
 	if length == 0 {
 		return nil, memory, nil
 	}
-	if length < 0 || length > membudget.SmallBody {
-		server := http.NewResponseController(ex.w)
-		_ = server.SetReadDeadline(call.Ctx.Deadline)
-		defer func() { _ = server.SetReadDeadline(time.Time{}) }()
-	}
+	defer boundReading(ex.w, length, call)()
 	reader := bodyReader{ex.r.Context(), memory, patienceOf(call, p.node.Now(), callerPatience)}
 	body, err := reader.read(http.MaxBytesReader(ex.w, ex.r.Body, limit), length, limit)
 	return body, memory, bodyRefusal(err, limit)
 }
 
+// boundReading bounds the time for a body that is or may be large by the deadline of its call. The returned
+// function ends that.
+func boundReading(w http.ResponseWriter, length int64, call *node.Call) (end func()) {
+	if length >= 0 && length <= membudget.SmallBody {
+		return func() {}
+	}
+	server := http.NewResponseController(w)
+	_ = server.SetReadDeadline(call.Ctx.Deadline)
+	return func() { _ = server.SetReadDeadline(time.Time{}) }
+}
+
 func patienceOf(call *node.Call, now time.Time, share float64) time.Duration {
 	return time.Duration(share * float64(call.Remaining(now)))
 }
@@ -209,11 +216,12 @@
 
 // readGuardBody reads the body of a call of another node. The memory has to be released, also after a
 // refusal.
-func (p *Proxy) readGuardBody(r *http.Request, call *node.Call) ([]byte, *bodyMemory, *result.Refusal) {
+func (p *Proxy) readGuardBody(w http.ResponseWriter, r *http.Request, call *node.Call) ([]byte, *bodyMemory, *result.Refusal) {
 	memory := &bodyMemory{budget: p.bodies}
 	if r.ContentLength == 0 {
 		return nil, memory, nil
 	}
+	defer boundReading(w, r.ContentLength, call)()
 	reader := bodyReader{r.Context(), memory, patienceOf(call, p.node.Now(), guardPatience)}
 	body, err := reader.read(io.LimitReader(r.Body, maxResponseBody), r.ContentLength, maxResponseBody)
 	refusal := bodyRefusal(err, maxResponseBody)
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -206,7 +206,7 @@
 			return
 		}
 		defer func() { p.gate.leave(size) }()
-		body, memory, refusal := p.readGuardBody(r, call)
+		body, memory, refusal := p.readGuardBody(w, r, call)
 		defer memory.release()
 		if refusal != nil {
 			p.writeInner(w, call, p.node.RefuseCall(call, refusal))
--- a/internal/records/publisher.go
+++ b/internal/records/publisher.go
@@ -13,7 +13,7 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 )
 
-// maxReplaced bounds the keys that one write deletes.
+// maxReplaced bounds the keys that one write deletes. Others are deleted later, when they are read.
 const maxReplaced = 16
 
 // Publisher writes the node's own record to the store. It writes the newest revision and retries
@@ -171,13 +171,17 @@
 func (p *Publisher) noteWrite(key string, replaced []string, record *fleet.Member, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.replaced[key] = true
+	if err == nil {
+		for _, old := range replaced {
+			delete(p.replaced, old)
+		}
+	}
+	if len(p.replaced) < maxReplaced {
+		p.replaced[key] = true
+	}
 	if err != nil {
 		return
 	}
-	for _, old := range replaced {
-		delete(p.replaced, old)
-	}
 	p.writtenRevision = max(p.writtenRevision, record.Revision)
 	close(p.written)
 	p.written = make(chan struct{})
