Don't take a record that a neighbour passed on for the reading of the zone

Cause: a restarted node waits for its predecessor's record before a late report may put an upstream into service. One record of any neighbour, passed on because the store did not take it, ended that wait, and also made the node skip the records of nodes that introduce themselves. Found by reading the paths of a departure and a late write.

Change: such records are applied and count as what they are.

Measured: the new lines of TestRecordsOfOtherNodesSufficeOnlyWithoutTheStore failed before ("a record that a neighbour passed on is not the zone's") and pass; tests of outages, zones and restarts pass.

--- a/internal/mesh/gossip.go
+++ b/internal/mesh/gossip.go
@@ -26,7 +26,7 @@
 
 func (m *Mesh) newGossiper() *records.Gossiper {
 	neighbours := func() []fleet.Member { return m.members.zoneNeighbours(m.cfg) }
-	g := records.NewGossiper(m.ctx, neighbours, func(items []records.Item) { m.members.apply(items) })
+	g := records.NewGossiper(m.ctx, neighbours, func(items []records.Item) { m.members.applyUnstored(items) })
 	g.Send = m.sendGossip
 	return g
 }
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -125,6 +125,17 @@
 	record fleet.Member
 }
 
+// applyUnstored applies records that other nodes pass on because the store did not accept them. They are
+// a few of all, so that those of the node's zone and of the deployment are still to be read.
+func (m *members) applyUnstored(items []records.Item) {
+	m.mu.Lock()
+	news := m.applyLocked(items, false)
+	m.mu.Unlock()
+	if news.predecessor != nil {
+		m.onPredecessor(*news.predecessor)
+	}
+}
+
 // onOwnZoneRead passes on what a read says of the node, before it reports that the records of the own
 // zone are known.
 func (m *members) onOwnZoneRead(news ownNews) {
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -43,4 +43,9 @@
 	must.False(t, m.isOwnZoneRead())
 	m.mergeRecords([]fleet.Member{record}, "other")
 	must.True(t, m.isOwnZoneRead())
+
+	m = start()
+	m.applyUnstored([]records.Item{{Key: "other", Value: raw}})
+	must.False(t, m.isOwnZoneRead(), must.Sprint("a record that a neighbour passed on is not the zone's"))
+	must.Eq(t, []fleet.State{fleet.Leaving}, seen)
 }
