Give the views of the members one cache, and files of their own

Change: view[T] keeps a value until the registry changes; views and keys have files of their own. No behaviour changes.

--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -1,8 +1,6 @@
 package mesh
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync"
 
@@ -11,30 +9,8 @@
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/records"
-	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
-// nodePrefix is the prefix of the keys of member records.
-const nodePrefix = "node/"
-
-// zonePrefix is the prefix of the keys of the member records of a zone.
-func zonePrefix(region, zone string) string { return nodePrefix + region + "/" + zone + "/" }
-
-// memberKey returns the key of a member's record. Each revision has a key of its own: the store may do a
-// write without a response after later ones, and the newest record of a shared key would then be an
-// older revision. The records of a zone have neighbouring keys, so that a starting node reads those of its
-// own zone in one call, and the keys of a node grow with its revisions, so that a read in pages can't miss
-// the newest while it replaces the one before.
-func memberKey(m *fleet.Member) string {
-	return fmt.Sprintf("%s%016x.%08x/%s", zonePrefix(m.Region, m.Zone), m.Incarnation, m.Revision, m.Node)
-}
-
-// isMemberKeyOf reports whether a key is one of a member's records, also of an earlier version of galenad.
-func isMemberKeyOf(key string, m *fleet.Member) bool {
-	prefix := zonePrefix(m.Region, m.Zone)
-	return key == prefix+m.Node || strings.HasPrefix(key, prefix) && strings.HasSuffix(key, "/"+m.Node)
-}
-
 // members follows the records of all nodes and applies them to routing.
 type members struct {
 	logger zerolog.Logger
@@ -68,21 +44,8 @@
 	// from another node. known is closed when it is set.
 	initialized bool
 	known       chan struct{}
-	// sameZone caches the neighbours as of the registry's change count sameZoneRevision: they
-	// are needed twice a second, and scanning 14,000 nodes takes milliseconds.
-	sameZone         []fleet.Member
-	sameZoneRevision int
-	// otherZones caches the serving nodes of other zones as of the registry's change count
-	// otherZonesRevision.
-	otherZones         []fleet.Member
-	otherZonesRevision int
-	// collectors caches the result of collectorsByZone as of the registry's change count
-	// collectorsRevision.
-	collectors         map[string][]fleet.Member
-	collectorsRevision int
-	// zoneCount caches the result of zones as of the registry's change count zoneCountRevision; 0 if it
-	// is not known.
-	zoneCount, zoneCountRevision int
+	// views are computed from registry.
+	views memberViews
 }
 
 func newMembers(m *Mesh, own node.Identity) *members {
@@ -330,58 +293,3 @@
 	defer m.mu.Unlock()
 	return m.registry.Members()
 }
-
-// randomOtherZone returns a random serving node of another zone; known is false if there is
-// none.
-func (m *members) randomOtherZone(cfg *settings.Mesh) (member fleet.Member, known bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.otherZonesRevision != m.registry.Changes() {
-		m.otherZones = m.registry.OtherZones(cfg.Region, cfg.Zone)
-		m.otherZonesRevision = m.registry.Changes()
-	}
-	if len(m.otherZones) == 0 {
-		return fleet.Member{}, false
-	}
-	return m.otherZones[rand.IntN(len(m.otherZones))], true
-}
-
-// collectorsByZone returns the first nodes of each other zone, by the name of the zone, in the order in
-// which they are asked as collectors. They must not be changed.
-func (m *members) collectorsByZone(cfg *settings.Mesh) map[string][]fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.collectors != nil && m.collectorsRevision == m.registry.Changes() {
-		return m.collectors
-	}
-	byZone := map[string][]fleet.Member{}
-	for zone, list := range m.registry.CollectorsByZone(maxZoneCandidates) {
-		if zone.Region != cfg.Region || zone.Zone != cfg.Zone {
-			byZone[zoneName(zone.Region, zone.Zone)] = list
-		}
-	}
-	m.collectors, m.collectorsRevision = byZone, m.registry.Changes()
-	return byZone
-}
-
-// zones returns the number of availability zones with serving nodes, the own one included.
-func (m *members) zones(cfg *settings.Mesh) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.zoneCount == 0 || m.zoneCountRevision != m.registry.Changes() {
-		m.zoneCount = m.registry.OtherZoneCount(cfg.Region, cfg.Zone) + 1
-		m.zoneCountRevision = m.registry.Changes()
-	}
-	return m.zoneCount
-}
-
-// zoneNeighbours returns the records of the other nodes of the zone; they must not be changed.
-func (m *members) zoneNeighbours(cfg *settings.Mesh) []fleet.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.sameZoneRevision != m.registry.Changes() {
-		m.sameZone = m.registry.Neighbours(cfg.NodeID, cfg.Region, cfg.Zone)
-		m.sameZoneRevision = m.registry.Changes()
-	}
-	return m.sameZone
-}
--- a/internal/mesh/members_bench_test.go
+++ b/internal/mesh/members_bench_test.go
@@ -16,7 +16,7 @@
 	cfg.Region, cfg.Zone = "r", "0"
 	b.ReportAllocs()
 	for b.Loop() {
-		m.collectors = nil
+		m.views = memberViews{}
 		m.collectorsByZone(cfg)
 	}
 }
@@ -27,7 +27,7 @@
 	cfg := settings.MeshDefaults()
 	b.ReportAllocs()
 	for b.Loop() {
-		m.zoneCount = 0
+		m.views = memberViews{}
 		m.zones(cfg)
 	}
 }
