Write no second content under the key of a record

Cause: the record could be changed between a write without a response and its repetition, under the same revision and key. The first write, done late, would bring back a record without what its predecessor knew, whose key the second one had deleted.

Change: a change after the first write is a revision of its own.

Measured: TestKeyOfARecordHasOneContent failed before (two values for revision 1) and passes.

--- a/internal/records/publisher.go
+++ b/internal/records/publisher.go
@@ -66,11 +66,18 @@
 	}
 }
 
-// Prepare changes the record without a write. The change is written with the next Update.
+// Prepare changes the record without a write if none was requested yet. The change is written with the
+// first Update. Later it is an Update, since a revision has one content.
 func (p *Publisher) Prepare(change func(*fleet.Member)) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	change(&p.record)
+	published := p.record.Revision > 0
+	if !published {
+		change(&p.record)
+	}
+	p.mu.Unlock()
+	if published {
+		p.Update(change)
+	}
 }
 
 // AwaitWritten returns when the store has confirmed a revision or a newer one, or with an error when
