Allocate nothing for the memory of a request without a body

The record of what a body takes was allocated at the entry and at the guard for requests without a body too.

Change: none is made for them.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -38,7 +38,7 @@
 // SetBodyBudget bounds the memory of request bodies. It must be called before serving.
 func (p *Proxy) SetBodyBudget(b *membudget.Budget) { p.bodies = b }
 
-// bodyMemory is what the body of one request takes of a budget.
+// bodyMemory is what the body of one request takes of a budget. nil takes nothing.
 type bodyMemory struct {
 	budget *membudget.Budget
 	// small is the number of bytes of a small body.
@@ -48,6 +48,9 @@
 
 // release gives the memory of a small body back. That of a large one comes back when it is freed.
 func (m *bodyMemory) release() {
+	if m == nil {
+		return
+	}
 	m.budget.Release(m.small)
 	m.small = 0
 	if m.large {
@@ -153,14 +156,14 @@
 // readCallerBody reads the body of a caller's request. The memory has to be released, also after a
 // refusal. A body that arrives slowly holds it until the deadline of the call at most.
 func (p *Proxy) readCallerBody(ex exchange, call *node.Call) ([]byte, *bodyMemory, *result.Refusal) {
-	memory := &bodyMemory{budget: p.bodies}
 	length, limit := ex.r.ContentLength, p.maxBody(call)
 	if length > limit {
-		return nil, memory, result.Refuse(result.BodyTooLarge, "body has %d bytes, limit is %d", length, limit)
+		return nil, nil, result.Refuse(result.BodyTooLarge, "body has %d bytes, limit is %d", length, limit)
 	}
 	if length == 0 {
-		return nil, memory, nil
+		return nil, nil, nil
 	}
+	memory := &bodyMemory{budget: p.bodies}
 	defer boundReading(ex.w, length, call)()
 	reader := bodyReader{ex.r.Context(), memory, patienceOf(call, p.node.Now(), callerPatience)}
 	body, err := reader.read(http.MaxBytesReader(ex.w, ex.r.Body, limit), length, limit)
@@ -217,10 +220,10 @@
 // readGuardBody reads the body of a call of another node. The memory has to be released, also after a
 // refusal.
 func (p *Proxy) readGuardBody(w http.ResponseWriter, r *http.Request, call *node.Call) ([]byte, *bodyMemory, *result.Refusal) {
-	memory := &bodyMemory{budget: p.bodies}
 	if r.ContentLength == 0 {
-		return nil, memory, nil
+		return nil, nil, nil
 	}
+	memory := &bodyMemory{budget: p.bodies}
 	defer boundReading(w, r.ContentLength, call)()
 	reader := bodyReader{r.Context(), memory, patienceOf(call, p.node.Now(), guardPatience)}
 	body, err := reader.read(io.LimitReader(r.Body, maxResponseBody), r.ContentLength, maxResponseBody)
