Count callers that leave and requests that arrive behind others

Change: callers.left counts the departures that an entry noticed, callers.pipelined the requests during which their connection brought a further one. No decision changes.

Measured: tests of mesh, metrics and proxy pass.

--- a/internal/mesh/callerconn.go
+++ b/internal/mesh/callerconn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/galenagrade/galenagrade/internal/metrics"
 )
 
 const (
@@ -14,6 +16,9 @@
 	headerSentinel = 500 * time.Hour
 	// defaultIdleTimeout applies where the routes set no idle timeout.
 	defaultIdleTimeout = 60 * time.Second
+	// watchReadBytes is the size in bytes of the read by which net/http watches a connection while it
+	// serves a request of it. If the read returns data, a further request has arrived.
+	watchReadBytes = 1
 )
 
 // callerListener accepts the connections of callers.
@@ -28,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, timeouts: l.mesh}, nil
+	return &callerConn{Conn: c, timeouts: l.mesh, onPipelined: l.mesh.countPipelined}, nil
 }
 
 // callerTimeouts provides the timeouts for caller connections that are currently in force.
@@ -41,6 +46,8 @@
 type callerConn struct {
 	net.Conn
 	timeouts callerTimeouts
+	// onPipelined is called when a request arrives while another one of the connection is served.
+	onPipelined func()
 	// awaitingFirstByte is set on a new connection until its first byte arrives. net/http starts
 	// the header timeout of the first request when the connection opens, and so would close
 	// connections that callers open in advance.
@@ -69,6 +76,9 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 && len(b) == watchReadBytes {
+		c.onPipelined()
+	}
 	if n > 0 && c.awaitingFirstByte.CompareAndSwap(true, false) {
 		if err := c.Conn.SetReadDeadline(time.Now().Add(c.timeouts.headerTimeout())); err != nil {
 			return n, err
@@ -77,6 +87,8 @@
 	return n, err
 }
 
+func (m *Mesh) countPipelined() { m.metrics.Inc(metrics.CallersPipelined, 1) }
+
 func (m *Mesh) idleTimeout() time.Duration {
 	if t := m.proxy.Routes(); t != nil && t.Config().Limits.IdleTimeout > 0 {
 		return t.Config().Limits.IdleTimeout
--- a/internal/mesh/callerconn_test.go
+++ b/internal/mesh/callerconn_test.go
@@ -25,7 +25,7 @@
 	accepted, err := l.Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
-	return &callerConn{Conn: accepted, timeouts: timeouts}, caller
+	return &callerConn{Conn: accepted, timeouts: timeouts, onPipelined: func() {}}, caller
 }
 
 func sentinel(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -66,6 +66,10 @@
 	RoomUnanswered
 	// RoomInvalid counts the requests for room of other nodes that are invalid.
 	RoomInvalid
+	// CallersLeft counts requests whose callers left before the response.
+	CallersLeft
+	// CallersPipelined counts requests during which their connection brought a further one.
+	CallersPipelined
 	numCounters
 )
 
@@ -111,6 +115,8 @@
 	RoomRefused:             "room.refused",
 	RoomUnanswered:          "room.unanswered",
 	RoomInvalid:             "room.invalid",
+	CallersLeft:             "callers.left",
+	CallersPipelined:        "callers.pipelined",
 }
 
 // String returns the name in the JSON document.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -212,7 +212,7 @@
 func (p *Proxy) runActions(ctx context.Context, call *node.Call, dispatch *node.Dispatch) *node.Response {
 	for {
 		if errors.Is(ctx.Err(), context.Canceled) {
-			dispatch.Leave()
+			p.callerLeft(call, dispatch)
 		}
 		action := dispatch.Next(p.node.Now())
 		switch action.Kind {
@@ -232,6 +232,14 @@
 	}
 }
 
+// callerLeft ends a call that nobody waits for any more.
+func (p *Proxy) callerLeft(call *node.Call, dispatch *node.Dispatch) {
+	if call.Ctx.Depth == 0 {
+		p.node.Metrics().Inc(metrics.CallersLeft, 1)
+	}
+	dispatch.Leave()
+}
+
 func (p *Proxy) send(ctx context.Context, action node.Action) *node.Response {
 	endpoint := action.Target.Endpoint()
 	if endpoint.Node == p.node.ID() {
