Notice callers that leave behind a pipelined request

Cause: callers saw their upstreams busy with work that nobody wanted: net/http watches a connection by a read of one byte while it serves a request, and stops at the first byte of a further one. From then on a close by the caller went unnoticed until the response was written, and the request was worked on to its end. Work lasts longest, and further requests come most often, while a service is slow.

Change: conns.Departures looks ten times a second whether the caller of such a connection has closed it, by the state of the socket, whatever is unread; it then ends the context of the connection's requests. Nothing is read ahead, so a request that was not read still counts as such. Used by galenad mesh and by galenad; with TLS the latter does not notice it (open).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -28,8 +28,10 @@
 
 // SyscallConn implements syscall.Conn if the wrapped connection does; otherwise it returns
 // errors.ErrUnsupported. Callers use it to inspect the socket, for example for a close by the peer.
-func (c *closeHookConn) SyscallConn() (syscall.RawConn, error) {
-	if sc, ok := c.Conn.(syscall.Conn); ok {
+func (c *closeHookConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	if sc, ok := c.(syscall.Conn); ok {
 		return sc.SyscallConn()
 	}
 	return nil, errors.ErrUnsupported
--- /dev/null
+++ b/internal/conns/departure.go
@@ -0,0 +1,181 @@
+package conns
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// departureInterval is the time between two looks at a watched connection.
+	departureInterval = 100 * time.Millisecond
+	// serverWatchBytes is the size in bytes of the read by which net/http watches a connection while it
+	// serves a request of it.
+	serverWatchBytes = 1
+)
+
+// Departures watches the connections of callers for their close. net/http does so itself until a byte of a
+// further (pipelined) request arrives, and not from then on: the request would be served to its end for
+// a caller that has left. It is safe for concurrent use.
+type Departures struct {
+	// onPipelined is called when a request arrives while another one of its connection is served.
+	onPipelined func()
+
+	mu      sync.Mutex
+	watched map[*CallerConn]struct{}
+	// looking is whether look runs. It ends when nothing is left to watch.
+	looking bool
+}
+
+// NewDepartures returns a Departures that watches nothing yet. onPipelined is called when a request
+// arrives while another one of its connection is served; it must not block.
+func NewDepartures(onPipelined func()) *Departures {
+	return &Departures{onPipelined: onPipelined, watched: make(map[*CallerConn]struct{})}
+}
+
+// Wrap returns the connection c of a caller. A server that serves it has to use ConnContext.
+func (d *Departures) Wrap(c net.Conn) *CallerConn {
+	raw, err := rawConn(c)
+	if err != nil {
+		raw = nil // without a socket the connection can't be watched
+	}
+	return &CallerConn{Conn: c, departures: d, raw: raw}
+}
+
+// Listener returns a listener whose connections are wrapped.
+func (d *Departures) Listener(l net.Listener) net.Listener { return &callerListener{l, d} }
+
+type callerListener struct {
+	net.Listener
+	departures *Departures
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.departures.Wrap(c), nil
+}
+
+// CallerConn is the connection of a caller.
+type CallerConn struct {
+	net.Conn
+	departures *Departures
+	raw        syscall.RawConn // nil if the connection has no socket
+	// cancel ends the requests of the connection.
+	cancel context.CancelFunc
+	// pipelined is whether net/http has stopped watching. Reads are made one after another.
+	pipelined bool
+}
+
+// departing is implemented by a CallerConn and by connections that embed one.
+type departing interface {
+	requestContext(ctx context.Context) context.Context
+}
+
+// ConnContext returns the context for the requests of a connection that Wrap returned, or that embeds
+// one. It is for http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if d, ok := c.(departing); ok {
+		return d.requestContext(ctx)
+	}
+	return ctx
+}
+
+func (c *CallerConn) requestContext(ctx context.Context) context.Context {
+	ctx, c.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+// Read implements net.Conn.
+func (c *CallerConn) Read(b []byte) (int, error) {
+	if c.pipelined { // the request that was served has its response
+		c.pipelined = false
+		c.departures.forget(c)
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 && len(b) == serverWatchBytes {
+		c.pipelined = true
+		c.departures.onPipelined()
+		c.departures.watch(c)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *CallerConn) Close() error {
+	c.departures.forget(c)
+	if c.cancel != nil {
+		c.cancel()
+	}
+	return c.Conn.Close()
+}
+
+// hasLeft reports whether the caller has closed or reset the connection, whatever data is still unread.
+func (c *CallerConn) hasLeft() bool {
+	left := false
+	err := c.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(state, 0)
+		left = err == nil && n > 0
+	})
+	return err == nil && left
+}
+
+func (d *Departures) watch(c *CallerConn) {
+	if c.raw == nil || c.cancel == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watched[c] = struct{}{}
+	if !d.looking {
+		d.looking = true
+		go d.look()
+	}
+}
+
+func (d *Departures) forget(c *CallerConn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.watched, c)
+}
+
+// look cancels the requests of watched connections whose callers have left. It returns when there is
+// nothing to watch.
+func (d *Departures) look() {
+	ticker := time.NewTicker(departureInterval)
+	defer ticker.Stop()
+	for range ticker.C {
+		watched, any := d.toLookAt()
+		if !any {
+			return
+		}
+		for _, c := range watched {
+			if c.hasLeft() {
+				d.forget(c)
+				c.cancel()
+			}
+		}
+	}
+}
+
+// toLookAt returns the watched connections. Without any it returns false, and look has to end.
+func (d *Departures) toLookAt() (watched []*CallerConn, any bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.watched) == 0 {
+		d.looking = false
+		return nil, false
+	}
+	for c := range d.watched {
+		watched = append(watched, c)
+	}
+	return watched, true
+}
--- /dev/null
+++ b/internal/conns/departure_test.go
@@ -0,0 +1,43 @@
+package conns
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against requests that are served on for a caller that left after it had sent a further one.
+func TestDepartureBehindAPipelinedRequestIsNoticed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	started, ended, pipelined := make(chan string, 2), make(chan string, 2), make(chan bool, 1)
+	srv := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		started <- r.URL.Path
+		<-r.Context().Done()
+		ended <- r.URL.Path
+	})}
+	defer srv.Close()
+	departures := NewDepartures(func() { pipelined <- true })
+	go func() { _ = srv.Serve(departures.Listener(l)) }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	for n := range 2 {
+		_, err = fmt.Fprintf(caller, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", n)
+		must.NoError(t, err)
+		if n == 0 {
+			must.EqOp(t, "/0", <-started)
+		}
+	}
+	<-pipelined
+	must.NoError(t, caller.Close())
+	select {
+	case path := <-ended:
+		must.EqOp(t, "/0", path)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request is still served")
+	}
+}
--- a/internal/mesh/callerconn.go
+++ b/internal/mesh/callerconn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/metrics"
 )
 
@@ -16,15 +17,13 @@
 	headerSentinel = 500 * time.Hour
 	// defaultIdleTimeout applies where the routes set no idle timeout.
 	defaultIdleTimeout = 60 * time.Second
-	// watchReadBytes is the size in bytes of the read by which net/http watches a connection while it
-	// serves a request of it. If the read returns data, a further request has arrived.
-	watchReadBytes = 1
 )
 
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
-	mesh *Mesh
+	mesh       *Mesh
+	departures *conns.Departures
 }
 
 // Accept implements net.Listener.
@@ -33,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, timeouts: l.mesh, onPipelined: l.mesh.countPipelined}, nil
+	return &callerConn{CallerConn: l.departures.Wrap(c), timeouts: l.mesh}, nil
 }
 
 // callerTimeouts provides the timeouts for caller connections that are currently in force.
@@ -44,10 +43,8 @@
 
 // callerConn applies the timeouts in force to the connection of a caller.
 type callerConn struct {
-	net.Conn
+	*conns.CallerConn
 	timeouts callerTimeouts
-	// onPipelined is called when a request arrives while another one of the connection is served.
-	onPipelined func()
 	// awaitingFirstByte is set on a new connection until its first byte arrives. net/http starts
 	// the header timeout of the first request when the connection opens, and so would close
 	// connections that callers open in advance.
@@ -75,10 +72,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && len(b) == watchReadBytes {
-		c.onPipelined()
-	}
+	n, err := c.CallerConn.Read(b)
 	if n > 0 && c.awaitingFirstByte.CompareAndSwap(true, false) {
 		if err := c.Conn.SetReadDeadline(time.Now().Add(c.timeouts.headerTimeout())); err != nil {
 			return n, err
--- a/internal/mesh/callerconn_test.go
+++ b/internal/mesh/callerconn_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/galenagrade/galenagrade/internal/conns"
 )
 
 type fixedTimeouts struct{ idle, header time.Duration }
@@ -25,7 +27,7 @@
 	accepted, err := l.Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
-	return &callerConn{Conn: accepted, timeouts: timeouts, onPipelined: func() {}}, caller
+	return &callerConn{CallerConn: conns.NewDepartures(func() {}).Wrap(accepted), timeouts: timeouts}, caller
 }
 
 func sentinel(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
@@ -102,6 +103,7 @@
 	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
 	s.callers = m.newServer(m.withConnectionClose(callers))
 	s.callers.BaseContext = func(net.Listener) context.Context { return m.callersCtx }
+	s.callers.ConnContext = conns.ConnContext
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
 	s.callers.MaxHeaderBytes = maxHeaderBytes
@@ -109,7 +111,7 @@
 	s.inner.IdleTimeout = innerIdleTimeout
 	s.ready = m.newServer(http.HandlerFunc(m.serveReady))
 	s.announce = m.newServer(m.platform.AnnounceHandler(m.local))
-	m.startServer(s.callers, &callerListener{Listener: m.listeners.callers, mesh: m})
+	m.startServer(s.callers, &callerListener{m.listeners.callers, m, conns.NewDepartures(m.countPipelined)})
 	m.startServer(s.inner, m.listeners.inner)
 	m.startServer(s.ready, m.listeners.ready)
 	m.startServer(s.announce, m.listeners.announce)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/certs"
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/membership"
@@ -311,10 +312,20 @@
 		srv.Protocols.SetUnencryptedHTTP2(true)
 		s.innerServer = srv
 	}
+	if l == s.listeners.callers || l == s.listeners.exit {
+		l = s.departures().Listener(l)
+		srv.ConnContext = conns.ConnContext
+	}
 	s.servers = append(s.servers, srv)
 	s.spawn(func() { _ = serveOn(srv, l, files) })
 }
 
+// departures watches the connections of a listener for callers that leave. With TLS it sees none, since
+// net/http's reads then don't reach the connection.
+func (s *Server) departures() *conns.Departures {
+	return conns.NewDepartures(func() { s.metrics.Inc(metrics.CallersPipelined, 1) })
+}
+
 // spawn runs f in a goroutine that Shutdown and Kill wait for.
 func (s *Server) spawn(f func()) {
 	s.goroutines.Add(1)
