Refuse the calls of a request that was cancelled

Cause: an upstream that does not stop at once makes further calls for a request whose caller has left. The node no longer ran a request with that ID, so the call entered as a request of its own, without the caller's departure and without the tree's allowance, and deeper upstreams worked on it to its end.

Evidence: TestNoCallRunsForACallerThatLeft with late calls: worked on for 3 s.

Change: the calls that the local upstream runs are kept in proxy.runs (moved out of upstream.go). A request that runs here again makes calls as before.

A process that replaces one that was killed does not know what that one had cancelled (open).

--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -70,6 +70,9 @@
 	CallersLeft
 	// CallersPipelined counts requests during which their connection brought a further one.
 	CallersPipelined
+	// CallsOfCancelled counts calls of the upstream that were refused because the request for which it
+	// made them was cancelled.
+	CallsOfCancelled
 	numCounters
 )
 
@@ -117,6 +120,7 @@
 	RoomInvalid:             "room.invalid",
 	CallersLeft:             "callers.left",
 	CallersPipelined:        "callers.pipelined",
+	CallsOfCancelled:        "calls.of_cancelled",
 }
 
 // String returns the name in the JSON document.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,7 +115,7 @@
 		p.reject(w, raw, "", refusal)
 		return
 	}
-	ctx, stop := p.upstream.boundByParent(r.Context(), raw.Parent)
+	ctx, stop := p.upstream.runs.bound(r.Context(), raw.Parent)
 	defer stop()
 	p.serve(ctx, exchange{w: w, r: r, writer: defaultWriter{p}}, call, account)
 }
--- a/internal/proxy/routed.go
+++ b/internal/proxy/routed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -119,7 +120,7 @@
 		return
 	}
 	if call.Ctx.ParentID != "" {
-		childCtx, stop := h.p.upstream.boundByParent(ctx, call.Ctx.ParentID)
+		childCtx, stop := h.p.upstream.runs.bound(ctx, call.Ctx.ParentID)
 		defer stop()
 		ctx = childCtx
 	}
@@ -189,7 +190,11 @@
 	}
 	parentID := ""
 	if in.APIKey == "" || !table.NeedsKey(route) {
-		parentID = h.p.upstream.runningCallID(in.Parent)
+		parentID = h.p.upstream.runs.callOf(in.Parent)
+		if parentID == "" && h.p.upstream.runs.wasCancelled(h.p.node.Now(), in.Parent) {
+			h.p.node.Metrics().Inc(metrics.CallsOfCancelled, 1)
+			return nil, nil, result.Refuse(result.ParentGone, "request %s was cancelled on this node", in.Parent)
+		}
 	}
 	if parentID == "" && table.NeedsKey(route) {
 		workspace := table.WorkspaceByKey(in.APIKey)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -62,21 +62,19 @@
 	// bodies bounds the memory of response bodies; nil does not.
 	bodies *membudget.Budget
 
-	mu      sync.Mutex
-	pool    *h1.Pool
-	running map[string]*lifetime.Context
-	// byRequest maps the request ID of a caller to the running call ID.
-	byRequest map[string]string
+	runs runs
+
+	mu   sync.Mutex
+	pool *h1.Pool
 }
 
 // NewUpstream returns the runner of a node. Bind must be called before the first call.
 func NewUpstream(claimer Claimer) *Upstream {
 	return &Upstream{
-		claimer:   claimer,
-		dialect:   defaultDialect{},
-		pool:      newUpstreamPool("", nil),
-		running:   make(map[string]*lifetime.Context),
-		byRequest: make(map[string]string),
+		claimer: claimer,
+		dialect: defaultDialect{},
+		pool:    newUpstreamPool("", nil),
+		runs:    newRuns(),
 	}
 }
 
@@ -194,55 +192,14 @@
 	go func() {
 		ctx := lifetime.WithDeadline(context.Background(), call.Ctx.Deadline)
 		defer ctx.Cancel()
-		u.track(ctx, call)
-		defer u.untrack(call)
+		u.runs.begin(ctx, call)
+		defer func() { u.runs.end(u.node.Now(), call, ctx.Err()) }()
 		u.node.Guard().OnCancel(call.Ctx.CallID, ctx.Cancel)
 		resp := u.roundTrip(ctx, call, startBy)
 		u.node.Guard().Finish(u.node.Now(), call.Ctx.CallID, resp)
 	}()
 }
 
-func (u *Upstream) track(ctx *lifetime.Context, call *node.Call) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.running[call.Ctx.CallID] = ctx
-	u.byRequest[call.Ctx.RequestID] = call.Ctx.CallID
-}
-
-func (u *Upstream) untrack(call *node.Call) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.running, call.Ctx.CallID)
-	if u.byRequest[call.Ctx.RequestID] == call.Ctx.CallID {
-		delete(u.byRequest, call.Ctx.RequestID)
-	}
-}
-
-// runningCallID returns the ID of the running call for a request ID of a caller; empty if there is
-// none.
-func (u *Upstream) runningCallID(requestID string) string {
-	if requestID == "" {
-		return ""
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.byRequest[requestID]
-}
-
-// boundByParent returns a context for a child call that is canceled with its parent call, since the
-// result of the child is then no longer needed.
-func (u *Upstream) boundByParent(ctx context.Context, parentID string) (context.Context, func()) {
-	u.mu.Lock()
-	parent, ok := u.running[parentID]
-	u.mu.Unlock()
-	if !ok {
-		return ctx, func() {}
-	}
-	child := lifetime.WithDeadline(ctx, time.Time{})
-	parent.Attach(child)
-	return child, func() { parent.Detach(child); child.Cancel() }
-}
-
 func (u *Upstream) roundTrip(ctx context.Context, call *node.Call, startBy time.Time) *node.Response {
 	if !isPathTarget(call.Target) {
 		return node.Refused(call.Ctx.CallID, badTargetRefusal())
