End a call that all its callers have left, on every path to its guard

Cause: a guard counted callers that could not wait any more, and worked on for them: - after a re-attachment, the first transmission stayed attached. Its connection was replaced because it had become unresponsive, so its close may never arrive, and the run went on when the sender left; - a call whose caller left while the claim of its key was written was run after the claim; - a call that joined another one with its key stayed joined after its caller had left, so that a queued call ran for nobody.

A sender leaves with its newest transmission; the earlier ones still get the response. A claimed call without callers is refused as not run. Joined calls are found by their ID and leave like others.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -57,6 +57,8 @@
 	phase       phase
 	waiters     []attachedWaiter
 	lastToken   int
+	// leftThrough is the newest of the tokens by which callers left.
+	leftThrough int
 	arrived     time.Time
 	started     time.Time
 	// process is the upstreamIncarnation at the start of the run.
@@ -135,8 +137,10 @@
 	keys        *idempotency.Table
 	retryBudget *retry.Budget
 	calls       map[string]*execution
-	done        []*execution // finished, oldest first
-	doneBytes   int64
+	// joined maps the IDs of calls that wait for a call with their key to that call.
+	joined    map[string]*execution
+	done      []*execution // finished, oldest first
+	doneBytes int64
 	// strippedCount is the number of entries at the start of done whose response is no longer
 	// stored.
 	strippedCount int
@@ -178,6 +182,7 @@
 		keys:        idempotency.NewTable(cfg.Keys),
 		retryBudget: retry.NewBudget(cfg.RetryBudget),
 		calls:       make(map[string]*execution),
+		joined:      make(map[string]*execution),
 		recall:      newRecall(),
 	}
 }
--- a/internal/node/guard_arrive.go
+++ b/internal/node/guard_arrive.go
@@ -130,6 +130,7 @@
 		return g.refusalResponseLocked(call, result.Refuse(result.OutcomeUnknown, "the running attempt has ended without a response"))
 	}
 	e.joins = append(e.joins, joinedCall{call: call, waiter: w})
+	g.joined[call.Ctx.CallID] = e
 	return nil
 }
 
--- a/internal/node/guard_end.go
+++ b/internal/node/guard_end.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/idempotency"
@@ -24,6 +23,7 @@
 		deferred.add(func() { x.waiter(a) })
 	}
 	for _, j := range e.joins {
+		delete(g.joined, j.call.Ctx.CallID)
 		response := joinedResponse(j.call.Ctx.CallID, a)
 		if j.call.Reattach && !a.Complete() {
 			g.keepReattachmentLocked(now, j.call, response)
@@ -123,48 +123,6 @@
 	g.keepLocked(now, e)
 }
 
-// Leave detaches a caller that stopped waiting. A queued call without other callers leaves the
-// queue. A running one is cancelled if it is safe to run again; a non-idempotent one continues
-// to its deadline, because it may already have taken effect and its resend will need the
-// response.
-func (g *Guard) Leave(now time.Time, callID string, token int) {
-	g.mu.Lock()
-	e, ok := g.calls[callID]
-	if !ok || e.phase == phaseDone {
-		g.mu.Unlock()
-		return
-	}
-	var deferred callbacks
-	attached := slices.IndexFunc(e.waiters, func(x attachedWaiter) bool { return x.token == token })
-	last := attached >= 0 && len(e.waiters) == 1 && len(e.joins) == 0
-	if e.phase == phaseQueued && last {
-		// The caller is still attached and receives this refusal, which says that nothing ran.
-		decisions := g.admission.Abandon(now, callID)
-		refusal := leaveRefusal(now, e.call)
-		g.events.refused(now, e.call, refusal)
-		g.endLocked(now, e, Refused(callID, refusal), &deferred)
-		g.applyLocked(now, decisions, &deferred)
-	} else {
-		if attached >= 0 {
-			e.waiters = slices.Delete(e.waiters, attached, attached+1)
-		}
-		if e.cancellable() && e.cancel != nil {
-			g.events.cancelled(now, e.call, "the running call has no caller left")
-			deferred.add(e.cancel)
-		}
-	}
-	g.mu.Unlock()
-	deferred.run()
-}
-
-// leaveRefusal returns the refusal of a call that left the queue before it ran.
-func leaveRefusal(now time.Time, call *Call) *result.Refusal {
-	if call.Remaining(now) <= 0 {
-		return result.Refuse(result.DeadlineTooNear, "the deadline passed while the call waited")
-	}
-	return result.Refuse(result.Cancelled, "the caller left")
-}
-
 func replayedResponse(call *Call, stored *idempotency.Response) *Response {
 	return &Response{
 		CallID:          call.Ctx.CallID,
--- a/internal/node/guard_run.go
+++ b/internal/node/guard_run.go
@@ -61,6 +61,9 @@
 	g.mu.Lock()
 	var deferred callbacks
 	if e, ok := g.calls[callID]; ok && e.phase == phaseClaiming {
+		if refusal == nil && !e.isWaitedFor() {
+			refusal = leaveRefusal(now, e.call)
+		}
 		if refusal != nil {
 			g.refuseAdmittedLocked(now, e, refusal, &deferred)
 		} else {
@@ -88,13 +91,6 @@
 	}
 }
 
-// cancellable reports whether a running call should be cancelled: no caller waits for it, and
-// it is safe to run again.
-func (e *execution) cancellable() bool {
-	noWaiters := len(e.waiters) == 0 && len(e.joins) == 0
-	return e.phase == phaseRunning && e.call.Ctx.Idempotent && noWaiters
-}
-
 // Finish reports the end of a run.
 func (g *Guard) Finish(now time.Time, callID string, a *Response) {
 	g.mu.Lock()
