Send nothing for a caller that has left

Cause: a request whose caller left between the choice of an upstream and the sending was written to an idle connection all the same; the connection was closed behind it, and whether the upstream began depended on which of the two it saw first. A caller that left while a connection was opened counted as a failure of that node, which is ejected after some.

Change: a canceled context ends an exchange before a connection is taken. Nothing was sent, so the call is "not run" (cancelled), and the target is not blamed; a re-attachment treats it as one that never arrived.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -92,8 +92,11 @@
 )
 
 // Do sends a request and reads the complete response. If ctx ends first, the connection is closed,
-// which notifies the server. Every error is an *Error.
+// which notifies the server; with a canceled ctx nothing is sent. Every error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	if ctx.Err() == context.Canceled {
+		return nil, &Error{Stage: StageConnect, Cause: context.Canceled}
+	}
 	c, err := p.acquire(ctx)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
--- a/internal/h1/pool_test.go
+++ b/internal/h1/pool_test.go
@@ -299,6 +299,29 @@
 	<-closed
 }
 
+// Guards against a request that is sent for a caller that has left.
+func TestNothingIsSentForACanceledContext(t *testing.T) {
+	var requests atomic.Int64
+	addr, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for id := readRequestID(r); id != ""; id = readRequestID(r) {
+			requests.Add(1)
+			writeResponse(c, id, "of "+id, "")
+		}
+	})
+	p := newTestPool(t, addr)
+	_, err := p.Do(context.Background(), newRequest("a")) // its connection is idle from now on
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 {
+		_, err = p.Do(ctx, newRequest("b"))
+		requireStage(t, StageConnect, err)
+	}
+	_, err = p.Do(context.Background(), newRequest("c"))
+	must.NoError(t, err)
+	must.EqOp(t, 2, requests.Load())
+}
+
 // Guards against a request that is reported as sent although no connection was established.
 func TestRefusedConnectionFailsAtConnect(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -123,6 +123,9 @@
 // sendFailure returns the response for an exchange with a guard that failed with err.
 func sendFailure(ctx context.Context, call *node.Call, err error) *node.Response {
 	var exchangeErr *h1.Error
+	if isUnsent(err) {
+		return node.Refused(call.Ctx.CallID, unsentRefusal())
+	}
 	if errors.As(err, &exchangeErr) && exchangeErr.Stage == h1.StageConnect {
 		return node.Refused(call.Ctx.CallID, result.Refuse(result.Unreachable, "connection to the guard failed: %v", exchangeErr.Cause))
 	}
@@ -135,6 +138,17 @@
 	return node.Refused(call.Ctx.CallID, result.Refuse(result.LostAnswer, "connection to the guard failed before the response: %v", err))
 }
 
+// isUnsent reports whether an exchange failed because its caller left before anything was sent. That says
+// nothing about the server.
+func isUnsent(err error) bool {
+	var exchangeErr *h1.Error
+	return errors.As(err, &exchangeErr) && exchangeErr.Stage == h1.StageConnect && errors.Is(err, context.Canceled)
+}
+
+func unsentRefusal() *result.Refusal {
+	return result.Refuse(result.Cancelled, "caller disconnected before the call was sent")
+}
+
 // decodeResponse checks that the response belongs to this call. A different call ID shows that the
 // connection delivered the response to another call.
 func (c *peerCall) decodeResponse(call *node.Call, resp *h1.Response) *node.Response {
--- a/internal/proxy/peercall.go
+++ b/internal/proxy/peercall.go
@@ -106,7 +106,7 @@
 
 	resp := c.reattach()
 	reattachResp <- resp
-	if resp.Code == result.Unreachable {
+	if neverArrived(resp) {
 		return
 	}
 	if resp.Code == result.LostAnswer {
@@ -151,7 +151,7 @@
 	default:
 		return first
 	}
-	if second.Code == result.Unreachable {
+	if neverArrived(second) {
 		return first
 	}
 	return second
@@ -167,6 +167,12 @@
 	return first.Code == result.LostAnswer || first.Code == result.AnswerCut
 }
 
+// neverArrived reports whether a transmission did not reach the guard. A refusal that names its node is
+// the guard's.
+func neverArrived(resp *node.Response) bool {
+	return resp.Code == result.Unreachable || resp.Code == result.Cancelled && resp.Upstream == ""
+}
+
 // needsSecondResponse reports whether the first response is not final, so that the response of the
 // second transmission decides.
 func needsSecondResponse(first *node.Response) bool {
@@ -181,7 +187,7 @@
 	call := *c.call
 	call.Reattach = true
 	resp := c.roundTrip(&c.ctx, c.peer.freshPool, &call)
-	if resp.Code != result.Unreachable {
+	if !neverArrived(resp) {
 		c.peers.node.RecordReattach(c.call, c.node, resp)
 	}
 	return resp
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/node"
@@ -75,6 +76,13 @@
 	must.Eq(t, result.Unreachable, send("never sent").Code)
 }
 
+// Guards against targets that are ejected because callers leave while connections to them are opened.
+func TestCallerThatLeavesIsNoFailureOfItsTarget(t *testing.T) {
+	resp := sendFailure(context.Background(), &node.Call{}, &h1.Error{Stage: h1.StageConnect, Cause: context.Canceled})
+	must.EqOp(t, result.Cancelled, resp.Code)
+	must.True(t, neverArrived(resp))
+}
+
 // Guards against the refusal of the first transmission being returned while the second one runs: the
 // caller would receive "not run" for a call that runs.
 func TestRefusalOfFirstTransmissionIsNotFinal(t *testing.T) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -305,6 +305,9 @@
 		exchangeErr = &h1.Error{Stage: h1.StageSend, Cause: err}
 	}
 	id := call.Ctx.CallID
+	if isUnsent(err) {
+		return node.Refused(id, unsentRefusal())
+	}
 	if exchangeErr.Stage == h1.StageConnect {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			u.recordCrash()
