Notice within seconds that the sender of a call is gone for good

Cause: a guard learned only by a close that the sender of a call had left. A sender that lost power, or whose close fell into a cut link longer than its own kernel's patience, sends none; the guard's connections probed after 15 s nine times each 15 s, so that it worked on to the deadline of the call.

Evidence: by reading; socket options on accepted connections, before: first probe after 15 s.

Change: connections from other nodes probe after 2 s without any sign of the dialer, and fail after 4 s. Their dialers probe each second, so that nothing is sent more while they live; the number of system calls for a new connection stays.

--- a/internal/conns/keepalive.go
+++ b/internal/conns/keepalive.go
@@ -37,3 +37,17 @@
 	}
 	return d
 }
+
+// serverKeepAliveFactor is how much longer than a dialer's the first wait of a server's keep-alive probes is.
+// A server thus sends none while the dialer's probes arrive.
+const serverKeepAliveFactor = 2
+
+// DetectDeadDialers configures a listener so that its connections fail some time after their dialer, which
+// uses DetectDeadPath with the same timeout, can't be reached any more: because it lost power, or because
+// it gave the connection up while its close could not arrive. The kernel counts whole seconds.
+//
+// Without it a server works on for a client that will never read the response.
+func DetectDeadDialers(l *net.ListenConfig, timeout time.Duration) {
+	interval := max(timeout/(maxProbes+1), time.Second)
+	l.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: serverKeepAliveFactor * interval, Interval: interval, Count: maxProbes}
+}
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -28,10 +28,10 @@
 	// innerIdleTimeout is longer than peerIdleTimeout, so that the node that sends calls is the
 	// one that closes the connection.
 	innerIdleTimeout = 60 * time.Second
-	// noKeepAlive and defaultKeepAlive are values of net.ListenConfig. Many callers open a connection for
-	// each request, and setting up keep-alive probes takes four system calls. Connections of callers need
-	// none, since idle ones are closed after a timeout.
-	noKeepAlive, defaultKeepAlive = -1, 0
+	// noKeepAlive is a value of net.ListenConfig. Many callers open a connection for each request, and
+	// setting up keep-alive probes takes four system calls. Connections of callers need none, since idle
+	// ones are closed after a timeout.
+	noKeepAlive = -1
 )
 
 // listeners are the listeners of the node; metrics is nil if metrics are not served.
@@ -40,22 +40,24 @@
 }
 
 func (l *listeners) open(cfg *settings.Mesh) error {
+	callers, nodes, others := &net.ListenConfig{KeepAlive: noKeepAlive}, &net.ListenConfig{}, &net.ListenConfig{}
+	conns.DetectDeadDialers(nodes, peerSilenceTimeout)
 	for _, x := range []struct {
-		into      *net.Listener
-		field     string
-		addr      string
-		keepAlive time.Duration
+		into   *net.Listener
+		field  string
+		addr   string
+		config *net.ListenConfig
 	}{
-		{&l.callers, "listen.callers", cfg.Listen.Callers, noKeepAlive},
-		{&l.inner, "listen.inner", cfg.Listen.Inner, defaultKeepAlive},
-		{&l.ready, "listen.ready", cfg.Listen.Ready, defaultKeepAlive},
-		{&l.announce, "listen.announce", cfg.Listen.Announce, defaultKeepAlive},
-		{&l.metrics, "listen.metrics", cfg.Listen.Metrics, defaultKeepAlive},
+		{&l.callers, "listen.callers", cfg.Listen.Callers, callers},
+		{&l.inner, "listen.inner", cfg.Listen.Inner, nodes},
+		{&l.ready, "listen.ready", cfg.Listen.Ready, others},
+		{&l.announce, "listen.announce", cfg.Listen.Announce, others},
+		{&l.metrics, "listen.metrics", cfg.Listen.Metrics, others},
 	} {
 		if x.addr == "" {
 			continue
 		}
-		opened, err := (&net.ListenConfig{KeepAlive: x.keepAlive}).Listen(context.Background(), "tcp", x.addr)
+		opened, err := x.config.Listen(context.Background(), "tcp", x.addr)
 		if err != nil {
 			l.close()
 			return errors.Wrapf(err, "open listener %s at %s", x.field, x.addr)
