Take no record of a node that is out of range or under the key of another

Cause: an entry of another writer among the records of the nodes was checked for its types and little else. One with the name of a living node and the greatest incarnation replaced that node's record for good, and its service was not used by anyone that read it; an address with a port out of range was handed to the dialer.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,8 +11,16 @@
 	"pgregory.net/rapid"
 )
 
+var testNow = time.Unix(1_000_000, 0)
+
 func member(node string, incarnation, revision uint64, state State) Member {
-	return Member{Node: node, Incarnation: incarnation, Revision: revision, Address: node + ":1", Service: "s", Slots: 4, State: state}
+	return Member{Node: node, Incarnation: incarnation, Revision: revision, Address: addressOf(node), Service: "s", Slots: 4, State: state}
+}
+
+// addressOf returns an address of its own for each of the nodes of a test.
+func addressOf(node string) string {
+	sum := crc32.ChecksumIEEE([]byte(node))
+	return fmt.Sprintf("10.%d.%d.%d:1", byte(sum>>16), byte(sum>>8), byte(sum))
 }
 
 // Guards against calls to an old incarnation, after its record arrived late.
@@ -69,7 +79,7 @@
 	m := member("n", 7, 3, Serving)
 	raw, err := m.Encode()
 	must.NoError(t, err)
-	got, err := DecodeMember(raw)
+	got, err := DecodeMember(raw, testNow)
 	must.NoError(t, err)
 	must.Eq(t, m, got)
 }
@@ -82,11 +92,11 @@
 	f.Add([]byte(`{"node":1}`))
 	f.Add([]byte("\xff{"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		m, err := DecodeMember(raw)
+		m, err := DecodeMember(raw, testNow)
 		if err != nil {
 			return
 		}
-		must.NoError(t, m.Validate())
+		must.NoError(t, m.Validate(testNow))
 		NewRegistry().Apply(m)
 	})
 }
--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatalf("encode: %v", err)
 	}
-	stored, err := DecodeMember(raw)
+	stored, err := DecodeMember(raw, testNow)
 	if err != nil {
 		t.Fatalf("decode: %v", err)
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -11,7 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
@@ -70,25 +69,6 @@
 // MaxMemberBytes bounds the encoded size of a Member.
 const MaxMemberBytes = 4 << 10
 
-// Validate returns an error that names the first field out of bounds.
-func (m *Member) Validate() error {
-	switch {
-	case !callctx.ValidName(m.Node):
-		return fmt.Errorf("member: node is %q, must be a name", m.Node)
-	case m.Incarnation == 0:
-		return fmt.Errorf("member %s: incarnation is 0, must be above 0", m.Node)
-	case m.Address == "":
-		return fmt.Errorf("member %s: address is empty", m.Node)
-	case !callctx.ValidName(m.Service):
-		return fmt.Errorf("member %s: service is %q, must be a name", m.Node, m.Service)
-	case !slices.Contains([]State{Serving, Stopping, Leaving, Gone}, m.State):
-		return fmt.Errorf("member %s: state is %q, must be serving, stopping, leaving or gone", m.Node, m.State)
-	case m.State == Serving && m.Slots < 1:
-		return fmt.Errorf("member %s: slots are %d, must be at least 1", m.Node, m.Slots)
-	}
-	return nil
-}
-
 // SetHistory sets the fields that say what the node knows of the processes of its upstream.
 func (m *Member) SetHistory(h History) {
 	m.Upstream, m.StartedAt, m.Left = h.Process.ID, h.Process.StartedAt, h.Left
@@ -113,7 +93,7 @@
 
 // DecodeMember decodes and validates a record. A record with an error is to be ignored: it has no
 // valid information about any node.
-func DecodeMember(raw []byte) (Member, error) {
+func DecodeMember(raw []byte, now time.Time) (Member, error) {
 	var m Member
 	if len(raw) > MaxMemberBytes {
 		return m, fmt.Errorf("member: record of %d bytes, must be at most %d", len(raw), MaxMemberBytes)
@@ -121,7 +101,7 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return m, fmt.Errorf("decode member record: %w", err)
 	}
-	return m, m.Validate()
+	return m, m.Validate(now)
 }
 
 // Newer reports whether m replaces old.
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fleet.Member{}, err
 	}
-	return fleet.DecodeMember(response)
+	return fleet.DecodeMember(response, time.Now())
 }
 
 // statusError is a response of another node with a status other than 200.
@@ -76,7 +76,7 @@
 		http.Error(w, "member record could not be read", http.StatusBadRequest)
 		return
 	}
-	record, err := fleet.DecodeMember(raw)
+	record, err := fleet.DecodeMember(raw, time.Now())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/mesh/memberkeys.go
+++ b/internal/mesh/memberkeys.go
@@ -22,8 +22,19 @@
 	return fmt.Sprintf("%s%016x.%08x/%s", zonePrefix(m.Region, m.Zone), m.Incarnation, m.Revision, m.Node)
 }
 
-// isMemberKeyOf reports whether a key is one of a member's records, also of an earlier version of galenad.
+// keyCheck reports whether a record may have a key.
+type keyCheck func(key string, m *fleet.Member) bool
+
+// isMemberKeyOf reports whether a key is that of a member's record, also of an earlier version of galenad.
 func isMemberKeyOf(key string, m *fleet.Member) bool {
+	return key == memberKey(m) || key == zonePrefix(m.Region, m.Zone)+m.Node
+}
+
+// isKeyOfNode reports whether a key is that of a record of a member's node, also of another revision.
+func isKeyOfNode(key string, m *fleet.Member) bool {
 	prefix := zonePrefix(m.Region, m.Zone)
 	return key == prefix+m.Node || strings.HasPrefix(key, prefix) && strings.HasSuffix(key, "/"+m.Node)
 }
+
+// isUnstoredKeyOf reports whether a key is that of a member's record that nodes pass on because the store did not accept them.
+func isUnstoredKeyOf(key string, m *fleet.Member) bool { return key == m.Node }
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -3,7 +3,9 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
@@ -68,7 +70,7 @@
 // invalid records are skipped.
 func (m *members) apply(items []records.Item) {
 	m.mu.Lock()
-	news := m.applyLocked(items, !m.initialized)
+	news := m.applyLocked(items, isMemberKeyOf, !m.initialized)
 	m.setInitializedLocked()
 	m.mu.Unlock()
 	m.onOwnZoneRead(news)
@@ -92,7 +94,7 @@
 // a few of all, so that those of the node's zone and of the deployment are still to be read.
 func (m *members) applyUnstored(items []records.Item) {
 	m.mu.Lock()
-	news := m.applyLocked(items, false)
+	news := m.applyLocked(items, isUnstoredKeyOf, false)
 	m.mu.Unlock()
 	if news.predecessor != nil {
 		m.onPredecessor(*news.predecessor)
@@ -135,15 +137,28 @@
 // applyPart applies the records of some members; those of the others are still to be read.
 func (m *members) applyPart(items []records.Item) {
 	m.mu.Lock()
-	news := m.applyLocked(items, true)
+	news := m.applyLocked(items, isMemberKeyOf, true)
 	m.mu.Unlock()
 	m.onOwnZoneRead(news)
 }
 
+// decode decodes a record, whose key must be one of its own.
+func (m *members) decode(now time.Time, item records.Item, isKeyOf keyCheck) (record fleet.Member, ok bool) {
+	record, err := fleet.DecodeMember(item.Value, now)
+	if err == nil && !isKeyOf(item.Key, &record) {
+		err = errors.Errorf("record of member %s is stored under a key of another", record.Node)
+	}
+	if err != nil {
+		m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
+	}
+	return record, err == nil
+}
+
 // applyLocked applies records and returns what they say of the node itself. At a start it logs their
 // number alone, since there are as many as nodes.
-func (m *members) applyLocked(items []records.Item, atStart bool) (news ownNews) {
+func (m *members) applyLocked(items []records.Item, isKeyOf keyCheck, atStart bool) (news ownNews) {
 	updated := 0
+	now := time.Now()
 	for _, item := range items {
 		if len(item.Value) == 0 {
 			continue
@@ -152,9 +167,8 @@
 			m.crashReporter.apply(item)
 			continue
 		}
-		record, err := fleet.DecodeMember(item.Value)
-		if err != nil {
-			m.logger.Warn().Str("key", item.Key).Err(err).Msg("member record is invalid; record ignored")
+		record, ok := m.decode(now, item, isKeyOf)
+		if !ok {
 			continue
 		}
 		if record.Node == m.own.Node && isMemberKeyOf(item.Key, &record) {
@@ -247,8 +261,9 @@
 	defer m.mu.Unlock()
 	m.setInitializedLocked()
 	updated := 0
+	now := time.Now()
 	for i := range records {
-		if err := records[i].Validate(); err != nil {
+		if err := records[i].Validate(now); err != nil {
 			m.logger.Warn().Str("from", from).Err(err).Msg("member record is invalid; record ignored")
 			continue
 		}
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -14,7 +14,7 @@
 // Guards against a departed upstream that is served again, because another node whose records are older
 // introduced itself to the restarted node before that read the store.
 func TestRecordsOfOtherNodesSufficeOnlyWithoutTheStore(t *testing.T) {
-	record := fleet.Member{Node: "n", Incarnation: 1, Revision: 1, Address: "a:1", Service: "s", Upstream: "u", Slots: 1, State: fleet.Serving}
+	record := fleet.Member{Node: "n", Incarnation: 1, Revision: 1, Address: "10.0.0.1:1", Service: "s", Upstream: "u", Slots: 1, State: fleet.Serving}
 	newer := record
 	newer.Revision, newer.State = 2, fleet.Leaving
 	raw, err := newer.Encode()
@@ -45,7 +45,7 @@
 	must.True(t, m.isOwnZoneRead())
 
 	m = start()
-	m.applyUnstored([]records.Item{{Key: "other", Value: raw}})
+	m.applyUnstored([]records.Item{{Key: newer.Node, Value: raw}})
 	must.False(t, m.isOwnZoneRead(), must.Sprint("a record that a neighbour passed on is not the zone's"))
 	must.Eq(t, []fleet.State{fleet.Leaving}, seen)
 }
--- a/internal/mesh/zonewrite.go
+++ b/internal/mesh/zonewrite.go
@@ -99,12 +99,12 @@
 		http.Error(w, "record could not be decoded", http.StatusBadRequest)
 		return
 	}
-	record, err := fleet.DecodeMember(write.Value)
+	record, err := fleet.DecodeMember(write.Value, time.Now())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	foreign := func(key string) bool { return !isMemberKeyOf(key, &record) || key == write.Key }
+	foreign := func(key string) bool { return !isKeyOfNode(key, &record) || key == write.Key }
 	if write.Key != memberKey(&record) || record.Region != m.cfg.Region || record.Zone != m.cfg.Zone || slices.ContainsFunc(write.Replaces, foreign) {
 		http.Error(w, "record is not that of a node of this zone", http.StatusBadRequest)
 		return
--- a/internal/node/guard_leave.go
+++ b/internal/node/guard_leave.go
@@ -51,7 +51,7 @@
 	e.joins = slices.DeleteFunc(e.joins, func(j joinedCall) bool { return j.call.Ctx.CallID == callID })
 }
 
-// endUnwaitedLocked ends a call that nobody waits for, as far as it may end.
+// endUnwaitedLocked ends a call without callers, as far as it may end.
 func (g *Guard) endUnwaitedLocked(now time.Time, e *execution, deferred *callbacks) {
 	switch {
 	case e.phase == phaseQueued && !e.isWaitedFor():
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -232,7 +232,7 @@
 	}
 }
 
-// callerLeft ends a call that nobody waits for any more.
+// callerLeft ends a call whose caller has left.
 func (p *Proxy) callerLeft(call *node.Call, dispatch *node.Dispatch) {
 	if call.Ctx.Depth == 0 {
 		p.node.Metrics().Inc(metrics.CallersLeft, 1)
--- a/internal/proxy/runs.go
+++ b/internal/proxy/runs.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// expireLocked forgets cancelled calls whose deadlines have passed, and the oldest of too many.
+// expireLocked removes cancelled calls whose deadlines have passed, and the oldest of too many.
 func (r *runs) expireLocked(now time.Time) {
 	for len(r.oldest) > 0 {
 		id := r.oldest[0]
@@ -90,8 +90,8 @@
 	return ok && now.Before(deadline)
 }
 
-// bound returns a context for a call that a running call makes. It ends with that call, since nobody needs
-// the result any more; at once if the call has ended.
+// bound returns a context for a call that a running call makes. It ends with that call, since the result is
+// not needed any more; at once if the call has ended.
 func (r *runs) bound(ctx context.Context, parentID string) (context.Context, func()) {
 	r.mu.Lock()
 	parent, ok := r.running[parentID]
--- a/internal/sourcecheck/pure_test.go
+++ b/internal/sourcecheck/pure_test.go
@@ -38,6 +38,8 @@
 	// Responses use the type http.Header and the status codes. These open no connections, and a
 	// separate header type would have to be copied at every hop.
 	"internal/node: net/http": "http.Header on calls and responses",
+	// netip parses addresses and opens no connections.
+	"internal/fleet: net/netip": "addresses of records and reports",
 }
 
 // purityViolations returns a message for each forbidden import, goroutine and function in s.
