--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -174,8 +174,14 @@
 	return Started
 }
 
+// update applies a report of the current process. That it leaves is final, so it counts whatever the
+// sequence: one of another writer may have been greater than those that follow.
 func (u *LocalUpstream) update(r Report) Change {
 	if r.Sequence <= u.latest.Sequence {
+		if r.Leaving && !u.left {
+			u.left = true
+			return Left
+		}
 		return Outdated
 	}
 	before := u.latest
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -41,9 +41,8 @@
 // Reported implements UpstreamReports. When it returns, a reported drain is in force at the guard and
 // in the store, since acknowledging a report commits the node and its next process to it.
 func (l *localUpstream) Reported(ctx context.Context, r fleet.Report) error {
-	if r.Service != l.mesh.cfg.Service {
-		l.mesh.logger.Warn().Str("upstream", r.ID).Str("service", r.Service).Msg("upstream report names another service; report ignored")
-		return nil
+	if err := l.checkOwn(&r); err != nil {
+		return err
 	}
 	l.applyOrPostpone(r)
 	if !r.Leaving {
@@ -52,6 +51,19 @@
 	return l.awaitWritten(ctx)
 }
 
+// checkOwn returns an error for a report that can't be of the upstream beside the node, which is on the
+// same VM and of the service in the settings.
+func (l *localUpstream) checkOwn(r *fleet.Report) error {
+	cfg := l.mesh.cfg
+	if r.Service != cfg.Service {
+		return errors.Errorf("report of upstream %s names service %s, that of the node is %s", r.ID, r.Service, cfg.Service)
+	}
+	if !fleet.SameHost(r.Address, cfg.UpstreamAddress) {
+		return errors.Errorf("report of upstream %s names address %s, that of the node's upstream is %s", r.ID, r.Address, cfg.UpstreamAddress)
+	}
+	return nil
+}
+
 // Departed implements UpstreamReports.
 func (l *localUpstream) Departed(ctx context.Context, id string, startedAt int64) error {
 	l.depart(id, startedAt)
