Answer records that claim the name or the address of a living node

Cause: of two records of a node the one with the greater incarnation counts, and of two nodes at one address the same. An entry of another writer with a name or address of a living node and an incarnation within range hid it until its next restart. The same happened without another writer to a process whose clock was behind that of the process before.

Calls and re-attachments under that incarnation are accepted. At a start, a record of the node's own name and address counts as that of its predecessor whatever its incarnation, so that an acknowledged departure is not lost by it.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -109,6 +109,15 @@
 	return cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.Revision, old.Revision)) > 0
 }
 
+// Claims reports whether m, which the node with the record own did not write, would hide that node: it has
+// its name, or its address, and is newer.
+func (m *Member) Claims(own *Member) bool {
+	if m.Node == own.Node {
+		return m.Newer(own)
+	}
+	return m.Address == own.Address && m.State != Gone && m.Incarnation > own.Incarnation
+}
+
 // Registry holds the newest record of each node. The result does not depend on the order in which
 // records arrive. It is not safe for concurrent use.
 type Registry struct {
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -30,6 +30,8 @@
 	own           node.Identity
 	onPredecessor func(fleet.Member)
 	onZoneRead    func()
+	// onRecord is called with each record that replaces another, with mu held.
+	onRecord func(*fleet.Member)
 
 	mu       sync.Mutex
 	registry *fleet.Registry
@@ -63,6 +65,7 @@
 		onOwnKey:      m.publisher.ObserveKey,
 		onPredecessor: m.local.onPredecessor,
 		onZoneRead:    m.local.applyPostponed,
+		onRecord:      m.claims.observe,
 	}
 }
 
@@ -180,6 +183,7 @@
 		if !m.registry.Apply(record) {
 			continue
 		}
+		m.onRecord(&record)
 		updated++
 		if !atStart {
 			m.logChange(&record, "store")
@@ -195,9 +199,13 @@
 	return news
 }
 
-// isPredecessorLocked reports whether a record is the newest one of a previous process of the node.
+// isPredecessorLocked reports whether a record is the newest one of a previous process of the node. One that
+// is there at the start may be newer by its clock, or because it superseded another (see claims).
 func (m *members) isPredecessorLocked(record *fleet.Member) bool {
-	isOlder := record.Node == m.own.Node && record.Incarnation < m.own.Incarnation
+	if record.Node != m.own.Node || record.Incarnation == m.own.Incarnation {
+		return false
+	}
+	isOlder := record.Incarnation < m.own.Incarnation || !m.isOwnZoneRead() && record.Address == m.own.InnerAddr
 	return isOlder && m.predecessors.Apply(*record)
 }
 
@@ -206,6 +214,7 @@
 	m.mu.Lock()
 	isPredecessor := m.isPredecessorLocked(&record)
 	if m.registry.Apply(record) {
+		m.onRecord(&record)
 		m.logChange(&record, "node")
 		m.onChange(m.registry)
 	}
@@ -271,6 +280,7 @@
 			predecessor = &records[i]
 		}
 		if m.registry.Apply(records[i]) {
+			m.onRecord(&records[i])
 			updated++
 		}
 	}
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -29,6 +29,7 @@
 			onPredecessor: func(m fleet.Member) { seen = append(seen, m.State) },
 			onOwnKey:      func(string, *fleet.Member) {},
 			onZoneRead:    func() {},
+			onRecord:      func(*fleet.Member) {},
 		}
 	}
 	m := start()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -49,6 +49,7 @@
 	bodies                     *membudget.Budget
 
 	members         *members
+	claims          *claims
 	membersFollower *records.Follower
 	publisher       *records.Publisher
 	groupWriter     *records.GroupWriter
@@ -171,6 +172,7 @@
 	m.guardTicker = newGuardTicker(m.node.Guard())
 	m.upstream.OnQueued(m.guardTicker.wakeIfQueued)
 	m.publisher = m.newPublisher(id)
+	m.claims = newClaims(m)
 	m.members = newMembers(m, id)
 	m.membersFollower = records.NewFollower(m.platform.Members(), m.members.apply, m.newRelay(records.MembersWatchWait), m.logger)
 	m.membersFollower.BatchWindow = m.membersBatchWindow
@@ -250,6 +252,7 @@
 	m.spawn(func() { m.shares.run(ctx) })
 	m.spawn(func() { m.followRoutes(ctx) })
 	m.spawn(func() { m.publisher.Run(ctx) })
+	m.spawn(func() { m.claims.run(ctx) })
 	m.spawn(func() { m.crashReporter.run(ctx) })
 	m.spawn(func() { m.followMembers(ctx) })
 	m.spawn(func() { (&introducer{mesh: m, absent: fleet.NewAbsent(), logger: m.logger}).run(ctx) })
--- a/internal/proxy/innerhop.go
+++ b/internal/proxy/innerhop.go
@@ -257,6 +257,9 @@
 	if h.GetTargetIncarnation() == own {
 		return nil
 	}
+	if published := p.publishedIncarnation.Load(); published != nil && h.GetTargetIncarnation() == *published {
+		return nil
+	}
 	if !call.Reattach && p.predecessorService != "" && call.Ctx.Service == p.predecessorService {
 		return nil
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,6 +38,8 @@
 	predecessorService string
 	// incarnation is the node's incarnation as nodes send it.
 	incarnation string
+	// publishedIncarnation is a further one by which other nodes know this process; nil if there is none.
+	publishedIncarnation atomic.Pointer[string]
 	// reserving is whether guards are asked for room; see SetReserve.
 	reserving atomic.Bool
 	// peerCallsPending counts the calls of other nodes whose responses are not yet written.
@@ -62,6 +64,13 @@
 // not know which calls ran in the earlier one. It must be called before serving.
 func (p *Proxy) AcceptPredecessorCalls(service string) { p.predecessorService = service }
 
+// AcceptIncarnation makes the node accept calls, re-attachments too, for a further incarnation under which
+// its record is published.
+func (p *Proxy) AcceptIncarnation(incarnation uint64) {
+	text := formatIncarnation(incarnation)
+	p.publishedIncarnation.Store(&text)
+}
+
 // PendingPeerCalls returns the number of calls of other nodes whose responses are not completely
 // written.
 func (p *Proxy) PendingPeerCalls() int { return int(p.peerCallsPending.Load()) }
--- a/internal/records/publisher.go
+++ b/internal/records/publisher.go
@@ -112,6 +112,11 @@
 	return record
 }
 
+// Supersede makes the record newer than those of an incarnation and triggers a write.
+func (p *Publisher) Supersede(incarnation uint64) fleet.Member {
+	return p.Update(func(own *fleet.Member) { own.Incarnation = max(own.Incarnation, incarnation) + 1 })
+}
+
 // Newest returns the current record, written or not.
 func (p *Publisher) Newest() fleet.Member {
 	p.mu.Lock()
