Bound what other nodes and operators can set in routes, gossip, crash records, quotas and batches

Cause: the same class as the odd records: numbers of another writer were used as they came. Weights of a route could overflow their sum, a health path could name another host, a negative limit or objective was taken, the greatest version hid all that follow; the records that nodes pass on could be dated into the future and keep later ones out; crash records were unbounded in number, names and times; a holder of a quota could say that it is empty for years; an offset of another node that goes back is read again without end.

Change: routes.Config bounds versions, weights, objectives, limits and health paths; decodeCrashRecords and Batch.Validate check theirs; gossip drops records dated more than an hour ahead and addresses to which no connection can be opened; a holder is asked again after a minute at most.

--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -57,14 +57,15 @@
 	if !claim.Claims(&own) || m.stopping.Load() {
 		return
 	}
-	line := m.logger.Error().Str("claims", claim.Node).Str("address", claim.Address).Uint64("incarnation", claim.Incarnation)
 	if claim.Address != own.Address && c.holdsName(ctx, claim) {
-		line.Msg("another process holds the name of this node; it is the one that others use")
+		m.logger.Error().Str("claims", claim.Node).Str("address", claim.Address).Uint64("incarnation", claim.Incarnation).
+			Msg("another process holds the name of this node; it is the one that others use")
 		return
 	}
 	m.proxy.AcceptIncarnation(claim.Incarnation + 1)
 	m.members.applyMember(m.publisher.Supersede(claim.Incarnation))
-	line.Msg("a record of another writer claims the name or the address of this node; the own record is published as newer")
+	m.logger.Error().Str("claims", claim.Node).Str("address", claim.Address).Uint64("incarnation", claim.Incarnation).
+		Msg("a record of another writer claims the name or the address of this node; the own record is published as newer")
 }
 
 // holdsName reports whether a process at the address of a claim has the name of this node.
--- a/internal/mesh/crashrecords.go
+++ b/internal/mesh/crashrecords.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/galenagrade/galenagrade/internal/callctx"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/quarantine"
 	"github.com/galenagrade/galenagrade/internal/records"
@@ -21,6 +22,8 @@
 	// maxPendingCrashRecords bounds the records of one append: a crash makes one record for each
 	// call that runs at the upstream, and a large upstream runs about as many.
 	maxPendingCrashRecords = 512
+	// maxClockLead bounds how far another writer's clock may be ahead.
+	maxClockLead = time.Hour
 )
 
 // storedCrashRecord is the JSON document of a quarantine.CrashRecord in the store. Its time is that
@@ -123,12 +126,12 @@
 	if item.Key == s.key {
 		return
 	}
-	var records []storedCrashRecord
-	if err := json.Unmarshal(item.Value, &records); err != nil {
+	now := time.Now()
+	records, err := decodeCrashRecords(now, item.Value)
+	if err != nil {
 		s.logger.Warn().Str("key", item.Key).Err(err).Msg("crash records are invalid; records ignored")
 		return
 	}
-	now := time.Now()
 	crashes := make([]quarantine.CrashRecord, len(records))
 	for i, r := range records {
 		crashes[i] = quarantine.CrashRecord{
@@ -142,3 +145,22 @@
 		s.logger.Info().Str("from", item.Key).Int("records", len(fresh)).Msg("crash records of another node merged into the quarantine")
 	}
 }
+
+// decodeCrashRecords decodes the crash records of another writer. It returns an error if a field is out of
+// bounds.
+func decodeCrashRecords(now time.Time, raw []byte) ([]storedCrashRecord, error) {
+	var list []storedCrashRecord
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return nil, errors.Wrap(err, "decode crash records")
+	}
+	if len(list) > maxPendingCrashRecords {
+		return nil, errors.Errorf("%d crash records, must be at most %d", len(list), maxPendingCrashRecords)
+	}
+	newest := uint64(now.Add(maxClockLead).UnixNano())
+	for _, r := range list {
+		if !callctx.ValidName(r.Upstream) || r.Incarnation > newest || r.AtMillis < 0 {
+			return nil, errors.Errorf("crash record of upstream %.64q, incarnation %d at %d ms: out of bounds", r.Upstream, r.Incarnation, r.AtMillis)
+		}
+	}
+	return list, nil
+}
--- a/internal/mesh/gossip.go
+++ b/internal/mesh/gossip.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/galenagrade/galenagrade/internal/fleet"
 	"github.com/galenagrade/galenagrade/internal/records"
@@ -56,6 +58,10 @@
 		http.Error(w, "gossip message could not be decoded", http.StatusBadRequest)
 		return
 	}
-	m.routes.ObserveVersion(message.Address, message.RoutesVersion)
-	m.gossiper.Receive(message.Items)
+	if fleet.ValidAddress(message.Address) {
+		m.routes.ObserveVersion(message.Address, message.RoutesVersion)
+	}
+	latest := time.Now().Add(maxClockLead).UnixMilli()
+	// A record from the future would keep the later ones of its key from being passed on.
+	m.gossiper.Receive(slices.DeleteFunc(message.Items, func(item records.UnstoredItem) bool { return item.AtMillis > latest }))
 }
--- a/internal/mesh/quotas.go
+++ b/internal/mesh/quotas.go
@@ -27,6 +27,8 @@
 	quotaRequestTimeout = 150 * time.Millisecond
 	// quotaUnknownRetryAfter is the retry-after of a refusal when no holder responds.
 	quotaUnknownRetryAfter = 500 * time.Millisecond
+	// maxNextToken bounds the time for which a holder that says that it is empty is not asked.
+	maxNextToken = time.Minute
 )
 
 // quotas enforces the quotas of workspaces. It implements proxy.Quota.
@@ -119,7 +121,8 @@
 		q.ledger.RecordGrant(workspace)
 		return true, nil
 	}
-	q.ledger.MarkEmpty(now, workspace, holder.Name, time.Duration(response.NextMillis)*time.Millisecond)
+	next := min(max(0, response.NextMillis), maxNextToken.Milliseconds())
+	q.ledger.MarkEmpty(now, workspace, holder.Name, time.Duration(next)*time.Millisecond)
 	return false, nil
 }
 
--- a/internal/mesh/watch.go
+++ b/internal/mesh/watch.go
@@ -68,7 +68,7 @@
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return records.Batch{}, errors.Wrap(err, "decode records of another node")
 	}
-	return b, nil
+	return b, b.Validate(req.From)
 }
 
 // checkRecipient returns an error if a request of another node is not meant for this one.
--- a/internal/records/feed.go
+++ b/internal/records/feed.go
@@ -21,6 +21,18 @@
 	Snapshot bool `json:"whole,omitempty"`
 }
 
+// unknownAgeMillis is the age before the first read, and maxAgeMillis the greatest of all, some 30 years.
+const unknownAgeMillis, maxAgeMillis = -1, 1 << 40
+
+// Validate returns an error if the result of a read from an offset, by another node, can't be one. An
+// offset that goes back would make the same records be read without end.
+func (b *Batch) Validate(from int64) error {
+	if b.Next < 0 || !b.Snapshot && b.Next < from || b.AgeMillis < unknownAgeMillis || b.AgeMillis > maxAgeMillis {
+		return errors.Errorf("records from offset %d: next offset is %d, age %d ms, out of bounds", from, b.Next, b.AgeMillis)
+	}
+	return nil
+}
+
 // maxFeedBytes bounds the keys and values of the records that a feed buffers: 2 records of some
 // 250 bytes for each of the 412 nodes of a zone that restart within seconds. The bound is in
 // bytes rather than records because one publication of many routes takes some 100 KB: 1,000 of
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -86,6 +86,8 @@
 
 // Bounds of a configuration.
 const (
+	// MaxVersion bounds Config.Version: the greatest integer that all JSON decoders keep.
+	MaxVersion = 1 << 53
 	// MaxRoutes bounds the routes of a configuration: the planned 1,700 services with a few
 	// routes each.
 	MaxRoutes = 16384
@@ -93,14 +95,24 @@
 	MaxTargets = 64
 	// MaxAttempts bounds Route.MaxAttempts.
 	MaxAttempts = 16
-	// MaxTimeout bounds Route.Timeout.
+	// MaxTimeout bounds Route.Timeout, Route.Objective and Limits.HeaderTimeout.
 	MaxTimeout = 10 * time.Minute
+	// MaxIdleTimeout bounds Limits.IdleTimeout.
+	MaxIdleTimeout = 24 * time.Hour
+	// MaxWeight bounds WeightedService.Weight. The sum of those of a route stays far from overflow.
+	MaxWeight = 1_000_000
+	// MaxHeaderBytes and MaxBodyBytes bound Limits.
+	MaxHeaderBytes = 1 << 30
+	MaxBodyBytes   = 1 << 40
 )
 
 // Validate returns a *FieldError for the first field out of bounds.
 func (c *Config) Validate() error {
-	if c.Version <= 0 {
-		return &FieldError{"version", c.Version, "above 0"}
+	if c.Version <= 0 || c.Version > MaxVersion {
+		return &FieldError{"version", c.Version, fmt.Sprintf("1 to %d", int64(MaxVersion))}
+	}
+	if err := c.Limits.validate(); err != nil {
+		return err
 	}
 	if len(c.Routes) > MaxRoutes {
 		return &FieldError{"routes", len(c.Routes), fmt.Sprintf("at most %d", MaxRoutes)}
@@ -110,6 +122,9 @@
 		if !callctx.ValidName(s.Name) {
 			return &FieldError{"services.name", s.Name, "a name of 1 to 64 letters, digits, '-', '_' or '.'"}
 		}
+		if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+			return &FieldError{"service " + s.Name + ": health path", s.HealthPath, "a path that starts with '/'"}
+		}
 		known[s.Name] = true
 	}
 	seen := make(map[routeKey]bool, len(c.Routes))
@@ -127,6 +142,23 @@
 	return c.validateWorkspaces()
 }
 
+func (l *Limits) validate() error {
+	for _, x := range []struct {
+		field       string
+		value, most int64
+	}{
+		{"header bytes", int64(l.HeaderBytes), MaxHeaderBytes},
+		{"body bytes", l.BodyBytes, MaxBodyBytes},
+		{"header timeout", int64(l.HeaderTimeout), int64(MaxTimeout)},
+		{"idle timeout", int64(l.IdleTimeout), int64(MaxIdleTimeout)},
+	} {
+		if x.value < 0 || x.value > x.most {
+			return &FieldError{"limits: " + x.field, x.value, fmt.Sprintf("0 to %d", x.most)}
+		}
+	}
+	return nil
+}
+
 type routeKey struct{ host, prefix string }
 
 func (r *Route) field(name string) string { return "route " + r.Name + ": " + name }
@@ -141,6 +173,9 @@
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		return &FieldError{r.field("timeout"), r.Timeout, "above 0s and at most 10m"}
 	}
+	if r.Objective < 0 || r.Objective > MaxTimeout {
+		return &FieldError{r.field("objective"), r.Objective, "0s to 10m"}
+	}
 	if r.MaxAttempts < 1 || r.MaxAttempts > MaxAttempts {
 		return &FieldError{r.field("max_attempts"), r.MaxAttempts, fmt.Sprintf("1 to %d", MaxAttempts)}
 	}
@@ -156,8 +191,8 @@
 		if !known[t.Service] {
 			return &FieldError{r.field("service"), t.Service, "one of the services"}
 		}
-		if t.Weight < 0 {
-			return &FieldError{r.field("weight"), t.Weight, "at least 0"}
+		if t.Weight < 0 || t.Weight > MaxWeight {
+			return &FieldError{r.field("weight"), t.Weight, fmt.Sprintf("0 to %d", MaxWeight)}
 		}
 		total += t.Weight
 	}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,12 +52,18 @@
 		"max_attempts": func(c *Config) { c.Routes[0].MaxAttempts = 0 },
 		"service":      func(c *Config) { c.Routes[0].Targets[0].Service = "unknown" },
 		"weight":       func(c *Config) { c.Routes[0].Targets[0].Weight = -1 },
+		"weight, odd":  func(c *Config) { c.Routes[0].Targets[0].Weight = math.MaxInt },
+		"version, odd": func(c *Config) { c.Version = math.MaxInt64 },
+		"objective":    func(c *Config) { c.Routes[0].Objective = -1 },
+		"health path":  func(c *Config) { c.Services[0].HealthPath = "@other/" },
+		"header bytes": func(c *Config) { c.Limits.HeaderBytes = -1 },
+		"idle timeout": func(c *Config) { c.Limits.IdleTimeout = math.MaxInt64 },
 	} {
 		c := good()
 		invalidate(c)
 		var field *FieldError
 		must.True(t, errors.As(c.Validate(), &field), must.Sprint(name))
-		must.StrContains(t, field.Field, name)
+		must.StrContains(t, field.Field, strings.TrimSuffix(name, ", odd"))
 	}
 	duplicate := config(1, route("h", "/x/", WeightedService{"a", 1}), route("h", "/x/", WeightedService{"b", 1}))
 	must.ErrorContains(t, duplicate.Validate(), "once")
--- a/internal/testodd/odd.go
+++ b/internal/testodd/odd.go
@@ -35,7 +35,7 @@
 		{Name: "list", Value: []byte(`[null]`)},
 		{Name: "nothing known", Value: []byte(`{}`)},
 		{Name: "longest key", Key: strings.Repeat("k", math.MaxUint8), Value: []byte(`{}`)},
-		{Name: "odd crash records", Key: "crash/" + node, Value: []byte(`[{"fingerprint":18446744073709551615,"upstream":"\u0000","incarnation":18446744073709551615,"at_ms":-9223372036854775808}]`)},
+		{Name: "odd crash records", Key: "crash/" + node, Value: []byte(`[{"f":18446744073709551615,"upstream":"\u0000","incarnation":18446744073709551615,"at_ms":-9223372036854775808}]`)},
 	}
 	for _, change := range []struct {
 		field string
