--- a/internal/conns/departure_test.go
+++ b/internal/conns/departure_test.go
@@ -41,3 +41,19 @@
 		t.Fatal("the request is still served")
 	}
 }
+
+// BenchmarkLook measures one look at the connection of a caller.
+func BenchmarkLook(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(b, err)
+	defer caller.Close()
+	accepted, err := NewDepartures(func() {}).Listener(l).Accept()
+	must.NoError(b, err)
+	defer accepted.Close()
+	for b.Loop() {
+		must.False(b, accepted.(*CallerConn).hasLeft())
+	}
+}
