--- a/internal/conns/departure.go
+++ b/internal/conns/departure.go
@@ -153,8 +153,8 @@
 	ticker := time.NewTicker(departureInterval)
 	defer ticker.Stop()
 	for range ticker.C {
-		watched, any := d.toLookAt()
-		if !any {
+		watched, due := d.toLookAt()
+		if !due {
 			return
 		}
 		for _, c := range watched {
@@ -167,7 +167,7 @@
 }
 
 // toLookAt returns the watched connections. Without any it returns false, and look has to end.
-func (d *Departures) toLookAt() (watched []*CallerConn, any bool) {
+func (d *Departures) toLookAt() (watched []*CallerConn, due bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.watched) == 0 {
--- a/internal/mesh/memberkeys.go
+++ b/internal/mesh/memberkeys.go
@@ -36,5 +36,6 @@
 	return key == prefix+m.Node || strings.HasPrefix(key, prefix) && strings.HasSuffix(key, "/"+m.Node)
 }
 
-// isUnstoredKeyOf reports whether a key is that of a member's record that nodes pass on because the store did not accept them.
+// isUnstoredKeyOf reports whether a key is that of a member's record that nodes pass on among each other,
+// because the store did not accept it.
 func isUnstoredKeyOf(key string, m *fleet.Member) bool { return key == m.Node }
