Run nothing for a caller that left before its request was read

What callers saw: nothing, they had left; the upstreams worked for them. A process that gets no processor time for a while, or that accepts late, reads requests whose connections are closed already.

Cause: net/http starts to watch a connection beside the handler, not before it. The handler of such a request often ran first: it was placed, and a guard began a call that may run once at most, which nothing ends. A guard also began a call whose sender's context was canceled before the call arrived, and looked at the context only afterwards.

Evidence: the handler of a request whose caller closed before the server accepted finds a context without an error (TestRequestReadAfterItsCallerLeftIsCanceled, red with the look switched off); a call with a canceled context ran (TestGuardRunsNothingForASenderThatLeftBefore: cancelled_running before, cancelled now).

Change: a look at the socket, one system call, before each request of a caller and each call of a node; it allocates nothing. A guard refuses a call of a sender that has left; of a re-attachment, whose earlier transmission may run, it says only that it was cancelled.

Ruled out: a read ahead of the handler, which would take data of the body. That this is what the operators saw in GONE is not shown.

--- a/internal/conns/departure.go
+++ b/internal/conns/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -37,13 +38,26 @@
 	return &Departures{onPipelined: onPipelined, watched: make(map[*CallerConn]struct{})}
 }
 
-// Wrap returns the connection c of a caller. A server that serves it has to use ConnContext.
+// Wrap returns the connection c of a caller. A server that serves it has to use ConnContext and Handler.
 func (d *Departures) Wrap(c net.Conn) *CallerConn {
-	raw, err := rawConn(c)
-	if err != nil {
-		raw = nil // without a socket the connection can't be watched
+	wrapped := &CallerConn{Conn: c, departures: d}
+	if raw, err := rawConn(c); err == nil { // without a socket the connection can't be watched
+		wrapped.socket = &socketState{raw: raw}
+		wrapped.socket.poll = wrapped.socket.pollFd
 	}
-	return &CallerConn{Conn: c, departures: d, raw: raw}
+	return wrapped
+}
+
+// Handler returns a handler for requests of wrapped connections. A request that was read only after its
+// caller had left, for example since the process got no processor time, is canceled before next gets it.
+func (d *Departures) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		if c != nil && c.socket != nil && c.socket.isClosed() {
+			c.cancel()
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Listener returns a listener whose connections are wrapped.
@@ -67,7 +81,7 @@
 type CallerConn struct {
 	net.Conn
 	departures *Departures
-	raw        syscall.RawConn // nil if the connection has no socket
+	socket     *socketState // nil if the connection has no socket
 	// cancel ends the requests of the connection.
 	cancel context.CancelFunc
 	// pipelined is whether net/http has stopped watching. Reads are made one after another.
@@ -88,9 +102,18 @@
 	return ctx
 }
 
+// connKey is the key of the CallerConn in the contexts of its requests.
+type connKey struct{}
+
+// connOf returns the connection of a request; nil if it is not wrapped.
+func connOf(ctx context.Context) *CallerConn {
+	c, _ := ctx.Value(connKey{}).(*CallerConn)
+	return c
+}
+
 func (c *CallerConn) requestContext(ctx context.Context) context.Context {
 	ctx, c.cancel = context.WithCancel(ctx)
-	return ctx
+	return context.WithValue(ctx, connKey{}, c)
 }
 
 // Read implements net.Conn.
@@ -117,19 +140,34 @@
 	return c.Conn.Close()
 }
 
-// hasLeft reports whether the caller has closed or reset the connection, whatever data is still unread.
-func (c *CallerConn) hasLeft() bool {
-	left := false
-	err := c.raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(state, 0)
-		left = err == nil && n > 0
-	})
-	return err == nil && left
+// socketState looks at the state of a socket.
+type socketState struct {
+	raw syscall.RawConn
+	// poll is pollFd as a value, so that a look allocates nothing.
+	poll func(fd uintptr)
+
+	mu     sync.Mutex
+	fds    [1]unix.PollFd
+	closed bool
+}
+
+// isClosed reports whether the peer has closed or reset the connection, whatever data is still unread.
+func (s *socketState) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = false
+	err := s.raw.Control(s.poll)
+	return err == nil && s.closed
+}
+
+func (s *socketState) pollFd(fd uintptr) {
+	s.fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+	n, err := unix.Poll(s.fds[:], 0)
+	s.closed = err == nil && n > 0
 }
 
 func (d *Departures) watch(c *CallerConn) {
-	if c.raw == nil || c.cancel == nil {
+	if c.socket == nil || c.cancel == nil {
 		return
 	}
 	d.mu.Lock()
@@ -158,7 +196,7 @@
 			return
 		}
 		for _, c := range watched {
-			if c.hasLeft() {
+			if c.socket.isClosed() {
 				d.forget(c)
 				c.cancel()
 			}
--- a/internal/conns/departure_test.go
+++ b/internal/conns/departure_test.go
@@ -1,7 +1,9 @@
 package conns
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -42,6 +44,27 @@
 	}
 }
 
+// Guards against requests that are served for callers that had left before the requests were read, as after a
+// time in which the process got no processor time.
+func TestRequestReadAfterItsCallerLeftIsCanceled(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	caller, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	_, err = io.WriteString(caller, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+	must.NoError(t, err)
+	must.NoError(t, caller.Close())
+	time.Sleep(50 * time.Millisecond)
+	atStart := make(chan error, 1)
+	departures := NewDepartures(func() {})
+	srv := &http.Server{ConnContext: ConnContext, Handler: departures.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		atStart <- r.Context().Err()
+	}))}
+	defer srv.Close()
+	go func() { _ = srv.Serve(departures.Listener(l)) }()
+	must.EqOp(t, context.Canceled, <-atStart)
+}
+
 // BenchmarkLook measures one look at the connection of a caller.
 func BenchmarkLook(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -54,6 +77,6 @@
 	must.NoError(b, err)
 	defer accepted.Close()
 	for b.Loop() {
-		must.False(b, accepted.(*CallerConn).hasLeft())
+		must.False(b, accepted.(*CallerConn).socket.isClosed())
 	}
 }
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -103,18 +103,20 @@
 	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
 	inner.HandleFunc("POST "+overviewPath, m.overview.serveReport)
 	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
-	s.callers = m.newServer(m.withConnectionClose(callers))
+	callerDepartures, nodeDepartures := conns.NewDepartures(m.countPipelined), conns.NewDepartures(func() {})
+	s.callers = m.newServer(callerDepartures.Handler(m.withConnectionClose(callers)))
 	s.callers.BaseContext = func(net.Listener) context.Context { return m.callersCtx }
 	s.callers.ConnContext = conns.ConnContext
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
 	s.callers.MaxHeaderBytes = maxHeaderBytes
-	s.inner = m.newServer(inner)
+	s.inner = m.newServer(nodeDepartures.Handler(inner))
+	s.inner.ConnContext = conns.ConnContext
 	s.inner.IdleTimeout = innerIdleTimeout
 	s.ready = m.newServer(http.HandlerFunc(m.serveReady))
 	s.announce = m.newServer(m.platform.AnnounceHandler(m.local))
-	m.startServer(s.callers, &callerListener{m.listeners.callers, m, conns.NewDepartures(m.countPipelined)})
-	m.startServer(s.inner, m.listeners.inner)
+	m.startServer(s.callers, &callerListener{m.listeners.callers, m, callerDepartures})
+	m.startServer(s.inner, nodeDepartures.Listener(m.listeners.inner))
 	m.startServer(s.ready, m.listeners.ready)
 	m.startServer(s.announce, m.listeners.announce)
 	if m.listeners.metrics != nil {
--- a/internal/proxy/cancel_test.go
+++ b/internal/proxy/cancel_test.go
@@ -46,6 +46,24 @@
 	must.EqOp(t, 1, attempts.Load())
 }
 
+// Guards against a run, which could not be ended, for a sender that left before the guard read its call.
+func TestGuardRunsNothingForASenderThatLeftBefore(t *testing.T) {
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	c := newCluster(t)
+	entry := c.startNode(nil, nil)
+	guard := c.startNode(nil, func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { h.ServeHTTP(rw, r.WithContext(left)) })
+	})
+	var ran runCounter
+	c.startUpstream(guard, "letters", 4, ran.echo)
+	c.configure(map[*testNode]string{guard: "letters"})
+	got := c.do(context.Background(), request{to: entry.callers.URL, method: http.MethodPost, service: "letters", body: "a"})
+	must.EqOp(t, result.Cancelled, got.code)
+	time.Sleep(100 * time.Millisecond)
+	must.EqOp(t, 0, ran.count("a"))
+}
+
 func newCall() *node.Call {
 	call := &node.Call{Method: "POST", Target: "/path", Body: []byte("a")}
 	call.Ctx.CallID, call.Ctx.RequestID = "letter", "letter"
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -131,6 +131,9 @@
 // passes first, it detaches from the call and returns a refusal that says whether the call may have
 // run.
 func (u *Upstream) Serve(ctx context.Context, call *node.Call) *node.Response {
+	if ctx.Err() == context.Canceled {
+		return leftBefore(call)
+	}
 	guard := u.node.Guard()
 	waiter := responseWaiters.Get().(*responseWaiter)
 	token, resp := guard.Arrive(u.node.Now(), call, waiter.deliver)
@@ -156,6 +159,15 @@
 	}
 }
 
+// leftBefore returns the response to a call whose sender left before the call was read. An earlier
+// transmission of it may be running.
+func leftBefore(call *node.Call) *node.Response {
+	if call.Reattach {
+		return node.Refused(call.Ctx.CallID, contextRefusal(context.Canceled))
+	}
+	return node.Refused(call.Ctx.CallID, unsentRefusal())
+}
+
 // abandon detaches from the guard and returns refusal. If the call was still queued, the guard's refusal
 // is in responses when Leave returns.
 func (u *Upstream) abandon(call *node.Call, token int, responses <-chan *node.Response, refusal *result.Refusal) *node.Response {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -313,19 +313,15 @@
 		s.innerServer = srv
 	}
 	if l == s.listeners.callers || l == s.listeners.exit {
-		l = s.departures().Listener(l)
+		departures := conns.NewDepartures(func() { s.metrics.Inc(metrics.CallersPipelined, 1) })
+		l = departures.Listener(l)
 		srv.ConnContext = conns.ConnContext
+		srv.Handler = departures.Handler(h)
 	}
 	s.servers = append(s.servers, srv)
 	s.spawn(func() { _ = serveOn(srv, l, files) })
 }
 
-// departures watches the connections of a listener for callers that leave. With TLS it sees none, since
-// net/http's reads then don't reach the connection.
-func (s *Server) departures() *conns.Departures {
-	return conns.NewDepartures(func() { s.metrics.Inc(metrics.CallersPipelined, 1) })
-}
-
 // spawn runs f in a goroutine that Shutdown and Kill wait for.
 func (s *Server) spawn(f func()) {
 	s.goroutines.Add(1)
