Notice callers that leave while their body waits for memory

What callers saw: requests with large bodies refused for lack of memory, or kept waiting, behind others whose callers had left long before.

Cause: net/http watches a connection only from the end of the request's body on. A body that waits for memory is not read yet, so its caller's close went unnoticed for a third of the request's time. It kept its place, could take the memory, and the guard's wait had the same fault.

Evidence: TestCallerThatLeavesWhileItsBodyWaitsIsNoticed, red on the code before ("the body still waits" after 5 s of a patience of 10 s).

Change: connections of large or chunked bodies are watched until the body is read, as those behind pipelined requests are; a connection may be watched for several reasons at once.

--- a/internal/conns/departure.go
+++ b/internal/conns/departure.go
@@ -19,15 +19,16 @@
 	serverWatchBytes = 1
 )
 
-// Departures watches the connections of callers for their close. net/http does so itself until a byte of a
-// further (pipelined) request arrives, and not from then on: the request would be served to its end for
-// a caller that has left. It is safe for concurrent use.
+// Departures watches the connections of callers for their close. net/http does so itself from the end of a
+// request's body until a byte of a further (pipelined) request arrives, and not before or after: the request
+// would be served to its end for a caller that has left. It is safe for concurrent use.
 type Departures struct {
 	// onPipelined is called when a request arrives while another one of its connection is served.
 	onPipelined func()
 
-	mu      sync.Mutex
-	watched map[*CallerConn]struct{}
+	mu sync.Mutex
+	// watched holds for each connection how many reasons there are to watch it.
+	watched map[*CallerConn]int
 	// looking is whether look runs. It ends when nothing is left to watch.
 	looking bool
 }
@@ -35,7 +36,7 @@
 // NewDepartures returns a Departures that watches nothing yet. onPipelined is called when a request
 // arrives while another one of its connection is served; it must not block.
 func NewDepartures(onPipelined func()) *Departures {
-	return &Departures{onPipelined: onPipelined, watched: make(map[*CallerConn]struct{})}
+	return &Departures{onPipelined: onPipelined, watched: make(map[*CallerConn]int)}
 }
 
 // Wrap returns the connection c of a caller. A server that serves it has to use ConnContext and Handler.
@@ -60,6 +61,10 @@
 	})
 }
 
+// WatchUnread watches the connection of a request whose body is not read yet, until stop is called. ctx is
+// the context of the request.
+func WatchUnread(ctx context.Context) (stop func()) { return connOf(ctx).watch() }
+
 // Listener returns a listener whose connections are wrapped.
 func (d *Departures) Listener(l net.Listener) net.Listener { return &callerListener{l, d} }
 
@@ -133,13 +138,22 @@
 
 // Close implements net.Conn.
 func (c *CallerConn) Close() error {
-	c.departures.forget(c)
+	c.departures.forgetClosed(c)
 	if c.cancel != nil {
 		c.cancel()
 	}
 	return c.Conn.Close()
 }
 
+// watch watches a connection, which may be nil, until stop is called.
+func (c *CallerConn) watch() (stop func()) {
+	if c == nil {
+		return func() {}
+	}
+	c.departures.watch(c)
+	return func() { c.departures.forget(c) }
+}
+
 // socketState looks at the state of a socket.
 type socketState struct {
 	raw syscall.RawConn
@@ -172,14 +186,23 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watched[c] = struct{}{}
+	d.watched[c]++
 	if !d.looking {
 		d.looking = true
 		go d.look()
 	}
 }
 
+// forget takes back one reason to watch a connection.
 func (d *Departures) forget(c *CallerConn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watched[c]--; d.watched[c] <= 0 {
+		delete(d.watched, c)
+	}
+}
+
+func (d *Departures) forgetClosed(c *CallerConn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.watched, c)
@@ -197,7 +220,7 @@
 		}
 		for _, c := range watched {
 			if c.socket.isClosed() {
-				d.forget(c)
+				d.forgetClosed(c)
 				c.cancel()
 			}
 		}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
@@ -164,21 +165,26 @@
 		return nil, nil, nil
 	}
 	memory := &bodyMemory{budget: p.bodies}
-	defer boundReading(ex.w, length, call)()
+	defer boundReading(ex.w, ex.r, call)()
 	reader := bodyReader{ex.r.Context(), memory, patienceOf(call, p.node.Now(), callerPatience)}
 	body, err := reader.read(http.MaxBytesReader(ex.w, ex.r.Body, limit), length, limit)
 	return body, memory, bodyRefusal(err, limit)
 }
 
-// boundReading bounds the time for a body that is or may be large by the deadline of its call. The returned
-// function ends that.
-func boundReading(w http.ResponseWriter, length int64, call *node.Call) (end func()) {
-	if length >= 0 && length <= membudget.SmallBody {
+// boundReading bounds the time for a body that is or may be large by the deadline of its call, and by the
+// departure of its caller, which may have to be noticed before the body is read. The returned function ends
+// that.
+func boundReading(w http.ResponseWriter, r *http.Request, call *node.Call) (end func()) {
+	if length := r.ContentLength; length >= 0 && length <= membudget.SmallBody {
 		return func() {}
 	}
 	server := http.NewResponseController(w)
 	_ = server.SetReadDeadline(call.Ctx.Deadline)
-	return func() { _ = server.SetReadDeadline(time.Time{}) }
+	stopWatch := conns.WatchUnread(r.Context())
+	return func() {
+		stopWatch()
+		_ = server.SetReadDeadline(time.Time{})
+	}
 }
 
 func patienceOf(call *node.Call, now time.Time, share float64) time.Duration {
@@ -224,7 +230,7 @@
 		return nil, nil, nil
 	}
 	memory := &bodyMemory{budget: p.bodies}
-	defer boundReading(w, r.ContentLength, call)()
+	defer boundReading(w, r, call)()
 	reader := bodyReader{r.Context(), memory, patienceOf(call, p.node.Now(), guardPatience)}
 	body, err := reader.read(io.LimitReader(r.Body, maxResponseBody), r.ContentLength, maxResponseBody)
 	refusal := bodyRefusal(err, maxResponseBody)
--- a/internal/proxy/cancel_test.go
+++ b/internal/proxy/cancel_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -10,8 +12,11 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
+	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
 	"github.com/galenagrade/galenagrade/internal/retry"
@@ -64,6 +69,43 @@
 	must.EqOp(t, 0, ran.count("a"))
 }
 
+// Guards against a caller that leaves while its body waits for memory, and keeps its place among the others.
+func TestCallerThatLeavesWhileItsBodyWaitsIsNoticed(t *testing.T) {
+	const size = 100 << 10
+	c := newCluster(t)
+	n := c.startNode(nil, nil)
+	c.configure(map[*testNode]string{n: "letters"})
+	p := New(n.node, n.peers, n.upstream)
+	p.SetBodyBudget(membudget.New(2*size, 2*size))
+	must.True(t, p.bodies.TakeForRequest(context.Background(), 0, size, 0))
+	ended := make(chan struct{})
+	departures := conns.NewDepartures(func() {})
+	srv := &http.Server{ConnContext: conns.ConnContext, Handler: departures.Handler(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		p.CallerHandler().ServeHTTP(rw, r)
+	}))}
+	t.Cleanup(func() { _ = srv.Close() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = srv.Serve(departures.Listener(l)) }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	_, err = fmt.Fprintf(caller, "POST /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: letters\r\n%s: 30000\r\nContent-Length: %d\r\n\r\nstart",
+		callctx.HeaderWorkspace, testWorkspace, callctx.HeaderService, callctx.HeaderTimeout, size)
+	must.NoError(t, err)
+	select {
+	case <-ended:
+		t.Fatal("the body did not wait")
+	case <-time.After(200 * time.Millisecond):
+	}
+	must.NoError(t, caller.Close())
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the body still waits")
+	}
+}
+
 func newCall() *node.Call {
 	call := &node.Call{Method: "POST", Target: "/path", Body: []byte("a")}
 	call.Ctx.CallID, call.Ctx.RequestID = "letter", "letter"
