Notice departures behind pipelined requests over TLS

What callers saw: as behind pipelined requests in clear text. galenad with its own interface over TLS worked on for callers that had left.

Cause: the reads by which net/http stops to watch don't reach the wrapped connection one to one through TLS, and the wrapped connection was not found at all behind the TLS one.

Evidence: TestDepartureBehindAnEncryptedPipelinedRequestIsNoticed, red without the change.

Change: encrypted connections of HTTP/1.1 are watched as long as they serve a request. HTTP/2 needs no watch, its connections are read all the time.

--- a/internal/conns/departure.go
+++ b/internal/conns/departure.go
@@ -57,6 +57,9 @@
 		if c != nil && c.socket != nil && c.socket.isClosed() {
 			c.cancel()
 		}
+		if r.TLS != nil && r.ProtoMajor == 1 { // reads of encrypted connections don't show pipelined requests
+			defer c.watch()()
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -99,8 +102,11 @@
 }
 
 // ConnContext returns the context for the requests of a connection that Wrap returned, or that embeds
-// one. It is for http.Server.ConnContext.
+// one or encrypts one. It is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = encrypted.NetConn()
+	}
 	if d, ok := c.(departing); ok {
 		return d.requestContext(ctx)
 	}
--- a/internal/conns/departure_test.go
+++ b/internal/conns/departure_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -44,6 +46,35 @@
 	}
 }
 
+// Guards against requests over TLS that are served on for a caller that left after it had sent a further one.
+func TestDepartureBehindAnEncryptedPipelinedRequestIsNoticed(t *testing.T) {
+	started, ended := make(chan bool, 1), make(chan bool, 1)
+	departures := NewDepartures(func() {})
+	srv := httptest.NewUnstartedServer(departures.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-r.Context().Done()
+		ended <- true
+	})))
+	srv.Config.ConnContext = ConnContext
+	srv.Listener = departures.Listener(srv.Listener)
+	srv.StartTLS()
+	caller, err := tls.Dial("tcp", srv.Listener.Addr().String(), srv.Client().Transport.(*http.Transport).TLSClientConfig)
+	must.NoError(t, err)
+	_, err = io.WriteString(caller, "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	<-started
+	_, err = io.WriteString(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	must.NoError(t, caller.Close())
+	select {
+	case <-ended:
+		srv.Close()
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request is still served")
+	}
+}
+
 // Guards against requests that are served for callers that had left before the requests were read, as after a
 // time in which the process got no processor time.
 func TestRequestReadAfterItsCallerLeftIsCanceled(t *testing.T) {
