Test that a call that was handed back is not placed again for a caller that left

By reading it ends by the check before each attempt; the test shows it. It passed on the code before as well.

Change: TestNoAttemptAfterCallerCancels runs for both codes.

--- a/internal/proxy/cancel_test.go
+++ b/internal/proxy/cancel_test.go
@@ -22,8 +22,15 @@
 	"github.com/galenagrade/galenagrade/internal/retry"
 )
 
-// Guards against another attempt for a caller that canceled its request between two attempts.
+// Guards against another attempt for a caller that canceled its request between two attempts, whether its
+// call was refused or handed back.
 func TestNoAttemptAfterCallerCancels(t *testing.T) {
+	for _, first := range []result.Code{result.Shed, result.HandedBack} {
+		t.Run(first.String(), func(t *testing.T) { testNoAttemptAfter(t, first) })
+	}
+}
+
+func testNoAttemptAfter(t *testing.T, first result.Code) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var attempts atomic.Int32
 	c := newCluster(t)
@@ -33,7 +40,7 @@
 		guard := c.startNode(nil, func(http.Handler) http.Handler {
 			return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 				attempts.Add(1)
-				h := &innerpb.AnswerHeader{CallId: callID(t, r), Code: uint32(result.Shed), UnusedAllowance: 2}
+				h := &innerpb.AnswerHeader{CallId: callID(t, r), Code: uint32(first), UnusedAllowance: 2}
 				rw.Header().Set(inner.HeaderAnswer, inner.EncodeAnswer(h))
 			})
 		})
