Read responses with large chunks whole

What callers saw: 502 (3005, the response was cut) for a complete response in chunks, once a chunk and the response were larger than about a megabyte. A response that was ready was not delivered.

Cause: the bound on bytes without end allows some framing for each byte of a body that was read, and adds the allowance after each read. One read of a chunk returns only when its part of the body's memory is full: half a megabyte and more, beyond the allowance of 512 KiB, which it used up before any was added.

Evidence: TestResponsesOfAnyChunkSizeAreWhole, red before for one chunk of 4 MiB, green for 1 byte, 100 bytes and 64 KiB. Found while testing a response that its caller does not read.

Change: a read fills no more of the body than the allowance covers with its framing.

--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -84,6 +85,33 @@
 	}
 }
 
+// Guards against complete responses that are cut, as if they had no end, for the size of their chunks.
+func TestResponsesOfAnyChunkSizeAreWhole(t *testing.T) {
+	const size = 4 << 20
+	for _, chunk := range []int{1, 100, 64 << 10, size} {
+		t.Run(strconv.Itoa(chunk), func(t *testing.T) {
+			addr, _ := serve(t, func(c net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				out := bufio.NewWriter(c)
+				_, _ = out.WriteString("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for sent := 0; sent < size; sent += chunk {
+					n := min(chunk, size-sent)
+					_, _ = fmt.Fprintf(out, "%x\r\n%s\r\n", n, strings.Repeat("c", n))
+				}
+				_, _ = out.WriteString("0\r\n\r\n")
+				_ = out.Flush()
+			})
+			p := newTestPool(t, addr)
+			p.cfg.MaxBody = 64 << 20
+			resp, err := p.Do(t.Context(), newRequest("a"))
+			must.NoError(t, err)
+			must.EqOp(t, size, len(resp.Body))
+		})
+	}
+}
+
 // Guards against good responses that fail while others without end are read.
 func TestEndlessBodiesLeaveRoomForOthers(t *testing.T) {
 	const endless, budget = 8, 4 << 20
--- a/internal/h1/limit.go
+++ b/internal/h1/limit.go
@@ -59,6 +59,15 @@
 	return maxHeadBytes
 }
 
+// readableTo returns the end of the part of a body that one read may fill, from its size to its capacity. A
+// read of chunks returns only when that part is full, and must not use up the allowance before it is extended.
+func (c *conn) readableTo(size, capacity int, length int64) int {
+	if length >= 0 {
+		return capacity
+	}
+	return min(capacity, size+max(1, int(c.limited.left/framingPerByte)))
+}
+
 // extend allows the framing and the successors of n bytes of a body.
 func (l *limitedReader) extend(n int) {
 	l.left = min(l.left+int64(n)*framingPerByte, maxFramingBytes)
@@ -101,7 +110,7 @@
 			}
 			body = append(make([]byte, 0, next), body...)
 		}
-		n, err := src.Read(body[len(body):cap(body)])
+		n, err := src.Read(body[len(body):c.readableTo(len(body), cap(body), length)])
 		body = body[:len(body)+n]
 		if length < 0 {
 			c.limited.extend(n)
