--- a/internal/proxy/reserve_test.go
+++ b/internal/proxy/reserve_test.go
@@ -14,6 +14,7 @@
 	"github.com/galenagrade/galenagrade/internal/metrics"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/retry"
 	"github.com/galenagrade/galenagrade/internal/room"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
@@ -105,6 +106,19 @@
 	}
 }
 
+// Guards against a tree that is begun, or a further guard that is asked, for a caller that left while a guard
+// was asked for room.
+func TestNoTreeIsBegunForACallerThatLeftDuringTheWaitForRoom(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	p, gate := roomService(t, func(_ http.ResponseWriter, r *http.Request) { leave(); <-r.Context().Done() })
+	call, asked := askedCall(), p.node.Metrics().Count(metrics.RoomAsked)
+	refusal, decided := gate.reserve(ctx, p, call, time.Second)
+	must.Nil(t, refusal)
+	must.False(t, decided)
+	must.EqOp(t, asked+1, p.node.Metrics().Count(metrics.RoomAsked))
+	must.EqOp(t, result.Cancelled, p.run(ctx, call, retry.NewAccount(4)).Code)
+}
+
 // Guards against a request for each tree to a service that is no longer scarce.
 func TestServiceWithRoomIsNotAskedAgain(t *testing.T) {
 	p, gate := roomService(t, respond(`{"granted":true,"threshold":4294967295}`))
