Let the largest response yield to a smaller one that gets no memory

What callers saw: 502 (response cut, no memory) for good responses of usual sizes while other servers sent bytes without end, now and then.

Cause: a response may hold as much as is left afterwards, and waits 200 ms if that is too little. A good one that comes to its wait while endless ones still fill what they hold gives up before these come to the end of their own waits.

Change: a body that finds no room in half of its patience, time enough to collect garbage, ends the largest one that is being read if that holds at least twice as much. Bodies of similar sizes never end each other. The connection of one that yielded is closed and not used again.

Ruled out: a longer patience, since an endless body may hold its memory until its call's deadline.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -51,6 +51,8 @@
 	generation uint64
 	// used is whether the connection carried a request, and reused whether it did before the current one.
 	used, reused bool
+	// yielded is whether the connection is being closed, since a smaller body needed the memory of its body.
+	yielded bool
 	// keepAlive is the idle time stated by the server, multiplied by keepAliveShare.
 	keepAlive time.Duration
 	// expires is the time from which an idle connection is no longer used.
@@ -93,7 +95,7 @@
 	}
 	life.Attach(c)
 	resp, reusable, err = c.sendAndRead(r, maxBody)
-	if !life.Detach(c) {
+	if !life.Detach(c) || c.yielded {
 		reusable = false
 	}
 	if err == nil {
--- a/internal/h1/limit.go
+++ b/internal/h1/limit.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math"
@@ -90,23 +89,21 @@
 // send more than it should.
 func (c *conn) readGrowing(src io.Reader, length, maxBody int64) ([]byte, error) {
 	var body []byte
-	var charged int64
 	complete := false
+	memory := c.budget.NewResponseBody(c.close)
 	defer func() {
-		if complete && charged > 0 {
-			c.budget.ReleaseWhenFreed(body, charged)
+		if complete {
+			memory.Complete(body)
 		} else {
-			c.budget.Release(charged)
+			memory.Abort()
 		}
+		c.yielded = memory.Yielded()
 	}()
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			next := nextCapacity(int64(cap(body)), length, maxBody)
-			if next > unchargedBody {
-				if !c.budget.TakeForResponse(context.Background(), charged, next-charged, memoryPatience) {
-					return nil, tooLarge("no memory for more than " + strconv.Itoa(len(body)) + " bytes of the body")
-				}
-				charged = next
+			if next > unchargedBody && !memory.Grow(next, memoryPatience) {
+				return nil, tooLarge("no memory for more than " + strconv.Itoa(len(body)) + " bytes of the body")
 			}
 			body = append(make([]byte, 0, next), body...)
 		}
@@ -121,6 +118,8 @@
 		case err == io.EOF && length < 0:
 			complete = true
 			return body, nil
+		case err != nil && memory.Yielded():
+			return nil, tooLarge("memory of " + strconv.Itoa(len(body)) + " bytes of the body was needed for smaller ones")
 		case err != nil && int64(len(body)) != length:
 			return nil, c.bodyError(err)
 		}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -44,13 +44,17 @@
 	growing atomic.Int64
 	// waiting is the number of bodies that wait for room.
 	waiting int
+	// responses are the bodies of responses that are being read.
+	responses map[*ResponseBody]struct{}
 	// collecting is true while a collection is due, and collectedAt is when the last one ended.
 	collecting  bool
 	collectedAt time.Time
 }
 
 // New returns a budget of total bytes, of which requests may use the given number.
-func New(total, requests int64) *Budget { return &Budget{total: total, requests: requests} }
+func New(total, requests int64) *Budget {
+	return &Budget{total: total, requests: requests, responses: make(map[*ResponseBody]struct{})}
+}
 
 // SetLimits changes the limits in bytes.
 func (b *Budget) SetLimits(total, requests int64) {
@@ -92,24 +96,12 @@
 	return b.requests - min(maxSmallReserve, int64(smallReserveShare*float64(b.requests)))
 }
 
-// TakeForResponse takes n bytes for the body of a response that holds some already, as TakeForRequest does.
-// A body may hold as much as is left afterwards: one alone gets half of the budget, two a third each,
-// and there is always room for smaller ones.
-func (b *Budget) TakeForResponse(ctx context.Context, held, n int64, patience time.Duration) bool {
-	if b == nil {
-		return true
-	}
-	return b.take(ctx, n, patience, func() int64 { return b.total - b.used - held }, func() bool { return 2*held+n <= b.total })
-}
-
 // take takes n bytes as soon as room returns as many; fits is whether it ever can.
 func (b *Budget) take(ctx context.Context, n int64, patience time.Duration, room func() int64, fits func() bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n > room() && patience > 0 && fits() {
-		b.waiting++
 		b.awaitLocked(ctx, patience, func() bool { return n <= room() || !fits() })
-		b.waiting--
 	}
 	if n > room() {
 		return false
@@ -121,6 +113,8 @@
 // awaitLocked waits until done returns true, patience is over or ctx ends. It releases the lock while it
 // waits.
 func (b *Budget) awaitLocked(ctx context.Context, patience time.Duration, done func() bool) {
+	b.waiting++
+	defer func() { b.waiting-- }()
 	timer, poll := time.NewTimer(patience), time.NewTicker(collectPoll)
 	defer timer.Stop()
 	defer poll.Stop()
