Take no record of the log that is out of bounds

What users would see: galenad with its own interface ends by itself, again and again: "this incarnation was evicted by its peers; the node stops". One odd entry in the log is enough: an eviction or a leave of a living node's name with the greatest incarnation. Its tombstone stays, every later process of the node has a smaller incarnation, finds itself evicted and stops. A join with the greatest incarnation, a port out of range or no service hides the living node instead.

Nested, mistyped and too large values were skipped before.

Change: bounds where the log's entries and the messages of nodes are decoded (membership.Member.Validate, Identity.Validate, lease.Takeover.Validate). They don't depend on a clock, so that all replicas skip the same records.

Open: an incarnation within the bound but ahead of all clocks still hides its node, until the log has expired it; the mesh answers such claims with a newer record, galenad does not.

--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -112,7 +112,7 @@
 
 func (o *Ownership) takeoverLocked(now time.Time, e logstore.Entry) {
 	var t lease.Takeover
-	if err := json.Unmarshal(e.Record.Body, &t); err != nil {
+	if err := json.Unmarshal(e.Record.Body, &t); err != nil || t.Validate(e.Offset) != nil {
 		return
 	}
 	o.lessorLocked(t.Service).ApplyTakeover(now, e.Offset, t)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -141,7 +141,7 @@
 	r.claims.Apply(e.Offset, now, c)
 }
 
-// memberRecord decodes a membership record; nil for other kinds and undecodable bodies.
+// memberRecord decodes a membership record; nil for other kinds, undecodable bodies and fields out of bounds.
 func memberRecord(rec logstore.Record) membership.Record {
 	switch rec.Kind {
 	case logstore.KindJoin:
@@ -154,9 +154,15 @@
 	return nil
 }
 
-func decodeMember[T membership.Record](rec logstore.Record) membership.Record {
+// validatedRecord is a membership record that checks its fields.
+type validatedRecord interface {
+	membership.Record
+	Validate() error
+}
+
+func decodeMember[T validatedRecord](rec logstore.Record) membership.Record {
 	var body T
-	if err := json.Unmarshal(rec.Body, &body); err != nil {
+	if err := json.Unmarshal(rec.Body, &body); err != nil || body.Validate() != nil {
 		return nil
 	}
 	return body
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -114,7 +114,7 @@
 // incarnation of the node. It is ignored if the log has already removed its incarnation.
 func (p *Plane) applySoftMember(now time.Time, s *innerpb.SoftMember, upward bool) {
 	var m membership.Member
-	if json.Unmarshal(s.GetJson(), &m) != nil || m.Node == "" || m.Node == p.self.Node {
+	if json.Unmarshal(s.GetJson(), &m) != nil || m.Validate() != nil || m.Node == p.self.Node {
 		return
 	}
 	v := p.Members()
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/galenagrade/galenagrade/internal/membership"
@@ -26,6 +27,18 @@
 	At time.Time `json:"at"`
 }
 
+// Validate returns an error if a field of the record at an offset of the log is out of bounds. Slots out of
+// bounds are skipped one by one.
+func (t Takeover) Validate(offset int64) error {
+	if err := t.NewOwner.Validate(); err != nil {
+		return err
+	}
+	if t.Folded < 0 || t.Folded > offset {
+		return fmt.Errorf("takeover by %s at offset %d: folded is %d, must be 0 to the offset", t.NewOwner, offset, t.Folded)
+	}
+	return nil
+}
+
 // Action is an action that Plan requests: RequestPromise, AppendTakeover or MoveSlots.
 type Action interface{ leaseAction() }
 
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,15 +20,19 @@
 	return json.Marshal(snapshot{Version: v.version, Members: v.Members(), Gone: v.tombstones})
 }
 
-// Unmarshal decodes the output of Marshal.
+// Unmarshal decodes the output of Marshal. Members and tombstones out of bounds are skipped, as in the log.
 func Unmarshal(b []byte) (*View, error) {
 	var s snapshot
 	if err := json.Unmarshal(b, &s); err != nil {
 		return nil, fmt.Errorf("membership: decode snapshot: %w", err)
 	}
+	maps.DeleteFunc(s.Gone, func(node string, t tombstone) bool { return Identity{node, t.Incarnation}.Validate() != nil })
 	v := &View{tombstones: s.Gone, version: s.Version}
 	v.init()
 	for _, m := range s.Members {
+		if m.Validate() != nil {
+			continue
+		}
 		v.members[m.Node] = m
 		v.nodeByAddr[m.InnerAddr] = m.Node
 	}
