Bound the rate limit that an upstream names

Users would see a metric of the rate limit without meaning, negative on one kind of machine and zero on another: a limit of 1e308 requests a second was accepted, and counting it in calls per 1,000 seconds is beyond every integer.

Change: a limit above a thousand million counts as that, which no upstream reaches.

--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -25,13 +25,16 @@
 	return int64(n.RateLimit * 1000)
 }
 
+// MaxRateLimit bounds a rate limit in calls per second. A greater one counts as this, which nothing reaches.
+const MaxRateLimit = 1e9
+
 // ParseRateLimit parses a rate limit in calls per second. It must be a finite number of at least 0.
 func ParseRateLimit(text string) (float64, error) {
 	limit, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
 		return 0, errors.Errorf("rate limit is %.32q, must be a number of at least 0", text)
 	}
-	return limit, nil
+	return min(limit, MaxRateLimit), nil
 }
 
 // ParseNotice returns the notice of a response with these values of its rate limit, empty if it names
