Ask further guards for room while they refuse at once

What callers saw: trees that were let in and failed for seconds after a third of a scarce service's guards was killed, 0.05 of those let in.

Cause: an entry node asks two guards for room and, if neither answers, lets the threshold decide, which is open: responses bring it too seldom to a node with few requests. With a third of the guards dead that is one tree in nine, and half of these fail. A node remembers for a second that a guard did not answer, but asks each one only every other second.

Change: guards are asked in turn for 80 ms, the time that two silent ones took before, at most eight of them. A killed process refuses a connection at once, so that most nodes find a living guard within a millisecond.

--- a/internal/admission/roomscenario_test.go
+++ b/internal/admission/roomscenario_test.go
@@ -130,6 +130,13 @@
 	}
 }
 
+// Guards against the same where each entry node asks so seldom that it doesn't know which guards are dead.
+func TestTreesOfThinEntriesCompleteAfterAThirdOfTheGuardsIsKilled(t *testing.T) {
+	for _, entries := range testrace.Entries(800, 983) {
+		requireTreesCompleteAfterKills(t, entries, 1)
+	}
+}
+
 func requireTreesCompleteAfterKills(t *testing.T, entries int, order uint64) {
 	const guards, slots, calls = 6, 39, 4
 	const killAt = 8 * time.Second
--- a/internal/admission/treeroom_test.go
+++ b/internal/admission/treeroom_test.go
@@ -49,10 +49,10 @@
 	return &room.Request{Kind: uint32(t.route) + 1, Rank: Rank(t.level, t.hash), Objective: 2 * time.Second, GrantedShare: f.grants(t).Share(), Single: route.calls == 0}
 }
 
-// askForRoom asks a random guard. One that is dead doesn't answer, and another one is asked. If that one
-// is dead as well, the threshold decides.
+// askForRoom asks a random guard. One that is dead doesn't answer, and another one is asked. If no guard
+// answers in time, the threshold decides.
 func (f *treeModel) askForRoom(t *treeRequest, guardsLeft int) {
-	if guardsLeft == 0 {
+	if guardsLeft == 0 || f.model.Now().Sub(t.startedAt) >= room.AskTime {
 		f.admitByThreshold(t)
 		return
 	}
--- a/internal/proxy/reserve.go
+++ b/internal/proxy/reserve.go
@@ -151,12 +151,16 @@
 		service.name, r.Rank, answer.Reason, answer.Threshold, guard).WithRetryAfter(answer.RetryAfter), true
 }
 
-// askRoom asks guards of a service in turn until one answers; nil if none does.
+// askRoom asks guards of a service in turn until one answers; nil if none does in time.
 func (p *Proxy) askRoom(ctx context.Context, service *serviceGate, r *room.Request) (answer *room.Answer, guard string) {
 	rng := p.rngs.Get().(*rand.Rand)
 	defer p.rngs.Put(rng)
+	until := p.node.Now().Add(room.AskTime)
 	for range room.MaxAsked {
 		now := p.node.Now()
+		if !now.Before(until) {
+			return nil, ""
+		}
 		target := p.node.Table().PickGuard(now, rng, service.name, func(name string) bool { return service.skips(now, name) })
 		if target == nil {
 			return nil, ""
--- a/internal/room/gate.go
+++ b/internal/room/gate.go
@@ -9,8 +9,10 @@
 	unresponsiveFor = time.Second
 	// maxUnresponsive bounds the guards that are remembered as unresponsive.
 	maxUnresponsive = 16
-	// MaxAsked is the number of guards that are asked in turn until one answers.
-	MaxAsked = 2
+	// MaxAsked is the number of guards that are asked in turn until one answers, and AskTime the time after
+	// which no further one is asked. Guards whose processes were killed refuse at once.
+	MaxAsked = 8
+	AskTime  = 80 * time.Millisecond
 )
 
 // Gate decides at an entry node whether a service has to be asked. The zero value asks no guard.
