Split the look at sockets and the handler of nodes' messages into parts of their own

No change of behaviour: departure.go keeps what watches, socket.go looks at one socket; mesh.serve lists its servers, and innerHandler the messages of other nodes.

--- a/internal/conns/departure.go
+++ b/internal/conns/departure.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -41,12 +38,7 @@
 
 // Wrap returns the connection c of a caller. A server that serves it has to use ConnContext and Handler.
 func (d *Departures) Wrap(c net.Conn) *CallerConn {
-	wrapped := &CallerConn{Conn: c, departures: d}
-	if raw, err := rawConn(c); err == nil { // without a socket the connection can't be watched
-		wrapped.socket = &socketState{raw: raw}
-		wrapped.socket.poll = wrapped.socket.pollFd
-	}
-	return wrapped
+	return &CallerConn{Conn: c, departures: d, socket: newSocketState(c)}
 }
 
 // Handler returns a handler for requests of wrapped connections. A request that was read only after its
@@ -160,32 +152,6 @@
 	return func() { c.departures.forget(c) }
 }
 
-// socketState looks at the state of a socket.
-type socketState struct {
-	raw syscall.RawConn
-	// poll is pollFd as a value, so that a look allocates nothing.
-	poll func(fd uintptr)
-
-	mu     sync.Mutex
-	fds    [1]unix.PollFd
-	closed bool
-}
-
-// isClosed reports whether the peer has closed or reset the connection, whatever data is still unread.
-func (s *socketState) isClosed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = false
-	err := s.raw.Control(s.poll)
-	return err == nil && s.closed
-}
-
-func (s *socketState) pollFd(fd uintptr) {
-	s.fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
-	n, err := unix.Poll(s.fds[:], 0)
-	s.closed = err == nil && n > 0
-}
-
 func (d *Departures) watch(c *CallerConn) {
 	if c.socket == nil || c.cancel == nil {
 		return
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -90,19 +90,6 @@
 	s := &m.servers
 	s.control = m.peers.ControlTransport()
 	callers := m.proxy.ServeRoutes(m.platform, m.quotas)
-	inner := http.NewServeMux()
-	inner.Handle(proxy.CallPath, m.proxy.CallHandler())
-	inner.Handle(routesPath, m.routes)
-	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
-	inner.HandleFunc("POST "+unstoredPath, m.serveGossip)
-	inner.HandleFunc("POST "+recordPath, m.serveRecord)
-	inner.HandleFunc("GET "+membersPath, m.serveMembers)
-	inner.HandleFunc("GET "+watchPath, m.serveWatch)
-	inner.HandleFunc("POST "+quotaPath, m.serveQuota)
-	inner.HandleFunc("POST "+proxy.RoomPath, m.proxy.ServeRoom)
-	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
-	inner.HandleFunc("POST "+overviewPath, m.overview.serveReport)
-	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
 	callerDepartures, nodeDepartures := conns.NewDepartures(m.countPipelined), conns.NewDepartures(func() {})
 	s.callers = m.newServer(callerDepartures.Handler(m.withConnectionClose(callers)))
 	s.callers.BaseContext = func(net.Listener) context.Context { return m.callersCtx }
@@ -110,7 +97,7 @@
 	s.callers.IdleTimeout = idleSentinel
 	s.callers.ReadHeaderTimeout = headerSentinel
 	s.callers.MaxHeaderBytes = maxHeaderBytes
-	s.inner = m.newServer(nodeDepartures.Handler(inner))
+	s.inner = m.newServer(nodeDepartures.Handler(m.innerHandler()))
 	s.inner.ConnContext = conns.ConnContext
 	s.inner.IdleTimeout = innerIdleTimeout
 	s.ready = m.newServer(http.HandlerFunc(m.serveReady))
@@ -125,6 +112,24 @@
 	}
 }
 
+// innerHandler returns the handler of the messages of other nodes.
+func (m *Mesh) innerHandler() http.Handler {
+	inner := http.NewServeMux()
+	inner.Handle(proxy.CallPath, m.proxy.CallHandler())
+	inner.Handle(routesPath, m.routes)
+	inner.HandleFunc("POST "+introductionPath, m.serveIntroduction)
+	inner.HandleFunc("POST "+unstoredPath, m.serveGossip)
+	inner.HandleFunc("POST "+recordPath, m.serveRecord)
+	inner.HandleFunc("GET "+membersPath, m.serveMembers)
+	inner.HandleFunc("GET "+watchPath, m.serveWatch)
+	inner.HandleFunc("POST "+quotaPath, m.serveQuota)
+	inner.HandleFunc("POST "+proxy.RoomPath, m.proxy.ServeRoom)
+	inner.HandleFunc("GET "+offsetsPath, m.serveOffsets)
+	inner.HandleFunc("POST "+overviewPath, m.overview.serveReport)
+	inner.HandleFunc("POST "+overviewZonesPath, m.overview.serveZone)
+	return inner
+}
+
 func (m *Mesh) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
