--- a/internal/membership/check.go
+++ b/internal/membership/check.go
@@ -13,7 +13,7 @@
 const (
 	// MaxIncarnation bounds incarnations, which are the start times of processes in Unix nanoseconds. A greater
 	// one would end every later process of its node.
-	MaxIncarnation = 1 << 61
+	MaxIncarnation = 1 << 62
 	// MaxSlots bounds the slots of an upstream, and MaxConnections its connections.
 	MaxSlots, MaxConnections = 100_000, 1 << 20
 	// maxTextLen bounds regions and zones in bytes.
