Send no call whose callers have left before it is sent

What callers saw: nothing, they had left. A call that may run once at most ran for them, and nothing could end it.

Cause: a guard decides to run a call and then gets a connection to its upstream, for a second at most, or the process stands still. A call that is not safe to run again is never cancelled once it counts as running, though nothing was sent yet.

Change: the guard is asked whether a caller still waits once there is a connection, the last moment before something is sent. If not, the call ends as cancelled and not run, which is true. The question allocates nothing.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -75,6 +75,9 @@
 	// maxSkippedResponses responses are skipped. reused is whether the connection carried a request or a
 	// response before.
 	Classify func(status int, h http.Header, reused bool) Verdict
+	// StillWanted is asked once there is a connection, before the request is sent; nil means yes. It is sent
+	// only if the answer is yes.
+	StillWanted func() bool
 }
 
 // Verdict is the decision on a response that arrived for a request.
@@ -92,7 +95,8 @@
 )
 
 // Do sends a request and reads the complete response. If ctx ends first, the connection is closed,
-// which notifies the server; with a canceled ctx nothing is sent. Every error is an *Error.
+// which notifies the server. With a canceled ctx nothing is sent, nor if the request is not wanted any more.
+// Every error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	if ctx.Err() == context.Canceled {
 		return nil, &Error{Stage: StageConnect, Cause: context.Canceled}
@@ -101,6 +105,10 @@
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
 	}
+	if r.StillWanted != nil && !r.StillWanted() {
+		p.release(c)
+		return nil, &Error{Stage: StageConnect, Cause: context.Canceled}
+	}
 	maxBody := p.cfg.MaxBody
 	if r.MaxBody > 0 {
 		maxBody = r.MaxBody
--- a/internal/node/guard_leave.go
+++ b/internal/node/guard_leave.go
@@ -25,6 +25,15 @@
 	deferred.run()
 }
 
+// StillWanted reports whether a caller waits for a running call that is about to be sent to the upstream. It is
+// the last moment to end one that is not safe to run again.
+func (g *Guard) StillWanted(callID string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.calls[callID]
+	return ok && e.isWaitedFor()
+}
+
 // isWaitedFor reports whether a caller waits for the response. All transmissions of a call have one sender:
 // one that left by the newest transmission does not wait for the earlier ones, whose connections may
 // have become unresponsive and never show it.
--- a/internal/proxy/cancel_test.go
+++ b/internal/proxy/cancel_test.go
@@ -76,6 +76,26 @@
 	must.EqOp(t, 0, ran.count("a"))
 }
 
+// Guards against a run, which could not be ended, for a caller that left before the guard had a connection to
+// its upstream.
+func TestCallIsNotSentAfterItsCallerLeft(t *testing.T) {
+	c := newCluster(t)
+	entry, guard := c.startNode(nil, nil), c.startNode(nil, nil)
+	started, release := make(chan struct{}), make(chan struct{})
+	guard.upstream.BeforeRun = func(context.Context) error { close(started); <-release; return nil }
+	var ran runCounter
+	c.startUpstream(guard, "letters", 4, ran.echo)
+	c.configure(map[*testNode]string{guard: "letters"})
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { <-started; leave() }()
+	got := c.do(ctx, request{to: entry.callers.URL, method: http.MethodPost, service: "letters", body: "a"})
+	must.ErrorIs(t, got.err, context.Canceled)
+	time.Sleep(100 * time.Millisecond) // the departure reaches the guard
+	close(release)
+	time.Sleep(100 * time.Millisecond)
+	must.EqOp(t, 0, ran.count("a"))
+}
+
 // Guards against a caller that leaves while its body waits for memory, and keeps its place among the others.
 func TestCallerThatLeavesWhileItsBodyWaitsIsNoticed(t *testing.T) {
 	const size = 100 << 10
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -42,12 +42,24 @@
 type outgoingRequest struct {
 	request h1.Request
 	fields  [maxInnerFields]h1.Field
+	// guard is the local one if the request is a call that it runs, and callID its ID.
+	guard  *node.Guard
+	callID string
+	// isWanted is stillWanted as a value, so that no request allocates one.
+	isWanted func() bool
 }
 
-var outgoingRequests = sync.Pool{New: func() any { return new(outgoingRequest) }}
+var outgoingRequests = sync.Pool{New: func() any {
+	o := new(outgoingRequest)
+	o.isWanted = o.stillWanted
+	return o
+}}
+
+// stillWanted reports whether a caller waits for the call at the local guard.
+func (o *outgoingRequest) stillWanted() bool { return o.guard.StillWanted(o.callID) }
 
 func (o *outgoingRequest) release() {
-	*o = outgoingRequest{}
+	*o = outgoingRequest{isWanted: o.isWanted}
 	outgoingRequests.Put(o)
 }
 
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -229,7 +229,10 @@
 	}
 	out := outgoingRequests.Get().(*outgoingRequest)
 	defer out.release()
+	out.guard, out.callID = u.node.Guard(), call.Ctx.CallID
 	out.request = h1.Request{
+		StillWanted: out.isWanted,
+
 		Method:  call.Method,
 		Target:  call.Target,
 		Host:    host,
