Report a reset to the reader of a response whatever the write took

What callers saw: a part of a 200 as the whole. An upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the failure of a connection once, to the read or the write that comes first. With an upload in progress the write often takes the ECONNRESET, and the read then returns the end of data, though no FIN came: the socket is in CLOSE, not in CLOSE_WAIT. A response that ends with its connection looked complete.

Change: connections that a node or galenactl dials remember the failure that a write took, and a read that would return the end of data returns it. If a write is still under way at the end of data, the state of the socket tells whether it can wait: only in CLOSE does it return now, and the reader waits for it.

Ruled out: to judge by the state of the socket alone. A FIN followed by a reset ends in CLOSE as well, and a whole response would be lost.

--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -16,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/admin"
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb/adminpbconnect"
 	"github.com/galenagrade/galenagrade/internal/certs"
+	"github.com/galenagrade/galenagrade/internal/conns"
 )
 
 // cli defines the global flags and the commands.
@@ -144,7 +145,7 @@
 // each call has a context with its own, and a followed stream has none.
 func httpClient(c *cli) (*http.Client, error) {
 	tr := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
+		DialContext:       conns.ReportResets((&net.Dialer{Timeout: 5 * time.Second}).DialContext),
 		ForceAttemptHTTP2: true,
 	}
 	tr.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 	"unicode/utf8"
+
+	"github.com/galenagrade/galenagrade/internal/conns"
 )
 
 // ClientOptions configures a Client; the zero value is usable.
@@ -54,7 +56,7 @@
 	}
 	if c.http == nil {
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext:         conns.ReportResets((&net.Dialer{Timeout: time.Second}).DialContext),
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     30 * time.Second,
 		}}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -128,8 +128,9 @@
 // Open returns the number of open connections to other nodes.
 func (p *Peers) Open() int64 { return p.openConns.Load() }
 
-// countOpen wraps a dial function so that its open connections are counted.
+// countOpen wraps a dial function so that its open connections are counted and report resets.
 func (p *Peers) countOpen(dial DialFunc) DialFunc {
+	dial = conns.ReportResets(dial)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
