Refuse a response whose status or version is none of HTTP/1

What callers saw: a response that was not the upstream's. 000 was skipped as if it were informational: the bytes behind it counted as the response, whether a success or a refusal, and 000 alone was waited on until the deadline. 600 and more reached the caller with its body.

Cause: net/http accepts each status of three characters that strconv.Atoi takes for a number (+20 and -00 too) and each version of one digit; the client took all below 200 for informational.

Change: internal/httphead checks the head line by line by RFC 9110, section 15, and RFC 9112, sections 2.3 and 4, as the lines arrive and before net/http parses it, in interim responses too. So a malformed head ends its request with its first malformed line, and a server that begins with other bytes and falls silent is not waited on. The fast parser of plain heads, which is stricter already, gets the bound of 599. The connection is closed; the result is 3001 (lost answer), 502, never "not run"; no probe for a crash follows, since the upstream has responded.

RFC 9110 lets a client treat an invalid status as a 5xx: the caller gets one, 502, without the stamp of the upstream.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -109,12 +109,13 @@
 }
 
 func (c *conn) sendAndRead(r *Request, maxBody int64) (*Response, bool, error) {
-	c.reader = readers.Get().(*bufio.Reader)
+	pooled := readers.Get().(*bufio.Reader)
 	c.limited = limitedReader{src: c.Conn}
-	c.reader.Reset(&c.limited)
+	pooled.Reset(&c.limited)
+	c.reader = pooled
 	defer func() {
-		c.reader.Reset(nil)
-		readers.Put(c.reader)
+		pooled.Reset(nil)
+		readers.Put(pooled)
 		c.reader = nil
 	}()
 	if len(r.Body) <= maxInlineBody {
@@ -222,7 +223,7 @@
 func (c *conn) readAny(r *Request, maxBody int64) (*Response, bool, error) {
 	resp, err := c.readHead(r)
 	if err != nil {
-		return nil, false, c.headError(err)
+		return nil, false, err
 	}
 	var body []byte
 	if r.Method != http.MethodHead {
@@ -240,15 +241,18 @@
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for {
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
-			return nil, err
+			return nil, &Error{Stage: StageMalformed, Cause: err}
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("server switched protocols without a request to do so")
+			return nil, &Error{Stage: StageMalformed, Cause: errors.New("server switched protocols without a request to do so")}
 		}
 	}
 }
--- a/internal/h1/error.go
+++ b/internal/h1/error.go
@@ -18,9 +18,11 @@
 	StageTooLarge
 	// StageMismatch: only responses to other requests were received.
 	StageMismatch
+	// StageMalformed: what was received is not a response in HTTP/1.
+	StageMalformed
 )
 
-var stageNames = [...]string{"connect", "send", "read head", "read body", "response too large", "answer of another request"}
+var stageNames = [...]string{"connect", "send", "read head", "read body", "response too large", "answer of another request", "malformed response"}
 
 // String returns the name of the step that failed.
 func (s Stage) String() string {
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -3,11 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
+
+	"github.com/galenagrade/galenagrade/internal/httphead"
 )
 
 // plainHead is the header of a plain response: one of HTTP/1.1 with a Content-Length, whose
@@ -33,10 +34,7 @@
 // of the header.
 func readPlainHead(r *bufio.Reader) (plainHead, bool, error) {
 	if _, err := r.Peek(1); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		return plainHead{}, false, err
+		return plainHead{}, false, unexpectedEnd(err)
 	}
 	received, _ := r.Peek(r.Buffered())
 	end := bytes.Index(received, headEnd)
@@ -89,7 +87,7 @@
 		return 0, false
 	}
 	status, ok := parseDigits(code[:statusDigits])
-	return int(status), ok && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+	return int(status), ok && status >= http.StatusOK && httphead.IsStatus(int(status)) && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // plainField returns the canonical name and the value of a header field.
--- a/internal/h1/limit.go
+++ b/internal/h1/limit.go
@@ -144,7 +144,15 @@
 	if c.limited.exceeded {
 		return &Error{Stage: StageTooLarge, Cause: err}
 	}
-	return &Error{Stage: StageHead, Cause: err}
+	return &Error{Stage: StageHead, Cause: unexpectedEnd(err)}
+}
+
+// unexpectedEnd returns the error of a read within a response.
+func unexpectedEnd(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // bodyError returns the error for a body that could not be read; nil if err is nil.
@@ -154,8 +162,6 @@
 		return nil
 	case c.limited.exceeded:
 		return &Error{Stage: StageTooLarge, Cause: err}
-	case err == io.EOF:
-		err = io.ErrUnexpectedEOF
 	}
-	return &Error{Stage: StageBody, Cause: err}
+	return &Error{Stage: StageBody, Cause: unexpectedEnd(err)}
 }
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,95 @@
+// Package httphead checks the heads of HTTP/1 responses by the grammar of RFC 9110 and RFC 9112, which
+// net/http does not enforce in all parts.
+package httphead
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// Error is the error of a head that is not one of an HTTP/1 response.
+type Error struct {
+	// Part is the part of the head that is malformed.
+	Part string
+	// Text is the beginning of the line.
+	Text string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("malformed %s in %q", e.Part, e.Text) }
+
+// maxErrorText is the maximum length in bytes of Error.Text.
+const maxErrorText = 100
+
+func malformed(part string, line []byte) error {
+	return &Error{part, string(line[:min(len(line), maxErrorText)])}
+}
+
+const (
+	// minStatus and maxStatus bound the status codes (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
+	statusDigits         = 3
+	// versionPrefix is how the version of HTTP/1 begins. A digit follows (RFC 9112, section 2.3).
+	versionPrefix = "HTTP/1."
+)
+
+// IsStatus reports whether a number is a status code.
+func IsStatus(code int) bool { return code >= minStatus && code <= maxStatus }
+
+// Checker checks the lines of one head. The zero value expects the status line.
+type Checker struct {
+	inFields bool
+}
+
+// Line checks the next line, without its line feed, and reports whether it ends the head.
+func (c *Checker) Line(line []byte) (end bool, err error) {
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if !c.inFields {
+		c.inFields = true
+		return false, c.checkStatusLine(line)
+	}
+	return len(line) == 0, nil
+}
+
+// Begin checks the part of the next line that has arrived, so that a server that sends something else and
+// keeps the connection open is noticed.
+func (c *Checker) Begin(line []byte) error {
+	n := min(len(line), len(versionPrefix))
+	if !c.inFields && string(line[:n]) != versionPrefix[:n] {
+		return malformed("version", line)
+	}
+	return nil
+}
+
+func (c *Checker) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if !isVersion(version) {
+		return malformed("version", line)
+	}
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	if !isStatusText(code) {
+		return malformed("status", line)
+	}
+	return nil
+}
+
+func isVersion(text []byte) bool {
+	minor, found := bytes.CutPrefix(text, []byte(versionPrefix))
+	return found && len(minor) == 1 && isDigit(minor[0])
+}
+
+func isStatusText(text []byte) bool {
+	if len(text) != statusDigits {
+		return false
+	}
+	code := 0
+	for _, c := range text {
+		if !isDigit(c) {
+			return false
+		}
+		code = 10*code + int(c-'0')
+	}
+	return IsStatus(code)
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- /dev/null
+++ b/internal/httphead/httphead_test.go
@@ -0,0 +1,63 @@
+package httphead
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// check checks the lines of a head.
+func check(head string) (end bool, err error) {
+	var c Checker
+	for line := range strings.SplitSeq(strings.TrimSuffix(head, "\n"), "\n") {
+		if end, err = c.Line([]byte(line)); end || err != nil {
+			return end, err
+		}
+	}
+	return false, nil
+}
+
+// Guards against a malformed status line that is taken for that of a response, and the reverse.
+func TestStatusLines(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 404 Not Found", "HTTP/1.9 100 x", "HTTP/1.1 599 \tx  y"} {
+		end, err := check(line + "\r\n\r\n")
+		must.NoError(t, err)
+		must.True(t, end, must.Sprint(line))
+	}
+	for line, part := range map[string]string{
+		"HTTP/1.1 000 OK":   "status",
+		"HTTP/1.1 099 OK":   "status",
+		"HTTP/1.1 600 OK":   "status",
+		"HTTP/1.1 +20 OK":   "status",
+		"HTTP/1.1 20 OK":    "status",
+		"HTTP/1.1 2000 OK":  "status",
+		"HTTP/1.1  200 OK":  "status",
+		"HTTP/1.1 200\tOK":  "status",
+		"HTTP/1.1":          "status",
+		"HTTP/2.0 200 OK":   "version",
+		"HTTP/0.9 200 OK":   "version",
+		"HTTP/1.10 200 OK":  "version",
+		"HTTP/1. 200 OK":    "version",
+		"http/1.1 200 OK":   "version",
+		" HTTP/1.1 200 OK":  "version",
+		"HTTP/1.1\t200 OK":  "version",
+		"ICY 200 OK":        "version",
+		"":                  "version",
+		"Content-Length: 0": "version",
+	} {
+		_, err := check(line + "\r\n\r\n")
+		must.ErrorContains(t, err, part, must.Sprint(line))
+	}
+}
+
+// Guards against a server that sends something else than a response, without the end of a line, and is waited on.
+func TestBeginOfAHead(t *testing.T) {
+	var c Checker
+	for _, begin := range []string{"", "H", "HTTP/1.", "HTTP/1.1 20"} {
+		must.NoError(t, c.Begin([]byte(begin)))
+	}
+	for _, begin := range []string{"h", "HTTP/2", "\r", "<html"} {
+		must.Error(t, c.Begin([]byte(begin)))
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -329,11 +329,12 @@
 		}
 		return node.Refused(id, result.Refuse(result.NoUpstream, "connection to the upstream failed: %v", err))
 	}
-	if ctx.Err() != nil && exchangeErr.Stage != h1.StageMismatch {
+	responded := exchangeErr.Stage == h1.StageMismatch || exchangeErr.Stage == h1.StageMalformed
+	if ctx.Err() != nil && !responded {
 		return node.Refused(id, contextRefusal(ctx.Err()))
 	}
 	resp := node.Refused(id, failureRefusal(exchangeErr))
-	if exchangeErr.Stage != h1.StageTooLarge && exchangeErr.Stage != h1.StageMismatch {
+	if !responded && exchangeErr.Stage != h1.StageTooLarge {
 		resp.Crashed = u.probeCrash()
 	}
 	return resp
@@ -347,6 +348,8 @@
 		return result.Refuse(result.AnswerCut, "response of the upstream is too large: %v", exchangeErr.Cause)
 	case h1.StageMismatch:
 		return result.Refuse(result.AnswerMismatch, "upstream responded to another call: %v", exchangeErr.Cause)
+	case h1.StageMalformed:
+		return result.Refuse(result.LostAnswer, "upstream sent what is not a response: %v", exchangeErr.Cause)
 	}
 	return result.Refuse(result.LostAnswer, "connection to the upstream failed before the response: %v", exchangeErr)
 }
