Refuse a response with a malformed name of a field

What callers saw: the response of an upstream in trouble, with a line such as "X Odd: 1" passed on, or with a body that was not the upstream's: behind "Content-Length : 5" the body had no length, and all that followed on the connection counted as part of it; "Transfer-Encoding : chunked" left the frames of the chunks in the body.

Cause: net/http accepts blanks in the names of fields, keeps such a name as it is and does not use it. RFC 9110, section 5.1, has names as tokens; RFC 9112, section 5.1, lets a gateway only remove the blank before the colon. To guess what a server in trouble meant would be believing it.

Control bytes, delimiters, bytes beyond ASCII, no name, no colon and a blank before the first name were refused before.

Change: the check of heads asks for tokens in each line, and the names in a trailer are checked once net/http has read it. The fast parser uses the same tokens, more of them than before.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/httphead"
 	"github.com/galenagrade/galenagrade/internal/lifetime"
 	"github.com/galenagrade/galenagrade/internal/membudget"
 )
@@ -232,6 +233,9 @@
 		if body, err = c.readBody(resp.Body, resp.ContentLength, maxBody); err != nil {
 			return nil, false, err
 		}
+		if err = httphead.CheckFields(resp.Trailer); err != nil {
+			return nil, false, &Error{Stage: StageMalformed, Cause: err}
+		}
 	}
 	c.updateKeepAlive(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close, nil
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -93,7 +93,7 @@
 // plainField returns the canonical name and the value of a header field.
 func plainField(line string) (name, value string, ok bool) {
 	name, value, found := strings.Cut(line, ":")
-	if !found || !isToken(name) || !isValue(value) {
+	if !found || !httphead.IsToken(name) || !isValue(value) {
 		return "", "", false
 	}
 	name = textproto.CanonicalMIMEHeaderKey(name)
@@ -128,18 +128,6 @@
 	return n, err == nil
 }
 
-// isToken reports whether a name consists of letters, digits, '-' and '_'.
-func isToken(name string) bool {
-	for i := range len(name) {
-		c := name[i]
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !letter && c != '-' && c != '_' {
-			return false
-		}
-	}
-	return name != ""
-}
-
 // isValue reports whether a text consists of printable ASCII characters and tabs.
 func isValue(text string) bool {
 	for i := range len(text) {
--- a/internal/h1/head_test.go
+++ b/internal/h1/head_test.go
@@ -58,6 +58,8 @@
 		return false
 	}
 	must.NoError(t, wantErr)
+	_, err = new(headScanner).scan([]byte(raw))
+	must.NoError(t, err)
 	wantRest, _ := io.ReadAll(reader)
 	must.EqOp(t, want.StatusCode, got.status)
 	must.Eq(t, want.Header, got.header)
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // Error is the error of a head that is not one of an HTTP/1 response.
@@ -36,26 +37,73 @@
 // IsStatus reports whether a number is a status code.
 func IsStatus(code int) bool { return code >= minStatus && code <= maxStatus }
 
+// IsToken reports whether a text is a token, as the names of fields are (RFC 9110, section 5.6.2).
+func IsToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !tokenBytes[text[i]] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// tokenBytes are the bytes that a token may consist of.
+var tokenBytes = func() (set [256]bool) {
+	const lower, others = "abcdefghijklmnopqrstuvwxyz", "0123456789!#$%&'*+-.^_`|~"
+	for _, c := range []byte(lower + strings.ToUpper(lower) + others) {
+		set[c] = true
+	}
+	return set
+}()
+
 // Checker checks the lines of one head. The zero value expects the status line.
 type Checker struct {
-	inFields bool
+	// lines is the number of lines checked.
+	lines int
 }
 
 // Line checks the next line, without its line feed, and reports whether it ends the head.
 func (c *Checker) Line(line []byte) (end bool, err error) {
 	line = bytes.TrimSuffix(line, []byte("\r"))
-	if !c.inFields {
-		c.inFields = true
+	c.lines++
+	switch {
+	case c.lines == 1:
 		return false, c.checkStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	case c.lines > 2 && isFolded(line):
+		return false, nil
 	}
-	return len(line) == 0, nil
+	return false, c.checkField(line)
+}
+
+// isFolded reports whether a line continues the value of the field before it. A gateway may accept that
+// (RFC 9112, section 5.2).
+func isFolded(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
+
+// CheckFields checks the names of fields that net/http has parsed. It has checked the values.
+func CheckFields(fields map[string][]string) error {
+	for name := range fields {
+		if !IsToken(name) {
+			return malformed("field name", []byte(name))
+		}
+	}
+	return nil
+}
+
+func (c *Checker) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !IsToken(name) {
+		return malformed("field name", line)
+	}
+	return nil
 }
 
 // Begin checks the part of the next line that has arrived, so that a server that sends something else and
 // keeps the connection open is noticed.
 func (c *Checker) Begin(line []byte) error {
 	n := min(len(line), len(versionPrefix))
-	if !c.inFields && string(line[:n]) != versionPrefix[:n] {
+	if c.lines == 0 && string(line[:n]) != versionPrefix[:n] {
 		return malformed("version", line)
 	}
 	return nil
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -61,3 +61,21 @@
 		must.Error(t, c.Begin([]byte(begin)))
 	}
 }
+
+// Guards against a malformed name of a field that is taken for one, and the reverse.
+func TestFieldNames(t *testing.T) {
+	for _, name := range []string{"a", "Content-Length", "x!#$%&'*+-.^_`|~09"} {
+		_, err := check("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n 2\r\n\r\n")
+		must.NoError(t, err, must.Sprint(name))
+		must.NoError(t, CheckFields(map[string][]string{name: {"1"}}))
+	}
+	for _, name := range []string{"", "a b", "a ", "a\t", " a", "a\x00", "a\x7f", "a\r", "a\x80", "a(", "a\"", "a/", "a;", "a@", "a["} {
+		_, err := check("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n\r\n")
+		must.ErrorContains(t, err, "field name", must.Sprintf("%q", name))
+		must.Error(t, CheckFields(map[string][]string{name: {"1"}}))
+	}
+	for _, line := range []string{"a", " a: 1", "\t", "\r"} {
+		_, err := check("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n")
+		must.Error(t, err, must.Sprintf("%q", line))
+	}
+}
