Refuse a response with a malformed reason or an end in doubt

What callers saw: a body that was not the upstream's (the frames of chunks in a response of HTTP/1.0), or a response of bytes that are none.

Cause: net/http does not look at the reason phrase, ignores the transfer encoding of HTTP/1.0 and with it the end of the body, and takes chunks for the body where a length says otherwise.

Control bytes in values, unknown encodings, and unequal, signed and empty lengths were refused before: the tests stay.

Change: the check of heads covers reasons, values as their lines arrive, and the framing: RFC 9112, section 6.1, has a transfer encoding in HTTP/1.0 as faulty framing; section 6.3 has it beside a length as an error. The fast parser shares the check of texts, and so takes bytes beyond ASCII too.

--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -80,7 +80,7 @@
 // plainStatus returns the status of a status line if it allows a body.
 func plainStatus(line string) (int, bool) {
 	code, found := strings.CutPrefix(line, statusLinePrefix)
-	if !found || len(code) < statusDigits || !isValue(code) {
+	if !found || len(code) < statusDigits || !httphead.IsText(code) {
 		return 0, false
 	}
 	if len(code) > statusDigits && code[statusDigits] != ' ' {
@@ -93,7 +93,7 @@
 // plainField returns the canonical name and the value of a header field.
 func plainField(line string) (name, value string, ok bool) {
 	name, value, found := strings.Cut(line, ":")
-	if !found || !httphead.IsToken(name) || !isValue(value) {
+	if !found || !httphead.IsToken(name) || !httphead.IsText(value) {
 		return "", "", false
 	}
 	name = textproto.CanonicalMIMEHeaderKey(name)
@@ -127,13 +127,3 @@
 	n, err := strconv.ParseInt(text, 10, 64)
 	return n, err == nil
 }
-
-// isValue reports whether a text consists of printable ASCII characters and tabs.
-func isValue(text string) bool {
-	for i := range len(text) {
-		if (text[i] < ' ' && text[i] != '\t') || text[i] > '~' {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -56,10 +56,29 @@
 	return set
 }()
 
+// IsText reports whether a text consists of what the values of fields and reason phrases may hold: visible
+// characters, blanks, tabs and bytes beyond ASCII (RFC 9110, section 5.5; RFC 9112, section 4).
+func IsText[T string | []byte](text T) bool {
+	for i := range len(text) {
+		c := text[i]
+		if c < ' ' && c != '\t' || c == asciiDelete {
+			return false
+		}
+	}
+	return true
+}
+
+// asciiDelete is the control character beside those below the blank.
+const asciiDelete = 0x7f
+
 // Checker checks the lines of one head. The zero value expects the status line.
 type Checker struct {
 	// lines is the number of lines checked.
 	lines int
+	// minor is the digit of the minor version.
+	minor byte
+	// encoded and stated are whether there is a transfer encoding, and a length.
+	encoded, stated bool
 }
 
 // Line checks the next line, without its line feed, and reports whether it ends the head.
@@ -70,7 +89,9 @@
 	case c.lines == 1:
 		return false, c.checkStatusLine(line)
 	case len(line) == 0:
-		return true, nil
+		return true, c.checkFraming()
+	case !IsText(line):
+		return false, malformed("field", line)
 	case c.lines > 2 && isFolded(line):
 		return false, nil
 	}
@@ -96,6 +117,17 @@
 	if !found || !IsToken(name) {
 		return malformed("field name", line)
 	}
+	c.encoded = c.encoded || strings.EqualFold(string(name), "Transfer-Encoding")
+	c.stated = c.stated || strings.EqualFold(string(name), "Content-Length")
+	return nil
+}
+
+// checkFraming checks that the head leaves no doubt about the end of the body (RFC 9112, sections 6.1 and 6.3).
+// HTTP/1.0 has no transfer encodings.
+func (c *Checker) checkFraming() error {
+	if c.encoded && (c.stated || c.minor == '0') {
+		return &Error{Part: "framing", Text: "Transfer-Encoding"}
+	}
 	return nil
 }
 
@@ -114,10 +146,14 @@
 	if !isVersion(version) {
 		return malformed("version", line)
 	}
-	code, _, _ := bytes.Cut(rest, []byte(" "))
+	c.minor = version[len(versionPrefix)]
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	if !isStatusText(code) {
 		return malformed("status", line)
 	}
+	if !IsText(reason) {
+		return malformed("reason", line)
+	}
 	return nil
 }
 
