Allocate nothing for a write that succeeds

Cause: the variable that errors.As fills escapes, also where there is no error: an allocation for each write to an upstream or node, since the reset of a connection is reported to its reader.

--- a/internal/conns/reset.go
+++ b/internal/conns/reset.go
@@ -50,7 +50,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
-	if isConnectionFailure(err) {
+	if err != nil && isConnectionFailure(err) { // errors.As allocates
 		c.failure = err
 	}
 	return n, err
