Read the response to a health check as strictly as other responses

What callers saw: calls sent to an upstream that a restarted node adopted by a broken response to its health check: one with a blank in the name of a field, a control byte in the reason, a malformed interim response, or of which only a part came.

Cause: the check used the client of net/http, followed redirects, and did not read the body.

Change: the check is sent with the client of the calls. It asks for the close of its connection as before, and the whole response has to be valid.

--- a/internal/mesh/adopt.go
+++ b/internal/mesh/adopt.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/url"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/fleet"
+	"github.com/galenagrade/galenagrade/internal/h1"
 	"github.com/galenagrade/galenagrade/internal/routing"
 )
 
@@ -19,10 +23,13 @@
 	// healthCheckTimeout bounds a health check of the upstream. The check is queued for a slot of
 	// the upstream like any request.
 	healthCheckTimeout = 500 * time.Millisecond
-	// maxHealthHeaderBytes is the maximum size of the header of its response.
-	maxHealthHeaderBytes = 64 << 10
+	// maxHealthBodyBytes is the maximum size of the body of its response.
+	maxHealthBodyBytes = 1 << 20
 )
 
+// closeField asks a server to close the connection after the response.
+var closeField = h1.Field{Name: "Connection", Value: "close"}
+
 // adoptUpstream takes the upstream beside the node into service before its first report.
 //
 // It covers a node that is restarted while its upstream keeps running. Without adoption, every
@@ -75,7 +82,7 @@
 	notice routing.UpstreamNotice
 }
 
-// checkHealth returns nil when the check can't be sent or gets no response.
+// checkHealth returns nil when the check can't be sent or gets no valid response.
 func (m *Mesh) checkHealth(ctx context.Context) *upstreamHealth {
 	table := m.proxy.Routes()
 	if table == nil {
@@ -87,19 +94,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.cfg.UpstreamAddress+path, nil)
+	target, err := url.ParseRequestURI(path)
 	if err != nil {
 		m.logger.Error().Str("path", path).Err(err).Msg("health check path of the routes forms no valid URL; upstream not adopted")
 		return nil
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHealthHeaderBytes}}
-	resp, err := client.Do(req)
+	pool := h1.NewPool(m.cfg.UpstreamAddress, h1.Config{Dial: conns.ReportResets((&net.Dialer{}).DialContext), MaxBody: maxHealthBodyBytes})
+	resp, err := pool.Do(ctx, &h1.Request{
+		Method: http.MethodGet,
+		Target: target.RequestURI(),
+		Host:   m.cfg.UpstreamAddress,
+		Fields: []h1.Field{closeField},
+	})
 	if err != nil {
 		m.rateLimited.Debug().Str("address", m.cfg.UpstreamAddress).Err(err).Msg("health check of the upstream failed; upstream not adopted yet")
 		return nil
 	}
-	defer func() { _ = resp.Body.Close() }()
-	health := &upstreamHealth{id: m.platform.Identify(resp.StatusCode, resp.Header)}
+	health := &upstreamHealth{id: m.platform.Identify(resp.Status, resp.Header)}
 	if health.notice, err = m.platform.Notice(resp.Header); err != nil {
 		m.node.RecordInvalidNotice(err)
 	}
