Refuse broken responses of the store, of nodes and in galenactl

What operators and nodes saw: a broken response taken for one wherever a client of net/http reads it: the newest records of the store and the acknowledgement of a write, responses of other nodes to control requests, those of the log of the own interface, and the state that galenactl shows. 000 without a length was waited on until the deadline.

Cause: as with the responses of upstreams, net/http accepts blanks in names, any status of three characters, any version and reason.

Change: httphead.Transport checks what net/http shows of a head, the status line, the names and those of informational responses, and closes the connection of a broken one. Clients of the store, of the log, of nodes' control requests and galenactl use it. A write whose acknowledgement is broken has an unknown outcome, as one without a response has. Control requests over HTTP/2 (h2c) are left as they are: the library frames their heads.

Not seen by net/http's users, and so not checked here: a transfer encoding in HTTP/1.0 or beside a length. Calls and health checks have both checks.

--- a/cmd/galenactl/cli.go
+++ b/cmd/galenactl/cli.go
@@ -17,6 +17,7 @@
 	"github.com/galenagrade/galenagrade/internal/admin/adminpb/adminpbconnect"
 	"github.com/galenagrade/galenagrade/internal/certs"
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/httphead"
 )
 
 // cli defines the global flags and the commands.
@@ -163,7 +164,7 @@
 		}
 		tr.TLSClientConfig.Certificates = []tls.Certificate{pair}
 	}
-	return &http.Client{Transport: tr}, nil
+	return &http.Client{Transport: httphead.NewTransport(tr)}, nil
 }
 
 // callContext returns the context of one call. Its timeout is --timeout plus wait, the time for which
--- a/cmd/galenactl/node_test.go
+++ b/cmd/galenactl/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/galenagrade/galenagrade/internal/mesh"
 	"github.com/galenagrade/galenagrade/internal/routes"
 	"github.com/galenagrade/galenagrade/internal/settings"
+	"github.com/galenagrade/galenagrade/internal/testraw"
 	"github.com/galenagrade/galenagrade/platform"
 	"github.com/galenagrade/galenagrade/platform/standin"
 )
@@ -85,3 +87,12 @@
 	must.StrContains(t, runNode(t, b, "shares", exitFailure), "shares are off at b")
 	must.StrContains(t, runNode(t, "127.0.0.1:1", "status", exitUnreachable), "does not answer")
 }
+
+// Guards against a broken response of a node that is shown as its state.
+func TestBrokenResponseOfANodeIsNotShown(t *testing.T) {
+	for name, response := range testraw.BrokenResponses("Content-Type: application/json\r\n", `{"node":"a"}`) {
+		addr, _ := testraw.Serve(t, func(*http.Request) string { return response })
+		out := runNode(t, addr, "status", exitUnreachable)
+		must.StrNotContains(t, out, "incarnation", must.Sprint(name))
+	}
+}
--- a/internal/conns/reset.go
+++ b/internal/conns/reset.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,6 +18,13 @@
 // DialFunc establishes a connection.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// NewDial returns a dial function that connects within a timeout. Its connections report resets (see
+// ReportResets) and fail pathTimeout after the path to the peer broke (see DetectDeadPath).
+func NewDial(connectTimeout, pathTimeout time.Duration) DialFunc {
+	dialer := DetectDeadPath(&net.Dialer{Timeout: connectTimeout}, pathTimeout)
+	return ReportResets(dialer.DialContext)
+}
+
 // ReportResets returns a dial function whose connections report a reset to their reader whatever was
 // written before.
 //
--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -16,6 +16,7 @@
 	"unicode/utf8"
 
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/httphead"
 )
 
 // ClientOptions configures a Client; the zero value is usable.
@@ -55,11 +56,11 @@
 		c.timeout = defaultTimeout
 	}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{
+		c.http = &http.Client{Transport: httphead.NewTransport(&http.Transport{
 			DialContext:         conns.ReportResets((&net.Dialer{Timeout: time.Second}).DialContext),
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     30 * time.Second,
-		}}
+		})}
 	}
 	return c
 }
--- a/internal/logstore/client_test.go
+++ b/internal/logstore/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/standin/logd"
+	"github.com/galenagrade/galenagrade/internal/testraw"
 )
 
 func newHTTPClient(t *testing.T) (*logd.Server, *logstore.Client, string) {
@@ -134,3 +135,19 @@
 	must.ErrorIs(t, err, logstore.ErrTruncated)
 	must.Eq(t, 2, err.(*logstore.TruncatedError).Oldest)
 }
+
+// Guards against a broken response of the log service that counts as an acknowledgement, a rejection or a page.
+func TestBrokenResponsesAreNotBelieved(t *testing.T) {
+	for name, response := range testraw.BrokenResponses("", `{"first":0,"head":0,"next":0}`) {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := testraw.Serve(t, func(*http.Request) string { return response })
+			c := logstore.NewClient("http://"+addr, logstore.ClientOptions{})
+			_, err := c.Append(t.Context(), []logstore.Record{rec("a")})
+			must.ErrorIs(t, err, logstore.ErrUncertain)
+			_, err = c.Head(t.Context())
+			must.ErrorIs(t, err, logstore.ErrUnavailable)
+			_, err = c.Read(t.Context(), 0, 1, 0)
+			must.ErrorIs(t, err, logstore.ErrUnavailable)
+		})
+	}
+}
--- a/internal/mesh/listen.go
+++ b/internal/mesh/listen.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenagrade/galenagrade/internal/conns"
+	"github.com/galenagrade/galenagrade/internal/httphead"
 	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
@@ -79,7 +80,7 @@
 type servers struct {
 	callers, inner, ready, announce, metrics *http.Server
 	// control carries control requests to other nodes, on connections that carry no calls.
-	control *http.Transport
+	control *httphead.Transport
 }
 
 func (s *servers) all() []*http.Server {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/h1"
+	"github.com/galenagrade/galenagrade/internal/httphead"
 	"github.com/galenagrade/galenagrade/internal/membudget"
 	"github.com/galenagrade/galenagrade/internal/node"
 )
@@ -155,7 +156,9 @@
 
 // ControlTransport returns a transport to other nodes that does not share connections with data
 // calls, so that requests of operators do not wait for calls.
-func (p *Peers) ControlTransport() *http.Transport { return p.newTransport() }
+func (p *Peers) ControlTransport() *httphead.Transport {
+	return httphead.NewTransport(p.HTTPTransport())
+}
 
 // Query sends a short request without a body to another node. It uses the connections of data calls,
 // because a call waits for the response.
@@ -219,7 +222,8 @@
 	return h1.NewPool(addr, h1.Config{Dial: h1.DialFunc(dial), Idle: idle, MaxIdleConns: p.connections.MaxIdleConns, MaxBody: maxResponseBody, Budget: p.connections.Bodies})
 }
 
-func (p *Peers) newTransport() *http.Transport {
+// HTTPTransport returns what ControlTransport uses. By itself it accepts malformed responses of HTTP/1.
+func (p *Peers) HTTPTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         p.dial,
 		DialTLSContext:      p.dialTLS,
--- a/internal/proxy/responses_test.go
+++ b/internal/proxy/responses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb"
 	"github.com/galenagrade/galenagrade/internal/result"
+	"github.com/galenagrade/galenagrade/internal/testraw"
 )
 
 // callThroughPeer sends a call from an entry node to a guard that responds with serveInner, and returns
@@ -161,3 +163,49 @@
 		must.EqOp(t, pair[0], pair[1])
 	}
 }
+
+// Guards against a broken response of an upstream that reaches a caller, or counts as not run.
+func TestBrokenResponseOfUpstream(t *testing.T) {
+	for name := range testraw.BrokenResponses("", "") {
+		got := callUpstream(t, func(rw http.ResponseWriter, r *http.Request) {
+			fields := fmt.Sprintf("%s: %s\r\n%s: no\r\n", callctx.HeaderContext, r.Header.Get(callctx.HeaderContext), headerRan)
+			writeRaw(t, rw, testraw.BrokenResponses(fields, "secret")[name])
+		})
+		must.EqOp(t, http.StatusBadGateway, got.status, must.Sprint(name))
+		must.EqOp(t, result.LostAnswer, got.code, must.Sprint(name))
+		must.StrNotContains(t, got.body, "secret", must.Sprint(name))
+	}
+}
+
+// Guards against a broken response of another node that reaches a caller.
+func TestBrokenResponseBetweenNodes(t *testing.T) {
+	for name := range testraw.BrokenResponses("", "") {
+		got := callThroughPeer(t, func(rw http.ResponseWriter, r *http.Request) {
+			fields := inner.HeaderAnswer + ": " + answerHeader(callID(t, r)) + "\r\n"
+			writeRaw(t, rw, testraw.BrokenResponses(fields, "secret")[name])
+		})
+		must.EqOp(t, http.StatusBadGateway, got.status, must.Sprint(name))
+		must.EqOp(t, result.AnswerCut, got.code, must.Sprint(name))
+		must.StrNotContains(t, got.body, "secret", must.Sprint(name))
+	}
+}
+
+// writeRaw writes a response of a test's own on the connection of a request, and leaves it open.
+func writeRaw(t *testing.T, rw http.ResponseWriter, response string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, _ = io.WriteString(conn, response)
+}
+
+// Guards against a broken response of another node to a control request that is believed.
+func TestBrokenResponseToAControlRequest(t *testing.T) {
+	for name, response := range testraw.BrokenResponses("", "secret") {
+		addr, _ := testraw.Serve(t, func(*http.Request) string { return response })
+		control := NewPeers(nil).ControlTransport()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr, nil)
+		must.NoError(t, err)
+		_, err = control.RoundTrip(req)
+		must.Error(t, err, must.Sprint(name))
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -83,7 +83,7 @@
 // a slot.
 func newUpstreamPool(addr string, bodies *membudget.Budget) *h1.Pool {
 	return h1.NewPool(addr, h1.Config{
-		Dial:         conns.ReportResets(conns.DetectDeadPath(&net.Dialer{Timeout: upstreamDialTimeout}, upstreamPathTimeout).DialContext),
+		Dial:         conns.NewDial(upstreamDialTimeout, upstreamPathTimeout),
 		Idle:         upstreamIdleTimeout,
 		MaxIdleConns: maxIdleUpstreamConns,
 		MaxBody:      maxResponseBody,
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/httphead"
 	"github.com/galenagrade/galenagrade/internal/inner"
 	"github.com/galenagrade/galenagrade/internal/inner/innerpb/innerpbconnect"
 	"github.com/galenagrade/galenagrade/internal/proxy"
@@ -56,14 +57,16 @@
 	// The idle timeout of http.Transport counts from the creation of an HTTP/2 connection. After
 	// that time, every message would dial a connection and close it again. It is off here, and
 	// sweepLocked closes idle connections.
-	t := c.peers.ControlTransport()
+	t := c.peers.HTTPTransport()
 	t.IdleConnTimeout = 0
+	client := &http.Client{Transport: httphead.NewTransport(t)}
 	if c.peers.Scheme() == "http" {
 		t.Protocols = new(http.Protocols)
 		t.Protocols.SetUnencryptedHTTP2(true)
+		client.Transport = t
 	}
 	base := c.peers.Scheme() + "://" + addr
-	created := &controlClient{ControlClient: inner.NewControlClient(&http.Client{Transport: t}, base), transport: t, lastUsed: now}
+	created := &controlClient{ControlClient: inner.NewControlClient(client, base), transport: t, lastUsed: now}
 	c.byAddr[addr] = created
 	return created
 }
