--- a/internal/h1/await.go
+++ b/internal/h1/await.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// enlargeReader replaces the reader, whose buffer is full, by one that holds the largest head.
+// enlargeReader replaces the reader, whose buffer is full of what was received, by one with twice the buffer.
 func (c *conn) enlargeReader(received []byte) {
 	rest := io.MultiReader(bytes.NewReader(bytes.Clone(received)), &c.limited)
-	c.reader = bufio.NewReaderSize(rest, len(received)+maxHeadBytes)
+	c.reader = bufio.NewReaderSize(rest, 2*len(received))
 }
