Use one type for functions that dial

Cause: h1, proxy, certs and, since the reports of resets, conns had a type for the same function, with conversions between them.

Change: conns.DialFunc serves all.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
@@ -158,16 +159,13 @@
 	}
 }
 
-// Dial is the type of a function that establishes connections, as net.Dialer.DialContext.
-type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// WrapDial returns a Dial that connects with dial and performs a TLS handshake. It presents the
+// WrapDial returns a dial function that connects with dial and performs a TLS handshake. It presents the
 // client certificate and verifies the server's certificate against the CA file, or against the
 // system's CAs if there is no CA file. The server's certificate must contain the dialled host or IP.
 //
 // A failed handshake is returned as a *net.OpError of a failed dial. No part of the request was sent
 // at that point, so callers may treat the call as not executed, as after any failed dial.
-func (f *Files) WrapDial(dial Dial) Dial {
+func (f *Files) WrapDial(dial conns.DialFunc) conns.DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(addr)
 		if err != nil {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -2,21 +2,18 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/membudget"
 )
 
-// DialFunc establishes a connection.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // Config contains the options of a Pool.
 type Config struct {
 	// Dial establishes connections. It enforces its own timeout.
-	Dial DialFunc
+	Dial conns.DialFunc
 	// Idle is how long an unused connection stays open. A shorter time stated by the server in
 	// Keep-Alive takes precedence. 0 disables reuse.
 	Idle time.Duration
--- a/internal/proxy/cluster_test.go
+++ b/internal/proxy/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/galenagrade/galenagrade/internal/callctx"
+	"github.com/galenagrade/galenagrade/internal/conns"
 	"github.com/galenagrade/galenagrade/internal/logstore"
 	"github.com/galenagrade/galenagrade/internal/node"
 	"github.com/galenagrade/galenagrade/internal/policy"
@@ -74,7 +75,7 @@
 
 // startNode adds a node. dial opens its connections to other nodes; wrap wraps its inner handler. Both
 // may be nil.
-func (c *cluster) startNode(dial DialFunc, wrap func(http.Handler) http.Handler) *testNode {
+func (c *cluster) startNode(dial conns.DialFunc, wrap func(http.Handler) http.Handler) *testNode {
 	n := &testNode{name: fmt.Sprintf("n%d", len(c.nodes)), peers: NewPeers(dial), upstream: NewUpstream(allowAll{})}
 	n.inner = httptest.NewUnstartedServer(nil)
 	n.node = node.New(node.Config{
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -49,13 +49,13 @@
 // Peers sends attempts to the guards of other nodes. It is safe for concurrent use.
 type Peers struct {
 	node            *node.Node
-	dial            DialFunc
+	dial            conns.DialFunc
 	usesDefaultDial bool // NewPeers was called without a dial function
 	connections     ConnectionConfig
 
 	openConns atomic.Int64
 	// dialTLS replaces dial if nodes use TLS among each other.
-	dialTLS DialFunc
+	dialTLS conns.DialFunc
 
 	// versions receives the route versions of other nodes; nil in a deployment without routes.
 	versions Versions
@@ -93,7 +93,7 @@
 }
 
 // NewPeers returns a sender with DefaultConnections. A nil dial uses plain TCP.
-func NewPeers(dial DialFunc) *Peers {
+func NewPeers(dial conns.DialFunc) *Peers {
 	p := &Peers{peers: make(map[string]*peer), usesDefaultDial: dial == nil}
 	p.dial = p.countOpen(dial)
 	p.SetConnections(DefaultConnections())
@@ -130,7 +130,7 @@
 func (p *Peers) Open() int64 { return p.openConns.Load() }
 
 // countOpen wraps a dial function so that its open connections are counted and report resets.
-func (p *Peers) countOpen(dial DialFunc) DialFunc {
+func (p *Peers) countOpen(dial conns.DialFunc) conns.DialFunc {
 	dial = conns.ReportResets(dial)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -144,7 +144,7 @@
 
 // UseTLS enables TLS for all connections to other nodes. wrap adds the handshake to a dial function.
 // It must be called before the first Send.
-func (p *Peers) UseTLS(wrap func(DialFunc) DialFunc) { p.dialTLS = wrap(p.dial) }
+func (p *Peers) UseTLS(wrap func(conns.DialFunc) conns.DialFunc) { p.dialTLS = wrap(p.dial) }
 
 // Scheme returns the URL scheme of the inner addresses of other nodes.
 func (p *Peers) Scheme() string {
@@ -219,7 +219,7 @@
 	if p.dialTLS != nil {
 		dial = p.dialTLS
 	}
-	return h1.NewPool(addr, h1.Config{Dial: h1.DialFunc(dial), Idle: idle, MaxIdleConns: p.connections.MaxIdleConns, MaxBody: maxResponseBody, Budget: p.connections.Bodies})
+	return h1.NewPool(addr, h1.Config{Dial: dial, Idle: idle, MaxIdleConns: p.connections.MaxIdleConns, MaxBody: maxResponseBody, Budget: p.connections.Bodies})
 }
 
 // HTTPTransport returns what ControlTransport uses. By itself it accepts malformed responses of HTTP/1.
--- a/internal/proxy/responsetime.go
+++ b/internal/proxy/responsetime.go
@@ -1,15 +1,10 @@
 package proxy
 
 import (
-	"context"
-	"net"
 	"sync/atomic"
 	"time"
 )
 
-// DialFunc establishes a connection to another node.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
 const (
 	// minReattachWait prevents re-attachments, and with them new connections, because of normal
 	// variation of the response time.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,7 +47,7 @@
 	// Log replaces the log service; nil means a client of the log in the settings.
 	Log logstore.Log
 	// Dial opens connections to other nodes; nil means TCP.
-	Dial proxy.DialFunc
+	Dial conns.DialFunc
 	// Logger receives the log lines of the node.
 	Logger zerolog.Logger
 	// Observer receives the end of calls; it may be nil.
--- a/internal/server/tls.go
+++ b/internal/server/tls.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenagrade/galenagrade/internal/certs"
-	"github.com/galenagrade/galenagrade/internal/proxy"
 	"github.com/galenagrade/galenagrade/internal/settings"
 )
 
@@ -44,7 +43,7 @@
 	if s.certs.inner == nil {
 		return
 	}
-	s.peers.UseTLS(func(d proxy.DialFunc) proxy.DialFunc { return proxy.DialFunc(s.certs.inner.WrapDial(certs.Dial(d))) })
+	s.peers.UseTLS(s.certs.inner.WrapDial)
 }
 
 // serveOn serves cleartext or TLS. Nodes connect to each other without ALPN, so their TLS
