--- a/internal/conns/reset.go
+++ b/internal/conns/reset.go
@@ -15,7 +15,7 @@
 // tcpClose is the state of a socket that was reset or has timed out.
 const tcpClose = unix.BPF_TCP_CLOSE
 
-// DialFunc establishes a connection.
+// DialFunc establishes a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // NewDial returns a dial function that connects within a timeout. Its connections report resets (see
--- a/internal/h1/await.go
+++ b/internal/h1/await.go
@@ -40,7 +40,7 @@
 		received, _ := c.reader.Peek(c.reader.Buffered())
 		end, err := scanner.scan(received)
 		if err != nil {
-			return &Error{Stage: StageMalformed, Cause: err}
+			return malformed(err)
 		}
 		if end {
 			return nil
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -87,7 +87,16 @@
 		return 0, false
 	}
 	status, ok := parseDigits(code[:statusDigits])
-	return int(status), ok && status >= http.StatusOK && httphead.IsStatus(int(status)) && status != http.StatusNoContent && status != http.StatusNotModified
+	return int(status), ok && mayHaveBody(int(status))
+}
+
+// mayHaveBody reports whether a status is valid and the body of its response ends with the Content-Length.
+func mayHaveBody(status int) bool {
+	switch status {
+	case http.StatusNoContent, http.StatusNotModified:
+		return false
+	}
+	return status >= http.StatusOK && httphead.IsStatus(status)
 }
 
 // plainField returns the canonical name and the value of a header field.
--- a/internal/h1/limit.go
+++ b/internal/h1/limit.go
@@ -137,6 +137,8 @@
 	return min(max(2*capacity, firstCapacity), most)
 }
 
+func malformed(cause error) *Error { return &Error{Stage: StageMalformed, Cause: cause} }
+
 func tooLarge(cause string) *Error { return &Error{Stage: StageTooLarge, Cause: errors.New(cause)} }
 
 // headError returns the error for a header that could not be read.
