Believe no rejection of the log whose body breaks off

What operators saw: nothing yet. A change whose rejection (429, 400) broke off in its body counted as not recorded, though the rest of the response was lost.

Cause: the client of the own interface's log ignored each error of the body of a failure, since that body is optional.

Evidence: the new case of TestBrokenResponsesAreNotBelieved failed before.

Change: a body that can't be read makes the outcome uncertain; one that is no JSON is ignored as before.

--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -164,12 +164,15 @@
 	return decodeBounded(resp.Body, limit, out)
 }
 
-// decodeFailure returns the statusError of a response other than 200.
+// decodeFailure returns the statusError of a response other than 200. A response whose body breaks off proves
+// nothing, not even by its status.
 func decodeFailure(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return err
+	}
 	e := &statusError{status: resp.StatusCode}
-	// The body is optional: callers classify the error by its status, so a decoding error is
-	// ignored.
-	_ = decodeBounded(resp.Body, maxErrorBytes, &e.doc)
+	_ = json.Unmarshal(data, &e.doc) // optional: callers classify the error by its status
 	return e
 }
 
--- a/internal/logstore/client_test.go
+++ b/internal/logstore/client_test.go
@@ -138,7 +138,9 @@
 
 // Guards against a broken response of the log service that counts as an acknowledgement, a rejection or a page.
 func TestBrokenResponsesAreNotBelieved(t *testing.T) {
-	for name, response := range testraw.BrokenResponses("", `{"first":0,"head":0,"next":0}`) {
+	responses := testraw.BrokenResponses("", `{"first":0,"head":0,"next":0}`)
+	responses["rejection that breaks off"] = "HTTP/1.1 429 Too Many Requests\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\nodd\r\n"
+	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
 			addr, _ := testraw.Serve(t, func(*http.Request) string { return response })
 			c := logstore.NewClient("http://"+addr, logstore.ClientOptions{})
