Refuse responses of HTTP/1.0 without a length behind http.Transport

What operators and nodes saw: nothing yet. The frames of chunks counted as the body of a response of HTTP/1.0 of the store, the log or a node.

Cause: net/http removes the transfer encoding, so that the check behind it can't see it.

Evidence: the new case of TestTransportRefusesBrokenResponses failed before.

Change: without a length nothing tells that there was no transfer encoding, so such a response is refused there. The store, the log and nodes speak HTTP/1.1.

--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -14,6 +14,10 @@
 // errTooManyInterim is the error of a server that sends informational responses without end.
 var errTooManyInterim = errors.New("too many informational responses")
 
+// errHiddenEncoding is the error of a response of HTTP/1.0 without a length. net/http removes a transfer encoding,
+// which HTTP/1.0 does not have, and would return the frames of its chunks as the body.
+var errHiddenEncoding = errors.New("response of HTTP/1.0 has no length")
+
 // Transport sends requests through a transport of net/http and refuses responses whose heads no response of
 // HTTP/1 has, as far as net/http shows them. It closes the connection of such a response.
 type Transport struct{ base *http.Transport }
@@ -76,5 +80,8 @@
 	if err := checker.checkStatusLine([]byte(resp.Proto + " " + resp.Status)); err != nil {
 		return err
 	}
+	if resp.ProtoMinor == 0 && resp.ContentLength < 0 {
+		return errHiddenEncoding
+	}
 	return CheckFields(resp.Header)
 }
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -32,7 +32,9 @@
 
 // Guards against a broken response that a client of net/http takes for one, waits on, or reuses the connection of.
 func TestTransportRefusesBrokenResponses(t *testing.T) {
-	for name, response := range testraw.BrokenResponses("", "body") {
+	responses := testraw.BrokenResponses("", "body")
+	responses["chunks in HTTP/1.0"] = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
 			client := newClient(t)
 			addr, accepted := testraw.Serve(t, func(*http.Request) string { return response })
