--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -57,7 +57,7 @@
 }()
 
 // IsText reports whether a text consists of what the values of fields and reason phrases may hold: visible
-// characters, blanks, tabs and bytes beyond ASCII (RFC 9110, section 5.5; RFC 9112, section 4).
+// characters, spaces, tabs and bytes beyond ASCII (RFC 9110, section 5.5; RFC 9112, section 4).
 func IsText[T string | []byte](text T) bool {
 	for i := range len(text) {
 		c := text[i]
@@ -68,7 +68,7 @@
 	return true
 }
 
-// asciiDelete is the control character beside those below the blank.
+// asciiDelete is the control character beside those below the space.
 const asciiDelete = 0x7f
 
 // Checker checks the lines of one head. The zero value expects the status line.
--- a/internal/testraw/testraw.go
+++ b/internal/testraw/testraw.go
@@ -24,9 +24,9 @@
 		"sign before the status":     "HTTP/1.1 +20 OK\r\n" + rest,
 		"control byte in the reason": "HTTP/1.1 200 O\x01K\r\n" + rest,
 		"version":                    "HTTP/2.0 200 OK\r\n" + rest,
-		"blank in a name":            line + "X Odd: 1\r\n" + rest,
+		"space in a name":            line + "X Odd: 1\r\n" + rest,
 		"control byte in a name":     line + "X-\x01Odd: 1\r\n" + rest,
-		"blank behind the length":    line + fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", fields, len(body), body),
+		"space behind the length":    line + fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", fields, len(body), body),
 		"in an interim response":     "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + line + rest,
 	}
 }
