Report a reset also if the writer closes the connection at once

Cause: a read that finds the end of data while a write is under way asks the state of the socket whether that write can wait. If the write has just taken the reset and its goroutine closes the connection before the question, there is no state to ask, and the end of data was returned. The soak's link does that, as the transport of net/http does after a failed write; the client of the calls does not close there.

Change: a connection that this process has closed counts as down as well, so the reader waits for the write, which returns at once, and for what it took.

--- a/internal/conns/reset.go
+++ b/internal/conns/reset.go
@@ -83,7 +83,7 @@
 // endOfData returns io.EOF if the peer ended its data, and otherwise the failure of the connection.
 func (c *resetConn) endOfData() error {
 	if !c.writing.TryLock() {
-		if !c.isDown() {
+		if c.mayBeWritten() {
 			return io.EOF // the peer may go on reading, and the write may wait for that
 		}
 		c.writing.Lock() // the write returns now, maybe with the failure
@@ -95,16 +95,17 @@
 	return io.EOF
 }
 
-// isDown reports whether the connection has ended in both directions, so that a write doesn't wait.
-func (c *resetConn) isDown() bool {
+// mayBeWritten reports whether the connection is open for writes, so that a write may wait for the peer. It is not
+// after a reset, nor after a close by this process, which may follow a write that took the failure.
+func (c *resetConn) mayBeWritten() bool {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
-		return false
+		return true // not a socket
 	}
-	down := false
+	open := true
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		down = err == nil && info.State == tcpClose
+		open = err != nil || info.State != tcpClose
 	})
-	return err == nil && down
+	return err == nil && open
 }
--- a/internal/conns/reset_test.go
+++ b/internal/conns/reset_test.go
@@ -37,18 +37,28 @@
 	}
 }
 
-// Guards against data that a reset cut and that looks complete, since a write took the error.
+// Guards against data that a reset cut and that looks complete, since a write took the error. Its writer may close
+// the connection then.
 func TestResetIsReportedToTheReaderToo(t *testing.T) {
-	for range 50 {
-		c, peer := dialed(t)
-		written := make(chan error)
-		go func() { written <- writeUntilError(c) }()
-		_, err := io.WriteString(peer, "part")
-		must.NoError(t, err)
-		reset(peer)
-		_, err = io.ReadAll(c)
-		must.Error(t, err)
-		must.Error(t, <-written)
+	for _, closes := range []bool{false, true} {
+		for range 1000 {
+			c, peer := dialed(t)
+			written := make(chan error)
+			go func() {
+				err := writeUntilError(c)
+				if closes {
+					_ = c.Close()
+				}
+				written <- err
+			}()
+			_, err := io.WriteString(peer, "part")
+			must.NoError(t, err)
+			reset(peer)
+			_, err = io.ReadAll(c)
+			must.Error(t, err)
+			must.Error(t, <-written)
+			_ = c.Close()
+		}
 	}
 }
 
